--- /dev/null
+++ b/protocol/message/codec.go
@@ -0,0 +1,101 @@
+package message
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// MaxSize is the largest encoded message in bytes. A larger one is refused
+// before it is decoded.
+const MaxSize = 256 << 10
+
+// Limits of the decoder against hostile input.
+const (
+	maxElements = 16 << 10
+	maxNesting  = 8
+)
+
+// SizeError reports a message that is larger than MaxSize, or empty.
+type SizeError struct {
+	// Size is the message's size in bytes.
+	Size int
+}
+
+// Error implements error.
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("message of %d bytes: want 1 to %d", e.Size, MaxSize)
+}
+
+// KindError reports a message of a kind that this version does not know.
+type KindError struct {
+	// Kind is the unknown kind.
+	Kind Kind
+}
+
+// Error implements error.
+func (e *KindError) Error() string { return fmt.Sprintf("message kind %d is not known", e.Kind) }
+
+// DecodeError reports a message whose body can't be decoded.
+type DecodeError struct {
+	// Kind is the message's kind.
+	Kind Kind
+	// Err is the codec's error.
+	Err error
+}
+
+// Error implements error.
+func (e *DecodeError) Error() string {
+	return fmt.Sprintf("message kind %d can't be decoded: %v", e.Kind, e.Err)
+}
+
+// Unwrap returns the codec's error.
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants; a test decodes with them
+	}
+	return m
+}
+
+// Encode returns m's kind in one byte, followed by its CBOR body. It returns a
+// *SizeError when the result is larger than MaxSize.
+func Encode(m Message) ([]byte, error) {
+	body, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrapf(err, "encode message kind %d", m.Kind())
+	}
+	if len(body)+1 > MaxSize {
+		return nil, &SizeError{Size: len(body) + 1}
+	}
+	b := make([]byte, 0, len(body)+1)
+	b = append(b, byte(m.Kind()))
+	return append(b, body...), nil
+}
+
+// Decode reads one message. It returns a *SizeError, *KindError or
+// *DecodeError and never panics, whatever the input.
+func Decode(b []byte) (Message, error) {
+	if len(b) == 0 || len(b) > MaxSize {
+		return nil, &SizeError{Size: len(b)}
+	}
+	m := newOf(Kind(b[0]))
+	if m == nil {
+		return nil, &KindError{Kind: Kind(b[0])}
+	}
+	if err := decMode.Unmarshal(b[1:], m); err != nil {
+		return nil, &DecodeError{Kind: Kind(b[0]), Err: err}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/protocol/outcome/outcome.go
@@ -0,0 +1,76 @@
+// Package outcome defines what a caller is told about its request: the
+// response headers, the three outcomes and the reasons of a refusal.
+package outcome
+
+// Outcome says whether a request ran.
+type Outcome string
+
+// The outcomes.
+const (
+	// Answered means that the body is the backend server's whole answer.
+	Answered Outcome = "answered"
+	// NotRun means that the request certainly was not run. Retry-After says
+	// when to come back.
+	NotRun Outcome = "not-run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+)
+
+// Headers of requests and responses.
+const (
+	// HeaderOutcome carries the Outcome on every response.
+	HeaderOutcome = "Jacinthgate-Outcome"
+	// HeaderReason carries the Reason of a response that is not Answered.
+	HeaderReason = "Jacinthgate-Reason"
+	// HeaderDeadline carries the remaining time of the request in
+	// milliseconds.
+	HeaderDeadline = "Jacinthgate-Deadline"
+	// HeaderHops carries the number of nodes that the chain of calls has
+	// passed.
+	HeaderHops = "Jacinthgate-Hops"
+	// HeaderCustomer and HeaderClass tell the gate how the entry proxy
+	// classified the request.
+	HeaderCustomer = "Jacinthgate-Customer"
+	// HeaderClass names the class of the request.
+	HeaderClass = "Jacinthgate-Class"
+	// HeaderKind carries the class's kind, which decides the queue's order.
+	HeaderKind = "Jacinthgate-Kind"
+	// HeaderService names the service that the entry proxy meant, so that a
+	// gate refuses a request that stale routing sent to the wrong host.
+	HeaderService = "Jacinthgate-Service"
+	// HeaderLoad carries the gate's load on every response: slots in use,
+	// slots and queue length, as "used/slots/queued".
+	HeaderLoad = "Jacinthgate-Load"
+	// HeaderServedBy names the node whose backend server answered.
+	HeaderServedBy = "Jacinthgate-Served-By"
+	// HeaderIdempotencyKey is the caller's key of a request that must run at
+	// most once.
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// Reason is the machine-readable reason of a refusal or an unknown outcome.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNotReady         Reason = "not-ready"         // the node holds no whole version yet
+	ReasonNoCustomer       Reason = "no-customer"       // no contract has this host
+	ReasonNoRoute          Reason = "no-route"          // the contract has no matching route
+	ReasonNoEndpoint       Reason = "no-endpoint"       // no backend server may take the request
+	ReasonRateLimited      Reason = "rate-limited"      // the contract's rate is used up
+	ReasonConcurrency      Reason = "concurrency"       // the contract's concurrency is used up
+	ReasonShed             Reason = "shed"              // overload; the least important first
+	ReasonQueueFull        Reason = "queue-full"        // the gate's queue is full
+	ReasonDeadline         Reason = "deadline"          // the deadline has passed or can't be met
+	ReasonDraining         Reason = "draining"          // the backend server is leaving
+	ReasonWrongService     Reason = "wrong-service"     // the host offers another service
+	ReasonLoop             Reason = "loop"              // too many hops
+	ReasonPlatform         Reason = "platform"          // the platform is away and the class needs it
+	ReasonInProgress       Reason = "in-progress"       // the same key is running
+	ReasonBackendFailed    Reason = "backend-failed"    // the connection broke after the request was sent
+	ReasonBackendRefused   Reason = "backend-refused"   // the backend server refused before running
+	ReasonMalformed        Reason = "malformed"         // the request can't be understood
+	ReasonTooLarge         Reason = "too-large"         // headers exceed the limit
+	ReasonOlderUnreachable Reason = "older-unreachable" // the older system did not accept the connection
+	ReasonCancelled        Reason = "cancelled"         // the caller went away
+)
--- /dev/null
+++ b/state/snapshot/consistent.go
@@ -0,0 +1,63 @@
+package snapshot
+
+// Consistent checks the snapshot as a whole: each entry is stored under its
+// own name, each route's service and class are held, and no two contracts
+// claim one host. It returns the first fault in order of name: a *NameError,
+// *ReferenceError or *HostError.
+func (s *Snapshot) Consistent() error {
+	if err := s.checkNames(); err != nil {
+		return err
+	}
+	if err := s.checkReferences(); err != nil {
+		return err
+	}
+	return s.checkHosts()
+}
+
+func (s *Snapshot) checkNames() error {
+	for _, key := range s.Services() {
+		if name := s.services[key].Service.Name; name != key {
+			return &NameError{Key: key, Name: name}
+		}
+	}
+	for _, key := range s.Customers() {
+		if name := s.contracts[key].Contract.Customer; name != key {
+			return &NameError{Key: key, Name: name}
+		}
+	}
+	return nil
+}
+
+func (s *Snapshot) checkReferences() error {
+	for _, customer := range s.Customers() {
+		c := s.contracts[customer].Contract
+		classes := make(map[string]bool, len(c.Classes))
+		for i := range c.Classes {
+			classes[c.Classes[i].Name] = true
+		}
+		for i := range c.Routes {
+			r := &c.Routes[i]
+			if s.services[r.Service] == nil {
+				return &ReferenceError{Customer: customer, Route: r.Name, Kind: "service", Name: r.Service}
+			}
+			if !classes[r.Class] {
+				return &ReferenceError{Customer: customer, Route: r.Name, Kind: "class", Name: r.Class}
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Snapshot) checkHosts() error {
+	owner := make(map[string]string)
+	for _, customer := range s.Customers() {
+		for _, host := range s.contracts[customer].Contract.Hosts {
+			host = NormalizeHost(host)
+			if first, taken := owner[host]; taken {
+				return &HostError{Host: host, First: first, Second: customer}
+			}
+			owner[host] = customer
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/state/snapshot/errors.go
@@ -0,0 +1,106 @@
+package snapshot
+
+import "fmt"
+
+// NilEntryError reports an entry without a document.
+type NilEntryError struct {
+	// Name is the entry's name.
+	Name string
+}
+
+// Error implements error.
+func (e *NilEntryError) Error() string { return "entry " + e.Name + " has no document" }
+
+// BaseError reports a delta that does not start from the held snapshot.
+type BaseError struct {
+	// Held is the snapshot's own reference.
+	Held Ref
+	// From is the delta's base.
+	From Ref
+}
+
+// Error implements error.
+func (e *BaseError) Error() string {
+	return fmt.Sprintf("delta starts from version %d (%s), held is %d (%s)",
+		e.From.Version, e.From.Hash, e.Held.Version, e.Held.Hash)
+}
+
+// HashError reports content that does not have the promised hash.
+type HashError struct {
+	// Want is the promised reference.
+	Want Ref
+	// Got is the content's own reference.
+	Got Ref
+}
+
+// Error implements error.
+func (e *HashError) Error() string {
+	return fmt.Sprintf("content of version %d has hash %s, want %s", e.Want.Version, e.Got.Hash, e.Want.Hash)
+}
+
+// VersionError reports a version that is not newer than the one held.
+type VersionError struct {
+	// Held is the version held.
+	Held uint64
+	// Offered is the version refused.
+	Offered uint64
+}
+
+// Error implements error.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("version %d is not newer than %d", e.Offered, e.Held)
+}
+
+// ReferenceError reports a route that points at something the snapshot does
+// not hold.
+type ReferenceError struct {
+	// Customer and Route name the route.
+	Customer, Route string
+	// Kind is "service" or "class".
+	Kind string
+	// Name is what the route refers to.
+	Name string
+}
+
+// Error implements error.
+func (e *ReferenceError) Error() string {
+	return fmt.Sprintf("contract %s, route %s: %s %q is not held", e.Customer, e.Route, e.Kind, e.Name)
+}
+
+// HostError reports a host that two contracts claim.
+type HostError struct {
+	// Host is the HTTP host.
+	Host string
+	// First and Second are the customers, in order of name.
+	First, Second string
+}
+
+// Error implements error.
+func (e *HostError) Error() string {
+	return fmt.Sprintf("host %s is claimed by %s and %s", e.Host, e.First, e.Second)
+}
+
+// NameError reports an entry whose key differs from its document's name.
+type NameError struct {
+	// Key is the entry's key.
+	Key string
+	// Name is the document's own name.
+	Name string
+}
+
+// Error implements error.
+func (e *NameError) Error() string { return fmt.Sprintf("entry %s holds document %q", e.Key, e.Name) }
+
+// CodecError reports bytes that are no encoded snapshot or delta.
+type CodecError struct {
+	// What is "snapshot" or "delta".
+	What string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *CodecError) Error() string { return e.What + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *CodecError) Unwrap() error { return e.Err }
--- /dev/null
+++ b/state/snapshot/ref.go
@@ -0,0 +1,23 @@
+package snapshot
+
+import "encoding/hex"
+
+// HashSize is the size of a Hash in bytes.
+const HashSize = 32
+
+// Hash identifies a snapshot's whole content.
+type Hash [HashSize]byte
+
+// String returns the first 8 bytes in hexadecimal, enough for logs.
+func (h Hash) String() string { return hex.EncodeToString(h[:8]) }
+
+// Ref names one version of the configuration. The zero Ref means "none held".
+type Ref struct {
+	// Version rises strictly with each accepted change; 0 means none.
+	Version uint64 `json:"version" cbor:"1,keyasint"`
+	// Hash is the hash of the version's content.
+	Hash Hash `json:"hash" cbor:"2,keyasint"`
+}
+
+// Newer reports whether r is a later version than o.
+func (r Ref) Newer(o Ref) bool { return r.Version > o.Version }
--- /dev/null
+++ b/state/snapshot/snapshot.go
@@ -0,0 +1,140 @@
+// Package snapshot holds one whole, immutable version of the configuration.
+// A Snapshot is built whole, checked by Consistent and swapped at once; it is
+// never changed afterwards, so readers need no lock.
+package snapshot
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// ContractEntry is a contract and the version that last changed it.
+type ContractEntry struct {
+	// Revision is the configuration version that last changed the contract.
+	Revision uint64 `cbor:"1,keyasint"`
+	// Contract must not be changed.
+	Contract *model.Contract `cbor:"2,keyasint"`
+
+	sum [sha256.Size]byte
+}
+
+// ServiceEntry is a service and the version that last changed it.
+type ServiceEntry struct {
+	// Revision is the configuration version that last changed the service.
+	Revision uint64 `cbor:"1,keyasint"`
+	// Service must not be changed.
+	Service *model.Service `cbor:"2,keyasint"`
+
+	sum [sha256.Size]byte
+}
+
+// Snapshot is one whole version. All its methods are safe for concurrent use.
+type Snapshot struct {
+	ref       Ref
+	contracts map[string]*ContractEntry
+	services  map[string]*ServiceEntry
+	hosts     map[string]*Target
+}
+
+// Empty returns the snapshot of version 0, which holds nothing.
+func Empty() *Snapshot {
+	return &Snapshot{}
+}
+
+// Build returns the snapshot of the given version with the given entries. The
+// maps and documents must not be changed afterwards. The result is not checked:
+// call Consistent before it is used.
+func Build(version uint64, contracts map[string]*ContractEntry, services map[string]*ServiceEntry) (*Snapshot, error) {
+	s := &Snapshot{contracts: contracts, services: services}
+	if err := s.sumEntries(); err != nil {
+		return nil, err
+	}
+	s.ref = Ref{Version: version, Hash: s.hash(version)}
+	s.hosts = indexHosts(contracts)
+	return s, nil
+}
+
+// Ref returns the snapshot's version and hash.
+func (s *Snapshot) Ref() Ref { return s.ref }
+
+// Version returns the snapshot's version.
+func (s *Snapshot) Version() uint64 { return s.ref.Version }
+
+// Contract returns a customer's entry, or nil. It must not be changed.
+func (s *Snapshot) Contract(customer string) *ContractEntry { return s.contracts[customer] }
+
+// Service returns a service's entry, or nil. It must not be changed.
+func (s *Snapshot) Service(name string) *ServiceEntry { return s.services[name] }
+
+// Customers returns the names of all customers, sorted.
+func (s *Snapshot) Customers() []string { return slices.Sorted(maps.Keys(s.contracts)) }
+
+// Services returns the names of all services, sorted.
+func (s *Snapshot) Services() []string { return slices.Sorted(maps.Keys(s.services)) }
+
+func (s *Snapshot) sumEntries() error {
+	for name, e := range s.contracts {
+		if e == nil || e.Contract == nil {
+			return &NilEntryError{Name: name}
+		}
+		if err := sumDocument(&e.sum, e.Contract); err != nil {
+			return err
+		}
+	}
+	for name, e := range s.services {
+		if e == nil || e.Service == nil {
+			return &NilEntryError{Name: name}
+		}
+		if err := sumDocument(&e.sum, e.Service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sumDocument fills in an entry's sum once; entries are shared by snapshots.
+func sumDocument(sum *[sha256.Size]byte, doc any) error {
+	if *sum != ([sha256.Size]byte{}) {
+		return nil
+	}
+	b, err := cbor.Marshal(doc)
+	if err != nil {
+		return errors.Wrap(err, "encode document")
+	}
+	*sum = sha256.Sum256(b)
+	return nil
+}
+
+// hash covers the version and each entry's name, revision and content.
+func (s *Snapshot) hash(version uint64) Hash {
+	h := sha256.New()
+	writeUint := func(v uint64) {
+		var b [8]byte
+		binary.BigEndian.PutUint64(b[:], v)
+		h.Write(b[:])
+	}
+	writeEntry := func(name string, revision uint64, sum []byte) {
+		writeUint(uint64(len(name)))
+		h.Write([]byte(name))
+		writeUint(revision)
+		h.Write(sum)
+	}
+	writeUint(version)
+	writeUint(uint64(len(s.contracts)))
+	for _, name := range s.Customers() {
+		e := s.contracts[name]
+		writeEntry(name, e.Revision, e.sum[:])
+	}
+	for _, name := range s.Services() {
+		e := s.services[name]
+		writeEntry(name, e.Revision, e.sum[:])
+	}
+	return Hash(h.Sum(nil))
+}
--- /dev/null
+++ b/transport/platform/platform.go
@@ -0,0 +1,115 @@
+// Package platform is the client of the platform's table service and object
+// store: the only places where anything lasts.
+package platform
+
+import (
+	"context"
+	"fmt"
+)
+
+// Item is one item of the table service.
+type Item struct {
+	// Key is the item's key.
+	Key string `json:"key"`
+	// Value is the item's content.
+	Value []byte `json:"value"`
+	// Revision is set by the table service. It rises with each write of the
+	// item; 0 means that the item does not exist.
+	Revision uint64 `json:"revision"`
+}
+
+// Write is one write of a transaction.
+type Write struct {
+	// Key is the item's key.
+	Key string `json:"key"`
+	// Value is the new content. It is ignored when Delete is set.
+	Value []byte `json:"value,omitempty"`
+	// Delete removes the item.
+	Delete bool `json:"delete,omitempty"`
+	// IfRevision is the revision that the item must have; 0 means that it
+	// must not exist.
+	IfRevision uint64 `json:"ifRevision"`
+}
+
+// Table is the transactional table service. All writes are conditional.
+// Implementations are safe for concurrent use.
+type Table interface {
+	// Get reads one item with a consistent read. A missing item has revision
+	// 0 and is no error.
+	Get(ctx context.Context, key string) (Item, error)
+	// List reads the items whose keys start with prefix, in key order, at
+	// most limit of them, after the key after.
+	List(ctx context.Context, prefix, after string, limit int) ([]Item, error)
+	// Transact carries out all writes or none and returns the new revisions
+	// in order. It returns a *ConditionError when a condition failed and an
+	// *UnknownError when the writes may have taken effect.
+	Transact(ctx context.Context, writes []Write) ([]uint64, error)
+}
+
+// Objects is the object store. Objects are written once and not changed.
+// Implementations are safe for concurrent use.
+type Objects interface {
+	// Put stores an object. Putting the same content again is harmless.
+	Put(ctx context.Context, key string, body []byte) error
+	// Get reads an object. It returns a *NotFoundError for a missing one.
+	Get(ctx context.Context, key string) ([]byte, error)
+	// List reads the keys that start with prefix, in order, at most limit of
+	// them, after the key after.
+	List(ctx context.Context, prefix, after string, limit int) ([]string, error)
+	// Delete removes an object. Removing a missing one is no error.
+	Delete(ctx context.Context, key string) error
+}
+
+// ConditionError reports a transaction that was refused whole because an item
+// did not have the required revision. Nothing was written.
+type ConditionError struct {
+	// Key is the first item whose condition failed.
+	Key string
+	// Current is the item as it is.
+	Current Item
+}
+
+// Error implements error.
+func (e *ConditionError) Error() string {
+	return fmt.Sprintf("item %s has revision %d: condition failed", e.Key, e.Current.Revision)
+}
+
+// NotFoundError reports a missing object.
+type NotFoundError struct {
+	// Key is the object's key.
+	Key string
+}
+
+// Error implements error.
+func (e *NotFoundError) Error() string { return "object " + e.Key + " not found" }
+
+// UnavailableError reports a call that certainly had no effect.
+type UnavailableError struct {
+	// Op names the call.
+	Op string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string { return "platform " + e.Op + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
+// UnknownError reports a write that may have taken effect: its answer was lost
+// or late. It is settled by reading, never by writing again blindly.
+type UnknownError struct {
+	// Op names the call.
+	Op string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return "platform " + e.Op + ": outcome not known: " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
