Decode JSON documents strictly, all faults at once

encoding/json lets unknown, duplicate, missing and differently cased fields pass in silence and stops at the first wrong type, so an operator would correct a contract one fault at a time. Weighed DisallowUnknownFields, which still folds case and stops early; ruled out. The new package parses a bounded tree first and then fills the struct, with a path for each fault. Fields without omitempty must be given.

--- /dev/null
+++ b/state/strictjson/decode.go
@@ -0,0 +1,218 @@
+package strictjson
+
+import (
+	"encoding/json"
+	"reflect"
+	"strconv"
+	"strings"
+)
+
+// Defaulter is implemented by pointers to structs that an optional pointer
+// field holds. SetDefaults is called before the object is decoded into it.
+type Defaulter interface {
+	// SetDefaults fills in the defaults.
+	SetDefaults()
+}
+
+// Explainer is implemented by errors of UnmarshalJSON that can say what the
+// type accepts.
+type Explainer interface {
+	// Allowed says what a document may hold.
+	Allowed() string
+}
+
+// Decode reads the document b into the struct that into points at and returns
+// all faults, none when b is whole. A field must be present unless its json
+// tag has omitempty or omitzero; an absent one keeps the value it had. After a
+// fault the struct holds what could be decoded.
+func Decode(b []byte, into any) Faults {
+	var faults Faults
+	n, ok := parse(b, &faults)
+	if !ok {
+		return faults
+	}
+	d := &decoder{faults: &faults}
+	d.decode(n, reflect.ValueOf(into).Elem(), "")
+	return faults
+}
+
+// Keys returns the keys of the document's outermost object in order, nil when
+// b is no JSON object.
+func Keys(b []byte) []string {
+	var ignored Faults
+	n, ok := parse(b, &ignored)
+	if !ok {
+		return nil
+	}
+	var keys []string
+	for _, f := range n.fields {
+		keys = append(keys, f.key)
+	}
+	return keys
+}
+
+type decoder struct {
+	faults *Faults
+}
+
+// decode stores n in v or reports why it can't.
+func (d *decoder) decode(n node, v reflect.Value, path string) {
+	if u, ok := v.Addr().Interface().(json.Unmarshaler); ok {
+		d.unmarshal(n, u, path)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Pointer:
+		d.pointer(n, v, path)
+	case reflect.Struct:
+		d.object(n, v, path)
+	case reflect.Slice:
+		d.array(n, v, path)
+	case reflect.String:
+		if d.expect(n, kindString, path) {
+			v.SetString(n.text)
+		}
+	case reflect.Bool:
+		if d.expect(n, kindBool, path) {
+			v.SetBool(n.truth)
+		}
+	default:
+		d.number(n, v, path)
+	}
+}
+
+func (d *decoder) expect(n node, want nodeKind, path string) bool {
+	if n.kind == want {
+		return true
+	}
+	d.faults.Add(path, string(n.raw), string(want))
+	return false
+}
+
+func (d *decoder) unmarshal(n node, u json.Unmarshaler, path string) {
+	err := u.UnmarshalJSON(n.raw)
+	if err == nil {
+		return
+	}
+	allowed := err.Error()
+	if e, ok := err.(Explainer); ok {
+		allowed = e.Allowed()
+	}
+	d.faults.Add(path, string(n.raw), allowed)
+}
+
+func (d *decoder) pointer(n node, v reflect.Value, path string) {
+	if n.kind == kindNull {
+		d.faults.Add(path, "null", "a value, or no such key")
+		return
+	}
+	v.Set(reflect.New(v.Type().Elem()))
+	if def, ok := v.Interface().(Defaulter); ok {
+		def.SetDefaults()
+	}
+	d.decode(n, v.Elem(), path)
+}
+
+func (d *decoder) array(n node, v reflect.Value, path string) {
+	if !d.expect(n, kindArray, path) {
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(n.items), len(n.items)))
+	for i, item := range n.items {
+		d.decode(item, v.Index(i), Index(path, i))
+	}
+}
+
+func (d *decoder) object(n node, v reflect.Value, path string) {
+	if !d.expect(n, kindObject, path) {
+		return
+	}
+	members := membersOf(v.Type())
+	present := make(map[string]bool, len(n.fields))
+	for _, f := range n.fields {
+		present[f.key] = true
+		m, known := find(members, f.key)
+		if !known {
+			d.faults.Add(Join(path, f.key), "a key that is not known", allowedKeys(members, f.key))
+			continue
+		}
+		d.decode(f.value, v.Field(m.index), Join(path, f.key))
+	}
+	for _, m := range members {
+		if m.required && !present[m.key] {
+			d.faults.Add(Join(path, m.key), "nothing", "a value, which must be given")
+		}
+	}
+}
+
+// number stores n in an integer or floating point value. Integers take no
+// fraction and no exponent.
+func (d *decoder) number(n node, v reflect.Value, path string) {
+	switch {
+	case v.CanInt():
+		i, err := strconv.ParseInt(n.text, 10, v.Type().Bits())
+		if n.kind == kindNumber && err == nil {
+			v.SetInt(i)
+			return
+		}
+		d.faults.Add(path, string(n.raw), "an integer")
+	case v.CanUint():
+		u, err := strconv.ParseUint(n.text, 10, v.Type().Bits())
+		if n.kind == kindNumber && err == nil {
+			v.SetUint(u)
+			return
+		}
+		d.faults.Add(path, string(n.raw), "an integer of 0 or more")
+	case v.CanFloat():
+		f, err := strconv.ParseFloat(n.text, v.Type().Bits())
+		if n.kind == kindNumber && err == nil {
+			v.SetFloat(f)
+			return
+		}
+		d.faults.Add(path, string(n.raw), "a number")
+	default:
+		d.faults.Add(path, string(n.raw), "nothing: the type "+v.Type().String()+" can't be decoded")
+	}
+}
+
+// member is a struct field that JSON may set.
+type member struct {
+	key      string
+	index    int
+	required bool
+}
+
+func membersOf(t reflect.Type) []member {
+	var ms []member
+	for i := range t.NumField() {
+		tag := t.Field(i).Tag.Get("json")
+		key, options, _ := strings.Cut(tag, ",")
+		if key == "" || key == "-" || !t.Field(i).IsExported() {
+			continue
+		}
+		optional := strings.Contains(options, "omitempty") || strings.Contains(options, "omitzero")
+		ms = append(ms, member{key: key, index: i, required: !optional})
+	}
+	return ms
+}
+
+func find(members []member, key string) (member, bool) {
+	for _, m := range members {
+		if m.key == key {
+			return m, true
+		}
+	}
+	return member{}, false
+}
+
+// allowedKeys names the key that differs in case only, or else all keys.
+func allowedKeys(members []member, key string) string {
+	all := make([]string, len(members))
+	for i, m := range members {
+		if strings.EqualFold(m.key, key) {
+			return m.key
+		}
+		all[i] = m.key
+	}
+	return "one of " + strings.Join(all, ", ")
+}
