Pick backend servers by two choices and what the node sees itself

An entry proxy needs a server for each request although reported load lags and misleads. Two random choices on own in-flight plus aged reports per slot, nearest zone first with spill from 0.8 per slot, slow start, ejection with a floor and one trial. A sync.Map per endpoint was ruled out because looking up a name allocates: a group is built once per view instead.

--- /dev/null
+++ b/coordination/balance/config.go
@@ -0,0 +1,75 @@
+package balance
+
+import "time"
+
+// Config sets a Picker's policy.
+type Config struct {
+	// LoadTTL is how long a reported load counts. Its weight falls linearly to
+	// 0 over this time, because reports lag and a server that is not picked
+	// sends no new one.
+	LoadTTL time.Duration
+	// LatencyTTL is how long the measured latency of a server counts. Its
+	// weight falls linearly to 0, so that a server that got well is tried
+	// again.
+	LatencyTTL time.Duration
+	// LatencyGain is the weight of one new latency in the moving average, 0
+	// to 1.
+	LatencyGain float64
+	// LatencyCap bounds how many times worse a slow server is rated, as a
+	// power of two.
+	LatencyCap float64
+	// SpillLoad is the load per slot from which the local zone's servers
+	// count as saturated and servers of other zones are compared.
+	SpillLoad float64
+	// SpillMargin is how much lower, per slot, the load of a server further
+	// away must be.
+	SpillMargin float64
+	// ColdFloor is the smallest part of its share that a cold server gets,
+	// above 0.
+	ColdFloor float64
+	// Failures is the number of failures in a row after which a server is
+	// ejected.
+	Failures int32
+	// FailureRate is the moving failure rate, 0 to 1, from which a server
+	// with at least MinSamples results is ejected.
+	FailureRate float64
+	// FailureGain is the weight of one new result in the failure rate.
+	FailureGain float64
+	// MinSamples is the number of results before rates count.
+	MinSamples int32
+	// EjectBase is the time of the first ejection; each further one doubles
+	// it.
+	EjectBase time.Duration
+	// EjectMax bounds the time of an ejection.
+	EjectMax time.Duration
+	// TrialTimeout is how long the one trial after an ejection may take before
+	// another one is let through.
+	TrialTimeout time.Duration
+	// RefusedFor is how long a server that refused a request for overload is
+	// rated as full.
+	RefusedFor time.Duration
+	// DefaultSlots stands in where neither record nor report gives slots.
+	DefaultSlots int
+}
+
+// DefaultConfig returns the policy that docs/design/balancing.md measures.
+func DefaultConfig() Config {
+	return Config{
+		LoadTTL:      time.Second,
+		LatencyTTL:   10 * time.Second,
+		LatencyGain:  0.1,
+		LatencyCap:   4,
+		SpillLoad:    0.8,
+		SpillMargin:  0.2,
+		ColdFloor:    0.1,
+		Failures:     5,
+		FailureRate:  0.5,
+		FailureGain:  0.1,
+		MinSamples:   10,
+		EjectBase:    2 * time.Second,
+		EjectMax:     time.Minute,
+		TrialTimeout: 5 * time.Second,
+		RefusedFor:   100 * time.Millisecond,
+		DefaultSlots: 10,
+	}
+}
--- /dev/null
+++ b/coordination/balance/picker.go
@@ -0,0 +1,171 @@
+// Package balance picks the backend server for a request.
+//
+// Two servers are drawn at random and the less loaded one is taken, first in
+// the node's own zone, then in its region, then anywhere. What the node itself
+// sees (requests in flight, latency, failures) counts more than what a server
+// reports, because reports lag and mislead. The path of a request takes no
+// lock and allocates nothing once a view's group is built.
+package balance
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/coordination/random"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// draws is the number of random draws in a tier before it is scanned.
+const draws = 4
+
+// Picker picks backend servers for one node. It is safe for concurrent use.
+type Picker struct {
+	cfg    Config
+	zone   model.Zone
+	region model.Region
+	rand   *random.Source
+
+	groups atomic.Pointer[map[string]*group]
+
+	mu      sync.Mutex // held by writers only, never by a warm Pick
+	servers map[key]*server
+}
+
+// New returns a picker for a node in the given zone and region.
+func New(cfg Config, zone model.Zone, region model.Region, seed uint64) *Picker {
+	p := &Picker{cfg: cfg, zone: zone, region: region, rand: random.New(seed), servers: make(map[key]*server)}
+	p.groups.Store(&map[string]*group{})
+	return p
+}
+
+// Choice is a picked server. Done must be called exactly once.
+type Choice struct {
+	// Record is the server's record in the view. It must not be changed.
+	Record *endpoint.Record
+
+	picker *Picker
+	group  *group
+	server *server
+	trial  bool
+}
+
+// Pick chooses among the candidates, which should be the slice of the current
+// view itself: a copy is taken for a new view and indexed again. tried may be
+// nil. The error is a *NoEndpointError; the request was not run.
+func (p *Picker) Pick(now time.Time, s *model.Service, candidates []endpoint.Record, tried *Tried) (Choice, error) {
+	at := now.UnixNano()
+	g := p.group(s, candidates, at)
+	m, trial := p.choose(g, tried, at)
+	if m == nil {
+		m = p.lastResort(g, tried)
+	}
+	if m == nil {
+		return Choice{}, &NoEndpointError{Service: s.Name, Candidates: len(candidates), Tried: tried.Len()}
+	}
+	m.server.inFlight.Add(1)
+	return Choice{Record: m.record, picker: p, group: g, server: m.server, trial: trial}, nil
+}
+
+// choose goes outwards tier by tier and stops at the first server that is not
+// saturated. A server further away must be less loaded by SpillMargin.
+func (p *Picker) choose(g *group, tried *Tried, at int64) (best *member, trial bool) {
+	bestLoad := 0.0
+	for t := range g.tiers {
+		m, load, trial := p.chooseIn(g, g.tiers[t], tried, at)
+		if m == nil {
+			continue
+		}
+		if trial {
+			return m, true
+		}
+		if best == nil || load+p.cfg.SpillMargin < bestLoad {
+			best, bestLoad = m, load
+		}
+		if load < p.cfg.SpillLoad {
+			break
+		}
+	}
+	return best, false
+}
+
+// chooseIn returns the better of two random members and its load per slot, or
+// a member that is due for its trial.
+func (p *Picker) chooseIn(g *group, members []member, tried *Tried, at int64) (*member, float64, bool) {
+	a, trial := p.draw(members, nil, tried, at)
+	if a == nil {
+		return nil, 0, false
+	}
+	loadA := a.server.loadPerSlot(&p.cfg, a, g.slowStart(), at)
+	if trial {
+		return a, loadA, true
+	}
+	b, trial := p.draw(members, a, tried, at)
+	if b == nil {
+		return a, loadA, false
+	}
+	loadB := b.server.loadPerSlot(&p.cfg, b, g.slowStart(), at)
+	if trial || p.rate(g, b, loadB, at) < p.rate(g, a, loadA, at) {
+		return b, loadB, trial
+	}
+	return a, loadA, false
+}
+
+// rate returns what a request would meet at the member: the load with the
+// request itself, times how slow the member is.
+func (p *Picker) rate(g *group, m *member, load float64, at int64) float64 {
+	return (load + 1/float64(m.slots)) * m.server.slowness(&p.cfg, floatOf(g.latency), at)
+}
+
+// draw returns a random member that may be used, other than not.
+func (p *Picker) draw(members []member, not *member, tried *Tried, at int64) (*member, bool) {
+	n := len(members)
+	if n == 0 {
+		return nil, false
+	}
+	start := 0
+	for range draws {
+		start = p.rand.IntN(n)
+		if ok, trial := p.usable(&members[start], not, tried, at); ok {
+			return &members[start], trial
+		}
+	}
+	for i := range n {
+		m := &members[(start+i)%n]
+		if ok, trial := p.usable(m, not, tried, at); ok {
+			return m, trial
+		}
+	}
+	return nil, false
+}
+
+func (p *Picker) usable(m, not *member, tried *Tried, at int64) (ok, trial bool) {
+	if m == not || tried.excludes(m.record) {
+		return false, false
+	}
+	if !m.server.ejected() {
+		return true, false
+	}
+	trial = m.server.startTrial(&p.cfg, at)
+	return trial, trial
+}
+
+// lastResort returns an ejected member that was not tried: a doubtful server
+// is better than none.
+func (p *Picker) lastResort(g *group, tried *Tried) *member {
+	for t := range g.tiers {
+		members := g.tiers[t]
+		if len(members) == 0 {
+			continue
+		}
+		start := p.rand.IntN(len(members))
+		for i := range members {
+			m := &members[(start+i)%len(members)]
+			if !tried.excludes(m.record) {
+				return m
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/balance/picker_test.go
@@ -0,0 +1,224 @@
+package balance
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func service(maxEjected float64) *model.Service {
+	return &model.Service{Name: "foglalas", MaxEjected: maxEjected, SlowStart: model.Duration(10 * time.Second)}
+}
+
+// records makes n records named a, b, ... in the zone "z1".
+func records(n int) []endpoint.Record {
+	rs := make([]endpoint.Record, n)
+	for i := range rs {
+		rs[i] = endpoint.Record{Node: model.NodeID(rune('a' + i)), Zone: "z1", Region: "r1", Incarnation: 1, Service: "foglalas", Slots: 10}
+	}
+	return rs
+}
+
+func newPicker() *Picker { return New(DefaultConfig(), "z1", "r1", 1) }
+
+// counts picks n times without load and returns how often each node came.
+func counts(t *testing.T, p *Picker, now time.Time, s *model.Service, rs []endpoint.Record, n int) map[model.NodeID]int {
+	got := make(map[model.NodeID]int)
+	for range n {
+		c, err := p.Pick(now, s, rs, nil)
+		must.NoError(t, err)
+		got[c.Record.Node]++
+		c.Done(now, Result{Outcome: Cancelled})
+	}
+	return got
+}
+
+// fail ends n picks of the node with the result and the others with OK.
+func finish(t *testing.T, p *Picker, now time.Time, s *model.Service, rs []endpoint.Record, id model.NodeID, r Result, n int) {
+	for tries := 0; n > 0 && tries < 10000; tries++ {
+		c, err := p.Pick(now, s, rs, nil)
+		must.NoError(t, err)
+		if c.Record.Node != id {
+			c.Done(now, Result{Outcome: OK, Latency: time.Millisecond})
+			continue
+		}
+		c.Done(now, r)
+		n--
+	}
+	must.Zero(t, n)
+}
+
+func TestParseLoad(t *testing.T) {
+	l, err := ParseLoad("3/10/2")
+	must.NoError(t, err)
+	must.Eq(t, Load{Used: 3, Slots: 10, Queued: 2}, l)
+	must.Eq(t, "3/10/2", l.String())
+	for _, bad := range []string{"", "3/10", "3/0/1", "-1/10/0", "3/10/x", "1/10/0/0", "99999999/10/0"} {
+		_, err := ParseLoad(bad)
+		var want *LoadError
+		must.True(t, errors.As(err, &want), must.Sprint(bad))
+	}
+}
+
+func TestNoEndpoint(t *testing.T) {
+	p, s, rs := newPicker(), service(0.5), records(2)
+	var want *NoEndpointError
+	_, err := p.Pick(start, s, nil, nil)
+	must.True(t, errors.As(err, &want))
+	var tried Tried
+	tried.Add("a")
+	c, err := p.Pick(start, s, rs, &tried)
+	must.NoError(t, err)
+	must.Eq(t, "b", c.Record.Node)
+	tried.Add("b")
+	_, err = p.Pick(start, s, rs, &tried)
+	must.True(t, errors.As(err, &want))
+	must.Eq(t, &NoEndpointError{Service: "foglalas", Candidates: 2, Tried: 2}, want)
+	var zone Tried
+	zone.AvoidZone("z1")
+	_, err = p.Pick(start, s, rs, &zone)
+	must.True(t, errors.As(err, &want))
+}
+
+func TestEjectionTrialAndFloor(t *testing.T) {
+	cases := map[string]struct {
+		result Result
+		ejects bool
+	}{
+		"failed":                  {Result{Outcome: Failed}, true},
+		"refused without a gate":  {Result{Outcome: NotRun}, true},
+		"refused for overload":    {Result{Outcome: NotRun, Load: &Load{Used: 10, Slots: 10}}, false},
+		"cancelled by the caller": {Result{Outcome: Cancelled}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p, s, rs := newPicker(), service(0.25), records(4)
+			for i := range 5 { // slowly, so that a refusal's report has aged
+				finish(t, p, at(time.Duration(i)*1100*time.Millisecond), s, rs, "a", c.result, 1)
+			}
+			must.Eq(t, c.ejects, counts(t, p, at(5600*time.Millisecond), s, rs, 200)["a"] == 0)
+		})
+	}
+	p, s, rs := newPicker(), service(0.25), records(4)
+	finish(t, p, start, s, rs, "a", Result{Outcome: Failed}, 5)
+	finish(t, p, start, s, rs, "b", Result{Outcome: Failed}, 20)
+	must.Positive(t, counts(t, p, at(time.Second), s, rs, 200)["b"]) // the floor keeps b in
+
+	// After the ejection one trial goes through; its failure doubles the time.
+	finish(t, p, at(3*time.Second), s, rs, "a", Result{Outcome: Failed}, 1)
+	must.Zero(t, counts(t, p, at(6*time.Second), s, rs, 200)["a"])
+	var trial Choice
+	for trial.Record == nil || trial.Record.Node != "a" {
+		trial, _ = p.Pick(at(8*time.Second), s, rs, nil)
+	}
+	must.Zero(t, counts(t, p, at(8*time.Second), s, rs, 200)["a"]) // one at a time
+	trial.Done(at(8*time.Second), Result{Outcome: OK, Latency: time.Millisecond})
+	must.Positive(t, counts(t, p, at(30*time.Second), s, rs, 200)["a"])
+}
+
+func TestFloorHoldsWhenTheGroupShrinks(t *testing.T) {
+	p, s, rs := newPicker(), service(0.5), records(4)
+	finish(t, p, start, s, rs, "a", Result{Outcome: Failed}, 5)
+	finish(t, p, start, s, rs, "b", Result{Outcome: Failed}, 5)
+	fewer := append([]endpoint.Record(nil), rs[:2]...)
+	got := counts(t, p, at(time.Second), s, fewer, 100)
+	must.MapLen(t, 1, got) // one of two may stay out
+}
+
+func TestColdServersStartSlowly(t *testing.T) {
+	p, s, rs := newPicker(), service(0.5), records(4)
+	counts(t, p, start, s, rs, 1)
+	next := append([]endpoint.Record(nil), rs...)
+	next[0].Incarnation = 2
+	share := func(d time.Duration) int {
+		var open []Choice
+		n := 0
+		for range 20 { // half of the slots are in use
+			c, err := p.Pick(at(d), s, next, nil)
+			must.NoError(t, err)
+			if c.Record.Node == "a" {
+				n++
+			}
+			open = append(open, c)
+		}
+		for _, c := range open {
+			c.Done(at(d), Result{Outcome: Cancelled})
+		}
+		return n
+	}
+	must.LessEq(t, 2, share(0))
+	must.GreaterEq(t, 4, share(11*time.Second))
+}
+
+func TestZonesAreTakenNearestFirst(t *testing.T) {
+	p, s, rs := newPicker(), service(0.5), records(6)
+	for i := 2; i < 6; i++ {
+		rs[i].Zone = "z2"
+	}
+	rs[4].Region, rs[5].Region = "r2", "r2"
+	got := counts(t, p, start, s, rs, 100)
+	must.Eq(t, 100, got["a"]+got["b"])
+	open := make(map[model.Zone]int)
+	for range 30 { // more than the 20 slots of the zone
+		c, err := p.Pick(start, s, rs, nil)
+		must.NoError(t, err)
+		open[c.Record.Zone+model.Zone(c.Record.Region)]++
+	}
+	must.GreaterEq(t, 14, open["z1r1"])
+	must.GreaterEq(t, 8, open["z2r1"])
+	must.Zero(t, open["z2r2"])
+	var tried Tried
+	tried.AvoidZone("z1")
+	c, err := p.Pick(start, s, rs, &tried)
+	must.NoError(t, err)
+	must.Eq(t, "z2", c.Record.Zone)
+}
+
+func TestPruneForgets(t *testing.T) {
+	p, s := newPicker(), service(0.5)
+	table := endpoint.NewTable()
+	for _, r := range records(3) {
+		table.Put(r)
+	}
+	v := table.View()
+	counts(t, p, start, s, v.Service("foglalas"), 1)
+	must.MapLen(t, 3, p.servers)
+	table.Delete("a")
+	v = table.View()
+	p.Prune(v)
+	must.MapLen(t, 2, p.servers)
+	p.Prune(endpoint.NewTable().View())
+	must.MapEmpty(t, p.servers)
+	must.MapEmpty(t, *p.groups.Load())
+}
+
+func TestPickAllocatesNothing(t *testing.T) {
+	p, s, rs := newPicker(), service(0.5), records(7)
+	load := Load{Used: 1, Slots: 10}
+	n := testing.AllocsPerRun(100, func() {
+		c, _ := p.Pick(start, s, rs, nil)
+		c.Done(start, Result{Latency: time.Millisecond, Load: &load})
+	})
+	must.Eq(t, 0, n)
+}
+
+func BenchmarkPick(b *testing.B) {
+	p, s, rs := newPicker(), service(0.5), records(20)
+	load := Load{Used: 1, Slots: 10}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			c, _ := p.Pick(start, s, rs, nil)
+			c.Done(start, Result{Latency: time.Millisecond, Load: &load})
+		}
+	})
+}
--- /dev/null
+++ b/coordination/balance/tried.go
@@ -0,0 +1,50 @@
+package balance
+
+import (
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// maxTried bounds the servers that a request remembers; retries are fewer.
+const maxTried = 4
+
+// Tried is what a request has tried in vain. The zero value is empty. It is
+// not safe for concurrent use: each request has its own.
+type Tried struct {
+	nodes [maxTried]model.NodeID
+	count int
+	zone  model.Zone
+}
+
+// Add excludes a node. Beyond four nodes the oldest is forgotten.
+func (t *Tried) Add(id model.NodeID) {
+	t.nodes[t.count%maxTried] = id
+	t.count++
+}
+
+// AvoidZone excludes all servers of a zone, in place of an earlier zone. Empty
+// excludes none.
+func (t *Tried) AvoidZone(z model.Zone) { t.zone = z }
+
+// Len returns the number of nodes added.
+func (t *Tried) Len() int {
+	if t == nil {
+		return 0
+	}
+	return t.count
+}
+
+func (t *Tried) excludes(r *endpoint.Record) bool {
+	if t == nil {
+		return false
+	}
+	if t.zone != "" && t.zone == r.Zone {
+		return true
+	}
+	for i := range min(t.count, maxTried) {
+		if t.nodes[i] == r.Node {
+			return true
+		}
+	}
+	return false
+}
