Admit requests by contract, reserve, weight and the node's own limit

Every limit of a customer follows from its contract, is fleet-wide and is used through a node's share. Rates are one-word token buckets, concurrency is counted with reserves and weighted sharing of classes, and an overloaded node sheds the least important kind first, then customers over their fair share. A lock per customer was ruled out for the path of a request. MinBurst 1 trades one request per node over a burst for not refusing a customer's first call.

--- /dev/null
+++ b/coordination/admit/limiter_test.go
@@ -0,0 +1,234 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/snapshot"
+)
+
+var start = time.Unix(1000, 0)
+
+func contract(name string) *model.Contract {
+	return &model.Contract{
+		Customer: name, Hosts: []string{name + ".example"}, HandledBy: model.SystemMesh,
+		Rate: model.Rate{PerSecond: 1000, Burst: 1000}, Concurrency: 10, Weight: 1,
+		Classes: []model.Class{
+			{Name: "book", Kind: model.KindNonRepeatable, Reserve: 2, Weight: 3},
+			{Name: "read", Kind: model.KindInteractive, Weight: 2},
+			{Name: "bulk", Kind: model.KindBulk, Weight: 1, Concurrency: 4, Rate: &model.Rate{PerSecond: 10, Burst: 5}},
+			{Name: "sync", Kind: model.KindEventual, Weight: 1},
+		},
+	}
+}
+
+func build(t *testing.T, version uint64, cs ...*model.Contract) *snapshot.Snapshot {
+	entries := make(map[string]*snapshot.ContractEntry)
+	for _, c := range cs {
+		entries[c.Customer] = &snapshot.ContractEntry{Revision: version, Contract: c}
+	}
+	s, err := snapshot.Build(version, entries, nil)
+	must.NoError(t, err)
+	return s
+}
+
+func newLimiter(t *testing.T, cfg Config, cs ...*model.Contract) *Limiter {
+	l := New(cfg, 1)
+	l.Update(build(t, 1, cs...))
+	return l
+}
+
+func match(c *model.Contract, class string) snapshot.Match {
+	for i := range c.Classes {
+		if c.Classes[i].Name == class {
+			return snapshot.Match{Contract: c, Class: &c.Classes[i]}
+		}
+	}
+	return snapshot.Match{Contract: c, Class: &model.Class{Name: class}}
+}
+
+// fill admits until a refusal and returns the number let in and the refusal.
+func fill(l *Limiter, now time.Time, m snapshot.Match) ([]Permit, *Refusal) {
+	var ps []Permit
+	for {
+		p, r := l.Admit(now, m)
+		if r != nil {
+			return ps, r
+		}
+		ps = append(ps, p)
+	}
+}
+
+func TestRateGivesTheTimeToComeBack(t *testing.T) {
+	c := contract("tabla")
+	c.Concurrency = 1000
+	c.Classes[2].Concurrency = 0
+	l := newLimiter(t, DefaultConfig(), c)
+	ps, r := fill(l, start, match(c, "bulk"))
+	must.SliceLen(t, 5, ps)
+	must.Eq(t, outcome.ReasonRateLimited, r.Reason)
+	must.Between(t, 100*time.Millisecond, r.RetryAfter, 150*time.Millisecond)
+	ps, _ = fill(l, start.Add(200*time.Millisecond), match(c, "bulk"))
+	must.SliceLen(t, 2, ps)
+	// A refusal by the customer's rate gives the class's token back.
+	c.Rate.Burst = 5
+	l = newLimiter(t, DefaultConfig(), c)
+	_, _ = fill(l, start, match(c, "read"))
+	_, r = l.Admit(start, match(c, "bulk"))
+	must.NotNil(t, r)
+	ps, _ = fill(l, start.Add(5*time.Millisecond), match(c, "bulk"))
+	must.SliceLen(t, 5, ps)
+}
+
+func TestConcurrencyReserveAndWeights(t *testing.T) {
+	c := contract("tabla")
+	l := newLimiter(t, DefaultConfig(), c)
+	bulk, r := fill(l, start, match(c, "bulk"))
+	must.SliceLen(t, 4, bulk) // the class's own limit
+	must.Eq(t, outcome.ReasonConcurrency, r.Reason)
+	reads, _ := fill(l, start, match(c, "read"))
+	must.SliceLen(t, 4, reads) // 8 shared
+	books, _ := fill(l, start, match(c, "book"))
+	must.SliceLen(t, 2, books) // the reserve
+	for _, p := range append(append(bulk, reads...), books...) {
+		p.Release(start)
+	}
+	must.Zero(t, l.inFlight.Load())
+	must.Zero(t, l.find("tabla").shared.Load())
+
+	// Both classes active: read, of weight 2 of 4, stops at half of the
+	// shared 8 once they are nearly used up; book fits in.
+	first, _ := l.Admit(start, match(c, "sync"))
+	second, _ := l.Admit(start, match(c, "bulk"))
+	_, _ = l.Admit(start, match(c, "read"))
+	l.Tick()
+	reads, _ = fill(l, start, match(c, "read"))
+	must.Between(t, 3, len(reads), 4)
+	_, r = l.Admit(start, match(c, "sync"))
+	must.Nil(t, r)
+	first.Release(start)
+	second.Release(start)
+}
+
+func TestOverloadShedsTheLeastImportantFirst(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.MaxInFlight = 100
+	c := contract("tabla")
+	c.Concurrency, c.Classes[2].Concurrency, c.Classes[2].Rate = 1000, 0, nil
+	l := newLimiter(t, cfg, c)
+	for _, want := range []struct {
+		class string
+		total int64
+	}{{"sync", 70}, {"bulk", 80}, {"read", 95}, {"book", 100}} {
+		_, r := fill(l, start, match(c, want.class))
+		must.Eq(t, outcome.ReasonShed, r.Reason)
+		must.Eq(t, want.total, l.inFlight.Load())
+	}
+}
+
+func TestOverloadShedsCustomersOverTheirShareFirst(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.MaxInFlight = 100
+	big, small := contract("big"), contract("small")
+	big.Concurrency, small.Concurrency = 1000, 1000
+	small.Weight = 3
+	l := newLimiter(t, cfg, big, small)
+	for range 80 {
+		_, r := l.Admit(start, match(big, "read"))
+		must.Nil(t, r)
+	}
+	_, _ = l.Admit(start, match(small, "read"))
+	l.Tick()
+	_, _ = fill(l, start, match(big, "read"))
+	must.Between(t, 85, l.inFlight.Load(), 86) // the band begins
+	ps, _ := fill(l, start, match(small, "read"))
+	must.GreaterEq(t, 9, len(ps))
+}
+
+func TestUpdateKeepsState(t *testing.T) {
+	c := contract("tabla")
+	l := newLimiter(t, DefaultConfig(), c)
+	held, _ := fill(l, start, match(c, "bulk"))
+	changed := *c
+	changed.Concurrency = 20
+	l.Update(build(t, 2, &changed))
+	_, r := l.Admit(start, match(&changed, "bulk"))
+	must.NotNil(t, r) // the class is still full
+	held[0].Release(start)
+	_, r = l.Admit(start, match(&changed, "bulk"))
+	must.Nil(t, r)
+	l.Update(build(t, 3))
+	_, r = l.Admit(start, match(&changed, "read"))
+	must.Eq(t, outcome.ReasonNoCustomer, r.Reason)
+	held[1].Release(start)
+}
+
+func TestSharesAndFloor(t *testing.T) {
+	c := contract("tabla")
+	c.Rate = model.Rate{PerSecond: 100, Burst: 50}
+	c.Concurrency, c.Classes[0].Reserve = 1000, 0
+	l := newLimiter(t, DefaultConfig(), c)
+	l.SetFloor(0.001)
+	ps, r := fill(l, start, match(c, "read"))
+	must.SliceLen(t, 1, ps) // MinBurst
+	must.LessEq(t, 3*time.Second, r.RetryAfter)
+	l.SetShare("tabla", Share{PerSecond: 20, Concurrency: 4})
+	ps, _ = fill(l, start.Add(10*time.Second), match(c, "read"))
+	must.SliceLen(t, 3, ps) // one is held already; the bucket holds 10
+	l.ClearShare("tabla")
+	_, r = l.Admit(start.Add(11*time.Second), match(c, "read"))
+	must.NotNil(t, r)
+	l.SetShare("nobody", Share{})
+	l.SetShare("tabla/none", Share{})
+}
+
+func TestDemandCountsRefusedRequests(t *testing.T) {
+	c := contract("tabla")
+	l := newLimiter(t, DefaultConfig(), c)
+	must.SliceEmpty(t, l.Demand(start))
+	for i := range 100 {
+		p, r := l.Admit(start, match(c, "bulk"))
+		if r == nil && i < 4 {
+			p.Release(start.Add(2 * time.Second))
+		}
+	}
+	items := l.Demand(start.Add(10 * time.Second))
+	must.SliceLen(t, 2, items)
+	must.Eq(t, "tabla", items[0].Limit)
+	must.Eq(t, "tabla/bulk", items[1].Limit)
+	must.Eq(t, 10.0, items[1].PerSecond)
+	must.Eq(t, 20.0, items[1].InFlight) // 10 a second for 2 s each
+}
+
+func TestFractionsOfConcurrencyRotate(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.MinConcurrency = 0
+	sum := 0.0
+	for seed := range uint64(1000) {
+		for second := range 10 {
+			sum += float64(newLimit("tabla").slots(&cfg, 0.25, seed, start.Add(time.Duration(second)*time.Second)))
+		}
+	}
+	must.Between(t, 2400.0, sum, 2600.0)
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	c := contract("tabla")
+	c.Rate = model.Rate{PerSecond: 1e9, Burst: 1 << 30}
+	c.Concurrency = 1 << 20
+	s, _ := snapshot.Build(1, map[string]*snapshot.ContractEntry{"tabla": {Revision: 1, Contract: c}}, nil)
+	l := New(DefaultConfig(), 1)
+	l.Update(s)
+	m := match(c, "read")
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			p, _ := l.Admit(start, m)
+			p.Release(start)
+		}
+	})
+}
