Parse and validate contracts, services and batches

A bad contract must be refused whole with everything that is wrong in it, before it becomes a version.

--- a/state/model/doc.go
+++ b/state/model/doc.go
@@ -1,6 +1,7 @@
 // Package model defines the configuration documents that operators write:
 // one Contract for each customer and one Service for each service.
 //
-// The package holds plain data and its validation. It performs no I/O and
-// depends on no other package of the project, so every layer may import it.
+// The package holds plain data, its strict parsing and its validation. It
+// performs no I/O and depends on state/strictjson only, so every layer may
+// import it.
 package model
--- a/state/model/name.go
+++ b/state/model/name.go
@@ -15,6 +15,19 @@
 	MaxClasses = 16
 	// MaxHosts is the largest number of hosts of one contract.
 	MaxHosts = 64
+	// MaxHostLength is the longest host name in bytes.
+	MaxHostLength = 253
+	// MaxPathLength is the longest path prefix or probe path in bytes.
+	MaxPathLength = 1024
+	// MaxRequests is the largest rate, burst and concurrency, in requests.
+	MaxRequests = 10_000_000
+	// MaxRetriesPerSecond is the largest RetryBudget.MinPerSecond.
+	MaxRetriesPerSecond = 1000
+	// MaxEjectedShare is the largest Service.MaxEjected: a tenth of the
+	// backend servers always stays.
+	MaxEjectedShare = 0.9
+	// MaxQueueLength is the largest Service.QueueLength and OlderSlots.
+	MaxQueueLength = 10_000
 )
 
 // NodeID names one node. It is stable over restarts: the settings give it.
--- /dev/null
+++ b/state/model/parse.go
@@ -0,0 +1,72 @@
+package model
+
+import (
+	"slices"
+
+	"github.com/jacinthgate/jacinthgate/state/strictjson"
+)
+
+// validator is a document that knows its own faults.
+type validator interface {
+	faults() strictjson.Faults
+}
+
+// parse decodes b into doc and checks it. The error is a strictjson.Faults
+// with all faults of both steps.
+func parse(b []byte, doc validator) error {
+	faults := strictjson.Decode(b, doc)
+	faults.Merge(doc.faults())
+	return faults.Err()
+}
+
+// ParseContract reads and checks one contract. The error is a
+// strictjson.Faults.
+func ParseContract(b []byte) (*Contract, error) {
+	c := new(Contract)
+	if err := parse(b, c); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// ParseService reads and checks one service. The error is a
+// strictjson.Faults.
+func ParseService(b []byte) (*Service, error) {
+	s := new(Service)
+	if err := parse(b, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// ParseBatch reads and checks a batch. The error is a strictjson.Faults.
+func ParseBatch(b []byte) (*Batch, error) {
+	batch := new(Batch)
+	if err := parse(b, batch); err != nil {
+		return nil, err
+	}
+	return batch, nil
+}
+
+// ParseDocument reads a contract (it has the key customer), a service (it has
+// the key name) or a batch, and returns it as a batch. The error is a
+// strictjson.Faults; its paths are those of the document as written.
+func ParseDocument(b []byte) (*Batch, error) {
+	keys := strictjson.Keys(b)
+	switch {
+	case slices.Contains(keys, "customer"):
+		c, err := ParseContract(b)
+		if err != nil {
+			return nil, err
+		}
+		return &Batch{Contracts: []*Contract{c}}, nil
+	case slices.Contains(keys, "name"):
+		s, err := ParseService(b)
+		if err != nil {
+			return nil, err
+		}
+		return &Batch{Services: []*Service{s}}, nil
+	default:
+		return ParseBatch(b)
+	}
+}
