--- /dev/null
+++ b/transport/entry/decide.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/snapshot"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+)
+
+// plan is what is decided about a request before any of it is sent.
+type plan struct {
+	match    snapshot.Match
+	deadline time.Time
+	hops     int
+	// older says that the older system handles the request.
+	older bool
+}
+
+// decide looks the request up. It allocates nothing for an accepted request.
+func (p *Proxy) decide(r *http.Request, now time.Time) (plan, *forward.Refusal) {
+	var pl plan
+	snap := p.cfg.Snapshot()
+	if snap == nil || !p.cfg.Ready() {
+		if p.cfg.OlderAddr != "" {
+			pl.older = true
+			return pl, nil
+		}
+		return pl, p.notRun(outcome.ReasonNotReady, "no whole configuration is held yet")
+	}
+	m, found := snap.Lookup(r.Host, r.Method, r.URL.Path)
+	pl.match = m
+	switch {
+	case !found:
+		return pl, p.notRun(outcome.ReasonNoCustomer, "no contract has this host")
+	case m.HandledBy == model.SystemOlder:
+		pl.older = true
+		return pl, nil
+	case m.Route == nil:
+		return pl, p.notRun(outcome.ReasonNoRoute, "no route matches")
+	}
+	return pl, p.bound(&pl, r, now)
+}
+
+// bound sets the plan's hop count and deadline.
+func (p *Proxy) bound(pl *plan, r *http.Request, now time.Time) *forward.Refusal {
+	hops, _, err := forward.HeaderInt(r.Header, outcome.HeaderHops)
+	if err != nil {
+		return p.notRun(outcome.ReasonMalformed, err.Error())
+	}
+	pl.hops = hops + 1
+	if pl.hops > p.cfg.MaxHops {
+		return p.notRun(outcome.ReasonLoop, "too many hops")
+	}
+	pl.deadline = now.Add(pl.match.Class.Deadline.Std())
+	ms, given, err := forward.HeaderInt(r.Header, outcome.HeaderDeadline)
+	if err != nil {
+		return p.notRun(outcome.ReasonMalformed, err.Error())
+	}
+	if !given {
+		return nil
+	}
+	if ms == 0 {
+		return p.notRun(outcome.ReasonDeadline, "the deadline has passed")
+	}
+	if d := now.Add(time.Duration(ms) * time.Millisecond); d.Before(pl.deadline) {
+		pl.deadline = d
+	}
+	return nil
+}
+
+func (p *Proxy) notRun(reason outcome.Reason, detail string) *forward.Refusal {
+	r := forward.NotRun(reason, detail)
+	r.RetryAfter = p.cfg.RetryAfter
+	return r
+}
--- /dev/null
+++ b/transport/entry/doc.go
@@ -0,0 +1,8 @@
+// Package entry is the entry proxy: it takes a caller's request, finds its
+// contract, class and route, admits it, chooses a backend server and sends the
+// request to the gate of that server's host.
+//
+// Every response carries its outcome: answered, not run, or unknown. Requests
+// of customers and routes that the older system handles are passed to it
+// untouched.
+package entry
--- /dev/null
+++ b/transport/forward/header.go
@@ -0,0 +1,59 @@
+package forward
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = [...]string{
+	"Connection",
+	"Proxy-Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// RemoveHopByHop removes the headers of one connection from h, those that its
+// Connection header lists included.
+func RemoveHopByHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
+
+// CopyHeader copies all headers of src to dst. The values are shared and must
+// not be changed in place.
+func CopyHeader(dst, src http.Header) {
+	for k, v := range src {
+		if old := dst[k]; len(old) > 0 {
+			dst[k] = append(old[:len(old):len(old)], v...)
+			continue
+		}
+		dst[k] = v
+	}
+}
+
+// acceptsTrailers reports whether a TE header asks for trailers.
+func acceptsTrailers(h http.Header) bool {
+	for _, line := range h["Te"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(textproto.TrimString(name), "trailers") {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/transport/forward/request.go
@@ -0,0 +1,52 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+)
+
+// extraHeaders is room for the headers that the caller of NewRequest adds.
+const extraHeaders = 8
+
+// NewRequest returns the request that passes in on to addr (IP:port) with the
+// given body. Path, query, Host and end-to-end headers are kept; hop-by-hop
+// headers are removed. The headers may be changed, their values may not. A
+// body of unknown length has length -1; a nil body is none.
+func NewRequest(ctx context.Context, in *http.Request, scheme, addr string, body io.ReadCloser, length int64) *http.Request {
+	u := &url.URL{
+		Scheme:   scheme,
+		Host:     addr,
+		Path:     in.URL.Path,
+		RawPath:  in.URL.RawPath,
+		RawQuery: in.URL.RawQuery,
+		// A lone "?" is part of what the caller asked for.
+		ForceQuery: in.URL.ForceQuery,
+	}
+	h := make(http.Header, len(in.Header)+extraHeaders)
+	CopyHeader(h, in.Header)
+	trailers := acceptsTrailers(h)
+	RemoveHopByHop(h)
+	if trailers {
+		h["Te"] = []string{"trailers"}
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = []string{""} // keeps net/http from adding its own
+	}
+	out := &http.Request{
+		Method:        in.Method,
+		URL:           u,
+		Host:          in.Host,
+		Header:        h,
+		Body:          body,
+		ContentLength: length,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}
+	if body != nil {
+		out.Trailer = in.Trailer // the server fills it in at the body's end
+	}
+	return out.WithContext(ctx)
+}
--- /dev/null
+++ b/transport/gate/forward.go
@@ -0,0 +1,96 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+)
+
+// forward sends the request to the backend server and passes its answer on. It
+// reports whether the backend server ran it to an answer.
+func (g *Gate) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, c call) bool {
+	remaining := c.deadline.Sub(g.cfg.Now()).Milliseconds()
+	if remaining <= 0 {
+		g.refuse(w, g.notRun(outcome.ReasonDeadline, "the deadline passed before the request was sent"))
+		return false
+	}
+	resp, err := forward.Send(g.cfg.Backend, backendRequest(ctx, r, c.addr, remaining), w)
+	if err != nil {
+		g.refuse(w, g.failed(ctx, r, err))
+		return false
+	}
+	if shed(resp) {
+		refusal := g.notRun(outcome.ReasonBackendRefused, "the backend server shed the request")
+		refusal.RetryAfter = forward.RetryAfter(resp.Header, g.cfg.RetryAfter)
+		forward.Drain(resp)
+		g.refuse(w, refusal)
+		return false
+	}
+	g.relay(w, resp)
+	return true
+}
+
+func backendRequest(ctx context.Context, r *http.Request, addr string, remaining int64) *http.Request {
+	var body io.ReadCloser
+	if r.ContentLength != 0 {
+		body = r.Body
+	}
+	out := forward.NewRequest(ctx, r, "http", addr, body, r.ContentLength)
+	delete(out.Header, outcome.HeaderKind)
+	delete(out.Header, outcome.HeaderService)
+	out.Header[outcome.HeaderDeadline] = []string{strconv.FormatInt(remaining, 10)}
+	return out
+}
+
+// shed reports whether the backend server promises that it did not run the
+// request.
+func shed(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) == ShedNotRun
+}
+
+// failed classifies a request that got no response.
+func (g *Gate) failed(ctx context.Context, r *http.Request, err error) *forward.Refusal {
+	var send *forward.SendError
+	sent := !errors.As(err, &send) || send.Sent
+	switch {
+	case !sent && ctx.Err() == nil:
+		return g.notRun(outcome.ReasonBackendRefused, "the backend server can't be reached")
+	case !sent:
+		return g.notRun(reasonOf(ctx, r), "given up before the request was sent")
+	case ctx.Err() != nil:
+		return forward.Unknown(reasonOf(ctx, r), "given up while the request ran")
+	default:
+		return forward.Unknown(outcome.ReasonBackendFailed, "the connection to the backend server broke")
+	}
+}
+
+func reasonOf(ctx context.Context, r *http.Request) outcome.Reason {
+	if r.Context().Err() == nil && ctx.Err() != nil {
+		return outcome.ReasonDeadline
+	}
+	return outcome.ReasonCancelled
+}
+
+// relay passes the answer on and aborts the connection when it is not whole.
+func (g *Gate) relay(w http.ResponseWriter, resp *http.Response) {
+	forward.StripNodeHeaders(resp.Header)
+	g.stamp(resp.Header)
+	resp.Header[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
+	err := forward.Relay(w, resp)
+	if err == nil {
+		return
+	}
+	var cut *forward.TruncatedError
+	if errors.As(err, &cut) {
+		g.truncated.Inc()
+		_ = level.Warn(g.cfg.Logger).Log("event", "backend_response_truncated", "err", err)
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/transport/gate/gate.go
@@ -0,0 +1,268 @@
+// Package gate is the last hop before a host's backend server. It counts that
+// server's slots, lets requests wait for one within their deadline, and refuses
+// with certainty: what it refuses was not run.
+package gate
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	core "github.com/jacinthgate/jacinthgate/coordination/gate"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+	"github.com/jacinthgate/jacinthgate/transport/local"
+)
+
+// HeaderShed is the header with which a backend server says that it shed a
+// request: status 503 and the value ShedNotRun.
+const HeaderShed = "X-Shed"
+
+// ShedNotRun is the value of HeaderShed that promises that the request was not
+// run.
+const ShedNotRun = "not-run"
+
+// Config configures a Gate.
+type Config struct {
+	// Self is this node.
+	Self model.NodeID
+	// Announcement returns what the backend server announced. It is one
+	// atomic load.
+	Announcement func() local.Announcement
+	// Service returns the configuration of a service, or nil when it is not
+	// held.
+	Service func(name string) *model.Service
+	// Backend sends to the backend server. Nil takes one with the default
+	// settings.
+	Backend http.RoundTripper
+	// Tick is the time between looks at the limits.
+	Tick time.Duration
+	// RetryAfter is when a refused request is asked to come back.
+	RetryAfter time.Duration
+	// Metrics is the set that metrics are registered in.
+	Metrics *metrics.Set
+	// Logger gets one line for each event.
+	Logger log.Logger
+	// Now is the clock.
+	Now func() time.Time
+}
+
+// DefaultConfig returns the settings that don't depend on the node.
+func DefaultConfig() Config {
+	return Config{
+		Backend:    forward.NewTransport(forward.DefaultTransportConfig()),
+		Tick:       100 * time.Millisecond,
+		RetryAfter: time.Second,
+		Metrics:    metrics.NewSet(),
+		Logger:     log.NewNopLogger(),
+		Now:        time.Now,
+	}
+}
+
+// Gate is the handler in front of the backend server. It is safe for
+// concurrent use.
+type Gate struct {
+	cfg       Config
+	core      *core.Gate
+	refusals  func(outcome.Reason) *metrics.Counter
+	truncated *metrics.Counter
+}
+
+// New returns a gate. Update or Run must be called for it to let requests in.
+func New(cfg Config) *Gate {
+	d := DefaultConfig()
+	if cfg.Backend == nil {
+		cfg.Backend = d.Backend
+	}
+	if cfg.Tick == 0 {
+		cfg.Tick = d.Tick
+	}
+	if cfg.RetryAfter == 0 {
+		cfg.RetryAfter = d.RetryAfter
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = d.Metrics
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = d.Logger
+	}
+	if cfg.Now == nil {
+		cfg.Now = d.Now
+	}
+	g := &Gate{cfg: cfg, core: core.New()}
+	g.registerMetrics()
+	return g
+}
+
+func (g *Gate) registerMetrics() {
+	set := g.cfg.Metrics
+	g.truncated = set.GetOrCreateCounter("jacinthgate_gate_responses_truncated_total")
+	g.refusals = func(reason outcome.Reason) *metrics.Counter {
+		return set.GetOrCreateCounter(`jacinthgate_gate_refusals_total{reason="` + string(reason) + `"}`)
+	}
+	set.GetOrCreateGauge("jacinthgate_gate_slots_used", func() float64 { return float64(g.core.Load().Used) })
+	set.GetOrCreateGauge("jacinthgate_gate_slots", func() float64 { return float64(g.core.Load().Slots) })
+	set.GetOrCreateGauge("jacinthgate_gate_queued", func() float64 { return float64(g.core.Load().Queued) })
+}
+
+// Load returns the gate's load.
+func (g *Gate) Load() core.Load { return g.core.Load() }
+
+// Update takes over the announcement and the service's configuration. Call it
+// after each change of either.
+func (g *Gate) Update() {
+	a := g.cfg.Announcement()
+	l := core.Limits{
+		Slots:       a.Slots,
+		Connections: a.Connections,
+		Since:       a.Since,
+		Draining:    a.Draining || !a.Announced(),
+	}
+	if s := g.cfg.Service(a.Service); s != nil {
+		l.OlderSlots = s.OlderSlots
+		l.QueueLength = s.QueueLength
+		l.SlowStart = s.SlowStart.Std()
+	}
+	g.core.Update(l, g.cfg.Now())
+}
+
+// Run keeps the limits current until ctx ends.
+func (g *Gate) Run(ctx context.Context) error {
+	t := time.NewTicker(g.cfg.Tick)
+	defer t.Stop()
+	for {
+		g.Update()
+		g.core.Tick(g.cfg.Now())
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// ServeHTTP implements http.Handler. A response that breaks off makes it panic
+// with http.ErrAbortHandler.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := g.cfg.Now()
+	call, refusal := g.check(r, now)
+	if refusal != nil {
+		g.refuse(w, refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
+	defer cancel()
+	if refusal = g.acquire(ctx, call, now); refusal != nil {
+		g.refuse(w, refusal)
+		return
+	}
+	started := g.cfg.Now()
+	ran := false
+	defer func() {
+		end := g.cfg.Now()
+		took := time.Duration(0)
+		if ran {
+			took = end.Sub(started)
+		}
+		g.core.Release(call.kind, took, end)
+	}()
+	ran = g.forward(ctx, w, r, call)
+}
+
+// call is what the gate knows of a request.
+type call struct {
+	kind     model.ClassKind
+	deadline time.Time
+	addr     string
+}
+
+// maxDeadline stands for a request without a deadline.
+const maxDeadline = time.Hour
+
+func (g *Gate) check(r *http.Request, now time.Time) (call, *forward.Refusal) {
+	a := g.cfg.Announcement()
+	c := call{kind: model.ClassKind(r.Header.Get(outcome.HeaderKind)), addr: a.Addr}
+	if !a.Announced() {
+		return c, g.notRun(outcome.ReasonNoEndpoint, "no backend server is announced on this host")
+	}
+	if a.Service != r.Header.Get(outcome.HeaderService) {
+		return c, g.notRun(outcome.ReasonWrongService, "this host offers service "+a.Service)
+	}
+	if a.Draining {
+		return c, g.notRun(outcome.ReasonDraining, "the backend server is leaving")
+	}
+	ms, given, err := forward.HeaderInt(r.Header, outcome.HeaderDeadline)
+	if err != nil {
+		return c, g.notRun(outcome.ReasonMalformed, err.Error())
+	}
+	c.deadline = now.Add(maxDeadline)
+	if given {
+		c.deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	return c, nil
+}
+
+// acquire takes a slot, waiting for one if need be.
+func (g *Gate) acquire(ctx context.Context, c call, now time.Time) *forward.Refusal {
+	var settled chan outcome.Reason
+	w := &core.Waiter{Kind: c.kind, Deadline: c.deadline}
+	w.Settle = func(reason outcome.Reason) { settled <- reason }
+	settled = make(chan outcome.Reason, 1)
+	acquired, reason := g.core.Acquire(w, now)
+	if acquired {
+		return nil
+	}
+	if reason == "" {
+		reason = g.wait(ctx, w, settled)
+	}
+	if reason == "" {
+		return nil
+	}
+	return g.notRun(reason, "the gate could not give the request a slot")
+}
+
+func (g *Gate) wait(ctx context.Context, w *core.Waiter, settled <-chan outcome.Reason) outcome.Reason {
+	select {
+	case reason := <-settled:
+		return reason
+	case <-ctx.Done():
+	}
+	if !g.core.Cancel(w) && <-settled == "" {
+		g.core.Release(w.Kind, 0, g.cfg.Now())
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return outcome.ReasonDeadline
+	}
+	return outcome.ReasonCancelled
+}
+
+func (g *Gate) notRun(reason outcome.Reason, detail string) *forward.Refusal {
+	r := forward.NotRun(reason, detail)
+	r.RetryAfter = g.cfg.RetryAfter
+	return r
+}
+
+func (g *Gate) refuse(w http.ResponseWriter, refusal *forward.Refusal) {
+	g.refusals(refusal.Reason).Inc()
+	g.stamp(w.Header())
+	refusal.Write(w)
+}
+
+// stamp sets the headers that every response of the gate carries.
+func (g *Gate) stamp(h http.Header) {
+	l := g.core.Load()
+	var b [3 * 12]byte
+	text := strconv.AppendInt(b[:0], int64(l.Used), 10)
+	text = append(text, '/')
+	text = strconv.AppendInt(text, int64(l.Slots), 10)
+	text = append(text, '/')
+	text = strconv.AppendInt(text, int64(l.Queued), 10)
+	h[outcome.HeaderLoad] = []string{string(text)}
+	h[outcome.HeaderServedBy] = []string{string(g.cfg.Self)}
+}
--- /dev/null
+++ b/transport/local/registry.go
@@ -0,0 +1,122 @@
+package local
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Config configures a Registry.
+type Config struct {
+	// Interval is how often a backend server must renew its announcement.
+	Interval time.Duration
+	// MissedIntervals is the number of intervals without renewal after which
+	// the announcement is withdrawn.
+	MissedIntervals int
+	// Now is the clock.
+	Now func() time.Time
+}
+
+// DefaultConfig returns the settings of a node.
+func DefaultConfig() Config {
+	return Config{Interval: 2 * time.Second, MissedIntervals: 3, Now: time.Now}
+}
+
+// Registry keeps the announcement of the host's one backend server. It is safe
+// for concurrent use.
+type Registry struct {
+	cfg     Config
+	current atomic.Pointer[Announcement]
+
+	mu       sync.Mutex
+	renewed  time.Time
+	onChange func(Announcement)
+}
+
+// New returns a registry without an announcement.
+func New(cfg Config) *Registry {
+	r := &Registry{cfg: cfg}
+	r.current.Store(&Announcement{})
+	return r
+}
+
+// Current returns the announcement in force. It is one atomic load.
+func (r *Registry) Current() Announcement { return *r.current.Load() }
+
+// OnChange sets the function that is called, in order and one at a time, after
+// each change; renewals are none. It must not call back into the Registry
+// except Current.
+func (r *Registry) OnChange(f func(Announcement)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.onChange = f
+}
+
+// Announce stores or renews an announcement. It returns a *FieldError and
+// changes nothing when a is not valid. A renewal keeps the draining state: only
+// Undrain or a withdrawal ends a drain.
+func (r *Registry) Announce(a Announcement) error {
+	if err := a.validate(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.Current()
+	now := r.cfg.Now()
+	r.renewed = now
+	a.Since = now
+	if a.Service == old.Service && a.Addr == old.Addr {
+		a.Since = old.Since
+		a.Draining = a.Draining || old.Draining
+	}
+	r.set(a)
+	return nil
+}
+
+// Drain sets or clears the draining state. It returns a *NoServerError when no
+// backend server is announced.
+func (r *Registry) Drain(draining bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.Current()
+	if !a.Announced() {
+		return &NoServerError{}
+	}
+	a.Draining = draining
+	r.set(a)
+	return nil
+}
+
+// Withdraw removes the announcement.
+func (r *Registry) Withdraw() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.set(Announcement{})
+}
+
+// Tick withdraws an announcement that was not renewed in time. Drivers call it
+// about every second.
+func (r *Registry) Tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limit := time.Duration(r.cfg.MissedIntervals) * r.cfg.Interval
+	if r.Current().Announced() && r.cfg.Now().Sub(r.renewed) > limit {
+		r.set(Announcement{})
+	}
+}
+
+func (r *Registry) set(a Announcement) {
+	if a == r.Current() {
+		return
+	}
+	r.current.Store(&a)
+	if r.onChange != nil {
+		r.onChange(a)
+	}
+}
+
+// NoServerError reports that no backend server is announced.
+type NoServerError struct{}
+
+// Error implements error.
+func (*NoServerError) Error() string { return "no backend server is announced" }
