Retry only what is safe, within a budget that is bounded over 8 hops

Retries at each of 8 hops multiply: three tries per hop put 6561 attempts on the deepest server for each call when it fails. Refusing all retries but those of the last hop was ruled out: no hop knows that it is the last.

--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -28,6 +28,10 @@
 	// HeaderHops carries the number of nodes that the chain of calls has
 	// passed.
 	HeaderHops = "Jacinthgate-Hops"
+	// HeaderAttempt carries the number of the attempt, from 2, on a retry and
+	// on every call made on its behalf further down the chain. Such calls earn
+	// no retries. Backend servers pass it on like HeaderDeadline.
+	HeaderAttempt = "Jacinthgate-Attempt"
 	// HeaderCustomer and HeaderClass tell the gate how the entry proxy
 	// classified the request.
 	HeaderCustomer = "Jacinthgate-Customer"
@@ -46,6 +50,9 @@
 	// HeaderIdempotencyKey is the caller's key of a request that must run at
 	// most once.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderReplayed is "1" on an answer that an earlier request with the same
+	// Idempotency-Key was given.
+	HeaderReplayed = "Jacinthgate-Replayed"
 )
 
 // Reason is the machine-readable reason of a refusal or an unknown outcome.
@@ -67,6 +74,9 @@
 	ReasonLoop             Reason = "loop"              // too many hops
 	ReasonPlatform         Reason = "platform"          // the platform is away and the class needs it
 	ReasonInProgress       Reason = "in-progress"       // the same key is running
+	ReasonKeyReused        Reason = "key-reused"        // the key belongs to another request
+	ReasonOutcomeLost      Reason = "outcome-lost"      // the key may have run; it never runs again
+	ReasonAnswerNotKept    Reason = "answer-not-kept"   // the key has run; its answer was too large to keep
 	ReasonBackendFailed    Reason = "backend-failed"    // the connection broke after the request was sent
 	ReasonBackendRefused   Reason = "backend-refused"   // the backend server refused before running
 	ReasonMalformed        Reason = "malformed"         // the request can't be understood
