Distribute configuration versions between nodes

Nodes need a way to learn of, fetch and acknowledge versions without each reading the platform. A capped flood of beacons with pulls of deltas was chosen over a fixed tree, which breaks under churn, and over plain gossip. Adds the pure core with reader, fetch, acknowledgement, status and join rules, a virtual network with a property test of random faults, and three additive message fields (Hello.LastHeld, Fetch.Recent, Ack.Incarnation).

--- /dev/null
+++ b/coordination/distribute/beacon.go
@@ -0,0 +1,137 @@
+package distribute
+
+import (
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// beaconMark orders the beacons of one zone.
+type beaconMark struct {
+	term     uint64
+	sequence uint64
+	hops     uint8
+}
+
+func (a beaconMark) newer(b beaconMark) bool {
+	if a.term != b.term {
+		return a.term > b.term
+	}
+	return a.sequence > b.sequence
+}
+
+// better reports whether the peer that delivered a is the better way to the
+// reader than the one that delivered b: the newer beacon, then the fewer hops.
+func (a beaconMark) better(b beaconMark) bool {
+	if a.newer(b) || b.newer(a) {
+		return a.newer(b)
+	}
+	return a.hops < b.hops
+}
+
+// beacons holds the newest beacon of each zone and the way to the reader.
+type beacons struct {
+	marks    map[model.Zone]beaconMark
+	own      *message.Beacon // newest of the own zone, as it is passed on
+	ownAt    time.Time
+	upstream model.NodeID // who delivered it first; empty: not known
+}
+
+func newBeacons() beacons { return beacons{marks: make(map[model.Zone]beaconMark)} }
+
+func (c *Core) beaconReceived(now time.Time, p *peer, m *message.Beacon) {
+	mark := beaconMark{term: m.Term, sequence: m.Sequence, hops: m.Hops}
+	own := m.Zone == c.self.Zone
+	if own && mark.better(p.beacon) {
+		p.beacon = mark
+	}
+	if !mark.newer(c.beacons.marks[m.Zone]) || m.Reader == c.self.Node {
+		return
+	}
+	c.beacons.marks[m.Zone] = mark
+	news := m.Head.Newer(c.head)
+	c.raiseHead(now, m.Head)
+	relayed := *m
+	relayed.Hops++
+	if own {
+		c.ownBeacon(now, p, &relayed)
+	}
+	// Idle beacons of other zones would cost every node bytes for each zone;
+	// only a new head is worth passing on.
+	if (own || news) && relayed.Hops < c.cfg.MaxHops {
+		c.sendOthers(p.id(), message.Urgent, &relayed)
+	}
+}
+
+func (c *Core) ownBeacon(now time.Time, p *peer, m *message.Beacon) {
+	last := c.beacons.own
+	c.beacons.own = m
+	c.beacons.ownAt = now
+	c.beacons.upstream = p.id()
+	if last == nil || last.Reader != m.Reader || last.Term != m.Term {
+		c.readerChanged(now)
+	}
+	c.joinBeacon(now, m)
+}
+
+// upstreamDown picks the next best way to the reader.
+func (c *Core) upstreamDown(now time.Time, id model.NodeID) {
+	if c.beacons.upstream != id {
+		return
+	}
+	c.beacons.upstream = ""
+	var best *peer
+	for _, id := range c.order {
+		p := c.peers[id]
+		if p.beacon == (beaconMark{}) {
+			continue
+		}
+		if best == nil || p.beacon.better(best.beacon) {
+			best = p
+		}
+	}
+	if best != nil {
+		c.beacons.upstream = best.id()
+		c.readerChanged(now)
+	}
+}
+
+// greetWithBeacon shows a new neighbour of the zone the way to the reader.
+func (c *Core) greetWithBeacon(p *peer) {
+	if c.beacons.own != nil && c.sameZone(p) {
+		c.send(p.id(), message.Urgent, c.beacons.own)
+	}
+}
+
+// beaconTimer floods the reader's beacon when it is due.
+func (c *Core) beaconTimer(now time.Time) {
+	r := &c.reader
+	if !r.leads || !c.beaconDue(now) {
+		return
+	}
+	r.beaconNow = false
+	r.beaconAt = now
+	r.nextBeacon = now.Add(c.cfg.BeaconInterval)
+	r.sequence++
+	r.sinceStatus++
+	b := &message.Beacon{
+		Zone: c.self.Zone, Reader: c.self.Node, Term: r.term, Sequence: r.sequence,
+		Head: c.head, PlatformOK: r.platformOK && now.Sub(r.readAt) <= c.cfg.BeaconInterval,
+	}
+	c.beacons.own = b
+	c.beacons.ownAt = now
+	c.beacons.upstream = ""
+	c.beacons.marks[c.self.Zone] = beaconMark{term: r.term, sequence: r.sequence}
+	c.sendOthers("", message.Urgent, b)
+}
+
+// beaconDue reports whether a beacon is to be sent: at each interval, and at
+// once when the head changed, but a burst of changes makes few beacons.
+func (c *Core) beaconDue(now time.Time) bool {
+	r := &c.reader
+	if !now.Before(r.nextBeacon) {
+		return true
+	}
+	return r.beaconNow && !now.Before(r.beaconAt.Add(c.cfg.MergeInterval))
+}
--- /dev/null
+++ b/coordination/distribute/history.go
@@ -0,0 +1,122 @@
+package distribute
+
+import (
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/state/snapshot"
+)
+
+// history holds what led to the version held: the deltas between the versions
+// held one after the other, to serve neighbours, and a few earlier snapshots,
+// as a base for deltas that start from them.
+type history struct {
+	steps   []*snapshot.Delta // consecutive: steps[i].To == steps[i+1].From
+	recent  []earlier         // newest last
+	encoded map[uint64][]byte // served deltas to the version held, by base
+	full    []byte            // the version held, encoded
+}
+
+type earlier struct {
+	snapshot *snapshot.Snapshot
+	until    time.Time // when it was replaced
+}
+
+// add notes the swap from one snapshot to the next.
+func (h *history) add(now time.Time, cfg *Config, from, to *snapshot.Snapshot) {
+	h.encoded = nil
+	h.full = nil
+	if from.Version() == 0 {
+		return
+	}
+	h.steps = append(h.steps, snapshot.Diff(from, to))
+	if n := len(h.steps) - cfg.KeepDeltas; n > 0 {
+		h.steps = h.steps[n:]
+	}
+	h.recent = append(h.recent, earlier{snapshot: from, until: now})
+	if n := len(h.recent) - cfg.KeepRecent; n > 0 {
+		h.recent = h.recent[n:]
+	}
+}
+
+func (h *history) expire(now time.Time, keep time.Duration) {
+	for len(h.recent) > 0 && now.Sub(h.recent[0].until) > keep {
+		h.recent = h.recent[1:]
+	}
+}
+
+// base returns the snapshot with the given reference, or nil.
+func (h *history) base(held *snapshot.Snapshot, ref snapshot.Ref) *snapshot.Snapshot {
+	if held.Ref() == ref {
+		return held
+	}
+	for _, e := range h.recent {
+		if e.snapshot.Ref() == ref {
+			return e.snapshot
+		}
+	}
+	return nil
+}
+
+// refs returns the references of the earlier snapshots, newest first.
+func (h *history) refs() []snapshot.Ref {
+	var refs []snapshot.Ref
+	for i := len(h.recent) - 1; i >= 0; i-- {
+		refs = append(refs, h.recent[i].snapshot.Ref())
+	}
+	return refs
+}
+
+// delta returns the encoded delta from a base to the version held, or nil when
+// the base is not known here. Steps are merged into one delta.
+func (h *history) delta(base snapshot.Ref) ([]byte, error) {
+	if b := h.encoded[base.Version]; b != nil {
+		return b, nil
+	}
+	for i, step := range h.steps {
+		if step.From != base {
+			continue
+		}
+		b, err := mergeSteps(h.steps[i:]).Encode()
+		if err != nil {
+			return nil, err
+		}
+		if h.encoded == nil {
+			h.encoded = make(map[uint64][]byte)
+		}
+		h.encoded[base.Version] = b
+		return b, nil
+	}
+	return nil, nil
+}
+
+// whole returns the encoded version held.
+func (h *history) whole(held *snapshot.Snapshot) ([]byte, error) {
+	if h.full != nil {
+		return h.full, nil
+	}
+	b, err := held.Encode()
+	h.full = b
+	return b, err
+}
+
+// mergeSteps returns one delta that does what the steps do one after the
+// other.
+func mergeSteps(steps []*snapshot.Delta) *snapshot.Delta {
+	if len(steps) == 1 {
+		return steps[0]
+	}
+	contracts := newMerged[snapshot.ContractEntry]()
+	services := newMerged[snapshot.ServiceEntry]()
+	for _, s := range steps {
+		contracts.add(s.PutContracts, s.DeleteContracts)
+		services.add(s.PutServices, s.DeleteServices)
+	}
+	return &snapshot.Delta{
+		From:            steps[0].From,
+		To:              steps[len(steps)-1].To,
+		PutContracts:    contracts.put,
+		PutServices:     services.put,
+		DeleteContracts: contracts.deleted(),
+		DeleteServices:  services.deleted(),
+	}
+}
--- /dev/null
+++ b/coordination/distribute/property_test.go
@@ -0,0 +1,86 @@
+package distribute
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestRandomFaults lets everything fail in random order; the network checks at
+// each step that no node goes back, that a node that restarts serves nothing
+// older than a neighbour remembers of it, and that no zone status claims too
+// much. Once all is well again, all must serve the newest version.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := newNetwork(rt, rapid.Uint64().Draw(rt, "seed"), 5, 4)
+		n.publish(-1)
+		for i := range n.nodes {
+			n.start(i)
+		}
+		n.run(rapid.SampledFrom([]time.Duration{0, 6 * time.Second}).Draw(rt, "warm"))
+		for range rapid.IntRange(5, 40).Draw(rt, "steps") {
+			randomFault(rt, n)
+			n.run(time.Duration(rapid.IntRange(0, 1500).Draw(rt, "ms")) * time.Millisecond)
+		}
+		heal(n)
+		n.run(45 * time.Second)
+		must.SliceEmpty(rt, n.behind(), must.Sprint("after all healed"))
+	})
+}
+
+func randomFault(rt *rapid.T, n *network) {
+	i := rapid.IntRange(0, len(n.nodes)-1).Draw(rt, "node")
+	links := slices.Collect(n.sortedLinks())
+	d := n.nodes[i]
+	switch rapid.SampledFrom([]string{"publish", "cut", "isolate", "crash", "pause", "faults", "platform"}).Draw(rt, "fault") {
+	case "publish":
+		if n.platformUp {
+			n.publish(rapid.SampledFrom([]int{-1, i}).Draw(rt, "at"))
+		}
+	case "cut":
+		l := links[rapid.IntRange(0, len(links)-1).Draw(rt, "link")]
+		n.setCut(l, !n.cut[l])
+	case "isolate":
+		for _, l := range links {
+			if (n.nodes[l[0]].zone == d.zone) != (n.nodes[l[1]].zone == d.zone) {
+				n.setCut(l, !n.cut[l])
+			}
+		}
+	case "crash":
+		if d.up {
+			n.crash(i)
+		} else {
+			n.start(i)
+		}
+	case "pause":
+		if d.paused {
+			n.resume(i)
+		} else if d.up {
+			d.paused = true
+			n.elect()
+		}
+	case "faults":
+		n.faults = !n.faults
+	case "platform":
+		n.platformUp = !n.platformUp
+	}
+}
+
+func heal(n *network) {
+	n.faults, n.platformUp = false, true
+	for i, d := range n.nodes {
+		if !d.up {
+			n.start(i)
+		}
+		if d.paused {
+			n.resume(i)
+		}
+	}
+	for l := range n.sortedLinks() {
+		n.setCut(l, false)
+	}
+}
--- /dev/null
+++ b/coordination/distribute/reject.go
@@ -0,0 +1,43 @@
+package distribute
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+)
+
+func (c *Core) rejectionsReceived(now time.Time, p *peer, m *message.Rejections) {
+	if m.Zone != c.self.Zone || (!c.reader.leads && p.id() == c.beacons.upstream) {
+		return
+	}
+	for _, r := range m.Rejections {
+		c.queueRejection(now, r)
+	}
+}
+
+// queueRejection notes a rejection, or passes it on towards the reader.
+func (c *Core) queueRejection(now time.Time, r message.Rejection) {
+	if c.reader.leads {
+		c.zone.reject(now, r)
+		return
+	}
+	if old, pending := c.acks.rejections[r.Node]; pending && old.Version >= r.Version {
+		return
+	}
+	c.acks.rejections[r.Node] = r
+	c.flushSoon(now)
+}
+
+func (c *Core) flushRejections() {
+	if len(c.acks.rejections) == 0 {
+		return
+	}
+	m := &message.Rejections{Zone: c.self.Zone}
+	for _, id := range slices.Sorted(maps.Keys(c.acks.rejections)) {
+		m.Rejections = append(m.Rejections, c.acks.rejections[id])
+	}
+	clear(c.acks.rejections)
+	c.send(c.beacons.upstream, message.Normal, m)
+}
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -50,6 +50,9 @@
 	Ready    bool            `cbor:"4,keyasint"`
 	// Digest is the hash of the sender's endpoint table for each zone.
 	Digest []ZoneDigest `cbor:"5,keyasint,omitempty"`
+	// LastHeld is the newest version that the receiver is known to have held
+	// before, in this or an earlier incarnation. 0 means not known.
+	LastHeld uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Welcome answers a Hello.
@@ -93,6 +96,9 @@
 // Fetch asks a peer for a version newer than Have.
 type Fetch struct {
 	Have snapshot.Ref `cbor:"1,keyasint"`
+	// Recent are earlier versions that the sender still holds, newest first. A
+	// delta may start from any of them.
+	Recent []snapshot.Ref `cbor:"2,keyasint,omitempty"`
 }
 
 // Delta carries an encoded snapshot.Delta.
@@ -110,10 +116,14 @@
 	Body  []byte       `cbor:"4,keyasint"`
 }
 
-// Ack says that a node holds a version and serves with it.
+// Ack says that a node holds a version and serves with it. Version 0 says that
+// the incarnation serves nothing yet.
 type Ack struct {
 	Node    model.NodeKey `cbor:"1,keyasint"`
 	Version uint64        `cbor:"2,keyasint"`
+	// Incarnation is the node's incarnation. An ack of a later incarnation
+	// replaces those of earlier ones.
+	Incarnation uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Acks are relayed towards the zone's reader, merged on the way: the newest
