Decide at-most-once execution by conditional claims

Repeats of a booking or paid order may reach any node, so the platform's table service has to decide which one is sent. Weighed affinity of a key to an owner with a lease (an owner paused past its lease may still send) and ruled out taking over a claim by time for the same cause. Performance: none measured.

--- /dev/null
+++ b/coordination/claim/machine_test.go
@@ -0,0 +1,129 @@
+package claim_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/coordination/claim"
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+)
+
+var (
+	begun   = time.Unix(1e9, 0)
+	booking = claim.Fingerprint{Method: "POST", Target: "/rooms/7", BodyHash: []byte("b")}
+)
+
+// other is the item of another request with the same key.
+func other(state claim.State, change func(*claim.Record)) claim.Item {
+	r := claim.Record{State: state, Attempt: "other", Fingerprint: booking, Started: begun.UnixMilli()}
+	if change != nil {
+		change(&r)
+	}
+	return claim.Item{Revision: 4, Record: r}
+}
+
+// TestPromise tells for each moment of failure what the caller is promised.
+func TestPromise(t *testing.T) {
+	cfg := claim.DefaultConfig()
+	answer := claim.Answer{Status: 201, Body: []byte("booked")}
+	done := other(claim.StateDone, func(r *claim.Record) { r.Answer = &answer })
+	tooLarge := other(claim.StateDone, func(r *claim.Record) { r.Answer = &claim.Answer{Status: 201, NotKept: true} })
+	changed := other(claim.StateDone, func(r *claim.Record) { r.Fingerprint.Target = "/rooms/8" })
+	old := other(claim.StateClaimed, func(r *claim.Record) { r.Started -= time.Hour.Milliseconds() })
+	away := claim.Refuse{Outcome: outcome.NotRun, Reason: outcome.ReasonPlatform, RetryAfter: cfg.PlatformRetry}
+	busy := claim.Refuse{Outcome: outcome.Unknown, Reason: outcome.ReasonInProgress, RetryAfter: cfg.InProgressRetry}
+	lost := claim.Refuse{Outcome: outcome.Unknown, Reason: outcome.ReasonOutcomeLost}
+	cases := []struct {
+		name   string
+		events []core.Event
+		want   core.Action
+	}{
+		{"claimed", []core.Event{claim.Written{Revision: 1}}, claim.Proceed{}},
+		{"platform away", []core.Event{claim.WriteFailed{}}, away},
+		{"write unknown, own found", []core.Event{claim.WriteUnknown{}, claim.Loaded{Current: claim.Item{
+			Revision: 1, Record: claim.Record{State: claim.StateClaimed, Attempt: "own"}}}}, claim.Proceed{}},
+		{"write unknown, read fails", []core.Event{claim.WriteUnknown{}, claim.LoadFailed{}}, away},
+		{"running elsewhere", []core.Event{claim.Conflict{Current: other(claim.StateClaimed, nil)}}, busy},
+		{"write unknown, running elsewhere", []core.Event{claim.WriteUnknown{},
+			claim.Loaded{Current: other(claim.StateClaimed, nil)}}, busy},
+		{"owner died long ago", []core.Event{claim.Conflict{Current: old}}, lost},
+		{"answered before", []core.Event{claim.Conflict{Current: done}}, claim.Replay{Answer: answer}},
+		{"answer too large", []core.Event{claim.Conflict{Current: tooLarge}},
+			claim.Refuse{Outcome: outcome.Unknown, Reason: outcome.ReasonAnswerNotKept}},
+		{"key of another request", []core.Event{claim.Conflict{Current: changed}},
+			claim.Refuse{Outcome: outcome.NotRun, Reason: outcome.ReasonKeyReused}},
+		{"corrupt", []core.Event{claim.Conflict{Current: claim.Item{Revision: 2, Corrupt: true}}}, lost},
+		{"deadline", []core.Event{claim.Cancelled{}}, claim.Refuse{
+			Outcome: outcome.NotRun, Reason: outcome.ReasonDeadline, RetryAfter: cfg.InProgressRetry}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := claim.New(cfg, claim.Record{Attempt: "own", Fingerprint: booking})
+			m.Step(begun, claim.Start{})
+			var got []core.Action
+			for _, ev := range c.events {
+				got = m.Step(begun, ev)
+			}
+			must.SliceNotEmpty(t, got)
+			must.Eq(t, c.want, got[0])
+		})
+	}
+}
+
+func holder(t *testing.T) *claim.Machine {
+	m := claim.New(claim.DefaultConfig(), claim.Record{Attempt: "own"})
+	m.Step(begun, claim.Start{})
+	must.Eq(t, []core.Action{claim.Proceed{}}, m.Step(begun, claim.Written{Revision: 1}))
+	return m
+}
+
+// TestPausedOwner pauses the owner of a claim past the time that a record is
+// protected: it must neither send nor write any more.
+func TestPausedOwner(t *testing.T) {
+	cfg := claim.DefaultConfig()
+	m := holder(t)
+	must.Eq(t, []core.Action{claim.Send{}}, m.Step(begun.Add(cfg.DispatchWithin), claim.Dispatch{}))
+	thawed := begun.Add(cfg.RetainFor)
+	got := m.Step(thawed, claim.Dispatch{})
+	must.Eq(t, []core.Action{claim.Refuse{Outcome: outcome.NotRun, Reason: outcome.ReasonDeadline}}, got)
+	must.Eq(t, []core.Action{claim.GiveUp{}}, m.Step(thawed, claim.NotRun{}))
+	must.True(t, m.Ended())
+}
+
+// TestNoSendAfterEnd asks for leave to send after each end of a request.
+func TestNoSendAfterEnd(t *testing.T) {
+	for _, end := range []core.Event{claim.NotRun{}, claim.Answered{}, claim.Lost{}} {
+		m := holder(t)
+		m.Step(begun, end)
+		_, refused := m.Step(begun, claim.Dispatch{})[0].(claim.Refuse)
+		must.True(t, refused, must.Sprintf("after %T", end))
+		must.Nil(t, m.Step(begun, claim.NotRun{}), must.Sprintf("release after %T", end))
+	}
+}
+
+func TestTrim(t *testing.T) {
+	small := claim.Answer{Status: 200, Body: make([]byte, claim.MaxBody)}
+	must.Eq(t, small, small.Trim())
+	large := claim.Answer{Status: 200, Body: make([]byte, claim.MaxBody+1)}
+	must.Eq(t, claim.Answer{Status: 200, NotKept: true}, large.Trim())
+	header := claim.Answer{Status: 200, Header: []claim.Field{{Name: "X", Value: string(make([]byte, claim.MaxHeader))}}}
+	must.Eq(t, claim.Answer{Status: 200, NotKept: true}, header.Trim())
+}
+
+func TestRecordCodec(t *testing.T) {
+	want := other(claim.StateDone, func(r *claim.Record) { r.Answer = &claim.Answer{Status: 201, Body: []byte("x")} }).Record
+	value, err := want.Encode()
+	must.NoError(t, err)
+	got, err := claim.Decode(value)
+	must.NoError(t, err)
+	must.Eq(t, want, got)
+	_, err = claim.Decode([]byte("?"))
+	var typed *claim.DecodeError
+	must.True(t, errors.As(err, &typed))
+	must.NotEq(t, claim.ItemKey("a", "k1"), claim.ItemKey("a", "k2"))
+	must.NotEq(t, claim.ItemKey("a", "k1"), claim.ItemKey("b", "k1"))
+}
