Pass the older system's requests on byte for byte; wire the decision cores

net/http reorders and respells headers, so a request for the older system would not arrive as it was sent. The caller's connection now records each head as it arrives; an older request is hijacked, its raw head and framed body are copied, and the connection goes back to net/http for the next request, which may be the mesh's. Rebuilding the request was ruled out except for pipelined requests, whose raw head is not at hand. The proxy takes the limiter, picker, retrier and claims of the coordination layer.

--- /dev/null
+++ b/transport/entry/body.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+)
+
+// keepBody reads a small body of known length before anything is sent, so
+// that it can be sent again and a slow caller holds no slot of a gate. Other
+// bodies are streamed and never sent again.
+func (x *exchange) keepBody() *forward.Refusal {
+	r := x.r
+	switch {
+	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
+		x.kept = true
+		return nil
+	case r.ContentLength < 0 || r.ContentLength > x.p.cfg.MaxReplayBody:
+		return nil
+	case r.Header["Expect"] != nil:
+		return nil // the backend server decides whether it wants the body
+	}
+	x.body = make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, x.body); err != nil {
+		return x.p.notRun(outcome.ReasonCancelled, "the body did not arrive whole")
+	}
+	x.kept = true
+	return nil
+}
+
+// newBody returns a body over b. net/http sends it together with the head,
+// since it knows the reader, and can't get it again, since it is wrapped.
+func newBody(b []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(b)) }
--- a/transport/entry/config.go
+++ b/transport/entry/config.go
@@ -7,6 +7,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/coordination/retry"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
@@ -20,14 +22,19 @@
 	Self model.NodeID
 	// Zone is this node's availability zone.
 	Zone model.Zone
+	// Region is this node's region.
+	Region model.Region
+	// Seed seeds the defaults of Balance and Retry.
+	Seed uint64
 	// Snapshot returns the configuration held, or nil. It is one atomic load.
 	Snapshot func() *snapshot.Snapshot
 	// View returns the endpoints known, or nil. It is one atomic load.
 	View func() *endpoint.View
 	// Ready reports whether the node may serve with what it holds.
 	Ready func() bool
-	// Admit, Balance, Retry and Claim take the decisions. Nil takes
-	// AdmitAll, RandomBalancer, NoRetry and NoClaim.
+	// Admit, Balance, Retry and Claim take the decisions. A node gives its
+	// own. Nil takes AdmitAll, a balance.Picker, a retry.Retrier without
+	// budgets and NoClaim.
 	Admit   Admitter
 	Balance Balancer
 	Retry   Retrier
@@ -49,8 +56,6 @@
 	// MaxReplayBody bounds the body kept for a retry, in bytes. A larger one
 	// is streamed and never sent again.
 	MaxReplayBody int64
-	// MaxAttempts bounds the attempts of one request, the first included.
-	MaxAttempts int
 	// RetryAfter is when a refused caller is asked to come back where nothing
 	// better is known.
 	RetryAfter time.Duration
@@ -73,15 +78,12 @@
 func DefaultConfig() Config {
 	return Config{
 		Admit:              AdmitAll{},
-		Balance:            RandomBalancer{},
-		Retry:              NoRetry{},
 		Claim:              NoClaim{},
 		GateScheme:         "http",
 		OlderDialTimeout:   time.Second,
 		MaxHops:            16,
 		MaxHeaderBytes:     32 << 10,
 		MaxReplayBody:      64 << 10,
-		MaxAttempts:        3,
 		RetryAfter:         time.Second,
 		HeaderTimeout:      10 * time.Second,
 		IdleTimeout:        2 * time.Minute,
@@ -99,19 +101,22 @@
 	setIfZero(&c.MaxHops, d.MaxHops)
 	setIfZero(&c.MaxHeaderBytes, d.MaxHeaderBytes)
 	setIfZero(&c.MaxReplayBody, d.MaxReplayBody)
-	setIfZero(&c.MaxAttempts, d.MaxAttempts)
 	setIfZero(&c.RetryAfter, d.RetryAfter)
 	setIfZero(&c.HeaderTimeout, d.HeaderTimeout)
 	setIfZero(&c.IdleTimeout, d.IdleTimeout)
 	setIfZero(&c.MaxMetricCustomers, d.MaxMetricCustomers)
 	setIfZero(&c.Admit, d.Admit)
-	setIfZero(&c.Balance, d.Balance)
-	setIfZero(&c.Retry, d.Retry)
 	setIfZero(&c.Claim, d.Claim)
 	setIfZero(&c.Logger, d.Logger)
 	if c.Now == nil {
 		c.Now = d.Now
 	}
+	if c.Balance == nil {
+		c.Balance = balance.New(balance.DefaultConfig(), c.Zone, c.Region, c.Seed)
+	}
+	if c.Retry == nil {
+		c.Retry = retry.New(retry.DefaultConfig(), c.Seed)
+	}
 	if c.Gate == nil {
 		c.Gate = forward.NewTransport(forward.DefaultTransportConfig())
 	}
--- a/transport/entry/delegates.go
+++ b/transport/entry/delegates.go
@@ -2,72 +2,62 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
-	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/coordination/admit"
+	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/coordination/claim"
+	"github.com/jacinthgate/jacinthgate/coordination/retry"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
-	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
-// Admitter decides whether a request fits the customer's limits. It is safe
-// for concurrent use and takes no global lock.
+// Admitter decides whether a request fits the customer's limits.
+// *admit.Limiter is one.
 type Admitter interface {
-	// Admit returns nil when the request may go on; Release must then be
-	// called once. deadline is the request's.
-	Admit(m *snapshot.Match, now, deadline time.Time) *forward.Refusal
-	// Release returns what Admit took.
-	Release(m *snapshot.Match, now time.Time)
+	// Admit lets a request in or refuses it. The permit is released once.
+	Admit(now time.Time, m snapshot.Match) (admit.Permit, *admit.Refusal)
 }
 
-// Feedback is what one attempt showed of a backend server.
-type Feedback struct {
-	// Service is the service that was asked for.
-	Service string
-	// Node is the host's node.
-	Node model.NodeID
-	// Elapsed is the attempt's duration to the response's end.
-	Elapsed time.Duration
-	// Outcome is the attempt's own outcome.
-	Outcome outcome.Outcome
-	// Reason tells why it was not answered.
-	Reason outcome.Reason
-	// Status is the HTTP status; 0 without a response.
-	Status int
-	// Load is the gate's load; its Slots are 0 when it was not reported.
-	Load Load
-}
-
-// Balancer chooses a backend server. It is safe for concurrent use.
+// Balancer chooses a backend server. *balance.Picker is one.
 type Balancer interface {
-	// Pick returns the record to send to and counts a request in flight to
-	// it; Done must then be called once. It returns nil when no record may
-	// take the request. tried are the nodes of earlier attempts.
-	Pick(service *model.Service, records []endpoint.Record, tried []model.NodeID, now time.Time) *endpoint.Record
-	// Done reports the end of an attempt.
-	Done(f Feedback, now time.Time)
+	// Pick chooses among the records; Done of the choice is called once.
+	Pick(now time.Time, s *model.Service, records []endpoint.Record, tried *balance.Tried) (balance.Choice, error)
 }
 
-// Retrier keeps the retry budgets. It is safe for concurrent use.
+// Retrier decides on retries and keeps their budgets. *retry.Retrier is one.
 type Retrier interface {
 	// First counts a first attempt.
-	First(m *snapshot.Match, now time.Time)
-	// Retry reports whether retry number n (from 1) may be sent and how long
-	// to wait before. It takes from the budget.
-	Retry(m *snapshot.Match, n int, now, deadline time.Time) (wait time.Duration, ok bool)
+	First(m snapshot.Match, inherited bool)
+	// Decide decides what follows a failed attempt.
+	Decide(now time.Time, m snapshot.Match, a retry.Attempt) retry.Decision
 }
 
-// Claimer makes requests with an idempotency key run at most once.
+// Claimer makes non-repeatable requests with an idempotency key run at most
+// once.
 type Claimer interface {
-	// Claim is called before a non-repeatable request is sent. A nil refusal
-	// lets it run; Settle must then be called once.
-	Claim(ctx context.Context, m *snapshot.Match, r *http.Request) (ClaimToken, *forward.Refusal)
-	// Settle reports how the claimed request ended. status is 0 without a
-	// response.
-	Settle(ctx context.Context, token ClaimToken, out outcome.Outcome, status int)
+	// Begin claims the key. The Claim is nil unless the verdict is to proceed.
+	Begin(ctx context.Context, customer, key string, fp claim.Fingerprint) (Claim, ClaimVerdict)
 }
 
-// ClaimToken is what a Claimer needs to settle a claim.
-type ClaimToken any
+// ClaimVerdict says what to do with a request. The zero value is to proceed.
+type ClaimVerdict struct {
+	// Replay is the answer of an earlier request with the key.
+	Replay *claim.Answer
+	// Refusal is set when the request must not be sent.
+	Refusal *claim.Refuse
+}
+
+// Claim is one request that holds its key. Exactly one of Done, NotRun and
+// Unknown is called.
+type Claim interface {
+	// Dispatch is called right before each send; on false nothing is sent.
+	Dispatch() bool
+	// Done keeps the whole answer for repeats.
+	Done(answer claim.Answer)
+	// NotRun gives the key back: certainly nothing ran.
+	NotRun()
+	// Unknown leaves the key claimed.
+	Unknown()
+}
--- /dev/null
+++ b/transport/entry/older_exchange.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+)
+
+// rawExchange is one request to the older system and its answer, copied byte
+// for byte. Only the framing is read, to find where each ends.
+type rawExchange struct {
+	caller  *callerConn
+	request *http.Request
+	head    []byte
+	reader  *bufio.Reader
+	// next gets nil when the next request's first byte has arrived, or why
+	// there is none.
+	next chan error
+}
+
+// run carries the request and its answer. It reports whether the caller's
+// connection may carry another request.
+func (x *rawExchange) run() bool {
+	x.reader = bufio.NewReader(x.caller)
+	x.next = make(chan error, 1)
+	older := x.caller.older
+	if _, err := older.Write(x.head); err != nil {
+		return false
+	}
+	go x.sendBody()
+	resp, err := x.answer()
+	if err != nil {
+		_ = older.Close() // ends sendBody as well
+		return false
+	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		x.splice()
+		return false
+	}
+	return !resp.Close && !x.request.Close
+}
+
+// leftover returns what was read from the caller beyond the request.
+func (x *rawExchange) leftover() []byte {
+	b, _ := x.reader.Peek(x.reader.Buffered()) // never more than is buffered
+	return append(bytes.Clone(b), x.caller.pending...)
+}
+
+// sendBody copies the request's body and waits for the next request. When the
+// caller goes away the older system sees the same.
+func (x *rawExchange) sendBody() {
+	older := x.caller.older
+	err := x.copyBody(older)
+	if err == nil {
+		_, err = x.reader.Peek(1)
+	}
+	if errors.Is(err, io.EOF) {
+		closeWrite(older.Conn)
+	} else if err != nil && !isTimeout(err) {
+		_ = older.Close() // the caller is gone
+	}
+	x.next <- err
+}
+
+func (x *rawExchange) copyBody(w io.Writer) error {
+	if x.request.ContentLength > 0 {
+		_, err := io.CopyN(w, x.reader, x.request.ContentLength)
+		return err
+	}
+	if slices.Contains(x.request.TransferEncoding, "chunked") {
+		return copyChunked(w, x.reader)
+	}
+	return nil
+}
+
+// answer copies the answer and the 1xx responses before it.
+func (x *rawExchange) answer() (*http.Response, error) {
+	from := x.caller.older.reader
+	for {
+		head, err := readHead(from)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), x.request)
+		if err != nil {
+			return nil, err
+		}
+		if _, err := x.caller.Write(head); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, x.copyAnswer(resp, from)
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return resp, nil
+		}
+	}
+}
+
+func (x *rawExchange) copyAnswer(resp *http.Response, from *bufio.Reader) error {
+	bodyless := x.request.Method == http.MethodHead ||
+		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	switch {
+	case bodyless:
+		return nil
+	case slices.Contains(resp.TransferEncoding, "chunked"):
+		return copyChunked(x.caller, from)
+	case resp.ContentLength >= 0:
+		_, err := io.CopyN(x.caller, from, resp.ContentLength)
+		return err
+	default:
+		_, err := io.Copy(x.caller, from)
+		resp.Close = true
+		return err
+	}
+}
+
+// splice copies both ways until both ends are closed. The older system may
+// speak first, so it is listened to before the caller's first byte.
+func (x *rawExchange) splice() {
+	older := x.caller.older
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if <-x.next == nil {
+			_, _ = io.Copy(older, x.reader) // either end may go away at any time
+			closeWrite(older.Conn)
+		}
+	}()
+	_, _ = io.Copy(x.caller, older.reader) // as above
+	closeWrite(x.caller.Conn)
+	<-done
+}
+
+func closeWrite(c net.Conn) {
+	if t, ok := c.(interface{ CloseWrite() error }); ok {
+		_ = t.CloseWrite() // the peer may be gone
+	}
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
--- /dev/null
+++ b/transport/entry/older_test.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/internal/standin/older"
+)
+
+// startOlder starts the older system and a bed whose callers come in by Serve.
+func startOlder(t *testing.T, b *bed) (*older.Server, string) {
+	t.Helper()
+	system := older.New()
+	ol, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = system.Serve(ol) }()
+	t.Cleanup(func() { ol.Close(); system.Close() })
+	b.cfg.OlderAddr = ol.Addr().String()
+	b.start(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = b.proxy.Serve(l) }()
+	t.Cleanup(func() { must.NoError(t, b.proxy.Shutdown(context.Background())) })
+	return system, l.Addr().String()
+}
+
+const (
+	oddGet = "GET /older/a?b=%2f&&c HTTP/1.1\r\nhOST: screens.example\r\nX-b: 2\r\nx-A:   1\r\nX-b: 3\r\n\r\n"
+	post   = "POST /older/a HTTP/1.1\r\nHost: screens.example\r\nContent-Length: 5\r\nx-Z: 1\r\n\r\nhello"
+	chunks = "POST /older/c HTTP/1.1\r\nHost: screens.example\r\ntransfer-Encoding: chunked\r\n\r\n" +
+		"005;ext=1\r\nhello\r\n2\r\n!!\r\n0\r\n\r\n"
+	meshGet = "GET /x HTTP/1.1\r\nHost: screens.example\r\n\r\n"
+)
+
+func TestOlderGetsRequestsByteForByte(t *testing.T) {
+	system, addr := startOlder(t, newBed())
+	conn, err := net.Dial("tcp", addr)
+	must.NoError(t, err)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	count := int64(0)
+	// One connection carries requests for both systems in turn.
+	for range 3 {
+		for _, raw := range []string{oddGet, post, meshGet, chunks, post, oddGet, meshGet} {
+			_, err := io.WriteString(conn, raw)
+			must.NoError(t, err)
+			if raw == meshGet {
+				resp, err := http.ReadResponse(reader, nil)
+				must.NoError(t, err)
+				must.Eq(t, "host-1", resp.Header.Get("Jacinthgate-Served-By"))
+				read(t, resp)
+				continue
+			}
+			count++
+			must.Eq(t, raw, checkOlder(t, reader, raw, count))
+		}
+	}
+	must.Eq(t, count, system.Requests())
+}
+
+// checkOlder returns raw if the older system got exactly it and its answer
+// came back as it was sent.
+func checkOlder(t *testing.T, reader *bufio.Reader, raw string, count int64) string {
+	t.Helper()
+	head, err := readHead(reader)
+	must.NoError(t, err)
+	must.StrHasPrefix(t, "HTTP/1.1 200 Fine\r\nx-older-system: Yes\r\nContent-type: application/json\r\nA-first: 1\r\n", string(head))
+	must.StrNotContains(t, string(head), "Jacinthgate")
+	var a older.Answer
+	must.NoError(t, json.NewDecoder(io.LimitReader(reader, int64(bodyLength(t, head)))).Decode(&a))
+	sum := sha256.Sum256([]byte(raw))
+	must.Eq(t, hex.EncodeToString(sum[:]), a.Hash)
+	must.Eq(t, count, a.Request)
+	must.Eq(t, 1, a.Connection)
+	return raw
+}
+
+func bodyLength(t *testing.T, head []byte) int {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(string(head))), nil)
+	must.NoError(t, err)
+	return int(resp.ContentLength)
+}
+
+func TestOlderWithoutConfiguration(t *testing.T) {
+	b := newBed()
+	_, addr := startOlder(t, b)
+	b.snap.Store(nil)
+	conn, err := net.Dial("tcp", addr)
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, post)
+	must.NoError(t, err)
+	checkOlder(t, bufio.NewReader(conn), post, 1)
+}
+
+func TestOlderUpgradeIsSpliced(t *testing.T) {
+	b := newBed()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = readHead(bufio.NewReader(c))
+		// The server speaks first, then echoes.
+		_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nhello")
+		_, _ = io.Copy(c, c)
+	}()
+	_, addr := startOlder(t, b)
+	b.proxy.cfg.OlderAddr = l.Addr().String()
+	conn, err := net.Dial("tcp", addr)
+	must.NoError(t, err)
+	defer conn.Close()
+	must.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.WriteString(conn, "GET /older/u HTTP/1.1\r\nHost: screens.example\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")
+	must.NoError(t, err)
+	reader := bufio.NewReader(conn)
+	_, err = readHead(reader)
+	must.NoError(t, err)
+	got := make([]byte, 5)
+	_, err = io.ReadFull(reader, got)
+	must.NoError(t, err)
+	must.Eq(t, "hello", string(got))
+	_, err = io.WriteString(conn, "again")
+	must.NoError(t, err)
+	_, err = io.ReadFull(reader, got)
+	must.NoError(t, err)
+	must.Eq(t, "again", string(got))
+}
--- a/transport/entry/proxy.go
+++ b/transport/entry/proxy.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -9,7 +8,6 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
-	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
@@ -17,32 +15,32 @@
 type Proxy struct {
 	cfg     Config
 	metrics *requestMetrics
-	raw     *rawServer
+	older   *olderServer
+	server  *http.Server
 }
 
 // New returns a proxy. Snapshot, View and Ready must be set.
 func New(cfg Config) *Proxy {
 	cfg = cfg.withDefaults()
 	p := &Proxy{cfg: cfg, metrics: newRequestMetrics(cfg.Metrics, cfg.MaxMetricCustomers)}
-	p.raw = newRawServer(p)
+	p.older = newOlderServer(p)
+	p.server = newServer(p)
 	return p
 }
 
 // ServeHTTP implements http.Handler. A response that breaks off makes it panic
-// with http.ErrAbortHandler, which aborts the caller's connection.
+// with http.ErrAbortHandler, which aborts the caller's connection. Requests
+// for the older system are passed on untouched only on connections accepted by
+// Serve.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	start := p.cfg.Now()
 	pl, refusal := p.decide(r, start)
 	if refusal == nil && pl.older {
-		p.serveOlder(w, r)
+		p.older.serve(w, r)
 		return
 	}
 	if refusal == nil {
-		refusal = p.cfg.Admit.Admit(&pl.match, start, pl.deadline)
-		if refusal == nil {
-			defer func() { p.cfg.Admit.Release(&pl.match, p.cfg.Now()) }()
-			refusal = p.serve(w, r, &pl, start)
-		}
+		refusal = p.admit(w, r, &pl, start)
 	}
 	if refusal != nil {
 		p.metrics.record(&pl.match, refusal.Outcome, refusal.Reason, p.cfg.Now().Sub(start))
@@ -50,26 +48,19 @@
 	}
 }
 
-// serve sends an admitted request under its deadline. It returns a refusal
+// admit serves the request under the customer's limits. It returns a refusal
 // that still has to be written, or nil when the answer was passed on.
-func (p *Proxy) serve(w http.ResponseWriter, r *http.Request, pl *plan, start time.Time) *forward.Refusal {
-	ctx, cancel := context.WithDeadline(r.Context(), pl.deadline)
-	defer cancel()
-	token, refusal := p.claim(ctx, r, pl)
-	if refusal != nil {
+func (p *Proxy) admit(w http.ResponseWriter, r *http.Request, pl *plan, start time.Time) *forward.Refusal {
+	permit, refused := p.cfg.Admit.Admit(start, pl.match)
+	if refused != nil {
+		refusal := forward.NotRun(refused.Reason, "the contract's limits don't allow the request now")
+		refusal.RetryAfter = refused.RetryAfter
 		return refusal
 	}
-	x := &exchange{p: p, w: w, r: r, plan: pl, ctx: ctx}
-	refusal = x.run()
-	out := outcome.Answered
-	if refusal != nil {
-		out = refusal.Outcome
-	}
-	if pl.match.Class.Kind == model.KindNonRepeatable {
-		// Settling outlives the caller: the claim must not stay open.
-		p.cfg.Claim.Settle(context.WithoutCancel(ctx), token, out, x.status)
-	}
-	if refusal != nil {
+	defer func() { permit.Release(p.cfg.Now()) }()
+	x := newExchange(p, w, r, pl)
+	defer x.cancel()
+	if refusal := x.run(); refusal != nil {
 		return refusal
 	}
 	err := x.relay()
@@ -78,13 +69,6 @@
 	return nil
 }
 
-func (p *Proxy) claim(ctx context.Context, r *http.Request, pl *plan) (ClaimToken, *forward.Refusal) {
-	if pl.match.Class.Kind != model.KindNonRepeatable {
-		return nil, nil
-	}
-	return p.cfg.Claim.Claim(ctx, &pl.match, r)
-}
-
 // abortIfCut aborts the caller's connection when its answer is not whole.
 func (p *Proxy) abortIfCut(err error, pl *plan) {
 	if err == nil {
--- /dev/null
+++ b/transport/entry/raw_copy.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+)
+
+// Bounds on the older system's responses.
+const (
+	// maxRawHead is the largest head, in bytes.
+	maxRawHead = 1 << 20
+	// maxChunkLine is the longest line before a chunk, in bytes.
+	maxChunkLine = 4 << 10
+)
+
+// FramingError reports bytes that don't follow HTTP/1.1's framing.
+type FramingError struct {
+	// What is the part that is wrong.
+	What string
+}
+
+// Error implements error.
+func (e *FramingError) Error() string { return "framing: " + e.What }
+
+// readHead returns a head as it arrived, its empty line included.
+func readHead(r *bufio.Reader) ([]byte, error) {
+	var head []byte
+	for {
+		line, err := readLine(r, maxRawHead-len(head))
+		if err != nil {
+			return nil, err
+		}
+		head = append(head, line...)
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return head, nil
+		}
+	}
+}
+
+// readLine returns a line of at most limit bytes with its end.
+func readLine(r *bufio.Reader, limit int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > limit {
+			return nil, &FramingError{What: "line too long"}
+		}
+		if err == nil {
+			return line, nil
+		}
+		if err != bufio.ErrBufferFull {
+			return nil, err
+		}
+	}
+}
+
+// copyChunked copies a chunked body with its trailers as it stands.
+func copyChunked(w io.Writer, r *bufio.Reader) error {
+	for {
+		line, err := readLine(r, maxChunkLine)
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(line); err != nil {
+			return err
+		}
+		size, err := chunkSize(line)
+		if err != nil {
+			return err
+		}
+		if size == 0 {
+			return copyTrailers(w, r)
+		}
+		// The chunk is followed by an end of line.
+		if _, err := io.CopyN(w, r, size); err != nil {
+			return err
+		}
+		end, err := readLine(r, len("\r\n"))
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(end); err != nil {
+			return err
+		}
+	}
+}
+
+func chunkSize(line []byte) (int64, error) {
+	digits, _, _ := bytes.Cut(line, []byte(";"))
+	size, err := strconv.ParseUint(string(bytes.TrimSpace(digits)), 16, 62)
+	if err != nil {
+		return 0, &FramingError{What: "chunk size"}
+	}
+	return int64(size), nil
+}
+
+func copyTrailers(w io.Writer, r *bufio.Reader) error {
+	trailers, err := readHead(r)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(trailers)
+	return err
+}
--- a/transport/forward/refusal.go
+++ b/transport/forward/refusal.go
@@ -41,8 +41,13 @@
 
 // Status returns the HTTP status of a refusal.
 func (r *Refusal) Status() int {
-	if r.Reason == outcome.ReasonDeadline {
+	switch r.Reason {
+	case outcome.ReasonDeadline:
 		return http.StatusGatewayTimeout
+	case outcome.ReasonInProgress, outcome.ReasonOutcomeLost, outcome.ReasonAnswerNotKept:
+		return http.StatusConflict
+	case outcome.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
 	}
 	if r.Outcome == outcome.Unknown {
 		return http.StatusBadGateway
@@ -56,8 +61,6 @@
 		return http.StatusMisdirectedRequest
 	case outcome.ReasonLoop:
 		return http.StatusLoopDetected
-	case outcome.ReasonInProgress:
-		return http.StatusConflict
 	case outcome.ReasonMalformed:
 		return http.StatusBadRequest
 	case outcome.ReasonTooLarge:
@@ -84,7 +87,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(b)))
 	h.Set(outcome.HeaderOutcome, string(r.Outcome))
 	h.Set(outcome.HeaderReason, string(r.Reason))
-	if r.Outcome == outcome.NotRun {
+	if r.Outcome == outcome.NotRun || r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(retrySeconds(r.RetryAfter)))
 	}
 	w.WriteHeader(r.Status())
