--- a/protocol/message/codec.go
+++ b/protocol/message/codec.go
@@ -53,10 +53,32 @@
 // Unwrap returns the codec's error.
 func (e *DecodeError) Unwrap() error { return e.Err }
 
-var decMode = mustDecMode()
+// null is CBOR's null, which no message holds: Encode writes a nil slice as an
+// empty one.
+const null cbor.SimpleValue = 22
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.EncOptions{NilContainers: cbor.NilContainerAsEmpty}.EncMode()
+	if err != nil {
+		panic(err) // the options are constants; a test encodes with them
+	}
+	return m
+}
 
 func mustDecMode() cbor.DecMode {
+	values, err := cbor.NewSimpleValueRegistryFromDefaults(cbor.WithRejectedSimpleValue(null))
+	if err != nil {
+		panic(err) // the value is a constant
+	}
 	m, err := cbor.DecOptions{
+		SimpleValues:     values,
+		NaN:              cbor.NaNDecodeForbidden,
+		Inf:              cbor.InfDecodeForbidden,
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxElements,
 		MaxNestedLevels:  maxNesting,
@@ -72,7 +94,7 @@
 // Encode returns m's kind in one byte, followed by its CBOR body. It returns a
 // *SizeError when the result is larger than MaxSize.
 func Encode(m Message) ([]byte, error) {
-	body, err := cbor.Marshal(m)
+	body, err := encMode.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrapf(err, "encode message kind %d", m.Kind())
 	}
--- /dev/null
+++ b/protocol/message/fuzz_test.go
@@ -0,0 +1,63 @@
+package message
+
+import (
+	"math"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+)
+
+func FuzzDecode(f *testing.F) {
+	for k := Kind(0); k <= KindShares+1; k++ {
+		f.Add([]byte{byte(k), 0xa0})
+	}
+	for _, m := range []Message{
+		&Hello{Protocol: 1, Record: endpoint.Record{Node: "csepel-1"}, Digest: []ZoneDigest{{Zone: "csepel", Hash: 7}}},
+		&Full{Count: 2, Body: []byte("body")},
+		&ZoneStatus{Zone: "csepel", Rejections: []Rejection{{Node: "a", Reason: "hash"}}},
+		&Demand{Items: []DemandItem{{Limit: "clinic/screens", PerSecond: 1.5}}},
+	} {
+		b, err := Encode(m)
+		must.NoError(f, err)
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := Decode(b)
+		if err != nil {
+			return
+		}
+		again, err := Encode(m)
+		must.NoError(t, err)
+		second, err := Decode(again)
+		must.NoError(t, err)
+		must.Eq(t, m.Kind(), second.Kind())
+	})
+}
+
+func TestDecodeRefusesHostileBodies(t *testing.T) {
+	nan, err := Encode(&Demand{Items: []DemandItem{{PerSecond: math.NaN()}}})
+	must.NoError(t, err)
+	infinite, err := Encode(&Shares{Items: []ShareItem{{Concurrency: math.Inf(1)}}})
+	must.NoError(t, err)
+	cases := map[string][]byte{
+		"not a number": nan,
+		"infinite":     infinite,
+		"null":         {byte(KindHello), 0xf6},
+		"no body":      {byte(KindHello)},
+		"trailing":     {byte(KindAdvert), 0xa0, 0xa0},
+		"null element": {byte(KindRecords), 0xa1, 0x01, 0x81, 0xf6},
+		"same key":     {byte(KindDigest), 0xa2, 0x01, 0x80, 0x01, 0x80},
+		"indefinite":   {byte(KindDigest), 0xbf, 0xff},
+		"long array":   {byte(KindDigest), 0xa1, 0x01, 0x9a, 0xff, 0xff, 0xff, 0xff},
+	}
+	for name, b := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := Decode(b)
+			var de *DecodeError
+			must.True(t, errors.As(err, &de))
+		})
+	}
+}
--- a/state/snapshot/codec.go
+++ b/state/snapshot/codec.go
@@ -10,11 +10,52 @@
 // input is refused.
 const MaxDecoded = 64 << 20
 
+// Limits of the CBOR decoder against hostile input.
+const (
+	maxElements = 64 << 10 // contracts, services or deletions of one body
+	maxNesting  = 16
+)
+
+// null is CBOR's null, which no body holds: encMode writes a nil slice as an
+// empty one, and an entry always has its document.
+const null cbor.SimpleValue = 22
+
 var (
 	encoder = mustEncoder()
 	decoder = mustDecoder()
+	encMode = mustEncMode()
+	decMode = mustDecMode()
 )
 
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.EncOptions{NilContainers: cbor.NilContainerAsEmpty}.EncMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}
+
+func mustDecMode() cbor.DecMode {
+	values, err := cbor.NewSimpleValueRegistryFromDefaults(cbor.WithRejectedSimpleValue(null))
+	if err != nil {
+		panic(err) // the value is a constant
+	}
+	m, err := cbor.DecOptions{
+		SimpleValues:     values,
+		NaN:              cbor.NaNDecodeForbidden,
+		Inf:              cbor.InfDecodeForbidden,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+		MaxNestedLevels:  maxNesting,
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}
+
 func mustEncoder() *zstd.Encoder {
 	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
 	if err != nil {
@@ -38,7 +79,8 @@
 	Services  map[string]*ServiceEntry  `cbor:"3,keyasint"`
 }
 
-// Encode returns the snapshot as compressed CBOR.
+// Encode returns the snapshot as compressed CBOR. It returns a *SizeError for
+// a snapshot that Decode would refuse.
 func (s *Snapshot) Encode() ([]byte, error) {
 	return encode(&body{Ref: s.ref, Contracts: s.contracts, Services: s.services})
 }
@@ -63,7 +105,8 @@
 	return s, nil
 }
 
-// Encode returns the delta as compressed CBOR.
+// Encode returns the delta as compressed CBOR. It returns a *SizeError for a
+// delta that DecodeDelta would refuse.
 func (d *Delta) Encode() ([]byte, error) { return encode(d) }
 
 // DecodeDelta returns the delta in b, or a *CodecError. Apply checks it.
@@ -76,10 +119,13 @@
 }
 
 func encode(v any) ([]byte, error) {
-	b, err := cbor.Marshal(v)
+	b, err := encMode.Marshal(v)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode")
 	}
+	if len(b) > MaxDecoded {
+		return nil, &SizeError{Size: len(b)}
+	}
 	return encoder.EncodeAll(b, nil), nil
 }
 
@@ -88,7 +134,7 @@
 	if err != nil {
 		return &CodecError{What: what, Err: err}
 	}
-	if err := cbor.Unmarshal(raw, v); err != nil {
+	if err := decMode.Unmarshal(raw, v); err != nil {
 		return &CodecError{What: what, Err: err}
 	}
 	return nil
--- a/state/snapshot/consistent.go
+++ b/state/snapshot/consistent.go
@@ -14,6 +14,23 @@
 	return s.checkHosts()
 }
 
+// ValidateDocuments checks each contract and service by itself. Its cost grows
+// with the snapshot. It returns the first fault in order of name as a
+// *DocumentError.
+func (s *Snapshot) ValidateDocuments() error {
+	for _, name := range s.Services() {
+		if err := s.services[name].Service.Validate(); err != nil {
+			return &DocumentError{Kind: "service", Name: name, Err: err}
+		}
+	}
+	for _, name := range s.Customers() {
+		if err := s.contracts[name].Contract.Validate(); err != nil {
+			return &DocumentError{Kind: "contract", Name: name, Err: err}
+		}
+	}
+	return nil
+}
+
 func (s *Snapshot) checkNames() error {
 	for _, key := range s.Services() {
 		if name := s.services[key].Service.Name; name != key {
--- a/state/snapshot/errors.go
+++ b/state/snapshot/errors.go
@@ -104,3 +104,30 @@
 
 // Unwrap returns the cause.
 func (e *CodecError) Unwrap() error { return e.Err }
+
+// SizeError reports a snapshot or delta that is larger than MaxDecoded.
+type SizeError struct {
+	// Size is the uncompressed size in bytes.
+	Size int
+}
+
+// Error implements error.
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("uncompressed size of %d bytes, at most %d are allowed", e.Size, MaxDecoded)
+}
+
+// DocumentError reports a contract or service with faults.
+type DocumentError struct {
+	// Kind is "contract" or "service".
+	Kind string
+	// Name is the document's name.
+	Name string
+	// Err holds the faults.
+	Err error
+}
+
+// Error implements error.
+func (e *DocumentError) Error() string { return e.Kind + " " + e.Name + ": " + e.Err.Error() }
+
+// Unwrap returns the faults.
+func (e *DocumentError) Unwrap() error { return e.Err }
--- a/state/snapshot/snapshot.go
+++ b/state/snapshot/snapshot.go
@@ -9,7 +9,6 @@
 	"maps"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/jacinthgate/jacinthgate/state/model"
@@ -104,7 +103,7 @@
 	if *sum != ([sha256.Size]byte{}) {
 		return nil
 	}
-	b, err := cbor.Marshal(doc)
+	b, err := encMode.Marshal(doc)
 	if err != nil {
 		return errors.Wrap(err, "encode document")
 	}
