--- /dev/null
+++ b/transport/operatorapi/handler.go
@@ -0,0 +1,197 @@
+// Package operatorapi serves a node's operator interface over HTTP. What the
+// calls do is the Delegate's part.
+package operatorapi
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jacinthgate/jacinthgate/protocol/operator"
+)
+
+// MaxWait bounds how long a progress answer may be held.
+const MaxWait = 10 * time.Second
+
+// Delegate carries out the calls. Its errors are *operator.Problem; any other
+// error is reported as refused. Implementations are safe for concurrent use.
+type Delegate interface {
+	// Apply accepts a change or refuses it.
+	Apply(ctx context.Context, req *operator.ApplyRequest) (*operator.ApplyResponse, error)
+	// Documents returns the documents held; empty kind or name select all.
+	Documents(kind, name string) (*operator.Documents, error)
+	// History returns accepted changes, newest first; an empty change selects
+	// all.
+	History(ctx context.Context, change string) (*operator.History, error)
+	// Status returns what the node knows of the mesh.
+	Status(ctx context.Context) (*operator.Status, error)
+	// Progress returns how far the fleet is with a version.
+	Progress(ctx context.Context, version uint64) (*operator.Progress, error)
+	// Drain takes a node's backend server out of service, or back.
+	Drain(ctx context.Context, req *operator.DrainRequest) error
+}
+
+// pollInterval is the pause between two looks at the progress while an answer
+// is held.
+const pollInterval = 20 * time.Millisecond
+
+// New returns the handler.
+func New(d Delegate) http.Handler {
+	s := &server{delegate: d}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+operator.PathApply, s.apply)
+	mux.HandleFunc("GET "+operator.PathDocuments, s.documents)
+	mux.HandleFunc("GET "+operator.PathHistory, s.history)
+	mux.HandleFunc("GET "+operator.PathStatus, s.status)
+	mux.HandleFunc("GET "+operator.PathProgress, s.progress)
+	mux.HandleFunc("POST "+operator.PathDrain, s.drain)
+	return mux
+}
+
+type server struct {
+	delegate Delegate
+}
+
+func (s *server) apply(w http.ResponseWriter, r *http.Request) {
+	req := new(operator.ApplyRequest)
+	if err := readJSON(r, req); err != nil {
+		writeError(w, err)
+		return
+	}
+	resp, err := s.delegate.Apply(r.Context(), req)
+	answer(w, resp, err)
+}
+
+func (s *server) documents(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	resp, err := s.delegate.Documents(q.Get("kind"), q.Get("name"))
+	answer(w, resp, err)
+}
+
+func (s *server) history(w http.ResponseWriter, r *http.Request) {
+	resp, err := s.delegate.History(r.Context(), r.URL.Query().Get("change"))
+	answer(w, resp, err)
+}
+
+func (s *server) status(w http.ResponseWriter, r *http.Request) {
+	resp, err := s.delegate.Status(r.Context())
+	answer(w, resp, err)
+}
+
+func (s *server) drain(w http.ResponseWriter, r *http.Request) {
+	req := new(operator.DrainRequest)
+	if err := readJSON(r, req); err != nil {
+		writeError(w, err)
+		return
+	}
+	answer(w, &struct{}{}, s.delegate.Drain(r.Context(), req))
+}
+
+func (s *server) progress(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	version, err := strconv.ParseUint(q.Get("version"), 10, 64)
+	if err != nil {
+		writeError(w, malformed("query parameter version: want a number"))
+		return
+	}
+	wait, err := parseWait(q.Get("wait"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	resp, err := s.await(r.Context(), version, wait)
+	answer(w, resp, err)
+}
+
+func parseWait(s string) (time.Duration, error) {
+	if s == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d < 0 {
+		return 0, malformed("query parameter wait: want a duration")
+	}
+	return min(d, MaxWait), nil
+}
+
+// await holds the answer until the version is in force or wait has passed.
+func (s *server) await(ctx context.Context, version uint64, wait time.Duration) (*operator.Progress, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		p, err := s.delegate.Progress(context.WithoutCancel(ctx), version)
+		if err != nil || p.InForce {
+			return p, err
+		}
+		select {
+		case <-ctx.Done():
+			return p, nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func malformed(message string) *operator.Problem {
+	return &operator.Problem{Code: operator.CodeMalformed, Message: message}
+}
+
+func readJSON(r *http.Request, into any) error {
+	raw, err := io.ReadAll(io.LimitReader(r.Body, operator.MaxBody+1))
+	if err != nil {
+		return malformed("body: " + err.Error())
+	}
+	if len(raw) > operator.MaxBody {
+		return malformed("body: larger than " + strconv.Itoa(operator.MaxBody) + " bytes")
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return malformed("body: " + err.Error())
+	}
+	return nil
+}
+
+// answer writes v, or err as a problem.
+func answer(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, v)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var p *operator.Problem
+	if !errors.As(err, &p) {
+		p = &operator.Problem{Code: operator.CodeRefused, Message: err.Error()}
+	}
+	writeJSON(w, statusOf(p.Code), p)
+}
+
+func statusOf(code operator.Code) int {
+	switch code {
+	case operator.CodeInvalid:
+		return http.StatusUnprocessableEntity
+	case operator.CodeConflict:
+		return http.StatusConflict
+	case operator.CodeNotFound:
+		return http.StatusNotFound
+	case operator.CodeMalformed:
+		return http.StatusBadRequest
+	case operator.CodeUnknown:
+		return http.StatusBadGateway
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the caller went away: nobody is left to tell
+}
