--- a/state/model/contract.go
+++ b/state/model/contract.go
@@ -3,8 +3,8 @@
 // Contract is the single document from which every limit on one customer's
 // traffic follows. Contracts are immutable once they are part of a snapshot.
 type Contract struct {
-	// Customer is the customer's unique name: lower-case letters, digits and
-	// hyphens that starts with a letter or digit, as all names here.
+	// Customer is the customer's unique name. All names here are of lower-case
+	// letters, digits and hyphens, and don't start with a hyphen.
 	Customer string `json:"customer" cbor:"1,keyasint" jsonschema:"pattern=^[a-z0-9][a-z0-9-]*$,maxLength=63"`
 	// Hosts lists the HTTP Host values, in lower case and without port, that
 	// identify the customer's callers. A host belongs to one contract only.
@@ -73,7 +73,7 @@
 	// customer's rate holds.
 	Rate *Rate `json:"rate,omitempty" cbor:"3,keyasint,omitempty"`
 	// Concurrency limits the class's requests in flight over the whole fleet.
-	// 0 leaves only the customer's limit.
+	// Without it, or with 0, only the customer's limit holds.
 	Concurrency int `json:"concurrency,omitempty" cbor:"4,keyasint,omitempty" jsonschema:"minimum=0,maximum=10000000"`
 	// Reserve is the part of the customer's concurrency that only this class
 	// may use, in requests. The reserves of all classes together must not
@@ -86,7 +86,7 @@
 	Deadline Duration `json:"deadline" cbor:"7,keyasint"`
 	// Repeatable says that a request of the class is idempotent and may be
 	// retried after an unknown outcome. It must be false for
-	// KindNonRepeatable.
+	// the kind non-repeatable.
 	Repeatable bool `json:"repeatable" cbor:"8,keyasint"`
 	// RetryBudget bounds retries. Without it there are none. A class that is
 	// not repeatable is retried only where the first attempt certainly was
@@ -108,23 +108,25 @@
 type Route struct {
 	// Name is unique within the contract.
 	Name string `json:"name" cbor:"1,keyasint" jsonschema:"pattern=^[a-z0-9][a-z0-9-]*$,maxLength=63"`
-	// Methods lists the HTTP methods matched. Empty matches every method.
+	// Methods lists the HTTP methods matched. Without it every method
+	// matches.
 	Methods []string `json:"methods,omitempty" cbor:"2,keyasint,omitempty" jsonschema:"uniqueItems=true,enum=GET,enum=HEAD,enum=POST,enum=PUT,enum=PATCH,enum=DELETE,enum=OPTIONS"`
 	// PathPrefix matches the request path on whole segments. It starts with a
 	// slash and holds no escapes, empty segments or dot segments.
 	PathPrefix string `json:"pathPrefix" cbor:"3,keyasint" jsonschema:"pattern=^/,maxLength=1024"`
-	// Service is the name of a Service held in the same snapshot.
+	// Service is the name of a service held in the same version.
 	Service string `json:"service" cbor:"4,keyasint" jsonschema:"pattern=^[a-z0-9][a-z0-9-]*$,maxLength=63"`
 	// Class is the name of a class of the same contract.
 	Class string `json:"class" cbor:"5,keyasint" jsonschema:"pattern=^[a-z0-9][a-z0-9-]*$,maxLength=63"`
-	// HandledBy overrides the contract's HandledBy. Empty inherits it.
+	// HandledBy overrides the contract's value for this route. Without it the
+	// contract's value holds.
 	HandledBy System `json:"handledBy,omitempty" cbor:"6,keyasint,omitempty" jsonschema:"enum=mesh,enum=older"`
 }
 
 // Service describes one service. Which backend servers offer it is not part
 // of the configuration: they announce themselves (see state/endpoint).
 type Service struct {
-	// Name is unique in the snapshot.
+	// Name is the service's unique name.
 	Name string `json:"name" cbor:"1,keyasint" jsonschema:"pattern=^[a-z0-9][a-z0-9-]*$,maxLength=63"`
 	// SlowStart is how long a cold backend server takes to be given its full
 	// share, 0s to 10m. 0s gives it the full share at once.
--- a/state/model/duration.go
+++ b/state/model/duration.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"time"
 )
 
@@ -9,6 +10,10 @@
 // as "250ms" or "8s".
 type Duration time.Duration
 
+// unitEnds are the last letters of all units. time.ParseDuration would take a
+// zero without a unit.
+const unitEnds = "smh"
+
 // Std returns d as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
@@ -28,7 +33,7 @@
 		return &DurationError{Found: string(b)}
 	}
 	v, err := time.ParseDuration(s)
-	if err != nil {
+	if err != nil || !strings.ContainsAny(s, unitEnds) {
 		return &DurationError{Found: s}
 	}
 	*d = Duration(v)
--- a/state/model/parse_test.go
+++ b/state/model/parse_test.go
@@ -64,6 +64,7 @@
 		{`"interactive"`, `"interactive", "rate": {"perSecond": 1, "burst": 0}`, `classes[0].rate.burst: found 0, allowed: 1 to 10000000`},
 		{`"2s"`, `"500us"`, `classes[0].deadline: found 500µs, allowed: 1ms to 1h0m0s`},
 		{`"2s"`, `"61m"`, `classes[0].deadline: found 1h1m0s, allowed: 1ms to 1h0m0s`},
+		{`"2s"`, `"0"`, `classes[0].deadline: found "0", allowed: a string with a unit, such as "250ms"`},
 		{`"2s"`, `2`, `classes[0].deadline: found 2, allowed: a string with a unit, such as "250ms"`},
 		{`false`, `true`, `classes[1].repeatable: found true, allowed: false for a class of kind non-repeatable`},
 		{`, "repeatable": false`, ``, `classes[1].repeatable: found nothing, allowed: a value, which must be given`},
