Bound the number of values in a JSON document

A parsed value takes some hundred bytes of memory but may take two bytes of text, so a document within the size limit could still have cost a node most of its memory for control. The parser now stops after 100,000 values; a limit on the size alone was ruled out, since it would have to refuse ordinary batches. Measured: none.

--- a/state/strictjson/decode_test.go
+++ b/state/strictjson/decode_test.go
@@ -53,6 +53,8 @@
 func TestDecodeReportsFault(t *testing.T) {
 	deep := strings.Repeat("[", MaxNesting+1) + strings.Repeat("]", MaxNesting+1)
 	long := "[" + strings.Repeat("1,", MaxElements) + "1]"
+	full := "[" + strings.Repeat("1,", MaxElements-1) + "1]"
+	wide := "[" + strings.Repeat(full+",", MaxValues/MaxElements) + full + "]"
 	cases := []struct{ name, doc, want string }{
 		{"unknown", `{"title":"a","tilte":1}`, "tilte: found a key that is not known, allowed: one of title, count, size, on, even, items, opt"},
 		{"case", `{"title":"a","Count":1}`, "Count: found a key that is not known, allowed: count"},
@@ -77,6 +79,7 @@
 		{"empty", ``, "document: found unexpected end of JSON input in line 1, allowed: one JSON document"},
 		{"not UTF-8", "{\"title\":\"\xff\"}", "document: found bytes that are not UTF-8, allowed: JSON in UTF-8"},
 		{"nesting", deep, strings.Repeat("[0]", MaxNesting) + ": found 17 levels, allowed: at most 16 levels of nesting"},
+		{"values", wide, "document: found more than 100000 values, allowed: at most 100000 values"},
 		{"elements", long, "document: found more than 4096 elements, allowed: at most 4096 elements"},
 	}
 	for _, c := range cases {
--- a/state/strictjson/doc.go
+++ b/state/strictjson/doc.go
@@ -12,6 +12,9 @@
 	MaxNesting = 16
 	// MaxElements is the largest number of elements of one array or object.
 	MaxElements = 4096
+	// MaxValues is the largest number of values in all: a parsed value takes
+	// far more memory than the two bytes it may have in the text.
+	MaxValues = 100_000
 	// MaxFaults is the largest number of faults reported for one document.
 	MaxFaults = 100
 )
--- a/state/strictjson/parse.go
+++ b/state/strictjson/parse.go
@@ -43,6 +43,8 @@
 	src    []byte
 	dec    *json.Decoder
 	faults *Faults
+	// values counts the values parsed.
+	values int
 }
 
 // parse returns the document's tree, or false after a fault that leaves
@@ -79,9 +81,14 @@
 	return fmt.Sprintf("%s in line %d", se.Error(), line)
 }
 
-// value parses the next value. It returns false when the value is nested too
-// deeply, which ends the parse.
+// value parses the next value. It returns false when the document exceeds a
+// limit, which ends the parse.
 func (p *parser) value(path string, depth int) (node, bool) {
+	p.values++
+	if p.values > MaxValues {
+		p.faults.Add("", fmt.Sprintf("more than %d values", MaxValues), fmt.Sprintf("at most %d values", MaxValues))
+		return node{}, false
+	}
 	tok, err := p.dec.Token()
 	if err != nil {
 		p.faults.Add(path, err.Error(), "one JSON document")
