Share fleet-wide limits out by demand with grants that expire

A limit of the whole fleet must hold on thousands of nodes without a coordinator. Each zone owns an even part and lends what it does not use; demand is summed up the tree and grants are split down it, counted until they expire or are confirmed. Demand gains Nodes, Applied and held amounts, Shares a sequence; admit adds grants to the floor.

--- a/coordination/admit/demand.go
+++ b/coordination/admit/demand.go
@@ -71,11 +71,11 @@
 	})
 }
 
-// SetFloor sets the part of each limit, 0 to 1, that the node uses where it
-// has no grant.
+// SetFloor sets the part of each limit, 0 to 1, that the node has without a
+// grant.
 func (l *Limiter) SetFloor(part float64) { l.floor.Store(&part) }
 
-// SetShare sets the node's share of a limit. It is ignored for a limit that
+// SetShare sets what is granted to the node of a limit. It is ignored for a limit that
 // the node does not hold.
 func (l *Limiter) SetShare(name string, s Share) {
 	if m := l.find(name); m != nil {
--- a/coordination/admit/limit.go
+++ b/coordination/admit/limit.go
@@ -12,7 +12,8 @@
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
-// Share is this node's part of one fleet-wide limit.
+// Share is what is granted to this node of one fleet-wide limit, on top of the
+// floor that it always has.
 type Share struct {
 	// PerSecond is the rate in requests per second.
 	PerSecond float64
@@ -25,7 +26,7 @@
 type limit struct {
 	name  string
 	hash  uint64
-	share atomic.Pointer[Share] // nil: no grant, the floor holds
+	share atomic.Pointer[Share] // nil: no grant, only the floor
 
 	tokens   bucket.Bucket
 	inFlight atomic.Int64 // all requests
@@ -53,7 +54,7 @@
 func (l *limit) size(cfg *Config, r model.Rate, floor float64) bucket.Size {
 	part := floor
 	if s := l.share.Load(); s != nil {
-		part = s.PerSecond / r.PerSecond
+		part = min(1, part+s.PerSecond/r.PerSecond)
 	}
 	return bucket.Size{PerSecond: r.PerSecond * part, Burst: max(float64(r.Burst)*part, cfg.MinBurst)}
 }
@@ -61,7 +62,7 @@
 // part returns the node's part of a fleet-wide concurrency, 0 to 1.
 func (l *limit) part(concurrency int, floor float64) float64 {
 	if s := l.share.Load(); s != nil && concurrency > 0 {
-		return s.Concurrency / float64(concurrency)
+		return min(1, floor+s.Concurrency/float64(concurrency))
 	}
 	return floor
 }
--- /dev/null
+++ b/coordination/share/fleet_test.go
@@ -0,0 +1,323 @@
+package share
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/snapshot"
+)
+
+const (
+	limit  = 100.0                  // requests per second of the one customer
+	step   = 100 * time.Millisecond // also the latency of a message
+	fanOut = 3
+)
+
+// member is one node: its holder, and the allocator that leads on the first
+// member of each zone.
+type member struct {
+	id     model.NodeID
+	zone   int
+	holder *Holder
+	alloc  *Allocator
+	floor  float64
+	grant  Amount
+}
+
+// fleet drives members over an in-memory network in virtual time.
+type fleet struct {
+	now     time.Time
+	cfg     Config
+	zones   int
+	members []*member
+	index   map[model.NodeID]*member
+	mail    []mail
+	cut     int             // zone that is cut off, or -1
+	lost    func(mail) bool // whether the message is lost
+	terms   uint64
+	demand  func(m *member, i int) float64
+	sums    sums
+}
+
+type mail struct {
+	from, to model.NodeID
+	message  message.Message
+}
+
+// sums are the figures of a run, in parts of the limit.
+type sums struct{ overshoot, unused, steps, shares float64 }
+
+func zoneName(z int) model.Zone { return model.Zone("z" + strconv.Itoa(z)) }
+
+func newFleet(zones, each int, demand func(*member, int) float64) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), cfg: DefaultConfig(), zones: zones, cut: -1, demand: demand, index: make(map[model.NodeID]*member)}
+	f.cfg.ZoneMembers = each
+	for i := range zones * each {
+		m := &member{id: model.NodeID("n" + strconv.Itoa(i)), zone: i / each}
+		f.members = append(f.members, m)
+		f.index[m.id] = m
+	}
+	f.restart(func(*member) bool { return true })
+	return f
+}
+
+// reader returns the zone's first member.
+func (f *fleet) reader(zone int) *member { return f.members[zone*len(f.members)/f.zones] }
+
+// restart makes the chosen members forget everything.
+func (f *fleet) restart(chosen func(*member) bool) {
+	f.terms++
+	c := &model.Contract{Customer: "tabla", Rate: model.Rate{PerSecond: limit, Burst: 1}, Concurrency: limit}
+	s, _ := snapshot.Build(1, map[string]*snapshot.ContractEntry{"tabla": {Revision: 1, Contract: c}}, nil)
+	for i, m := range f.members {
+		if !chosen(m) {
+			continue
+		}
+		m.holder, m.alloc, m.floor, m.grant = NewHolder(f.cfg, m.id, zoneName(m.zone)), NewAllocator(f.cfg, m.id, zoneName(m.zone)), 0, Amount{}
+		each := len(f.members) / f.zones
+		up := m.id
+		if at := i % each; at > 0 {
+			up = f.members[m.zone*each+(at-1)/fanOut].id
+		}
+		f.do(m, m.holder.Step(f.now, Route{Upstream: up, Zones: f.zones, Members: each}))
+		if up != m.id {
+			continue
+		}
+		lead := Lead{Term: f.terms, Zones: f.zones, Members: each, Readers: make(map[model.Zone]model.NodeID)}
+		for z := range f.zones {
+			if z != m.zone {
+				lead.Readers[zoneName(z)] = f.reader(z).id
+			}
+		}
+		m.alloc.Step(f.now, Limits{Snapshot: s})
+		m.alloc.Step(f.now, lead)
+	}
+}
+
+func (f *fleet) do(m *member, actions []core.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case SetFloor:
+			m.floor = a.Part
+		case SetShare:
+			m.grant = a.Amount
+		case ClearShare:
+			m.grant = Amount{}
+		case core.Send:
+			f.mail = append(f.mail, mail{m.id, a.To, a.Message})
+		}
+	}
+}
+
+func (f *fleet) deliver() {
+	all := f.mail
+	f.mail = nil
+	for _, x := range all {
+		from, to := f.index[x.from], f.index[x.to]
+		crossing := from.zone != to.zone && (from.zone == f.cut || to.zone == f.cut)
+		if crossing || f.lost != nil && x.from != x.to && f.lost(x) {
+			continue
+		}
+		e := core.Received{From: x.from, Message: x.message}
+		_, isDemand := x.message.(*message.Demand)
+		if (x.from == x.to) == isDemand || from.zone != to.zone {
+			f.do(to, to.alloc.Step(f.now, e))
+		}
+		if from.zone == to.zone && (x.from != x.to || !isDemand) {
+			f.do(to, to.holder.Step(f.now, e))
+		}
+	}
+}
+
+// run drives the fleet and notes how the shares fit the demand.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(step)
+		f.deliver()
+		second := f.now.Truncate(f.cfg.Interval).Equal(f.now)
+		for i, m := range f.members {
+			if want := f.demand(m, i); second {
+				var items []message.DemandItem
+				if want > 0 {
+					items = []message.DemandItem{{Limit: "tabla", PerSecond: want, InFlight: want}}
+				}
+				f.do(m, m.holder.Step(f.now, Measured{Items: items}))
+			}
+			f.do(m, m.holder.Step(f.now, core.Tick{}))
+			f.do(m, m.alloc.Step(f.now, core.Tick{}))
+		}
+		f.note()
+	}
+}
+
+func (f *fleet) note() {
+	var offered, served, shares float64
+	for i, m := range f.members {
+		want, have := f.demand(m, i), m.floor*limit+m.grant.PerSecond
+		offered += want
+		served += min(want, have)
+		shares += have
+	}
+	f.sums.overshoot = max(f.sums.overshoot, served/limit-1)
+	f.sums.shares = max(f.sums.shares, shares/limit)
+	f.sums.unused += (min(offered, limit) - served) / limit
+	f.sums.steps++
+}
+
+// simple returns the figures of an even split that never changes and of no
+// sharing, where each node holds the whole limit.
+func (f *fleet) simple() (evenUnused, noneOvershoot float64) {
+	var offered, even, none float64
+	for i, m := range f.members {
+		want := f.demand(m, i)
+		offered += want
+		even += min(want, limit/float64(len(f.members)))
+		none += min(want, limit)
+	}
+	return (min(offered, limit) - even) / limit, max(0, none/limit-1)
+}
+
+func TestFleetShares(t *testing.T) {
+	one := func(*member, int) float64 { return 80 }
+	even := func(*member, int) float64 { return 10 } // three times the limit
+	skewed := func(_ *member, i int) float64 { return map[int]float64{0: 20, 7: 60}[i] }
+	crowded := func(m *member, i int) float64 { return []float64{0.5, 2, 12}[m.zone] }
+	cases := []struct {
+		name        string
+		zones, each int
+		demand      func(*member, int) float64
+		fault       func(f *fleet)
+		maxUnused   float64
+	}{
+		{"one node", 1, 1, one, nil, 0.01},
+		{"30 nodes, all busy", 3, 10, even, nil, 0.01},
+		{"30 nodes, two busy", 3, 10, skewed, nil, 0.15},
+		{"30 nodes, one zone crowded", 3, 10, crowded, nil, 0.20},
+		{"busy zone cut off", 3, 10, crowded, func(f *fleet) { f.cut = 2 }, 0.45},
+		{"herd returns", 3, 10, even, func(f *fleet) { f.restart(func(*member) bool { return true }) }, 0.30},
+		{"readers replaced", 3, 10, even, func(f *fleet) {
+			f.restart(func(m *member) bool { return m == f.reader(m.zone) })
+		}, 0.1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(c.zones, c.each, c.demand)
+			f.run(30 * time.Second)
+			f.sums = sums{}
+			if c.fault != nil {
+				c.fault(f)
+			}
+			f.run(30 * time.Second)
+			unused := f.sums.unused / f.sums.steps
+			evenUnused, noneOver := f.simple()
+			t.Logf("overshoot %.1f%%, live shares %.1f%%, unused %.1f%%; even split unused %.1f%%; no sharing overshoot %.0f%%",
+				100*f.sums.overshoot, 100*f.sums.shares, 100*unused, 100*evenUnused, 100*noneOver)
+			must.LessEq(t, 1e-9, f.sums.overshoot)
+			must.LessEq(t, 1+1e-9, f.sums.shares)
+			must.LessEq(t, c.maxUnused, unused)
+		})
+	}
+}
+
+// TestSharesStayWithinTheLimit changes demand, cuts zones off, restarts nodes
+// and loses a tenth of the messages, all at random.
+func TestSharesStayWithinTheLimit(t *testing.T) {
+	worst := 0.0
+	for seed := range uint64(8) {
+		r := rand.New(rand.NewPCG(seed, 0))
+		want := make([]float64, 24)
+		f := newFleet(3, 8, func(_ *member, i int) float64 { return want[i] })
+		f.lost = func(mail) bool { return r.Float64() < 0.1 }
+		for range 30 {
+			swung := r.IntN(3) // the zone whose demand changes
+			level := []float64{0, 2, 15}[r.IntN(3)]
+			for i := range 8 {
+				want[8*swung+i] = level * r.ExpFloat64()
+			}
+			f.cut = r.IntN(6) - 3
+			if r.IntN(4) == 0 {
+				chosen := r.IntN(6) * 4 // every second one is a reader
+				f.restart(func(m *member) bool { return m == f.members[chosen] })
+			}
+			f.run(time.Duration(r.IntN(8000)) * time.Millisecond)
+		}
+		worst = max(worst, f.sums.shares)
+	}
+	t.Logf("largest sum of live shares: %.1f%% of the limit", 100*worst)
+	must.LessEq(t, 1+1e-9, worst)
+}
+
+// TestLenderForgets replaces the readers of the zones that lend, at the moment
+// when the borrower is cut off, its reader dies and demand rises at the
+// lenders.
+func TestLenderForgets(t *testing.T) {
+	busy := false
+	f := newFleet(3, 10, func(m *member, i int) float64 {
+		if m.zone == 2 || busy {
+			return 12
+		}
+		return 0.1
+	})
+	f.run(30 * time.Second)
+	must.Greater(t, 60, f.members[20].holder.held["tabla"].amount.PerSecond) // two loans
+	busy, f.cut = true, 2
+	f.lost = func(x mail) bool { return x.from == f.reader(2).id }
+	f.restart(func(m *member) bool { return m == f.reader(m.zone) && m.zone != 2 })
+	f.run(30 * time.Second)
+	must.LessEq(t, 1+1e-9, f.sums.shares)
+}
+
+func TestHolderWithoutReader(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.ZoneMembers = 4
+	now := time.Unix(1000, 0)
+	h := NewHolder(cfg, "n1", "z1")
+	must.Eq(t, []core.Action{SetFloor{Part: 0.1 / 2 / 4}}, h.Step(now, Route{Upstream: "n0", Zones: 2, Members: 1}))
+	h.Step(now, Measured{Items: []message.DemandItem{{Limit: "tabla", PerSecond: 1}}})
+	must.SliceEmpty(t, h.Step(now.Add(cfg.OrphanAfter-1), core.Tick{}))
+	must.Eq(t, []core.Action{SetFloor{Part: 1.0 / 2 / 4}}, h.Step(now.Add(cfg.OrphanAfter), core.Tick{}))
+	grants := &message.Shares{Node: "n1", Term: 2, TTLMillis: 8000, Items: []message.ShareItem{{Limit: "tabla", PerSecond: 5}}}
+	now = now.Add(20 * time.Second)
+	must.Eq(t, []core.Action{SetShare{Limit: "tabla", Amount: Amount{PerSecond: 1.5}}}, h.Step(now, core.Received{From: "n0", Message: grants}))
+	must.Eq(t, []core.Action{SetFloor{Part: 0.1 / 2 / 4}}, h.Step(now, core.Tick{}))
+	older := &message.Shares{Node: "n1", Term: 1, TTLMillis: 8000, Items: grants.Items}
+	must.SliceEmpty(t, h.Step(now, core.Received{From: "n0", Message: older}))
+	must.SliceEmpty(t, h.Step(now, core.Received{From: "n9", Message: grants}))
+	must.Eq(t, []core.Action{ClearShare{Limit: "tabla"}}, h.Step(now.Add(8*time.Second), core.Tick{}))
+}
+
+func TestLedgerForgetsWhatWasReplaced(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := make(ledger)
+	for sequence, rate := range []float64{5: 50, 6: 10, 7: 10, 8: 10} {
+		if rate > 0 {
+			until := now.Add(time.Duration(sequence) * time.Second)
+			l.put("tabla", "n1", grant{Amount{PerSecond: rate}, until, uint64(sequence)})
+		}
+	}
+	must.Eq(t, 50.0, l.live("tabla", "n1", now).PerSecond)
+	l.confirm("n1", 6) // an answer that was under way when 8 was sent
+	must.Eq(t, 10.0, l.live("tabla", "n1", now).PerSecond)
+	must.Eq(t, 10.0, l.others("tabla", "n2", now).PerSecond)
+	l.expire(now.Add(8 * time.Second))
+	must.MapEmpty(t, l)
+}
+
+func TestHolderCountsWhatANewChildHolds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	h := NewHolder(DefaultConfig(), "n1", "z1")
+	h.Step(now, Route{Upstream: "n0", Zones: 1})
+	h.Step(now, Measured{Items: []message.DemandItem{{Limit: "tabla", PerSecond: 100}}})
+	child := &message.Demand{Zone: "z1", Node: "n2", Items: []message.DemandItem{{Limit: "tabla", PerSecond: 1, HeldPerSecond: 50}}}
+	h.Step(now, core.Received{From: "n2", Message: child})
+	grants := &message.Shares{Node: "n1", TTLMillis: 8000, Items: []message.ShareItem{{Limit: "tabla", PerSecond: 60}}}
+	actions := h.Step(now, core.Received{From: "n0", Message: grants})
+	must.Eq(t, core.Action(SetShare{Limit: "tabla", Amount: Amount{PerSecond: 10}}), actions[0])
+}
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -199,6 +199,11 @@
 	Zone  model.Zone   `cbor:"1,keyasint"`
 	Node  model.NodeID `cbor:"2,keyasint"`
 	Items []DemandItem `cbor:"3,keyasint"`
+	// Nodes is the number of nodes whose demand is summed; 0 means one.
+	Nodes uint32 `cbor:"4,keyasint,omitempty"`
+	// Applied is the Sequence of the newest Shares of the receiver that the
+	// sender and all nodes behind it keep to; 0 means none.
+	Applied uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // DemandItem is the demand on one limit.
@@ -209,6 +214,11 @@
 	PerSecond float64 `cbor:"2,keyasint"`
 	// InFlight is the offered concurrency.
 	InFlight float64 `cbor:"3,keyasint"`
+	// HeldPerSecond and HeldConcurrency are the grants in use, so that a new
+	// reader can renew what an earlier one granted.
+	HeldPerSecond float64 `cbor:"4,keyasint,omitempty"`
+	// HeldConcurrency is in requests in flight.
+	HeldConcurrency float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Shares grants a node its part of fleet-wide limits until they expire.
@@ -219,6 +229,8 @@
 	// TTLMillis is how long the grant holds from its receipt, in
 	// milliseconds.
 	TTLMillis uint32 `cbor:"4,keyasint"`
+	// Sequence rises with each Shares of the sender.
+	Sequence uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // ShareItem is the granted part of one limit.
