--- /dev/null
+++ b/internal/claims/fake_test.go
@@ -0,0 +1,124 @@
+package claims_test
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/transport/platform"
+)
+
+// fault is what befalls a call.
+type fault int
+
+const (
+	none       fault = iota
+	answerLost       // takes effect, the answer is lost
+	lost             // takes no effect, and the caller can't know it
+	refused          // takes no effect, and the caller knows it
+)
+
+// table is a table service in memory.
+type table struct {
+	mu        sync.Mutex
+	items     map[string]platform.Item
+	latency   time.Duration
+	next      []fault // faults of the next writes
+	down      bool
+	changed   string // an item that changes right before it is deleted
+	transacts int
+	writes    int
+	reads     int
+}
+
+func newTable() *table {
+	return &table{items: map[string]platform.Item{}, latency: 5 * time.Millisecond}
+}
+
+func (t *table) set(change func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change()
+}
+
+func (t *table) Get(_ context.Context, key string) (platform.Item, error) {
+	time.Sleep(t.latency)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	if t.down {
+		return platform.Item{}, &platform.UnavailableError{Op: "get", Err: context.DeadlineExceeded}
+	}
+	return t.items[key], nil
+}
+
+func (t *table) List(_ context.Context, prefix, after string, limit int) ([]platform.Item, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []platform.Item
+	for key, it := range t.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, it)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found[:min(limit, len(found))], nil
+}
+
+func (t *table) Transact(_ context.Context, writes []platform.Write) ([]uint64, error) {
+	time.Sleep(t.latency)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.transacts++
+	f := t.fault()
+	switch f {
+	case refused:
+		return nil, &platform.UnavailableError{Op: "transact", Err: context.DeadlineExceeded}
+	case lost:
+		return nil, &platform.UnknownError{Op: "transact", Err: context.DeadlineExceeded}
+	}
+	for _, w := range writes {
+		if w.Delete && w.Key == t.changed {
+			it := t.items[w.Key]
+			it.Revision++
+			t.items[w.Key], t.changed = it, ""
+		}
+		if it := t.items[w.Key]; it.Revision != w.IfRevision {
+			return nil, &platform.ConditionError{Key: w.Key, Current: it}
+		}
+	}
+	revisions := t.apply(writes)
+	if f == answerLost {
+		return nil, &platform.UnknownError{Op: "transact", Err: context.DeadlineExceeded}
+	}
+	return revisions, nil
+}
+
+func (t *table) fault() fault {
+	if t.down {
+		return refused
+	}
+	if len(t.next) == 0 {
+		return none
+	}
+	f := t.next[0]
+	t.next = slices.Delete(t.next, 0, 1)
+	return f
+}
+
+func (t *table) apply(writes []platform.Write) []uint64 {
+	var revisions []uint64
+	for _, w := range writes {
+		t.writes++
+		it := platform.Item{Key: w.Key, Value: w.Value, Revision: w.IfRevision + 1}
+		t.items[w.Key] = it
+		if w.Delete {
+			delete(t.items, w.Key)
+		}
+		revisions = append(revisions, it.Revision)
+	}
+	return revisions
+}
--- /dev/null
+++ b/internal/claims/sweep.go
@@ -0,0 +1,101 @@
+package claims
+
+import (
+	"context"
+	"encoding/hex"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jacinthgate/jacinthgate/coordination/claim"
+	"github.com/jacinthgate/jacinthgate/transport/platform"
+)
+
+// Swept reports one Sweep.
+type Swept struct {
+	// Read is the number of records read.
+	Read int
+	// Deleted is the number of old records deleted.
+	Deleted int
+}
+
+// Sweep reads one page of a customer's records from a random place and
+// deletes those older than RetainFor. It needs no lease: any node may call it
+// at any time, since deletes are conditional. Called now and then by every
+// node it visits all records; the caller sets the rate. The errors are those
+// of platform.Table.
+func (k *Keeper) Sweep(ctx context.Context, customer string) (Swept, error) {
+	items, err := k.page(ctx, claim.Prefix+customer+"/", randomHash())
+	if err != nil {
+		return Swept{}, errors.Wrap(err, "sweep: list claims")
+	}
+	swept := Swept{Read: len(items)}
+	old := k.expired(time.Now(), items)
+	for len(old) > 0 {
+		n := min(len(old), k.cfg.Batch.Max)
+		_, err := k.table.Transact(ctx, old[:n])
+		var refused *platform.ConditionError
+		if errors.As(err, &refused) {
+			old = without(old, refused.Key)
+			continue
+		}
+		if err != nil {
+			return swept, errors.Wrap(err, "sweep: delete claims")
+		}
+		swept.Deleted += n
+		old = old[n:]
+	}
+	return swept, nil
+}
+
+// page reads a page from start on. A page that meets the end goes on at the
+// beginning, so that all records are visited equally often.
+func (k *Keeper) page(ctx context.Context, prefix, start string) ([]platform.Item, error) {
+	items, err := k.table.List(ctx, prefix, prefix+start, k.cfg.SweepPage)
+	if err != nil || len(items) == k.cfg.SweepPage {
+		return items, err
+	}
+	first, err := k.table.List(ctx, prefix, prefix, k.cfg.SweepPage-len(items))
+	if err != nil {
+		return nil, err
+	}
+	for _, it := range first {
+		if it.Key <= prefix+start {
+			items = append(items, it)
+		}
+	}
+	return items, nil
+}
+
+// expired returns the deletes of the records that may be collected. A record
+// that can't be decoded is left for the operator.
+func (k *Keeper) expired(now time.Time, items []platform.Item) []platform.Write {
+	var old []platform.Write
+	for _, it := range items {
+		r, err := claim.Decode(it.Value)
+		if err == nil && r.Expired(now, k.cfg.Claim.RetainFor) {
+			old = append(old, platform.Write{Key: it.Key, Delete: true, IfRevision: it.Revision})
+		}
+	}
+	return old
+}
+
+func without(writes []platform.Write, key string) []platform.Write {
+	var rest []platform.Write
+	for _, w := range writes {
+		if w.Key != key {
+			rest = append(rest, w)
+		}
+	}
+	return rest
+}
+
+// randomHash returns the place in a customer's records where a page starts.
+func randomHash() string {
+	var b [4]byte
+	for i := range b {
+		b[i] = byte(rand.Uint32())
+	}
+	return hex.EncodeToString(b[:])
+}
