Add the membership core and incremental digests of the endpoint table

Nodes need to know every backend server without a list of them. Link watching with flooding and digests was weighed against SWIM-style probing; the links exist for the configuration anyway. The table keeps hash sums per zone and bucket, and rebuilds only changed services of its view. Each record gains the time of its owner's death, so that passing on a tombstone doesn't prolong it. A capped detector keeps an isolated node from evicting its zone.

--- /dev/null
+++ b/coordination/member/joining.go
@@ -0,0 +1,146 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// joining finds the fleet at the start, and parts of it that were lost.
+type joining struct {
+	seeds    []string
+	pos      int
+	failures int
+	next     time.Time // next attempt without a link
+	rejoin   time.Time // next attempt to find a lost part
+	// silent is since when each other zone has no link.
+	silent map[model.Zone]time.Time
+}
+
+// failedRetry is how long after its death a failed member is still tried: two
+// parts of a zone that found each other failed meet again by it.
+const failedRetry = time.Hour
+
+// setSeeds replaces the seeds, in random order.
+func (c *Core) setSeeds(addrs []string) {
+	seeds := slices.Clone(addrs)
+	slices.Sort(seeds)
+	seeds = slices.Compact(seeds)
+	seeds = slices.DeleteFunc(seeds, func(a string) bool { return a == c.self.PeerAddr })
+	c.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	c.joining.seeds = seeds
+	c.joining.pos = 0
+}
+
+// dialOthers dials beyond the overlay: seeds while there is no link, and now
+// and then an address that may lead to a part of the fleet without a link.
+func (c *Core) dialOthers() {
+	if c.left {
+		return
+	}
+	if len(c.links) == 0 {
+		c.dialSeed()
+		return
+	}
+	c.joining.failures = 0
+	c.reachSilentZones()
+	c.rejoin()
+}
+
+// dialSeed tries the next seed with backoff.
+func (c *Core) dialSeed() {
+	j := &c.joining
+	if len(j.seeds) == 0 || c.now.Before(j.next) || !c.takeConnect() {
+		return
+	}
+	addr := j.seeds[j.pos%len(j.seeds)]
+	j.pos++
+	t := target{failures: j.failures / len(j.seeds)} // each seed once a round
+	c.backOff(&t)
+	j.failures++
+	j.next = t.next
+	c.act(core.Connect{Addr: addr})
+}
+
+// rejoin tries, once per RejoinInterval, an address that no live member has,
+// or a member of the own zone that failed lately.
+func (c *Core) rejoin() {
+	j := &c.joining
+	if j.rejoin.IsZero() {
+		j.rejoin = c.now.Add(c.jitter(c.cfg.RejoinInterval))
+	}
+	if c.now.Before(j.rejoin) {
+		return
+	}
+	j.rejoin = c.now.Add(c.cfg.RejoinInterval)
+	addrs := c.lostAddrs()
+	if len(addrs) > 0 && c.takeConnect() {
+		c.act(core.Connect{Addr: addrs[c.rng.IntN(len(addrs))]})
+	}
+}
+
+// lostAddrs returns the addresses that may lead to a lost part of the fleet.
+func (c *Core) lostAddrs() []string {
+	known := make(map[string]bool)
+	var addrs []string
+	oldest := c.now.Add(-failedRetry).Unix()
+	c.table.Each(func(r *endpoint.Record, _ model.NodeKey) bool {
+		if r.Live() {
+			known[r.PeerAddr] = true
+		} else if r.Status == endpoint.StatusFailed && r.Zone == c.self.Zone && r.Died > oldest {
+			addrs = append(addrs, r.PeerAddr)
+		}
+		return true
+	})
+	addrs = append(addrs, c.joining.seeds...)
+	addrs = slices.DeleteFunc(addrs, func(a string) bool { return known[a] })
+	slices.Sort(addrs)
+	return slices.Compact(addrs)
+}
+
+// reachSilentZones lets a gateway try any member of a zone to which it has had
+// no link for a while: all gateways that the table names may be gone.
+func (c *Core) reachSilentZones() {
+	j := &c.joining
+	if !c.overlay.gateway {
+		j.silent = nil
+		return
+	}
+	if j.silent == nil {
+		j.silent = make(map[model.Zone]time.Time)
+	}
+	for _, zone := range c.overlay.zones {
+		due, waits := j.silent[zone]
+		switch {
+		case c.linkedTo(zone):
+			delete(j.silent, zone)
+		case !waits:
+			j.silent[zone] = c.now.Add(c.cfg.ZoneSilentAfter)
+		case !c.now.Before(due) && c.takeConnect():
+			j.silent[zone] = c.now.Add(c.cfg.ZoneSilentAfter/2 + c.jitter(c.cfg.ZoneSilentAfter))
+			c.dialMemberOf(zone)
+		}
+	}
+}
+
+// linkedTo reports whether there is a link to a zone.
+func (c *Core) linkedTo(zone model.Zone) bool {
+	return slices.ContainsFunc(c.links, func(l *link) bool { return l.zone == zone && !l.closing })
+}
+
+// dialMemberOf dials a random live member of a zone.
+func (c *Core) dialMemberOf(zone model.Zone) {
+	var addrs []string
+	c.table.EachLive(zone, func(r *endpoint.Record, _ model.NodeKey) bool {
+		addrs = append(addrs, r.PeerAddr)
+		return true
+	})
+	if len(addrs) == 0 {
+		return
+	}
+	slices.Sort(addrs)
+	c.act(core.Connect{Addr: addrs[c.rng.IntN(len(addrs))]})
+}
--- /dev/null
+++ b/coordination/member/member_test.go
@@ -0,0 +1,264 @@
+package member
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// TestMain keeps the number of random runs small enough for the race detector;
+// -rapid.checks on the command line raises it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.checks", "30"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func started(t testing.TB, zones, per int) *network {
+	n := newNetwork(t, zones, per, 7)
+	took := n.until("convergence after a cold start", 30*time.Second, n.agreed)
+	t.Logf("%d nodes agreed %v after a cold start", zones*per, took)
+	n.runFor(20 * time.Second) // surplus links close
+	return n
+}
+
+func TestCrashedMemberFailsEverywhere(t *testing.T) {
+	t.Parallel()
+	n := started(t, 3, 17)
+	id := model.NodeID("node-a-0004")
+	n.crash(id)
+	took := n.until("failed", 15*time.Second, holds(id, endpoint.StatusFailed))
+	t.Logf("failed on all after %v", took)
+	n.runFor(30 * time.Second)
+	must.True(t, n.all(n.agreed), must.Sprint("only the crashed node is dead"))
+}
+
+func TestHerdOfHalfAZoneFailsAndReturns(t *testing.T) {
+	t.Parallel()
+	n := started(t, 3, 16)
+	for i := range 8 {
+		n.crash(record(0, i).Node)
+	}
+	took := n.until("herd failed", 2*time.Minute, n.agreed)
+	t.Logf("8 of 16 members failed on all after %v", took)
+	for i := range 8 {
+		n.start(record(0, i).Node)
+	}
+	took = n.until("herd returned", 30*time.Second, n.agreed)
+	t.Logf("they were back on all after %v", took)
+}
+
+func TestOverlayStaysConnectedWithoutAnyNode(t *testing.T) {
+	t.Parallel()
+	n := started(t, 2, 25)
+	most := 0
+	for _, id := range n.ids {
+		must.True(t, n.connected(id), must.Sprintf("without %s", id))
+		most = max(most, len(n.nodes[id].core.Neighbours()))
+	}
+	t.Logf("at most %d links on a node", most)
+}
+
+func TestZoneCutEvictsNobodyAcross(t *testing.T) {
+	t.Parallel()
+	n := started(t, 3, 8)
+	n.cut = func(a, b *node) bool { return a.rec.Zone != b.rec.Zone }
+	n.runFor(2 * time.Minute)
+	must.True(t, n.all(n.agreed), must.Sprint("a cut between zones changes no record"))
+	// Every member of one zone restarts, so that the far side's gateways and
+	// incarnations are out of date.
+	for i := range 8 {
+		n.crash(record(1, i).Node)
+		n.start(record(1, i).Node)
+	}
+	n.crash(record(0, 3).Node)
+	n.runFor(time.Minute)
+	n.cut = func(_, _ *node) bool { return false }
+	took := n.until("convergence after heal", time.Minute, n.agreed)
+	t.Logf("tables agreed %v after the heal", took)
+}
+
+func TestRackCutHeals(t *testing.T) {
+	t.Parallel()
+	n := started(t, 1, 16)
+	rack := func(x *node) bool { return x.id < "node-a-0004" }
+	n.cut = func(a, b *node) bool { return rack(a) != rack(b) }
+	n.runFor(4 * time.Minute)
+	n.cut = func(_, _ *node) bool { return false }
+	took := n.until("convergence after heal", 2*time.Minute, n.agreed)
+	t.Logf("tables agreed %v after the heal", took)
+}
+
+func TestIsolatedNodeEvictsFew(t *testing.T) {
+	t.Parallel()
+	n := started(t, 1, 24)
+	alone := n.nodes["node-a-0009"]
+	n.cut = func(a, b *node) bool { return a == alone || b == alone }
+	n.runFor(5 * time.Minute)
+	must.LessEq(t, 6, alone.core.Stats().Suspected)
+	must.Positive(t, alone.core.Stats().Withheld)
+	n.cut = func(_, _ *node) bool { return false }
+	n.until("convergence after heal", time.Minute, n.agreed)
+}
+
+func TestThawedNodeCantResurrect(t *testing.T) {
+	t.Parallel()
+	n := started(t, 2, 12)
+	frozen, gone := model.NodeID("node-a-0002"), model.NodeID("node-a-0005")
+	n.nodes[frozen].paused = true
+	n.runFor(5 * time.Second)
+	n.step(n.nodes[gone], Leave{})
+	n.runFor(time.Second)
+	n.crash(gone)
+	n.until("frozen failed", 20*time.Second, holds(frozen, endpoint.StatusFailed))
+	n.runFor(5 * time.Minute)
+	n.thaw(frozen)
+	must.Zero(t, n.nodes[frozen].core.Stats().Suspected, must.Sprint("it suspects nobody on waking"))
+	revived := false
+	n.until("thawed is alive again, the other not", 30*time.Second, func(x *node) bool {
+		if x.id != frozen && holds(gone, endpoint.StatusAlive)(x) {
+			revived = true
+		}
+		return n.agreed(x)
+	})
+	must.False(t, revived)
+	must.Zero(t, n.nodes[frozen].core.Stats().Suspected)
+	must.Positive(t, n.nodes[frozen].core.Stats().Refuted)
+}
+
+func TestShortPauseSuspectsNobody(t *testing.T) {
+	t.Parallel()
+	n := started(t, 1, 12)
+	x := n.nodes["node-a-0002"]
+	x.paused = true
+	n.runFor(4 * time.Second)
+	n.thaw(x.id)
+	n.runFor(time.Minute)
+	for _, id := range n.ids {
+		must.Zero(t, n.nodes[id].core.Stats().Failed)
+	}
+	must.Zero(t, x.core.Stats().Suspected)
+}
+
+func TestDrainIsKnownEverywhereInTime(t *testing.T) {
+	t.Parallel()
+	n := newNetwork(t, 4, 25, 7)
+	n.until("cold start", 30*time.Second, n.agreed)
+	id := model.NodeID("node-c-0011")
+	r := n.nodes[id].rec
+	n.step(n.nodes[id], Announce{r.Service, r.Slots, r.Connections, true, false})
+	took := n.until("drain known", 3*time.Second, n.agreed)
+	t.Logf("drain known on 100 nodes after %v", took)
+}
+
+func TestRestartWithOldIncarnationIsReported(t *testing.T) {
+	t.Parallel()
+	n := started(t, 2, 8)
+	x := n.nodes["node-a-0003"]
+	n.crash(x.id)
+	x.rec.Incarnation = 0 // the clock went back; start makes it 1 again
+	x.rec.GateAddr = "10.9.9.9:7480"
+	n.step(n.nodes["node-a-0004"], core.Tick{})
+	n.runFor(20 * time.Second)
+	n.start(x.id)
+	n.runFor(15 * time.Second)
+	must.True(t, x.conflict || x.core.Stats().Refused > 0)
+	n.step(x, Incarnate{Incarnation: 5})
+	n.until("the new incarnation is known", 20*time.Second, n.agreed)
+}
+
+func TestHostileRecordsAreRefused(t *testing.T) {
+	t.Parallel()
+	good := record(0, 1)
+	cases := map[string]func(*endpoint.Record){
+		"no name":       func(r *endpoint.Record) { r.Node = "" },
+		"long name":     func(r *endpoint.Record) { r.Node = model.NodeID(make([]byte, 64)) },
+		"host name":     func(r *endpoint.Record) { r.PeerAddr = "example.org:80" },
+		"no gate":       func(r *endpoint.Record) { r.GateAddr = "" },
+		"huge slots":    func(r *endpoint.Record) { r.Slots = 1 << 40 },
+		"huge sequence": func(r *endpoint.Record) { r.Sequence = 1 << 63 },
+		"status":        func(r *endpoint.Record) { r.Status = 9 },
+		"own name":      func(r *endpoint.Record) { *r = record(0, 0); r.Slots = 1 },
+		"full":          func(r *endpoint.Record) { r.Node = "node-a-0002" },
+	}
+	for name, change := range cases {
+		cfg := DefaultConfig()
+		cfg.MaxRecords = 2
+		c := New(cfg, record(0, 0), nil, 1)
+		now := time.Unix(1_800_000_000, 0)
+		c.Step(now, core.PeerUp{Record: good})
+		bad := good
+		change(&bad)
+		c.Step(now, core.Received{From: good.Node, Message: &message.Records{Records: []endpoint.Record{bad}}})
+		must.Eq(t, 1, c.Stats().Refused, must.Sprint(name))
+		must.Eq(t, 2, c.Table().Len(), must.Sprint(name))
+	}
+}
+
+func TestTombstonesExpire(t *testing.T) {
+	t.Parallel()
+	c := New(DefaultConfig(), record(0, 0), nil, 1)
+	now := time.Unix(1_800_000_000, 0)
+	dead := record(0, 1)
+	dead.Status, dead.Died = endpoint.StatusLeft, now.Unix()+9999
+	c.Step(now, core.PeerUp{Record: record(0, 2)})
+	give := core.Received{From: record(0, 2).Node, Message: &message.Records{Records: []endpoint.Record{dead}}}
+	c.Step(now, give)
+	held, _ := c.Table().Get(dead.Node)
+	must.Eq(t, now.Unix(), held.Died, must.Sprint("a death in the future is dated now"))
+	c.Step(now.Add(25*time.Hour), core.Tick{})
+	must.Eq(t, 0, c.IncarnationOf(dead.Node))
+	dead.Died = now.Unix()
+	give.Message = &message.Records{Records: []endpoint.Record{dead}}
+	c.Step(now.Add(25*time.Hour), give)
+	_, known := c.Table().Get(dead.Node)
+	must.False(t, known, must.Sprint("an old tombstone isn't taken again"))
+}
+
+// TestFaultsHeal runs random faults, then lets all be well and expects equal,
+// true tables.
+func TestFaultsHeal(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		n := newNetwork(rt, 2, 5, rapid.Uint64().Draw(rt, "seed"))
+		n.until("cold start", 30*time.Second, n.agreed) // later nobody may know the other zone
+		n.drop, n.dup, n.jumble = 0.05, 0.05, 0.1
+		for range rapid.IntRange(1, 6).Draw(rt, "faults") {
+			id := rapid.SampledFrom(n.ids).Draw(rt, "node")
+			x := n.nodes[id]
+			switch rapid.IntRange(0, 4).Draw(rt, "fault") {
+			case 0:
+				n.crash(id)
+			case 1:
+				n.crash(id)
+				n.start(id)
+			case 2:
+				x.paused = true
+			case 3:
+				n.cut = func(a, b *node) bool { return a.rec.Zone != b.rec.Zone }
+			case 4:
+				n.step(x, Announce{Service: "service-1", Slots: rapid.IntRange(1, 9).Draw(rt, "slots")})
+			}
+			n.runFor(time.Duration(rapid.IntRange(0, 20).Draw(rt, "seconds")) * time.Second)
+		}
+		n.cut = func(_, _ *node) bool { return false }
+		n.drop, n.dup, n.jumble = 0, 0, 0
+		for _, id := range n.ids {
+			if n.nodes[id].paused {
+				n.thaw(id)
+			}
+		}
+		n.until("heal", 3*time.Minute, n.agreed)
+	})
+}
--- /dev/null
+++ b/coordination/member/network_test.go
@@ -0,0 +1,343 @@
+package member
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// network drives cores over virtual time. A crashed, paused or cut peer is
+// silent; only a running process without the connection resets it.
+type network struct {
+	t                 must.T
+	now               time.Time
+	rng               *rand.Rand
+	queue             agenda
+	order             uint64
+	nodes             map[model.NodeID]*node
+	ids               []model.NodeID
+	cut               func(a, b *node) bool
+	drop, dup, jumble float64
+	bytes, messages   int
+}
+
+type node struct {
+	id       model.NodeID
+	rec      endpoint.Record
+	core     *Core
+	run      int // number of starts; events of earlier ones are void
+	up       bool
+	paused   bool
+	conns    map[model.NodeID]bool
+	backlog  []core.Event
+	in, out  int
+	conflict bool
+}
+
+type task struct {
+	at    time.Time
+	order uint64
+	do    func()
+}
+
+type agenda []task
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at.Before(a[j].at) || a[i].at.Equal(a[j].at) && a[i].order < a[j].order
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(task)) }
+func (a *agenda) Pop() any {
+	old := *a
+	t := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return t
+}
+
+// newNetwork returns zones of per running nodes each. Every node knows three
+// seeds: the first node of its zone, of the first zone, and itself.
+func newNetwork(t must.T, zones, per int, seed uint64) *network {
+	n := &network{
+		t: t, now: time.Unix(1_800_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
+		nodes: map[model.NodeID]*node{}, cut: func(_, _ *node) bool { return false },
+	}
+	for z := range zones {
+		for i := range per {
+			r := record(z, i)
+			n.nodes[r.Node] = &node{id: r.Node, rec: r}
+			n.ids = append(n.ids, r.Node)
+			n.after(time.Duration(n.rng.Int64N(int64(time.Second))), func() { n.start(r.Node) })
+		}
+	}
+	return n
+}
+
+func record(zone, i int) endpoint.Record {
+	return endpoint.Record{
+		Node:     model.NodeID(fmt.Sprintf("node-%c-%04d", 'a'+zone, i)),
+		Zone:     model.Zone(fmt.Sprintf("zone-%c", 'a'+zone)),
+		Region:   model.Region(fmt.Sprintf("region-%d", zone/4)),
+		PeerAddr: fmt.Sprintf("10.%d.%d.%d:7400", zone, i/250, i%250+1),
+		GateAddr: fmt.Sprintf("10.%d.%d.%d:7480", zone, i/250, i%250+1),
+		Service:  fmt.Sprintf("service-%03d", (zone*1000+i)%270),
+		Slots:    10, Connections: 110,
+	}
+}
+
+func (n *network) after(d time.Duration, do func()) {
+	n.order++
+	heap.Push(&n.queue, task{n.now.Add(d), n.order, do})
+}
+
+func (n *network) latency() time.Duration {
+	return time.Millisecond + time.Duration(n.rng.Int64N(int64(time.Millisecond)))
+}
+
+func (n *network) start(id model.NodeID) {
+	x := n.nodes[id]
+	x.run++
+	x.rec.Incarnation++
+	x.up, x.paused, x.conns, x.backlog = true, false, map[model.NodeID]bool{}, nil
+	zone := n.ids[slices.IndexFunc(n.ids, func(o model.NodeID) bool { return n.nodes[o].rec.Zone == x.rec.Zone })]
+	seeds := []string{n.nodes[zone].rec.PeerAddr, n.nodes[n.ids[0]].rec.PeerAddr, x.rec.PeerAddr}
+	x.core = New(DefaultConfig(), x.rec, seeds, n.rng.Uint64())
+	run := x.run
+	var tick func()
+	tick = func() {
+		if x.run == run && x.up {
+			n.step(x, core.Tick{})
+			n.after(100*time.Millisecond, tick)
+		}
+	}
+	tick()
+}
+
+func (n *network) crash(id model.NodeID) { n.nodes[id].up = false }
+
+func (n *network) thaw(id model.NodeID) {
+	x := n.nodes[id]
+	x.paused = false
+	for _, ev := range x.backlog {
+		n.step(x, ev)
+	}
+	x.backlog = nil
+}
+
+func (n *network) step(x *node, ev core.Event) {
+	if !x.up {
+		return
+	}
+	if x.paused {
+		if _, tick := ev.(core.Tick); !tick {
+			x.backlog = append(x.backlog, ev)
+		}
+		return
+	}
+	if down, ok := ev.(core.PeerDown); ok {
+		delete(x.conns, down.Node)
+	}
+	for _, a := range x.core.Step(n.now, ev) {
+		switch a := a.(type) {
+		case core.Send:
+			n.send(x, a)
+		case core.Connect:
+			n.connect(x, a)
+		case core.Disconnect:
+			n.close(x, a.Node)
+		case IdentityConflict:
+			x.conflict = true
+		case TableChanged:
+			x.core.Table().View()
+		}
+	}
+}
+
+func (n *network) send(x *node, a core.Send) {
+	b, err := message.Encode(a.Message)
+	if err != nil || len(b) >= 32<<10 {
+		n.t.Fatalf("message of %d bytes: %v", len(b), err)
+	}
+	x.out += len(b)
+	n.bytes += len(b)
+	n.messages++
+	if !x.conns[a.To] || n.rng.Float64() < n.drop {
+		return
+	}
+	copies, delay := 1, n.latency()
+	if n.rng.Float64() < n.dup {
+		copies++
+	}
+	for range copies {
+		if n.rng.Float64() < n.jumble {
+			delay += time.Duration(n.rng.Int64N(int64(300 * time.Millisecond)))
+		}
+		n.after(delay, func() { n.deliver(x, n.nodes[a.To], b) })
+	}
+}
+
+func (n *network) deliver(from, to *node, b []byte) {
+	if !to.up || n.cut(from, to) {
+		return
+	}
+	if !to.paused && !to.conns[from.id] {
+		n.after(n.latency(), func() { n.reset(from, to) })
+		return
+	}
+	m, err := message.Decode(b)
+	if err != nil {
+		n.t.Fatalf("decode: %v", err)
+	}
+	to.in += len(b)
+	n.step(to, core.Received{From: from.id, Message: m})
+}
+
+func (n *network) reset(x, by *node) {
+	if x.conns[by.id] && !by.conns[x.id] {
+		n.step(x, core.PeerDown{Node: by.id})
+	}
+}
+
+func (n *network) connect(x *node, a core.Connect) {
+	run := x.run
+	i := slices.IndexFunc(n.ids, func(id model.NodeID) bool { return n.nodes[id].rec.PeerAddr == a.Addr })
+	to := n.nodes[n.ids[i]]
+	n.after(n.latency(), func() {
+		if x.run != run {
+			return
+		}
+		failed := core.DialFailed(a)
+		switch {
+		case n.cut(x, to) || to.paused || x.paused:
+			n.after(3*time.Second, func() { n.step(x, failed) })
+		case !to.up:
+			n.step(x, failed)
+		case x.up:
+			up := core.PeerUp{Record: to.core.Self(), Digest: to.core.Digest(),
+				Welcomed: true, Incarnation: to.core.IncarnationOf(x.id)}
+			x.conns[to.id], to.conns[x.id] = true, true
+			n.step(to, core.PeerUp{Record: x.core.Self(), Digest: x.core.Digest()})
+			n.step(x, up)
+		}
+	})
+}
+
+func (n *network) close(x *node, id model.NodeID) {
+	to := n.nodes[id]
+	n.after(n.latency(), func() {
+		if x.conns[id] {
+			n.step(x, core.PeerDown{Node: id})
+		}
+		if to.up && to.conns[x.id] && !n.cut(x, to) {
+			n.step(to, core.PeerDown{Node: x.id})
+		}
+	})
+}
+
+func (n *network) runFor(d time.Duration) {
+	end := n.now.Add(d)
+	for len(n.queue) > 0 && !n.queue[0].at.After(end) {
+		t := heap.Pop(&n.queue).(task)
+		n.now = t.at
+		t.do()
+	}
+	n.now = end
+}
+
+// until runs until every running node satisfies ok, and returns how long that
+// took. It fails the test after limit.
+func (n *network) until(what string, limit time.Duration, ok func(*node) bool) time.Duration {
+	n.t.Helper()
+	start := n.now
+	for n.now.Sub(start) <= limit {
+		if n.all(ok) {
+			return n.now.Sub(start)
+		}
+		n.runFor(50 * time.Millisecond)
+	}
+	for _, id := range n.ids {
+		if x := n.nodes[id]; x.up && !x.paused && !ok(x) {
+			n.t.Fatalf("%s: not on %s after %v: %s", what, id, limit, n.difference(x))
+		}
+	}
+	return limit
+}
+
+func (n *network) all(ok func(*node) bool) bool {
+	for _, id := range n.ids {
+		if x := n.nodes[id]; (x.up && !x.paused || x.run == 0) && (x.run == 0 || !ok(x)) {
+			return false
+		}
+	}
+	return true
+}
+
+// difference names the first node about which x is wrong, for a failed test.
+func (n *network) difference(x *node) string {
+	for _, id := range n.ids {
+		r, _ := x.core.Table().Get(id)
+		o := n.nodes[id]
+		if own := o.core.Self(); o.up && r != own || !o.up && r.Live() {
+			return fmt.Sprintf("holds %+v; up %v, own %+v; links %v", r, o.up, own, x.core.Neighbours())
+		}
+	}
+	return ""
+}
+
+// agreed reports whether x holds each node as it really is.
+func (n *network) agreed(x *node) bool {
+	for _, id := range n.ids {
+		r, held := x.core.Table().Get(id)
+		o := n.nodes[id]
+		if o.up && !o.paused && (!held || r != o.core.Self()) || !o.up && held && r.Live() {
+			return false
+		}
+	}
+	return true
+}
+
+func holds(id model.NodeID, s endpoint.Status) func(*node) bool {
+	return func(x *node) bool {
+		r, held := x.core.Table().Get(id)
+		return held && r.Status == s
+	}
+}
+
+func (n *network) resetCounts() {
+	n.bytes, n.messages = 0, 0
+	for x := range maps.Values(n.nodes) {
+		x.in, x.out = 0, 0
+	}
+}
+
+// connected reports whether the links of running nodes, without one of them,
+// join all of them.
+func (n *network) connected(without model.NodeID) bool {
+	var todo []model.NodeID
+	seen := map[model.NodeID]bool{without: true}
+	for _, id := range n.ids {
+		if id != without && len(todo) == 0 {
+			todo, seen[id] = append(todo, id), true
+		}
+	}
+	for len(todo) > 0 {
+		x := n.nodes[todo[0]]
+		todo = todo[1:]
+		for _, id := range x.core.Neighbours() {
+			if !seen[id] && n.nodes[id].up {
+				todo, seen[id] = append(todo, id), true
+			}
+		}
+	}
+	return len(seen) == len(n.ids)
+}
--- a/state/endpoint/record.go
+++ b/state/endpoint/record.go
@@ -51,8 +51,15 @@
 	Draining bool `json:"draining,omitempty" cbor:"12,keyasint,omitempty"`
 	// Unready says that the backend server or the node can't serve now.
 	Unready bool `json:"unready,omitempty" cbor:"13,keyasint,omitempty"`
+	// Died is when the owner was found failed or left, in seconds of Unix
+	// time; 0 while it lives. Tombstones expire by it, so that passing one on
+	// doesn't prolong it. It takes no part in the order of records.
+	Died int64 `json:"died,omitempty" cbor:"14,keyasint,omitempty"`
 }
 
+// Live reports whether the owner is held to run: alive or only suspected.
+func (r *Record) Live() bool { return r.Status <= StatusSuspect }
+
 // Supersedes reports whether r replaces o. Both must be of the same node.
 // Incarnation decides first, then sequence, then status.
 func (r Record) Supersedes(o Record) bool {
@@ -68,6 +75,5 @@
 // Serving reports whether new work may be sent to the record's backend server.
 // A suspect node still gets work: what the sender itself sees counts more.
 func (r Record) Serving() bool {
-	live := r.Status == StatusAlive || r.Status == StatusSuspect
-	return live && r.Service != "" && !r.Draining && !r.Unready
+	return r.Live() && r.Service != "" && !r.Draining && !r.Unready
 }
--- /dev/null
+++ b/state/endpoint/view.go
@@ -0,0 +1,69 @@
+package endpoint
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// View is an immutable index of the records that may serve, by service and
+// zone. The path of a request reads it through an atomic pointer.
+type View struct {
+	services map[string][]Record
+}
+
+// Changed reports whether View would return a newer view than it did last.
+func (t *Table) Changed() bool { return len(t.changed) > 0 }
+
+// View returns the index of the records that are Serving. Only services that
+// changed since the last call are built anew; the others share their records
+// with the former view.
+func (t *Table) View() *View {
+	if !t.Changed() {
+		return t.view
+	}
+	v := &View{services: make(map[string][]Record, len(t.serving))}
+	maps.Copy(v.services, t.view.services)
+	for name := range t.changed {
+		v.rebuild(name, t.serving[name])
+	}
+	clear(t.changed)
+	t.view = v
+	return v
+}
+
+// rebuild replaces the records of one service.
+func (v *View) rebuild(name string, list []*entry) {
+	if len(list) == 0 {
+		delete(v.services, name)
+		return
+	}
+	recs := make([]Record, len(list))
+	for i, e := range list {
+		recs[i] = e.Record
+	}
+	v.services[name] = recs
+}
+
+// Service returns the serving records of a service in order of zone, then
+// node. The result must not be changed.
+func (v *View) Service(name string) []Record { return v.services[name] }
+
+// ServiceInZone returns the serving records of a service in one zone, in order
+// of node. The result must not be changed.
+func (v *View) ServiceInZone(name string, zone model.Zone) []Record {
+	all := v.services[name]
+	from, _ := slices.BinarySearchFunc(all, zone, compareZone)
+	to := from
+	for to < len(all) && all[to].Zone == zone {
+		to++
+	}
+	return all[from:to:to]
+}
+
+func compareZone(r Record, z model.Zone) int { return cmp.Compare(r.Zone, z) }
+
+// Services returns the names of the services with a serving record, sorted.
+func (v *View) Services() []string { return slices.Sorted(maps.Keys(v.services)) }
