Test the lease's edges by hand

Breaking the core on purpose showed that the random test alone does not notice a lease counted from its answer, a takeover that comes a margin too early, or a write of an earlier life taken for one's own. Random faults with more steps were weighed and ruled out as slower and still a matter of luck. Adds three tests with explicit times; each failed with the fault put in.

--- a/coordination/lease/lease_test.go
+++ b/coordination/lease/lease_test.go
@@ -198,22 +198,69 @@
 	must.Eq(t, 2, w.item.Term)
 }
 
+// at returns a time of the clock of a core that is driven by hand.
+func at(d time.Duration) time.Time { return time.Unix(100, 0).Add(d) }
+
+// taking returns a core that sent its first write at 0.
+func taking() *Core {
+	c := New(DefaultConfig(), endpoint.Record{Node: "host-0", Incarnation: 2}, 1)
+	c.Step(at(0), Candidate{Contend: true})
+	c.Step(at(0), ItemRead{ID: 1})
+	return c
+}
+
+func TestLeaseCountsFromSending(t *testing.T) {
+	c := taking()
+	c.Step(at(5*time.Second), Written{ID: 2, Result: WriteDone, Revision: 1})
+	must.True(t, c.Held(at(5900*time.Millisecond)))
+	must.False(t, c.Held(at(6*time.Second)), must.Sprint("counted from the answer"))
+}
+
 // TestLateWriteCountsFromItsSending lets a lost write take effect after the
 // read that should settle it: the lease must not count from a later write.
 func TestLateWriteCountsFromItsSending(t *testing.T) {
-	c := New(DefaultConfig(), endpoint.Record{Node: "host-0", Incarnation: 1}, 1)
-	at := func(d time.Duration) time.Time { return time.Unix(100, 0).Add(d) }
-	c.Step(at(0), Candidate{Contend: true})
-	c.Step(at(0), ItemRead{ID: 1}) // the first write is sent
+	c := taking()
+	mine := Item{Holder: "host-0", Incarnation: 2, Term: 1}
 	c.Step(at(2*time.Second), core.Tick{})
 	a := c.Step(at(3*time.Second), ItemRead{ID: 3}) // not there yet
-	must.Eq(t, WriteItem{ID: 4, Item: Item{Holder: "host-0", Incarnation: 1, Term: 1}}, a[0].(WriteItem))
+	must.Eq(t, WriteItem{ID: 4, Item: mine}, a[0].(WriteItem))
 	c.Step(at(3*time.Second), Written{ID: 4, Result: WriteUnknown})
-	c.Step(at(4*time.Second), ItemRead{ID: 5, Revision: 1, Item: Item{Holder: "host-0", Incarnation: 1, Term: 1}})
+	c.Step(at(4*time.Second), ItemRead{ID: 5, Revision: 1, Item: mine})
 	must.True(t, c.Held(at(5900*time.Millisecond)))
 	must.False(t, c.Held(at(6*time.Second)), must.Sprint("counted from the second write"))
 }
 
+func TestWriteOfEarlierLifeIsNotOurs(t *testing.T) {
+	c := taking()
+	c.Step(at(0), Written{ID: 2, Result: WriteUnknown})
+	c.Step(at(0), ItemRead{ID: 3, Revision: 1, Item: Item{Holder: "host-0", Incarnation: 1, Term: 1}})
+	must.False(t, c.Held(at(0)))
+}
+
+func TestTakeoverWaitsDurationAndMargin(t *testing.T) {
+	c := New(DefaultConfig(), endpoint.Record{Node: "host-0"}, 1)
+	c.Step(at(0), Candidate{Contend: true})
+	id, wait := uint64(1), DefaultConfig().Duration+DefaultConfig().Margin
+	for d := time.Duration(0); d <= wait; d += 100 * time.Millisecond {
+		ev := core.Event(core.Tick{})
+		if id != 0 {
+			ev = ItemRead{ID: id, Revision: 9, Item: Item{Holder: "host-1", Term: 4}}
+		}
+		id = 0
+		for _, a := range c.Step(at(d), ev) {
+			switch a := a.(type) {
+			case ReadItem:
+				id = a.ID
+			case WriteItem:
+				must.Eq(t, wait, d, must.Sprint("took over too early"))
+				must.Eq(t, 5, a.Item.Term)
+				return
+			}
+		}
+	}
+	t.Fatal("did not take over")
+}
+
 // TestNeverTwoHolders pauses nodes, loses and delays answers and takes the
 // table away, with clocks whose rates differ by less than the margin allows.
 func TestNeverTwoHolders(t *testing.T) {
