Accept changes by one transaction and remove old versions

A change must be taken once or not at all, and the operator must never be told a false yes or a false no, even when answers are lost or a write lands late. A version's objects are stored first; then one transaction moves the head and creates the change's own record, on condition of the head's revision and of the record's absence. A lost answer is settled by reading both. Ruled out: a history of change ids inside the head, since each zone's reader polls the head and a repeat older than the list would be answered with a false conflict. A change that is sent again after an unknown outcome answers no only after the head was written again unchanged, which ends a transaction still on its way. The collector counts ages from its own sightings of the head and so needs no lease and no common time. Breaks tried, each caught by the random orders: an unknown write taken as failed, doubt cleared while the head has not moved, no read of the record, no record written, a head write without its condition, the head written before the body, no check of the base, a collector that keeps nothing, refused answers to a change sent again.

--- /dev/null
+++ b/coordination/accept/build.go
@@ -0,0 +1,163 @@
+package accept
+
+import (
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/snapshot"
+)
+
+// candidate is a version that is ready to be accepted on top of one head.
+type candidate struct {
+	headRevision uint64
+	snapshot     *snapshot.Snapshot
+	entry        Entry
+	full, delta  []byte
+	head, record []byte
+	// fullStored and deltaStored say that the objects are in the store.
+	fullStored, deltaStored bool
+}
+
+// prepare builds and checks the version after base. It returns a
+// *ConflictError or an *InvalidError.
+func (m *Machine) prepare(now time.Time) (*candidate, error) {
+	if err := checkBase(m.base, &m.change); err != nil {
+		return nil, err
+	}
+	next, err := build(m.base, m.change.Batch)
+	if err != nil {
+		return nil, &InvalidError{Err: err}
+	}
+	c := &candidate{headRevision: m.headRevision, snapshot: next}
+	if err := m.encodeObjects(c); err != nil {
+		return nil, &InvalidError{Err: err}
+	}
+	c.entry = Entry{Ref: next.Ref(), ChangeID: m.change.ID, Accepted: now.UnixMilli()}
+	if c.head, err = encode(m.head.advance(c.entry)); err != nil {
+		return nil, &InvalidError{Err: err}
+	}
+	record := &Record{Entry: c.entry, Sum: m.sum, Previous: m.head.last()}
+	if c.record, err = encode(record); err != nil {
+		return nil, &InvalidError{Err: err}
+	}
+	return c, nil
+}
+
+// encodeObjects encodes the version and its delta, and reads both back as a
+// node will: what a node could not load must not be accepted.
+func (m *Machine) encodeObjects(c *candidate) error {
+	var err error
+	if c.full, err = c.snapshot.Encode(); err != nil {
+		return err
+	}
+	if len(c.full) > m.cfg.MaxFull {
+		return &SizeError{What: "version", Size: len(c.full), Limit: m.cfg.MaxFull}
+	}
+	if c.delta, err = snapshot.Diff(m.base, c.snapshot).Encode(); err != nil {
+		return err
+	}
+	if len(c.delta) > m.cfg.MaxDelta {
+		return &SizeError{What: "delta", Size: len(c.delta), Limit: m.cfg.MaxDelta}
+	}
+	loaded, err := snapshot.Decode(c.full)
+	if err != nil {
+		return err
+	}
+	if loaded.Ref() != c.snapshot.Ref() {
+		return &snapshot.HashError{Want: c.snapshot.Ref(), Got: loaded.Ref()}
+	}
+	delta, err := snapshot.DecodeDelta(c.delta)
+	if err != nil {
+		return err
+	}
+	_, err = m.base.Apply(delta)
+	return err
+}
+
+// checkBase checks that each document has the revision that the change is
+// based on.
+func checkBase(base *snapshot.Snapshot, c *Change) error {
+	for _, d := range c.Batch.Contracts {
+		if err := c.checkRevision(ContractKey(d.Customer), contractRevision(base, d.Customer)); err != nil {
+			return err
+		}
+	}
+	for _, d := range c.Batch.Services {
+		if err := c.checkRevision(ServiceKey(d.Name), serviceRevision(base, d.Name)); err != nil {
+			return err
+		}
+	}
+	for _, name := range c.Batch.DeleteContracts {
+		if err := c.checkDeletion(ContractKey(name), contractRevision(base, name)); err != nil {
+			return err
+		}
+	}
+	for _, name := range c.Batch.DeleteServices {
+		if err := c.checkDeletion(ServiceKey(name), serviceRevision(base, name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Change) checkRevision(key DocumentKey, current uint64) error {
+	if c.Force || c.Base[key] == current {
+		return nil
+	}
+	return &ConflictError{Document: key, Base: c.Base[key], Current: current}
+}
+
+func (c *Change) checkDeletion(key DocumentKey, current uint64) error {
+	if err := c.checkRevision(key, current); err != nil {
+		return err
+	}
+	if current == 0 {
+		return &InvalidError{Err: &MissingDocumentError{Document: key}}
+	}
+	return nil
+}
+
+func contractRevision(s *snapshot.Snapshot, customer string) uint64 {
+	if e := s.Contract(customer); e != nil {
+		return e.Revision
+	}
+	return 0
+}
+
+func serviceRevision(s *snapshot.Snapshot, name string) uint64 {
+	if e := s.Service(name); e != nil {
+		return e.Revision
+	}
+	return 0
+}
+
+// build returns the version after base with the batch's documents. It returns
+// one of Consistent's errors.
+func build(base *snapshot.Snapshot, b *model.Batch) (*snapshot.Snapshot, error) {
+	version := base.Version() + 1
+	contracts := make(map[string]*snapshot.ContractEntry)
+	for _, name := range base.Customers() {
+		contracts[name] = base.Contract(name)
+	}
+	services := make(map[string]*snapshot.ServiceEntry)
+	for _, name := range base.Services() {
+		services[name] = base.Service(name)
+	}
+	for _, name := range b.DeleteContracts {
+		delete(contracts, name)
+	}
+	for _, name := range b.DeleteServices {
+		delete(services, name)
+	}
+	for _, d := range b.Contracts {
+		contracts[d.Customer] = &snapshot.ContractEntry{Revision: version, Contract: d}
+	}
+	for _, d := range b.Services {
+		services[d.Name] = &snapshot.ServiceEntry{Revision: version, Service: d}
+	}
+	next, err := snapshot.Build(version, contracts, services)
+	if err != nil {
+		return nil, err
+	}
+	return next, next.Consistent()
+}
--- /dev/null
+++ b/internal/control/random_test.go
@@ -0,0 +1,312 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/jacinthgate/jacinthgate/coordination/accept"
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	standin "github.com/jacinthgate/jacinthgate/internal/standin/platform"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/snapshot"
+)
+
+// attempt is one send of a change by one accepter.
+type attempt struct {
+	change  accept.Change
+	machine *accept.Machine
+	pending core.Action
+	end     *accept.Finish
+	crashed bool
+}
+
+func (a *attempt) active() bool { return a.end == nil && !a.crashed }
+
+// taken is a version that was accepted: by which attempt of which change.
+type taken struct {
+	by *attempt
+	id string
+}
+
+// world runs attempts step by step, in any order and with any fault.
+type world struct {
+	rt        *rapid.T
+	now       time.Time
+	accepter  *Accepter
+	collector *Collector
+	attempts  []*attempt
+	delayed   []func() // writes still on their way
+	log       map[uint64]taken
+	version   uint64
+}
+
+func newWorld(rt *rapid.T) *world {
+	store := standin.New(standin.Faults{}, 1)
+	cfg := DefaultCollectorConfig()
+	cfg.Collect.KeepVersions = 2
+	cfg.Collect.MinAge = time.Millisecond
+	accepting := testConfig()
+	accepting.Accept.Deadline = 60 * time.Millisecond // a few failures reach it
+	accepting.Accept.RetryMax = accepting.Accept.RetryMin
+	w := &world{
+		rt:        rt,
+		now:       time.Unix(1e9, 0),
+		accepter:  NewAccepter(accepting, store.Table(), store.Objects()),
+		collector: NewCollector(cfg, store.Table(), store.Objects()),
+		log:       make(map[uint64]taken),
+	}
+	return w
+}
+
+// start sends a change. A repeat has the same documents; it has another base
+// only when the earlier sends have ended.
+func (w *world) start(rt *rapid.T) {
+	n := rapid.IntRange(1, 6).Draw(rt, "change")
+	id := "change-" + string(rune('0'+n))
+	customer := []string{"clinic", "hall"}[n%2]
+	c := accept.Change{
+		ID:    id,
+		Batch: &model.Batch{Contracts: []*model.Contract{contract(customer, n)}},
+		Base:  map[string]uint64{accept.ContractKey(customer): 0},
+	}
+	if rapid.Bool().Draw(rt, "fresh base") {
+		c.Base[accept.ContractKey(customer)] = contractRevision(w.load(), customer)
+	}
+	for _, earlier := range w.attempts {
+		if earlier.change.ID != id {
+			continue
+		}
+		c.Resend = true
+		if earlier.active() {
+			c.Base = earlier.change.Base
+		}
+	}
+	held := snapshot.Empty()
+	if rapid.Bool().Draw(rt, "held") {
+		held = w.load()
+	}
+	a := &attempt{change: c, machine: accept.New(w.accepter.cfg.Accept, c, held)}
+	w.attempts = append(w.attempts, a)
+	w.step(a, accept.Start{})
+}
+
+func (w *world) load() *snapshot.Snapshot {
+	head, err := w.accepter.Head(context.Background())
+	must.NoError(w.rt, err)
+	if head.Ref.Version == 0 {
+		return snapshot.Empty()
+	}
+	s, err := w.accepter.LoadVersion(context.Background(), snapshot.Empty(), head)
+	must.NoError(w.rt, err)
+	return s
+}
+
+func (w *world) step(a *attempt, ev core.Event) {
+	w.now = w.now.Add(time.Millisecond)
+	acts := a.machine.Step(w.now, ev)
+	must.Len(w.rt, 1, acts)
+	if end, ok := acts[0].(accept.Finish); ok {
+		a.end = &end
+		return
+	}
+	a.pending = acts[0]
+}
+
+// pick draws an active attempt; nil when there is none.
+func (w *world) pick(rt *rapid.T) *attempt {
+	var active []*attempt
+	for _, a := range w.attempts {
+		if a.active() {
+			active = append(active, a)
+		}
+	}
+	if len(active) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(active).Draw(rt, "attempt")
+}
+
+// run carries out some actions of one attempt, the last with a fault or without.
+func (w *world) run(rt *rapid.T) {
+	a := w.pick(rt)
+	if a == nil {
+		return
+	}
+	fault := rapid.SampledFrom([]string{"", "failed", "answer lost", "request lost", "delayed"}).Draw(rt, "fault")
+	for range rapid.IntRange(0, 5).Draw(rt, "before") {
+		if _, write := a.pending.(accept.WriteHead); a.active() && !write {
+			w.perform(a, "")
+		}
+	}
+	if a.active() {
+		w.perform(a, fault)
+	}
+}
+
+func (w *world) perform(a *attempt, fault string) {
+	act := a.pending
+	if wait, ok := act.(accept.Wait); ok {
+		if wait.Until.After(w.now) {
+			w.now = wait.Until
+		}
+		w.step(a, core.Tick{})
+		return
+	}
+	lost := &LoadError{}
+	switch fault {
+	case "":
+		w.step(a, w.effect(a, act))
+	case "failed":
+		w.step(a, answer(act, accept.Failed, lost))
+	case "answer lost":
+		w.effect(a, act)
+		w.step(a, answer(act, accept.Unknown, lost))
+	case "delayed":
+		w.delayed = append(w.delayed, func() { w.effect(a, act) })
+		fallthrough
+	case "request lost":
+		w.step(a, answer(act, accept.Unknown, lost))
+	}
+}
+
+// effect carries out an action on the platform and notes accepted versions.
+func (w *world) effect(a *attempt, act core.Action) core.Event {
+	before := w.load()
+	ev := w.accepter.perform(context.Background(), act)
+	if head, err := w.accepter.Head(context.Background()); err == nil && head.Ref.Version != w.version {
+		must.Eq(w.rt, w.version+1, head.Ref.Version, must.Sprint("versions rise by one"))
+		must.Eq(w.rt, a.change.ID, head.Recent[0].ChangeID)
+		for key, base := range a.change.Base {
+			must.Eq(w.rt, contractRevision(before, key[len("contract/"):]), base, must.Sprint("no lost update"))
+		}
+		w.version = head.Ref.Version
+		w.log[w.version] = taken{by: a, id: a.change.ID}
+	}
+	return ev
+}
+
+// answer returns the event of an action that failed. Of a read it is always
+// certain that it had no effect.
+func answer(act core.Action, r accept.Result, err error) core.Event {
+	switch act.(type) {
+	case accept.ReadHead:
+		return accept.HeadRead{Result: accept.Failed, Err: err}
+	case accept.ReadRecord:
+		return accept.RecordRead{Result: accept.Failed, Err: err}
+	case accept.LoadBase:
+		return accept.BaseLoaded{Err: err}
+	case accept.PutObject:
+		return accept.ObjectPut{Result: r, Err: err}
+	default:
+		return accept.HeadWritten{Result: r, Err: err}
+	}
+}
+
+// stall lets the deadlines of all attempts pass.
+func (w *world) stall(*rapid.T) { w.now = w.now.Add(w.accepter.cfg.Accept.Deadline) }
+
+func (w *world) crash(rt *rapid.T) {
+	if a := w.pick(rt); a != nil {
+		a.crashed = true
+	}
+}
+
+// land lets one delayed write take effect.
+func (w *world) land(rt *rapid.T) {
+	if len(w.delayed) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.delayed)-1).Draw(rt, "write")
+	write := w.delayed[i]
+	w.delayed = append(w.delayed[:i:i], w.delayed[i+1:]...)
+	write()
+}
+
+func (w *world) sweep(*rapid.T) {
+	w.now = w.now.Add(time.Millisecond)
+	_, err := w.collector.Sweep(context.Background(), w.now)
+	must.NoError(w.rt, err)
+}
+
+// check checks what must hold after each step.
+func (w *world) check(*rapid.T) {
+	s := w.load() // the head's body is there and whole
+	must.Eq(w.rt, w.version, s.Version())
+	accepted := make(map[string]uint64)
+	for version, t := range w.log {
+		must.MapNotContainsKey(w.rt, accepted, t.id, must.Sprint("a change takes effect once"))
+		accepted[t.id] = version
+	}
+	for _, a := range w.attempts {
+		if a.end != nil {
+			w.checkEnd(a, accepted)
+		}
+	}
+}
+
+func (w *world) checkEnd(a *attempt, accepted map[string]uint64) {
+	var unknown *accept.UnknownOutcomeError
+	var refused *accept.RefusedError
+	switch {
+	case a.end.Err == nil:
+		must.Eq(w.rt, a.end.Accepted.Ref.Version, accepted[a.change.ID], must.Sprint("no false yes"))
+	case errors.As(a.end.Err, &unknown):
+	case errors.As(a.end.Err, &refused):
+		must.False(w.rt, a.change.Resend, must.Sprint("an earlier send may have been taken"))
+		for _, t := range w.log {
+			must.True(w.rt, t.by != a, must.Sprint("refused, but taken"))
+		}
+	default:
+		// Conflict: holds for every send that ended before and for those of
+		// the same base. Later sends may have another base.
+		for version, t := range w.log {
+			must.False(w.rt, t.id == a.change.ID && !w.after(t.by, a), must.Sprintf("no false no: %v, version %d", a.end.Err, version))
+		}
+	}
+}
+
+// after reports whether b was sent before a.
+func (w *world) after(a, b *attempt) bool {
+	for _, x := range w.attempts {
+		if x == a {
+			return false
+		}
+		if x == b {
+			return true
+		}
+	}
+	return false
+}
+
+func TestRandomOrders(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(rt)
+		rt.Repeat(map[string]func(*rapid.T){
+			"start": w.start,
+			"run":   w.run,
+			"run 2": w.run,
+			"run 3": w.run,
+			"stall": w.stall,
+			"crash": w.crash,
+			"land":  w.land,
+			"sweep": w.sweep,
+			"":      w.check,
+		})
+		// Once the faults are over, every change comes to an end.
+		for _, a := range w.attempts {
+			for i := 0; a.active(); i++ {
+				must.Less(rt, 100, i)
+				w.perform(a, "")
+			}
+		}
+		for len(w.delayed) > 0 {
+			w.land(rt)
+		}
+		w.check(rt)
+	})
+}
