--- a/coordination/member/core.go
+++ b/coordination/member/core.go
@@ -177,5 +177,9 @@
 	return slices.Clip(ids)
 }
 
+// FlushDue returns when changed records wait to be sent, so that the driver may
+// send a Tick then instead of at its usual time. It is zero when none wait.
+func (c *Core) FlushDue() time.Time { return c.flood.due }
+
 // Stats returns the counters.
 func (c *Core) Stats() Stats { return c.stats }
