Count latencies from the sending, beside those from the due time

Differences between mesh and direct calls now count from the sending, and the p99 from the due time is printed beside it, so that queueing that the tool itself causes isn't taken for the mesh's. Ruled out spinning in place of sleeping, since the trial shares its processors with the nodes.

--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -16,7 +16,7 @@
 	for _, l := range labels {
 		fmt.Fprintf(t, "%s\t", l)
 	}
-	fmt.Fprintf(t, "replayed\tp50 us\tp99 us\tp99.9 us\tmax us\t\n")
+	fmt.Fprintf(t, "replayed\tp50 us\tp99 us\tp99.9 us\tmax us\tdue p99 us\t\n")
 	for _, c := range r.Cells {
 		c.writeRow(t)
 	}
@@ -32,7 +32,7 @@
 		fmt.Fprintf(t, "%d\t", c.Labels[l])
 	}
 	m := c.Micros
-	fmt.Fprintf(t, "%d\t%.0f\t%.0f\t%.0f\t%.0f\t\n", c.Replayed, m.P50, m.P99, m.P999, m.Max)
+	fmt.Fprintf(t, "%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t\n", c.Replayed, m.P50, m.P99, m.P999, m.Max, c.DueMicros.P99)
 }
 
 // writeNotes prints what the table has no room for.
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -66,9 +66,12 @@
 	Labels map[Label]int `json:"labels"`
 	// Reasons counts the reasons of requests that were not answered.
 	Reasons map[string]int `json:"reasons,omitempty"`
-	// Micros are the latencies of answered requests, in microseconds. In an
-	// open loop they count from the time when the request was due.
+	// Micros are the latencies of answered requests from their sending, in
+	// microseconds.
 	Micros Quantiles `json:"micros"`
+	// DueMicros are those of first tries from when the request was due. In an
+	// open loop they include how late the tool itself was.
+	DueMicros Quantiles `json:"dueMicros"`
 }
 
 // Quantiles describe a distribution.
@@ -104,7 +107,13 @@
 	mu         sync.Mutex
 	result     Result
 	lag        *hdrhistogram.Histogram
-	histograms []*hdrhistogram.Histogram // one for each cell
+	histograms []latencies // one for each cell
+}
+
+// latencies are the histograms of one cell.
+type latencies struct {
+	sent *hdrhistogram.Histogram
+	due  *hdrhistogram.Histogram
 }
 
 // newRecorder returns a recorder with one cell for each arm and class.
@@ -116,7 +125,7 @@
 				Arm: a.Name, Customer: c.Customer, Class: c.Name,
 				Labels: make(map[Label]int), Reasons: make(map[string]int),
 			})
-			r.histograms = append(r.histograms, newHistogram())
+			r.histograms = append(r.histograms, latencies{newHistogram(), newHistogram()})
 		}
 	}
 	return r
@@ -124,8 +133,8 @@
 
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(lowest, highest, digits) }
 
-// record counts what came of one request.
-func (r *recorder) record(cell int, id string, v seen, latency time.Duration) {
+// record counts what came of one request. sinceDue is 0 for a retry.
+func (r *recorder) record(cell int, id string, v seen, sinceSent, sinceDue time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := &r.result.Cells[cell]
@@ -133,7 +142,10 @@
 	c.Labels[v.label]++
 	switch v.label {
 	case LabelAnswered:
-		observe(r.histograms[cell], latency)
+		observe(r.histograms[cell].sent, sinceSent)
+		if sinceDue > 0 {
+			observe(r.histograms[cell].due, sinceDue)
+		}
 	case LabelNotRun:
 		r.keepNotRun(id)
 	}
@@ -173,7 +185,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, h := range r.histograms {
-		r.result.Cells[i].Micros = quantiles(h)
+		r.result.Cells[i].Micros = quantiles(h.sent)
+		r.result.Cells[i].DueMicros = quantiles(h.due)
 	}
 	r.result.Elapsed = elapsed.Seconds()
 	r.result.LagP99 = micros(r.lag.ValueAtQuantile(99))
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -145,15 +145,19 @@
 		s := r.sent(op, copied, try)
 		addresses := r.arms[arm].Addresses
 		address := addresses[(op.seq/len(r.arms)+copied+try)%len(addresses)]
+		began := time.Now()
 		v := r.caller.call(ctx, address, class, s)
-		r.record.record(cell, s.id, v, time.Since(due))
+		sinceDue := time.Since(due)
+		if try > 0 {
+			sinceDue = 0
+		}
+		r.record.record(cell, s.id, v, time.Since(began), sinceDue)
 		if v.label == LabelAnswered {
 			return
 		}
 		if !sleep(ctx, min(v.retryAfter, maxRetryWait)) {
 			return
 		}
-		due = time.Now()
 	}
 }
 
