Acknowledge towards the reader inside the zone only, until it counts

Measuring 50 nodes in 3 zones showed two faults: a beacon that came back by way of another zone's gateway made that gateway the way to the reader, where acknowledgements are dropped; and a repeated acknowledgement that was lost again waited for the next status, up to 10 s. Relaying acknowledgements through other zones was weighed and ruled out, as idle beacons don't go there. Beacons that come from outside now only raise the head; repeats go on with backoff.

--- a/coordination/distribute/acks.go
+++ b/coordination/distribute/acks.go
@@ -23,6 +23,7 @@
 	sentAt   time.Time // when this node's own was last sent
 	resendAt time.Time // zero: not needed
 	retries  int
+	lacking  bool // the newest status of the zone lacks it
 }
 
 type forwardedAck struct {
@@ -99,6 +100,9 @@
 	r := &c.acks
 	if !r.resendAt.IsZero() && !now.Before(r.resendAt) {
 		c.ackSelf(now)
+		if r.lacking {
+			c.scheduleResend()
+		}
 	}
 	if r.flushAt.IsZero() || now.Before(r.flushAt) || c.beacons.upstream == "" {
 		return
@@ -150,17 +154,24 @@
 // checkAck repeats this node's acknowledgement, with backoff, while the zone's
 // status lacks it.
 func (c *Core) checkAck(now time.Time, m *message.ZoneStatus) {
-	if !c.ready || m.Version > c.held.Version() || m.Holding >= m.Live {
-		return
-	}
-	unnamed := int(m.Live-m.Holding) > len(m.Missing)
-	if !unnamed && !slices.Contains(m.Missing, c.self.Node) {
+	c.acks.lacking = c.ready && m.Version <= c.held.Version() && mayLack(m, c.self.Node)
+	if !c.acks.lacking {
 		c.acks.retries = 0
 		return
 	}
-	if !c.acks.resendAt.IsZero() {
-		return
+	if c.acks.resendAt.IsZero() {
+		c.scheduleResend()
 	}
+}
+
+// mayLack reports whether a status lacks a node's acknowledgement, as far as
+// its capped list of names tells.
+func mayLack(m *message.ZoneStatus, id model.NodeID) bool {
+	unnamed := int(m.Live) - int(m.Holding) - len(m.Missing)
+	return unnamed > 0 || slices.Contains(m.Missing, id)
+}
+
+func (c *Core) scheduleResend() {
 	wait := c.backoff(c.cfg.AckRetry, c.cfg.MaxAckRetry, c.acks.retries)
 	c.acks.retries++
 	c.acks.resendAt = c.acks.sentAt.Add(wait)
--- a/coordination/distribute/beacon.go
+++ b/coordination/distribute/beacon.go
@@ -43,6 +43,11 @@
 func (c *Core) beaconReceived(now time.Time, p *peer, m *message.Beacon) {
 	mark := beaconMark{term: m.Term, sequence: m.Sequence, hops: m.Hops}
 	own := m.Zone == c.self.Zone
+	if own && !c.sameZone(p) {
+		// Another zone is no way to the reader: it drops acknowledgements.
+		c.raiseHead(now, m.Head)
+		return
+	}
 	if own && mark.better(p.beacon) {
 		p.beacon = mark
 	}
@@ -60,7 +65,18 @@
 	// Idle beacons of other zones would cost every node bytes for each zone;
 	// only a new head is worth passing on.
 	if (own || news) && relayed.Hops < c.cfg.MaxHops {
-		c.sendOthers(p.id(), message.Urgent, &relayed)
+		c.relayBeacon(p, &relayed)
+	}
+}
+
+// relayBeacon passes a beacon on to all but the sender and, from outside, the
+// beacon's own zone.
+func (c *Core) relayBeacon(from *peer, m *message.Beacon) {
+	for _, id := range c.order {
+		back := m.Zone != c.self.Zone && c.peers[id].record.Zone == m.Zone
+		if id != from.id() && !back {
+			c.send(id, message.Urgent, m)
+		}
 	}
 }
 
--- a/coordination/distribute/distribute.go
+++ b/coordination/distribute/distribute.go
@@ -134,6 +134,7 @@
 
 // timers does all that is due. It runs after every event.
 func (c *Core) timers(now time.Time) {
+	c.expire(now)
 	c.pollTimer(now)
 	c.loadTimer(now)
 	c.joinTimer(now)
@@ -143,7 +144,6 @@
 	c.ackTimer(now)
 	c.statusTimer(now)
 	c.advertTimer(now)
-	c.expire(now)
 }
 
 // expire drops what is too old to matter.
--- /dev/null
+++ b/coordination/distribute/rules_test.go
@@ -0,0 +1,338 @@
+package distribute
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/snapshot"
+)
+
+// single drives one core by hand.
+type single struct {
+	t       *testing.T
+	c       *Core
+	out     []core.Action
+	last    time.Duration
+	readyAt time.Duration     // when it first was ready; never before
+	on      func(core.Action) // sees every action
+}
+
+const never = time.Duration(-1)
+
+func at(d time.Duration) time.Time { return time.Unix(1000, 0).Add(d) }
+
+func newSingle(t *testing.T, cfg Config) *single {
+	self := endpoint.Record{Node: "self", Zone: "zone-0", Incarnation: 7}
+	s := &single{t: t, c: New(cfg, self, 1), readyAt: never, on: func(core.Action) {}}
+	s.step(0, Members{Live: []model.NodeID{"self", "p1", "p2", "p3"}})
+	return s
+}
+
+// step steps at a time after the start and keeps the actions.
+func (s *single) step(d time.Duration, ev core.Event) {
+	s.out = s.c.Step(at(d), ev)
+	s.last = d
+	if s.c.Ready() && s.readyAt == never {
+		s.readyAt = d
+	}
+	for _, a := range s.out {
+		s.on(a)
+	}
+}
+
+// idle lets only time pass until d.
+func (s *single) idle(d time.Duration) {
+	for s.last < d {
+		s.step(s.last+100*time.Millisecond, core.Tick{})
+	}
+}
+
+func (s *single) up(d time.Duration, id model.NodeID, held snapshot.Ref, ready bool, lastHeld uint64) {
+	r := endpoint.Record{Node: id, Zone: "zone-0"}
+	s.step(d, core.PeerUp{Record: r, Held: held, Ready: ready, Welcomed: true, LastHeld: lastHeld})
+}
+
+func (s *single) receive(d time.Duration, from model.NodeID, m message.Message) {
+	s.step(d, core.Received{From: from, Message: m})
+}
+
+func (s *single) beacon(d time.Duration, from model.NodeID, seq uint64, ok bool) {
+	s.receive(d, from, &message.Beacon{Zone: "zone-0", Reader: "p3", Term: 1, Sequence: seq, PlatformOK: ok})
+}
+
+// give lets a peer answer a fetch with a whole version.
+func (s *single) give(d time.Duration, from model.NodeID, v *snapshot.Snapshot) {
+	s.receive(d, from, full(s.t, v))
+}
+
+func full(t *testing.T, v *snapshot.Snapshot) *message.Full {
+	b, err := v.Encode()
+	must.NoError(t, err)
+	return &message.Full{Ref: v.Ref(), Count: 1, Body: b}
+}
+
+// sent returns the messages of one type in the last actions.
+func sent[M message.Message](s *single) []M {
+	var ms []M
+	for _, a := range s.out {
+		if send, ok := a.(core.Send); ok {
+			if m, ok := send.Message.(M); ok {
+				ms = append(ms, m)
+			}
+		}
+	}
+	return ms
+}
+
+func versions(t *testing.T, count int) []*snapshot.Snapshot {
+	vs := []*snapshot.Snapshot{snapshot.Empty()}
+	for range count {
+		vs = append(vs, nextVersion(t, vs[len(vs)-1], 4))
+	}
+	return vs
+}
+
+func TestFreshNodeBecomesReady(t *testing.T) {
+	vs := versions(t, 3)
+	v2, v3 := vs[2], vs[3]
+	for name, tc := range map[string]struct {
+		prepare func(s *single)
+		readyAt time.Duration
+	}{
+		"two ready peers, after they settled": {func(s *single) {
+			s.up(0, "p1", v2.Ref(), true, 0)
+			s.up(0, "p2", v2.Ref(), true, 0)
+			s.give(0, "p1", v2)
+		}, 300 * time.Millisecond},
+		"one ready peer, after the timeout": {func(s *single) {
+			s.up(0, "p1", v2.Ref(), true, 0)
+			s.up(0, "p2", v2.Ref(), false, 0)
+			s.give(0, "p1", v2)
+		}, 10 * time.Second},
+		"no ready peer": {func(s *single) {
+			s.up(0, "p1", v2.Ref(), false, 0)
+			s.give(0, "p1", v2)
+		}, never},
+		"a peer remembers a newer version": {func(s *single) {
+			s.up(0, "p1", v2.Ref(), true, 0)
+			s.up(0, "p2", v2.Ref(), true, 0)
+			s.up(0, "p3", v2.Ref(), false, 3)
+			s.give(0, "p1", v2)
+		}, never},
+		"a ready peer holds a newer version": {func(s *single) {
+			s.up(0, "p1", v2.Ref(), true, 0)
+			s.give(0, "p1", v2)
+			s.up(0, "p2", v3.Ref(), true, 0)
+		}, never},
+		"the newer version died with its holder": {func(s *single) {
+			s.up(0, "p1", v2.Ref(), true, 0)
+			s.give(0, "p1", v2)
+			s.up(0, "p2", v3.Ref(), true, 0)
+			s.step(0, core.PeerDown{Node: "p2"})
+		}, 10 * time.Second},
+		"the head was read": {func(s *single) {
+			s.step(0, HeadRead{Ref: v2.Ref()})
+			s.step(0, Loaded{Snapshot: v2})
+		}, 0},
+		"the head read is newer": {func(s *single) {
+			s.step(0, HeadRead{Ref: v3.Ref()})
+			s.step(0, Loaded{Snapshot: v2})
+		}, never},
+		"the reader read the head after the start": {func(s *single) {
+			s.up(0, "p1", v2.Ref(), true, 0)
+			s.give(0, "p1", v2)
+			s.beacon(100*time.Millisecond, "p1", 4, true)
+			s.beacon(2100*time.Millisecond, "p1", 5, true)
+			s.beacon(4100*time.Millisecond, "p1", 6, true)
+		}, 4100 * time.Millisecond},
+		"old beacons come late together": {func(s *single) {
+			s.up(0, "p1", v2.Ref(), true, 0)
+			s.give(0, "p1", v2)
+			s.beacon(0, "p1", 4, true)
+			s.beacon(0, "p1", 9, true)
+		}, 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSingle(t, DefaultConfig())
+			tc.prepare(s)
+			s.idle(30 * time.Second)
+			must.Eq(t, tc.readyAt, s.readyAt)
+		})
+	}
+}
+
+func TestReadyEndsWhenAPeerRemembersMore(t *testing.T) {
+	vs := versions(t, 2)
+	s := newSingle(t, DefaultConfig())
+	s.step(0, Loaded{Snapshot: vs[1]})
+	must.True(t, s.c.Ready())
+	s.up(time.Second, "p1", vs[1].Ref(), false, 2)
+	must.False(t, s.c.Ready())
+	s.step(2*time.Second, Loaded{Snapshot: vs[2]})
+	must.True(t, s.c.Ready())
+}
+
+func TestBadBodiesAreRefusedWhole(t *testing.T) {
+	vs := versions(t, 2)
+	v1, v2 := vs[1], vs[2]
+	broken, err := snapshot.Build(2, map[string]*snapshot.ContractEntry{
+		"a": {Revision: 2, Contract: testContract("a", 1)},
+	}, nil) // its route's service is not held
+	must.NoError(t, err)
+	delta := func(to *snapshot.Snapshot) *message.Delta {
+		b, err := snapshot.Diff(v1, to).Encode()
+		must.NoError(t, err)
+		return &message.Delta{From: v1.Ref(), To: to.Ref(), Body: b}
+	}
+	cutDelta, cutFull, otherRef, otherFull := delta(v2), full(t, v2), delta(v2), full(t, v2)
+	cutDelta.Body = cutDelta.Body[:len(cutDelta.Body)/2]
+	cutFull.Body = cutFull.Body[:len(cutFull.Body)/2]
+	otherRef.To.Hash[0]++
+	otherFull.Ref.Hash[0]++
+	strict := DefaultConfig()
+	strict.Check = func(*snapshot.Snapshot) error { return &snapshot.CodecError{What: "schema", Err: errBad{}} }
+	for name, tc := range map[string]struct {
+		cfg Config
+		m   message.Message
+	}{
+		"cut delta":           {DefaultConfig(), cutDelta},
+		"cut whole":           {DefaultConfig(), cutFull},
+		"delta of other hash": {DefaultConfig(), otherRef},
+		"whole of other hash": {DefaultConfig(), otherFull},
+		"delta to dangling":   {DefaultConfig(), delta(broken)},
+		"dangling whole":      {DefaultConfig(), full(t, broken)},
+		"fails the check":     {strict, delta(v2)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			lenient := tc.cfg
+			lenient.Check = nil
+			s := newSingle(t, lenient)
+			s.step(0, Loaded{Snapshot: v1})
+			s.c.cfg = tc.cfg
+			s.up(time.Second, "p1", v1.Ref(), true, 0)
+			s.beacon(time.Second, "p1", 1, true)
+			s.receive(time.Second, "p1", &message.Advert{Held: v2.Ref()})
+			must.Len(t, 1, sent[*message.Fetch](s))
+			s.receive(time.Second, "p1", tc.m)
+			must.Eq(t, v1.Ref(), s.c.Held().Ref())
+			must.True(t, s.c.Ready())
+			rejected, fetched := 0, time.Duration(0)
+			for d := time.Second; fetched == 0 && d < time.Minute; d += 100 * time.Millisecond {
+				s.step(d, core.Tick{})
+				for _, m := range sent[*message.Rejections](s) {
+					must.Eq(t, 2, m.Rejections[0].Version)
+					must.NotEq(t, "", m.Rejections[0].Reason)
+					rejected++
+				}
+				if len(sent[*message.Fetch](s)) > 0 {
+					fetched = d
+				}
+			}
+			must.Eq(t, 1, rejected)
+			must.Eq(t, time.Second+tc.cfg.RefuseFor, fetched)
+		})
+	}
+}
+
+type errBad struct{}
+
+func (errBad) Error() string { return "bad" }
+
+func TestHerdGetsWholeVersionsInTurn(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.PartBytes, cfg.PartsPerStep = 64, 2
+	s := newSingle(t, cfg)
+	s.step(0, Loaded{Snapshot: versions(t, 1)[1]})
+	next := make(map[model.NodeID]uint32)
+	done := 0
+	s.on = func(a core.Action) {
+		send, ok := a.(core.Send)
+		if !ok || send.Message.Kind() != message.KindFull {
+			return
+		}
+		m := send.Message.(*message.Full)
+		must.Eq(t, next[send.To], m.Index)
+		next[send.To]++
+		must.LessEq(t, cfg.MaxFull, len(next))
+		if next[send.To] == m.Count {
+			delete(next, send.To)
+			done++
+		}
+	}
+	for i := range 20 {
+		id := model.NodeID(fmt.Sprint("joiner-", i))
+		s.up(0, id, snapshot.Ref{}, false, 0)
+		s.receive(0, id, &message.Fetch{})
+		s.receive(0, id, &message.Fetch{}) // asked twice
+	}
+	s.idle(time.Minute)
+	must.Eq(t, 20, done)
+}
+
+func TestReaderWaitsForEveryIncarnation(t *testing.T) {
+	v1 := versions(t, 1)[1]
+	s := newSingle(t, DefaultConfig())
+	for _, id := range []model.NodeID{"p1", "p2", "p3"} {
+		s.up(0, id, snapshot.Ref{}, true, 0)
+	}
+	s.step(0, LeaseChanged{Held: true, Term: 1})
+	s.step(0, Loaded{Snapshot: v1})
+	ack := func(id model.NodeID, incarnation, version uint64) {
+		s.receive(s.last+100*time.Millisecond, id, &message.Acks{Zone: "zone-0", Acks: []message.Ack{
+			{Node: id.Key(), Incarnation: incarnation, Version: version},
+		}})
+	}
+	inForce := func() bool { return s.c.Status().Zones[0].InForce(1) }
+	ack("p1", 1, 1)
+	ack("p2", 1, 1)
+	s.idle(2 * time.Second)
+	must.False(t, inForce())
+	must.Eq(t, []model.NodeID{"p3"}, s.c.Status().Zones[0].Status.Missing)
+	ack("p3", 1, 1)
+	must.True(t, inForce())
+	must.Eq(t, 1, s.c.LastHeldOf("p3"))
+	ack("p2", 2, 0) // it restarted
+	ack("p2", 1, 1) // and an old message comes late
+	s.idle(4 * time.Second)
+	must.False(t, inForce())
+	ack("p2", 2, 1)
+	must.True(t, inForce())
+}
+
+func TestUpstreamMovesToNextBest(t *testing.T) {
+	s := newSingle(t, DefaultConfig())
+	for _, id := range []model.NodeID{"p1", "p2", "p3"} {
+		s.up(0, id, snapshot.Ref{}, true, 0)
+	}
+	for i, id := range []model.NodeID{"p2", "p1", "p3"} {
+		hops := uint8(3 - i)
+		s.receive(0, id, &message.Beacon{Zone: "zone-0", Reader: "far", Term: 2, Sequence: 5, Hops: hops})
+		must.Eq(t, 2*max(0, 1-i), len(sent[*message.Beacon](s)), must.Sprint("relayed once, not back"))
+	}
+	s.receive(0, "p1", &message.Beacon{Zone: "zone-0", Reader: "lapsed", Term: 1, Sequence: 900})
+	must.Eq(t, "p2", s.c.Status().Upstream)
+	must.Eq(t, "far", s.c.Status().Reader)
+	s.step(0, core.PeerDown{Node: "p2"})
+	must.Eq(t, "p3", s.c.Status().Upstream)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.MaxRemembered = 10
+	m := newMemory(cfg)
+	for k := range 30 {
+		m.heard(at(time.Duration(k)*time.Second), model.NodeKey(k), 5)
+	}
+	must.MapLen(t, 10, m.nodes)
+	m.heard(at(cfg.RememberFor), 29, 4)
+	must.Eq(t, 5, m.version(29))
+	m.expire(at(cfg.RememberFor+time.Minute), nil)
+	must.MapLen(t, 1, m.nodes)
+}
