--- /dev/null
+++ b/transport/security/verify.go
@@ -0,0 +1,64 @@
+package security
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// verify checks a peer's chain against the pool at the time now and returns
+// the identity. The errors are *StrangerError, *ExpiredError and *RoleError.
+func verify(chain []*x509.Certificate, pool *x509.CertPool, now time.Time, want Role) (Identity, error) {
+	if len(chain) == 0 {
+		return Identity{}, &StrangerError{}
+	}
+	leaf := chain[0]
+	intermediates := x509.NewCertPool()
+	for _, cert := range chain[1:] {
+		intermediates.AddCert(cert)
+	}
+	_, err := leaf.Verify(x509.VerifyOptions{
+		Roots:         pool,
+		Intermediates: intermediates,
+		CurrentTime:   now,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	if err != nil {
+		return Identity{}, refusal(leaf, now, err)
+	}
+	id, err := IdentityOf(leaf)
+	if err != nil || id.Role != want {
+		return Identity{}, &RoleError{Subject: leaf.Subject.CommonName, Have: id.Role, Want: want}
+	}
+	return id, nil
+}
+
+// refusal turns the verifier's error into one of this package.
+func refusal(leaf *x509.Certificate, now time.Time, err error) error {
+	var invalid x509.CertificateInvalidError
+	if errors.As(err, &invalid) && invalid.Reason == x509.Expired {
+		return &ExpiredError{
+			Subject:   leaf.Subject.CommonName,
+			NotBefore: leaf.NotBefore,
+			NotAfter:  leaf.NotAfter,
+			Now:       now,
+		}
+	}
+	return &StrangerError{Subject: leaf.Subject.CommonName, Err: err}
+}
+
+// checkState verifies the peer of a TLS connection. An empty expect accepts
+// every name.
+func (k *Keys) checkState(state tls.ConnectionState, want Role, expect string) error {
+	current := k.current.Load()
+	id, err := verify(state.PeerCertificates, current.pool, k.cfg.Now(), want)
+	if err == nil && expect != "" && id.Name != expect {
+		err = &WrongNodeError{Have: id.Name, Want: expect}
+	}
+	if err != nil {
+		k.cfg.OnRefused(err)
+	}
+	return err
+}
