--- a/coordination/admit/limiter_test.go
+++ b/coordination/admit/limiter_test.go
@@ -1,6 +1,8 @@
 package admit
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -259,3 +261,30 @@
 		}
 	})
 }
+
+func TestConcurrencyIsExactUnderRace(t *testing.T) {
+	c := contract("tabla")
+	l := newLimiter(t, DefaultConfig(), c)
+	var open, most atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for range 200 {
+				p, r := l.Admit(start, match(c, "read"))
+				if r != nil {
+					continue
+				}
+				if n := open.Add(1); n > most.Load() {
+					most.Store(n)
+				}
+				open.Add(-1)
+				p.Release(start)
+			}
+		})
+	}
+	wg.Wait()
+	must.LessEq(t, 8, most.Load()) // 10 less the reserve of 2
+	must.Zero(t, l.inFlight.Load())
+	must.Zero(t, l.find("tabla").inFlight.Load())
+	must.Zero(t, l.find("tabla/read").inFlight.Load())
+}
--- a/coordination/balance/config.go
+++ b/coordination/balance/config.go
@@ -45,9 +45,6 @@
 	// TrialTimeout is how long the one trial after an ejection may take before
 	// another one is let through.
 	TrialTimeout time.Duration
-	// RefusedFor is how long a server that refused a request for overload is
-	// rated as full.
-	RefusedFor time.Duration
 	// DefaultSlots stands in where neither record nor report gives slots.
 	DefaultSlots int
 }
@@ -59,17 +56,16 @@
 		LatencyTTL:   10 * time.Second,
 		LatencyGain:  0.1,
 		LatencyCap:   4,
-		SpillLoad:    0.8,
+		SpillLoad:    1,
 		SpillMargin:  0.2,
 		ColdFloor:    0.1,
-		Failures:     5,
+		Failures:     3,
 		FailureRate:  0.5,
 		FailureGain:  0.1,
 		MinSamples:   10,
 		EjectBase:    2 * time.Second,
 		EjectMax:     time.Minute,
 		TrialTimeout: 5 * time.Second,
-		RefusedFor:   100 * time.Millisecond,
 		DefaultSlots: 10,
 	}
 }
--- a/coordination/balance/eject.go
+++ b/coordination/balance/eject.go
@@ -79,15 +79,6 @@
 	}
 }
 
-// seed sets a moving average to its first value, or moves it.
-func seed(a *atomic.Uint64, first bool, v, gain float64) {
-	if first {
-		storeFloat(a, v)
-		return
-	}
-	average(a, v, gain)
-}
-
 func countUpTo(a *atomic.Int32, limit int32) {
 	if n := a.Load(); n < limit {
 		a.CompareAndSwap(n, n+1)
--- a/coordination/balance/group.go
+++ b/coordination/balance/group.go
@@ -28,7 +28,14 @@
 	size    int
 	tiers   [numTiers][]member
 
-	latency *atomic.Uint64 // float64: moving average of log2(nanoseconds)
+	stats *stats
+}
+
+// stats are averages over a service's servers. They outlive views.
+type stats struct {
+	latency   atomic.Uint64 // float64: moving average of log2(nanoseconds)
+	latencies atomic.Int32  // 0 before the first
+	load      atomic.Uint64 // float64: moving average of reported load per slot
 }
 
 // holds reports whether the group was made of this service and this slice.
@@ -64,12 +71,12 @@
 // tells which of them is cold, and a ramp for all would only spill. A server
 // that joins a known service is cold. p.mu is held.
 func (p *Picker) build(s *model.Service, candidates []endpoint.Record, old *group, at int64) *group {
-	g := &group{service: s, size: len(candidates), latency: new(atomic.Uint64)}
+	g := &group{service: s, size: len(candidates), stats: new(stats)}
 	if len(candidates) > 0 {
 		g.source = &candidates[0]
 	}
 	if old != nil {
-		g.latency = old.latency
+		g.stats = old.stats
 	}
 	for i := range candidates {
 		r := &candidates[i]
--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -97,7 +97,7 @@
 	if a == nil {
 		return nil, 0, false
 	}
-	loadA := a.server.loadPerSlot(&p.cfg, a, g.slowStart(), at)
+	loadA := a.server.loadPerSlot(&p.cfg, g, a, at)
 	if trial {
 		return a, loadA, true
 	}
@@ -105,7 +105,7 @@
 	if b == nil {
 		return a, loadA, false
 	}
-	loadB := b.server.loadPerSlot(&p.cfg, b, g.slowStart(), at)
+	loadB := b.server.loadPerSlot(&p.cfg, g, b, at)
 	if trial || p.rate(g, b, loadB, at) < p.rate(g, a, loadA, at) {
 		return b, loadB, trial
 	}
@@ -115,7 +115,7 @@
 // rate returns what a request would meet at the member: the load with the
 // request itself, times how slow the member is.
 func (p *Picker) rate(g *group, m *member, load float64, at int64) float64 {
-	return (load + 1/float64(m.slots)) * m.server.slowness(&p.cfg, floatOf(g.latency), at)
+	return (load + 1/float64(m.slots)) * m.server.slowness(&p.cfg, floatOf(&g.stats.latency), at)
 }
 
 // draw returns a random member that may be used, other than not.
--- a/coordination/balance/server.go
+++ b/coordination/balance/server.go
@@ -27,13 +27,12 @@
 
 	latency   atomic.Uint64 // float64: moving average of log2(nanoseconds)
 	latencyAt atomic.Int64
-	latencies atomic.Int32 // number of latencies, up to MinSamples
+	latencies atomic.Int32 // number of latencies, up to maxLatencies
 
 	inRow       atomic.Int32  // failures in a row
 	failureRate atomic.Uint64 // float64: moving average of failures
 	results     atomic.Int32  // number of results, up to MinSamples
 
-	refusedUntil atomic.Int64
 	ejectedUntil atomic.Int64 // 0 when not ejected
 	ejections    atomic.Int32 // doublings of the next ejection
 	ejectAgain   atomic.Int64 // no new attempt to eject before
@@ -42,21 +41,22 @@
 }
 
 // loadPerSlot estimates how full the server is: this node's own requests in
-// flight, which are certain, and what the server last reported of the others,
-// which ages. A cold server counts as having fewer slots.
-func (s *server) loadPerSlot(c *Config, m *member, slowStart time.Duration, at int64) float64 {
-	load := float64(s.inFlight.Load())
-	if age := at - s.reportedAt.Load(); age < int64(c.LoadTTL) {
-		load += floatOf(&s.others) * (1 - float64(max(age, 0))/float64(c.LoadTTL))
-	}
+// flight, which are certain, and what the server last reported of the others.
+// As a report ages the average of the group takes its place, for a server not
+// heard of is neither idle nor full. A cold server counts as having fewer
+// slots.
+func (s *server) loadPerSlot(c *Config, g *group, m *member, at int64) float64 {
 	slots := float64(m.slots)
 	if n := s.slots.Load(); n > 0 {
 		slots = float64(n)
 	}
-	if at < s.refusedUntil.Load() {
-		load = max(load, slots)
+	own := float64(s.inFlight.Load())
+	load := max(own, floatOf(&g.stats.load)*slots)
+	if age := at - s.reportedAt.Load(); age < int64(c.LoadTTL) {
+		old := float64(max(age, 0)) / float64(c.LoadTTL)
+		load = old*load + (1-old)*(own+floatOf(&s.others))
 	}
-	return load / (slots * s.warmth(c, slowStart, at))
+	return load / (slots * s.warmth(c, g.slowStart(), at))
 }
 
 // warmth returns the part of its full share that the server gets, from
@@ -77,7 +77,7 @@
 // slowness returns how many times slower than the group the server is, within
 // the cap both ways; 1 when nothing recent is known.
 func (s *server) slowness(c *Config, group float64, at int64) float64 {
-	if s.latencies.Load() < c.MinSamples || group == 0 {
+	if s.latencies.Load() == 0 {
 		return 1
 	}
 	age := at - s.latencyAt.Load()
