Repeat rejections, wait out slow acknowledgements, bound parts

A new reader sent its first status at once and named members missing that had not been asked yet; at 700 nodes a status that was sent after half a second named members whose acknowledgements were still on their way. The delay is now 2 s, counted from the takeover. Rejections are repeated like acknowledgements, a peer whose delta has no base here is left alone for a while, and the parts of a whole version are bounded in sum.

--- a/coordination/distribute/acks.go
+++ b/coordination/distribute/acks.go
@@ -47,7 +47,8 @@
 	return a.Version > b.Version
 }
 
-// ackSelf reports the version that this node serves with, or 0.
+// ackSelf reports the version that this node serves with, or 0, and the newer
+// one that it refused.
 func (c *Core) ackSelf(now time.Time) {
 	a := message.Ack{Node: c.self.Node.Key(), Incarnation: c.self.Incarnation}
 	if c.ready {
@@ -57,6 +58,14 @@
 	c.acks.sentAt = now
 	c.acks.resendAt = time.Time{}
 	c.takeAck(now, a)
+	if c.last != nil && c.rejects(c.last.Version) {
+		c.queueRejection(now, *c.last)
+	}
+}
+
+// rejects reports whether the node refused a version and still lacks it.
+func (c *Core) rejects(version uint64) bool {
+	return c.last != nil && c.last.Version == version && version > c.held.Version()
 }
 
 func (c *Core) acksReceived(now time.Time, p *peer, m *message.Acks) {
@@ -154,7 +163,8 @@
 // checkAck repeats this node's acknowledgement, with backoff, while the zone's
 // status lacks it.
 func (c *Core) checkAck(now time.Time, m *message.ZoneStatus) {
-	c.acks.lacking = c.ready && m.Version <= c.held.Version() && mayLack(m, c.self.Node)
+	answered := c.ready && m.Version <= c.held.Version() || c.rejects(m.Version)
+	c.acks.lacking = answered && mayLack(m, c.self.Node)
 	if !c.acks.lacking {
 		c.acks.retries = 0
 		return
@@ -164,9 +174,12 @@
 	}
 }
 
-// mayLack reports whether a status lacks a node's acknowledgement, as far as
-// its capped list of names tells.
+// mayLack reports whether a status lacks a node's answer, as far as its capped
+// lists tell.
 func mayLack(m *message.ZoneStatus, id model.NodeID) bool {
+	if slices.ContainsFunc(m.Rejections, func(r message.Rejection) bool { return r.Node == id }) {
+		return false
+	}
 	unnamed := int(m.Live) - int(m.Holding) - len(m.Missing)
 	return unnamed > 0 || slices.Contains(m.Missing, id)
 }
--- a/coordination/distribute/config.go
+++ b/coordination/distribute/config.go
@@ -140,7 +140,7 @@
 		AckDelay:        50 * time.Millisecond,
 		AckRetry:        time.Second,
 		MaxAckRetry:     16 * time.Second,
-		StatusDelay:     500 * time.Millisecond,
+		StatusDelay:     2 * time.Second,
 		StatusInterval:  time.Second,
 		StatusBeacons:   5,
 		JoinQuorum:      2,
--- a/coordination/distribute/reader.go
+++ b/coordination/distribute/reader.go
@@ -48,7 +48,8 @@
 	r.nextPoll = now
 	r.pollFails = 0
 	r.beaconNow = true
-	c.zone.changed(now)
+	c.zone.dirty = false
+	c.zone.changed(now) // the members answer the new reader from now on
 	c.absorbPending(now)
 }
 
--- a/coordination/distribute/receive.go
+++ b/coordination/distribute/receive.go
@@ -16,17 +16,21 @@
 	ref     snapshot.Ref
 	parts   [][]byte
 	missing int
+	size    int // of the parts, in bytes
 }
 
 func newAssembly(ref snapshot.Ref, count uint32) *assembly {
 	return &assembly{ref: ref, parts: make([][]byte, count), missing: int(count)}
 }
 
-// add stores a part and reports whether it is new.
+// add stores a part and reports whether it is new and fits.
 func (a *assembly) add(index uint32, body []byte) bool {
 	if int(index) >= len(a.parts) || a.parts[index] != nil || len(body) == 0 {
 		return false
 	}
+	if a.size += len(body); a.size > snapshot.MaxDecoded {
+		return false
+	}
 	a.parts[index] = body
 	a.missing--
 	return true
@@ -50,10 +54,12 @@
 	}
 	base := c.history.base(c.held, m.From)
 	if base == nil {
+		p.skipUntil = now.Add(c.cfg.FetchTimeout)
 		return // the base is gone; the next fetch names what is held now
 	}
 	s, err := apply(base, m)
 	if err != nil {
+		p.skipUntil = now.Add(c.cfg.FetchTimeout)
 		if !isBaseOrOrder(err) {
 			c.reject(now, p.id(), m.To.Version, err)
 		}
