--- a/internal/control/accepter.go
+++ b/internal/control/accepter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/accept"
@@ -30,20 +31,26 @@
 	cfg Config
 	// turn holds one token while a change is under way.
 	turn chan struct{}
-	// newest is the newest version known to be accepted; the turn guards it.
-	newest *snapshot.Snapshot
+	// newest is the newest version known to be accepted. It is written only
+	// in turn.
+	newest atomic.Pointer[snapshot.Snapshot]
 }
 
 // NewAccepter returns an accepter over the platform.
 func NewAccepter(cfg Config, table platform.Table, objects platform.Objects) *Accepter {
-	return &Accepter{
+	a := &Accepter{
 		Reader: Reader{table: table, objects: objects},
 		cfg:    cfg,
 		turn:   make(chan struct{}, 1),
-		newest: snapshot.Empty(),
 	}
+	a.newest.Store(snapshot.Empty())
+	return a
 }
 
+// Newest returns the newest version that this accepter knows to be accepted;
+// the empty one when it has accepted and loaded none. It does not block.
+func (a *Accepter) Newest() *snapshot.Snapshot { return a.newest.Load() }
+
 // Apply accepts a change. The error is a *accept.ConflictError,
 // *accept.InvalidError, *accept.ChangeIDError, *accept.RefusedError or
 // *accept.UnknownOutcomeError; only the last leaves open whether the change is
@@ -57,7 +64,7 @@
 	defer func() { <-a.turn }()
 	m := accept.New(a.cfg.Accept, change, a.held())
 	end := a.drive(ctx, m)
-	a.newest = m.Newest()
+	a.newest.Store(m.Newest())
 	return end.Accepted, end.Err
 }
 
@@ -71,13 +78,14 @@
 
 // held returns the newest version at hand.
 func (a *Accepter) held() *snapshot.Snapshot {
+	newest := a.newest.Load()
 	if a.cfg.Held == nil {
-		return a.newest
+		return newest
 	}
-	if s := a.cfg.Held(); s != nil && s.Ref().Newer(a.newest.Ref()) {
+	if s := a.cfg.Held(); s != nil && s.Ref().Newer(newest.Ref()) {
 		return s
 	}
-	return a.newest
+	return newest
 }
 
 func (a *Accepter) drive(ctx context.Context, m *accept.Machine) accept.Finish {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -219,7 +219,7 @@
 	all := []*snapshot.Snapshot{snapshot.Empty()}
 	for i := range n {
 		mustApply(t, a, put("c"+strconv.Itoa(i), "clinic", i+1, uint64(i)))
-		all = append(all, a.newest)
+		all = append(all, a.Newest())
 	}
 	return all
 }
--- a/internal/control/random_test.go
+++ b/internal/control/random_test.go
@@ -284,6 +284,7 @@
 }
 
 func TestRandomOrders(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rt)
 		rt.Repeat(map[string]func(*rapid.T){
