--- /dev/null
+++ b/internal/node/claims.go
@@ -0,0 +1,27 @@
+package node
+
+import (
+	"context"
+
+	"github.com/jacinthgate/jacinthgate/coordination/claim"
+	"github.com/jacinthgate/jacinthgate/internal/claims"
+	"github.com/jacinthgate/jacinthgate/transport/entry"
+)
+
+// claimer lets the entry proxy use a claims.Keeper.
+type claimer struct {
+	keeper *claims.Keeper
+}
+
+// Begin implements entry.Claimer.
+func (c claimer) Begin(ctx context.Context, customer, key string, fp claim.Fingerprint) (entry.Claim, entry.ClaimVerdict) {
+	held, v := c.keeper.Begin(ctx, customer, key, fp)
+	switch v.Kind {
+	case claims.Replay:
+		return nil, entry.ClaimVerdict{Replay: &v.Answer}
+	case claims.Refuse:
+		return nil, entry.ClaimVerdict{Refusal: &v.Refusal}
+	default:
+		return held, entry.ClaimVerdict{}
+	}
+}
--- /dev/null
+++ b/internal/node/loop.go
@@ -0,0 +1,265 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/coordination/distribute"
+	"github.com/jacinthgate/jacinthgate/coordination/lease"
+	"github.com/jacinthgate/jacinthgate/coordination/member"
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/snapshot"
+)
+
+// Parameters of the event loop.
+const (
+	// tickInterval is the time between two Ticks of the cores.
+	tickInterval = 100 * time.Millisecond
+	// maxEvents bounds the events that wait for the loop.
+	maxEvents = 1024
+)
+
+// links are the connections to peers. *link.Manager is one.
+type links interface {
+	Connect(node model.NodeID, addr string)
+	Disconnect(node model.NodeID)
+	Send(to model.NodeID, priority message.Priority, m message.Message) error
+	Events() <-chan core.Event
+}
+
+// platformCalls are the asynchronous calls to the platform; each answers with an
+// event.
+type platformCalls interface {
+	readHead()
+	loadVersion(held *snapshot.Snapshot, ref snapshot.Ref)
+	readLease(a lease.ReadItem)
+	writeLease(a lease.WriteItem)
+	findSeeds()
+}
+
+// loop is the event loop: it alone touches the control plane's cores.
+type loop struct {
+	events chan core.Event
+	calls  chan func()
+	member *member.Core
+	dist   *distribute.Core
+	lease  *lease.Core
+	shares *shares
+	links  links
+	// linksDone is closed when the links have ended.
+	linksDone chan struct{}
+	platform  platformCalls
+	pub       *published
+	// onSwap is called before a new snapshot is published.
+	onSwap func(*snapshot.Snapshot)
+	// onView is called after a new view is published.
+	onView func()
+	log    log.Logger
+
+	viewDirty   bool
+	leaseHeld   bool
+	leaseTerm   uint64
+	aloneSince  time.Time
+	nextSeeding time.Time
+}
+
+// run handles events until ctx ends.
+func (l *loop) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	l.step(core.Tick{})
+	for {
+		select {
+		case ev := <-l.events:
+			l.step(ev)
+		case ev := <-l.links.Events():
+			l.step(ev)
+		case call := <-l.calls:
+			call()
+		case <-ticker.C:
+			l.step(core.Tick{})
+		case <-ctx.Done():
+			l.drain()
+			return nil
+		}
+	}
+}
+
+// drain takes the links' last events, so that the links can end.
+func (l *loop) drain() {
+	for {
+		select {
+		case <-l.links.Events():
+		case <-l.linksDone:
+			return
+		}
+	}
+}
+
+// post hands an event to the loop. It blocks while the loop is behind, and
+// gives up when ctx ends.
+func (l *loop) post(ctx context.Context, ev core.Event) {
+	select {
+	case l.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// ask runs f on the loop's goroutine and waits for it. It reports false, and f
+// may never run, when ctx ends first.
+func (l *loop) ask(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	call := func() {
+		f()
+		close(done)
+	}
+	select {
+	case l.calls <- call:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// step gives one event to every core and publishes what changed.
+func (l *loop) step(ev core.Event) {
+	now := time.Now()
+	l.carryOut(now, l.member.Step(now, ev))
+	l.carryOut(now, l.dist.Step(now, ev))
+	l.carryOut(now, l.lease.Step(now, ev))
+	l.followLease(now)
+	l.shares.step(now, ev, l)
+	l.seed(now)
+	l.publish()
+}
+
+// followLease tells the distribution core when the lease was won or lost.
+func (l *loop) followLease(now time.Time) {
+	held, term := l.lease.Held(now), l.lease.Term()
+	if held == l.leaseHeld && (!held || term == l.leaseTerm) {
+		return
+	}
+	l.leaseHeld, l.leaseTerm = held, term
+	l.pub.reader.Store(held)
+	_ = level.Info(l.log).Log("event", "lease_changed", "held", held, "term", term)
+	l.carryOut(now, l.dist.Step(now, distribute.LeaseChanged{Held: held, Term: term}))
+}
+
+// publish makes what the path of a request and new peers need visible.
+func (l *loop) publish() {
+	if l.viewDirty {
+		l.viewDirty = false
+		l.pub.view.Store(l.member.Table().View())
+		l.onView()
+	}
+	l.pub.greeting.Store(&greeting{
+		record: l.member.Self(),
+		held:   l.dist.Held().Ref(),
+		ready:  l.dist.Ready(),
+		digest: l.member.Digest(),
+	})
+}
+
+func (l *loop) carryOut(now time.Time, actions []core.Action) {
+	for _, a := range actions {
+		l.do(now, a)
+	}
+}
+
+// do carries out one action.
+func (l *loop) do(now time.Time, a core.Action) {
+	switch a := a.(type) {
+	case core.Send:
+		if err := l.links.Send(a.To, a.Priority, a.Message); err != nil {
+			_ = level.Error(l.log).Log("event", "message_not_sent", "to", a.To, "kind", a.Message.Kind(), "err", err)
+		}
+	case core.Connect:
+		l.links.Connect(a.Node, a.Addr)
+	case core.Disconnect:
+		l.links.Disconnect(a.Node)
+	default:
+		l.doMember(now, a)
+	}
+}
+
+func (l *loop) doMember(now time.Time, a core.Action) {
+	switch a := a.(type) {
+	case member.TableChanged:
+		l.viewDirty = true
+	case member.MembersChanged:
+		_ = level.Info(l.log).Log("event", "members_changed", "live", len(a.Live))
+		l.carryOut(now, l.dist.Step(now, distribute.Members{Live: a.Live}))
+	case member.GatewayChanged:
+		_ = level.Info(l.log).Log("event", "gateway_changed", "gateway", a.Gateway)
+		l.carryOut(now, l.lease.Step(now, lease.Candidate{Contend: a.Gateway}))
+	case member.IdentityConflict:
+		_ = level.Warn(l.log).Log("event", "identity_conflict", "incarnation", a.Incarnation)
+		l.carryOut(now, l.member.Step(now, member.Incarnate{Incarnation: a.Incarnation + 1}))
+	case member.Refused:
+		_ = level.Warn(l.log).Log("event", "record_refused", "from", a.From, "err", a.Err)
+	default:
+		l.doDistribute(a)
+	}
+}
+
+func (l *loop) doDistribute(a core.Action) {
+	switch a := a.(type) {
+	case distribute.ReadHead:
+		l.platform.readHead()
+	case distribute.LoadVersion:
+		l.platform.loadVersion(l.dist.Held(), a.Ref)
+	case distribute.Swap:
+		l.swap(a.Snapshot)
+	case distribute.ReadyChanged:
+		_ = level.Info(l.log).Log("event", "ready_changed", "ready", a.Ready)
+		l.pub.ready.Store(a.Ready)
+	case lease.ReadItem:
+		l.platform.readLease(a)
+	case lease.WriteItem:
+		l.platform.writeLease(a)
+	}
+}
+
+// swap publishes a version. The limits of its contracts are in place before a
+// request can meet it.
+func (l *loop) swap(s *snapshot.Snapshot) {
+	l.onSwap(s)
+	l.shares.limits(time.Now(), s, l)
+	l.pub.snapshot.Store(s)
+	_ = level.Info(l.log).Log("event", "version_applied", "version", s.Version(), "hash", s.Ref().Hash)
+}
+
+// Times of looking for members at the platform.
+const (
+	// aloneBeforeSeeding is how long a node has no peer before it looks at the
+	// platform for other members.
+	aloneBeforeSeeding = 3 * time.Second
+	// seedingInterval is the time between two looks.
+	seedingInterval = 10 * time.Second
+)
+
+// seed looks for members at the platform while the node has no peer.
+func (l *loop) seed(now time.Time) {
+	if len(l.member.Neighbours()) > 0 {
+		l.aloneSince = time.Time{}
+		return
+	}
+	if l.aloneSince.IsZero() {
+		l.aloneSince = now
+	}
+	if now.Sub(l.aloneSince) < aloneBeforeSeeding || now.Before(l.nextSeeding) {
+		return
+	}
+	l.nextSeeding = now.Add(seedingInterval)
+	l.platform.findSeeds()
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"context"
+
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/transport/link"
+	"github.com/jacinthgate/jacinthgate/transport/peer/quic"
+)
+
+// openPeers opens the UDP address for control traffic.
+func (n *Node) openPeers() error {
+	cfg := quic.DefaultConfig()
+	cfg.ListenAddr = n.set.Listen.Peer
+	n.identity.configurePeers(&cfg)
+	t, err := quic.New(cfg)
+	if err != nil {
+		return &ListenError{Name: "peer", Addr: n.set.Listen.Peer, Err: err}
+	}
+	n.peers = t
+	return nil
+}
+
+// configurePeers sets the certificates for connections between nodes.
+func (i *identity) configurePeers(cfg *quic.Config) {
+	if i.keys == nil {
+		cfg.Insecure = true
+		cfg.ServerTLS = i.insecure.ServerConfig()
+		cfg.ClientTLS = i.insecure.ClientConfig()
+		return
+	}
+	cfg.ServerTLS = i.keys.ServerConfig()
+	cfg.ClientTLS = i.keys.ClientConfig("")
+}
+
+func (n *Node) newLinks() *link.Manager {
+	cfg := link.DefaultConfig()
+	cfg.Transport = n.peers
+	cfg.Node = n.set.Node
+	cfg.Self = func() message.Hello { return n.pub.greeting.Load().hello() }
+	cfg.Welcome = n.welcome
+	cfg.Budget.BytesPerSecond = float64(n.set.Control.BytesPerSecond)
+	cfg.Budget.Burst = float64(n.set.Control.BurstBytes)
+	cfg.Logger = n.log
+	cfg.Metrics = n.metrics
+	cfg.MaxPeers = n.set.Limits.MaxPeers
+	return link.New(cfg)
+}
+
+// welcome answers a Hello with what this node knows of its sender. The links
+// call it from their own goroutines; nil refuses the peer while the node stops.
+func (n *Node) welcome(h *message.Hello) *message.Welcome {
+	w := n.pub.greeting.Load().welcome()
+	id := h.Record.Node
+	known := n.loop.ask(n.ctx, func() {
+		w.LastHeld = n.loop.dist.LastHeldOf(id)
+		w.Incarnation = n.loop.member.IncarnationOf(id)
+	})
+	if !known {
+		return nil
+	}
+	return w
+}
+
+// runLinks runs the links until ctx ends and then lets the event loop end.
+func (n *Node) runLinks(ctx context.Context) error {
+	defer close(n.loop.linksDone)
+	err := n.links.Run(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/node/server.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
+)
+
+// Timeouts of the node's HTTP servers.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// ListenError reports an address that can't be listened on.
+type ListenError struct {
+	// Name is the name of the setting.
+	Name string
+	// Addr is the address.
+	Addr string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string { return "listen." + e.Name + " " + e.Addr + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// server is one HTTP server with its listener.
+type server struct {
+	http *http.Server
+	ln   net.Listener
+}
+
+// serverConfig says how to make a server.
+type serverConfig struct {
+	name           string
+	addr           string
+	tls            *tls.Config
+	maxHeaderBytes int
+	// maxConns bounds the connections; 0 is no bound.
+	maxConns int
+}
+
+// listen opens the address; the handler is set later.
+func listen(cfg serverConfig) (*server, error) {
+	ln, err := net.Listen("tcp", cfg.addr)
+	if err != nil {
+		return nil, &ListenError{Name: cfg.name, Addr: cfg.addr, Err: err}
+	}
+	if cfg.maxConns > 0 {
+		ln = netutil.LimitListener(ln, cfg.maxConns)
+	}
+	s := &server{ln: ln}
+	if cfg.tls != nil {
+		s.ln = tls.NewListener(ln, cfg.tls)
+	}
+	s.http = &http.Server{
+		MaxHeaderBytes:    cfg.maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	return s, nil
+}
+
+// addr returns the address listened on.
+func (s *server) addr() string { return s.ln.Addr().String() }
+
+// serve serves until the server is shut down or closed.
+func (s *server) serve() error {
+	err := s.http.Serve(s.ln)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// shutdown stops accepting, waits for requests in flight until ctx ends, and
+// closes what is left then.
+func (s *server) shutdown(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		_ = s.http.Close() // the deadline has passed: nothing more to wait for
+	}
+	return err
+}
--- /dev/null
+++ b/internal/node/wire.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/coordination/retry"
+	"github.com/jacinthgate/jacinthgate/internal/claims"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/transport/entry"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+	"github.com/jacinthgate/jacinthgate/transport/gate"
+	"github.com/jacinthgate/jacinthgate/transport/local"
+	"github.com/jacinthgate/jacinthgate/transport/operatorapi"
+	"github.com/jacinthgate/jacinthgate/transport/platform"
+)
+
+func (n *Node) openIdentity() error {
+	id, err := newIdentity(n.set, n.log)
+	n.identity = id
+	return err
+}
+
+// openListeners opens every address, so that the node's record can name the
+// ports that the kernel chose.
+func (n *Node) openListeners() error {
+	var err error
+	if n.callerLn, err = net.Listen("tcp", n.set.Listen.Caller); err != nil {
+		return &ListenError{Name: "caller", Addr: n.set.Listen.Caller, Err: err}
+	}
+	n.gateSrv, err = listen(serverConfig{
+		name:           "gate",
+		addr:           n.set.Listen.Gate,
+		tls:            n.identity.gateServer(),
+		maxHeaderBytes: n.set.Limits.HeaderBytes,
+	})
+	if err != nil {
+		return err
+	}
+	n.localSrv, err = listen(serverConfig{name: "local", addr: n.set.Listen.Local, maxHeaderBytes: n.set.Limits.HeaderBytes})
+	if err != nil {
+		return err
+	}
+	if n.set.Operator != "" {
+		n.operatorSrv, err = listen(serverConfig{
+			name:           "operator",
+			addr:           n.set.Operator,
+			tls:            n.identity.operatorServer(),
+			maxHeaderBytes: n.set.Limits.HeaderBytes,
+		})
+	}
+	return err
+}
+
+// record returns the node's first record. Its incarnation is the time of its
+// start; a clock that went back is found by the peers and corrected.
+func (n *Node) record(peerAddr string) endpoint.Record {
+	return endpoint.Record{
+		Node:        n.set.Node,
+		Zone:        n.set.Zone,
+		Region:      n.set.Region,
+		PeerAddr:    peerAddr,
+		GateAddr:    n.gateSrv.addr(),
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+}
+
+// wireRequests wires the path of a request.
+func (n *Node) wireRequests() error {
+	gateTransport := forward.NewTransport(forward.DefaultTransportConfig())
+	gateTransport.TLSClientConfig = n.identity.gateClient()
+	n.picker = balance.New(balance.DefaultConfig(), n.set.Zone, n.set.Region, n.seed())
+	n.registry = local.New(local.DefaultConfig())
+	n.registry.OnChange(n.announce)
+	n.wireGate()
+	n.proxy = entry.New(n.entryConfig(gateTransport))
+	return nil
+}
+
+func (n *Node) wireGate() {
+	cfg := gate.DefaultConfig()
+	cfg.Self = n.set.Node
+	cfg.Announcement = n.registry.Current
+	cfg.Service = n.pub.Service
+	cfg.Metrics = n.metrics
+	cfg.Logger = n.log
+	n.gate = gate.New(cfg)
+}
+
+func (n *Node) entryConfig(gateTransport http.RoundTripper) entry.Config {
+	cfg := entry.DefaultConfig()
+	cfg.Self = n.set.Node
+	cfg.Zone = n.set.Zone
+	cfg.Region = n.set.Region
+	cfg.Seed = n.seed()
+	cfg.Snapshot = n.pub.Snapshot
+	cfg.View = n.pub.View
+	cfg.Ready = n.pub.Ready
+	cfg.Admit = n.limiter
+	cfg.Balance = n.picker
+	cfg.Retry = retry.New(retry.DefaultConfig(), n.seed())
+	cfg.Claim = claimer{keeper: n.keeper}
+	cfg.Gate = gateTransport
+	cfg.GateScheme = n.identity.gateScheme()
+	cfg.MaxHeaderBytes = n.set.Limits.HeaderBytes
+	cfg.Metrics = n.metrics
+	cfg.Logger = n.log
+	if n.set.Older != nil {
+		cfg.OlderAddr = n.set.Older.Address
+	}
+	return cfg
+}
+
+// wireOperator wires the operators' interface, the host's own address and the
+// handler of the gate's address.
+func (n *Node) wireOperator() error {
+	gateTransport := forward.NewTransport(forward.DefaultTransportConfig())
+	gateTransport.TLSClientConfig = n.identity.gateClient()
+	d := &drainer{self: n.set.Node, registry: n.registry, gate: gateTransport, scheme: n.identity.gateScheme()}
+	api := operatorapi.New(&operatorDelegate{
+		self:     n.set.Node,
+		accepter: n.accepter,
+		loop:     n.loop,
+		pub:      n.pub,
+		drainer:  d,
+	})
+	n.gateSrv.http.Handler = d.gateHandler(n.gate)
+	n.localSrv.http.Handler = n.localHandler(api)
+	if n.operatorSrv != nil {
+		n.operatorSrv.http.Handler = api
+	}
+	return nil
+}
+
+// platformClients returns the clients of the table service and of the object
+// store.
+func (n *Node) platformClients() (platform.Table, platform.Objects) {
+	client := func(url string) *platform.Client {
+		cfg := platform.DefaultConfig(url)
+		cfg.Prefix = n.set.Platform.Prefix
+		cfg.Timeout = n.set.Platform.Timeout.Std()
+		return platform.New(cfg)
+	}
+	return client(n.set.Platform.Table).Table(), client(n.set.Platform.Objects).Objects()
+}
+
+// newKeeper returns the keeper of claims.
+func (n *Node) newKeeper(table platform.Table) *claims.Keeper {
+	cfg := claims.DefaultConfig()
+	cfg.Node = n.set.Node
+	cfg.Incarnation = n.self.Incarnation
+	cfg.CallTimeout = n.set.Platform.Timeout.Std()
+	return claims.New(cfg, table)
+}
