Manage the connections between nodes

The event loop needs peers, not connections. The manager exchanges Hello and Welcome, refuses wrong identities, versions and messages with typed errors, keeps one connection for each peer and sends within the byte budget. When both sides dial at once both connections stay readable until the one dialled by the higher key is closed; closing one at once was ruled out since it loses messages under way. Events wait in a bounded channel whose back-pressure reaches the sender. No figures measured.

--- /dev/null
+++ b/transport/link/handshake.go
@@ -0,0 +1,126 @@
+package link
+
+import (
+	"context"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/transport/peer"
+)
+
+// open dials a node and exchanges Hello and Welcome.
+func (m *Manager) open(ctx context.Context, node model.NodeID, addr string) (*link, error) {
+	c, err := m.cfg.Transport.Dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	l, err := m.greet(ctx, c, node)
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (m *Manager) greet(ctx context.Context, c peer.Conn, node model.NodeID) (*link, error) {
+	hello := m.cfg.Self()
+	if err := m.sendNow(ctx, c, &hello); err != nil {
+		return nil, err
+	}
+	msg, err := m.receive(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	w, ok := msg.(*message.Welcome)
+	if !ok {
+		return nil, &UnexpectedError{Kind: msg.Kind()}
+	}
+	if err := m.check(c, node, w.Protocol, w.Record); err != nil {
+		return nil, err
+	}
+	up := core.PeerUp{
+		Record: w.Record, Held: w.Held, Ready: w.Ready, Digest: w.Digest,
+		Welcomed: true, LastHeld: w.LastHeld, Incarnation: w.Incarnation,
+	}
+	return &link{conn: c, dialled: true, up: up}, nil
+}
+
+// answer reads the Hello of an accepted connection and sends the Welcome.
+func (m *Manager) answer(ctx context.Context, c peer.Conn) (*link, error) {
+	msg, err := m.receive(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	h, ok := msg.(*message.Hello)
+	if !ok {
+		return nil, &UnexpectedError{Kind: msg.Kind()}
+	}
+	if err := m.check(c, "", h.Protocol, h.Record); err != nil {
+		return nil, err
+	}
+	if err := m.checkRoom(h.Record.Node); err != nil {
+		return nil, err
+	}
+	w := m.cfg.Welcome(h)
+	if w == nil {
+		return nil, &NotWelcomeError{}
+	}
+	if err := m.sendNow(ctx, c, w); err != nil {
+		return nil, err
+	}
+	up := core.PeerUp{Record: h.Record, Held: h.Held, Ready: h.Ready, Digest: h.Digest}
+	return &link{conn: c, up: up}, nil
+}
+
+// check refuses a peer of another protocol version or identity.
+func (m *Manager) check(c peer.Conn, dialled model.NodeID, protocol uint16, r endpoint.Record) error {
+	if protocol != message.ProtocolVersion {
+		return &VersionError{Have: protocol}
+	}
+	refused := &IdentityError{Claimed: r.Node, Certificate: c.Peer(), Dialled: dialled}
+	if r.Node == "" {
+		return refused
+	}
+	if c.Peer() != "" && c.Peer() != r.Node {
+		return refused
+	}
+	if r.Node == m.cfg.Node {
+		return &SelfError{}
+	}
+	if dialled != "" && dialled != r.Node {
+		return refused
+	}
+	return nil
+}
+
+// checkRoom refuses a new peer when there are MaxPeers.
+func (m *Manager) checkRoom(node model.NodeID) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.peers[node] == nil && len(m.peers) >= m.cfg.MaxPeers {
+		return &MaxPeersError{Max: m.cfg.MaxPeers}
+	}
+	return nil
+}
+
+// sendNow sends a message past the queue.
+func (m *Manager) sendNow(ctx context.Context, c peer.Conn, msg message.Message) error {
+	payload, err := message.Encode(msg)
+	if err != nil {
+		return err
+	}
+	m.meter.bytes("out", payload)
+	return c.Send(ctx, payload)
+}
+
+// receive reads and decodes one message.
+func (m *Manager) receive(ctx context.Context, c peer.Conn) (message.Message, error) {
+	payload, err := c.Receive(ctx)
+	if err != nil {
+		return nil, err
+	}
+	m.meter.bytes("in", payload)
+	return message.Decode(payload)
+}
--- /dev/null
+++ b/transport/link/kinds.go
@@ -0,0 +1,46 @@
+package link
+
+import "github.com/jacinthgate/jacinthgate/protocol/message"
+
+// kindNames are the names of the kinds in metrics.
+var kindNames = map[message.Kind]string{
+	message.KindHello:          "hello",
+	message.KindWelcome:        "welcome",
+	message.KindBeacon:         "beacon",
+	message.KindAdvert:         "advert",
+	message.KindFetch:          "fetch",
+	message.KindDelta:          "delta",
+	message.KindFull:           "full",
+	message.KindAcks:           "acks",
+	message.KindRejections:     "rejections",
+	message.KindZoneStatus:     "zone_status",
+	message.KindRecords:        "records",
+	message.KindDigest:         "digest",
+	message.KindRecordsRequest: "records_request",
+	message.KindDemand:         "demand",
+	message.KindShares:         "shares",
+}
+
+func kindName(k message.Kind) string {
+	if name := kindNames[k]; name != "" {
+		return name
+	}
+	return "unknown"
+}
+
+// replacementKey returns the key under which a newer message replaces a
+// waiting one, or "" for a message that must be sent in any case.
+func replacementKey(m message.Message) string {
+	switch m := m.(type) {
+	case *message.Beacon:
+		return "beacon/" + string(m.Zone)
+	case *message.Advert:
+		return "advert"
+	case *message.ZoneStatus:
+		return "zone_status/" + string(m.Zone)
+	case *message.Digest:
+		return "digest"
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/transport/link/manager.go
@@ -0,0 +1,227 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/coordination/budget"
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/transport/peer"
+)
+
+// maxHandshakes bounds the handshakes of accepted connections at one time, so
+// that a storm of joiners waits in the transport and not in memory.
+const maxHandshakes = 16
+
+// Manager holds the connections of one node. Its methods are safe for
+// concurrent use and do not block on peers.
+type Manager struct {
+	cfg    Config
+	meter  meter
+	events chan core.Event
+	// wake tells the sender that the queue or a peer changed.
+	wake chan struct{}
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu      sync.Mutex
+	peers   map[model.NodeID]*remote
+	dialing map[string]bool
+	queue   *budget.Scheduler
+	closed  bool
+	tasks   sync.WaitGroup
+}
+
+// New returns a manager. It does nothing before Run, except that Connect
+// already dials.
+func New(cfg Config) *Manager {
+	ctx, stop := context.WithCancel(context.Background())
+	m := &Manager{
+		cfg:     cfg,
+		events:  make(chan core.Event, cfg.EventQueue),
+		wake:    make(chan struct{}, 1),
+		ctx:     ctx,
+		stop:    stop,
+		peers:   make(map[model.NodeID]*remote),
+		dialing: make(map[string]bool),
+		queue:   budget.New(cfg.Budget, time.Now()),
+	}
+	m.meter = newMeter(m)
+	return m
+}
+
+// Events returns the channel of core.PeerUp, PeerDown, DialFailed and Received
+// events. The event loop must go on reading it until Run has returned.
+func (m *Manager) Events() <-chan core.Event { return m.events }
+
+// Run accepts connections and sends messages until ctx ends. It then closes
+// all connections and waits for its goroutines. It returns ctx's error, or the
+// transport's when that fails.
+func (m *Manager) Run(ctx context.Context) error {
+	unhook := context.AfterFunc(ctx, m.stop)
+	defer unhook()
+	m.goTask(m.sendAll)
+	err := m.acceptAll()
+	m.stop()
+	m.shutdown()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return err
+}
+
+func (m *Manager) shutdown() {
+	m.mu.Lock()
+	m.closed = true
+	for _, r := range m.peers {
+		r.closeAll()
+	}
+	m.mu.Unlock()
+	m.tasks.Wait()
+}
+
+// goTask runs f in a goroutine that Run waits for. It does nothing once the
+// manager has stopped.
+func (m *Manager) goTask(f func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.closed {
+		m.tasks.Go(f)
+	}
+}
+
+// emit hands an event to the event loop and waits until it has room.
+func (m *Manager) emit(e core.Event) {
+	select {
+	case m.events <- e:
+	case <-m.ctx.Done():
+	}
+}
+
+// Connect dials a peer; node is empty for a seed whose name is not known. The
+// answer is a PeerUp or a DialFailed event. A peer that is connected already
+// is not dialled: its PeerUp is repeated. A dial to the same address that is
+// under way answers both.
+func (m *Manager) Connect(node model.NodeID, addr string) {
+	m.mu.Lock()
+	r := m.peers[node]
+	connected := r != nil && !r.closing
+	pending := m.dialing[addr]
+	if !connected {
+		m.dialing[addr] = true
+	}
+	m.mu.Unlock()
+	switch {
+	case connected:
+		m.goTask(func() { m.repeatUp(r) })
+	case !pending:
+		m.goTask(func() { m.dial(node, addr) })
+	}
+}
+
+// Disconnect closes the connections to a peer. A PeerDown follows.
+func (m *Manager) Disconnect(node model.NodeID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r := m.peers[node]; r != nil {
+		r.closeAll()
+	}
+}
+
+// Send queues a message for a peer. It is dropped, and counted as dropped, when
+// the peer is not connected or its queue is full of more urgent messages. The
+// error is message.Encode's.
+func (m *Manager) Send(to model.NodeID, priority message.Priority, msg message.Message) error {
+	payload, err := message.Encode(msg)
+	if err != nil {
+		return err
+	}
+	item := budget.Item{Peer: to, Priority: priority, Key: replacementKey(msg), Payload: payload}
+	m.mu.Lock()
+	r := m.peers[to]
+	if r == nil || r.closing {
+		m.mu.Unlock()
+		m.meter.dropped("not_connected", 1)
+		return nil
+	}
+	dropped := m.queue.Push(item)
+	m.mu.Unlock()
+	m.meter.dropped("queue_full", len(dropped))
+	m.notify()
+	return nil
+}
+
+// notify wakes the sender.
+func (m *Manager) notify() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// acceptAll takes connections from the transport until the manager stops.
+func (m *Manager) acceptAll() error {
+	slots := make(chan struct{}, maxHandshakes)
+	for {
+		select {
+		case slots <- struct{}{}:
+		case <-m.ctx.Done():
+			return m.ctx.Err()
+		}
+		c, err := m.cfg.Transport.Accept(m.ctx)
+		if err != nil {
+			return err
+		}
+		m.goTask(func() { m.accept(c, func() { <-slots }) })
+	}
+}
+
+// dial opens a connection and serves it until it ends.
+func (m *Manager) dial(node model.NodeID, addr string) {
+	ctx, cancel := context.WithTimeout(m.ctx, m.cfg.HandshakeTimeout)
+	l, err := m.open(ctx, node, addr)
+	cancel()
+	if err == nil {
+		err = m.join(l)
+	}
+	m.mu.Lock()
+	delete(m.dialing, addr)
+	m.mu.Unlock()
+	if err != nil {
+		m.refuse(node, addr, err)
+		m.emit(core.DialFailed{Node: node, Addr: addr})
+		return
+	}
+	m.serve(l)
+}
+
+// accept answers a Hello and serves the connection until it ends. It calls
+// release after the handshake.
+func (m *Manager) accept(c peer.Conn, release func()) {
+	ctx, cancel := context.WithTimeout(m.ctx, m.cfg.HandshakeTimeout)
+	l, err := m.answer(ctx, c)
+	cancel()
+	if err == nil {
+		err = m.join(l)
+	}
+	release()
+	if err != nil {
+		c.Close()
+		m.refuse(c.Peer(), c.RemoteAddr(), err)
+		return
+	}
+	m.serve(l)
+}
+
+// refuse logs and counts a refused peer. The end of a connection is none.
+func (m *Manager) refuse(node model.NodeID, addr string, err error) {
+	reason := refusalReason(err)
+	if reason == "" {
+		return
+	}
+	m.meter.refused(reason)
+	m.cfg.Logger.Log("event", "peer_refused", "reason", reason, "node", string(node), "addr", addr, "err", err)
+}
--- /dev/null
+++ b/transport/link/metrics.go
@@ -0,0 +1,59 @@
+package link
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+)
+
+// meter counts what the manager does.
+type meter struct {
+	set *metrics.Set
+}
+
+// newMeter registers the gauges, which read the manager's state.
+func newMeter(m *Manager) meter {
+	set := m.cfg.Metrics
+	set.NewGauge("jacinthgate_link_peers", func() float64 {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return float64(len(m.peers))
+	})
+	set.NewGauge("jacinthgate_link_connections", func() float64 {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		n := 0
+		for _, r := range m.peers {
+			n += len(r.conns)
+		}
+		return float64(n)
+	})
+	set.NewGauge("jacinthgate_link_queue_messages", func() float64 {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return float64(m.queue.Len())
+	})
+	return meter{set: set}
+}
+
+// bytes counts one encoded message; its first byte is the kind.
+func (mt meter) bytes(direction string, encoded []byte) {
+	kind := "unknown"
+	if len(encoded) > 0 {
+		kind = kindName(message.Kind(encoded[0]))
+	}
+	name := fmt.Sprintf("jacinthgate_link_bytes_total{direction=%q,kind=%q}", direction, kind)
+	mt.set.GetOrCreateCounter(name).Add(len(encoded))
+}
+
+// dropped counts messages that were not sent.
+func (mt meter) dropped(reason string, n int) {
+	mt.set.GetOrCreateCounter(fmt.Sprintf("jacinthgate_link_dropped_total{reason=%q}", reason)).Add(n)
+}
+
+// refused counts a refused peer.
+func (mt meter) refused(reason string) {
+	mt.set.GetOrCreateCounter(fmt.Sprintf("jacinthgate_link_refused_total{reason=%q}", reason)).Inc()
+}
--- /dev/null
+++ b/transport/link/sender.go
@@ -0,0 +1,80 @@
+package link
+
+import (
+	"context"
+	"time"
+)
+
+// sendAll hands waiting messages to the peers' writers as the budget allows,
+// one at a time for each peer.
+func (m *Manager) sendAll() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		wait := m.dispatch()
+		var due <-chan time.Time
+		if wait > 0 {
+			timer.Reset(wait)
+			due = timer.C
+		}
+		select {
+		case <-m.wake:
+		case <-due:
+		case <-m.ctx.Done():
+			return
+		}
+	}
+}
+
+// dispatch hands out all messages that may be sent now. It returns the time
+// until the budget allows the next one, or 0.
+func (m *Manager) dispatch() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for {
+		item, wait, ok := m.queue.Pop(time.Now())
+		if !ok {
+			return wait
+		}
+		r := m.peers[item.Peer]
+		m.queue.Block(item.Peer)
+		r.out <- item.Payload // has room: the peer was not blocked
+	}
+}
+
+// writeAll sends the messages of one peer until the peer is down.
+func (m *Manager) writeAll(r *remote) {
+	for payload := range r.out {
+		if m.write(r, payload) {
+			m.meter.bytes("out", payload)
+		} else {
+			m.meter.dropped("disconnected", 1)
+		}
+		m.mu.Lock()
+		m.queue.Unblock(r.node)
+		m.mu.Unlock()
+		m.notify()
+	}
+}
+
+// write sends one message on the preferred connection, and on the next one
+// when that fails.
+func (m *Manager) write(r *remote, payload []byte) bool {
+	var failed *link
+	for {
+		m.mu.Lock()
+		l := r.preferred(m.cfg.Node)
+		m.mu.Unlock()
+		if l == nil || l == failed {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(m.ctx, m.cfg.SendTimeout)
+		err := l.conn.Send(ctx, payload)
+		cancel()
+		if err == nil {
+			return true
+		}
+		l.conn.Close()
+		failed = l
+	}
+}
--- a/transport/peer/quic/errors.go
+++ b/transport/peer/quic/errors.go
@@ -43,3 +43,6 @@
 
 // Error implements error.
 func (e *FrameError) Error() string { return fmt.Sprintf("frame of %d bytes refused", e.Size) }
+
+// MessageSize returns the refused size in bytes.
+func (e *FrameError) MessageSize() uint64 { return e.Size }
