Let a node announce other addresses than it listens on

Cause: a node that listens on all addresses or behind an address translation announced addresses that nobody can reach. Ruled out: guessing the address from a peer's view, which an attacker could steer. The optional advertise settings name the gate's and the control address to announce; empty keeps what is listened on.

--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"time"
@@ -61,8 +62,8 @@
 		Node:        n.set.Node,
 		Zone:        n.set.Zone,
 		Region:      n.set.Region,
-		PeerAddr:    peerAddr,
-		GateAddr:    n.gateSrv.addr(),
+		PeerAddr:    cmp.Or(n.set.Advertise.Peer, peerAddr),
+		GateAddr:    cmp.Or(n.set.Advertise.Gate, n.gateSrv.addr()),
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
 }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -12,6 +12,9 @@
 	Region model.Region `json:"region" jsonschema:"pattern=^[a-z0-9][a-z0-9-]*$,maxLength=63"`
 	// Listen holds the addresses that the node listens on.
 	Listen Listen `json:"listen"`
+	// Advertise holds the addresses that other nodes are told, where they
+	// differ from those listened on.
+	Advertise Advertise `json:"advertise,omitzero"`
 	// Operator is the TCP address, IP:port, of the operators' interface. With
 	// tls it asks for a client certificate. Without it the interface is at
 	// listen.local only.
@@ -60,6 +63,16 @@
 	Local string `json:"local"`
 }
 
+// Advertise holds addresses, each IP:port, at which other nodes reach this one:
+// behind an address translation, or when it listens on all addresses. An empty
+// one means the address listened on.
+type Advertise struct {
+	// Gate is the TCP address of the gate.
+	Gate string `json:"gate,omitempty"`
+	// Peer is the UDP address for control traffic.
+	Peer string `json:"peer,omitempty"`
+}
+
 // Platform says where the platform's services are.
 type Platform struct {
 	// Table is the URL of the table service: http or https, with an IP number.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -51,6 +51,7 @@
 	k.name("zone", string(n.Zone))
 	k.name("region", string(n.Region))
 	k.listen(n)
+	k.advertise(&n.Advertise)
 	k.seeds(n.Seeds)
 	k.platform(&n.Platform)
 	k.security(n)
@@ -67,6 +68,15 @@
 	return k.faults
 }
 
+func (k *checker) advertise(a *Advertise) {
+	if a.Gate != "" {
+		k.remote("advertise.gate", a.Gate)
+	}
+	if a.Peer != "" {
+		k.remote("advertise.peer", a.Peer)
+	}
+}
+
 // listen checks the addresses by themselves and that no two TCP listeners
 // share one.
 func (k *checker) listen(n *Node) {
