Disconnect a peer whose own record is invalid

A peer's record from its greeting was refused by the table, but the link was kept, with a zone taken from the refused record; the failure detector and the gateways would have worked with it. The core now refuses the record, counts it and closes the connection. Keeping the link without a record was ruled out: nothing could be done with such a peer. A test fails without the change.

--- a/coordination/member/core_test.go
+++ b/coordination/member/core_test.go
@@ -113,6 +113,15 @@
 	must.Eq(t, []IdentityConflict{{12}}, find[IdentityConflict](acts))
 }
 
+func TestPeerWithInvalidRecordIsDisconnected(t *testing.T) {
+	t.Parallel()
+	c, now := linked(1)
+	bad := record(0, 2)
+	bad.PeerAddr = "nowhere"
+	must.Len(t, 1, find[core.Disconnect](c.Step(now, core.PeerUp{Record: bad})))
+	must.Len(t, 1, c.Neighbours())
+}
+
 // The first copy of a zone is asked for at once and isn't flooded, but the
 // neighbours compare afterwards.
 func TestFirstCopyIsNotFlooded(t *testing.T) {
--- a/coordination/member/links.go
+++ b/coordination/member/links.go
@@ -46,6 +46,11 @@
 	if id == c.self.Node {
 		return // the node's own address was among the seeds
 	}
+	if err := endpoint.Validate(&ev.Record); err != nil {
+		c.refuse(id, err)
+		c.act(core.Disconnect{Node: id})
+		return
+	}
 	i, found := slices.BinarySearchFunc(c.links, id, compareLink)
 	if !found {
 		c.links = slices.Insert(c.links, i, &link{node: id, since: c.now})
