Cut zones from each other and from the platform between real processes

Cause: the promises under a partition were proved with in-memory networks only. Ruled out: packet filters, which need rights that a developer's machine may lack, and a switch in the product. Relays in the test fleet pass UDP and TCP on and hold them back across a cut; nodes announce the relays' addresses, and calls to gates leave from the host's own address so that a relay knows the caller's zone.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -16,6 +16,7 @@
 	portBackend  = 8090
 	portPlatform = 9000
 	portOlder    = 9100
+	portRelay    = 7081
 )
 
 // Config describes a fleet.
@@ -31,6 +32,9 @@
 	Hosts []Host
 	// SeedsPerZone is the number of nodes of each zone that the others know.
 	SeedsPerZone int
+	// Relay passes all traffic between hosts, and to the platform, through
+	// relays that Fleet.Cuts can cut.
+	Relay bool
 	// Older starts the stand-in of the older system.
 	Older bool
 	// LogLevel is the nodes' log level.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jacinthgate/jacinthgate/internal/fleet/relay"
 	"github.com/jacinthgate/jacinthgate/internal/operatorclient"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
@@ -24,6 +26,10 @@
 	cfg      Config
 	platform *process
 	older    *process
+	relays   []io.Closer
+	// Cuts severs zones from each other and from the platform, where
+	// Config.Relay is set.
+	Cuts *relay.Cuts
 	// Members are the hosts, in the order of the configuration.
 	Members []*Member
 }
@@ -54,7 +60,7 @@
 	if cfg.Network == 0 {
 		cfg.Network = 1 + rand.IntN(254)
 	}
-	f := &Fleet{cfg: cfg}
+	f := &Fleet{cfg: cfg, Cuts: relay.NewCuts()}
 	f.layOut()
 	var err error
 	if f.platform, err = f.start("platform", "jacinthgate-platform", "-listen", f.platformAddr()); err != nil {
@@ -68,6 +74,9 @@
 	if err := f.await("platform", f.platformAddr()); err != nil {
 		return f, err
 	}
+	if err := f.startRelays(); err != nil {
+		return f, err
+	}
 	return f, f.each(func(m *Member) error {
 		if err := m.StartNode(); err != nil {
 			return err
@@ -113,6 +122,9 @@
 		m.node.kill()
 		return nil
 	})
+	for _, r := range f.relays {
+		_ = r.Close() // nothing is left to lose
+	}
 	f.older.kill()
 	f.platform.kill()
 }
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -18,10 +18,13 @@
 			"local":  m.addr(portLocal),
 		},
 		"seeds":    f.seeds(),
-		"platform": map[string]any{"table": f.PlatformURL(), "objects": f.PlatformURL()},
+		"platform": map[string]any{"table": f.platformURLOf(m.Zone), "objects": f.platformURLOf(m.Zone)},
 		"insecure": true,
 		"logLevel": f.cfg.LogLevel,
 	}
+	if f.cfg.Relay {
+		s["advertise"] = map[string]any{"gate": m.addr(portRelay), "peer": m.addr(portRelay)}
+	}
 	if f.cfg.Older {
 		s["older"] = map[string]any{"address": f.OlderAddr()}
 	}
@@ -38,7 +41,7 @@
 	for _, m := range f.Members {
 		if count[m.Zone] < f.cfg.SeedsPerZone {
 			count[m.Zone]++
-			seeds = append(seeds, m.addr(portPeer))
+			seeds = append(seeds, m.peerAddr())
 		}
 	}
 	return seeds
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -18,9 +18,21 @@
 		return &ListenError{Name: "peer", Addr: n.set.Listen.Peer, Err: err}
 	}
 	n.peers = t
+	n.countPeers()
 	return nil
 }
 
+// countPeers shows the control traffic as it is on the wire, in UDP payloads.
+func (n *Node) countPeers() {
+	count := func(name string, read func(quic.Stats) uint64) {
+		n.metrics.NewGauge(name, func() float64 { return float64(read(n.peers.Stats())) })
+	}
+	count(`jacinthgate_peer_bytes_total{direction="out"}`, func(s quic.Stats) uint64 { return s.BytesSent })
+	count(`jacinthgate_peer_bytes_total{direction="in"}`, func(s quic.Stats) uint64 { return s.BytesReceived })
+	count(`jacinthgate_peer_packets_total{direction="out"}`, func(s quic.Stats) uint64 { return s.PacketsSent })
+	count(`jacinthgate_peer_packets_total{direction="in"}`, func(s quic.Stats) uint64 { return s.PacketsReceived })
+}
+
 // configurePeers sets the certificates for connections between nodes.
 func (i *identity) configurePeers(cfg *quic.Config) {
 	if i.keys == nil {
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
@@ -70,8 +71,7 @@
 
 // wireRequests wires the path of a request.
 func (n *Node) wireRequests() error {
-	gateTransport := forward.NewTransport(forward.DefaultTransportConfig())
-	gateTransport.TLSClientConfig = n.identity.gateClient()
+	gateTransport := n.newGateTransport()
 	n.picker = balance.New(balance.DefaultConfig(), n.set.Zone, n.set.Region, n.seed())
 	n.registry = local.New(local.DefaultConfig())
 	n.registry.OnChange(n.announce)
@@ -80,6 +80,18 @@
 	return nil
 }
 
+// newGateTransport returns a transport for calls to the gates of other nodes.
+// They leave from the address that the own gate listens on.
+func (n *Node) newGateTransport() *http.Transport {
+	cfg := forward.DefaultTransportConfig()
+	if a, err := netip.ParseAddrPort(n.set.Listen.Gate); err == nil && !a.Addr().IsUnspecified() {
+		cfg.LocalIP = a.Addr().AsSlice()
+	}
+	t := forward.NewTransport(cfg)
+	t.TLSClientConfig = n.identity.gateClient()
+	return t
+}
+
 func (n *Node) wireGate() {
 	cfg := gate.DefaultConfig()
 	cfg.Self = n.set.Node
@@ -117,8 +129,7 @@
 // wireOperator wires the operators' interface, the host's own address and the
 // handler of the gate's address.
 func (n *Node) wireOperator() error {
-	gateTransport := forward.NewTransport(forward.DefaultTransportConfig())
-	gateTransport.TLSClientConfig = n.identity.gateClient()
+	gateTransport := n.newGateTransport()
 	d := &drainer{self: n.set.Node, registry: n.registry, gate: gateTransport, scheme: n.identity.gateScheme()}
 	api := operatorapi.New(&operatorDelegate{
 		self:     n.set.Node,
--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -66,6 +66,9 @@
 	IdlePerHost int
 	// ConnsPerHost bounds the connections to each address; 0 is no bound.
 	ConnsPerHost int
+	// LocalIP is the address that connections leave from, so that receivers
+	// know the host by it. Nil leaves the choice to the kernel.
+	LocalIP net.IP
 	// ContinueTimeout is how long to wait for "100 Continue" before the body
 	// is sent all the same.
 	ContinueTimeout time.Duration
@@ -85,6 +88,9 @@
 // observe. It uses no proxy of the environment and doesn't decompress.
 func NewTransport(cfg TransportConfig) *http.Transport {
 	d := &net.Dialer{Timeout: cfg.DialTimeout}
+	if cfg.LocalIP != nil {
+		d.LocalAddr = &net.TCPAddr{IP: cfg.LocalIP}
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, addr)
