Test the promises of the request path; tell the last gate's own reason

They showed two faults: after a draining gate the caller was told that there is no endpoint, since the last look for another host overrode the gate's reason, and the stand-in's cut answers never left its buffer. Both are mended.

--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -239,6 +239,7 @@
 	w.WriteHeader(http.StatusOK)
 	if f.TruncateAnswers {
 		_, _ = w.Write(b[:len(b)/2])
+		_ = http.NewResponseController(w).Flush() // or nothing would be sent
 		panic(http.ErrAbortHandler)
 	}
 	_, _ = w.Write(b) // the caller may be gone
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -73,25 +73,23 @@
 	return refusal
 }
 
+// attempts returns the refusal that tells the caller most when none succeeds:
+// an attempt that may have run before any other, and otherwise the last gate's
+// own reason.
 func (x *exchange) attempts() *forward.Refusal {
 	x.p.cfg.Retry.First(x.plan.match, x.inherited)
-	unknown := (*forward.Refusal)(nil)
+	var told *forward.Refusal
 	for {
 		x.number++
 		refusal := x.attempt()
 		if refusal == nil {
 			return nil
 		}
-		if refusal.Outcome == outcome.Unknown {
-			unknown = refusal
+		if told == nil || refusal.Outcome == outcome.Unknown || (told.Outcome == outcome.NotRun && x.last.record != nil) {
+			told = refusal
 		}
 		if !x.again(refusal) {
-			// A later refusal doesn't undo an earlier attempt that may have
-			// run.
-			if unknown != nil {
-				return unknown
-			}
-			return refusal
+			return told
 		}
 	}
 }
--- /dev/null
+++ b/transport/entry/stream_test.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+)
+
+func TestStreamsTrailersAndEarlyHints(t *testing.T) {
+	seen := make(chan struct{})
+	b := newBed()
+	b.work = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Link", "</a>")
+		w.WriteHeader(http.StatusEarlyHints)
+		w.Header().Set("Trailer", "X-Sum")
+		_, _ = io.WriteString(w, "first")
+		_ = http.NewResponseController(w).Flush()
+		<-seen // the caller has the first part before there is a second
+		_, _ = io.WriteString(w, "second")
+		w.Header().Set("X-Sum", r.Trailer.Get("X-In"))
+	})
+	b.start(t)
+	hints := 0
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
+		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+			must.Eq(t, http.StatusEarlyHints, code)
+			must.Eq(t, "</a>", h.Get("Link"))
+			hints++
+			return nil
+		},
+	})
+	r := b.request(t, "POST", "/stream", "body").WithContext(ctx)
+	r.ContentLength = -1
+	r.Trailer = http.Header{"X-In": {"sum"}}
+	resp := b.do(t, r)
+	part := make([]byte, len("first"))
+	_, err := io.ReadFull(resp.Body, part)
+	must.NoError(t, err)
+	close(seen)
+	must.Eq(t, "second", read(t, resp))
+	must.Eq(t, "sum", resp.Trailer.Get("X-Sum"))
+	must.Eq(t, 1, hints)
+}
+
+// An answer that breaks off is cut for the caller as well, or is answered as
+// unknown where none of it was passed on yet.
+func TestCutAnswerIsNeverWhole(t *testing.T) {
+	for _, size := range []int{100, 1 << 20} {
+		b := newBed()
+		b.work = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, size/2))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		b.start(t)
+		resp, err := b.client.Do(b.request(t, "GET", "/x", ""))
+		if err != nil {
+			continue
+		}
+		_, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+		unknown := resp.Header.Get(outcome.HeaderOutcome) == string(outcome.Unknown)
+		must.True(t, err != nil || unknown, must.Sprintf("%d bytes: status %d", size, resp.StatusCode))
+	}
+}
+
+// countingBody tells whether any of it was read.
+type countingBody struct {
+	io.Reader
+	reads int
+}
+
+// Read implements io.Reader.
+func (c *countingBody) Read(p []byte) (int, error) {
+	c.reads++
+	return c.Reader.Read(p)
+}
+
+func TestBackendDecidesOnTheBody(t *testing.T) {
+	b := newBed()
+	b.work = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/refuse" {
+			w.WriteHeader(http.StatusExpectationFailed)
+			return
+		}
+		_, _ = io.Copy(w, r.Body)
+	})
+	b.start(t)
+	b.client.Transport.(*http.Transport).ExpectContinueTimeout = time.Minute
+	for path, reads := range map[string]bool{"/refuse": false, "/take": true} {
+		body := &countingBody{Reader: strings.NewReader("large")}
+		r := b.request(t, "POST", path, "")
+		r.Body, r.ContentLength = io.NopCloser(body), 5
+		r.Header.Set("Expect", "100-continue")
+		read(t, b.do(t, r))
+		must.Eq(t, reads, body.reads > 0, must.Sprint(path))
+	}
+}
+
+func TestCallersCancellationReachesTheBackend(t *testing.T) {
+	started, ended := make(chan struct{}), make(chan struct{})
+	b := newBed()
+	b.work = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	b.start(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, err := b.client.Do(b.request(t, "GET", "/x", "").WithContext(ctx))
+	must.True(t, errors.Is(err, context.Canceled))
+	<-ended
+}
+
+// A request that is given up on is answered at once, with an honest unknown.
+func TestDeadlineIsAnsweredAsUnknown(t *testing.T) {
+	ended := make(chan struct{})
+	b := newBed()
+	b.work = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(ended)
+	})
+	b.start(t)
+	r := b.request(t, "POST", "/x", "")
+	r.Header.Set(outcome.HeaderDeadline, "50")
+	resp := b.do(t, r)
+	must.Eq(t, http.StatusGatewayTimeout, resp.StatusCode)
+	must.Eq(t, string(outcome.Unknown), resp.Header.Get(outcome.HeaderOutcome))
+	<-ended
+}
+
+func TestHostileHeads(t *testing.T) {
+	got := make(chan http.Header, 1)
+	b := newBed()
+	b.work = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got <- r.Header
+		w.Header().Set(outcome.HeaderOutcome, string(outcome.NotRun))
+		w.Header().Set(outcome.HeaderReason, "lie")
+		w.Header().Set(outcome.HeaderLoad, "0/1000/0")
+	})
+	b.start(t)
+	r := b.request(t, "GET", "/x", "")
+	r.Header.Set(outcome.HeaderCustomer, "evil")
+	r.Header.Set(outcome.HeaderServedBy, "evil")
+	r.Header.Set("X-Secret", "1")
+	r.Header.Set("Connection", "X-Secret")
+	resp := b.do(t, r)
+	h := <-got
+	must.Eq(t, []string{"signage"}, h[outcome.HeaderCustomer])
+	must.Eq(t, "", h.Get(outcome.HeaderServedBy)+h.Get("X-Secret")+h.Get(outcome.HeaderKind))
+	must.Eq(t, string(outcome.Answered), resp.Header.Get(outcome.HeaderOutcome))
+	must.Eq(t, "", resp.Header.Get(outcome.HeaderReason)+resp.Header.Get(outcome.HeaderLoad))
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = b.proxy.Serve(l) }()
+	defer func() { must.NoError(t, b.proxy.Shutdown(context.Background())) }()
+	r = b.request(t, "GET", "/x", "")
+	r.URL.Host = l.Addr().String()
+	r.Header.Set("X-Large", string(bytes.Repeat([]byte("x"), 64<<10)))
+	must.Eq(t, http.StatusRequestHeaderFieldsTooLarge, b.do(t, r).StatusCode)
+}
