--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -47,6 +47,7 @@
 	l := &loop{
 		events:    make(chan core.Event, maxEvents),
 		linksDone: make(chan struct{}),
+		flush:     time.NewTimer(time.Hour),
 		calls:     make(chan func()),
 		member:    member.New(n.memberConfig(), n.self, n.set.Seeds, n.seed()),
 		dist:      distribute.New(n.distributeConfig(), n.self, n.seed()),
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -61,6 +61,8 @@
 	onView func()
 	log    log.Logger
 
+	// flush fires when changed records are due.
+	flush       *time.Timer
 	viewDirty   bool
 	leaseHeld   bool
 	leaseTerm   uint64
@@ -83,6 +85,8 @@
 			call()
 		case <-ticker.C:
 			l.step(core.Tick{})
+		case <-l.flush.C:
+			l.step(core.Tick{})
 		case <-ctx.Done():
 			l.drain()
 			return nil
@@ -141,6 +145,14 @@
 	l.shares.step(now, ev, l)
 	l.seed(now)
 	l.publish()
+	l.armFlush(now)
+}
+
+// armFlush sets the timer for changed records that wait to be sent together.
+func (l *loop) armFlush(now time.Time) {
+	if due := l.member.FlushDue(); !due.IsZero() {
+		l.flush.Reset(due.Sub(now))
+	}
 }
 
 // followLease tells the distribution core when the lease was won or lost.
