Wait for unsent messages, refuse a node's certificate as an authority

A node that shuts down has to tell its peers before it closes their connections, and the event loop could not know when its messages were sent: Flush waits until none waits. An authority file that held a node's certificate would have trusted that node's chain; such a file is now refused. Polling the queue from the event loop was ruled out as it would need a timer of its own.

--- a/transport/link/link_test.go
+++ b/transport/link/link_test.go
@@ -322,6 +322,30 @@
 	})
 }
 
+func TestFlushWaitsForTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, _, b := pair(t)
+		c := start(t, net.Transport("c", "c:1"), "c", func(cfg *Config) {
+			cfg.Budget.BytesPerSecond, cfg.Budget.Burst = 1, 100
+		}).record(t)
+		c.Connect("b", "b:1")
+		must.Len(t, 1, c.got())
+		must.NoError(t, c.Flush(t.Context()))
+		for range 3 {
+			must.NoError(t, c.Send("b", message.Normal, &message.Delta{Body: make([]byte, 80)}))
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		must.ErrorIs(t, c.Flush(ctx), context.DeadlineExceeded)
+		must.NoError(t, c.Flush(t.Context()))
+		must.Len(t, 4, b.got())
+		must.NoError(t, c.Send("b", message.Normal, &message.Delta{Body: make([]byte, 80)}))
+		time.AfterFunc(time.Second, func() { c.Disconnect("b") })
+		must.NoError(t, c.Flush(t.Context()))
+		must.Eq(t, []string{"down c"}, b.got())
+	})
+}
+
 func TestPeerThatTakesNothingIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		net := memory.NewNetwork()
--- a/transport/link/manager.go
+++ b/transport/link/manager.go
@@ -32,7 +32,11 @@
 	dialing map[string]bool
 	queue   *budget.Scheduler
 	closed  bool
-	tasks   sync.WaitGroup
+	// writing counts the messages that the peers' writers hold; progress is
+	// not nil while Flush waits.
+	writing  int
+	progress chan struct{}
+	tasks    sync.WaitGroup
 }
 
 // New returns a manager. It does nothing before Run, except that Connect
--- a/transport/link/remote.go
+++ b/transport/link/remote.go
@@ -225,6 +225,7 @@
 		r.closing = true
 		unsent = m.queue.Remove(r.node)
 		close(r.out)
+		m.progressLocked()
 	}
 	m.mu.Unlock()
 	if !last {
--- a/transport/link/sender.go
+++ b/transport/link/sender.go
@@ -38,6 +38,7 @@
 		}
 		r := m.peers[item.Peer]
 		m.queue.Block(item.Peer)
+		m.writing++
 		r.out <- item.Payload // has room: the peer was not blocked
 	}
 }
@@ -52,6 +53,8 @@
 		}
 		m.mu.Lock()
 		m.queue.Unblock(r.node)
+		m.writing--
+		m.progressLocked()
 		m.mu.Unlock()
 		m.notify()
 	}
--- a/transport/security/keys.go
+++ b/transport/security/keys.go
@@ -167,6 +167,9 @@
 	}
 	pool := x509.NewCertPool()
 	for _, cert := range authorities {
+		if !cert.IsCA {
+			return nil, &FileError{File: k.cfg.AuthorityFile, Err: &FormatError{Want: "authorities only"}}
+		}
 		pool.AddCert(cert)
 	}
 	chain, err := parseCertificates(c.cert)
--- a/transport/security/security_test.go
+++ b/transport/security/security_test.go
@@ -195,6 +195,8 @@
 	k := p.load()
 	files := []string{AuthorityFile, CertificateFile, KeyFile}
 	bad := map[string][]byte{"garbage": []byte("x"), "empty": nil, "stranger's": read(t, newPlace(t, "node-1").out, CertificateFile)}
+	mixed := append(read(t, p.ca, AuthorityFile), read(t, newPlace(t, "node-2").out, CertificateFile)...)
+	bad["node among the authorities"] = mixed
 	for name, content := range bad {
 		for _, file := range files {
 			good := read(t, p.out, file)
