Report each fault of key files, also a missing file

Faults are now told apart by the read error or the content, and forgotten when the files are good. The test checks both cases in a fixed order and fails each time on the old code.

--- a/transport/security/keys.go
+++ b/transport/security/keys.go
@@ -71,9 +71,10 @@
 type Keys struct {
 	cfg     Config
 	current atomic.Pointer[material]
-	// loaded and reported are the hashes of the content in use and of the last
-	// content that was reported as bad. Only Load and Reload use them.
-	loaded, reported [sha256.Size]byte
+	// loaded is the hash of the content in use; reported names the fault that
+	// was reported since then. Only Load and Reload use them.
+	loaded   [sha256.Size]byte
+	reported string
 }
 
 // Load reads the files for the first time. The errors are *FileError,
@@ -119,29 +120,32 @@
 func (k *Keys) Reload() {
 	read, err := k.read()
 	hash := read.hash()
-	if err == nil && hash == k.loaded {
+	if err != nil {
+		k.report(err.Error(), err)
 		return
 	}
-	var m *material
-	if err == nil {
-		m, err = k.parse(read)
+	if hash == k.loaded {
+		k.reported = ""
+		return
 	}
+	m, err := k.parse(read)
 	if err != nil {
-		k.report(hash, err)
+		k.report(string(hash[:]), err)
 		return
 	}
-	k.loaded = hash
+	k.loaded, k.reported = hash, ""
 	k.current.Store(m)
 	k.cfg.OnReload(nil)
 }
 
-// report passes on the fault of bad content once. The content is tried again
-// at each look: a certificate may become valid later.
-func (k *Keys) report(hash [sha256.Size]byte, err error) {
-	if hash == k.reported {
+// report passes on a fault once, until the files are good again. A fault is a
+// file that can't be read, or one content. The content is tried again at each
+// look: a certificate may become valid later.
+func (k *Keys) report(fault string, err error) {
+	if fault == k.reported {
 		return
 	}
-	k.reported = hash
+	k.reported = fault
 	k.cfg.OnReload(&ReloadError{Err: err})
 }
 
--- a/transport/security/security_test.go
+++ b/transport/security/security_test.go
@@ -214,8 +214,21 @@
 			must.Len(t, 1, p.reloads)
 		}
 	}
-	must.NoError(t, os.Remove(filepath.Join(p.out, KeyFile)))
-	k.Reload()
+
+	// An empty file, a missing one, and the same after a good one are
+	// different faults.
+	p.reloads = nil
+	key := read(t, p.out, KeyFile)
+	for range 2 {
+		must.NoError(t, writeFile(filepath.Join(p.out, KeyFile), nil))
+		k.Reload()
+		must.NoError(t, os.Remove(filepath.Join(p.out, KeyFile)))
+		k.Reload()
+		k.Reload()
+		must.NoError(t, writeFile(filepath.Join(p.out, KeyFile), key))
+		k.Reload()
+	}
+	must.Len(t, 4, p.reloads)
 	must.True(t, is[*FileError](p.reloads[1]))
 }
 
