--- a/cmd/jacinthgate-backend/main.go
+++ b/cmd/jacinthgate-backend/main.go
@@ -83,7 +83,7 @@
 	}
 	var signalled run.SignalError
 	if errors.As(err, &signalled) {
-		_ = logger.Log("event", "stopped", "signal", signalled.Signal)
+		_ = logger.Log("event", "stopped", "reason", err)
 		return nil
 	}
 	return err
--- a/cmd/jacinthgate-older/main.go
+++ b/cmd/jacinthgate-older/main.go
@@ -69,7 +69,7 @@
 	err = g.Run()
 	var signalled run.SignalError
 	if errors.As(err, &signalled) {
-		_ = logger.Log("event", "stopped", "signal", signalled.Signal, "requests", server.Requests())
+		_ = logger.Log("event", "stopped", "reason", err, "requests", server.Requests())
 		return nil
 	}
 	return err
--- /dev/null
+++ b/transport/entry/bench_test.go
@@ -0,0 +1,151 @@
+package entry
+
+import (
+	"crypto/tls"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+)
+
+// answerSize is the size of the answers in bytes, as in the design's budget.
+const answerSize = 512
+
+func fixedAnswer(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", strconv.Itoa(answerSize))
+	_, _ = w.Write(make([]byte, answerSize))
+}
+
+// hop is one way to carry the hop between nodes.
+type hop struct {
+	name       string
+	tls, http2 bool
+}
+
+// startHop starts a bed whose hop between entry proxy and gate is as given.
+func startHop(b *testing.B, h hop) *bed {
+	d := newBed()
+	d.work = http.HandlerFunc(fixedAnswer)
+	d.start(b)
+	if !h.tls {
+		return d
+	}
+	s := httptest.NewUnstartedServer(d.gate)
+	s.EnableHTTP2 = h.http2
+	s.StartTLS()
+	b.Cleanup(s.Close)
+	rt := forward.NewTransport(forward.DefaultTransportConfig())
+	rt.TLSClientConfig = s.Client().Transport.(*http.Transport).TLSClientConfig.Clone()
+	rt.TLSClientConfig.MinVersion = tls.VersionTLS13
+	rt.ForceAttemptHTTP2 = h.http2
+	d.cfg.Gate, d.cfg.GateScheme = rt, "https"
+	d.gateURL = "http://" + s.Listener.Addr().String()
+	d.serveBy("host-1")
+	d.startProxy(b)
+	return d
+}
+
+// BenchmarkPath measures one caller's whole call by each way. Take the ratios:
+// the figures themselves are the machine's.
+func BenchmarkPath(b *testing.B) {
+	b.Run("direct", func(b *testing.B) {
+		s := httptest.NewServer(http.HandlerFunc(fixedAnswer))
+		defer s.Close()
+		measure(b, s.Client(), s.URL)
+	})
+	for _, h := range []hop{{name: "http1"}, {name: "http1-tls", tls: true}, {name: "http2-tls", tls: true, http2: true}} {
+		b.Run(h.name, func(b *testing.B) {
+			d := startHop(b, h)
+			measure(b, d.client, d.url)
+		})
+	}
+}
+
+func measure(b *testing.B, client *http.Client, url string) {
+	b.ReportAllocs()
+	times := make([]time.Duration, 0, b.N)
+	for b.Loop() {
+		start := time.Now()
+		r, _ := http.NewRequest("GET", url+"/rooms/1", nil)
+		r.Host = testHost
+		resp, err := client.Do(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, resp.Body); n != answerSize || err != nil {
+			b.Fatal(n, err, resp.Status)
+		}
+		_ = resp.Body.Close()
+		times = append(times, time.Since(start))
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Nanoseconds()), "p50-ns")
+	b.ReportMetric(float64(times[len(times)*99/100].Nanoseconds()), "p99-ns")
+}
+
+// BenchmarkStages measures the parts of a call that are the nodes' own.
+func BenchmarkStages(b *testing.B) {
+	d := startHop(b, hop{})
+	r := httptest.NewRequest("GET", "/rooms/1", nil)
+	r.Host = testHost
+	r.Header.Set("Accept", "application/json")
+	now := time.Now()
+	b.Run("decide", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, _ = d.proxy.decide(r, now)
+		}
+	})
+	pl, _ := d.proxy.decide(r, now)
+	b.Run("pick", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			x := exchange{p: d.proxy, r: r, plan: &pl}
+			choice, err := x.pick(now)
+			if err != nil {
+				b.Fatal(err)
+			}
+			x.last.choice = choice
+			x.done(0)
+		}
+	})
+	b.Run("build", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			x := exchange{p: d.proxy, r: r, plan: &pl, ctx: b.Context(), kept: true}
+			x.last.record = &d.view.Load().Service("rooms")[0]
+			x.request(1000)
+		}
+	})
+	b.Run("send-to-backend", func(b *testing.B) {
+		b.ReportAllocs()
+		rt := forward.NewTransport(forward.DefaultTransportConfig())
+		for b.Loop() {
+			addr := d.registry.Current().Addr
+			resp, err := forward.Send(rt, forward.NewRequest(b.Context(), r, "http", addr, nil, 0), nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			forward.Drain(resp)
+		}
+	})
+	b.Run("proxy", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			d.proxy.ServeHTTP(httptest.NewRecorder(), r)
+		}
+	})
+	b.Run("gate", func(b *testing.B) {
+		b.ReportAllocs()
+		g := r.Clone(b.Context())
+		g.Header.Set("Jacinthgate-Service", "rooms")
+		for b.Loop() {
+			d.gate.ServeHTTP(httptest.NewRecorder(), g)
+		}
+	})
+}
