Prove with real processes that restarted nodes never go back

The promise was proved for the decision core only, with messages in memory. A fleet of nine processes now loses one node, a whole zone, and all but one node while the platform is cut off, while changes go on. Callers follow one route per change on each node, and the nodes' logs are followed over all their lives. Polling the reported version alone was ruled out: it can miss a short step back. A fleet now reserves its loopback network, since two fleets that chose the same one would share a platform.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -27,6 +26,7 @@
 	platform *process
 	older    *process
 	relays   []io.Closer
+	reserved net.Listener
 	// Cuts severs zones from each other and from the platform, where
 	// Config.Relay is set.
 	Cuts *relay.Cuts
@@ -57,10 +57,10 @@
 // Start starts the platform's stand-in, the nodes and the backend servers, and
 // waits until all of them listen. Stop must be called, also after an error.
 func Start(cfg Config) (*Fleet, error) {
-	if cfg.Network == 0 {
-		cfg.Network = 1 + rand.IntN(254)
-	}
 	f := &Fleet{cfg: cfg, Cuts: relay.NewCuts()}
+	if err := f.reserve(); err != nil {
+		return f, err
+	}
 	f.layOut()
 	var err error
 	if f.platform, err = f.start("platform", "jacinthgate-platform", "-listen", f.platformAddr()); err != nil {
@@ -127,6 +127,7 @@
 	}
 	f.older.kill()
 	f.platform.kill()
+	f.release()
 }
 
 // Member returns the host of a node, or nil.
@@ -222,14 +223,23 @@
 
 func (m *Member) addr(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
 
+// CallerAddr is the address for callers' requests.
+func (m *Member) CallerAddr() string { return m.addr(portCaller) }
+
 // CallerURL is the base URL for callers' requests.
-func (m *Member) CallerURL() string { return "http://" + m.addr(portCaller) }
+func (m *Member) CallerURL() string { return "http://" + m.CallerAddr() }
 
 // LocalURL is the base URL of the host's own interface.
 func (m *Member) LocalURL() string { return "http://" + m.addr(portLocal) }
 
+// BackendAddr is the address of the backend server itself.
+func (m *Member) BackendAddr() string { return m.addr(portBackend) }
+
 // BackendURL is the base URL of the backend server itself.
-func (m *Member) BackendURL() string { return "http://" + m.addr(portBackend) }
+func (m *Member) BackendURL() string { return "http://" + m.BackendAddr() }
+
+// LogPath is the file with the node's log, over all its lives.
+func (m *Member) LogPath() string { return filepath.Join(m.fleet.cfg.Dir, string(m.Node)+".log") }
 
 // Operator returns a client of the node's operator interface.
 func (m *Member) Operator() *operatorclient.Client {
