--- /dev/null
+++ b/internal/measure/cores_config.go
@@ -0,0 +1,141 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jacinthgate/jacinthgate/coordination/admit"
+	"github.com/jacinthgate/jacinthgate/state/snapshot"
+)
+
+// Sizes of the configuration that are measured; the last is the design size.
+var contractSizes = []int{500, 1000, 2000}
+
+// designServices is the number of services of the design size.
+const designServices = 270
+
+// snapshotOf builds a version. The first version is 1.
+func (s Size) snapshotOf(version uint64, changed int) (*snapshot.Snapshot, error) {
+	contracts := make(map[string]*snapshot.ContractEntry)
+	services := make(map[string]*snapshot.ServiceEntry)
+	for _, svc := range s.batch().Services {
+		services[svc.Name] = &snapshot.ServiceEntry{Revision: 1, Service: svc}
+	}
+	for i := range s.Contracts {
+		e := &snapshot.ContractEntry{Revision: 1, Contract: s.contract(i, 1)}
+		if i < changed {
+			e = &snapshot.ContractEntry{Revision: version, Contract: s.contract(i, 2)}
+		}
+		contracts[customer(i)] = e
+	}
+	return snapshot.Build(version, contracts, services)
+}
+
+// configuration holds the figures of one version of the configuration.
+type configuration struct {
+	full, delta, decode, apply, memory, lookup Figure
+	limiter, update, tick, histograms          Figure
+}
+
+// configFigures measures versions of the configuration and what a node keeps
+// for each customer.
+func configFigures() ([]Figure, error) {
+	of := "contracts"
+	c := configuration{
+		full:       Figure{Name: "whole version, encoded", Package: "state/snapshot", Unit: "B", Of: of},
+		delta:      Figure{Name: "delta of one contract, encoded", Package: "state/snapshot", Unit: "B", Of: of},
+		decode:     Figure{Name: "whole version, decoded and checked", Package: "state/snapshot", Unit: "µs", Of: of},
+		apply:      Figure{Name: "delta of one contract, decoded, applied and checked", Package: "state/snapshot", Unit: "µs", Of: of},
+		memory:     Figure{Name: "one version held", Package: "state/snapshot", Unit: "B heap", Of: of},
+		lookup:     Figure{Name: "look-up of customer, route and service", Package: "state/snapshot", Unit: "µs", Of: of},
+		limiter:    Figure{Name: "limits of all customers and their classes", Package: "coordination/admit", Unit: "B heap", Of: of},
+		update:     Figure{Name: "limits brought up to date with a version", Package: "coordination/admit", Unit: "µs", Of: of},
+		tick:       Figure{Name: "limits, work of each 100 ms", Package: "coordination/admit", Unit: "µs", Of: of},
+		histograms: Figure{Name: "latency histograms, 3 classes, 20 buckets in use", Package: "transport/entry", Unit: "B heap", Of: of},
+	}
+	for _, n := range contractSizes {
+		if err := c.at(Size{Contracts: n, Routes: 4, Services: designServices}); err != nil {
+			return nil, err
+		}
+	}
+	return []Figure{
+		c.full, c.delta, c.decode, c.apply, c.memory, c.lookup,
+		c.limiter, c.update, c.tick, c.histograms,
+	}, nil
+}
+
+// add adds a point to a figure.
+func (f *Figure) add(p Point) { f.Points = append(f.Points, p) }
+
+func (c *configuration) at(s Size) error {
+	n := s.Contracts
+	base, err := s.snapshotOf(1, 0)
+	if err != nil {
+		return err
+	}
+	next, err := s.snapshotOf(2, 1)
+	if err != nil {
+		return err
+	}
+	full, err := base.Encode()
+	if err != nil {
+		return err
+	}
+	delta, err := snapshot.Diff(base, next).Encode()
+	if err != nil {
+		return err
+	}
+	c.full.add(exact(n, len(full)))
+	c.delta.add(exact(n, len(delta)))
+	c.decode.add(timed(n, func() { _, err = snapshot.Decode(full) }))
+	c.apply.add(timed(n, func() { err = applyDelta(base, delta) }))
+	c.memory.add(heap(n, func() any { s, _ := snapshot.Decode(full); return s }))
+	host, path := customer(n/2)+".example", "/v1/part-3/x"
+	c.lookup.add(timed(n, func() { base.Lookup(host, "GET", path) }))
+	c.limits(n, base, next)
+	return err
+}
+
+func applyDelta(base *snapshot.Snapshot, raw []byte) error {
+	d, err := snapshot.DecodeDelta(raw)
+	if err != nil {
+		return err
+	}
+	_, err = base.Apply(d)
+	return err
+}
+
+// limits measures what a node keeps for each customer.
+func (c *configuration) limits(n int, base, next *snapshot.Snapshot) {
+	c.limiter.add(heap(n, func() any {
+		l := admit.New(admit.DefaultConfig(), 1)
+		l.Update(base)
+		return l
+	}))
+	l := admit.New(admit.DefaultConfig(), 1)
+	c.update.add(timed(n, func() {
+		l.Update(next)
+		base, next = next, base
+	}))
+	c.tick.add(timed(n, l.Tick))
+	c.histograms.add(heap(n, func() any { return histograms(n) }))
+}
+
+// buckets is the number of buckets of each histogram that are in use.
+const buckets = 20
+
+// histograms fills the histograms that the entry proxy keeps for n customers.
+func histograms(n int) *metrics.Set {
+	set := metrics.NewSet()
+	for i := range n {
+		for _, kind := range kinds {
+			h := set.NewHistogram(fmt.Sprintf(`request_duration_seconds{customer=%q,class=%q}`, customer(i), kind))
+			for b := range buckets {
+				h.Update((time.Millisecond << (b / 2)).Seconds() * (1 + 0.4*float64(b%2)))
+			}
+		}
+	}
+	return set
+}
--- /dev/null
+++ b/internal/measure/cores_share.go
@@ -0,0 +1,36 @@
+package measure
+
+import (
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+)
+
+// Numbers of limits in use that are measured.
+var limitSizes = []int{1, 10, 100}
+
+// shareFigures measures the messages that share out fleet-wide limits.
+func shareFigures() ([]Figure, error) {
+	demand := Figure{Name: "report of demand, each second and link of the way up", Package: "coordination/share", Unit: "B", Of: "limits in use"}
+	shares := Figure{Name: "grants, each second and link of the way down", Package: "coordination/share", Unit: "B", Of: "limits in use"}
+	for _, n := range limitSizes {
+		d := &message.Demand{Zone: zones[0], Node: record(0).Node, Nodes: 10, Applied: 1000}
+		s := &message.Shares{Node: record(0).Node, Term: 10, TTLMillis: 8000, Sequence: 1000}
+		for i := range n {
+			name := customer(i)
+			d.Items = append(d.Items, message.DemandItem{
+				Limit: name, PerSecond: 12.3, InFlight: 1.7, HeldPerSecond: 20.1, HeldConcurrency: 3.3,
+			})
+			s.Items = append(s.Items, message.ShareItem{Limit: name, PerSecond: 20.1, Concurrency: 3.3})
+		}
+		for _, m := range []struct {
+			to      *Figure
+			message message.Message
+		}{{&demand, d}, {&shares, s}} {
+			b, err := message.Encode(m.message)
+			if err != nil {
+				return nil, err
+			}
+			m.to.add(exact(n, len(b)))
+		}
+	}
+	return []Figure{demand, shares}, nil
+}
