Stream both ways at once and give an unread body to another host

Three faults of streamed bodies: net/http took the rest of a body away once the answer had begun, so an answer that streams during its request hung; Transport closed a body that no byte of was sent, so a refused connection could not be passed over; and a slow caller's body was waited for beyond the deadline. Bodies are now streamed in full duplex, handed from one attempt to the next by one atomic state so that two attempts never read one body, and read under the deadline. A rebuilt request of the older system that breaks after sending is unknown, not "not run". Each has a test; the first one hung before the change.

--- a/transport/entry/body.go
+++ b/transport/entry/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
@@ -18,19 +19,29 @@
 	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
 		x.kept = true
 		return nil
-	case r.ContentLength < 0 || r.ContentLength > x.p.cfg.MaxReplayBody:
+	case r.ContentLength < 0 || r.ContentLength > x.p.cfg.MaxReplayBody,
+		r.Header["Expect"] != nil: // the backend server decides whether it wants the body
+		x.stream = forward.NewStreamBody(x.w, r)
 		return nil
-	case r.Header["Expect"] != nil:
-		return nil // the backend server decides whether it wants the body
 	}
 	x.body = make([]byte, r.ContentLength)
+	rc := http.NewResponseController(x.w)
+	_ = rc.SetReadDeadline(x.plan.deadline) // without one, the caller's own end is waited for
 	if _, err := io.ReadFull(r.Body, x.body); err != nil {
-		return x.p.notRun(outcome.ReasonCancelled, "the body did not arrive whole")
+		return x.cutBody(err)
 	}
+	_ = rc.SetReadDeadline(time.Time{}) // it was set, so it can be cleared
 	x.kept = true
 	return nil
 }
 
+func (x *exchange) cutBody(err error) *forward.Refusal {
+	if isTimeout(err) {
+		return x.p.notRun(outcome.ReasonDeadline, "the body did not arrive before the deadline")
+	}
+	return x.p.notRun(outcome.ReasonCancelled, "the body did not arrive whole")
+}
+
 // newBody returns a body over b. net/http sends it together with the head,
 // since it knows the reader, and can't get it again, since it is wrapped.
 func newBody(b []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(b)) }
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -24,9 +24,11 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	body  []byte // the whole body, when it is kept
-	kept  bool
-	claim Claim // nil without one
+	body []byte // the whole body, when it is kept
+	kept bool
+	// stream is the body when it is not kept.
+	stream *forward.StreamBody
+	claim  Claim // nil without one
 
 	number    int // of the attempt, from 1
 	inherited bool
@@ -134,7 +136,7 @@
 func (x *exchange) request(remaining int64) *http.Request {
 	var body io.ReadCloser
 	if !x.kept {
-		body = x.r.Body
+		body = x.stream
 	} else if len(x.body) > 0 {
 		body = newBody(x.body)
 	}
@@ -159,15 +161,16 @@
 	if x.last.record == nil || x.ctx.Err() != nil {
 		return false
 	}
+	replayable := x.kept || x.reclaim()
 	now := x.p.cfg.Now()
 	d := x.p.cfg.Retry.Decide(now, x.plan.match, retry.Attempt{
 		Number:     x.number,
 		Inherited:  x.inherited,
-		Replayable: x.kept,
+		Replayable: replayable,
 		Left:       x.plan.deadline.Sub(now),
 		Outcome:    refusal.Outcome,
 		Reason:     refusal.Reason,
-		Unsent:     !x.last.sent,
+		Unsent:     !x.last.sent && replayable,
 		Zone:       x.last.record.Zone,
 	})
 	if d.Stop != retry.StopNone {
@@ -179,6 +182,15 @@
 	return d.After <= 0 || sleep(x.ctx, d.After)
 }
 
+// reclaim takes a streamed body back and reports whether all of it is left.
+func (x *exchange) reclaim() bool {
+	if left := x.stream.Reclaim(); left != nil {
+		x.stream = left
+		return true
+	}
+	return false
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/transport/entry/older.go
+++ b/transport/entry/older.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -184,12 +186,17 @@
 // rebuild passes on a request whose raw head is not at hand. The header's
 // order and spelling are lost; its content and the body are kept.
 func (o *olderServer) rebuild(w http.ResponseWriter, r *http.Request) {
-	body := r.Body
-	if r.ContentLength == 0 {
-		body = nil
+	var body io.ReadCloser
+	if r.ContentLength != 0 {
+		body = forward.NewStreamBody(w, r)
 	}
 	out := forward.NewRequest(r.Context(), r, "http", o.p.cfg.OlderAddr, body, r.ContentLength)
 	resp, err := forward.Send(o.transport, out, w)
+	var failed *forward.SendError
+	if errors.As(err, &failed) && failed.Sent {
+		forward.Unknown(outcome.ReasonBackendFailed, "the older system broke the connection").Write(w)
+		return
+	}
 	if err != nil {
 		o.unreachable(w, err)
 		return
--- a/transport/entry/stream_test.go
+++ b/transport/entry/stream_test.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
 	"net/textproto"
 	"strings"
@@ -16,6 +18,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
 )
 
 func TestStreamsTrailersAndEarlyHints(t *testing.T) {
@@ -177,3 +180,80 @@
 	r.Header.Set("X-Large", string(bytes.Repeat([]byte("x"), 64<<10)))
 	must.Eq(t, http.StatusRequestHeaderFieldsTooLarge, b.do(t, r).StatusCode)
 }
+
+// The answer may begin before the request's body has ended.
+func TestAnswerWhileTheBodyStreams(t *testing.T) {
+	b := newBed()
+	b.work = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rc := http.NewResponseController(w)
+		must.NoError(t, rc.EnableFullDuplex())
+		buf := make([]byte, 4)
+		for {
+			if _, err := io.ReadFull(r.Body, buf); err != nil {
+				return
+			}
+			_, _ = w.Write(buf)
+			_ = rc.Flush()
+		}
+	})
+	b.start(t)
+	pr, pw := io.Pipe()
+	r := b.request(t, "POST", "/echo", "")
+	r.Body, r.ContentLength = pr, -1
+	go func() { _, _ = io.WriteString(pw, "ping") }()
+	resp := b.do(t, r)
+	for _, word := range []string{"ping", "pong", "done"} {
+		got := make([]byte, len(word))
+		_, err := io.ReadFull(resp.Body, got)
+		must.NoError(t, err)
+		must.Eq(t, word, string(got))
+		next := map[string]string{"ping": "pong", "pong": "done"}[word]
+		if next != "" {
+			_, _ = io.WriteString(pw, next)
+		}
+	}
+	must.NoError(t, pw.Close())
+	must.Eq(t, "", read(t, resp))
+}
+
+// A body that was not read yet can go to another host.
+func TestUnsentStreamGoesToAnotherHost(t *testing.T) {
+	b := newBed().start(t)
+	table := endpoint.NewTable()
+	table.Put(b.view.Load().Service("rooms")[0])
+	table.Put(endpoint.Record{Node: "gone", Service: "rooms", GateAddr: "127.0.0.1:1"})
+	b.view.Store(table.View())
+	for range 20 {
+		r := b.request(t, "POST", "/x", "")
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader("streamed")), -1
+		resp := b.do(t, r)
+		must.StrContains(t, read(t, resp), `"echo":"streamed"`)
+	}
+}
+
+// A request of the older system whose head is not at hand is rebuilt; when it
+// breaks after it was sent, the answer is unknown.
+func TestBrokenOlderSystemIsUnknown(t *testing.T) {
+	b := newBed()
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer s.Close()
+	b.cfg.OlderAddr = s.Listener.Addr().String()
+	b.start(t)
+	resp := b.do(t, b.request(t, "GET", "/older/a", ""))
+	must.Eq(t, string(outcome.Unknown), resp.Header.Get(outcome.HeaderOutcome))
+}
+
+// A caller whose body doesn't come is answered at its deadline.
+func TestSlowBodyEndsAtTheDeadline(t *testing.T) {
+	b := newBed().start(t)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: "+testHost+"\r\nContent-Length: 9\r\n"+
+		outcome.HeaderDeadline+": 30\r\n\r\npart")
+	must.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.Eq(t, string(outcome.NotRun), resp.Header.Get(outcome.HeaderOutcome))
+	must.Eq(t, string(outcome.ReasonDeadline), resp.Header.Get(outcome.HeaderReason))
+}
--- a/transport/forward/send_test.go
+++ b/transport/forward/send_test.go
@@ -185,3 +185,17 @@
 		must.Eq(t, tc.retry, w.Header().Get("Retry-After") != "")
 	}
 }
+
+// A body goes to one attempt only.
+func TestStreamBodyHasOneReader(t *testing.T) {
+	r := httptest.NewRequest("POST", "/", strings.NewReader("body"))
+	first := NewStreamBody(httptest.NewRecorder(), r)
+	second := first.Reclaim()
+	must.NotNil(t, second)
+	_, err := first.Read(make([]byte, 1))
+	must.ErrorIs(t, err, http.ErrBodyReadAfterClose)
+	b, err := io.ReadAll(second)
+	must.NoError(t, err)
+	must.Eq(t, "body", string(b))
+	must.Nil(t, second.Reclaim())
+}
--- /dev/null
+++ b/transport/forward/stream.go
@@ -0,0 +1,51 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+)
+
+// StreamBody passes a request's body on as it comes. Closing it does nothing:
+// the server closes the body itself, and until any of it was read it can still
+// be sent elsewhere.
+type StreamBody struct {
+	body  io.Reader
+	state atomic.Int32
+}
+
+// States of a StreamBody.
+const (
+	streamUntouched = iota
+	streamRead
+	streamReclaimed
+)
+
+// NewStreamBody returns the body of r. It lets the response begin before the
+// body has ended; net/http would otherwise take the rest of the body away.
+func NewStreamBody(w http.ResponseWriter, r *http.Request) *StreamBody {
+	// A writer that can't do it has no connection to lose.
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	return &StreamBody{body: r.Body}
+}
+
+// Read implements io.Reader.
+func (s *StreamBody) Read(p []byte) (int, error) {
+	if !s.state.CompareAndSwap(streamUntouched, streamRead) && s.state.Load() == streamReclaimed {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	return s.body.Read(p)
+}
+
+// Close implements io.Closer.
+func (s *StreamBody) Close() error { return nil }
+
+// Reclaim returns the body for another attempt, or nil when some of it was
+// read. After it, s reads nothing: net/http's writing goroutine may outlive
+// the attempt.
+func (s *StreamBody) Reclaim() *StreamBody {
+	if !s.state.CompareAndSwap(streamUntouched, streamReclaimed) {
+		return nil
+	}
+	return &StreamBody{body: s.body}
+}
--- a/transport/gate/forward.go
+++ b/transport/gate/forward.go
@@ -21,7 +21,7 @@
 		g.refuse(w, g.notRun(outcome.ReasonDeadline, "the deadline passed before the request was sent"))
 		return false
 	}
-	resp, err := forward.Send(g.cfg.Backend, backendRequest(ctx, r, c.addr, remaining), w)
+	resp, err := forward.Send(g.cfg.Backend, backendRequest(ctx, w, r, c.addr, remaining), w)
 	if err != nil {
 		g.refuse(w, g.failed(ctx, r, err))
 		return false
@@ -37,10 +37,10 @@
 	return true
 }
 
-func backendRequest(ctx context.Context, r *http.Request, addr string, remaining int64) *http.Request {
+func backendRequest(ctx context.Context, w http.ResponseWriter, r *http.Request, addr string, remaining int64) *http.Request {
 	var body io.ReadCloser
 	if r.ContentLength != 0 {
-		body = r.Body
+		body = forward.NewStreamBody(w, r)
 	}
 	out := forward.NewRequest(ctx, r, "http", addr, body, r.ContentLength)
 	delete(out.Header, outcome.HeaderKind)
