Prove that a shutdown waits for the older system's requests

Connections taken over from net/http are not known to its Shutdown, so a graceful stop rests on the proxy's own count. The new test holds an older request, shuts down, and wants the whole answer before Shutdown returns.

--- a/transport/entry/older_test.go
+++ b/transport/entry/older_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -142,3 +143,40 @@
 	must.NoError(t, err)
 	must.Eq(t, "again", string(got))
 }
+
+// A graceful shutdown lets the older system's request in flight finish, and
+// closes its caller's connection afterwards.
+func TestShutdownWaitsForOlderRequests(t *testing.T) {
+	b := newBed()
+	received, release := make(chan struct{}), make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(received)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	}))
+	defer s.Close()
+	_, addr := startOlder(t, b)
+	b.proxy.cfg.OlderAddr = s.Listener.Addr().String()
+	conn, err := net.Dial("tcp", addr)
+	must.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, oddGet)
+	must.NoError(t, err)
+	<-received
+	ended := make(chan error, 1)
+	go func() { ended <- b.proxy.Shutdown(context.Background()) }()
+	for closing := false; !closing; {
+		b.proxy.older.mu.Lock()
+		closing = b.proxy.older.closing
+		b.proxy.older.mu.Unlock()
+	}
+	must.Eq(t, 0, len(ended))
+	close(release)
+	reader := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(reader, nil)
+	must.NoError(t, err)
+	must.Eq(t, "whole", read(t, resp))
+	must.NoError(t, <-ended)
+	_, err = reader.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+}
