Keep the way to the reader while it is as good

Cause: the way changed to whoever delivered each beacon first, so between equally near neighbours it flapped, and shares of limits summed along it started anew: in a 10-node fleet offered 30% of its limits, 4 to 22 of 167 requests in 3 s were refused as rate-limited. Ruled out: shares themselves, which are granted as asked while the way stands. A node now stays with a neighbour that delivered this beacon or the one before over no more hops.

--- a/coordination/distribute/beacon.go
+++ b/coordination/distribute/beacon.go
@@ -84,13 +84,27 @@
 	last := c.beacons.own
 	c.beacons.own = m
 	c.beacons.ownAt = now
-	c.beacons.upstream = p.id()
+	if !c.keepsUpstream(m) {
+		c.beacons.upstream = p.id()
+	}
 	if last == nil || last.Reader != m.Reader || last.Term != m.Term {
 		c.readerChanged(now)
 	}
 	c.joinBeacon(now, m)
 }
 
+// keepsUpstream reports whether the present upstream is still as good a way to
+// the reader as the peer that delivered m, as it is passed on. It delivered this
+// beacon or the one before, over no more hops. Changing at each beacon to
+// whoever was first would send what is summed on the way along ever new ways.
+func (c *Core) keepsUpstream(m *message.Beacon) bool {
+	up := c.peers[c.beacons.upstream]
+	if up == nil || up.beacon.term != m.Term {
+		return false
+	}
+	return up.beacon.sequence+1 >= m.Sequence && up.beacon.hops < m.Hops
+}
+
 // upstreamDown picks the next best way to the reader.
 func (c *Core) upstreamDown(now time.Time, id model.NodeID) {
 	if c.beacons.upstream != id {
