--- a/internal/fleet/helpers_test.go
+++ b/internal/fleet/helpers_test.go
@@ -41,13 +41,16 @@
 }
 
 // documents returns the example documents with limits that the tests' load
-// does not reach.
+// does not reach, and without slow starts.
 func documents(t *testing.T) model.Batch {
 	b := batch(t, "room-signage")
 	for _, c := range b.Contracts {
 		c.Rate = model.Rate{PerSecond: 100_000, Burst: 100_000}
 		c.Concurrency = 10_000
 	}
+	for _, s := range b.Services {
+		s.SlowStart = 0
+	}
 	return b
 }
 
--- a/internal/fleet/platform_test.go
+++ b/internal/fleet/platform_test.go
@@ -221,3 +221,11 @@
 	must.Eq(t, http.StatusOK, resp.StatusCode)
 	return raw
 }
+
+// loseAnswers lets the platform lose a part of the answers to writes.
+func loseAnswers(t *testing.T, f *Fleet, part float64) {
+	t.Helper()
+	faults := platform.DefaultFaults()
+	faults.LoseAnswers = part
+	platformFaults(t, f, faults)
+}
