Keep a drain over a restart of its node, and check documents before the swap

Cause: hosts keep nothing, so a node that was killed announced its draining backend server as serving again. Ruled out: keeping drains in the platform, which a cut-off zone could not read. Peers remember the last record: a Welcome says that the server was draining, and the node restores it if the answer comes within 10 s of its start.

--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -43,13 +43,17 @@
 	Ready bool
 	// Digest is the peer's endpoint table's digest.
 	Digest []message.ZoneDigest
-	// Welcomed is set on the side that dialled: LastHeld and Incarnation are
-	// the peer's answers about this node.
-	Welcomed bool
-	// LastHeld is the newest version the peer knows this node to have held.
+	// LastHeld is the newest version the peer knows this node to have held; 0
+	// when it knows none.
 	LastHeld uint64
+	// Welcomed is set on the side that dialled: Incarnation and Drained are the
+	// peer's answers about this node.
+	Welcomed bool
 	// Incarnation is the newest incarnation of this node that the peer knows.
 	Incarnation uint64
+	// Drained says that the peer knows this node's backend server to have been
+	// draining in the node's last incarnation.
+	Drained bool
 }
 
 // PeerDown reports that the last connection to a peer ended.
--- a/internal/fleet/path_test.go
+++ b/internal/fleet/path_test.go
@@ -31,7 +31,9 @@
 	}
 	defer os.RemoveAll(dir)
 	bin = dir
-	build := exec.Command("go", "build", "-o", dir+"/", "../../cmd/...")
+	build := exec.Command("go", "build", "-o", dir+"/",
+		"../../cmd/jacinthgate-node", "../../cmd/jacinthgate-platform",
+		"../../cmd/jacinthgate-backend", "../../cmd/jacinthgate-older")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		panic(err)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -13,6 +13,8 @@
 	"github.com/jacinthgate/jacinthgate/coordination/lease"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
 	"github.com/jacinthgate/jacinthgate/internal/control"
+	"github.com/jacinthgate/jacinthgate/state/snapshot"
+	"github.com/jacinthgate/jacinthgate/transport/local"
 )
 
 // wireControl wires the control plane: transport, links, cores, event loop.
@@ -27,6 +29,7 @@
 	accepting.Held = n.pub.Snapshot
 	n.accepter = control.NewAccepter(accepting, table, objects)
 	n.collector = control.NewCollector(control.DefaultCollectorConfig(), table, objects)
+	n.registry = local.New(local.DefaultConfig())
 	n.limiter = admit.New(admit.DefaultConfig(), n.seed())
 	n.loop = n.newLoop()
 	n.loop.platform = &platformIO{
@@ -56,6 +59,9 @@
 		pub:       n.pub,
 		onSwap:    n.swapped,
 		onView:    n.viewed,
+		// The registry answers with an event, which the loop must be free for.
+		onDrained: func() { go n.registry.RestoreDrain() },
+		started:   time.Now(),
 		log:       n.log,
 	}
 	l.publish()
@@ -75,6 +81,7 @@
 	cfg := distribute.DefaultConfig()
 	cfg.PollInterval = n.set.Control.PollInterval.Std()
 	cfg.BeaconInterval = n.set.Control.BeaconInterval.Std()
+	cfg.Check = (*snapshot.Snapshot).ValidateDocuments
 	return cfg
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -59,15 +59,19 @@
 	onSwap func(*snapshot.Snapshot)
 	// onView is called after a new view is published.
 	onView func()
-	log    log.Logger
+	// onDrained is called when the backend server was draining before the node
+	// started.
+	onDrained func()
+	log       log.Logger
+	started   time.Time
 
 	// flush fires when changed records are due.
-	flush       *time.Timer
-	viewDirty   bool
-	leaseHeld   bool
-	leaseTerm   uint64
-	aloneSince  time.Time
-	nextSeeding time.Time
+	flush         *time.Timer
+	viewDirty     bool
+	leaseHeld     bool
+	leaseTerm     uint64
+	aloneSince    time.Time
+	nextDiscovery time.Time
 }
 
 // run handles events until ctx ends.
@@ -138,12 +142,13 @@
 // step gives one event to every core and publishes what changed.
 func (l *loop) step(ev core.Event) {
 	now := time.Now()
+	l.restoreDrain(now, ev)
 	l.carryOut(now, l.member.Step(now, ev))
 	l.carryOut(now, l.dist.Step(now, ev))
 	l.carryOut(now, l.lease.Step(now, ev))
 	l.followLease(now)
 	l.shares.step(now, ev, l)
-	l.seed(now)
+	l.discover(now)
 	l.publish()
 	l.armFlush(now)
 }
@@ -174,7 +179,7 @@
 		l.pub.view.Store(l.member.Table().View())
 		l.onView()
 	}
-	l.pub.greeting.Store(&greeting{
+	l.pub.selfState.Store(&selfState{
 		record: l.member.Self(),
 		held:   l.dist.Held().Ref(),
 		ready:  l.dist.Ready(),
@@ -253,15 +258,15 @@
 
 // Times of looking for members at the platform.
 const (
-	// aloneBeforeSeeding is how long a node has no peer before it looks at the
+	// aloneBeforeDiscovery is how long a node has no peer before it looks at the
 	// platform for other members.
-	aloneBeforeSeeding = 3 * time.Second
-	// seedingInterval is the time between two looks.
-	seedingInterval = 10 * time.Second
+	aloneBeforeDiscovery = 3 * time.Second
+	// discoveryInterval is the time between two looks.
+	discoveryInterval = 10 * time.Second
 )
 
-// seed looks for members at the platform while the node has no peer.
-func (l *loop) seed(now time.Time) {
+// discover looks for members at the platform while the node has no peer.
+func (l *loop) discover(now time.Time) {
 	if len(l.member.Neighbours()) > 0 {
 		l.aloneSince = time.Time{}
 		return
@@ -269,9 +274,9 @@
 	if l.aloneSince.IsZero() {
 		l.aloneSince = now
 	}
-	if now.Sub(l.aloneSince) < aloneBeforeSeeding || now.Before(l.nextSeeding) {
+	if now.Sub(l.aloneSince) < aloneBeforeDiscovery || now.Before(l.nextDiscovery) {
 		return
 	}
-	l.nextSeeding = now.Add(seedingInterval)
+	l.nextDiscovery = now.Add(discoveryInterval)
 	l.platform.findSeeds()
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/transport/link"
 	"github.com/jacinthgate/jacinthgate/transport/peer/quic"
 )
@@ -49,7 +50,7 @@
 	cfg := link.DefaultConfig()
 	cfg.Transport = n.peers
 	cfg.Node = n.set.Node
-	cfg.Self = func() message.Hello { return n.pub.greeting.Load().hello() }
+	cfg.Self = n.hello
 	cfg.Welcome = n.welcome
 	cfg.Budget.BytesPerSecond = float64(n.set.Control.BytesPerSecond)
 	cfg.Budget.Burst = float64(n.set.Control.BurstBytes)
@@ -59,14 +60,23 @@
 	return link.New(cfg)
 }
 
+// hello is the first message to a peer that this node dials. The links call it
+// from their own goroutines.
+func (n *Node) hello(to model.NodeID) message.Hello {
+	h := n.pub.selfState.Load().hello()
+	n.loop.ask(n.ctx, func() { h.LastHeld = n.loop.dist.LastHeldOf(to) })
+	return h
+}
+
 // welcome answers a Hello with what this node knows of its sender. The links
 // call it from their own goroutines; nil refuses the peer while the node stops.
 func (n *Node) welcome(h *message.Hello) *message.Welcome {
-	w := n.pub.greeting.Load().welcome()
+	w := n.pub.selfState.Load().welcome()
 	id := h.Record.Node
 	known := n.loop.ask(n.ctx, func() {
 		w.LastHeld = n.loop.dist.LastHeldOf(id)
 		w.Incarnation = n.loop.member.IncarnationOf(id)
+		w.Drained = n.loop.drainedBefore(h.Record)
 	})
 	if !known {
 		return nil
--- a/internal/node/published.go
+++ b/internal/node/published.go
@@ -16,12 +16,12 @@
 	view     atomic.Pointer[endpoint.View]
 	ready    atomic.Bool
 	// reader says that this node holds its zone's lease.
-	reader   atomic.Bool
-	greeting atomic.Pointer[greeting]
+	reader    atomic.Bool
+	selfState atomic.Pointer[selfState]
 }
 
-// greeting is what a node tells a new peer of itself.
-type greeting struct {
+// selfState is what a node tells a new peer of itself.
+type selfState struct {
 	record endpoint.Record
 	held   snapshot.Ref
 	ready  bool
@@ -51,7 +51,7 @@
 }
 
 // hello returns the first message to a peer.
-func (g *greeting) hello() message.Hello {
+func (g *selfState) hello() message.Hello {
 	return message.Hello{
 		Protocol: message.ProtocolVersion,
 		Record:   g.record,
@@ -62,7 +62,7 @@
 }
 
 // welcome returns the answer to a Hello, but for what is known of its sender.
-func (g *greeting) welcome() *message.Welcome {
+func (g *selfState) welcome() *message.Welcome {
 	return &message.Welcome{
 		Protocol: message.ProtocolVersion,
 		Record:   g.record,
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -65,7 +65,8 @@
 // takes notice, and then lets the requests in flight finish. It returns an error
 // when the deadline cut one.
 func (n *Node) shutdown() error {
-	n.loop.post(n.ctx, member.Announce{Draining: true, Unready: true, Service: n.registry.Current().Service})
+	a := n.registry.Current()
+	n.loop.post(n.ctx, member.Announce{Unready: true, Draining: a.Draining, Service: a.Service})
 	time.Sleep(n.set.Shutdown.Notice.Std())
 	ctx, cancel := context.WithTimeout(n.ctx, n.set.Shutdown.DrainTimeout.Std())
 	defer cancel()
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -14,13 +14,12 @@
 	"github.com/jacinthgate/jacinthgate/transport/entry"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/gate"
-	"github.com/jacinthgate/jacinthgate/transport/local"
 	"github.com/jacinthgate/jacinthgate/transport/operatorapi"
 	"github.com/jacinthgate/jacinthgate/transport/platform"
 )
 
 func (n *Node) openIdentity() error {
-	id, err := newIdentity(n.set, n.log)
+	id, err := newIdentity(n.set, n.log, n.metrics)
 	n.identity = id
 	return err
 }
@@ -28,10 +27,11 @@
 // openListeners opens every address, so that the node's record can name the
 // ports that the kernel chose.
 func (n *Node) openListeners() error {
-	var err error
-	if n.callerLn, err = net.Listen("tcp", n.set.Listen.Caller); err != nil {
+	callers, err := net.Listen("tcp", n.set.Listen.Caller)
+	if err != nil {
 		return &ListenError{Name: "caller", Addr: n.set.Listen.Caller, Err: err}
 	}
+	n.callerLn = newCappedListener(callers, n.set.Limits.Connections, n.metrics)
 	n.gateSrv, err = listen(serverConfig{
 		name:           "gate",
 		addr:           n.set.Listen.Gate,
@@ -51,6 +51,7 @@
 			addr:           n.set.Operator,
 			tls:            n.identity.operatorServer(),
 			maxHeaderBytes: n.set.Limits.HeaderBytes,
+			maxConns:       maxOperatorConns,
 		})
 	}
 	return err
@@ -74,7 +75,6 @@
 	gateTransport := n.newGateTransport()
 	n.retrier = retry.New(retry.DefaultConfig(), n.seed())
 	n.picker = balance.New(balance.DefaultConfig(), n.set.Zone, n.set.Region, n.seed())
-	n.registry = local.New(local.DefaultConfig())
 	n.registry.OnChange(n.announce)
 	n.wireGate()
 	n.proxy = entry.New(n.entryConfig(gateTransport))
@@ -98,6 +98,7 @@
 	cfg.Self = n.set.Node
 	cfg.Announcement = n.registry.Current
 	cfg.Service = n.pub.Service
+	cfg.MaxQueue = n.set.Limits.Queue
 	cfg.Metrics = n.metrics
 	cfg.Logger = n.log
 	n.gate = gate.New(cfg)
--- a/internal/rules/imports_test.go
+++ b/internal/rules/imports_test.go
@@ -34,8 +34,8 @@
 	"coordination/gate":    "sync",
 	"coordination/retry":   "sync",
 	"coordination/share":   "sync",
-	"state/snapshot":       "net",
 	"state/endpoint":       "net",
+	"state/snapshot":       "net",
 	"state/model":          "net",
 }
 
@@ -59,16 +59,37 @@
 	})
 }
 
-func TestProductImportsNoStandIn(t *testing.T) {
+// programs are the daemons and tools that run on a real site.
+var programs = []string{"cmd/jacinthgate-node", "cmd/jacinthgatectl"}
+
+// tools are the folders that serve tests, trials and measurements only.
+var tools = []string{"internal/standin", "internal/fleet", "internal/measure", "internal/load", "internal/demo"}
+
+func TestProductImportsNoTools(t *testing.T) {
+	imports := make(map[string][]string)
 	forEachImport(t, func(dir, imported string) {
-		if !strings.HasPrefix(imported, module+"internal/standin") {
-			return
+		if rest, ours := strings.CutPrefix(imported, module); ours {
+			imports[dir] = append(imports[dir], rest)
 		}
-		standIn := strings.HasPrefix(dir, "internal/standin") || strings.HasPrefix(dir, "cmd/")
-		must.True(t, standIn, must.Sprintf("%s imports %s", dir, imported))
-		must.NotEq(t, "cmd/jacinthgate-node", dir)
-		must.NotEq(t, "cmd/jacinthgatectl", dir)
 	})
+	seen := make(map[string]bool)
+	var visit func(dir, by string)
+	visit = func(dir, by string) {
+		if seen[dir] {
+			return
+		}
+		seen[dir] = true
+		for _, tool := range tools {
+			must.False(t, strings.HasPrefix(dir, tool), must.Sprintf("%s imports %s", by, dir))
+		}
+		for _, next := range imports[dir] {
+			visit(next, dir)
+		}
+	}
+	for _, p := range programs {
+		visit(p, "")
+	}
+	must.True(t, seen["state/snapshot"])
 }
 
 func top(dir string) string { return strings.SplitN(dir, "/", 2)[0] }
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -68,6 +68,9 @@
 	// Incarnation is the newest incarnation of the sender of the Hello that is
 	// known here.
 	Incarnation uint64 `cbor:"7,keyasint,omitempty"`
+	// Drained says that the sender of the Hello had a draining backend server
+	// in its last incarnation.
+	Drained bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Beacon is flooded by each zone's reader. It shows the way to the reader,
--- a/state/snapshot/consistent.go
+++ b/state/snapshot/consistent.go
@@ -14,19 +14,29 @@
 	return s.checkHosts()
 }
 
-// ValidateDocuments checks each contract and service by itself. Its cost grows
-// with the snapshot. It returns the first fault in order of name as a
+// ValidateDocuments checks each contract and service by itself. Snapshots share
+// the entries that did not change, so each document is checked once. It returns the first fault in order of name as a
 // *DocumentError.
 func (s *Snapshot) ValidateDocuments() error {
 	for _, name := range s.Services() {
-		if err := s.services[name].Service.Validate(); err != nil {
+		e := s.services[name]
+		if e.valid.Load() {
+			continue
+		}
+		if err := e.Service.Validate(); err != nil {
 			return &DocumentError{Kind: "service", Name: name, Err: err}
 		}
+		e.valid.Store(true)
 	}
 	for _, name := range s.Customers() {
-		if err := s.contracts[name].Contract.Validate(); err != nil {
+		e := s.contracts[name]
+		if e.valid.Load() {
+			continue
+		}
+		if err := e.Contract.Validate(); err != nil {
 			return &DocumentError{Kind: "contract", Name: name, Err: err}
 		}
+		e.valid.Store(true)
 	}
 	return nil
 }
--- a/state/snapshot/snapshot.go
+++ b/state/snapshot/snapshot.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"maps"
 	"slices"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 
@@ -22,6 +23,8 @@
 	Contract *model.Contract `cbor:"2,keyasint"`
 
 	sum [sha256.Size]byte
+	// valid is set once the contract has been found valid.
+	valid atomic.Bool
 }
 
 // ServiceEntry is a service and the version that last changed it.
@@ -32,6 +35,8 @@
 	Service *model.Service `cbor:"2,keyasint"`
 
 	sum [sha256.Size]byte
+	// valid is set once the service has been found valid.
+	valid atomic.Bool
 }
 
 // Snapshot is one whole version. All its methods are safe for concurrent use.
--- a/transport/link/config.go
+++ b/transport/link/config.go
@@ -39,9 +39,10 @@
 	Transport peer.Transport
 	// Node is the own node.
 	Node model.NodeID
-	// Self returns the Hello for a connection that is being opened. It is
-	// called from other goroutines than the event loop.
-	Self func() message.Hello
+	// Self returns the Hello for a connection that is being opened to a peer,
+	// whose name is empty for a seed. It is called from other goroutines than
+	// the event loop.
+	Self func(to model.NodeID) message.Hello
 	// Welcome returns the answer to a Hello, or nil to refuse the peer for
 	// now. It is called from other goroutines than the event loop.
 	Welcome func(h *message.Hello) *message.Welcome
--- a/transport/link/handshake.go
+++ b/transport/link/handshake.go
@@ -25,7 +25,7 @@
 }
 
 func (m *Manager) greet(ctx context.Context, c peer.Conn, node model.NodeID) (*link, error) {
-	hello := m.cfg.Self()
+	hello := m.cfg.Self(node)
 	if err := m.sendNow(ctx, c, &hello); err != nil {
 		return nil, err
 	}
@@ -42,7 +42,7 @@
 	}
 	up := core.PeerUp{
 		Record: w.Record, Held: w.Held, Ready: w.Ready, Digest: w.Digest,
-		Welcomed: true, LastHeld: w.LastHeld, Incarnation: w.Incarnation,
+		Welcomed: true, LastHeld: w.LastHeld, Incarnation: w.Incarnation, Drained: w.Drained,
 	}
 	return &link{conn: c, dialled: true, up: up}, nil
 }
@@ -70,7 +70,7 @@
 	if err := m.sendNow(ctx, c, w); err != nil {
 		return nil, err
 	}
-	up := core.PeerUp{Record: h.Record, Held: h.Held, Ready: h.Ready, Digest: h.Digest}
+	up := core.PeerUp{Record: h.Record, Held: h.Held, Ready: h.Ready, Digest: h.Digest, LastHeld: h.LastHeld}
 	return &link{conn: c, up: up}, nil
 }
 
--- a/transport/link/link_test.go
+++ b/transport/link/link_test.go
@@ -42,7 +42,7 @@
 	cfg := DefaultConfig()
 	cfg.Transport, cfg.Node, cfg.Metrics = tr, id, n.metrics
 	cfg.Logger = log.NewLogfmtLogger(log.NewSyncWriter(&n.log))
-	cfg.Self = func() message.Hello {
+	cfg.Self = func(model.NodeID) message.Hello {
 		return message.Hello{Protocol: message.ProtocolVersion, Record: record}
 	}
 	cfg.Welcome = func(h *message.Hello) *message.Welcome {
@@ -201,9 +201,9 @@
 				time.Sleep(crossingTimeouts*defaultHandshakeTimeout + 1)
 			}
 			again := start(t, net.Transport("a", "a:2"), "a", func(cfg *Config) {
-				self := cfg.Self()
+				self := cfg.Self("")
 				self.Record.Incarnation = incarnation
-				cfg.Self = func() message.Hello { return self }
+				cfg.Self = func(model.NodeID) message.Hello { return self }
 			}).record(t)
 			again.Connect("b", "b:1")
 			must.Eq(t, []string{"welcomed b 7"}, again.got())
@@ -239,9 +239,9 @@
 func TestRefusals(t *testing.T) {
 	hello := func(change func(*message.Hello)) func(*Config) {
 		return func(cfg *Config) {
-			h := cfg.Self()
+			h := cfg.Self("")
 			change(&h)
-			cfg.Self = func() message.Hello { return h }
+			cfg.Self = func(model.NodeID) message.Hello { return h }
 		}
 	}
 	tests := []struct {
--- a/transport/local/registry.go
+++ b/transport/local/registry.go
@@ -28,8 +28,10 @@
 	cfg     Config
 	current atomic.Pointer[Announcement]
 
-	mu       sync.Mutex
-	renewed  time.Time
+	mu      sync.Mutex
+	renewed time.Time
+	// restored says that the next server announced is draining.
+	restored bool
 	onChange func(Announcement)
 }
 
@@ -69,6 +71,8 @@
 		a.Since = old.Since
 		a.Draining = a.Draining || old.Draining
 	}
+	a.Draining = a.Draining || r.restored
+	r.restored = false
 	r.set(a)
 	return nil
 }
@@ -87,6 +91,20 @@
 	return nil
 }
 
+// RestoreDrain brings back a drain that was asked for before the node started
+// anew: a backend server announced now, or next, is draining.
+func (r *Registry) RestoreDrain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.Current()
+	if !a.Announced() {
+		r.restored = true
+		return
+	}
+	a.Draining = true
+	r.set(a)
+}
+
 // Withdraw removes the announcement.
 func (r *Registry) Withdraw() {
 	r.mu.Lock()
