Share the fleet's least retries, and don't blame a server for a deadline

Cause: each node gave itself the whole fleet-wide minimum of retries per second, and a gate's refusal because the request's deadline can't be met counted against its server. Ruled out for the first: dividing by the configured size, which no node knows. The node's part follows the number of live records. The second is reported to the picker as no verdict.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -99,8 +99,12 @@
 // seed returns a seed for the node's random choices.
 func (n *Node) seed() uint64 { return rand.Uint64() }
 
-// viewed drops what is kept of endpoints that are gone.
-func (n *Node) viewed() { n.picker.Prune(n.pub.View()) }
+// viewed drops what is kept of endpoints that are gone, and takes over this
+// node's part of the retries that the fleet is allowed in any case.
+func (n *Node) viewed() {
+	n.picker.Prune(n.pub.View())
+	n.retrier.SetPart(1 / float64(max(1, n.loop.liveNodes())))
+}
 
 // housekeepInterval is the time between two rounds of housekeeping by a zone's
 // reader.
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -80,6 +80,18 @@
 // zoneCount returns the number of zones with a member in the table.
 func (l *loop) zoneCount() int { return len(l.member.Digest()) }
 
+// liveNodes returns the number of live nodes in all zones.
+func (l *loop) liveNodes() int {
+	live := 0
+	for _, z := range l.member.Digest() {
+		l.member.Table().EachLive(z.Zone, func(*endpoint.Record, model.NodeKey) bool {
+			live++
+			return true
+		})
+	}
+	return live
+}
+
 // otherReaders returns the readers of the other zones that were heard of lately.
 func (l *loop) otherReaders() map[model.Zone]model.NodeID {
 	readers := make(map[model.Zone]model.NodeID)
@@ -106,6 +118,7 @@
 		Gateway: l.member.Gateway(),
 		Zones:   l.zones(now),
 	}
+	setLag(out.Zones, s.Head.Version)
 	counts := newEndpointCounts()
 	for _, r := range l.member.Table().All() {
 		counts.add(r)
@@ -115,6 +128,15 @@
 	return out
 }
 
+// setLag fills in by how many versions each zone is behind the newest known.
+func setLag(zones []operator.ZoneProgress, head uint64) {
+	for i := range zones {
+		if z := &zones[i]; z.Version < head {
+			z.Lag = head - z.Version
+		}
+	}
+}
+
 func version(r snapshot.Ref) operator.Version {
 	return operator.Version{Version: r.Version, Hash: r.Hash.String()}
 }
--- a/transport/entry/verdict.go
+++ b/transport/entry/verdict.go
@@ -46,7 +46,7 @@
 	}
 	forward.Drain(resp)
 	if out == outcome.NotRun {
-		x.done(balance.NotRun)
+		x.done(refusedAs(reason))
 		refusal := forward.NotRun(reason, "the gate refused the request")
 		refusal.RetryAfter = forward.RetryAfter(resp.Header, x.p.cfg.RetryAfter)
 		return refusal
@@ -55,6 +55,15 @@
 	return forward.Unknown(reason, "the backend server did not answer")
 }
 
+// refusedAs says what a gate's refusal tells about its server. A deadline that
+// can't be met is the request's own and says nothing.
+func refusedAs(reason outcome.Reason) balance.Outcome {
+	if reason == outcome.ReasonDeadline {
+		return balance.Cancelled
+	}
+	return balance.NotRun
+}
+
 // relay passes the answer on.
 func (x *exchange) relay() error {
 	if x.last.record == nil {
