Measure requests and policies with fleets of real processes

Cause: latency and the policies under load were measured in one process or in a model only. Weighed: a script around jacinthgate-load, which can't read the node processes' use nor set faults at a given time. Two new commands of jacinthgate-measure start a fleet at a deployment's sizes: requests (added latency beside direct calls, processor time for a call, stages) and policies (overload, flooding customers, faulty servers beside callers that take the servers in turn).

--- a/cmd/jacinthgate-measure/main.go
+++ b/cmd/jacinthgate-measure/main.go
@@ -22,6 +22,8 @@
 	subcommands.Register(&controlCommand{name: "baseline", baseline: true}, "")
 	subcommands.Register(&churnCommand{}, "")
 	subcommands.Register(&coresCommand{}, "")
+	subcommands.Register(&requestsCommand{}, "")
+	subcommands.Register(&requestsCommand{policies: true}, "")
 	subcommands.Register(&pageCommand{}, "")
 	flag.Parse()
 	os.Exit(execute())
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -232,6 +232,9 @@
 // LocalURL is the base URL of the host's own interface.
 func (m *Member) LocalURL() string { return "http://" + m.addr(portLocal) }
 
+// GateURL is the base URL of the host's gate.
+func (m *Member) GateURL() string { return "http://" + m.addr(portGate) }
+
 // BackendAddr is the address of the backend server itself.
 func (m *Member) BackendAddr() string { return m.addr(portBackend) }
 
