Make the strict CBOR modes once

Ruled out: moving them into protocol, which state may not import. They now come from state/codec with their own limits. Behaviour is unchanged; the tests of both packages, hostile input among them, pass as they were.

--- a/protocol/message/codec.go
+++ b/protocol/message/codec.go
@@ -3,19 +3,17 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"github.com/jacinthgate/jacinthgate/state/codec"
 )
 
 // MaxSize is the largest encoded message in bytes. A larger one is refused
 // before it is decoded.
 const MaxSize = 256 << 10
 
-// Limits of the decoder against hostile input.
-const (
-	maxElements = 16 << 10
-	maxNesting  = 8
-)
+// limits bound what a decoded message holds.
+var limits = codec.Limits{Elements: 16 << 10, Nesting: 8}
 
 // SizeError reports a message that is larger than MaxSize, or empty.
 type SizeError struct {
@@ -53,44 +51,11 @@
 // Unwrap returns the codec's error.
 func (e *DecodeError) Unwrap() error { return e.Err }
 
-// null is CBOR's null, which no message holds: Encode writes a nil slice as an
-// empty one.
-const null cbor.SimpleValue = 22
-
 var (
-	encMode = mustEncMode()
-	decMode = mustDecMode()
+	encMode = codec.NewEncoder()
+	decMode = codec.NewDecoder(limits)
 )
 
-func mustEncMode() cbor.EncMode {
-	m, err := cbor.EncOptions{NilContainers: cbor.NilContainerAsEmpty}.EncMode()
-	if err != nil {
-		panic(err) // the options are constants; a test encodes with them
-	}
-	return m
-}
-
-func mustDecMode() cbor.DecMode {
-	values, err := cbor.NewSimpleValueRegistryFromDefaults(cbor.WithRejectedSimpleValue(null))
-	if err != nil {
-		panic(err) // the value is a constant
-	}
-	m, err := cbor.DecOptions{
-		SimpleValues:     values,
-		NaN:              cbor.NaNDecodeForbidden,
-		Inf:              cbor.InfDecodeForbidden,
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-		MaxNestedLevels:  maxNesting,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err) // the options are constants; a test decodes with them
-	}
-	return m
-}
-
 // Encode returns m's kind in one byte, followed by its CBOR body. It returns a
 // *SizeError when the result is larger than MaxSize.
 func Encode(m Message) ([]byte, error) {
--- a/state/snapshot/codec.go
+++ b/state/snapshot/codec.go
@@ -1,61 +1,27 @@
 package snapshot
 
 import (
-	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/zstd"
 	"github.com/pkg/errors"
+
+	"github.com/jacinthgate/jacinthgate/state/codec"
 )
 
 // MaxDecoded is the largest decompressed snapshot or delta in bytes; larger
 // input is refused.
 const MaxDecoded = 64 << 20
 
-// Limits of the CBOR decoder against hostile input.
-const (
-	maxElements = 64 << 10 // contracts, services or deletions of one body
-	maxNesting  = 16
-)
-
-// null is CBOR's null, which no body holds: encMode writes a nil slice as an
-// empty one, and an entry always has its document.
-const null cbor.SimpleValue = 22
+// limits bound what a body holds; Elements counts contracts, services or
+// deletions.
+var limits = codec.Limits{Elements: 64 << 10, Nesting: 16}
 
 var (
 	encoder = mustEncoder()
 	decoder = mustDecoder()
-	encMode = mustEncMode()
-	decMode = mustDecMode()
+	encMode = codec.NewEncoder()
+	decMode = codec.NewDecoder(limits)
 )
 
-func mustEncMode() cbor.EncMode {
-	m, err := cbor.EncOptions{NilContainers: cbor.NilContainerAsEmpty}.EncMode()
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	return m
-}
-
-func mustDecMode() cbor.DecMode {
-	values, err := cbor.NewSimpleValueRegistryFromDefaults(cbor.WithRejectedSimpleValue(null))
-	if err != nil {
-		panic(err) // the value is a constant
-	}
-	m, err := cbor.DecOptions{
-		SimpleValues:     values,
-		NaN:              cbor.NaNDecodeForbidden,
-		Inf:              cbor.InfDecodeForbidden,
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-		MaxNestedLevels:  maxNesting,
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		IndefLength:      cbor.IndefLengthForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err) // the options are constants
-	}
-	return m
-}
-
 func mustEncoder() *zstd.Encoder {
 	e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
 	if err != nil {
