--- a/internal/claims/config.go
+++ b/internal/claims/config.go
@@ -30,8 +30,11 @@
 	FailuresToStop int64
 	// StopFor is how long they are refused before the service is asked again.
 	StopFor time.Duration
-	// SweepPage is the number of records read at a time by Sweep.
+	// SweepPage is the number of records read by one Sweep.
 	SweepPage int
+	// SweepPause is the time between two transactions of a Sweep, so that
+	// deletes don't take the table service's writes from requests.
+	SweepPause time.Duration
 }
 
 // BatchConfig says how writes are joined into transactions.
@@ -60,7 +63,8 @@
 		MaxBackground:  1024,
 		FailuresToStop: 3,
 		StopFor:        time.Second,
-		SweepPage:      100,
+		SweepPage:      500,
+		SweepPause:     2 * time.Second,
 		Batch: BatchConfig{
 			Max:      25,
 			Wait:     4 * time.Millisecond,
--- a/internal/claims/keeper_test.go
+++ b/internal/claims/keeper_test.go
@@ -235,8 +235,11 @@
 		c.Done(booked)
 		time.Sleep(settled)
 		tb.changed = claim.ItemKey("kovacsne", "old7")
+		began := time.Now()
 		swept, err := k.Sweep(context.Background(), "kovacsne")
 		must.NoError(t, err)
+		took := claims.DefaultConfig().SweepPause + 3*tb.latency // three transactions, one of them refused
+		must.Eq(t, took, time.Since(began), must.Sprint("deletes are not spaced"))
 		must.Eq(t, claims.Swept{Read: 41, Deleted: 39}, swept)
 		_, v := begin(k, "young")
 		must.Eq(t, "replay booked", told(v))
--- a/internal/claims/sweep.go
+++ b/internal/claims/sweep.go
@@ -22,9 +22,9 @@
 
 // Sweep reads one page of a customer's records from a random place and
 // deletes those older than RetainFor. It needs no lease: any node may call it
-// at any time, since deletes are conditional. Called now and then by every
-// node it visits all records; the caller sets the rate. The errors are those
-// of platform.Table.
+// at any time, since deletes are conditional. Called now and then it visits all
+// records. It pauses between deletes and so may take a minute. The errors are
+// those of platform.Table and of ctx.
 func (k *Keeper) Sweep(ctx context.Context, customer string) (Swept, error) {
 	items, err := k.page(ctx, claim.Prefix+customer+"/", randomHash())
 	if err != nil {
@@ -45,10 +45,25 @@
 		}
 		swept.Deleted += n
 		old = old[n:]
+		if len(old) > 0 && !pause(ctx, k.cfg.SweepPause) {
+			return swept, errors.Wrap(ctx.Err(), "sweep: delete claims")
+		}
 	}
 	return swept, nil
 }
 
+// pause waits; false when ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // page reads a page from start on. A page that meets the end goes on at the
 // beginning, so that all records are visited equally often.
 func (k *Keeper) page(ctx context.Context, prefix, start string) ([]platform.Item, error) {
