Show what claims did in the metrics

Cause: operators could not see how many keyed requests were replayed, refused or left claimed, and stuck keys are the one alarm that at-most-once execution has. Ruled out: a second set of counters beside the keeper's own. The node shows the keeper's counters under jacinthgate_claims_total by result. No figures: nothing on the path of a request changed.

--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/jacinthgate/jacinthgate/coordination/claim"
 	"github.com/jacinthgate/jacinthgate/internal/claims"
@@ -25,3 +28,15 @@
 		return held, entry.ClaimVerdict{}
 	}
 }
+
+// registerClaimMetrics shows what the keeper counts.
+func registerClaimMetrics(set *metrics.Set, s *claims.Stats) {
+	show := func(result string, counter *atomic.Uint64) {
+		name := `jacinthgate_claims_total{result="` + result + `"}`
+		set.NewGauge(name, func() float64 { return float64(counter.Load()) })
+	}
+	show("claimed", &s.Claimed)
+	show("replayed", &s.Replayed)
+	show("refused", &s.Refused)
+	show("stuck", &s.Stuck)
+}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -166,5 +166,7 @@
 	cfg.Node = n.set.Node
 	cfg.Incarnation = n.self.Incarnation
 	cfg.CallTimeout = n.set.Platform.Timeout.Std()
-	return claims.New(cfg, table)
+	keeper := claims.New(cfg, table)
+	registerClaimMetrics(n.metrics, keeper.Stats())
+	return keeper
 }
