--- a/cmd/jacinthgate-node/main.go
+++ b/cmd/jacinthgate-node/main.go
@@ -54,6 +54,7 @@
 		return fail(err)
 	}
 	logger := logging.New(os.Stderr, set.LogLevel)
+	logging.CatchLibraries(logger)
 	n, err := node.New(set, logger)
 	if err != nil {
 		return fail(err)
--- a/cmd/jacinthgatectl/apply.go
+++ b/cmd/jacinthgatectl/apply.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -12,71 +10,62 @@
 	"github.com/google/subcommands"
 	"github.com/google/uuid"
 
+	"github.com/jacinthgate/jacinthgate/coordination/accept"
 	"github.com/jacinthgate/jacinthgate/internal/operatorclient"
 	"github.com/jacinthgate/jacinthgate/protocol/operator"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
+// changeExits is the part of the usage that apply and delete share.
+const changeExits = `Exit codes: 0 in force; 3 refused, nothing changed; 4 conflict, another operator
+was first, nothing changed; 5 accepted, not yet in force everywhere (missing nodes
+and cut-off zones are named); 6 outcome not known: run the same command again with
+the printed -change-id; 7 the node did not answer before anything was sent.
+`
+
 // applyCmd sends a change and waits until it is in force.
-type applyCmd struct {
-	nodeFlags
-	outputFlag
-	changeFlags
-}
+type applyCmd struct{ changeVerb }
 
 func (*applyCmd) Name() string     { return "apply" }
 func (*applyCmd) Synopsis() string { return "bring documents into force, all in one version" }
 func (*applyCmd) Usage() string {
 	return `apply [flags] FILE...
-Sends the documents of all files as one change and waits until it is in force on
-every live node. Exit codes: 0 in force; 3 refused; 4 conflict (another operator
-was first); 5 accepted, not yet in force everywhere (missing nodes and cut-off
-zones are named); 6 outcome not known: run it again with the printed -change-id.
-`
-}
-
-func (c *applyCmd) SetFlags(f *flag.FlagSet) {
-	c.nodeFlags.register(f)
-	c.outputFlag.register(f)
-	c.changeFlags.register(f)
+Sends the documents of all files (- is standard input) as one change and waits
+until it is in force on every live node; progress goes to standard error.
+` + changeExits
 }
 
 func (c *applyCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() == 0 {
-		f.Usage()
+	files, ok := c.parse(f)
+	if !ok {
 		return exitUsage
 	}
-	if err := c.outputFlag.check(); err != nil {
-		return failUsage(err)
+	if len(files) == 0 {
+		return usage(f)
 	}
-	batch, err := readBatches(f.Args())
-	if err != nil {
-		return fail(err)
-	}
-	client, err := c.client()
+	batch, err := readBatches(files)
 	if err != nil {
-		return fail(err)
+		return c.fail(err)
 	}
-	return c.run(ctx, client, batch, &c.outputFlag)
+	return c.run(ctx, batch)
 }
 
-func failUsage(err error) subcommands.ExitStatus {
-	fmt.Fprintln(os.Stderr, "jacinthgatectl:", err)
-	return exitUsage
-}
-
-// changeFlags are the flags of the verbs that change documents.
-type changeFlags struct {
+// changeVerb is shared by the verbs that change documents.
+type changeVerb struct {
+	nodeFlags
+	output
 	changeID string
 	noWait   bool
 	timeout  time.Duration
 	base     baseFlag
 }
 
-func (c *changeFlags) register(f *flag.FlagSet) {
+func (c *changeVerb) SetFlags(f *flag.FlagSet) {
+	c.nodeFlags.register(f)
+	c.output.register(f)
 	f.StringVar(&c.changeID, "change-id", "", "`id` of the change; give the id of an earlier call to settle it (default: a new one)")
 	f.BoolVar(&c.noWait, "no-wait", false, "return once the change is accepted")
-	f.DurationVar(&c.timeout, "timeout", defaultWait, "how long to wait until the change is in force")
+	f.DurationVar(&c.timeout, "timeout", defaultWait, "bound on sending the change and on waiting until it is in force")
 	f.Var(&c.base, "base", "`KIND/NAME=REVISION` that the change is based on; may be repeated (default: the revision held now)")
 }
 
@@ -84,33 +73,49 @@
 const defaultWait = 15 * time.Second
 
 // run sends a change, settles a lost answer and waits until it is in force.
-func (c *changeFlags) run(ctx context.Context, client *operatorclient.Client, batch *model.Batch, out *outputFlag) subcommands.ExitStatus {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
+func (c *changeVerb) run(ctx context.Context, batch *model.Batch) subcommands.ExitStatus {
 	resend := c.changeID != ""
-	if !resend {
-		c.changeID = uuid.NewString()
+	if resend && !accept.ValidChangeID(c.changeID) {
+		return c.badFlag(&accept.ChangeIDFormatError{ID: c.changeID})
+	}
+	if err := c.base.check(batch); err != nil {
+		return c.badFlag(err)
 	}
+	client, err := c.client()
+	if err != nil {
+		return c.fail(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	base, err := c.revisions(ctx, client, batch)
 	if err != nil {
-		return fail(err)
+		return c.fail(err)
 	}
+	if !resend {
+		c.changeID = uuid.NewString()
+	}
+	c.progressf("sending change %s", c.changeID)
 	req := &operator.ApplyRequest{ChangeID: c.changeID, Batch: *batch, Base: base, Resend: resend}
-	resp, err := sendChange(ctx, client, req)
+	resp, err := c.send(ctx, client, req)
 	if err != nil {
-		return failChange(c.changeID, err)
+		return c.failChange(err)
 	}
-	fmt.Fprintf(os.Stderr, "accepted: change %s is version %d\n", resp.ChangeID, resp.Version)
+	c.progressf("accepted: change %s is version %d", resp.ChangeID, resp.Version)
 	if c.noWait {
-		out.print(resp, textOfApply(resp))
+		c.print(resp, textOfApply(resp))
 		return exitInForce
 	}
-	return waitInForce(ctx, client, resp, out)
+	return c.wait(ctx, client, resp)
+}
+
+func (c *changeVerb) badFlag(err error) subcommands.ExitStatus {
+	c.notef("%v", err)
+	return exitUsage
 }
 
 // revisions returns the base revisions: those given by flag, for the others
 // those that the node holds now.
-func (c *changeFlags) revisions(ctx context.Context, client *operatorclient.Client, batch *model.Batch) (map[string]uint64, error) {
+func (c *changeVerb) revisions(ctx context.Context, client *operatorclient.Client, batch *model.Batch) (map[string]uint64, error) {
 	held, err := client.Documents(ctx, "", "")
 	if err != nil {
 		return nil, err
@@ -122,9 +127,9 @@
 	base := make(map[string]uint64)
 	for _, name := range documentNames(batch) {
 		base[name] = known[name]
-	}
-	for name, revision := range c.base.revisions {
-		base[name] = revision
+		if revision, given := c.base.revisions[name]; given {
+			base[name] = revision
+		}
 	}
 	return base, nil
 }
@@ -147,9 +152,9 @@
 	return names
 }
 
-func contractKey(customer string) string { return kindContract + "/" + customer }
+func contractKey(customer string) string { return operator.KindContract + "/" + customer }
 
-func serviceKey(service string) string { return kindService + "/" + service }
+func serviceKey(service string) string { return operator.KindService + "/" + service }
 
 func documentName(d operator.Document) string {
 	if d.Contract != nil {
@@ -171,7 +176,7 @@
 	name, number, found := strings.Cut(s, "=")
 	revision, err := strconv.ParseUint(number, 10, 64)
 	if !found || err != nil {
-		return &BadFlagError{Flag: "base", Found: s, Allowed: "contract/NAME=REVISION or service/NAME=REVISION"}
+		return b.bad(s)
 	}
 	if b.revisions == nil {
 		b.revisions = make(map[string]uint64)
@@ -179,3 +184,22 @@
 	b.revisions[name] = revision
 	return nil
 }
+
+func (*baseFlag) bad(found string) error {
+	return &BadFlagError{Flag: "base", Found: found, Allowed: "contract/NAME=REVISION or service/NAME=REVISION of a document of the change"}
+}
+
+// check refuses a base of a document that the change doesn't touch: a mistyped
+// name must not leave its document unguarded.
+func (b *baseFlag) check(batch *model.Batch) error {
+	touched := make(map[string]bool)
+	for _, name := range documentNames(batch) {
+		touched[name] = true
+	}
+	for name := range b.revisions {
+		if !touched[name] {
+			return b.bad(name)
+		}
+	}
+	return nil
+}
--- a/cmd/jacinthgatectl/change.go
+++ b/cmd/jacinthgatectl/change.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"strings"
+	"text/tabwriter"
 
 	"github.com/aymanbagabas/go-udiff"
 	"github.com/google/subcommands"
@@ -22,128 +24,159 @@
 func (*diffCmd) Usage() string {
 	return `diff [flags] FILE...
 Prints each document that applying the files would add, change or delete.
-Exit code 0 without a difference, 1 with one.
+Exit codes: 0 no difference; 9 a difference; 3 faults in the files; 7 the node
+did not answer.
 `
 }
 
 func (c *diffCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() == 0 {
-		f.Usage()
+	files, ok := c.parse(f)
+	if !ok {
 		return exitUsage
 	}
-	client, status, ok := c.connect()
-	if !ok {
-		return status
+	if len(files) == 0 {
+		return usage(f)
 	}
-	batch, err := readBatches(f.Args())
+	batch, err := readBatches(files)
 	if err != nil {
-		return fail(err)
+		return c.fail(err)
 	}
-	held, err := client.Documents(ctx, "", "")
+	client, err := c.client()
 	if err != nil {
-		return fail(err)
+		return c.fail(err)
 	}
-	rows, err := differences(held, batch)
+	held, err := client.Documents(ctx, "", "")
 	if err != nil {
-		return fail(err)
+		return c.fail(err)
 	}
-	for _, row := range rows {
-		fmt.Println(row)
+	diff, err := compare(held, batch)
+	if err != nil {
+		return c.fail(err)
 	}
-	if len(rows) > 0 {
-		return exitFailure
+	c.print(diff, diff.text)
+	if len(diff.Differences) > 0 {
+		return exitDifferent
 	}
 	return exitInForce
 }
 
-// differences returns one row for each document that the batch changes.
-func differences(held *operator.Documents, batch *model.Batch) ([]string, error) {
-	now := make(map[string][]byte)
-	for _, d := range held.Documents {
-		raw, err := documentJSON(d.Contract, d.Service)
-		if err != nil {
-			return nil, err
-		}
-		now[documentName(d)] = raw
-	}
-	var rows []string
-	add := func(name string, raw []byte) {
-		switch old, exists := now[name]; {
-		case !exists:
-			rows = append(rows, "+ "+name+"\n"+string(raw))
-		case !bytes.Equal(old, raw):
-			rows = append(rows, "~ "+name+"\n"+udiff.Unified("held", "applied", string(old)+"\n", string(raw)+"\n"))
-		}
+// What a change does to a document.
+const (
+	doesAdd    = "add"
+	doesChange = "change"
+	doesDelete = "delete"
+)
+
+// difference is what a change does to one document.
+type difference struct {
+	Document string `json:"document"`
+	Does     string `json:"does"`
+	// Diff holds the lines that change, as a unified diff.
+	Diff string `json:"diff,omitempty"`
+}
+
+// differences is what diff prints as JSON.
+type differences struct {
+	// Version is the version that the files were compared with.
+	Version     uint64       `json:"version"`
+	Differences []difference `json:"differences"`
+}
+
+func (d *differences) text(w *tabwriter.Writer) {
+	for _, v := range d.Differences {
+		fmt.Fprintf(w, "%s %s\n%s", v.Does, v.Document, v.Diff)
 	}
-	for _, c := range batch.Contracts {
-		raw, err := documentJSON(c, nil)
+}
+
+// compare returns a difference for each document that the batch changes.
+func compare(held *operator.Documents, batch *model.Batch) (*differences, error) {
+	d := &differences{Version: held.Version, Differences: []difference{}}
+	now := make(map[string][]byte)
+	for _, doc := range held.Documents {
+		raw, err := documentJSON(doc)
 		if err != nil {
 			return nil, err
 		}
-		add(contractKey(c.Customer), raw)
+		now[documentName(doc)] = raw
 	}
-	for _, v := range batch.Services {
-		raw, err := documentJSON(nil, v)
+	for _, doc := range documentsOf(batch) {
+		raw, err := documentJSON(doc)
 		if err != nil {
 			return nil, err
 		}
-		add(serviceKey(v.Name), raw)
+		d.put(documentName(doc), now[documentName(doc)], raw)
 	}
 	for _, name := range batch.DeleteContracts {
-		rows = append(rows, "- "+contractKey(name))
+		d.add(contractKey(name), doesDelete, "")
 	}
 	for _, name := range batch.DeleteServices {
-		rows = append(rows, "- "+serviceKey(name))
+		d.add(serviceKey(name), doesDelete, "")
 	}
-	return rows, nil
+	return d, nil
 }
 
-func documentJSON(c *model.Contract, s *model.Service) ([]byte, error) {
-	if c != nil {
-		return json.MarshalIndent(c, "", "  ")
+func (d *differences) put(name string, old, raw []byte) {
+	switch {
+	case old == nil:
+		d.add(name, doesAdd, "+"+strings.ReplaceAll(strings.TrimSuffix(string(raw), "\n"), "\n", "\n+")+"\n")
+	case !bytes.Equal(old, raw):
+		d.add(name, doesChange, udiff.Unified("held", "applied", string(old), string(raw)))
 	}
-	return json.MarshalIndent(s, "", "  ")
 }
 
-// deleteCmd deletes documents.
-type deleteCmd struct {
-	nodeFlags
-	outputFlag
-	changeFlags
+func (d *differences) add(name, does, diff string) {
+	d.Differences = append(d.Differences, difference{Document: name, Does: does, Diff: diff})
+}
+
+func documentsOf(b *model.Batch) []operator.Document {
+	var docs []operator.Document
+	for _, c := range b.Contracts {
+		docs = append(docs, operator.Document{Contract: c})
+	}
+	for _, s := range b.Services {
+		docs = append(docs, operator.Document{Service: s})
+	}
+	return docs
+}
+
+// documentJSON returns a document as an operator writes it.
+func documentJSON(d operator.Document) ([]byte, error) {
+	var v any = d.Service
+	if d.Contract != nil {
+		v = d.Contract
+	}
+	raw, err := json.MarshalIndent(v, "", "  ")
+	return append(raw, '\n'), err
 }
 
+// deleteCmd deletes documents.
+type deleteCmd struct{ changeVerb }
+
 func (*deleteCmd) Name() string     { return "delete" }
 func (*deleteCmd) Synopsis() string { return "delete documents, all in one version" }
 func (*deleteCmd) Usage() string {
 	return `delete [flags] contract|service NAME...
-Deletes documents. A service that a route still names is refused. Exit codes as
-for apply.
-`
-}
-
-func (c *deleteCmd) SetFlags(f *flag.FlagSet) {
-	c.nodeFlags.register(f)
-	c.outputFlag.register(f)
-	c.changeFlags.register(f)
+Deletes documents and waits like apply. A service that a route still names is
+refused.
+` + changeExits
 }
 
 func (c *deleteCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() < 2 || !isKind(f.Arg(0)) {
-		f.Usage()
+	words, ok := c.parse(f)
+	if !ok {
 		return exitUsage
 	}
-	if err := c.outputFlag.check(); err != nil {
-		return failUsage(err)
+	if len(words) < 2 || !isKind(words[0]) {
+		return usage(f)
 	}
 	batch := new(model.Batch)
-	if f.Arg(0) == kindContract {
-		batch.DeleteContracts = f.Args()[1:]
+	if words[0] == operator.KindContract {
+		batch.DeleteContracts = words[1:]
 	} else {
-		batch.DeleteServices = f.Args()[1:]
+		batch.DeleteServices = words[1:]
 	}
-	client, err := c.client()
-	if err != nil {
-		return fail(err)
+	if err := batch.Validate(); err != nil {
+		return c.fail(FileErrors{{File: "command line", Err: err}})
 	}
-	return c.run(ctx, client, batch, &c.outputFlag)
+	return c.run(ctx, batch)
 }
--- a/cmd/jacinthgatectl/connect.go
+++ b/cmd/jacinthgatectl/connect.go
@@ -5,7 +5,6 @@
 	"flag"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/jacinthgate/jacinthgate/internal/operatorclient"
 	"github.com/jacinthgate/jacinthgate/internal/settings"
@@ -20,15 +19,26 @@
 
 func (n *nodeFlags) register(f *flag.FlagSet) {
 	f.StringVar(&n.settings, "settings", "", "JSON settings `file` of the tool (node, tls, timeout)")
-	f.StringVar(&n.node, "node", "", "operator `URL` of a node, such as http://127.0.0.1:7004; overrides the settings")
+	f.StringVar(&n.node, "node", "", "operator `URL` of a node, such as http://127.0.0.1:8082; overrides the settings")
 }
 
-// defaultTimeout bounds one call when there is no settings file.
-const defaultTimeout = 15 * time.Second
-
 // client returns a client of the chosen node.
 func (n *nodeFlags) client() (*operatorclient.Client, error) {
-	set := &settings.Ctl{}
+	set, err := n.load()
+	if err != nil {
+		return nil, err
+	}
+	tc, err := clientTLS(set)
+	if err != nil {
+		return nil, err
+	}
+	hc := &http.Client{Timeout: set.Timeout.Std(), Transport: &http.Transport{TLSClientConfig: tc}}
+	return operatorclient.New(strings.TrimSuffix(set.Node, "/"), hc), nil
+}
+
+// load reads the settings, if there are any; -node stands above them.
+func (n *nodeFlags) load() (*settings.Ctl, error) {
+	set := settings.DefaultCtl()
 	if n.settings != "" {
 		s, err := settings.LoadCtl(n.settings)
 		if err != nil {
@@ -40,30 +50,21 @@
 		set.Node = n.node
 	}
 	if set.Node == "" {
-		return nil, &BadFlagError{Flag: "node", Found: "", Allowed: "the operator URL of a node"}
-	}
-	timeout := set.Timeout.Std()
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
-	tc, err := clientTLS(set)
-	if err != nil {
-		return nil, err
+		return nil, &BadFlagError{Flag: "node", Found: "", Allowed: "the operator URL of a node, here or in -settings"}
 	}
-	hc := &http.Client{Timeout: timeout, Transport: &http.Transport{TLSClientConfig: tc}}
-	return operatorclient.New(strings.TrimSuffix(set.Node, "/"), hc), nil
+	return set, set.Validate()
 }
 
 func clientTLS(set *settings.Ctl) (*tls.Config, error) {
 	if set.TLS == nil {
 		return nil, nil
 	}
-	keys, err := security.Load(security.Config{
-		AuthorityFile:   set.TLS.CA,
-		CertificateFile: set.TLS.Certificate,
-		KeyFile:         set.TLS.Key,
-		Role:            security.RoleOperator,
-	})
+	cfg := security.DefaultConfig()
+	cfg.AuthorityFile = set.TLS.CA
+	cfg.CertificateFile = set.TLS.Certificate
+	cfg.KeyFile = set.TLS.Key
+	cfg.Role = security.RoleOperator
+	keys, err := security.Load(cfg)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/jacinthgatectl/keys.go
+++ b/cmd/jacinthgatectl/keys.go
@@ -20,7 +20,7 @@
 
 // keysCmd makes a site's certificate authority and certificates.
 type keysCmd struct {
-	outputFlag
+	output
 	dir      string
 	out      string
 	validity time.Duration
@@ -34,26 +34,26 @@
 keys [flags] operator NAME        issue an operator's certificate into -out
 keys [flags] show FILE            describe the certificates of a PEM file
 The authority's key stays in -dir, which belongs to the operators; hosts get the
-files of -out only.
+files of -out only. Exit codes: 0 done; 1 a file can't be read or written.
 `
 }
 
 func (c *keysCmd) SetFlags(f *flag.FlagSet) {
-	c.outputFlag.register(f)
+	c.output.register(f)
 	f.StringVar(&c.dir, "dir", "ca", "`directory` of the certificate authority")
 	f.StringVar(&c.out, "out", "", "`directory` for an issued certificate (default: the name)")
 	f.DurationVar(&c.validity, "validity", 0, "validity (default: 5 years for an authority, 90 days otherwise)")
 }
 
 func (c *keysCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() != 2 {
-		f.Usage()
+	words, ok := c.parse(f)
+	if !ok {
 		return exitUsage
 	}
-	if err := c.outputFlag.check(); err != nil {
-		return failUsage(err)
+	if len(words) != 2 {
+		return usage(f)
 	}
-	verb, name := f.Arg(0), f.Arg(1)
+	verb, name := words[0], words[1]
 	if c.out == "" {
 		c.out = name
 	}
@@ -61,22 +61,31 @@
 	switch verb {
 	case "init":
 		err = security.InitAuthority(c.dir, name, c.validityOr(authorityValidity))
+		c.out, verb = c.dir, "authority"
 	case "node":
 		err = security.IssueNode(c.dir, name, c.out, c.validityOr(certificateValidity))
 	case "operator":
 		err = security.IssueOperator(c.dir, name, c.out, c.validityOr(certificateValidity))
 	case "show":
-		err = c.show(name)
+		return c.show(name)
 	default:
-		f.Usage()
-		return exitUsage
+		return usage(f)
 	}
 	if err != nil {
-		return fail(err)
+		return c.fail(err)
 	}
+	i := &issued{Kind: verb, Name: name, Directory: c.out}
+	c.print(i, func(w *tabwriter.Writer) { fmt.Fprintf(w, "%s %s: %s\n", i.Kind, i.Name, i.Directory) })
 	return exitInForce
 }
 
+// issued is what keys prints as JSON after it made files.
+type issued struct {
+	Kind      string `json:"kind"`
+	Name      string `json:"name"`
+	Directory string `json:"directory"`
+}
+
 func (c *keysCmd) validityOr(d time.Duration) time.Duration {
 	if c.validity > 0 {
 		return c.validity
@@ -84,10 +93,10 @@
 	return d
 }
 
-func (c *keysCmd) show(file string) error {
+func (c *keysCmd) show(file string) subcommands.ExitStatus {
 	infos, err := security.Describe(file)
 	if err != nil {
-		return err
+		return c.fail(err)
 	}
 	c.print(infos, func(w *tabwriter.Writer) {
 		fmt.Fprintln(w, "SUBJECT\tROLE\tNAME\tAUTHORITY\tVALID UNTIL")
@@ -95,5 +104,5 @@
 			fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%s\n", i.Subject, i.Role, i.Name, i.Authority, i.NotAfter.Format(time.RFC3339))
 		}
 	})
-	return nil
+	return exitInForce
 }
--- a/cmd/jacinthgatectl/main.go
+++ b/cmd/jacinthgatectl/main.go
@@ -6,36 +6,65 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"os"
+	"slices"
 
 	"github.com/google/subcommands"
+	"github.com/pkg/errors"
 )
 
 func main() {
-	cdr := subcommands.NewCommander(flag.CommandLine, "jacinthgatectl")
+	os.Exit(int(run(context.Background(), os.Args[1:], os.Stdout, os.Stderr)))
+}
+
+// run runs one command line. What was asked for goes to stdout, all else to
+// stderr.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) subcommands.ExitStatus {
+	top := flag.NewFlagSet("jacinthgatectl", flag.ContinueOnError)
+	top.SetOutput(stderr)
+	cdr := subcommands.NewCommander(top, "jacinthgatectl")
+	cdr.Output, cdr.Error = stdout, stderr
 	cdr.Register(cdr.HelpCommand(), "")
-	cdr.Register(cdr.FlagsCommand(), "")
-	cdr.Register(cdr.CommandsCommand(), "")
-	for _, c := range commands() {
+	for _, c := range commands(output{out: stdout, err: stderr}) {
 		cdr.Register(c, "")
 	}
-	flag.Parse()
-	os.Exit(int(cdr.Execute(context.Background())))
+	err := top.Parse(helpFirst(args))
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		cdr.Explain(stdout)
+		return exitInForce
+	case err != nil:
+		return exitUsage
+	}
+	return cdr.Execute(ctx)
+}
+
+// helpFirst turns "VERB ... -help" into "help VERB", which prints to standard
+// output.
+func helpFirst(args []string) []string {
+	asksHelp := func(s string) bool { return slices.Contains([]string{"-h", "-help", "--help"}, s) }
+	if len(args) > 1 && slices.ContainsFunc(args[1:], asksHelp) {
+		return []string{"help", args[0]}
+	}
+	return args
 }
 
-func commands() []subcommands.Command {
+func commands(o output) []subcommands.Command {
+	read := readVerb{output: o}
+	change := changeVerb{output: o}
 	return []subcommands.Command{
-		&validateCmd{},
-		&applyCmd{},
-		&getCmd{},
-		&listCmd{},
-		&historyCmd{},
-		&diffCmd{},
-		&deleteCmd{},
-		&statusCmd{},
-		&drainCmd{drain: true},
-		&drainCmd{drain: false},
-		&keysCmd{},
-		&versionCmd{},
+		&validateCmd{output: o},
+		&applyCmd{change},
+		&getCmd{read},
+		&listCmd{read},
+		&historyCmd{readVerb: read},
+		&diffCmd{read},
+		&deleteCmd{change},
+		&statusCmd{readVerb: read},
+		&drainCmd{readVerb: read, drain: true},
+		&drainCmd{readVerb: read, drain: false},
+		&keysCmd{output: o},
+		&versionCmd{output: o},
 	}
 }
--- a/cmd/jacinthgatectl/read.go
+++ b/cmd/jacinthgatectl/read.go
@@ -2,47 +2,29 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
-	"os"
 	"text/tabwriter"
 	"time"
 
 	"github.com/google/subcommands"
 
-	"github.com/jacinthgate/jacinthgate/internal/operatorclient"
+	"github.com/jacinthgate/jacinthgate/coordination/accept"
 	"github.com/jacinthgate/jacinthgate/protocol/operator"
 )
 
-// The kinds of document on the command line.
-const (
-	kindContract = "contract"
-	kindService  = "service"
-)
+// readExits is the part of the usage that all reading verbs share.
+const readExits = "Exit codes: 0 done; 7 the node did not answer or is not ready.\n"
 
-// readVerb is shared by the verbs that only read.
+// readVerb is shared by the verbs that change no document.
 type readVerb struct {
 	nodeFlags
-	outputFlag
+	output
 }
 
 func (v *readVerb) SetFlags(f *flag.FlagSet) {
 	v.nodeFlags.register(f)
-	v.outputFlag.register(f)
-}
-
-// connect checks the flags and returns a client; ok is false after a failure
-// has been printed.
-func (v *readVerb) connect() (c *operatorclient.Client, status subcommands.ExitStatus, ok bool) {
-	if err := v.outputFlag.check(); err != nil {
-		return nil, failUsage(err), false
-	}
-	c, err := v.client()
-	if err != nil {
-		return nil, fail(err), false
-	}
-	return c, exitInForce, true
+	v.output.register(f)
 }
 
 // getCmd prints one document.
@@ -53,63 +35,75 @@
 func (*getCmd) Usage() string {
 	return `get [flags] contract|service NAME
 Prints the document as JSON, ready to be changed and applied. The revision goes
-to standard error; give it to apply as -base KIND/NAME=REVISION.
+to standard error; give it to apply as -base KIND/NAME=REVISION. With -output
+json the document and its revision are one object.
+Exit codes: 0 done; 8 there is no such document; 7 the node did not answer.
 `
 }
 
 func (c *getCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() != 2 || !isKind(f.Arg(0)) {
-		f.Usage()
+	words, ok := c.parse(f)
+	if !ok {
 		return exitUsage
 	}
-	client, status, ok := c.connect()
-	if !ok {
-		return status
+	if len(words) != 2 || !isKind(words[0]) {
+		return usage(f)
 	}
-	docs, err := client.Documents(ctx, f.Arg(0), f.Arg(1))
+	client, err := c.client()
 	if err != nil {
-		return fail(err)
+		return c.fail(err)
 	}
-	if c.format == "json" {
-		c.print(&docs.Documents[0], nil)
-		return exitInForce
+	docs, err := client.Documents(ctx, words[0], words[1])
+	if err != nil {
+		return c.fail(err)
 	}
-	fmt.Fprintf(os.Stderr, "revision %d\n", docs.Documents[0].Revision)
-	printDocument(docs.Documents[0])
-	return exitInForce
+	return c.show(docs.Documents[0])
 }
 
-func isKind(s string) bool { return s == kindContract || s == kindService }
-
-func printDocument(d operator.Document) {
-	enc := json.NewEncoder(os.Stdout)
-	enc.SetIndent("", "  ")
-	if d.Contract != nil {
-		_ = enc.Encode(d.Contract) // standard output: nobody is left to tell
-		return
+func (c *getCmd) show(d operator.Document) subcommands.ExitStatus {
+	if c.format == formatJSON {
+		c.json(&d)
+		return exitInForce
 	}
-	_ = enc.Encode(d.Service)
+	raw, err := documentJSON(d)
+	if err != nil {
+		return c.fail(err)
+	}
+	c.progressf("revision %d", d.Revision)
+	_, _ = c.out.Write(raw) // standard output: nobody is left to tell
+	return exitInForce
 }
 
+func isKind(s string) bool { return s == operator.KindContract || s == operator.KindService }
+
 // listCmd lists documents.
 type listCmd struct{ readVerb }
 
 func (*listCmd) Name() string     { return "list" }
 func (*listCmd) Synopsis() string { return "list contracts and services" }
-func (*listCmd) Usage() string    { return "list [flags] [contract|service]\n" }
+func (*listCmd) Usage() string {
+	return "list [flags] [contract|service]\nLists the documents in force with their revisions.\n" + readExits
+}
 
 func (c *listCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() > 1 || f.NArg() == 1 && !isKind(f.Arg(0)) {
-		f.Usage()
+	words, ok := c.parse(f)
+	if !ok {
 		return exitUsage
 	}
-	client, status, ok := c.connect()
-	if !ok {
-		return status
+	if len(words) > 1 || len(words) == 1 && !isKind(words[0]) {
+		return usage(f)
+	}
+	client, err := c.client()
+	if err != nil {
+		return c.fail(err)
+	}
+	kind := ""
+	if len(words) == 1 {
+		kind = words[0]
 	}
-	docs, err := client.Documents(ctx, f.Arg(0), "")
+	docs, err := client.Documents(ctx, kind, "")
 	if err != nil {
-		return fail(err)
+		return c.fail(err)
 	}
 	c.print(docs, func(w *tabwriter.Writer) {
 		fmt.Fprintln(w, "DOCUMENT\tREVISION")
@@ -124,6 +118,7 @@
 type historyCmd struct {
 	readVerb
 	change string
+	limit  int
 }
 
 func (*historyCmd) Name() string     { return "history" }
@@ -131,23 +126,36 @@
 func (*historyCmd) Usage() string {
 	return `history [flags]
 Lists the accepted changes. With -change-id it says whether that change was
-accepted; exit code 1 if it is not in the history.
+accepted. Exit codes: 0 done; 8 that change was not accepted so far; 7 the node
+did not answer.
 `
 }
 
 func (c *historyCmd) SetFlags(f *flag.FlagSet) {
 	c.readVerb.SetFlags(f)
-	f.StringVar(&c.change, "change-id", "", "only this change")
+	f.StringVar(&c.change, "change-id", "", "only the change with this `id`")
+	f.IntVar(&c.limit, "limit", operator.MaxHistory, "the largest number of changes")
 }
 
 func (c *historyCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	client, status, ok := c.connect()
+	words, ok := c.parse(f)
 	if !ok {
-		return status
+		return exitUsage
+	}
+	if len(words) > 0 {
+		return usage(f)
 	}
-	h, err := client.History(ctx, c.change)
+	if err := c.check(); err != nil {
+		c.notef("%v", err)
+		return exitUsage
+	}
+	client, err := c.client()
+	if err != nil {
+		return c.fail(err)
+	}
+	h, err := client.History(ctx, c.change, c.limit)
 	if err != nil {
-		return fail(err)
+		return c.fail(err)
 	}
 	c.print(h, func(w *tabwriter.Writer) {
 		fmt.Fprintln(w, "VERSION\tACCEPTED\tCHANGE")
@@ -157,3 +165,13 @@
 	})
 	return exitInForce
 }
+
+func (c *historyCmd) check() error {
+	if c.change != "" && !accept.ValidChangeID(c.change) {
+		return &accept.ChangeIDFormatError{ID: c.change}
+	}
+	if c.limit < 1 || c.limit > operator.MaxHistory {
+		return &BadFlagError{Flag: "limit", Found: fmt.Sprint(c.limit), Allowed: fmt.Sprintf("1 to %d", operator.MaxHistory)}
+	}
+	return nil
+}
--- a/cmd/jacinthgatectl/status.go
+++ b/cmd/jacinthgatectl/status.go
@@ -9,7 +9,6 @@
 	"github.com/google/subcommands"
 
 	"github.com/jacinthgate/jacinthgate/protocol/operator"
-	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // statusCmd shows versions, lag, cut-off zones and endpoints.
@@ -20,21 +19,34 @@
 
 func (*statusCmd) Name() string     { return "status" }
 func (*statusCmd) Synopsis() string { return "show versions held, lag, cut-off zones and endpoints" }
-func (*statusCmd) Usage() string    { return "status [flags]\n" }
+func (*statusCmd) Usage() string {
+	return `status [flags]
+Shows what the asked node knows of the mesh: the version it holds and the newest
+known, for each zone the version reported, by how many versions it lags, the nodes
+missing and whether it is cut off, and backend servers by service and zone.
+` + readExits
+}
 
 func (c *statusCmd) SetFlags(f *flag.FlagSet) {
 	c.readVerb.SetFlags(f)
-	f.BoolVar(&c.nodes, "nodes", false, "list every node")
+	f.BoolVar(&c.nodes, "nodes", false, "list every node (JSON always does)")
 }
 
 func (c *statusCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	client, status, ok := c.connect()
+	words, ok := c.parse(f)
 	if !ok {
-		return status
+		return exitUsage
+	}
+	if len(words) > 0 {
+		return usage(f)
+	}
+	client, err := c.client()
+	if err != nil {
+		return c.fail(err)
 	}
 	s, err := client.Status(ctx)
 	if err != nil {
-		return fail(err)
+		return c.fail(err)
 	}
 	c.print(s, func(w *tabwriter.Writer) { c.text(w, s) })
 	return exitInForce
@@ -56,44 +68,3 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%t\n", n.Node, n.Zone, n.State, n.Service, n.Draining)
 	}
 }
-
-// drainCmd is both verbs drain and undrain.
-type drainCmd struct {
-	nodeFlags
-	drain bool
-}
-
-func (c *drainCmd) Name() string {
-	if c.drain {
-		return "drain"
-	}
-	return "undrain"
-}
-
-func (c *drainCmd) Synopsis() string {
-	if c.drain {
-		return "take a node's backend server out of service"
-	}
-	return "put a node's backend server back into service"
-}
-
-func (c *drainCmd) Usage() string { return c.Name() + " [flags] NODE\n" }
-
-func (c *drainCmd) SetFlags(f *flag.FlagSet) { c.nodeFlags.register(f) }
-
-func (c *drainCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() != 1 {
-		f.Usage()
-		return exitUsage
-	}
-	client, err := c.client()
-	if err != nil {
-		return fail(err)
-	}
-	req := &operator.DrainRequest{Node: model.NodeID(f.Arg(0)), Drain: c.drain}
-	if err := client.Drain(ctx, req); err != nil {
-		return fail(err)
-	}
-	fmt.Printf("%s: %s\n", f.Arg(0), c.Name())
-	return exitInForce
-}
--- a/cmd/jacinthgatectl/validate.go
+++ b/cmd/jacinthgatectl/validate.go
@@ -4,78 +4,58 @@
 	"context"
 	"flag"
 	"fmt"
-	"os"
+	"text/tabwriter"
 
 	"github.com/google/subcommands"
-
-	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // validateCmd checks documents without a node.
-type validateCmd struct{}
+type validateCmd struct{ output }
 
 func (*validateCmd) Name() string     { return "validate" }
 func (*validateCmd) Synopsis() string { return "check documents without a node" }
 func (*validateCmd) Usage() string {
-	return `validate FILE...
-Checks contracts, services and batches. Prints every fault with its path, what
-was found and what is allowed. Exit code 3 if there is one.
+	return `validate [flags] FILE...
+Checks contracts, services and batches, each file and all of them as one change.
+Prints every fault with its file and path, what was found and what is allowed.
+A FILE of - is standard input. What depends on documents in force, such as a
+route's service, is checked by apply. Exit codes: 0 no fault; 1 a file can't be
+read; 3 faults.
 `
 }
-func (*validateCmd) SetFlags(*flag.FlagSet) {}
 
-func (*validateCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() == 0 {
-		f.Usage()
+func (c *validateCmd) SetFlags(f *flag.FlagSet) { c.register(f) }
+
+// validated is what validate prints as JSON when there is no fault.
+type validated struct {
+	Files     []string `json:"files"`
+	Contracts int      `json:"contracts"`
+	Services  int      `json:"services"`
+	Deletions int      `json:"deletions"`
+}
+
+func (c *validateCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	files, ok := c.parse(f)
+	if !ok {
 		return exitUsage
 	}
-	status := exitInForce
-	for _, file := range f.Args() {
-		if _, err := readBatch(file); err != nil {
-			fmt.Fprintf(os.Stderr, "%s: ", file)
-			status = fail(err)
-			continue
-		}
-		fmt.Printf("%s: ok\n", file)
+	if len(files) == 0 {
+		return usage(f)
 	}
-	return status
-}
-
-// readBatch reads the documents of one file.
-func readBatch(file string) (*model.Batch, error) {
-	raw, err := os.ReadFile(file)
+	batch, err := readBatches(files)
 	if err != nil {
-		return nil, err
+		return c.fail(err)
 	}
-	return model.ParseDocument(raw)
-}
-
-// readBatches merges the documents of several files into one change.
-func readBatches(files []string) (*model.Batch, error) {
-	all := new(model.Batch)
-	for _, file := range files {
-		b, err := readBatch(file)
-		if err != nil {
-			return nil, &FileError{File: file, Err: err}
-		}
-		all.Contracts = append(all.Contracts, b.Contracts...)
-		all.Services = append(all.Services, b.Services...)
-		all.DeleteContracts = append(all.DeleteContracts, b.DeleteContracts...)
-		all.DeleteServices = append(all.DeleteServices, b.DeleteServices...)
+	v := &validated{
+		Files:     files,
+		Contracts: len(batch.Contracts),
+		Services:  len(batch.Services),
+		Deletions: len(batch.DeleteContracts) + len(batch.DeleteServices),
 	}
-	return all, nil
-}
-
-// FileError reports a file with a fault.
-type FileError struct {
-	// File is the file's name.
-	File string
-	// Err is the fault.
-	Err error
+	c.print(v, func(w *tabwriter.Writer) {
+		for _, file := range files {
+			fmt.Fprintf(w, "%s: ok\n", file)
+		}
+	})
+	return exitInForce
 }
-
-// Error implements error.
-func (e *FileError) Error() string { return e.File + ": " + e.Err.Error() }
-
-// Unwrap returns the fault.
-func (e *FileError) Unwrap() error { return e.Err }
--- a/cmd/jacinthgatectl/version.go
+++ b/cmd/jacinthgatectl/version.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"text/tabwriter"
 
 	"github.com/google/subcommands"
 
@@ -11,14 +12,28 @@
 )
 
 // versionCmd prints the version.
-type versionCmd struct{}
+type versionCmd struct{ output }
 
-func (*versionCmd) Name() string           { return "version" }
-func (*versionCmd) Synopsis() string       { return "print the version" }
-func (*versionCmd) Usage() string          { return "version\n" }
-func (*versionCmd) SetFlags(*flag.FlagSet) {}
+func (*versionCmd) Name() string               { return "version" }
+func (*versionCmd) Synopsis() string           { return "print the version" }
+func (*versionCmd) Usage() string              { return "version [flags]\n" }
+func (c *versionCmd) SetFlags(f *flag.FlagSet) { c.register(f) }
 
-func (*versionCmd) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	fmt.Println("jacinthgatectl", version.String())
+// versionInfo is what version prints as JSON.
+type versionInfo struct {
+	Program string `json:"program"`
+	Version string `json:"version"`
+}
+
+func (c *versionCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	words, ok := c.parse(f)
+	if !ok {
+		return exitUsage
+	}
+	if len(words) > 0 {
+		return usage(f)
+	}
+	v := &versionInfo{Program: "jacinthgatectl", Version: version.String()}
+	c.print(v, func(w *tabwriter.Writer) { fmt.Fprintln(w, v.Program, v.Version) })
 	return exitInForce
 }
--- a/cmd/jacinthgatectl/wait.go
+++ b/cmd/jacinthgatectl/wait.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -23,14 +23,15 @@
 	progressWait = time.Second
 )
 
-// sendChange sends a change until it has an answer that is certain or ctx ends.
+// send sends a change until it has an answer that is certain or ctx ends.
 // Sending again is safe: a change id takes effect once.
-func sendChange(ctx context.Context, client *operatorclient.Client, req *operator.ApplyRequest) (*operator.ApplyResponse, error) {
+func (c *changeVerb) send(ctx context.Context, client *operatorclient.Client, req *operator.ApplyRequest) (*operator.ApplyResponse, error) {
 	for {
 		resp, err := client.Apply(ctx, req)
 		if err == nil || certain(err) {
 			return resp, err
 		}
+		c.progressf("no certain answer, sending the same change again: %v", err)
 		req.Resend = true
 		select {
 		case <-ctx.Done():
@@ -46,34 +47,37 @@
 	return errors.As(err, &p) && p.Code != operator.CodeUnknown
 }
 
-func failChange(changeID string, err error) subcommands.ExitStatus {
+func (c *changeVerb) failChange(err error) subcommands.ExitStatus {
+	f := describe(err)
+	f.ChangeID = c.changeID
 	if certain(err) {
-		return fail(err)
+		return c.report(f)
 	}
-	fmt.Fprintln(os.Stderr, "jacinthgatectl:", err)
-	fmt.Fprintf(os.Stderr, "outcome not known; to settle it run the same command with -change-id %s\n", changeID)
-	return exitUnknown
+	f.Exit = exitUnknown
+	status := c.report(f)
+	c.notef("the outcome is not known; to settle it run the same command with -change-id %s", c.changeID)
+	return status
 }
 
-// applyResult is what apply prints as JSON.
-type applyResult struct {
+// applied is what apply and delete print as JSON.
+type applied struct {
 	operator.ApplyResponse
 	Progress operator.Progress `json:"progress"`
 }
 
-// waitInForce follows the progress of an accepted change until it is in force
-// or ctx ends.
-func waitInForce(ctx context.Context, client *operatorclient.Client, resp *operator.ApplyResponse, out *outputFlag) subcommands.ExitStatus {
+// wait follows the progress of an accepted change until it is in force or ctx
+// ends.
+func (c *changeVerb) wait(ctx context.Context, client *operatorclient.Client, resp *operator.ApplyResponse) subcommands.ExitStatus {
 	last := operator.Progress{Version: resp.Version}
-	for {
+	line := ""
+	for !last.InForce {
 		p, err := client.Progress(ctx, resp.Version, progressWait)
 		if err == nil {
 			last = *p
-			printProgress(p)
 		}
-		if last.InForce {
-			out.print(&applyResult{*resp, last}, textOfProgress(&last))
-			return exitInForce
+		if next := progressLine(&last); err == nil && next != line {
+			line = next
+			c.progressf("%s", line)
 		}
 		if ctx.Err() != nil {
 			break
@@ -82,33 +86,44 @@
 			time.Sleep(settlePause)
 		}
 	}
-	out.print(&applyResult{*resp, last}, textOfProgress(&last))
-	fmt.Fprintf(os.Stderr, "version %d is accepted but not yet in force everywhere\n", resp.Version)
+	c.print(&applied{*resp, last}, textOfProgress(&last))
+	if last.InForce {
+		return exitInForce
+	}
+	c.notef("version %d is accepted but not yet in force everywhere; it will be without doing anything, see status", resp.Version)
 	return exitPartial
 }
 
-// printProgress prints one line: nodes that hold the version, and the missing.
-func printProgress(p *operator.Progress) {
+// progressLine says how many nodes hold the version and names the missing.
+func progressLine(p *operator.Progress) string {
 	var live, holding uint32
+	var notes []string
 	for _, z := range p.Zones {
 		live += z.Live
 		if z.Version >= p.Version {
 			holding += z.Holding
 		}
+		notes = append(notes, zoneNotes(p.Version, z)...)
 	}
-	fmt.Fprintf(os.Stderr, "version %d: held by %d of %d nodes", p.Version, holding, live)
-	for _, z := range p.Zones {
-		if z.CutOff {
-			fmt.Fprintf(os.Stderr, ", zone %s cut off", z.Zone)
-		}
-		for _, id := range z.Missing {
-			fmt.Fprintf(os.Stderr, ", missing %s", id)
-		}
-		for _, r := range z.Rejections {
-			fmt.Fprintf(os.Stderr, ", refused by %s (%s)", r.Node, r.Reason)
-		}
+	line := fmt.Sprintf("version %d: held by %d of %d nodes", p.Version, holding, live)
+	return strings.Join(append([]string{line}, notes...), ", ")
+}
+
+func zoneNotes(version uint64, z operator.ZoneProgress) []string {
+	var notes []string
+	switch {
+	case z.CutOff:
+		notes = append(notes, fmt.Sprintf("zone %s cut off", z.Zone))
+	case z.Version < version:
+		notes = append(notes, fmt.Sprintf("zone %s reports version %d yet", z.Zone, z.Version))
+	}
+	for _, id := range z.Missing {
+		notes = append(notes, "missing "+string(id))
 	}
-	fmt.Fprintln(os.Stderr)
+	for _, r := range z.Rejections {
+		notes = append(notes, fmt.Sprintf("refused by %s (%s)", r.Node, r.Reason))
+	}
+	return notes
 }
 
 func textOfApply(r *operator.ApplyResponse) func(*tabwriter.Writer) {
@@ -125,8 +140,22 @@
 }
 
 func printZones(w *tabwriter.Writer, zones []operator.ZoneProgress) {
-	fmt.Fprintln(w, "ZONE\tVERSION\tHOLDING\tLIVE\tCUT OFF\tMISSING")
+	fmt.Fprintln(w, "ZONE\tVERSION\tLAG\tHOLDING\tLIVE\tCUT OFF\tREPORT AGE\tMISSING")
 	for _, z := range zones {
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%t\t%v\n", z.Zone, z.Version, z.Holding, z.Live, z.CutOff, z.Missing)
+		age := time.Duration(z.AgeMillis) * time.Millisecond
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%t\t%s\t%s\n",
+			z.Zone, z.Version, z.Lag, z.Holding, z.Live, z.CutOff, age, missing(z))
+	}
+}
+
+// missing names the nodes that don't hold a zone's version.
+func missing(z operator.ZoneProgress) string {
+	if len(z.Missing) == 0 {
+		return "-"
+	}
+	names := make([]string, len(z.Missing))
+	for i, id := range z.Missing {
+		names[i] = string(id)
 	}
+	return strings.Join(names, ",")
 }
--- a/coordination/accept/change.go
+++ b/coordination/accept/change.go
@@ -55,9 +55,12 @@
 	return sha256.Sum256(b), nil
 }
 
+// ValidChangeID reports whether a change may have this id.
+func ValidChangeID(id string) bool { return changeID.MatchString(id) }
+
 // check checks the change on its own.
 func (c *Change) check(validate func(*model.Batch) error) error {
-	if !changeID.MatchString(c.ID) {
+	if !ValidChangeID(c.ID) {
 		return &InvalidError{Err: &ChangeIDFormatError{ID: c.ID}}
 	}
 	if err := validate(c.Batch); err != nil {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -13,6 +13,7 @@
 	portGate     = 8081
 	portPeer     = 8081
 	portLocal    = 8082
+	portOperator = 8083
 	portBackend  = 8090
 	portPlatform = 9000
 	portOlder    = 9100
@@ -37,6 +38,9 @@
 	Relay bool
 	// Older starts the stand-in of the older system.
 	Older bool
+	// TLS gives each node a certificate and an address for operators, and the
+	// operator a certificate.
+	TLS bool
 	// LogLevel is the nodes' log level.
 	LogLevel string
 	// Edit changes a node's settings, as JSON, before it starts; nil for none.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,7 +62,10 @@
 		return f, err
 	}
 	f.layOut()
-	var err error
+	err := f.issue()
+	if err != nil {
+		return f, err
+	}
 	if f.platform, err = f.start("platform", "jacinthgate-platform", "-listen", f.platformAddr()); err != nil {
 		return f, err
 	}
--- a/internal/fleet/platform_test.go
+++ b/internal/fleet/platform_test.go
@@ -162,7 +162,7 @@
 	t.Helper()
 	count := 0
 	eventually(t, "the history is read", func() bool {
-		h, err := m.Operator().History(context.Background(), "")
+		h, err := m.Operator().History(context.Background(), "", 0)
 		if err != nil {
 			return false
 		}
@@ -221,11 +221,3 @@
 	must.Eq(t, http.StatusOK, resp.StatusCode)
 	return raw
 }
-
-// loseAnswers lets the platform lose a part of the answers to writes.
-func loseAnswers(t *testing.T, f *Fleet, part float64) {
-	t.Helper()
-	faults := platform.DefaultFaults()
-	faults.LoseAnswers = part
-	platformFaults(t, f, faults)
-}
--- a/internal/fleet/reader_test.go
+++ b/internal/fleet/reader_test.go
@@ -123,7 +123,7 @@
 	for _, m := range f.Members {
 		must.Eq(t, version, heldBy(t, m))
 	}
-	h, err := a[0].Operator().History(context.Background(), "")
+	h, err := a[0].Operator().History(context.Background(), "", 0)
 	must.NoError(t, err)
 	must.Len(t, c.count+1, h.Entries) // the losers of the races left nothing
 }
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -19,9 +19,13 @@
 		},
 		"seeds":    f.seeds(),
 		"platform": map[string]any{"table": f.platformURLOf(m.Zone), "objects": f.platformURLOf(m.Zone)},
-		"insecure": true,
 		"logLevel": f.cfg.LogLevel,
 	}
+	if f.cfg.TLS {
+		s["tls"], s["operator"] = m.tlsSettings(), m.OperatorAddr()
+	} else {
+		s["insecure"] = true
+	}
 	if f.cfg.Relay {
 		s["advertise"] = map[string]any{"gate": m.addr(portRelay), "peer": m.addr(portRelay)}
 	}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,7 +3,9 @@
 package logging
 
 import (
+	"bytes"
 	"io"
+	stdlog "log"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -18,3 +20,20 @@
 	allowed := level.ParseDefault(least, level.InfoValue())
 	return level.NewFilter(logger, level.Allow(allowed))
 }
+
+// CatchLibraries makes what libraries write through the standard library's
+// logger an event of this one, so that a log holds one kind of line only.
+func CatchLibraries(logger log.Logger) {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryWriter{logger})
+}
+
+// libraryWriter turns each message of the standard library's logger into an
+// event.
+type libraryWriter struct{ logger log.Logger }
+
+// Write implements io.Writer.
+func (w libraryWriter) Write(b []byte) (int, error) {
+	_ = level.Warn(w.logger).Log("event", "library_warning", "message", string(bytes.TrimSpace(b)))
+	return len(b), nil
+}
--- a/internal/measure/rig.go
+++ b/internal/measure/rig.go
@@ -167,7 +167,7 @@
 // accepted returns when each version was accepted. The accepter takes the time
 // before it stores the version, so times counted from it are upper bounds.
 func (r *rig) accepted(ctx context.Context) (map[uint64]time.Time, error) {
-	h, err := r.operator().Operator().History(ctx, "")
+	h, err := r.operator().Operator().History(ctx, "", 0)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/node/connections.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+)
+
+// Parameters of a connection that is refused.
+const (
+	// refusedWait is how long a refused caller may take to read the answer.
+	refusedWait = 250 * time.Millisecond
+	// maxRefused bounds the refused connections that are waited for; further
+	// ones are closed at once.
+	maxRefused = 64
+	// maxOperatorConns bounds the connections of operators.
+	maxOperatorConns = 128
+)
+
+// cappedListener accepts callers' connections up to a bound. One beyond it is
+// told that its request was not run, so that the caller can go to another node
+// at once instead of waiting here for its timeout.
+type cappedListener struct {
+	net.Listener
+	max     int64
+	open    atomic.Int64
+	waiting atomic.Int64
+	refused *metrics.Counter
+}
+
+func newCappedListener(l net.Listener, bound int, set *metrics.Set) *cappedListener {
+	c := &cappedListener{Listener: l, max: int64(bound)}
+	c.refused = set.NewCounter("jacinthgate_caller_connections_refused_total")
+	set.NewGauge("jacinthgate_caller_connections", func() float64 { return float64(c.open.Load()) })
+	return c
+}
+
+// Accept implements net.Listener.
+func (l *cappedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.max {
+			return &cappedConn{Conn: c, open: &l.open}, nil
+		}
+		l.open.Add(-1)
+		l.refuse(c)
+	}
+}
+
+// refuse answers without reading the request. Closing a connection with unread
+// bytes may cost the caller the answer, so it is read for a moment.
+func (l *cappedListener) refuse(c net.Conn) {
+	l.refused.Inc()
+	if l.waiting.Add(1) > maxRefused {
+		l.waiting.Add(-1)
+		_ = c.Close() // nothing was read, so nothing was run
+		return
+	}
+	go func() {
+		defer l.waiting.Add(-1)
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(refusedWait)) // without one the connection is broken already
+		if _, err := http.ReadRequest(bufio.NewReader(io.LimitReader(c, maxRefusedHead))); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, tooManyConnections) // the caller may be gone
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.CloseWrite()            // likewise
+			_, _ = io.Copy(io.Discard, t) // until the caller closes, or the deadline
+		}
+	}()
+}
+
+// maxRefusedHead bounds what is read of a refused request's head, in bytes.
+const maxRefusedHead = 64 << 10
+
+// tooManyConnectionsBody says why a connection was refused.
+const tooManyConnectionsBody = `{"outcome":"not-run","reason":"shed","detail":"the node has too many connections"}`
+
+var tooManyConnections = "HTTP/1.1 503 Service Unavailable\r\n" +
+	"Content-Type: application/json\r\n" +
+	"Content-Length: " + strconv.Itoa(len(tooManyConnectionsBody)) + "\r\n" +
+	outcome.HeaderOutcome + ": " + string(outcome.NotRun) + "\r\n" +
+	outcome.HeaderReason + ": " + string(outcome.ReasonShed) + "\r\n" +
+	"Retry-After: 1\r\nConnection: close\r\n\r\n" + tooManyConnectionsBody
+
+// cappedConn counts itself out once when it is closed.
+type cappedConn struct {
+	net.Conn
+	once sync.Once
+	open *atomic.Int64
+}
+
+// Close implements net.Conn.
+func (c *cappedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() { c.open.Add(-1) })
+	return err
+}
--- a/internal/node/identity.go
+++ b/internal/node/identity.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -18,7 +19,7 @@
 }
 
 // newIdentity loads the certificates that the settings name.
-func newIdentity(set *settings.Node, logger log.Logger) (*identity, error) {
+func newIdentity(set *settings.Node, logger log.Logger, counts *metrics.Set) (*identity, error) {
 	if set.TLS == nil {
 		in, err := security.Ephemeral()
 		return &identity{insecure: in}, err
@@ -30,13 +31,42 @@
 	cfg.Role = security.RoleNode
 	cfg.Poll = set.TLS.ReloadInterval.Std()
 	cfg.OnRefused = func(err error) {
-		_ = level.Warn(logger).Log("event", "certificate_refused", "err", err)
+		reason := refusalReason(err)
+		counts.GetOrCreateCounter(`jacinthgate_certificates_refused_total{reason="` + reason + `"}`).Inc()
+		_ = level.Warn(logger).Log("event", "certificate_refused", "reason", reason, "err", err)
 	}
 	cfg.OnReload = func(err error) {
-		_ = level.Info(logger).Log("event", "certificates_reloaded", "err", err)
+		if err != nil {
+			_ = level.Error(logger).Log("event", "certificates_not_reloaded", "err", err)
+			return
+		}
+		_ = level.Info(logger).Log("event", "certificates_reloaded")
 	}
 	keys, err := security.Load(cfg)
-	return &identity{keys: keys}, err
+	if err != nil {
+		return nil, err
+	}
+	if name := keys.Identity().Name; name != string(set.Node) {
+		return nil, &security.WrongNodeError{Have: name, Want: string(set.Node)}
+	}
+	counts.NewGauge("jacinthgate_certificate_expiry_timestamp_seconds", func() float64 {
+		return float64(keys.NotAfter().Unix())
+	})
+	return &identity{keys: keys}, nil
+}
+
+// refusalReason names the type of a refusal for metrics and logs.
+func refusalReason(err error) string {
+	switch err.(type) {
+	case *security.StrangerError:
+		return "stranger"
+	case *security.ExpiredError:
+		return "expired"
+	case *security.RoleError:
+		return "role"
+	default:
+		return "node"
+	}
 }
 
 // run follows the certificates' files until ctx ends.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,8 @@
 	proxy     *entry.Proxy
 	gate      *gate.Gate
 
+	gauges *gauges
+
 	callerLn    net.Listener
 	gateSrv     *server
 	localSrv    *server
@@ -62,6 +64,7 @@
 // The errors are *ListenError and those of the certificates.
 func New(set *settings.Node, logger log.Logger) (*Node, error) {
 	n := &Node{set: set, log: logger, metrics: metrics.NewSet(), pub: new(published)}
+	n.gauges = newGauges(n.metrics, n.pub)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	steps := []func() error{n.openIdentity, n.openListeners, n.wireControl, n.wireRequests, n.wireOperator}
 	for _, step := range steps {
@@ -193,7 +196,7 @@
 // localHandler serves the host's own loopback address.
 func (n *Node) localHandler(operator http.Handler) http.Handler {
 	mux := http.NewServeMux()
-	health := healthHandler(n.pub, n.metrics)
+	health := n.healthHandler()
 	mux.Handle("/healthz", health)
 	mux.Handle("/readyz", health)
 	mux.Handle("/metrics", health)
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -15,9 +15,6 @@
 	"github.com/jacinthgate/jacinthgate/state/strictjson"
 )
 
-// maxHistory is the number of changes that a history answer holds.
-const maxHistory = 64
-
 // operatorDelegate carries out the calls of operators. It is safe for
 // concurrent use.
 type operatorDelegate struct {
@@ -97,10 +94,10 @@
 		s = snapshot.Empty()
 	}
 	out := &operator.Documents{Version: s.Version()}
-	if kind != kindService {
+	if kind != operator.KindService {
 		out.Documents = append(out.Documents, contractsOf(s, name)...)
 	}
-	if kind != kindContract {
+	if kind != operator.KindContract {
 		out.Documents = append(out.Documents, servicesOf(s, name)...)
 	}
 	if name != "" && len(out.Documents) == 0 {
@@ -109,12 +106,6 @@
 	return out, nil
 }
 
-// The kinds of document in a query.
-const (
-	kindContract = "contract"
-	kindService  = "service"
-)
-
 func contractsOf(s *snapshot.Snapshot, name string) []operator.Document {
 	var out []operator.Document
 	for _, customer := range s.Customers() {
@@ -142,7 +133,7 @@
 }
 
 // History implements operatorapi.Delegate.
-func (o *operatorDelegate) History(ctx context.Context, change string) (*operator.History, error) {
+func (o *operatorDelegate) History(ctx context.Context, change string, limit int) (*operator.History, error) {
 	head, err := o.accepter.Head(ctx)
 	if err != nil {
 		return nil, o.problem(err)
@@ -151,7 +142,7 @@
 	if change != "" {
 		return o.oneChange(ctx, out, change)
 	}
-	entries, err := o.accepter.History(ctx, maxHistory)
+	entries, err := o.accepter.History(ctx, limit)
 	if err != nil {
 		return nil, o.problem(err)
 	}
@@ -206,7 +197,10 @@
 			addr = r.GateAddr
 		}
 	})
-	if !found || addr == "" {
+	if !found {
+		return &operator.Problem{Code: operator.CodeNotReady, Message: "the node is busy", Node: o.self}
+	}
+	if addr == "" {
 		return o.notFound("node " + string(req.Node))
 	}
 	return o.drainer.remote(ctx, req.Node, addr, req.Drain)
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -31,10 +31,11 @@
 }
 
 // zones reports on every zone that has a member in the table, whether or not it
-// was heard of lately.
+// was heard of lately. Before there is a version no zone reports.
 func (l *loop) zones(now time.Time) []operator.ZoneProgress {
 	reports := make(map[model.Zone]distribute.ZoneReport)
-	for _, r := range l.dist.Status().Zones {
+	status := l.dist.Status()
+	for _, r := range status.Zones {
 		reports[r.Status.Zone] = r
 	}
 	live := make(map[model.Zone]uint32)
@@ -47,7 +48,7 @@
 	for _, zone := range slices.Sorted(maps.Keys(live)) {
 		report, heard := reports[zone]
 		if !heard {
-			out = append(out, operator.ZoneProgress{Zone: zone, Live: live[zone], CutOff: true})
+			out = append(out, operator.ZoneProgress{Zone: zone, Live: live[zone], CutOff: status.Head.Version > 0})
 			continue
 		}
 		out = append(out, zoneProgress(now, report))
--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -61,12 +61,16 @@
 	return call[operator.Documents](ctx, c, http.MethodGet, operator.PathDocuments+"?"+q.Encode(), nil)
 }
 
-// History reads the accepted changes. An empty changeID selects all.
-func (c *Client) History(ctx context.Context, changeID string) (*operator.History, error) {
+// History reads the accepted changes, newest first. An empty changeID selects
+// all, a limit of 0 as many as the node gives.
+func (c *Client) History(ctx context.Context, changeID string, limit int) (*operator.History, error) {
 	q := url.Values{}
 	if changeID != "" {
 		q.Set("change", changeID)
 	}
+	if limit > 0 {
+		q.Set("limit", strconv.Itoa(limit))
+	}
 	return call[operator.History](ctx, c, http.MethodGet, operator.PathHistory+"?"+q.Encode(), nil)
 }
 
@@ -76,7 +80,7 @@
 }
 
 // Progress reads how far the fleet is with a version. The node holds its answer
-// until the progress changes, at most for wait.
+// until the version is in force, at most for wait.
 func (c *Client) Progress(ctx context.Context, version uint64, wait time.Duration) (*operator.Progress, error) {
 	q := url.Values{
 		"version": {strconv.FormatUint(version, 10)},
--- a/internal/settings/ctl.go
+++ b/internal/settings/ctl.go
@@ -47,3 +47,7 @@
 	}
 	return k.faults
 }
+
+// Validate checks settings that were not read from a file as they are. The
+// error is a strictjson.Faults.
+func (c *Ctl) Validate() error { return c.faults().Err() }
--- a/protocol/operator/apply.go
+++ b/protocol/operator/apply.go
@@ -15,8 +15,8 @@
 	// Batch holds the documents.
 	Batch model.Batch `json:"batch"`
 	// Base gives for each document, as "contract/NAME" or "service/NAME", the
-	// revision that the change is based on; 0 for a new document.
-	Base map[string]uint64 `json:"base"`
+	// revision that the change is based on; 0, or no entry, for a new document.
+	Base map[string]uint64 `json:"base,omitempty"`
 	// Resend says that the change was sent before and that its outcome is not
 	// known.
 	Resend bool `json:"resend,omitempty"`
--- a/protocol/operator/status.go
+++ b/protocol/operator/status.go
@@ -25,6 +25,9 @@
 	CutOff bool `json:"cutOff"`
 	// AgeMillis is the age of the newest report, in milliseconds.
 	AgeMillis int64 `json:"ageMillis"`
+	// Lag is by how many versions Version is older than the newest version
+	// that the answering node knows of.
+	Lag uint64 `json:"lag"`
 }
 
 // Rejection is a node that refused a version.
--- a/state/strictjson/decode.go
+++ b/state/strictjson/decode.go
@@ -68,6 +68,8 @@
 		d.object(n, v, path)
 	case reflect.Slice:
 		d.array(n, v, path)
+	case reflect.Map:
+		d.mapping(n, v, path)
 	case reflect.String:
 		if d.expect(n, kindString, path) {
 			v.SetString(n.text)
@@ -123,6 +125,20 @@
 	}
 }
 
+// mapping stores an object in a map with string keys.
+func (d *decoder) mapping(n node, v reflect.Value, path string) {
+	if !d.expect(n, kindObject, path) {
+		return
+	}
+	m := reflect.MakeMapWithSize(v.Type(), len(n.fields))
+	for _, f := range n.fields {
+		value := reflect.New(v.Type().Elem()).Elem()
+		d.decode(f.value, value, Join(path, f.key))
+		m.SetMapIndex(reflect.ValueOf(f.key).Convert(v.Type().Key()), value)
+	}
+	v.Set(m)
+}
+
 func (d *decoder) object(n node, v reflect.Value, path string) {
 	if !d.expect(n, kindObject, path) {
 		return
--- a/state/strictjson/decode_test.go
+++ b/state/strictjson/decode_test.go
@@ -40,13 +40,15 @@
 	Even  even    `json:"even,omitempty"`
 	Items []inner `json:"items,omitempty"`
 	Opt   *inner  `json:"opt,omitempty"`
+
+	Base map[string]uint64 `json:"base,omitempty"`
 }
 
 func TestDecodeWholeDocument(t *testing.T) {
 	o := outer{Count: 5}
-	faults := Decode([]byte(`{"title":"é\n","size":255,"on":true,"even":4,"items":[{"name":"a","rate":1.5e2}],"opt":{"name":"b"}}`), &o)
+	faults := Decode([]byte(`{"title":"é\n","size":255,"on":true,"even":4,"items":[{"name":"a","rate":1.5e2}],"opt":{"name":"b"},"base":{"x":7}}`), &o)
 	must.NoError(t, faults.Err())
-	want := outer{Title: "é\n", Count: 5, Size: 255, On: true, Even: 4, Items: []inner{{"a", 150}}, Opt: &inner{"b", 7}}
+	want := outer{Title: "é\n", Count: 5, Size: 255, On: true, Even: 4, Items: []inner{{"a", 150}}, Opt: &inner{"b", 7}, Base: map[string]uint64{"x": 7}}
 	must.Eq(t, want, o)
 }
 
@@ -56,7 +58,7 @@
 	full := "[" + strings.Repeat("1,", MaxElements-1) + "1]"
 	wide := "[" + strings.Repeat(full+",", MaxValues/MaxElements) + full + "]"
 	cases := []struct{ name, doc, want string }{
-		{"unknown", `{"title":"a","tilte":1}`, "tilte: found a key that is not known, allowed: one of title, count, size, on, even, items, opt"},
+		{"unknown", `{"title":"a","tilte":1}`, "tilte: found a key that is not known, allowed: one of title, count, size, on, even, items, opt, base"},
 		{"case", `{"title":"a","Count":1}`, "Count: found a key that is not known, allowed: count"},
 		{"duplicate", `{"title":"a","title":"b"}`, "title: found the key a second time, allowed: each key once"},
 		{"duplicate below", `{"title":"a","items":[{"name":"a","name":"a"}]}`, "items[0].name: found the key a second time, allowed: each key once"},
@@ -65,6 +67,8 @@
 		{"string", `{"title":3}`, "title: found 3, allowed: a string"},
 		{"string null", `{"title":null}`, "title: found null, allowed: a string"},
 		{"pointer null", `{"title":"a","opt":null}`, "opt: found null, allowed: a value, or no such key"},
+		{"map value", `{"title":"a","base":{"x":-1}}`, "base.x: found -1, allowed: an integer of 0 or more"},
+		{"map null", `{"title":"a","base":null}`, "base: found null, allowed: an object"},
 		{"fraction", `{"title":"a","count":1.5}`, "count: found 1.5, allowed: an integer"},
 		{"quoted integer", `{"title":"a","count":"1"}`, `count: found "1", allowed: an integer`},
 		{"overflow", `{"title":"a","size":256}`, "size: found 256, allowed: an integer of 0 or more"},
--- a/transport/gate/gate.go
+++ b/transport/gate/gate.go
@@ -38,6 +38,9 @@
 	// Service returns the configuration of a service, or nil when it is not
 	// held.
 	Service func(name string) *model.Service
+	// MaxQueue bounds the requests that wait, whatever the service allows; 0 is
+	// no bound.
+	MaxQueue int
 	// Backend sends to the backend server. Nil takes one with the default
 	// settings.
 	Backend http.RoundTripper
@@ -126,12 +129,20 @@
 	}
 	if s := g.cfg.Service(a.Service); s != nil {
 		l.OlderSlots = s.OlderSlots
-		l.QueueLength = s.QueueLength
+		l.QueueLength = g.queueLength(s)
 		l.SlowStart = s.SlowStart.Std()
 	}
 	g.core.Update(l, g.cfg.Now())
 }
 
+// queueLength is the service's queue length, within the node's bound.
+func (g *Gate) queueLength(s *model.Service) int {
+	if g.cfg.MaxQueue > 0 {
+		return min(s.QueueLength, g.cfg.MaxQueue)
+	}
+	return s.QueueLength
+}
+
 // Run keeps the limits current until ctx ends.
 func (g *Gate) Run(ctx context.Context) error {
 	t := time.NewTicker(g.cfg.Tick)
--- a/transport/operatorapi/handler.go
+++ b/transport/operatorapi/handler.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,9 +14,6 @@
 	"github.com/jacinthgate/jacinthgate/protocol/operator"
 )
 
-// MaxWait bounds how long a progress answer may be held.
-const MaxWait = 10 * time.Second
-
 // Delegate carries out the calls. Its errors are *operator.Problem; any other
 // error is reported as refused. Implementations are safe for concurrent use.
 type Delegate interface {
@@ -25,9 +21,9 @@
 	Apply(ctx context.Context, req *operator.ApplyRequest) (*operator.ApplyResponse, error)
 	// Documents returns the documents held; empty kind or name select all.
 	Documents(kind, name string) (*operator.Documents, error)
-	// History returns accepted changes, newest first; an empty change selects
-	// all.
-	History(ctx context.Context, change string) (*operator.History, error)
+	// History returns up to limit accepted changes, newest first; a change id
+	// selects that change.
+	History(ctx context.Context, change string, limit int) (*operator.History, error)
 	// Status returns what the node knows of the mesh.
 	Status(ctx context.Context) (*operator.Status, error)
 	// Progress returns how far the fleet is with a version.
@@ -40,7 +36,7 @@
 // is held.
 const pollInterval = 20 * time.Millisecond
 
-// New returns the handler.
+// New returns the handler. Its server must bound a request's header.
 func New(d Delegate) http.Handler {
 	s := &server{delegate: d}
 	mux := http.NewServeMux()
@@ -59,7 +55,7 @@
 
 func (s *server) apply(w http.ResponseWriter, r *http.Request) {
 	req := new(operator.ApplyRequest)
-	if err := readJSON(r, req); err != nil {
+	if err := readJSON(w, r, req); err != nil {
 		writeError(w, err)
 		return
 	}
@@ -69,12 +65,26 @@
 
 func (s *server) documents(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	resp, err := s.delegate.Documents(q.Get("kind"), q.Get("name"))
+	kind, name := q.Get("kind"), q.Get("name")
+	if err := checkSelection(kind, name); err != nil {
+		writeError(w, err)
+		return
+	}
+	resp, err := s.delegate.Documents(kind, name)
 	answer(w, resp, err)
 }
 
 func (s *server) history(w http.ResponseWriter, r *http.Request) {
-	resp, err := s.delegate.History(r.Context(), r.URL.Query().Get("change"))
+	q := r.URL.Query()
+	limit, err := parseLimit(q.Get("limit"))
+	if err == nil {
+		err = checkChangeID(q.Get("change"))
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	resp, err := s.delegate.History(r.Context(), q.Get("change"), limit)
 	answer(w, resp, err)
 }
 
@@ -85,7 +95,7 @@
 
 func (s *server) drain(w http.ResponseWriter, r *http.Request) {
 	req := new(operator.DrainRequest)
-	if err := readJSON(r, req); err != nil {
+	if err := readJSON(w, r, req); err != nil {
 		writeError(w, err)
 		return
 	}
@@ -108,17 +118,6 @@
 	answer(w, resp, err)
 }
 
-func parseWait(s string) (time.Duration, error) {
-	if s == "" {
-		return 0, nil
-	}
-	d, err := time.ParseDuration(s)
-	if err != nil || d < 0 {
-		return 0, malformed("query parameter wait: want a duration")
-	}
-	return min(d, MaxWait), nil
-}
-
 // await holds the answer until the version is in force or wait has passed.
 func (s *server) await(ctx context.Context, version uint64, wait time.Duration) (*operator.Progress, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
@@ -138,24 +137,6 @@
 	}
 }
 
-func malformed(message string) *operator.Problem {
-	return &operator.Problem{Code: operator.CodeMalformed, Message: message}
-}
-
-func readJSON(r *http.Request, into any) error {
-	raw, err := io.ReadAll(io.LimitReader(r.Body, operator.MaxBody+1))
-	if err != nil {
-		return malformed("body: " + err.Error())
-	}
-	if len(raw) > operator.MaxBody {
-		return malformed("body: larger than " + strconv.Itoa(operator.MaxBody) + " bytes")
-	}
-	if err := json.Unmarshal(raw, into); err != nil {
-		return malformed("body: " + err.Error())
-	}
-	return nil
-}
-
 // answer writes v, or err as a problem.
 func answer(w http.ResponseWriter, v any, err error) {
 	if err != nil {
--- a/transport/security/files.go
+++ b/transport/security/files.go
@@ -20,17 +20,18 @@
 // CertificateInfo describes one certificate of a file.
 type CertificateInfo struct {
 	// Subject is the common name.
-	Subject string
+	Subject string `json:"subject"`
 	// Role is the role; empty for an authority or a foreign certificate.
-	Role Role
+	Role Role `json:"role,omitempty"`
 	// Name is the node id or operator's name; empty like Role.
-	Name string
+	Name string `json:"name,omitempty"`
 	// Authority is set for a certificate authority.
-	Authority bool
+	Authority bool `json:"authority"`
 	// Serial is the serial number, in hexadecimal.
-	Serial string
+	Serial string `json:"serial"`
 	// NotBefore and NotAfter bound the time of validity.
-	NotBefore, NotAfter time.Time
+	NotBefore time.Time `json:"notBefore"`
+	NotAfter  time.Time `json:"notAfter"`
 }
 
 // InitAuthority creates a certificate authority in dir. It returns a
