Send requests from the caller's own goroutine

Cause: http.Transport hands each request to two goroutines of its connection and back, on both hops. The new forward.Client writes and reads where it is called, looks at an idle connection before it is used, and never sends twice, so the shaping against net/http's own repeats is gone. Kept: sent or not by bytes written, cancellation, trailers, 1xx, streaming both ways, cut answers.

--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -81,16 +81,15 @@
 	return nil
 }
 
-// newGateTransport returns a transport for calls to the gates of other nodes.
+// newGateTransport returns a client for calls to the gates of other nodes.
 // They leave from the address that the own gate listens on.
-func (n *Node) newGateTransport() *http.Transport {
-	cfg := forward.DefaultTransportConfig()
+func (n *Node) newGateTransport() *forward.Client {
+	cfg := forward.DefaultClientConfig()
 	if a, err := netip.ParseAddrPort(n.set.Listen.Gate); err == nil && !a.Addr().IsUnspecified() {
 		cfg.LocalIP = a.Addr().AsSlice()
 	}
-	t := forward.NewTransport(cfg)
-	t.TLSClientConfig = n.identity.gateClient()
-	return t
+	cfg.TLS = n.identity.gateClient()
+	return forward.NewClient(cfg)
 }
 
 func (n *Node) wireGate() {
--- a/transport/entry/body.go
+++ b/transport/entry/body.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -41,7 +40,3 @@
 	}
 	return x.p.notRun(outcome.ReasonCancelled, "the body did not arrive whole")
 }
-
-// newBody returns a body over b. net/http sends it together with the head,
-// since it knows the reader, and can't get it again, since it is wrapped.
-func newBody(b []byte) io.ReadCloser { return io.NopCloser(bytes.NewReader(b)) }
--- a/transport/entry/config.go
+++ b/transport/entry/config.go
@@ -39,8 +39,8 @@
 	Balance Balancer
 	Retry   Retrier
 	Claim   Claimer
-	// Gate sends to gates. It should come from forward.NewTransport. Nil
-	// takes one with the default settings.
+	// Gate sends to gates. It should be a *forward.Client. Nil takes one with
+	// the default settings.
 	Gate http.RoundTripper
 	// GateScheme is "http", or "https" where Gate uses TLS.
 	GateScheme string
@@ -118,7 +118,7 @@
 		c.Retry = retry.New(retry.DefaultConfig(), c.Seed)
 	}
 	if c.Gate == nil {
-		c.Gate = forward.NewTransport(forward.DefaultTransportConfig())
+		c.Gate = forward.NewClient(forward.DefaultClientConfig())
 	}
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewSet()
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -138,7 +138,7 @@
 	if !x.kept {
 		body = x.stream
 	} else if len(x.body) > 0 {
-		body = newBody(x.body)
+		body = forward.NewKeptBody(x.body)
 	}
 	out := forward.NewRequest(x.ctx, x.r, x.p.cfg.GateScheme, x.last.record.GateAddr, body, x.r.ContentLength)
 	m := &x.plan.match
--- a/transport/entry/older.go
+++ b/transport/entry/older.go
@@ -39,11 +39,11 @@
 }
 
 func newOlderServer(p *Proxy) *olderServer {
-	cfg := forward.DefaultTransportConfig()
+	cfg := forward.DefaultClientConfig()
 	cfg.DialTimeout = p.cfg.OlderDialTimeout
 	return &olderServer{
 		p:         p,
-		transport: forward.NewTransport(cfg),
+		transport: forward.NewClient(cfg),
 		dialer:    net.Dialer{Timeout: p.cfg.OlderDialTimeout},
 		idle:      make(map[*callerConn]struct{}),
 	}
--- /dev/null
+++ b/transport/forward/client_conn.go
@@ -0,0 +1,98 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// connBuffer is the size of a connection's buffers, in bytes.
+	connBuffer = 4 << 10
+	// maxResponseHead bounds a response's head, in bytes, with the interim
+	// responses before it.
+	maxResponseHead = 1 << 20
+)
+
+// connKey names the connections that are alike.
+type connKey struct{ scheme, addr string }
+
+// clientConn is one connection. One request uses it at a time.
+type clientConn struct {
+	key  connKey
+	raw  *trackedConn
+	conn net.Conn // raw, or TLS over it
+	br   *bufio.Reader
+	bw   *bufio.Writer
+	// headLeft bounds the reading of a head; 0 is no bound.
+	headLeft int64
+	// idleSince is when it became idle. The pool's lock guards it.
+	idleSince time.Time
+
+	socket syscall.RawConn // nil where the connection is no socket
+	quiet  bool            // what look found
+	look   func(fd uintptr) bool
+}
+
+func newClientConn(key connKey, raw *trackedConn, conn net.Conn) *clientConn {
+	c := &clientConn{key: key, raw: raw, conn: conn}
+	c.br = bufio.NewReaderSize(headReader{c}, connBuffer)
+	c.bw = bufio.NewWriterSize(conn, connBuffer)
+	if s, ok := raw.Conn.(syscall.Conn); ok {
+		if socket, err := s.SyscallConn(); err == nil {
+			c.socket = socket
+		}
+	}
+	c.look = c.lookAt
+	return c
+}
+
+// usable reports whether an idle connection is still open and silent. A server
+// that has closed it, or has sent what nobody asked for, makes it unusable.
+func (c *clientConn) usable() bool {
+	if c.br.Buffered() > 0 {
+		return false
+	}
+	if c.socket == nil {
+		return true
+	}
+	c.quiet = false
+	if err := c.socket.Read(c.look); err != nil {
+		return false
+	}
+	return c.quiet
+}
+
+// lookAt looks for bytes or the end of the connection without waiting.
+func (c *clientConn) lookAt(fd uintptr) bool {
+	var b [1]byte
+	_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.quiet = err == syscall.EAGAIN
+	return true
+}
+
+func (c *clientConn) close() { _ = c.conn.Close() } // it carries nothing any more
+
+// headReader bounds what is read while a head is read.
+type headReader struct{ c *clientConn }
+
+// Read implements io.Reader.
+func (r headReader) Read(p []byte) (int, error) {
+	c := r.c
+	if c.headLeft == 0 {
+		return c.conn.Read(p)
+	}
+	if c.headLeft == 1 {
+		return 0, &HeadSizeError{Limit: maxResponseHead}
+	}
+	if int64(len(p)) > c.headLeft-1 {
+		p = p[:c.headLeft-1]
+	}
+	n, err := c.conn.Read(p)
+	c.headLeft -= int64(n)
+	return n, err
+}
+
+var _ io.Reader = headReader{}
--- a/transport/forward/request.go
+++ b/transport/forward/request.go
@@ -7,6 +7,10 @@
 	"net/url"
 )
 
+// noUserAgent is the mark by which neither Client nor net/http's own client adds
+// a User-Agent.
+var noUserAgent = []string{""}
+
 // extraHeaders is room for the headers that the caller of NewRequest adds.
 const extraHeaders = 8
 
@@ -32,7 +36,7 @@
 		h["Te"] = []string{"trailers"}
 	}
 	if _, ok := h["User-Agent"]; !ok {
-		h["User-Agent"] = []string{""} // keeps net/http from adding its own
+		h["User-Agent"] = noUserAgent
 	}
 	out := &http.Request{
 		Method:        in.Method,
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -41,8 +41,8 @@
 func (s *StreamBody) Close() error { return nil }
 
 // Reclaim returns the body for another attempt, or nil when some of it was
-// read. After it, s reads nothing: net/http's writing goroutine may outlive
-// the attempt.
+// read. After it, s reads nothing: the goroutine that sends it may outlive the
+// attempt.
 func (s *StreamBody) Reclaim() *StreamBody {
 	if !s.state.CompareAndSwap(streamUntouched, streamReclaimed) {
 		return nil
--- a/transport/gate/gate.go
+++ b/transport/gate/gate.go
@@ -59,7 +59,7 @@
 // DefaultConfig returns the settings that don't depend on the node.
 func DefaultConfig() Config {
 	return Config{
-		Backend:    forward.NewTransport(forward.DefaultTransportConfig()),
+		Backend:    forward.NewClient(forward.DefaultClientConfig()),
 		Tick:       100 * time.Millisecond,
 		RetryAfter: time.Second,
 		Metrics:    metrics.NewSet(),
