--- a/cmd/jacinthgatectl/apply.go
+++ b/cmd/jacinthgatectl/apply.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return c.failChange(err)
 	}
-	c.progressf("accepted: change %s is version %d", resp.ChangeID, resp.Version)
+	c.progressf("%s: change %s is version %d", acceptedWhen(resp), resp.ChangeID, resp.Version)
 	if c.noWait {
 		c.print(resp, textOfApply(resp))
 		return exitInForce
@@ -108,6 +108,13 @@
 	return c.wait(ctx, client, resp)
 }
 
+func acceptedWhen(r *operator.ApplyResponse) string {
+	if r.Repeated {
+		return "accepted before"
+	}
+	return "accepted"
+}
+
 func (c *changeVerb) badFlag(err error) subcommands.ExitStatus {
 	c.notef("%v", err)
 	return exitUsage
--- a/cmd/jacinthgatectl/exit.go
+++ b/cmd/jacinthgatectl/exit.go
@@ -39,6 +39,7 @@
 // outcomes name the exit codes in JSON.
 var outcomes = map[subcommands.ExitStatus]string{
 	exitFailure:     "failed",
+	exitUsage:       "usage",
 	exitRefused:     "refused",
 	exitConflict:    "conflict",
 	exitPartial:     "not-yet-in-force",
@@ -79,6 +80,7 @@
 func describe(err error) *failure {
 	f := &failure{Exit: exitFailure, Message: err.Error()}
 	var files FileErrors
+	var flagValue *BadFlagError
 	var file *settings.FileError
 	var flags strictjson.Faults
 	var unreachable *operatorclient.UnreachableError
@@ -90,6 +92,8 @@
 		if !files.unreadable() {
 			f.Exit = exitRefused
 		}
+	case errors.As(err, &flagValue):
+		f.Exit = exitUsage
 	case errors.As(err, &file) && errors.As(err, &flags):
 		f.Message = "the settings have faults"
 		f.Faults = FileErrors{{File: file.Path, Err: flags}}.faults()
--- a/cmd/jacinthgatectl/files.go
+++ b/cmd/jacinthgatectl/files.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"io/fs"
 	"os"
 	"strings"
 
@@ -56,7 +57,7 @@
 	File    string `json:"file,omitempty"`
 	Path    string `json:"path,omitempty"`
 	Found   string `json:"found"`
-	Allowed string `json:"allowed,omitempty"`
+	Allowed string `json:"allowed"`
 }
 
 // String returns the fault as one line.
@@ -67,11 +68,7 @@
 			b.WriteString(place + ": ")
 		}
 	}
-	b.WriteString("found " + f.Found)
-	if f.Allowed != "" {
-		b.WriteString(", allowed: " + f.Allowed)
-	}
-	return b.String()
+	return b.String() + "found " + f.Found + ", allowed: " + f.Allowed
 }
 
 // faults lists all faults of all files.
@@ -80,7 +77,7 @@
 	for _, e := range es {
 		var faults strictjson.Faults
 		if !errors.As(e.Err, &faults) {
-			out = append(out, fault{File: e.File, Found: e.Err.Error()})
+			out = append(out, fault{File: e.File, Found: "nothing: " + causeOf(e.Err).Error(), Allowed: "a file that can be read"})
 			continue
 		}
 		for _, f := range faults {
@@ -90,6 +87,15 @@
 	return out
 }
 
+// causeOf is the cause without the file's name, which is told already.
+func causeOf(err error) error {
+	var p *fs.PathError
+	if errors.As(err, &p) {
+		return p.Err
+	}
+	return err
+}
+
 // readBatch reads the documents of one file.
 func readBatch(file string) (*model.Batch, error) {
 	var raw []byte
--- a/cmd/jacinthgatectl/main.go
+++ b/cmd/jacinthgatectl/main.go
@@ -11,7 +11,6 @@
 	"slices"
 
 	"github.com/google/subcommands"
-	"github.com/pkg/errors"
 )
 
 func main() {
@@ -25,25 +24,28 @@
 	top.SetOutput(stderr)
 	cdr := subcommands.NewCommander(top, "jacinthgatectl")
 	cdr.Output, cdr.Error = stdout, stderr
-	cdr.Register(cdr.HelpCommand(), "")
-	for _, c := range commands(output{out: stdout, err: stderr}) {
-		cdr.Register(c, "")
+	o := output{out: stdout, err: stderr}
+	verbs := append(commands(o), cdr.HelpCommand())
+	for _, v := range verbs {
+		cdr.Register(v, "")
 	}
-	err := top.Parse(helpFirst(args))
-	switch {
-	case errors.Is(err, flag.ErrHelp):
-		cdr.Explain(stdout)
-		return exitInForce
-	case err != nil:
+	if top.Parse(helpFirst(args)) != nil { // it prints the fault
 		return exitUsage
 	}
+	named := func(v subcommands.Command) bool { return v.Name() == top.Arg(0) }
+	if top.NArg() > 0 && !slices.ContainsFunc(verbs, named) {
+		o.notef("there is no verb %q", top.Arg(0))
+	}
 	return cdr.Execute(ctx)
 }
 
-// helpFirst turns "VERB ... -help" into "help VERB", which prints to standard
-// output.
+// helpFirst turns "VERB ... -help" into "help VERB" and "-help" into "help",
+// which print to standard output.
 func helpFirst(args []string) []string {
 	asksHelp := func(s string) bool { return slices.Contains([]string{"-h", "-help", "--help"}, s) }
+	if len(args) > 0 && asksHelp(args[0]) {
+		return []string{"help"}
+	}
 	if len(args) > 1 && slices.ContainsFunc(args[1:], asksHelp) {
 		return []string{"help", args[0]}
 	}
--- a/cmd/jacinthgatectl/wait.go
+++ b/cmd/jacinthgatectl/wait.go
@@ -21,6 +21,9 @@
 	settlePause = 300 * time.Millisecond
 	// progressWait is how long a node may hold one progress answer.
 	progressWait = time.Second
+	// lastLook bounds the last look at the progress, after the time to wait:
+	// who is missing is told as of then.
+	lastLook = 2 * time.Second
 )
 
 // send sends a change until it has an answer that is certain or ctx ends.
@@ -70,22 +73,28 @@
 func (c *changeVerb) wait(ctx context.Context, client *operatorclient.Client, resp *operator.ApplyResponse) subcommands.ExitStatus {
 	last := operator.Progress{Version: resp.Version}
 	line := ""
-	for !last.InForce {
-		p, err := client.Progress(ctx, resp.Version, progressWait)
-		if err == nil {
-			last = *p
+	look := func(ctx context.Context, hold time.Duration) error {
+		p, err := client.Progress(ctx, resp.Version, hold)
+		if err != nil {
+			return err
 		}
-		if next := progressLine(&last); err == nil && next != line {
+		last = *p
+		if next := progressLine(p); next != line {
 			line = next
 			c.progressf("%s", line)
 		}
-		if ctx.Err() != nil {
-			break
-		}
-		if err != nil {
+		return nil
+	}
+	for !last.InForce && ctx.Err() == nil {
+		if look(ctx, progressWait) != nil {
 			time.Sleep(settlePause)
 		}
 	}
+	if !last.InForce {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastLook)
+		defer cancel()
+		_ = look(ctx, 0) // what was seen last is told otherwise
+	}
 	c.print(&applied{*resp, last}, textOfProgress(&last))
 	if last.InForce {
 		return exitInForce
@@ -134,7 +143,7 @@
 
 func textOfProgress(p *operator.Progress) func(*tabwriter.Writer) {
 	return func(w *tabwriter.Writer) {
-		fmt.Fprintf(w, "version\t%d\tin force\t%t\n", p.Version, p.InForce)
+		fmt.Fprintf(w, "version\t%d\tin force\t%t\n\n", p.Version, p.InForce)
 		printZones(w, p.Zones)
 	}
 }
--- a/internal/node/identity.go
+++ b/internal/node/identity.go
@@ -83,7 +83,7 @@
 	if i.keys == nil {
 		return nil
 	}
-	return i.keys.ServerConfig()
+	return i.keys.GateServerConfig()
 }
 
 // gateClient returns the configuration for calls to gates; nil for plain HTTP.
--- a/internal/operatorclient/client.go
+++ b/internal/operatorclient/client.go
@@ -58,7 +58,7 @@
 	if name != "" {
 		q.Set("name", name)
 	}
-	return call[operator.Documents](ctx, c, http.MethodGet, operator.PathDocuments+"?"+q.Encode(), nil)
+	return call[operator.Documents](ctx, c, http.MethodGet, withQuery(operator.PathDocuments, q), nil)
 }
 
 // History reads the accepted changes, newest first. An empty changeID selects
@@ -71,7 +71,7 @@
 	if limit > 0 {
 		q.Set("limit", strconv.Itoa(limit))
 	}
-	return call[operator.History](ctx, c, http.MethodGet, operator.PathHistory+"?"+q.Encode(), nil)
+	return call[operator.History](ctx, c, http.MethodGet, withQuery(operator.PathHistory, q), nil)
 }
 
 // Status reads what the node knows of the mesh.
@@ -86,7 +86,7 @@
 		"version": {strconv.FormatUint(version, 10)},
 		"wait":    {wait.String()},
 	}
-	return call[operator.Progress](ctx, c, http.MethodGet, operator.PathProgress+"?"+q.Encode(), nil)
+	return call[operator.Progress](ctx, c, http.MethodGet, withQuery(operator.PathProgress, q), nil)
 }
 
 // Drain takes a node's backend server out of service, or back.
@@ -95,6 +95,13 @@
 	return err
 }
 
+func withQuery(path string, q url.Values) string {
+	if len(q) == 0 {
+		return path
+	}
+	return path + "?" + q.Encode()
+}
+
 // call sends one request and decodes the answer into a T.
 func call[T any](ctx context.Context, c *Client, method, path string, body any) (*T, error) {
 	req, err := newRequest(ctx, method, c.base+path, body)
@@ -103,7 +110,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, &UnreachableError{Path: path, Err: err}
+		return nil, &UnreachableError{Path: path, Err: causeOf(err)}
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
@@ -120,6 +127,15 @@
 	return out, nil
 }
 
+// causeOf leaves out the method and URL that net/http puts before the cause.
+func causeOf(err error) error {
+	var u *url.Error
+	if errors.As(err, &u) {
+		return u.Err
+	}
+	return err
+}
+
 // maxAnswer is the largest answer in bytes; 4,300 nodes' status takes about 1 MB.
 const maxAnswer = 64 << 20
 
--- a/transport/security/tls.go
+++ b/transport/security/tls.go
@@ -13,10 +13,15 @@
 // open. It always uses the newest files. Only nodes of the site are accepted.
 func (k *Keys) ServerConfig() *tls.Config {
 	cfg := k.serverFor(RoleNode)
+	cfg.ClientAuth = tls.RequireAnyClientCert
 	cfg.NextProtos = []string{Protocol}
 	return cfg
 }
 
+// GateServerConfig returns the configuration for requests of other nodes over
+// HTTP: like ServerConfig, without ALPN.
+func (k *Keys) GateServerConfig() *tls.Config { return k.serverFor(RoleNode) }
+
 // OperatorServerConfig returns the configuration for calls of operators. It
 // sets no ALPN; net/http adds its own. Only operators of the site are
 // accepted.
@@ -53,7 +58,9 @@
 		// A resumed session would skip nothing, as VerifyConnection runs for
 		// it too, but its tickets cost bytes and 0-RTT is not wanted.
 		SessionTicketsDisabled: true,
-		ClientAuth:             tls.RequireAnyClientCert,
+		// The lack of a certificate is refused by VerifyConnection, which runs
+		// always, so that it is reported like every other refusal.
+		ClientAuth: tls.RequestClientCert,
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
 			return k.current.Load().own, nil
 		},
