Make the shortest time between fetches a setting

The two deployments weigh convergence and control bytes differently, and the value that trades them could only be changed in the code. control.mergeInterval now sets it, 0s to 3s, with the 50 ms of before as default. The poll, beacon and acknowledgement intervals were weighed as further settings: the first two exist, the last moves the report and not the arrival.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -83,6 +83,7 @@
 	cfg.BeaconInterval = n.set.Control.BeaconInterval.Std()
 	cfg.Check = (*snapshot.Snapshot).ValidateDocuments
 	return cfg
+	cfg.MergeInterval = n.set.Control.MergeInterval.Std()
 }
 
 // leaseRenewals is the number of renewals in the life of a lease.
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -15,6 +15,7 @@
 	defaultBurstBytes       = 256 << 10
 	defaultPollInterval     = 500 * time.Millisecond
 	defaultBeaconInterval   = 2 * time.Second
+	defaultMergeInterval    = 50 * time.Millisecond
 	defaultDebounce         = 20 * time.Millisecond
 	defaultLeaseDuration    = 5 * time.Second
 	defaultSuspicionTimeout = 2 * time.Second
@@ -38,6 +39,7 @@
 			BurstBytes:       defaultBurstBytes,
 			PollInterval:     model.Duration(defaultPollInterval),
 			BeaconInterval:   model.Duration(defaultBeaconInterval),
+			MergeInterval:    model.Duration(defaultMergeInterval),
 			Debounce:         model.Duration(defaultDebounce),
 			LeaseDuration:    model.Duration(defaultLeaseDuration),
 			SuspicionTimeout: model.Duration(defaultSuspicionTimeout),
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -18,6 +18,7 @@
 	minInterval    = 10 * time.Millisecond
 	maxInterval    = time.Minute
 	maxDebounce    = 5 * time.Second
+	maxMerge       = 3 * time.Second
 	minLease       = 100 * time.Millisecond
 	maxLease       = 5 * time.Minute
 	maxDrain       = time.Hour
@@ -137,6 +138,7 @@
 	k.within("control.burstBytes", c.BurstBytes, minBurstBytes, maxControlBytes)
 	k.duration("control.pollInterval", c.PollInterval, minInterval, maxInterval)
 	k.duration("control.beaconInterval", c.BeaconInterval, minInterval, maxInterval)
+	k.duration("control.mergeInterval", c.MergeInterval, 0, maxMerge)
 	k.duration("control.debounce", c.Debounce, 0, maxDebounce)
 	k.duration("control.leaseDuration", c.LeaseDuration, max(minLease, leaseToPoll*c.PollInterval.Std()), maxLease)
 	k.duration("control.suspicionTimeout", c.SuspicionTimeout, max(minLease, c.BeaconInterval.Std()), maxLease)
