Measure what the merge interval and the size of a fleet cost

The curve of convergence against control bytes and the growth with the fleet had been trials by hand. The test network keeps its events in a heap and encodes a message once for all its receivers; decoding once for each was ruled out as the cores only read what they get.

--- a/coordination/distribute/network_test.go
+++ b/coordination/distribute/network_test.go
@@ -1,7 +1,7 @@
 package distribute
 
 import (
-	"cmp"
+	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -23,10 +23,12 @@
 	t     must.T
 	rng   *rand.Rand
 	now   time.Time
-	queue []event // by time
+	queue events
 	term  uint64
+	cfg   Config
 
 	nodes  []*node
+	index  map[model.NodeID]int // of nodes
 	links  []link
 	cut    map[link]bool
 	faults bool                  // drop, duplicate and reorder messages
@@ -41,6 +43,10 @@
 	polls    int // of the head, by readers
 	bytes    map[message.Kind]int
 	messages map[message.Kind]int
+
+	wired   message.Message // sent last, as encoded and decoded
+	encoded []byte
+	decoded message.Message
 }
 
 type link [2]int // indexes of nodes
@@ -58,21 +64,52 @@
 	knew     uint64 // what connected neighbours remember of its earlier lives
 	swaps    int
 	swapAt   time.Time
+	sent     int                  // bytes
+	reached  map[uint64]time.Time // when it swapped to a version; nil: not noted
 }
 
 type event struct {
-	at   time.Time
-	node int
-	life uint64
-	ev   core.Event
+	at    time.Time
+	order int // of events at one time: the last pushed comes last
+	node  int
+	life  uint64
+	ev    core.Event
+}
+
+// events is a heap by time.
+type events struct {
+	heap   []event
+	pushed int
+}
+
+func (q *events) Len() int { return len(q.heap) }
+
+func (q *events) Less(i, j int) bool {
+	a, b := &q.heap[i], &q.heap[j]
+	if !a.at.Equal(b.at) {
+		return a.at.Before(b.at)
+	}
+	return a.order < b.order
+}
+
+func (q *events) Swap(i, j int) { q.heap[i], q.heap[j] = q.heap[j], q.heap[i] }
+
+func (q *events) Push(e any) { q.heap = append(q.heap, e.(event)) }
+
+func (q *events) Pop() any {
+	last := len(q.heap) - 1
+	e := q.heap[last]
+	q.heap[last] = event{}
+	q.heap = q.heap[:last]
+	return e
 }
 
 // newNetwork returns zones of the given sizes: in each a ring with two chords,
 // and two gateways linked to those of the other zones.
 func newNetwork(t must.T, seed uint64, sizes ...int) *network {
 	n := &network{
-		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), cut: make(map[link]bool),
-		platform: snapshot.Empty(), platformUp: true, customers: 8,
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), cut: make(map[link]bool), cfg: DefaultConfig(),
+		index: make(map[model.NodeID]int), platform: snapshot.Empty(), platformUp: true, customers: 8,
 	}
 	n.resetCounts()
 	var gateways []int
@@ -80,6 +117,7 @@
 		first := len(n.nodes)
 		for i := range size {
 			id := model.NodeID(fmt.Sprintf("host-%d-%03d", z, i))
+			n.index[id] = len(n.nodes)
 			n.nodes = append(n.nodes, &node{id: id, zone: model.Zone(fmt.Sprintf("zone-%d", z))})
 			for _, step := range []int{1, 1 + size/5, 1 + size/2} {
 				n.link(first+i, first+(i+step)%size)
@@ -97,6 +135,9 @@
 func (n *network) resetCounts() {
 	n.bytes, n.messages = make(map[message.Kind]int), make(map[message.Kind]int)
 	n.reads, n.polls = 0, 0
+	for _, d := range n.nodes {
+		d.sent = 0
+	}
 }
 
 func (n *network) link(a, b int) {
@@ -106,17 +147,15 @@
 }
 
 func (n *network) push(after time.Duration, i int, ev core.Event) {
-	e := event{at: n.now.Add(after), node: i, life: n.nodes[i].life, ev: ev}
-	later := func(o event, at time.Time) int { return cmp.Or(o.at.Compare(at), -1) }
-	place, _ := slices.BinarySearchFunc(n.queue, e.at, later)
-	n.queue = slices.Insert(n.queue, place, e)
+	n.queue.pushed++
+	heap.Push(&n.queue, event{at: n.now.Add(after), order: n.queue.pushed, node: i, life: n.nodes[i].life, ev: ev})
 }
 
 // start starts a node with nothing, and its connections.
 func (n *network) start(i int) {
 	d := n.nodes[i]
 	*d = node{id: d.id, zone: d.zone, life: d.life + 1, up: true}
-	d.core = New(DefaultConfig(), n.record(i), uint64(i)<<16|d.life)
+	d.core = New(n.cfg, n.record(i), uint64(i)<<16|d.life)
 	n.push(time.Duration(n.rng.IntN(100))*time.Millisecond, i, core.Tick{})
 	for _, l := range n.links {
 		if slices.Contains(l[:], i) {
@@ -199,9 +238,8 @@
 // run lets the virtual time pass. What happens to a paused node waits.
 func (n *network) run(d time.Duration) {
 	end := n.now.Add(d)
-	for len(n.queue) > 0 && !n.queue[0].at.After(end) {
-		e := n.queue[0]
-		n.queue = n.queue[1:]
+	for n.queue.Len() > 0 && !n.queue.heap[0].at.After(end) {
+		e := heap.Pop(&n.queue).(event)
 		n.now = e.at
 		switch d := n.nodes[e.node]; {
 		case !d.up || d.life != e.life:
@@ -238,6 +276,9 @@
 		case Swap:
 			must.Greater(n.t, d.heldLife, a.Snapshot.Version(), must.Sprintf("%s goes back", d.id))
 			d.heldLife, d.swapAt = a.Snapshot.Version(), n.now
+			if d.reached != nil {
+				d.reached[d.heldLife] = n.now
+			}
 			d.swaps++
 		case ReadyChanged:
 			must.True(n.t, !a.Ready || d.core.Held().Version() >= d.knew, must.Sprintf("%s ready too early", d.id))
@@ -257,7 +298,7 @@
 }
 
 func (n *network) deliver(from int, s core.Send) {
-	to := slices.IndexFunc(n.nodes, func(d *node) bool { return d.id == s.To })
+	to := n.index[s.To]
 	kind := s.Message.Kind()
 	if !n.connected(link{min(from, to), max(from, to)}) || n.lost[kind] {
 		return
@@ -265,8 +306,9 @@
 	if z, ok := s.Message.(*message.ZoneStatus); ok && z.Holding == z.Live {
 		n.checkInForce(z)
 	}
-	b, err := message.Encode(s.Message)
-	n.bytes[kind] += len(b)
+	size, m := n.wire(s.Message)
+	n.bytes[kind] += size
+	n.nodes[from].sent += size
 	n.messages[kind]++
 	copies, delay := 1, time.Millisecond
 	if n.faults {
@@ -274,14 +316,23 @@
 		delay += time.Duration(n.rng.IntN(30)) * time.Millisecond
 	}
 	for range copies {
-		m, err2 := message.Decode(b)
-		if err != nil || err2 != nil {
-			n.t.Fatalf("%v, %v", err, err2)
-		}
 		n.push(delay, to, core.Received{From: n.nodes[from].id, Message: m})
 	}
 }
 
+// wire encodes and decodes a message, once for all neighbours that it is sent
+// to. It returns its size in bytes and what they receive.
+func (n *network) wire(m message.Message) (int, message.Message) {
+	if n.wired != m {
+		b, err := message.Encode(m)
+		must.NoError(n.t, err)
+		n.wired, n.encoded = m, b
+		n.decoded, err = message.Decode(b)
+		must.NoError(n.t, err)
+	}
+	return len(n.encoded), n.decoded
+}
+
 // checkInForce fails when a live member of the zone serves an older version.
 func (n *network) checkInForce(z *message.ZoneStatus) {
 	for _, d := range n.nodes {
