--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -105,19 +105,29 @@
 	}
 }
 
+// Try takes a slot where one is free and nobody waits. On true the caller holds
+// a slot and must call Release. On false it calls Acquire, which says why; Try
+// only spares a request that need not wait the making of a Waiter.
+func (g *Gate) Try(kind model.ClassKind, deadline, now time.Time) bool {
+	if g.closed.Load() || now.Add(g.times.of(kind).get()).After(deadline) {
+		return false
+	}
+	return g.waiting.Load() == 0 && g.take()
+}
+
 // Acquire takes a slot for a request. On true the caller holds a slot and must
 // call Release. On false with an empty reason, w waits and its Settle is called
 // later. On false with a reason the request is refused.
 func (g *Gate) Acquire(w *Waiter, now time.Time) (acquired bool, refused outcome.Reason) {
+	if g.Try(w.Kind, w.Deadline, now) {
+		return true, ""
+	}
 	if g.closed.Load() {
 		return false, outcome.ReasonDraining
 	}
 	if now.Add(g.times.of(w.Kind).get()).After(w.Deadline) {
 		return false, outcome.ReasonDeadline
 	}
-	if g.waiting.Load() == 0 && g.take() {
-		return true, ""
-	}
 	return g.enqueue(w, now)
 }
 
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -144,12 +144,21 @@
 	m := &x.plan.match
 	h := out.Header
 	forward.StripNodeHeaders(h)
-	h[outcome.HeaderDeadline] = []string{strconv.FormatInt(remaining, 10)}
-	h[outcome.HeaderHops] = []string{strconv.Itoa(x.plan.hops)}
-	h[outcome.HeaderCustomer] = []string{m.Contract.Customer}
-	h[outcome.HeaderClass] = []string{m.Class.Name}
-	h[outcome.HeaderKind] = []string{string(m.Class.Kind)}
-	h[outcome.HeaderService] = []string{m.Service.Name}
+	// One array holds the values of all headers.
+	v := [...]string{
+		strconv.FormatInt(remaining, 10),
+		strconv.Itoa(x.plan.hops),
+		m.Contract.Customer,
+		m.Class.Name,
+		string(m.Class.Kind),
+		m.Service.Name,
+	}
+	h[outcome.HeaderDeadline] = v[0:1:1]
+	h[outcome.HeaderHops] = v[1:2:2]
+	h[outcome.HeaderCustomer] = v[2:3:3]
+	h[outcome.HeaderClass] = v[3:4:4]
+	h[outcome.HeaderKind] = v[4:5:5]
+	h[outcome.HeaderService] = v[5:6:6]
 	if x.number > 1 && !x.inherited {
 		h[outcome.HeaderAttempt] = []string{strconv.Itoa(x.number)}
 	}
--- a/transport/forward/request.go
+++ b/transport/forward/request.go
@@ -11,6 +11,9 @@
 // a User-Agent.
 var noUserAgent = []string{""}
 
+// blank is copied for each request.
+var blank = http.Request{Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+
 // extraHeaders is room for the headers that the caller of NewRequest adds.
 const extraHeaders = 8
 
@@ -38,19 +41,15 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = noUserAgent
 	}
-	out := &http.Request{
-		Method:        in.Method,
-		URL:           u,
-		Host:          in.Host,
-		Header:        h,
-		Body:          body,
-		ContentLength: length,
-		Proto:         "HTTP/1.1",
-		ProtoMajor:    1,
-		ProtoMinor:    1,
-	}
+	out := blank.WithContext(ctx) // one copy in place of two
+	out.Method = in.Method
+	out.URL = u
+	out.Host = in.Host
+	out.Header = h
+	out.Body = body
+	out.ContentLength = length
 	if body != nil {
 		out.Trailer = in.Trailer // the server fills it in at the body's end
 	}
-	return out.WithContext(ctx)
+	return out
 }
--- a/transport/gate/gate.go
+++ b/transport/gate/gate.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -73,7 +74,7 @@
 type Gate struct {
 	cfg       Config
 	core      *core.Gate
-	refusals  func(outcome.Reason) *metrics.Counter
+	refusals  sync.Map // outcome.Reason -> *metrics.Counter
 	truncated *metrics.Counter
 }
 
@@ -106,9 +107,6 @@
 func (g *Gate) registerMetrics() {
 	set := g.cfg.Metrics
 	g.truncated = set.GetOrCreateCounter("jacinthgate_gate_responses_truncated_total")
-	g.refusals = func(reason outcome.Reason) *metrics.Counter {
-		return set.GetOrCreateCounter(`jacinthgate_gate_refusals_total{reason="` + string(reason) + `"}`)
-	}
 	set.GetOrCreateGauge("jacinthgate_gate_slots_used", func() float64 { return float64(g.core.Load().Used) })
 	set.GetOrCreateGauge("jacinthgate_gate_slots", func() float64 { return float64(g.core.Load().Slots) })
 	set.GetOrCreateGauge("jacinthgate_gate_queued", func() float64 { return float64(g.core.Load().Queued) })
@@ -221,10 +219,12 @@
 
 // acquire takes a slot, waiting for one if need be.
 func (g *Gate) acquire(ctx context.Context, c call, now time.Time) *forward.Refusal {
-	var settled chan outcome.Reason
+	if g.core.Try(c.kind, c.deadline, now) {
+		return nil
+	}
+	settled := make(chan outcome.Reason, 1)
 	w := &core.Waiter{Kind: c.kind, Deadline: c.deadline}
 	w.Settle = func(reason outcome.Reason) { settled <- reason }
-	settled = make(chan outcome.Reason, 1)
 	acquired, reason := g.core.Acquire(w, now)
 	if acquired {
 		return nil
@@ -260,11 +260,22 @@
 }
 
 func (g *Gate) refuse(w http.ResponseWriter, refusal *forward.Refusal) {
-	g.refusals(refusal.Reason).Inc()
+	g.refused(refusal.Reason).Inc()
 	g.stamp(w.Header())
 	refusal.Write(w)
 }
 
+// refused returns the counter of refusals for a reason. An overload makes many
+// of them, so it takes the set's lock only once for each reason.
+func (g *Gate) refused(reason outcome.Reason) *metrics.Counter {
+	if c, ok := g.refusals.Load(reason); ok {
+		return c.(*metrics.Counter)
+	}
+	c := g.cfg.Metrics.GetOrCreateCounter(`jacinthgate_gate_refusals_total{reason="` + string(reason) + `"}`)
+	g.refusals.Store(reason, c)
+	return c
+}
+
 // stamp sets the headers that every response of the gate carries.
 func (g *Gate) stamp(h http.Header) {
 	l := g.core.Load()
