Measure the check of documents and name reports

A node now validates the documents of a version before it swaps to it, so the figure of an applied delta has to hold that as well; documents that were valid in the version before are marked and not checked again, which the measurement keeps. A run with the design number of contracts needs a report of its own beside the runs of several fleet sizes, hence the flag. A separate command was ruled out, as only the sizes differ.

--- a/cmd/jacinthgate-measure/commands.go
+++ b/cmd/jacinthgate-measure/commands.go
@@ -20,6 +20,7 @@
 	changes  int
 	burst    int
 	repeat   int
+	report   string
 }
 
 func (c *controlCommand) Name() string { return c.name }
@@ -38,6 +39,7 @@
 	f.IntVar(&c.changes, "changes", 20, "number of changes, one after the other")
 	f.IntVar(&c.burst, "burst", 20, "number of changes without a pause")
 	f.IntVar(&c.repeat, "repeat", 1, "runs of each size")
+	f.StringVar(&c.report, "report", c.name, "name of the report")
 }
 
 func (c *controlCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -55,7 +57,7 @@
 			report.Control = append(report.Control, run)
 		}
 	}
-	if err := finish(report, c.out, c.name); err != nil {
+	if err := finish(report, c.out, c.report); err != nil {
 		return fail(err)
 	}
 	return subcommands.ExitSuccess
--- a/internal/measure/cores_config.go
+++ b/internal/measure/cores_config.go
@@ -89,7 +89,10 @@
 	}
 	c.full.add(exact(n, len(full)))
 	c.delta.add(exact(n, len(delta)))
-	c.decode.add(timed(n, func() { _, err = snapshot.Decode(full) }))
+	c.decode.add(timed(n, func() { err = decodeWhole(full) }))
+	if err := base.ValidateDocuments(); err != nil {
+		return err // and marks them as valid, as on a node that holds them
+	}
 	c.apply.add(timed(n, func() { err = applyDelta(base, delta) }))
 	c.memory.add(heap(n, func() any { s, _ := snapshot.Decode(full); return s }))
 	host, path := customer(n/2)+".example", "/v1/part-3/x"
@@ -98,13 +101,25 @@
 	return err
 }
 
+// decodeWhole and applyDelta do what a node does with what it is sent.
+func decodeWhole(raw []byte) error {
+	s, err := snapshot.Decode(raw)
+	if err != nil {
+		return err
+	}
+	return s.ValidateDocuments()
+}
+
 func applyDelta(base *snapshot.Snapshot, raw []byte) error {
 	d, err := snapshot.DecodeDelta(raw)
 	if err != nil {
 		return err
 	}
-	_, err = base.Apply(d)
-	return err
+	next, err := base.Apply(d)
+	if err != nil {
+		return err
+	}
+	return next.ValidateDocuments()
 }
 
 // limits measures what a node keeps for each customer.
--- a/internal/measure/page.go
+++ b/internal/measure/page.go
@@ -7,7 +7,7 @@
 )
 
 // Names are those of the reports and of their tables in the pages.
-var Names = []string{"control", "baseline", "churn", "cores"}
+var Names = []string{"control", "contracts", "baseline", "churn", "cores"}
 
 // WritePages puts the tables of all reports between their markers in the pages.
 // A page needs only some of the markers, but each report has to find one. A
