--- a/internal/fleet/drain_test.go
+++ b/internal/fleet/drain_test.go
@@ -101,14 +101,14 @@
 	must.Eq(t, r.Cells[0].Sent, total(r, load.LabelAnswered))
 }
 
-// A node is terminated under load. Its endpoint is withdrawn before its
-// process ends, and nothing in flight is cut.
+// A node is terminated under load, some of it slow. Its endpoint is withdrawn
+// before its process ends, and nothing in flight is cut.
 func TestShutdownCutsNothing(t *testing.T) {
 	f := start(t, hosts(6), relayed)
 	first(t, f)
 	terminated, watcher := f.Members[1], f.Members[0]
 	for _, m := range f.Members {
-		post(t, m.BackendURL()+"/faults", backend.Faults{ServiceMillis: 20, SpreadMillis: 30})
+		post(t, m.BackendURL()+"/faults", backend.Faults{ServiceMillis: 20, SpreadMillis: 30, PathMillis: map[string]float64{slowPath: 1200}})
 		eventually(t, "answers through "+string(m.Node), func() bool {
 			out, _ := ask(m, "/rooms/1")
 			return out == outcome.Answered
@@ -116,17 +116,21 @@
 	}
 	once := bookings(20)
 	once.Repeats = 0 // a repeat that meets its first request is told unknown
+	slow := screens(15)
+	slow.Name, slow.Path = "slow", slowPath
 	stop := callers(t, f.Members, f.Members, screens(120), once)
+	stopSlow := callers(t, []*Member{terminated}, f.Members, slow)
 	eventually(t, "the node's server works", func() bool { return runs(t, terminated).Total > 10 })
 	eventually(t, "both servers of the zone are known", func() bool { return serving(watcher, terminated.Zone, "foglalas") == 2 })
 	withdrawn := make(chan bool, 1)
 	go func() { withdrawn <- withdrawnWhileAlive(watcher, terminated, 1) }()
 	must.True(t, terminated.TerminateNode(deadline))
 	must.True(t, <-withdrawn)
-	r := stop()
-	must.Eq(t, 0, total(r, load.LabelCut)+total(r, load.LabelUnknown)+total(r, load.LabelTimeout))
-	for _, c := range r.Cells { // a caller that finds nobody listening was certainly not served
-		must.Eq(t, c.Labels[load.LabelFailed], c.Reasons["connection-dial"], must.Sprint(c.Reasons))
+	for _, r := range []load.Result{stop(), stopSlow()} {
+		must.Eq(t, 0, total(r, load.LabelCut)+total(r, load.LabelUnknown)+total(r, load.LabelTimeout))
+		for _, c := range r.Cells { // a caller that finds nobody listening was certainly not served
+			must.Eq(t, c.Labels[load.LabelFailed], c.Reasons["connection-dial"], must.Sprint(c.Reasons))
+		}
 	}
 }
 
