Collect a small heap less often

Cause: the live heap of a node is a few MB, so the default pace collects after every few MB and each collection shows in the slowest percent of the calls. Weighed: a fixed GOGC of 400, which lets a large heap grow past the memory budget, and a memory limit, near which the collector would take half of the processor. The pace now lets the heap grow to 24 MiB and is the default above.

--- /dev/null
+++ b/internal/collector/collector_test.go
@@ -0,0 +1,21 @@
+package collector
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// A small heap may grow to the goal; a large one keeps the default pace, so
+// that memory stays within twice what is live.
+func TestPace(t *testing.T) {
+	c := Config{Goal: 24 << 20, MaxPercent: 400}
+	for live, want := range map[uint64]int{
+		0: 400, 1 << 20: 400, 6 << 20: 300, 8 << 20: 200, 12 << 20: 100, 20 << 20: 100, 24 << 20: 100, 1 << 30: 100,
+	} {
+		must.Eq(t, want, c.percent(live), must.Sprint(live))
+		if live <= c.Goal/2 {
+			must.LessEq(t, c.Goal, live*uint64(100+c.percent(live))/100)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/member"
 	"github.com/jacinthgate/jacinthgate/coordination/retry"
 	"github.com/jacinthgate/jacinthgate/internal/claims"
+	"github.com/jacinthgate/jacinthgate/internal/collector"
 	"github.com/jacinthgate/jacinthgate/internal/control"
 	"github.com/jacinthgate/jacinthgate/internal/settings"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
@@ -102,6 +103,7 @@
 	n.addActor(&g, n.tickRequests)
 	n.addActor(&g, n.identity.run)
 	n.addActor(&g, n.housekeep)
+	n.addActor(&g, func(ctx context.Context) error { return collector.Run(ctx, collector.DefaultConfig()) })
 	n.addServer(&g, func() error { return n.proxy.Serve(n.callerLn) }, n.callerLn.Close)
 	for _, s := range []*server{n.gateSrv, n.localSrv, n.operatorSrv} {
 		if s != nil {
