--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -152,7 +152,7 @@
 			sinceDue = 0
 		}
 		r.record.record(cell, s.id, v, time.Since(began), sinceDue)
-		if v.label == LabelAnswered {
+		if v.label == LabelAnswered || try == class.Retries {
 			return
 		}
 		if !sleep(ctx, min(v.retryAfter, maxRetryWait)) {
--- a/internal/measure/policies.go
+++ b/internal/measure/policies.go
@@ -112,7 +112,8 @@
 		t.mend = func() error { return setFaults(one, backend.Faults{ServiceMillis: b.opts.ServiceMillis}) }
 		all = append(all, t)
 	}
-	t := b.trial("the servers of one zone die", part)
+	// Offered is below what the other zones' servers can take.
+	t := b.trial("the servers of one zone die", 0.4)
 	t.fault, t.mend = b.killZone, b.startZone
 	return append(all, t)
 }
