Bound both ends of the merge interval, and the busiest node

The curve and the busiest node had benchmarks only, and the tests of the package took 8 to 13 s with the race detector. Two tests now bound them in virtual time with small fleets. The random runs are done in four parts side by side, 100 together as before, and other tests in parallel; fewer runs under the race detector were ruled out. Fleets that are measured link as members of a real zone do, by hashes: with even chords, 614 nodes of one zone had ways longer than a beacon's 24 hops. The bounds of the older cost test stay.

--- a/coordination/distribute/cost_test.go
+++ b/coordination/distribute/cost_test.go
@@ -81,6 +81,7 @@
 // TestCostIsBounded bounds messages, bytes and time in virtual time, with links
 // of 1 ms. Run it with -v for the figures.
 func TestCostIsBounded(t *testing.T) {
+	t.Parallel()
 	c := measure(t, 100, 10, 6, 17, 17, 16)
 	for unit, limit := range map[string]float64{
 		"idlemsg/s": 4, "idleB/s": 250, "polls/s": 9,
--- a/coordination/distribute/curve_test.go
+++ b/coordination/distribute/curve_test.go
@@ -15,6 +15,7 @@
 	changes                 int
 	every                   time.Duration // between two changes
 	merge                   time.Duration // MergeInterval
+	idle                    time.Duration // before the changes
 }
 
 // cost is what a load costs.
@@ -39,22 +40,22 @@
 // settled is how long a fleet may take until all know the last change in force.
 const settled = 10 * time.Second
 
-// run starts the fleet, lets it idle for 20 s and then makes the changes.
+// run starts the fleet, lets it idle and then makes the changes.
 func (l load) run(t testing.TB) cost {
 	t.Helper()
-	n := newNetwork(t, 8, l.sizes()...)
+	n := newOverlay(t, 8, hashedChord, l.sizes()...)
 	n.customers, n.cfg.MergeInterval = l.customers, l.merge
 	n.publish(-1)
 	for i := range n.nodes {
 		n.start(i)
 	}
-	n.run(20 * time.Second)
+	n.run(settled)
 	must.SliceEmpty(t, n.behind())
 	n.resetCounts()
-	n.run(settled * 2)
+	n.run(l.idle)
 	var c cost
-	c.idle, c.busiestIdle = n.sent(settled.Seconds() * 2)
-	c.reads = float64(n.polls+n.reads) / (settled.Seconds() * 2)
+	c.idle, c.busiestIdle = n.sent(l.idle.Seconds())
+	c.reads = float64(n.polls+n.reads) / l.idle.Seconds()
 	for _, d := range n.nodes {
 		d.reached = make(map[uint64]time.Time)
 	}
@@ -106,12 +107,48 @@
 
 // burst is 20 changes in 2 s.
 func burst(nodes, zones int, merge time.Duration) load {
-	return load{nodes: nodes, zones: zones, customers: 100, changes: 20, every: 100 * time.Millisecond, merge: merge}
+	return load{nodes: nodes, zones: zones, customers: 100, changes: 20, every: 100 * time.Millisecond, merge: merge, idle: 2 * settled}
 }
 
 // spread is changes as of 11,000 a day.
 func spread(nodes, zones int, merge time.Duration) load {
-	return load{nodes: nodes, zones: zones, customers: 100, changes: 10, every: 24 * time.Hour / 11_000, merge: merge}
+	return load{nodes: nodes, zones: zones, customers: 100, changes: 10, every: 24 * time.Hour / 11_000, merge: merge, idle: 2 * settled}
+}
+
+// TestMergeIntervalTradesTimeForBytes bounds the two ends of the curve: twenty
+// changes in 2 s on 50 nodes.
+func TestMergeIntervalTradesTimeForBytes(t *testing.T) {
+	t.Parallel()
+	for merge, bounds := range map[time.Duration]struct {
+		leastMax, mostMax   time.Duration
+		leastMean, mostMean float64
+	}{
+		0:               {time.Millisecond, 30 * time.Millisecond, 500, 850},
+		3 * time.Second: {time.Second, 6 * time.Second, 100, 400},
+	} {
+		t.Run(fmt.Sprint(merge), func(t *testing.T) {
+			t.Parallel()
+			l := burst(50, 3, merge)
+			l.customers, l.idle = 20, settled
+			c := l.run(t)
+			must.Between(t, bounds.leastMax, c.max, bounds.mostMax)
+			must.Between(t, bounds.leastMean, c.mean, bounds.mostMean)
+			t.Log(c)
+		})
+	}
+}
+
+// TestBusiestNodeIsBounded keeps the gateways of seven zones cheap.
+func TestBusiestNodeIsBounded(t *testing.T) {
+	t.Parallel()
+	l := spread(50, 7, DefaultConfig().MergeInterval)
+	l.customers, l.changes, l.idle = 20, 3, settled
+	c := l.run(t)
+	must.Between(t, 100, c.mean, 1500)
+	must.Between(t, c.mean, c.busiest, 6500)
+	must.Between(t, 100, c.idle, 300)
+	must.Between(t, c.idle, c.busiestIdle, 500)
+	t.Log(c)
 }
 
 // BenchmarkMergeInterval reports the curve of convergence against bytes.
--- a/coordination/distribute/distribute_test.go
+++ b/coordination/distribute/distribute_test.go
@@ -22,6 +22,7 @@
 }
 
 func TestLostMessagesAreRepaired(t *testing.T) {
+	t.Parallel()
 	for name, kinds := range map[string][]message.Kind{
 		"adverts":             {message.KindAdvert},
 		"adverts and beacons": {message.KindAdvert, message.KindBeacon},
@@ -31,6 +32,7 @@
 		"statuses":            {message.KindZoneStatus},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			n := startAll(t, 2, 6, 5)
 			n.lost = make(map[message.Kind]bool)
 			for _, k := range kinds {
@@ -47,6 +49,7 @@
 }
 
 func TestAdvertsAndBeaconsStandInForEachOther(t *testing.T) {
+	t.Parallel()
 	n := startAll(t, 3, 8)
 	n.lost = map[message.Kind]bool{message.KindAdvert: true}
 	n.publish(3)
@@ -61,6 +64,7 @@
 }
 
 func TestNewReaderLearnsWhoHoldsWhat(t *testing.T) {
+	t.Parallel()
 	n := startAll(t, 7, 12)
 	n.crash(0)
 	n.run(600 * time.Millisecond)
@@ -72,6 +76,7 @@
 }
 
 func TestBurstIsMerged(t *testing.T) {
+	t.Parallel()
 	n := startAll(t, 4, 12, 12)
 	before := make([]int, len(n.nodes))
 	for i, d := range n.nodes {
@@ -93,6 +98,7 @@
 
 // TestHerdsReturn restarts all nodes, or a whole zone without the platform.
 func TestHerdsReturn(t *testing.T) {
+	t.Parallel()
 	n := startAll(t, 5, 9, 9, 8)
 	n.publish(2)
 	n.run(time.Second)
@@ -127,6 +133,7 @@
 }
 
 func TestCutOffNodeKeepsServing(t *testing.T) {
+	t.Parallel()
 	n := startAll(t, 6, 6, 5)
 	for _, l := range n.links {
 		n.setCut(l, true)
--- a/coordination/distribute/network_test.go
+++ b/coordination/distribute/network_test.go
@@ -104,9 +104,28 @@
 	return e
 }
 
+// chord returns the k-th of the members of a zone that its i-th member links to.
+// The first is the next on the ring.
+type chord func(size, i, k int) int
+
+func evenChord(size, i, k int) int { return (i + []int{1, 1 + size/5, 1 + size/2}[k]) % size }
+
+// hashedChord is how members of a real zone choose. Ways grow with the logarithm
+// of the zone.
+func hashedChord(size, i, k int) int {
+	if k == 0 {
+		return (i + 1) % size
+	}
+	return int(uint64(model.NodeID(fmt.Sprint(i, "/", k)).Key()) % uint64(size))
+}
+
 // newNetwork returns zones of the given sizes: in each a ring with two chords,
 // and two gateways linked to those of the other zones.
 func newNetwork(t must.T, seed uint64, sizes ...int) *network {
+	return newOverlay(t, seed, evenChord, sizes...)
+}
+
+func newOverlay(t must.T, seed uint64, to chord, sizes ...int) *network {
 	n := &network{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), cut: make(map[link]bool), cfg: DefaultConfig(),
 		index: make(map[model.NodeID]int), platform: snapshot.Empty(), platformUp: true, customers: 8,
@@ -119,8 +138,8 @@
 			id := model.NodeID(fmt.Sprintf("host-%d-%03d", z, i))
 			n.index[id] = len(n.nodes)
 			n.nodes = append(n.nodes, &node{id: id, zone: model.Zone(fmt.Sprintf("zone-%d", z))})
-			for _, step := range []int{1, 1 + size/5, 1 + size/2} {
-				n.link(first+i, first+(i+step)%size)
+			for k := range 3 {
+				n.link(first+i, first+to(size, i, k))
 			}
 		}
 		for _, g := range gateways {
--- a/coordination/distribute/property_test.go
+++ b/coordination/distribute/property_test.go
@@ -1,6 +1,9 @@
 package distribute
 
 import (
+	"flag"
+	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -9,31 +12,52 @@
 	"github.com/shoenig/test/must"
 )
 
+// parts is the number of parts that random runs are divided into, to run at the
+// same time.
+const parts = 4
+
+// TestMain makes the parts do 100 runs together; -rapid.checks on the command
+// line sets the runs of each part.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.checks", fmt.Sprint(100/parts)); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
 // TestRandomFaults lets everything fail in random order; the network checks at
 // each step that no node goes back, that a node that restarts serves nothing
 // older than a neighbour remembers of it, and that no zone status claims too
 // much. Once all is well again, all must serve the newest version.
 func TestRandomFaults(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		n := newNetwork(rt, rapid.Uint64().Draw(rt, "seed"), 4, 3)
-		n.publish(-1)
-		for i := range n.nodes {
-			n.start(i)
-		}
-		n.run(rapid.SampledFrom([]time.Duration{0, 4 * time.Second}).Draw(rt, "warm"))
-		for range rapid.IntRange(5, 20).Draw(rt, "steps") {
-			randomFault(rt, n)
-			n.run(time.Duration(rapid.IntRange(0, 1500).Draw(rt, "ms")) * time.Millisecond)
-		}
-		heal(n)
-		for range 45 {
-			n.run(time.Second)
-			if len(n.behind()) == 0 {
-				break
-			}
+	for part := range parts {
+		t.Run(fmt.Sprint("part-", part), func(t *testing.T) {
+			t.Parallel()
+			rapid.Check(t, randomFaults)
+		})
+	}
+}
+
+func randomFaults(rt *rapid.T) {
+	n := newNetwork(rt, rapid.Uint64().Draw(rt, "seed"), 4, 3)
+	n.publish(-1)
+	for i := range n.nodes {
+		n.start(i)
+	}
+	n.run(rapid.SampledFrom([]time.Duration{0, 4 * time.Second}).Draw(rt, "warm"))
+	for range rapid.IntRange(5, 20).Draw(rt, "steps") {
+		randomFault(rt, n)
+		n.run(time.Duration(rapid.IntRange(0, 1500).Draw(rt, "ms")) * time.Millisecond)
+	}
+	heal(n)
+	for range 45 {
+		n.run(time.Second)
+		if len(n.behind()) == 0 {
+			break
 		}
-		must.SliceEmpty(rt, n.behind(), must.Sprint("after all healed"))
-	})
+	}
+	must.SliceEmpty(rt, n.behind(), must.Sprint("after all healed"))
 }
 
 func randomFault(rt *rapid.T, n *network) {
--- a/coordination/distribute/relay_test.go
+++ b/coordination/distribute/relay_test.go
@@ -45,6 +45,7 @@
 }
 
 func TestStatusesFollowTheWaysToTheReader(t *testing.T) {
+	t.Parallel()
 	s := border(t)
 	statuses := collect(s, message.KindZoneStatus)
 	status := func(from model.NodeID, zone model.Zone, sequence uint64) []model.NodeID {
@@ -75,6 +76,7 @@
 }
 
 func TestNewWayToTheReaderIsTold(t *testing.T) {
+	t.Parallel()
 	s := border(t)
 	s.idle(time.Second)
 	acks := collect(s, message.KindAcks)
@@ -99,6 +101,7 @@
 // A reader that holds the head tells of it by its adverts; beacons of a head go
 // out of the zone only where it may not be known.
 func TestBeaconsForNewHeads(t *testing.T) {
+	t.Parallel()
 	vs := versions(t, 3)
 	s := border(t)
 	beacons := collect(s, message.KindBeacon)
@@ -118,6 +121,7 @@
 
 // A zone whose links to another are cut hears of it by a third one.
 func TestStatusesGoRoundACut(t *testing.T) {
+	t.Parallel()
 	n := startAll(t, 9, 6, 6, 6)
 	for _, l := range n.links {
 		if zones := []model.Zone{n.nodes[l[0]].zone, n.nodes[l[1]].zone}; zones[0] == "zone-0" && zones[1] == "zone-1" {
--- a/coordination/distribute/rules_test.go
+++ b/coordination/distribute/rules_test.go
@@ -101,6 +101,7 @@
 }
 
 func TestFreshNodeBecomesReady(t *testing.T) {
+	t.Parallel()
 	vs := versions(t, 3)
 	v2, v3 := vs[2], vs[3]
 	for name, tc := range map[string]struct {
@@ -153,6 +154,7 @@
 		}, 10 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := newSingle(t, DefaultConfig())
 			tc.prepare(s)
 			s.idle(30 * time.Second)
@@ -162,6 +164,7 @@
 }
 
 func TestReadyEndsWhenAPeerRemembersMore(t *testing.T) {
+	t.Parallel()
 	vs := versions(t, 2)
 	s := newSingle(t, DefaultConfig())
 	s.step(0, Loaded{Snapshot: vs[1]})
@@ -173,6 +176,7 @@
 }
 
 func TestBadBodiesAreRefusedWhole(t *testing.T) {
+	t.Parallel()
 	vs := versions(t, 2)
 	v1, v2 := vs[1], vs[2]
 	broken, err := snapshot.Build(2, map[string]*snapshot.ContractEntry{
@@ -204,6 +208,7 @@
 		"fails the check":     {strict, delta(v2)},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			lenient := tc.cfg
 			lenient.Check = nil
 			s := newSingle(t, lenient)
@@ -235,6 +240,7 @@
 }
 
 func TestHerdGetsWholeVersionsInTurn(t *testing.T) {
+	t.Parallel()
 	cfg := DefaultConfig()
 	cfg.PartBytes, cfg.PartsPerStep = 64, 2
 	s := newSingle(t, cfg)
@@ -266,6 +272,7 @@
 }
 
 func TestReaderWaitsForEveryIncarnation(t *testing.T) {
+	t.Parallel()
 	v1 := versions(t, 1)[1]
 	s := newSingle(t, DefaultConfig())
 	for _, id := range []model.NodeID{"p1", "p2", "p3"} {
@@ -296,6 +303,7 @@
 }
 
 func TestAckIsRepeatedWithBackoffUntilItCounts(t *testing.T) {
+	t.Parallel()
 	s := newSingle(t, DefaultConfig())
 	s.step(0, Loaded{Snapshot: versions(t, 1)[1]})
 	s.up(0, "p1", s.c.Held().Ref(), true, 0)
@@ -322,6 +330,7 @@
 }
 
 func TestUpstreamMovesToNextBest(t *testing.T) {
+	t.Parallel()
 	s := newSingle(t, DefaultConfig())
 	for _, id := range []model.NodeID{"p1", "p2", "p3"} {
 		s.up(0, id, snapshot.Ref{}, true, 0)
@@ -341,6 +350,7 @@
 }
 
 func TestDeltaMayStartFromAnEarlierVersion(t *testing.T) {
+	t.Parallel()
 	vs := versions(t, 3)
 	source, s := newSingle(t, DefaultConfig()), newSingle(t, DefaultConfig())
 	source.step(0, Loaded{Snapshot: vs[1]})
@@ -357,6 +367,7 @@
 // TestReaderPrefersPeers also checks that a beacon promises no platform that
 // was not read lately.
 func TestReaderPrefersPeers(t *testing.T) {
+	t.Parallel()
 	vs := versions(t, 2)
 	s := newSingle(t, DefaultConfig())
 	asked := 0
@@ -383,6 +394,7 @@
 }
 
 func TestMemoryIsBounded(t *testing.T) {
+	t.Parallel()
 	cfg := DefaultConfig()
 	cfg.MaxRemembered = 10
 	m := newMemory(cfg)
