Count the calls to the platform and their failures

Cause: a platform that is down shows in the log at debug level only, so an operator could not set an alarm on it. Each call is counted by its kind, and its failure too; a conditional write that lost to another node is no failure. Weighed: counting in the client of the platform, which doesn't know what a call is for.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -40,6 +40,7 @@
 		timeout:  n.set.Platform.Timeout.Std(),
 		post:     n.loop.post,
 		log:      n.log,
+		metrics:  n.metrics,
 	}
 	n.links = n.newLinks()
 	n.loop.links = n.links
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -29,6 +30,26 @@
 	timeout  time.Duration
 	post     func(context.Context, core.Event)
 	log      log.Logger
+	metrics  *metrics.Set
+}
+
+// The calls, as the metric names them.
+const (
+	callHead       = "head"
+	callVersion    = "version"
+	callSeeds      = "seeds"
+	callReadLease  = "lease-read"
+	callWriteLease = "lease-write"
+)
+
+// count counts a call, and its failure. A write that was refused because
+// somebody else was first is none.
+func (p *platformIO) count(call string, err error) {
+	p.metrics.GetOrCreateCounter(`jacinthgate_platform_calls_total{call="` + call + `"}`).Inc()
+	failed := p.metrics.GetOrCreateCounter(`jacinthgate_platform_failures_total{call="` + call + `"}`)
+	if err != nil && writeResult(err) != lease.WriteRefused {
+		failed.Inc()
+	}
 }
 
 // call runs f with the call's timeout and posts its event.
@@ -44,6 +65,7 @@
 func (p *platformIO) readHead() {
 	p.call(func(ctx context.Context) core.Event {
 		head, err := p.reader.Head(ctx)
+		p.count(callHead, err)
 		if err != nil {
 			_ = level.Debug(p.log).Log("event", "head_unread", "err", err)
 		}
@@ -60,6 +82,7 @@
 			return distribute.Loaded{Err: err}
 		}
 		s, err := p.reader.LoadVersion(ctx, held, head)
+		p.count(callVersion, err)
 		if err != nil {
 			_ = level.Warn(p.log).Log("event", "version_unread", "version", ref.Version, "err", err)
 		}
@@ -74,6 +97,7 @@
 func (p *platformIO) findSeeds() {
 	p.call(func(ctx context.Context) core.Event {
 		items, err := p.table.List(ctx, leasePrefix, "", maxSeeds)
+		p.count(callSeeds, err)
 		if err != nil {
 			_ = level.Warn(p.log).Log("event", "seeds_unread", "err", err)
 			return core.Tick{}
@@ -88,6 +112,7 @@
 func (p *platformIO) readLease(a lease.ReadItem) {
 	p.call(func(ctx context.Context) core.Event {
 		it, err := p.table.Get(ctx, p.leaseKey)
+		p.count(callReadLease, err)
 		ev := lease.ItemRead{ID: a.ID, Revision: it.Revision, Err: err}
 		if err == nil && it.Revision > 0 {
 			ev.Err = json.Unmarshal(it.Value, &ev.Item)
@@ -104,6 +129,7 @@
 		}
 		write := platform.Write{Key: p.leaseKey, Value: raw, IfRevision: a.IfRevision}
 		revisions, err := p.table.Transact(ctx, []platform.Write{write})
+		p.count(callWriteLease, err)
 		ev := lease.Written{ID: a.ID, Result: writeResult(err)}
 		if err == nil {
 			ev.Revision = revisions[0]
