--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -69,6 +69,7 @@
 	flush         *time.Timer
 	viewDirty     bool
 	leaseHeld     bool
+	rejected      message.Rejection
 	leaseTerm     uint64
 	aloneSince    time.Time
 	nextDiscovery time.Time
@@ -89,6 +90,7 @@
 			call()
 		case <-ticker.C:
 			l.step(core.Tick{})
+			l.noteRejection()
 		case <-l.flush.C:
 			l.step(core.Tick{})
 		case <-ctx.Done():
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/jacinthgate/jacinthgate/coordination/distribute"
 	"github.com/jacinthgate/jacinthgate/protocol/message"
 	"github.com/jacinthgate/jacinthgate/protocol/operator"
@@ -129,6 +131,17 @@
 	return out
 }
 
+// noteRejection logs once that this node refused a version; it goes on with the
+// one that it holds.
+func (l *loop) noteRejection() {
+	r := l.dist.Status().Rejected
+	if r == nil || *r == l.rejected {
+		return
+	}
+	l.rejected = *r
+	_ = level.Error(l.log).Log("event", "version_refused", "version", r.Version, "reason", r.Reason)
+}
+
 // setLag fills in by how many versions each zone is behind the newest known.
 func setLag(zones []operator.ZoneProgress, head uint64) {
 	for i := range zones {
