Let idle nodes report to a new reader

Cause: a new reader grants only once all members have reported, and a node without traffic never did; after a cold start with traffic at some nodes only, requests above the floors were refused as rate-limited for 10.5 s. Ruled out: a shorter wait for reports, which guards against a reader that knows few members yet.

--- a/coordination/share/fleet_test.go
+++ b/coordination/share/fleet_test.go
@@ -202,6 +202,7 @@
 		{"30 nodes, one zone crowded", 3, 10, crowded, nil, 0.20},
 		{"busy zone cut off", 3, 10, crowded, func(f *fleet) { f.cut = 2 }, 0.45},
 		{"herd returns", 3, 10, even, func(f *fleet) { f.restart(func(*member) bool { return true }) }, 0.30},
+		{"herd returns, two busy", 3, 10, skewed, func(f *fleet) { f.restart(func(*member) bool { return true }) }, 0.20},
 		{"readers replaced", 3, 10, even, func(f *fleet) {
 			f.restart(func(m *member) bool { return m == f.reader(m.zone) })
 		}, 0.1},
--- a/coordination/share/holder.go
+++ b/coordination/share/holder.go
@@ -31,6 +31,7 @@
 	own      map[string]Amount
 	children map[model.NodeID]*child
 	reported map[string]bool  // limits in the last report
+	greet    int              // reports still to be sent although they are empty
 	held     map[string]grant // newest grant from above, for the whole subtree
 	budget   ledger           // all grants from above that are not replaced yet
 	sequence sequence
@@ -48,6 +49,12 @@
 	seen   time.Time
 }
 
+// greetings is how many reports a node sends after its way up has changed
+// although it asks for nothing and holds nothing. A reader that has just begun
+// grants only once it has heard of all members; without them it would wait for
+// all grants of an earlier reader to expire.
+const greetings = gatherIntervals + 2
+
 // childIntervals is how many intervals a child's demand counts.
 const childIntervals = 3
 
@@ -103,6 +110,7 @@
 func (h *Holder) route(now time.Time, r Route) []core.Action {
 	if h.upstream != r.Upstream {
 		h.received, h.kept = 0, 0
+		h.greet = greetings
 	}
 	h.upstream = r.Upstream
 	delete(h.children, r.Upstream)
@@ -178,9 +186,15 @@
 		add(inUse, c.held)
 	}
 	h.reported = make(map[string]bool, len(sum))
-	if h.upstream == "" || len(sum)+len(inUse) == 0 {
+	if h.upstream == "" {
 		return nil
 	}
+	if len(sum)+len(inUse) == 0 {
+		if h.greet == 0 {
+			return nil
+		}
+		h.greet--
+	}
 	if h.settled(now) {
 		h.kept = h.received
 		h.budget.confirm(h.self, h.kept)
