--- a/internal/measure/requests_tables.go
+++ b/internal/measure/requests_tables.go
@@ -72,8 +72,8 @@
 			rows = append(rows, append(row, nums(max(t.MeshLate, t.DirectLate)/1000)...))
 		}
 	}
-	table(b, []string{"trial", "offered", "customer", "load", "mesh: useful %", "not answered %", "of it unknown or cut %",
-		"p50 ms", "p99 ms", "in turn: useful %", "not answered %", "of it unknown or cut %", "p50 ms", "p99 ms", "late ms"}, rows)
+	table(b, []string{"trial", "offered", "customer", "load", "mesh: useful %", "not answered %", "unknown, cut or failed %",
+		"p50 ms", "p99 ms", "in turn: useful %", "not answered %", "unknown, cut or failed %", "p50 ms", "p99 ms", "late ms"}, rows)
 }
 
 // outcomeColumns describes what the callers of one class got.
@@ -87,5 +87,5 @@
 // unanswered returns the part of a class's requests without an answer, in
 // percent.
 func unanswered(c load.Cell) float64 {
-	return 100 * (1 - float64(c.Labels[load.LabelAnswered])/max(1, float64(c.Sent)))
+	return 100 * float64(c.Sent-c.Labels[load.LabelAnswered]) / max(1, float64(c.Sent))
 }
