--- a/internal/fleet/helpers_test.go
+++ b/internal/fleet/helpers_test.go
@@ -230,7 +230,7 @@
 		})
 	}
 	o.end()
-	must.SliceEmpty(t, o.faults)
+	must.SliceEmpty(t, o.faults, must.Sprint(o.faults))
 	for _, m := range f.Members {
 		checkLog(t, m)
 	}
--- a/internal/fleet/platform_test.go
+++ b/internal/fleet/platform_test.go
@@ -27,6 +27,7 @@
 // called accepted falsely, sending it again settles it once, and the nodes go
 // on serving.
 func TestPlatformFaults(t *testing.T) {
+	t.Parallel()
 	f := start(t, Spread(6, "angyalfold", "csepel", "obuda"), relayed)
 	c := first(t, f)
 	o := observe(t, f)
@@ -128,6 +129,7 @@
 // that has only the store to read it from. The zone goes on serving, and says
 // which version it refused and why.
 func TestBadVersionIsRefusedWhole(t *testing.T) {
+	t.Parallel()
 	f := start(t, Spread(6, "angyalfold", "csepel", "obuda"), relayed)
 	c := first(t, f)
 	o := observe(t, f)
--- a/internal/fleet/reader_test.go
+++ b/internal/fleet/reader_test.go
@@ -88,6 +88,7 @@
 // is cut off and its reader killed. Nothing goes back, each race has one winner
 // and each zone ends with one reader.
 func TestFrozenReaderAndRaces(t *testing.T) {
+	t.Parallel()
 	f := start(t, Spread(9, "angyalfold", "csepel", "obuda"), relayed)
 	c := first(t, f)
 	o := observe(t, f)
--- a/internal/fleet/restart_test.go
+++ b/internal/fleet/restart_test.go
@@ -34,6 +34,7 @@
 // Nodes are killed and return one by one, a zone at a time, and all but one,
 // also while the platform is cut off: none goes back.
 func TestRestartsNeverGoBack(t *testing.T) {
+	t.Parallel()
 	f := start(t, Spread(9, "angyalfold", "csepel", "obuda"), relayed)
 	c := first(t, f)
 	o := observe(t, f)
