Load large configurations in several changes

The operators' interface now takes bodies of at most 1 MiB, so the measurement of a fleet with the design number of contracts could not send its first change: 2,000 contracts are larger. The load sends 500 contracts at a time, the services with the first. A larger bound on bodies was ruled out, as nobody but this tool sends so much at once. The cores also show what an earlier version costs that is kept as the base of deltas.

--- a/internal/measure/cores_config.go
+++ b/internal/measure/cores_config.go
@@ -35,8 +35,8 @@
 
 // configuration holds the figures of one version of the configuration.
 type configuration struct {
-	full, delta, decode, apply, memory, lookup Figure
-	limiter, update, tick, histograms          Figure
+	full, delta, decode, apply, memory, kept, lookup Figure
+	limiter, update, tick, histograms                Figure
 }
 
 // configFigures measures versions of the configuration and what a node keeps
@@ -49,6 +49,7 @@
 		decode:     Figure{Name: "whole version, decoded and checked", Package: "state/snapshot", Unit: "µs", Of: of},
 		apply:      Figure{Name: "delta of one contract, decoded, applied and checked", Package: "state/snapshot", Unit: "µs", Of: of},
 		memory:     Figure{Name: "one version held", Package: "state/snapshot", Unit: "B heap", Of: of},
+		kept:       Figure{Name: "an earlier version kept beside it", Package: "coordination/distribute", Unit: "B heap", Of: of},
 		lookup:     Figure{Name: "look-up of customer, route and service", Package: "state/snapshot", Unit: "µs", Of: of},
 		limiter:    Figure{Name: "limits of all customers and their classes", Package: "coordination/admit", Unit: "B heap", Of: of},
 		update:     Figure{Name: "limits brought up to date with a version", Package: "coordination/admit", Unit: "µs", Of: of},
@@ -61,7 +62,7 @@
 		}
 	}
 	return []Figure{
-		c.full, c.delta, c.decode, c.apply, c.memory, c.lookup,
+		c.full, c.delta, c.decode, c.apply, c.memory, c.kept, c.lookup,
 		c.limiter, c.update, c.tick, c.histograms,
 	}, nil
 }
@@ -95,6 +96,7 @@
 	}
 	c.apply.add(timed(n, func() { err = applyDelta(base, delta) }))
 	c.memory.add(heap(n, func() any { s, _ := snapshot.Decode(full); return s }))
+	c.kept.add(heap(n, func() any { s, _ := afterDelta(base, delta); return s }))
 	host, path := customer(n/2)+".example", "/v1/part-3/x"
 	c.lookup.add(timed(n, func() { base.Lookup(host, "GET", path) }))
 	c.limits(n, base, next)
@@ -111,15 +113,19 @@
 }
 
 func applyDelta(base *snapshot.Snapshot, raw []byte) error {
-	d, err := snapshot.DecodeDelta(raw)
+	next, err := afterDelta(base, raw)
 	if err != nil {
 		return err
 	}
-	next, err := base.Apply(d)
+	return next.ValidateDocuments()
+}
+
+func afterDelta(base *snapshot.Snapshot, raw []byte) (*snapshot.Snapshot, error) {
+	d, err := snapshot.DecodeDelta(raw)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return next.ValidateDocuments()
+	return base.Apply(d)
 }
 
 // limits measures what a node keeps for each customer.
--- a/internal/measure/rig.go
+++ b/internal/measure/rig.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/internal/fleet"
@@ -81,16 +82,29 @@
 
 func (r *rig) stop() { r.fleet.Stop() }
 
-// load sends the whole configuration as the first change.
+// contractsInChange is the number of contracts of one of the first changes; the
+// operators' interface bounds the size of a request.
+const contractsInChange = 500
+
+// load sends the whole configuration in as few changes as their size allows.
 func (r *rig) load(ctx context.Context) error {
-	resp, err := r.apply(ctx, r.fleet.Members[0], r.opts.Size.batch(), nil)
-	if err != nil {
-		return err
-	}
-	for i := range r.opts.Size.Contracts {
-		r.revisions[customer(i)] = resp.Version
+	all := r.opts.Size.batch()
+	services := all.Services
+	for chunk := range slices.Chunk(all.Contracts, contractsInChange) {
+		b := model.Batch{Services: services, Contracts: chunk}
+		services = nil
+		resp, err := r.apply(ctx, r.fleet.Members[0], b, nil)
+		if err != nil {
+			return err
+		}
+		for _, c := range chunk {
+			r.revisions[c.Customer] = resp.Version
+		}
+		if err := r.inForce(ctx, resp.Version); err != nil {
+			return err
+		}
 	}
-	return r.inForce(ctx, resp.Version)
+	return nil
 }
 
 // apply sends one change to a node.
