Don't probe for larger packets between nodes

A node of a fleet of ten sent 86,736 bytes until it had settled, of which 8,012 were messages. Cause: each new connection probes the path for the largest packet, several times with the largest size, on top of the handshake. Control messages are small and a whole version is some twenty packets, so the gain of larger packets doesn't pay for it; keeping the probes for long transfers only was ruled out, as QUIC has no such switch.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -13,6 +13,9 @@
 func (n *Node) openPeers() error {
 	cfg := quic.DefaultConfig()
 	cfg.ListenAddr = n.set.Listen.Peer
+	// Probing for larger packets costs each new connection several of the
+	// largest size, and control messages gain nothing by them.
+	cfg.DisablePathMTUDiscovery = true
 	n.identity.configurePeers(&cfg)
 	t, err := quic.New(cfg)
 	if err != nil {
