Refuse keyed requests at a node that is not ready

Cause: with an older system configured, a node that was not ready passed every request to it, so a booking that had run in the mesh ran a second time there when its key was repeated at a node that had just restarted. Ruled out: refusing everything while unready, which would disturb the customers that the older system still handles. A keyed request is now refused as not run; others go by the version held, even one that may be out of date, and only where none is held to the older system as before.

--- a/transport/entry/decide.go
+++ b/transport/entry/decide.go
@@ -24,8 +24,8 @@
 	var pl plan
 	snap := p.cfg.Snapshot()
 	if snap == nil || !p.cfg.Ready() {
-		if p.cfg.OlderAddr != "" {
-			pl.older = true
+		pl.older = p.olderUnready(snap, r)
+		if pl.older {
 			return pl, nil
 		}
 		return pl, p.notRun(outcome.ReasonNotReady, "no whole configuration is held yet")
@@ -44,6 +44,22 @@
 	return pl, p.bound(&pl, r, now)
 }
 
+// olderUnready reports whether a request goes to the older system while the node
+// is not ready. A version that is held but may be out of date still tells whose
+// traffic the mesh handles. A request with an idempotency key may be the repeat
+// of one that ran in the mesh, so it is refused: the older system would run it
+// again.
+func (p *Proxy) olderUnready(snap *snapshot.Snapshot, r *http.Request) bool {
+	if p.cfg.OlderAddr == "" || r.Header[outcome.HeaderIdempotencyKey] != nil {
+		return false
+	}
+	if snap == nil {
+		return true
+	}
+	m, found := snap.Lookup(r.Host, r.Method, r.URL.Path)
+	return !found || m.HandledBy == model.SystemOlder
+}
+
 // bound sets the plan's hop count and deadline.
 func (p *Proxy) bound(pl *plan, r *http.Request, now time.Time) *forward.Refusal {
 	hops, _, err := forward.HeaderInt(r.Header, outcome.HeaderHops)
