--- a/coordination/distribute/curve_test.go
+++ b/coordination/distribute/curve_test.go
@@ -179,6 +179,16 @@
 	}
 }
 
+// BenchmarkDesignSize is the fleet that the system is made for, with few
+// contracts to spare memory.
+func BenchmarkDesignSize(b *testing.B) {
+	for b.Loop() {
+		l := spread(7*614, 7, DefaultConfig().MergeInterval)
+		l.customers, l.changes, l.idle = 20, 3, settled
+		l.run(b).report(b)
+	}
+}
+
 func (c cost) report(b *testing.B) {
 	b.ReportMetric(0, "ns/op")
 	b.ReportMetric(float64(c.p50.Milliseconds()), "p50-ms")
