Hold demand and grants steady under random load

Cause: at 1.4 requests a second Poisson demand changed at each node each second, so nearly every limit was sent again. A node now follows demand up at once, far down at once, and else down after ten intervals; sums are reported again when they leave the last report's range; a grant within 3% below or 20% above the new one is kept if the plan's sum allows. Reports carry a margin now, so Need falls to 1.

--- a/coordination/share/config.go
+++ b/coordination/share/config.go
@@ -35,6 +35,10 @@
 	// must be longer than LoanTTL and Slack together, so that all grants and
 	// loans of a dead reader have expired.
 	OrphanAfter time.Duration
+	// FallAfter is the number of intervals for which demand must have been
+	// lower before a node asks for less. A longer one costs fewer messages at
+	// low demand and keeps what is no longer needed for longer.
+	FallAfter int
 	// ZoneMembers is the least number of members that a zone is taken to
 	// have. It bounds the floors of nodes that have just started and don't
 	// see the others yet.
@@ -50,9 +54,10 @@
 		Slack:       500 * time.Millisecond,
 		Floor:       0.1,
 		Headroom:    1.5,
-		Need:        1.1,
+		Need:        1,
 		KeepFree:    0.1,
 		OrphanAfter: 15 * time.Second,
+		FallAfter:   10,
 		ZoneMembers: 1,
 	}
 }
--- a/coordination/share/delta.go
+++ b/coordination/share/delta.go
@@ -32,6 +32,16 @@
 	delete(l.sharesIn, id)
 }
 
+// granted returns what was last granted to a peer of a limit.
+func (l *links) granted(to model.NodeID, limit string) Amount {
+	c := l.sharesOut[to]
+	if c == nil {
+		return Amount{}
+	}
+	item := c.items[limit]
+	return Amount{item.PerSecond, item.Concurrency}
+}
+
 // shorten replaces the whole messages to other nodes among the actions.
 func (l *links) shorten(self model.NodeID, actions []core.Action) []core.Action {
 	for i, a := range actions {
--- a/coordination/share/fleet_test.go
+++ b/coordination/share/fleet_test.go
@@ -203,6 +203,9 @@
 		{"busy zone cut off", 3, 10, crowded, func(f *fleet) { f.cut = 2 }, 0.45},
 		{"herd returns", 3, 10, even, func(f *fleet) { f.restart(func(*member) bool { return true }) }, 0.30},
 		{"herd returns, two busy", 3, 10, skewed, func(f *fleet) { f.restart(func(*member) bool { return true }) }, 0.20},
+		{"crowd moves", 3, 10, crowded, func(f *fleet) {
+			f.demand = func(m *member, i int) float64 { return []float64{12, 2, 0.5}[m.zone] }
+		}, 0.40},
 		{"readers replaced", 3, 10, even, func(f *fleet) {
 			f.restart(func(m *member) bool { return m == f.reader(m.zone) })
 		}, 0.1},
--- a/coordination/share/holder.go
+++ b/coordination/share/holder.go
@@ -29,12 +29,13 @@
 	heard    time.Time // last grant, or last moment without need of one
 
 	own      map[string]Amount
+	steady   *steady
 	children map[model.NodeID]*child
-	reported map[string]bool  // limits in the last report
-	greet    int              // reports still to be sent although they are empty
-	held     map[string]grant // newest grant from above, for the whole subtree
-	budget   ledger           // all grants from above that are not replaced yet
-	sequence sequence         // of messages of either kind
+	reported map[string]Amount // demand in the last report
+	greet    int               // reports still to be sent although they are empty
+	held     map[string]grant  // newest grant from above, for the whole subtree
+	budget   ledger            // all grants from above that are not replaced yet
+	sequence sequence          // of messages of either kind
 	links    *links
 	received uint64 // sequence of the newest grants from above
 	kept     uint64 // the same, once all nodes behind this one keep to them
@@ -73,6 +74,7 @@
 		ledger:   make(ledger),
 		applied:  make(map[string]grant),
 		links:    newLinks(),
+		steady:   newSteady(cfg.FallAfter),
 	}
 }
 
@@ -86,7 +88,7 @@
 	case Route:
 		return h.route(now, e)
 	case Measured:
-		h.own = demanded(e.Items)
+		h.own = h.steady.measure(e.Items)
 		h.dropSilent(now)
 		return h.report(now)
 	case core.Tick:
@@ -199,7 +201,7 @@
 	h.ledger.confirm(from, m.Applied)
 	h.children[from] = &child{demand: demanded(m.Items), held: held(m.Items), nodes: max(m.Nodes, 1), seen: now}
 	for _, item := range m.Items {
-		if !h.reported[item.Limit] {
+		if _, reported := h.reported[item.Limit]; !reported {
 			return h.report(now)
 		}
 	}
@@ -219,7 +221,8 @@
 		add(sum, c.demand)
 		add(inUse, c.held)
 	}
-	h.reported = make(map[string]bool, len(sum))
+	last := h.reported
+	h.reported = make(map[string]Amount, len(sum))
 	if h.upstream == "" {
 		return nil
 	}
@@ -236,8 +239,8 @@
 	d := &message.Demand{Zone: h.zone, Node: h.self, Nodes: nodes, Applied: h.kept, Sequence: h.sequence.next(now)}
 	add(sum, zeroes(inUse))
 	for _, limit := range slices.Sorted(maps.Keys(sum)) {
-		h.reported[limit] = true
-		d.Items = append(d.Items, demandItem(limit, sum[limit], inUse[limit]))
+		h.reported[limit] = report(last[limit], sum[limit])
+		d.Items = append(d.Items, demandItem(limit, h.reported[limit], inUse[limit]))
 	}
 	return []core.Action{core.Send{To: h.upstream, Priority: message.Routine, Message: d}}
 }
--- a/coordination/share/split.go
+++ b/coordination/share/split.go
@@ -46,17 +46,32 @@
 // be used up until this node has confirmed that the newer one is kept to.
 func (h *Holder) split(now time.Time, limit string, g grant, down map[model.NodeID][]message.ShareItem) Amount {
 	ids, claims := h.claims(limit)
-	fair := fill(g.amount, claims)
+	plan := h.keep(limit, ids, g.amount, fill(g.amount, claims))
 	budget := h.budget.live(limit, h.self, now)
 	for i, id := range ids {
-		a := fair[i].smaller(budget.minus(h.ledger.others(limit, id, now)).positive()).down()
+		a := plan[i].smaller(budget.minus(h.ledger.others(limit, id, now)).positive()).down()
 		h.ledger.put(limit, id, grant{a, g.until.Add(h.cfg.Slack), g.sequence})
 		down[id] = append(down[id], message.ShareItem{Limit: limit, PerSecond: a.PerSecond, Concurrency: a.Concurrency})
 	}
-	own := fair[len(fair)-1]
+	own := plan[len(plan)-1]
 	return own.smaller(budget.minus(h.ledger.others(limit, h.self, now)).positive())
 }
 
+// keep replaces the parts of a plan by what was granted last where that serves
+// as well, so that small changes cost no message. The sum stays within whole.
+func (h *Holder) keep(limit string, ids []model.NodeID, whole Amount, plan []Amount) []Amount {
+	room := whole.minus(total(plan)).positive()
+	for i, a := range plan {
+		last := h.applied[limit].amount
+		if i < len(ids) {
+			last = h.links.granted(ids[i], limit)
+		}
+		plan[i] = near(last, a, a.plus(room))
+		room = room.plus(a).minus(plan[i]).positive()
+	}
+	return plan
+}
+
 // claims returns the children that ask for a limit, in order, and their claims
 // followed by this node's own.
 func (h *Holder) claims(limit string) ([]model.NodeID, []claim) {
