Let a reader that merges wait for its own fetch before it beacons a head

In a burst with a long merge interval the reader sent up to five beacons a second for heads that it was about to fetch, which cost more than merging saved. It now waits for its own next fetch and 0.2 s more. Dropping these beacons was ruled out: they stand in for lost adverts.

--- a/coordination/distribute/accept.go
+++ b/coordination/distribute/accept.go
@@ -31,7 +31,7 @@
 	c.fetch.nextProbe = now.Add(c.around(c.cfg.ProbeInterval))
 	c.zone.changed(now)
 	if c.reader.headAt.IsZero() {
-		c.reader.headAt = now.Add(c.cfg.HeadDelay)
+		c.reader.headAt = now.Add(c.cfg.MergeInterval + c.cfg.HeadDelay)
 	}
 }
 
--- a/coordination/distribute/config.go
+++ b/coordination/distribute/config.go
@@ -27,9 +27,10 @@
 
 	// BeaconInterval is the time between two beacons while nothing changes.
 	BeaconInterval time.Duration
-	// HeadDelay is how long after a new head the reader waits for its body
-	// before it sends a beacon for the head alone. A reader that holds the head
-	// adverts it instead. It is also the shortest time between two beacons.
+	// HeadDelay is how long after a new head the reader waits for its body, once
+	// it may fetch it by MergeInterval, before it sends a beacon for the head
+	// alone. A reader that holds the head adverts it instead. It is also the
+	// shortest time between two beacons.
 	HeadDelay time.Duration
 	// MaxHops bounds the number of nodes that relay one beacon.
 	MaxHops uint8
--- a/coordination/distribute/curve_test.go
+++ b/coordination/distribute/curve_test.go
@@ -124,7 +124,7 @@
 		leastMean, mostMean float64
 	}{
 		0:               {time.Millisecond, 30 * time.Millisecond, 500, 850},
-		3 * time.Second: {time.Second, 6 * time.Second, 100, 400},
+		3 * time.Second: {time.Second, 6 * time.Second, 100, 300},
 	} {
 		t.Run(fmt.Sprint(merge), func(t *testing.T) {
 			t.Parallel()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -122,7 +122,7 @@
 	// BeaconInterval is the time between a zone reader's beacons, 10ms to 1m.
 	BeaconInterval model.Duration `json:"beaconInterval,omitempty"`
 	// MergeInterval is the shortest time between two fetches of the
-	// configuration, 0s to 3s. A longer one merges a burst of changes into
+	// configuration, 0s to 1s. A longer one merges a burst of changes into
 	// fewer transfers, for fewer bytes, and brings later changes of the burst
 	// into force later. A single change is always fetched at once.
 	MergeInterval model.Duration `json:"mergeInterval,omitempty"`
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -74,7 +74,7 @@
 		{`10.0.2.1:80`, `older:80`, "older.address", allowedRemote},
 		{`"debounce": "0s"`, `"debounce": 20`, "control.debounce", `a string with a unit, such as "250ms"`},
 		{`"debounce": "0s"`, `"debounce": "-1s"`, "control.debounce", "0s to 5s"},
-		{`"debounce": "0s"`, `"mergeInterval": "3001ms"`, "control.mergeInterval", "0s to 3s"},
+		{`"debounce": "0s"`, `"mergeInterval": "1001ms"`, "control.mergeInterval", "0s to 1s"},
 		{`"debounce": "0s"`, `"bytesPerSecond": 0`, "control.bytesPerSecond", "1024 to 1073741824"},
 		{`"debounce": "0s"`, `"burstBytes": 262143`, "control.burstBytes", "262144 to 1073741824"},
 		{`"debounce": "0s"`, `"pollInterval": "3s"`, "control.leaseDuration", "6s to 5m0s"},
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -18,7 +18,7 @@
 	minInterval    = 10 * time.Millisecond
 	maxInterval    = time.Minute
 	maxDebounce    = 5 * time.Second
-	maxMerge       = 3 * time.Second
+	maxMerge       = time.Second
 	minLease       = 100 * time.Millisecond
 	maxLease       = 5 * time.Minute
 	maxDrain       = time.Hour
