Log which operator changed or drained what

Cause: after a wrong change nobody could tell who had sent it. Each change and drain is an event with the operator's name of the certificate, which the handshake has checked. Ruled out: storing the name with the version, which the accepted record has no field for.

--- a/internal/fleet/tls_test.go
+++ b/internal/fleet/tls_test.go
@@ -118,6 +118,7 @@
 		by := resp.Header.Get(outcome.HeaderServedBy)
 		return by != "" && by != string(m.Node)
 	})
+	must.Eq(t, 1, events(t, m, "event=change_accepted operator="+operatorName+" change=first version=1"))
 	other, stranger, strangeNode, expired := t.TempDir(), t.TempDir(), t.TempDir(), t.TempDir()
 	must.NoError(t, security.InitAuthority(other, "other", time.Hour))
 	must.NoError(t, security.IssueOperator(other, operatorName, stranger, time.Hour))
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -23,11 +23,18 @@
 	loop     *loop
 	pub      *published
 	drainer  *drainer
+	audit    audit
 }
 
 // Apply implements operatorapi.Delegate. A version that is accepted here is
 // applied and spread at once, without waiting for the zone's reader.
 func (o *operatorDelegate) Apply(ctx context.Context, req *operator.ApplyRequest) (*operator.ApplyResponse, error) {
+	resp, err := o.apply(ctx, req)
+	o.audit.change(ctx, req.ChangeID, resp, err)
+	return resp, err
+}
+
+func (o *operatorDelegate) apply(ctx context.Context, req *operator.ApplyRequest) (*operator.ApplyResponse, error) {
 	change := accept.Change{
 		ID:     req.ChangeID,
 		Batch:  &req.Batch,
@@ -188,6 +195,12 @@
 
 // Drain implements operatorapi.Delegate.
 func (o *operatorDelegate) Drain(ctx context.Context, req *operator.DrainRequest) error {
+	err := o.drain(ctx, req)
+	o.audit.drain(ctx, req, err)
+	return err
+}
+
+func (o *operatorDelegate) drain(ctx context.Context, req *operator.DrainRequest) error {
 	if req.Node == o.self {
 		return o.drainer.local(req.Drain)
 	}
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -132,13 +132,14 @@
 func (n *Node) wireOperator() error {
 	gateTransport := n.newGateTransport()
 	d := &drainer{self: n.set.Node, registry: n.registry, gate: gateTransport, scheme: n.identity.gateScheme()}
-	api := operatorapi.New(&operatorDelegate{
+	api := withOperator(operatorapi.New(&operatorDelegate{
 		self:     n.set.Node,
 		accepter: n.accepter,
 		loop:     n.loop,
 		pub:      n.pub,
 		drainer:  d,
-	})
+		audit:    audit{n.log},
+	}))
 	n.gateSrv.http.Handler = d.gateHandler(n.gate)
 	n.localSrv.http.Handler = n.localHandler(api)
 	if n.operatorSrv != nil {
--- a/transport/operatorapi/handler.go
+++ b/transport/operatorapi/handler.go
@@ -11,7 +11,9 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/jacinthgate/jacinthgate/coordination/accept"
 	"github.com/jacinthgate/jacinthgate/protocol/operator"
+	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // Delegate carries out the calls. Its errors are *operator.Problem; any other
@@ -59,6 +61,10 @@
 		writeError(w, err)
 		return
 	}
+	if !accept.ValidChangeID(req.ChangeID) {
+		writeError(w, malformed("changeId: want 1 to 64 letters, digits, dots, hyphens or underscores"))
+		return
+	}
 	resp, err := s.delegate.Apply(r.Context(), req)
 	answer(w, resp, err)
 }
@@ -99,6 +105,10 @@
 		writeError(w, err)
 		return
 	}
+	if !model.ValidName(string(req.Node)) {
+		writeError(w, malformed("node: want the name of a node"))
+		return
+	}
 	answer(w, &struct{}{}, s.delegate.Drain(r.Context(), req))
 }
 
--- a/transport/operatorapi/handler_test.go
+++ b/transport/operatorapi/handler_test.go
@@ -79,6 +79,8 @@
 		{"missing key", "POST", drain, `{"node":"a"}`, 400, operator.CodeMalformed, "drain"},
 		{"null", "POST", apply, `{"changeId":"a","batch":{},"base":null}`, 400, operator.CodeMalformed, "base"},
 		{"document", "POST", apply, contract, 422, operator.CodeInvalid, "batch.contracts[0].customer"},
+		{"change id", "POST", apply, `{"changeId":"../x","batch":{}}`, 400, operator.CodeMalformed, ""},
+		{"node name", "POST", drain, `{"node":"A/B","drain":true}`, 400, operator.CodeMalformed, ""},
 		{"oversize", "POST", apply, strings.Repeat(" ", operator.MaxBody+1), 400, operator.CodeMalformed, ""},
 		{"deep", "POST", apply, strings.Repeat("[", 100_000), 400, operator.CodeMalformed, ""},
 		{"kind", "GET", operator.PathDocuments + "?kind=secret", "", 400, operator.CodeMalformed, ""},
