Run the membership tests at their full size with the race detector

Ruled out: a second run without the detector, which costs as much as it saves. The sizes of 3 x 17 and 4 x 25 nodes stand again for every run; nothing else changed.

--- a/coordination/member/member_test.go
+++ b/coordination/member/member_test.go
@@ -25,10 +25,6 @@
 	os.Exit(m.Run())
 }
 
-// shrink divides the size of zones where it doesn't matter to the test. It is
-// more than 1 with the race detector.
-var shrink = 1
-
 func started(t testing.TB, zones, per int) *network {
 	n := newNetwork(t, zones, per, 7)
 	took := n.until("convergence after a cold start", 30*time.Second, n.agreed)
@@ -39,7 +35,7 @@
 
 func TestCrashedMemberFailsEverywhere(t *testing.T) {
 	t.Parallel()
-	n := started(t, 3, 17/shrink)
+	n := started(t, 3, 17)
 	id := model.NodeID("node-a-0004")
 	n.crash(id)
 	took := n.until("failed", 15*time.Second, holds(id, endpoint.StatusFailed))
@@ -153,7 +149,7 @@
 
 func TestDrainIsKnownEverywhereInTime(t *testing.T) {
 	t.Parallel()
-	n := newNetwork(t, 4, 25/shrink, 7)
+	n := newNetwork(t, 4, 25, 7)
 	n.until("cold start", 30*time.Second, n.agreed)
 	id := model.NodeID("node-c-0011")
 	r := n.nodes[id].rec
