Name the file before each fault of settings

Cause: tried by hand, the faults of a settings file came one a line, but only the first line named the file, so that the others were lost among those of another file in a log. Each line names the file now. Ruled out: a structured list for both binaries, as the operator's tool has its own already.

--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"strings"
 
 	"github.com/jacinthgate/jacinthgate/state/strictjson"
 )
@@ -15,8 +16,14 @@
 	Err error
 }
 
-// Error implements error.
-func (e *FileError) Error() string { return "settings " + e.Path + ": " + e.Err.Error() }
+// Error implements error: one fault a line, each with the file.
+func (e *FileError) Error() string {
+	lines := strings.Split(e.Err.Error(), "\n")
+	for i := range lines {
+		lines[i] = "settings " + e.Path + ": " + lines[i]
+	}
+	return strings.Join(lines, "\n")
+}
 
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Err }
