Report grants in use with a range too

Cause: the grants in use of a subtree, reported exactly for a new reader, changed whenever one node behind a link got a new grant. A report now holds while the sum is at most 3% lower, and is never too low; Demand carries the number of hops, so that a new reader renews only the part that is sure to have been in use. It keeps that part for its quiet time: following reports down would shrink grants at each round. Ruled out: leaving the amounts out, which a new reader needs at once.

--- a/coordination/share/allocator.go
+++ b/coordination/share/allocator.go
@@ -31,6 +31,7 @@
 	sequence sequence
 
 	own    claimant
+	sure   map[string]Amount       // of what the own zone held when it was first seen
 	asks   map[model.Zone]claimant // what other zones want to borrow
 	loans  map[model.Zone]loan     // what they lent
 	ledger ledger                  // grants to the own Holder and loans
@@ -62,6 +63,7 @@
 func (a *Allocator) reset() {
 	a.leading = false
 	a.own = claimant{}
+	a.sure = make(map[string]Amount)
 	a.asks = make(map[model.Zone]claimant)
 	a.loans = make(map[model.Zone]loan)
 	a.ledger = make(ledger)
@@ -157,6 +159,7 @@
 	a.ledger.confirm(from, m.Applied)
 	if zone == a.zone {
 		a.own = c
+		a.noteHeld(now, sureOf(m.Hops))
 		return
 	}
 	if _, known := a.asks[zone]; !known {
@@ -165,6 +168,17 @@
 	a.asks[zone] = c
 }
 
+// noteHeld remembers in the quiet time the most that the own zone is sure to
+// have held. Renewing no more than that keeps what earlier readers lent safe.
+func (a *Allocator) noteHeld(now time.Time, sure float64) {
+	if !now.Before(a.quiet) {
+		return
+	}
+	for limit, h := range a.own.held {
+		a.sure[limit] = a.sure[limit].larger(h.times(sure))
+	}
+}
+
 func (a *Allocator) borrow(now time.Time, from model.Zone, m *message.Shares) {
 	l := loan{items: make(map[string]Amount, len(m.Items)), sequence: m.Sequence}
 	l.until = now.Add(time.Duration(m.TTLMillis) * time.Millisecond)
--- a/coordination/share/holder.go
+++ b/coordination/share/holder.go
@@ -32,6 +32,7 @@
 	steady   *steady
 	children map[model.NodeID]*child
 	reported map[string]Amount // demand in the last report
+	heldUp   map[string]Amount // grants in use in the last report
 	greet    int               // reports still to be sent although they are empty
 	held     map[string]grant  // newest grant from above, for the whole subtree
 	budget   ledger            // all grants from above that are not replaced yet
@@ -48,6 +49,7 @@
 	demand map[string]Amount
 	held   map[string]Amount
 	nodes  uint32
+	hops   uint32
 	seen   time.Time
 }
 
@@ -199,7 +201,7 @@
 		h.ledger.putAll(from, held(m.Items), now.Add(h.cfg.TTL+h.cfg.Slack))
 	}
 	h.ledger.confirm(from, m.Applied)
-	h.children[from] = &child{demand: demanded(m.Items), held: held(m.Items), nodes: max(m.Nodes, 1), seen: now}
+	h.children[from] = &child{demand: demanded(m.Items), held: held(m.Items), nodes: max(m.Nodes, 1), hops: m.Hops, seen: now}
 	for _, item := range m.Items {
 		if _, reported := h.reported[item.Limit]; !reported {
 			return h.report(now)
@@ -215,14 +217,15 @@
 	for limit, g := range h.applied {
 		inUse[limit] = g.amount
 	}
-	nodes := uint32(1)
+	nodes, hops := uint32(1), uint32(0)
 	for _, c := range h.children {
 		nodes += c.nodes
+		hops = max(hops, c.hops+1)
 		add(sum, c.demand)
 		add(inUse, c.held)
 	}
-	last := h.reported
-	h.reported = make(map[string]Amount, len(sum))
+	last, lastHeld := h.reported, h.heldUp
+	h.reported, h.heldUp = make(map[string]Amount, len(sum)), make(map[string]Amount, len(inUse))
 	if h.upstream == "" {
 		return nil
 	}
@@ -236,11 +239,12 @@
 		h.kept = h.received
 		h.budget.confirm(h.self, h.kept)
 	}
-	d := &message.Demand{Zone: h.zone, Node: h.self, Nodes: nodes, Applied: h.kept, Sequence: h.sequence.next(now)}
+	d := &message.Demand{Zone: h.zone, Node: h.self, Nodes: nodes, Hops: hops, Applied: h.kept, Sequence: h.sequence.next(now)}
 	add(sum, zeroes(inUse))
 	for _, limit := range slices.Sorted(maps.Keys(sum)) {
 		h.reported[limit] = report(last[limit], sum[limit])
-		d.Items = append(d.Items, demandItem(limit, h.reported[limit], inUse[limit]))
+		h.heldUp[limit] = reportHeld(lastHeld[limit], inUse[limit])
+		d.Items = append(d.Items, demandItem(limit, h.reported[limit], h.heldUp[limit]))
 	}
 	return []core.Action{core.Send{To: h.upstream, Priority: message.Routine, Message: d}}
 }
--- a/coordination/share/lend.go
+++ b/coordination/share/lend.go
@@ -45,7 +45,7 @@
 	}
 	g := demand.times(a.cfg.Headroom).smaller(free.positive())
 	if now.Before(a.quiet) {
-		g = g.smaller(a.own.held[limit])
+		g = g.smaller(a.sure[limit])
 	}
 	g = g.down()
 	a.ledger.put(limit, a.self, grant{g, now.Add(a.cfg.TTL + a.cfg.Slack), out.sequence})
--- a/coordination/share/steady.go
+++ b/coordination/share/steady.go
@@ -123,3 +123,25 @@
 	}
 	return reportMargin * sum
 }
+
+// heldSure is the least part of a report of grants in use that is in use, for
+// each node that sums them; heldMargin is how much a new report adds.
+const heldSure, heldMargin = 0.97, 1.01
+
+// reportHeld returns what to report of the grants in use: never less.
+func reportHeld(last, inUse Amount) Amount {
+	return Amount{
+		PerSecond:   reportHeldOne(last.PerSecond, inUse.PerSecond),
+		Concurrency: reportHeldOne(last.Concurrency, inUse.Concurrency),
+	}
+}
+
+func reportHeldOne(last, inUse float64) float64 {
+	if inUse <= last && heldSure*last <= inUse {
+		return last
+	}
+	return heldMargin * inUse
+}
+
+// sureOf returns the part of a report of grants in use that is in use.
+func sureOf(hops uint32) float64 { return math.Pow(heldSure, float64(hops)+1) }
--- a/coordination/share/steady_test.go
+++ b/coordination/share/steady_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -35,3 +36,27 @@
 		}
 	}
 }
+
+// Each of many nodes on the way may round a report of grants in use: it is
+// never too low, and the sure part of it never too high.
+func TestReportedGrantsBoundThoseInUse(t *testing.T) {
+	r := rand.New(rand.NewPCG(5, 6))
+	const hops = 3
+	inUse := 100.0
+	var reported [hops + 1]Amount
+	changes := 0
+	for range 1000 {
+		inUse *= 0.98 + 0.04*r.Float64()
+		before, up := reported[hops], Amount{PerSecond: inUse}
+		for i := range reported {
+			reported[i] = reportHeld(reported[i], up)
+			up = reported[i]
+		}
+		if reported[hops] != before {
+			changes++
+		}
+		must.GreaterEq(t, inUse, up.PerSecond)
+		must.LessEq(t, inUse*(1+rounding), up.times(sureOf(hops)).PerSecond)
+	}
+	must.Less(t, 500, changes)
+}
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -208,6 +208,9 @@
 	// Applied is the Sequence of the newest Shares of the receiver that the
 	// sender and all nodes behind it keep to; 0 means none.
 	Applied uint64 `cbor:"5,keyasint,omitempty"`
+	// Hops is the largest number of links between the sender and a node whose
+	// demand is summed.
+	Hops uint32 `cbor:"10,keyasint,omitempty"`
 	// Sequence rises with each Demand of the sender.
 	Sequence uint64 `cbor:"6,keyasint,omitempty"`
 	// Since is 0 in a whole message. Otherwise Items and Gone are the changes
@@ -228,8 +231,9 @@
 	PerSecond float64 `cbor:"2,keyasint,omitempty"`
 	// InFlight is the offered concurrency.
 	InFlight float64 `cbor:"3,keyasint,omitempty"`
-	// HeldPerSecond and HeldConcurrency are the grants in use, so that a new
-	// reader can renew what an earlier one granted.
+	// HeldPerSecond and HeldConcurrency are the grants in use, or up to 3% more
+	// for each of the Hops and one, so that a new reader can renew what an
+	// earlier one granted.
 	HeldPerSecond float64 `cbor:"4,keyasint,omitempty"`
 	// HeldConcurrency is in requests in flight.
 	HeldConcurrency float64 `cbor:"5,keyasint,omitempty"`
