Leave the opening of a connection out of a server's latency

Ruled out: opening connections ahead of requests, which costs handshakes to servers that are not used. The client tells how long a request waited for a connection, and the entry proxy subtracts it.

--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -43,7 +43,7 @@
 	record  *endpoint.Record // nil when none was picked
 	sent    bool
 	sentAt  time.Time
-	latency time.Duration
+	latency time.Duration // without the opening of a connection
 	load    *balance.Load
 }
 
@@ -114,8 +114,8 @@
 		x.done(balance.Cancelled)
 		return x.p.notRun(outcome.ReasonDeadline, "the claim on the key is over")
 	}
-	resp, err := forward.Send(x.p.cfg.Gate, x.request(remaining), x.w)
-	x.last.latency = x.p.cfg.Now().Sub(now)
+	resp, opening, err := forward.SendTimed(x.p.cfg.Gate, x.request(remaining), x.w)
+	x.last.latency = max(0, x.p.cfg.Now().Sub(now)-opening)
 	if err != nil {
 		return x.failed(err)
 	}
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -64,20 +64,23 @@
 
 // RoundTrip implements http.RoundTripper. The error is a *SendError.
 func (c *Client) RoundTrip(req *http.Request) (*http.Response, error) {
-	return c.send(req, nil)
+	resp, _, err := c.send(req, nil)
+	return resp, err
 }
 
 // CloseIdleConnections closes all connections that are not in use.
 func (c *Client) CloseIdleConnections() { c.pool.closeAll() }
 
 // send sends req once.
-func (c *Client) send(req *http.Request, w http.ResponseWriter) (*http.Response, error) {
+func (c *Client) send(req *http.Request, w http.ResponseWriter) (*http.Response, time.Duration, error) {
 	if err := checkRequest(req); err != nil {
-		return nil, &SendError{Err: err}
+		return nil, 0, &SendError{Err: err}
 	}
+	began := time.Now()
 	conn, err := c.connect(req)
+	opening := time.Since(began)
 	if err != nil {
-		return nil, &SendError{Err: causeOf(req.Context(), err)}
+		return nil, opening, &SendError{Err: causeOf(req.Context(), err)}
 	}
 	x := newTrip(c, conn, req, w)
 	resp, err := x.run()
@@ -85,9 +88,9 @@
 		// Sealed first: a body's goroutine can send nothing after the count.
 		sent := conn.raw.seal() > x.start
 		x.end(false)
-		return nil, &SendError{Sent: sent, Err: causeOf(req.Context(), err)}
+		return nil, opening, &SendError{Sent: sent, Err: causeOf(req.Context(), err)}
 	}
-	return resp, nil
+	return resp, opening, nil
 }
 
 // causeOf returns why a request failed: its context's end where it ended.
