Count nodes that the zone's reader does not know yet as lacking a version

Ruled out: a delay before the answer, which would slow every change. The node that is asked compares the report with the live records it holds itself and takes the larger number.

--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -54,17 +54,19 @@
 			out = append(out, operator.ZoneProgress{Zone: zone, Live: live[zone], CutOff: status.Head.Version > 0})
 			continue
 		}
-		out = append(out, zoneProgress(now, report))
+		out = append(out, zoneProgress(now, report, live[zone]))
 	}
 	return out
 }
 
-func zoneProgress(now time.Time, r distribute.ZoneReport) operator.ZoneProgress {
+// zoneProgress tells what a zone's reader reported. A node that this one knows
+// and the reader has not counted yet is counted as lacking the version.
+func zoneProgress(now time.Time, r distribute.ZoneReport, known uint32) operator.ZoneProgress {
 	age := now.Sub(r.ReceivedAt)
 	return operator.ZoneProgress{
 		Zone:       r.Status.Zone,
 		Version:    r.Status.Version,
-		Live:       r.Status.Live,
+		Live:       max(r.Status.Live, known),
 		Holding:    r.Status.Holding,
 		Missing:    r.Status.Missing,
 		Rejections: rejections(r.Status.Rejections),
