Report new nodes at once, so that grants begin sooner

Cause: after a restart of all nodes each level of the tree took a second to count its nodes, and a new reader noticed the last report at its next second only. A parent now passes a risen count on after 200 ms, and a reader goes on when the last report of its zone or of the zones comes in. The first gathering of 2 s stays: a reader that sees only itself would take its zone to be complete.

--- a/coordination/share/allocator.go
+++ b/coordination/share/allocator.go
@@ -160,16 +160,24 @@
 func (a *Allocator) demand(now time.Time, zone model.Zone, from model.NodeID, m *message.Demand) {
 	c := claimant{demand: demanded(m.Items), held: held(m.Items), nodes: max(m.Nodes, 1), seen: now}
 	a.ledger.confirm(from, m.Applied)
+	knew := a.knowledge()
 	if zone == a.zone {
 		a.own = c
 		a.noteHeld(now, sureOf(m.Hops))
+		a.hurry(now, knew)
 		return
 	}
 	if _, known := a.asks[zone]; !known {
 		a.ledger.putAll(from, c.held, now.Add(a.cfg.LoanTTL+a.cfg.Slack))
 	}
 	a.asks[zone] = c
-	if a.settled && now.Before(a.quiet) && a.knowsAll() {
+	a.hurry(now, knew)
+}
+
+// hurry brings the next grants forward when the last report of the zone or of
+// all zones has come in that a new reader waited for.
+func (a *Allocator) hurry(now time.Time, knew knowledge) {
+	if a.settled && now.Before(a.quiet) && a.knowledge() != knew {
 		a.next = now
 	}
 }
@@ -230,7 +238,7 @@
 // endQuiet ends the quiet time early once what earlier readers granted is
 // known.
 func (a *Allocator) endQuiet(now time.Time) {
-	if now.Before(a.quiet) && a.knowsAll() {
+	if all := (knowledge{zone: true, zones: true}); now.Before(a.quiet) && a.knowledge() == all {
 		for limit, h := range a.own.held {
 			a.ledger.put(limit, a.self, grant{amount: h, until: now.Add(a.cfg.TTL + a.cfg.Slack)})
 		}
@@ -238,14 +246,17 @@
 	}
 }
 
-// knowsAll reports whether all members and all other zones have reported.
-func (a *Allocator) knowsAll() bool {
-	return a.knowsZone() && len(a.asks) >= a.lead.Zones-1
+// knowledge says what a new reader knows of earlier grants.
+type knowledge struct {
+	zone  bool // all members of the own zone have reported
+	zones bool // all other zones have reported
 }
 
-// knowsZone reports whether all members of the own zone have reported.
-func (a *Allocator) knowsZone() bool {
-	return int(a.own.nodes) >= max(a.lead.Members, a.cfg.ZoneMembers)
+func (a *Allocator) knowledge() knowledge {
+	return knowledge{
+		zone:  int(a.own.nodes) >= max(a.lead.Members, a.cfg.ZoneMembers),
+		zones: len(a.asks) >= a.lead.Zones-1,
+	}
 }
 
 func (a *Allocator) dropSilent(now time.Time) {
--- a/coordination/share/batch.go
+++ b/coordination/share/batch.go
@@ -48,7 +48,7 @@
 			Node: id, Term: a.lead.Term, Items: b.shares[id], TTLMillis: uint32(ttl.Milliseconds()), Sequence: b.sequence,
 		}})
 	}
-	if now.Before(a.quiet) && !a.knowsZone() {
+	if now.Before(a.quiet) && !a.knowledge().zone {
 		return out
 	}
 	for _, zone := range slices.Sorted(maps.Keys(a.lead.Readers)) {
--- a/coordination/share/fleet_test.go
+++ b/coordination/share/fleet_test.go
@@ -101,6 +101,12 @@
 	}
 }
 
+// restartAll restarts all members; what was under way is lost with them.
+func (f *fleet) restartAll() {
+	f.mail = nil
+	f.restart(func(*member) bool { return true })
+}
+
 func (f *fleet) do(m *member, actions []core.Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -201,11 +207,11 @@
 		{"30 nodes, two busy", 3, 10, skewed, nil, 0.15},
 		{"30 nodes, one zone crowded", 3, 10, crowded, nil, 0.20},
 		{"busy zone cut off", 3, 10, crowded, func(f *fleet) { f.cut = 2 }, 0.45},
-		{"herd returns", 3, 10, even, func(f *fleet) { f.restart(func(*member) bool { return true }) }, 0.30},
-		{"herd returns, two busy", 3, 10, skewed, func(f *fleet) { f.restart(func(*member) bool { return true }) }, 0.20},
+		{"herd returns", 3, 10, even, (*fleet).restartAll, 0.10},
+		{"herd returns, two busy", 3, 10, skewed, (*fleet).restartAll, 0.15},
 		{"crowd moves", 3, 10, crowded, func(f *fleet) {
 			f.demand = func(m *member, i int) float64 { return []float64{12, 2, 0.5}[m.zone] }
-		}, 0.40},
+		}, 0.25},
 		{"readers replaced", 3, 10, even, func(f *fleet) {
 			f.restart(func(m *member) bool { return m == f.reader(m.zone) })
 		}, 0.1},
--- a/coordination/share/holder.go
+++ b/coordination/share/holder.go
@@ -33,6 +33,7 @@
 	children map[model.NodeID]*child
 	reported map[string]Amount // demand in the last report
 	heldUp   map[string]Amount // grants in use in the last report
+	soon     time.Time         // when to report more nodes than before; zero: with the next report
 	greet    int               // reports still to be sent although they are empty
 	held     map[string]grant  // newest grant from above, for the whole subtree
 	budget   ledger            // all grants from above that are not replaced yet
@@ -59,6 +60,10 @@
 // all grants of an earlier reader to expire.
 const greetings = gatherIntervals + 2
 
+// joinDelay is how long a node waits before it reports that more nodes are
+// behind it, so that those that begin together are reported together.
+const joinDelay = 200 * time.Millisecond
+
 // childIntervals is how many intervals a child's demand counts.
 const childIntervals = 3
 
@@ -94,7 +99,7 @@
 		h.dropSilent(now)
 		return h.report(now)
 	case core.Tick:
-		return h.expire(now)
+		return h.tick(now)
 	case core.PeerUp:
 		h.links.forget(e.Record.Node)
 	case core.PeerDown:
@@ -179,6 +184,14 @@
 	return []core.Action{SetFloor{Part: floor}}
 }
 
+func (h *Holder) tick(now time.Time) []core.Action {
+	actions := h.expire(now)
+	if !h.soon.IsZero() && !now.Before(h.soon) {
+		actions = append(actions, h.report(now)...)
+	}
+	return actions
+}
+
 // expire ends this node's grants that were not renewed.
 func (h *Holder) expire(now time.Time) []core.Action {
 	h.ledger.expire(now)
@@ -197,9 +210,13 @@
 // demand notes what a neighbour's subtree asks for. A limit that was not
 // reported yet goes up at once, so that first use does not wait at each hop.
 func (h *Holder) demand(now time.Time, from model.NodeID, m *message.Demand) []core.Action {
-	if h.children[from] == nil {
+	before := h.children[from]
+	if before == nil {
 		h.ledger.putAll(from, held(m.Items), now.Add(h.cfg.TTL+h.cfg.Slack))
 	}
+	if h.soon.IsZero() && (before == nil || before.nodes < m.Nodes) {
+		h.soon = now.Add(joinDelay)
+	}
 	h.ledger.confirm(from, m.Applied)
 	h.children[from] = &child{demand: demanded(m.Items), held: held(m.Items), nodes: max(m.Nodes, 1), hops: m.Hops, seen: now}
 	for _, item := range m.Items {
@@ -217,6 +234,7 @@
 	for limit, g := range h.applied {
 		inUse[limit] = g.amount
 	}
+	h.soon = time.Time{}
 	nodes, hops := uint32(1), uint32(0)
 	for _, c := range h.children {
 		nodes += c.nodes
