Work out the capacity of each role from measured slopes

The users ask for a page that says for each role what it holds, sends and costs at 4,300 nodes, and what carries it. An even load for all runs was not to be had; load averages stand in the tables.

--- a/cmd/jacinthgate-measure/commands.go
+++ b/cmd/jacinthgate-measure/commands.go
@@ -176,7 +176,7 @@
 func (c *pageCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	pages := f.Args()
 	if len(pages) == 0 {
-		pages = []string{"docs/MEASUREMENTS.md"}
+		pages = []string{"docs/MEASUREMENTS.md", "docs/CAPACITY.md"}
 	}
 	if err := measure.WritePages(c.out, pages...); err != nil {
 		return fail(err)
--- a/internal/measure/cores_share.go
+++ b/internal/measure/cores_share.go
@@ -7,7 +7,8 @@
 // Numbers of limits in use that are measured.
 var limitSizes = []int{1, 10, 100}
 
-// shareFigures measures the messages that share out fleet-wide limits.
+// shareFigures measures the messages that share out fleet-wide limits. Their
+// numbers are as short as those that coordination/share sends.
 func shareFigures() ([]Figure, error) {
 	demand := Figure{Name: "report of demand, each second and link of the way up", Package: "coordination/share", Unit: "B", Of: "limits in use"}
 	shares := Figure{Name: "grants, each second and link of the way down", Package: "coordination/share", Unit: "B", Of: "limits in use"}
@@ -17,9 +18,9 @@
 		for i := range n {
 			name := customer(i)
 			d.Items = append(d.Items, message.DemandItem{
-				Limit: name, PerSecond: 12.3, InFlight: 1.7, HeldPerSecond: 20.1, HeldConcurrency: 3.3,
+				Limit: name, PerSecond: 12.25, InFlight: 1.75, HeldPerSecond: 20.125, HeldConcurrency: 3.25,
 			})
-			s.Items = append(s.Items, message.ShareItem{Limit: name, PerSecond: 20.1, Concurrency: 3.3})
+			s.Items = append(s.Items, message.ShareItem{Limit: name, PerSecond: 20.125, Concurrency: 3.25})
 		}
 		for _, m := range []struct {
 			to      *Figure
--- a/internal/measure/tables.go
+++ b/internal/measure/tables.go
@@ -121,13 +121,22 @@
 		for _, p := range f.Points {
 			row = append(row, fmt.Sprintf("%s at %s", spread(p), num(p.Size)))
 		}
-		row = append(row, fmt.Sprintf("%s x %s + %s", num(slope), f.Of, num(constant)))
+		row = append(row, line(slope, constant, f.Of))
 		rows = append(rows, row)
 	}
 	fmt.Fprintf(b, "\nMedian of %d rounds, with the least and the most where they differ by a tenth; load average %s.\n", rounds, c.Load)
 	table(b, []string{"figure", "package", "unit", "small", "middle", "design size", "line"}, rows)
 }
 
+// line writes a line; a constant below 0 says that the growth is not a line.
+func line(slope, constant float64, of string) string {
+	sign := "+"
+	if constant < 0 {
+		sign = "-"
+	}
+	return fmt.Sprintf("%s x %s %s %s", num(slope), of, sign, num(math.Abs(constant)))
+}
+
 // spread writes a point with its least and most value where they differ.
 func spread(p Point) string {
 	if math.Abs(p.Max-p.Min) <= math.Abs(p.Median)/10 {
