Let low demand fall after twenty intervals

Cause: after the last changes most of what was still sent was low demand falling and rising again by chance.

--- a/coordination/share/config.go
+++ b/coordination/share/config.go
@@ -57,7 +57,7 @@
 		Need:        1,
 		KeepFree:    0.1,
 		OrphanAfter: 15 * time.Second,
-		FallAfter:   10,
+		FallAfter:   20,
 		ZoneMembers: 1,
 	}
 }
--- a/coordination/share/traffic_test.go
+++ b/coordination/share/traffic_test.go
@@ -185,7 +185,7 @@
 	_, many, refused := measureZone(20, 15)
 	each := (many - few) / 10 / (neighbours + 1)
 	t.Logf("%.1f B/s for each limit in use and link, %.1f%% beyond grants", each, 100*refused)
-	must.LessEq(t, 3, each)
+	must.LessEq(t, 2, each)
 }
 
 func TestRoundingIsShortAndOnTheSafeSide(t *testing.T) {
