Bound the memory that the acceptance of a change leaves behind

Measured with 10 nodes and 2,000 contracts: a node held 74.4 MB after it had accepted changes, above the 64 MB of its budget. Cause: an acceptance allocates some 17 MB, and the collector's pace lets that pile up; the same fleet with GOMEMLIMIT=52MiB held 43.5 MB. A fixed limit was ruled out before, as the collector may take half of the processor near one; so the limit gives way to one and a half times the live heap, looked at every 5 s. Twice the live heap was tried: 59.5 MB, since a collection within an acceptance finds much alive.

--- a/internal/collector/collector.go
+++ b/internal/collector/collector.go
@@ -21,13 +21,18 @@
 	// MaxPercent bounds the growth between two collections, in percent of the
 	// live heap.
 	MaxPercent int
+	// Limit is the memory of the runtime, in bytes, near which it collects
+	// sooner: what a rare burst of work leaves behind would otherwise stay in
+	// memory. It gives way to one and a half times the live heap, so that a
+	// large heap doesn't keep the collector busy.
+	Limit uint64
 	// Interval is the time between two looks at the live heap.
 	Interval time.Duration
 }
 
 // DefaultConfig returns the settings of a node.
 func DefaultConfig() Config {
-	return Config{Goal: 24 << 20, MaxPercent: 400, Interval: 5 * time.Second}
+	return Config{Goal: 24 << 20, MaxPercent: 400, Limit: 52 << 20, Interval: 5 * time.Second}
 }
 
 // defaultPercent is the runtime's own pace.
@@ -38,7 +43,7 @@
 const step = 20
 
 // Run adjusts the pace until ctx ends. It does nothing where the environment
-// sets GOGC.
+// sets GOGC, and sets no limit where it sets GOMEMLIMIT.
 func Run(ctx context.Context, cfg Config) error {
 	if _, set := os.LookupEnv("GOGC"); set {
 		<-ctx.Done()
@@ -47,12 +52,18 @@
 	t := time.NewTicker(cfg.Interval)
 	defer t.Stop()
 	current := defaultPercent
+	var limit int64
+	_, limited := os.LookupEnv("GOMEMLIMIT")
 	for {
 		next := cfg.percent(live())
 		if next-current >= step || current-next >= step {
 			current = next
 			debug.SetGCPercent(next)
 		}
+		if next := cfg.limit(live()); !limited && next != limit {
+			limit = next
+			debug.SetMemoryLimit(limit)
+		}
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -73,6 +84,16 @@
 	return int(min(max(p, defaultPercent), uint64(c.MaxPercent)))
 }
 
+// limitStep is the least change of the limit, in bytes, as a change stops all
+// goroutines for a moment.
+const limitStep = 8 << 20
+
+// limit returns the memory limit for a live heap, in bytes.
+func (c Config) limit(live uint64) int64 {
+	steps := (live*3/2 + limitStep - 1) / limitStep
+	return int64(max(c.Limit, steps*limitStep))
+}
+
 // live returns the bytes that the last collection found in use.
 func live() uint64 {
 	s := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
--- a/internal/collector/collector_test.go
+++ b/internal/collector/collector_test.go
@@ -19,3 +19,14 @@
 		}
 	}
 }
+
+// The limit holds for small heaps and is never below one and a half times what is
+// live.
+func TestLimit(t *testing.T) {
+	c := Config{Limit: 52 << 20}
+	for live, want := range map[uint64]int64{
+		0: 52 << 20, 10 << 20: 52 << 20, 32 << 20: 52 << 20, 36 << 20: 56 << 20, 40 << 20: 64 << 20, 1 << 30: 3 << 29,
+	} {
+		must.Eq(t, want, c.limit(live), must.Sprint(live))
+	}
+}
