Start fleet tests from a whole fleet

Cause: TestBadVersionIsRefusedWhole failed twice in whole runs on a busy machine (held 0, want 2): a node that nobody knew yet when the first version was in force was then cut off without one. In force means every live member known, so the test's start was wrong, not the promise. Ruled out: a longer wait at the failing place, which would hide the cause. Every test now starts once each node knows all others, which is stricter.

--- a/internal/fleet/path_test.go
+++ b/internal/fleet/path_test.go
@@ -60,9 +60,22 @@
 		}
 	})
 	must.NoError(t, err)
+	awaitMembers(t, f)
 	return f
 }
 
+// awaitMembers waits until every node knows every other. A node that nobody
+// knows yet is no live member, so a version may be in force without it.
+func awaitMembers(t *testing.T, f *Fleet) {
+	t.Helper()
+	for _, m := range f.Members {
+		eventually(t, string(m.Node)+" knows all nodes", func() bool {
+			s, err := m.Operator().Status(context.Background())
+			return err == nil && len(s.Nodes) == len(f.Members)
+		})
+	}
+}
+
 func printLogs(t *testing.T, dir string) {
 	files, _ := filepath.Glob(filepath.Join(dir, "*.log"))
 	for _, file := range files {
