--- a/internal/measure/cores_share.go
+++ b/internal/measure/cores_share.go
@@ -10,8 +10,8 @@
 // shareFigures measures the messages that share out fleet-wide limits. Their
 // numbers are as short as those that coordination/share sends.
 func shareFigures() ([]Figure, error) {
-	demand := Figure{Name: "report of demand, each second and link of the way up", Package: "coordination/share", Unit: "B", Of: "limits in use"}
-	shares := Figure{Name: "grants, each second and link of the way down", Package: "coordination/share", Unit: "B", Of: "limits in use"}
+	demand := Figure{Name: "whole report of demand, first on a link of the way up", Package: "coordination/share", Unit: "B", Of: "limits in use"}
+	shares := Figure{Name: "whole grants, first on a link of the way down", Package: "coordination/share", Unit: "B", Of: "limits in use"}
 	for _, n := range limitSizes {
 		d := &message.Demand{Zone: zones[0], Node: record(0).Node, Nodes: 10, Applied: 1000}
 		s := &message.Shares{Node: record(0).Node, Term: 10, TTLMillis: 8000, Sequence: 1000}
