--- a/coordination/bucket/bucket.go
+++ b/coordination/bucket/bucket.go
@@ -44,7 +44,7 @@
 	capacity := span(step, s.Burst)
 	at := now.UnixNano()
 	if s.Burst < 1 {
-		return b.gamble(at, step, capacity, chance)
+		return b.takeByChance(at, step, capacity, chance)
 	}
 	for {
 		old := b.full.Load()
@@ -58,7 +58,7 @@
 	}
 }
 
-func (b *Bucket) gamble(at int64, step, capacity time.Duration, chance float64) (bool, time.Duration) {
+func (b *Bucket) takeByChance(at int64, step, capacity time.Duration, chance float64) (bool, time.Duration) {
 	for {
 		old := b.full.Load()
 		held := at + int64(capacity) - max(old, at)
--- a/coordination/share/config.go
+++ b/coordination/share/config.go
@@ -30,11 +30,11 @@
 	// KeepFree is the part of a zone's own part that is never lent to other
 	// zones, so that a sudden rise at home finds something.
 	KeepFree float64
-	// OrphanAfter is the time without any grant after which a node that has
+	// UngrantedAfter is the time without any grant after which a node that has
 	// demand takes its even piece of the whole limit in place of the floor. It
 	// must be longer than LoanTTL and Slack together, so that all grants and
 	// loans of a dead reader have expired.
-	OrphanAfter time.Duration
+	UngrantedAfter time.Duration
 	// FallAfter is the number of intervals for which demand must have been
 	// lower before a node asks for less. A longer one costs fewer messages at
 	// low demand and keeps what is no longer needed for longer.
@@ -48,16 +48,16 @@
 // DefaultConfig returns the policy that docs/design/limits.md measures.
 func DefaultConfig() Config {
 	return Config{
-		Interval:    time.Second,
-		TTL:         8 * time.Second,
-		LoanTTL:     10 * time.Second,
-		Slack:       500 * time.Millisecond,
-		Floor:       0.1,
-		Headroom:    1.5,
-		Need:        1,
-		KeepFree:    0.1,
-		OrphanAfter: 15 * time.Second,
-		FallAfter:   20,
-		ZoneMembers: 1,
+		Interval:       time.Second,
+		TTL:            8 * time.Second,
+		LoanTTL:        10 * time.Second,
+		Slack:          500 * time.Millisecond,
+		Floor:          0.1,
+		Headroom:       1.5,
+		Need:           1,
+		KeepFree:       0.1,
+		UngrantedAfter: 15 * time.Second,
+		FallAfter:      20,
+		ZoneMembers:    1,
 	}
 }
--- a/coordination/share/fleet_test.go
+++ b/coordination/share/fleet_test.go
@@ -301,7 +301,7 @@
 		moved, f.mail = true, nil
 		f.lost = func(x mail) bool { return deaf && x.from == f.reader(2).id && f.index[x.to].zone == 2 }
 		f.restart(func(m *member) bool { return m == f.reader(m.zone) })
-		f.run(f.cfg.OrphanAfter - time.Second)
+		f.run(f.cfg.UngrantedAfter - time.Second)
 		must.LessEq(t, 1+1e-9, f.sums.shares)
 	}
 }
@@ -313,8 +313,8 @@
 	h := NewHolder(cfg, "n1", "z1")
 	must.Eq(t, []core.Action{SetFloor{Part: 0.1 / 2 / 4}}, h.Step(now, Route{Upstream: "n0", Zones: 2, Members: 1}))
 	h.Step(now, Measured{Items: []message.DemandItem{{Limit: "tabla", PerSecond: 1}}})
-	must.SliceEmpty(t, h.Step(now.Add(cfg.OrphanAfter-1), core.Tick{}))
-	must.Eq(t, []core.Action{SetFloor{Part: 1.0 / 2 / 4}}, h.Step(now.Add(cfg.OrphanAfter), core.Tick{}))
+	must.SliceEmpty(t, h.Step(now.Add(cfg.UngrantedAfter-1), core.Tick{}))
+	must.Eq(t, []core.Action{SetFloor{Part: 1.0 / 2 / 4}}, h.Step(now.Add(cfg.UngrantedAfter), core.Tick{}))
 	grants := &message.Shares{Node: "n1", Term: 2, TTLMillis: 8000, Items: []message.ShareItem{{Limit: "tabla", PerSecond: 5}}}
 	now = now.Add(20 * time.Second)
 	must.Eq(t, []core.Action{SetShare{Limit: "tabla", Amount: Amount{PerSecond: 1.5}}}, h.Step(now, core.Received{From: "n0", Message: grants}))
--- a/coordination/share/holder.go
+++ b/coordination/share/holder.go
@@ -173,7 +173,7 @@
 		h.heard = now
 	}
 	part := h.cfg.Floor
-	if now.Sub(h.heard) >= h.cfg.OrphanAfter {
+	if now.Sub(h.heard) >= h.cfg.UngrantedAfter {
 		part = 1
 	}
 	floor := part / float64(max(h.zones, 1)) / float64(h.members)
