Answer nodes that are not ready with what is remembered of them

Cause: links that began by dialling a seed, whose name the dialling node did not know, still gave no answer to the node dialled, so after a start one node could wait 6 s for the reader's beacons. Ruled out: waiting for a redial by name, which never comes while the link stands. An advert to a peer that is not ready carries the version it is known to have held; the readiness rules count it like a Welcome.

--- a/coordination/distribute/peers.go
+++ b/coordination/distribute/peers.go
@@ -72,8 +72,10 @@
 	c.peers[id] = p
 	c.memory.heard(now, id.Key(), e.Held.Version)
 	c.joinPeerUp(now, p, e.LastHeld)
-	// The handshake may have crossed a swap, so the peer may not know it.
-	if c.held.Ref().Newer(p.held) {
+	// The handshake may have crossed a swap, so the peer may not know it. A
+	// peer that dialled a seed, whose name it did not know, gave no answer, and
+	// gets one that counts.
+	if c.held.Ref().Newer(p.held) || !p.ready {
 		c.advertTo(p)
 	}
 	c.greetWithBeacon(p)
@@ -107,7 +109,12 @@
 func (c *Core) advertTo(p *peer) {
 	p.toldReady = c.ready
 	p.heard(c.held.Ref())
-	c.send(p.id(), message.Urgent, &message.Advert{Held: c.held.Ref(), Ready: c.ready})
+	m := &message.Advert{Held: c.held.Ref(), Ready: c.ready}
+	if !p.ready {
+		m.Answer = true
+		m.LastHeld = c.LastHeldOf(p.id())
+	}
+	c.send(p.id(), message.Urgent, m)
 }
 
 // advertAll tells the peers that are not known to hold the version, and those
@@ -129,6 +136,10 @@
 	p.ready = m.Ready
 	c.memory.heard(now, p.id().Key(), m.Held.Version)
 	c.raiseHead(now, m.Held)
+	if m.Answer {
+		p.answered = true
+		c.join.floorOwn = max(c.join.floorOwn, m.LastHeld)
+	}
 	c.joinPeerReady(p)
 	if c.fetch.active && c.fetch.source == p.id() && !m.Held.Newer(c.held.Ref()) {
 		c.fetch.active = false // the source has nothing newer
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -97,6 +97,11 @@
 	Held snapshot.Ref `cbor:"1,keyasint"`
 	// Ready says that the sender serves requests with it.
 	Ready bool `cbor:"2,keyasint,omitempty"`
+	// Answer says that LastHeld is set. It is sent to peers that are not ready.
+	Answer bool `cbor:"3,keyasint,omitempty"`
+	// LastHeld is the newest version that the receiver is known to have held
+	// before; 0 when none is known.
+	LastHeld uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Fetch asks a peer for a version newer than Have.
