Let every program tell its version

Cause: a last check of the product's points found that only the node and the operator's tool knew their version; the load tool, the measurement tool, the demonstration and the stand-ins did not. Ruled out: a copy of the node's verb in each. One verb and one flag in internal/version serve all programs, and the node's own copy is gone.

--- a/cmd/jacinthgate-backend/main.go
+++ b/cmd/jacinthgate-backend/main.go
@@ -17,6 +17,7 @@
 	"github.com/oklog/run"
 
 	"github.com/jacinthgate/jacinthgate/internal/standin/backend"
+	"github.com/jacinthgate/jacinthgate/internal/version"
 )
 
 // options are the command's flags.
@@ -45,7 +46,7 @@
 	flag.Float64Var(&o.faults.ServiceMillis, "service-ms", 0, "mean service time in milliseconds")
 	flag.Float64Var(&o.faults.SpreadMillis, "spread-ms", 0, "spread of the service time in milliseconds")
 	flag.IntVar(&o.faults.ColdStartMillis, "cold-ms", 0, "length of the cold start in milliseconds")
-	flag.Parse()
+	version.ParseFlags("jacinthgate-backend")
 	return o
 }
 
--- a/cmd/jacinthgate-demo/main.go
+++ b/cmd/jacinthgate-demo/main.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/internal/demo"
+	"github.com/jacinthgate/jacinthgate/internal/version"
 )
 
 func main() {
@@ -19,7 +20,7 @@
 	flag.StringVar(&cfg.Bin, "bin", "bin", "`directory` of the binaries")
 	flag.StringVar(&cfg.Documents, "documents", "examples/room-signage", "`directory` of the contracts and services")
 	flag.DurationVar(&cfg.Load, "load", 20*time.Second, "how long load is served")
-	flag.Parse()
+	version.ParseFlags("jacinthgate-demo")
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	err := demo.Run(ctx, cfg)
 	cancel()
--- a/cmd/jacinthgate-load/main.go
+++ b/cmd/jacinthgate-load/main.go
@@ -14,6 +14,8 @@
 	"syscall"
 
 	"github.com/google/subcommands"
+
+	"github.com/jacinthgate/jacinthgate/internal/version"
 )
 
 func main() {
@@ -23,6 +25,7 @@
 	subcommands.Register(&compareCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
 	subcommands.Register(&planCommand{}, "")
+	subcommands.Register(&version.Command{Program: "jacinthgate-load"}, "")
 	flag.Parse()
 	os.Exit(execute())
 }
--- a/cmd/jacinthgate-measure/main.go
+++ b/cmd/jacinthgate-measure/main.go
@@ -14,6 +14,8 @@
 	"syscall"
 
 	"github.com/google/subcommands"
+
+	"github.com/jacinthgate/jacinthgate/internal/version"
 )
 
 func main() {
@@ -25,6 +27,7 @@
 	subcommands.Register(&requestsCommand{}, "")
 	subcommands.Register(&requestsCommand{policies: true}, "")
 	subcommands.Register(&pageCommand{}, "")
+	subcommands.Register(&version.Command{Program: "jacinthgate-measure"}, "")
 	flag.Parse()
 	os.Exit(execute())
 }
--- a/cmd/jacinthgate-node/main.go
+++ b/cmd/jacinthgate-node/main.go
@@ -21,7 +21,7 @@
 	cdr.Register(cdr.HelpCommand(), "")
 	cdr.Register(&runCmd{}, "")
 	cdr.Register(&checkCmd{}, "")
-	cdr.Register(&versionCmd{}, "")
+	cdr.Register(&version.Command{Program: "jacinthgate-node"}, "")
 	flag.Parse()
 	os.Exit(int(cdr.Execute(context.Background())))
 }
@@ -92,16 +92,3 @@
 	fmt.Println(f.Arg(0) + ": ok")
 	return subcommands.ExitSuccess
 }
-
-// versionCmd prints the version.
-type versionCmd struct{}
-
-func (*versionCmd) Name() string           { return "version" }
-func (*versionCmd) Synopsis() string       { return "print the version" }
-func (*versionCmd) Usage() string          { return "version\n" }
-func (*versionCmd) SetFlags(*flag.FlagSet) {}
-
-func (*versionCmd) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	fmt.Println("jacinthgate-node", version.String())
-	return subcommands.ExitSuccess
-}
--- a/cmd/jacinthgate-older/main.go
+++ b/cmd/jacinthgate-older/main.go
@@ -16,6 +16,7 @@
 	"github.com/oklog/run"
 
 	"github.com/jacinthgate/jacinthgate/internal/standin/older"
+	"github.com/jacinthgate/jacinthgate/internal/version"
 )
 
 // options are the command's flags.
@@ -30,7 +31,7 @@
 	flag.StringVar(&o.hold.URL, "hold-url", "", "URL of a shared backend server whose slots are held; empty holds none")
 	flag.IntVar(&o.hold.Slots, "hold-slots", 1, "slots held at one time")
 	flag.DurationVar(&o.hold.Pause, "hold-pause", 10*time.Millisecond, "time between two requests of one slot")
-	flag.Parse()
+	version.ParseFlags("jacinthgate-older")
 	return o
 }
 
--- a/cmd/jacinthgate-platform/main.go
+++ b/cmd/jacinthgate-platform/main.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	standin "github.com/jacinthgate/jacinthgate/internal/standin/platform"
+	"github.com/jacinthgate/jacinthgate/internal/version"
 )
 
 const (
@@ -29,7 +30,7 @@
 func main() {
 	listen := flag.String("listen", "127.0.0.1:0", "address to listen on, IP:port")
 	seed := flag.Uint64("seed", 1, "seed of the random faults")
-	flag.Parse()
+	version.ParseFlags("jacinthgate-platform")
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stdout))
 	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
 	if err := serve(logger, *listen, *seed); err != nil {
