Take a connection that is given back exactly once

Ruled out: a lock, as one atomic swap says who has it. Change: Accept and Close swap it out. The entry tests for the older system pass three times with the race detector. The same run failed TestOlderSystemIsLeftAlone with one fault whose cause was not found; it is listed in KNOWN-RED.txt, unchanged.

--- a/transport/entry/caller_conn.go
+++ b/transport/entry/caller_conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 )
 
 // callerConn is a caller's connection. It keeps the bytes of each request's
@@ -100,13 +101,22 @@
 	return &callerConn{Conn: c}, nil
 }
 
-// oneListener accepts one connection; it hands one back to an http.Server.
-type oneListener struct{ conn net.Conn }
+// oneListener accepts one connection; it hands one back to an http.Server. The
+// server may close it at any time, so the connection is taken exactly once: by
+// Accept or by Close.
+type oneListener struct {
+	conn atomic.Pointer[callerConn]
+}
+
+func newOneListener(c *callerConn) *oneListener {
+	l := new(oneListener)
+	l.conn.Store(c)
+	return l
+}
 
 // Accept implements net.Listener.
 func (l *oneListener) Accept() (net.Conn, error) {
-	c := l.conn
-	l.conn = nil
+	c := l.conn.Swap(nil)
 	if c == nil {
 		return nil, net.ErrClosed
 	}
@@ -115,10 +125,11 @@
 
 // Close implements net.Listener. It closes a connection that was not taken.
 func (l *oneListener) Close() error {
-	if l.conn == nil {
+	c := l.conn.Swap(nil)
+	if c == nil {
 		return nil
 	}
-	return l.conn.Close()
+	return c.Close()
 }
 
 // Addr implements net.Listener.
--- a/transport/entry/older.go
+++ b/transport/entry/older.go
@@ -142,7 +142,7 @@
 	}
 	c.pending = x.leftover()
 	// Serve closes the connection itself when the server is shutting down.
-	_ = o.p.server.Serve(&oneListener{conn: c})
+	_ = o.p.server.Serve(newOneListener(c))
 }
 
 // waitIdle waits for the next request's first byte.
