--- /dev/null
+++ b/cmd/jacinthgate-sidecar/main.go
@@ -0,0 +1,101 @@
+// Command jacinthgate-sidecar is the one process of the mesh beside a backend
+// server on the users' platform.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/google/subcommands"
+
+	"github.com/jacinthgate/jacinthgate/internal/logging"
+	"github.com/jacinthgate/jacinthgate/internal/sidecar"
+	"github.com/jacinthgate/jacinthgate/internal/version"
+)
+
+const program = "jacinthgate-sidecar"
+
+func main() {
+	cdr := subcommands.NewCommander(flag.CommandLine, program)
+	cdr.Register(cdr.HelpCommand(), "")
+	cdr.Register(&runCmd{}, "")
+	cdr.Register(&checkCmd{}, "")
+	cdr.Register(&version.Command{Program: program}, "")
+	flag.Parse()
+	os.Exit(int(cdr.Execute(context.Background())))
+}
+
+// runCmd runs the node.
+type runCmd struct {
+	settings string
+}
+
+func (*runCmd) Name() string     { return "run" }
+func (*runCmd) Synopsis() string { return "run the node" }
+func (*runCmd) Usage() string {
+	return `run -settings FILE
+Runs the node until SIGTERM, which lets requests in flight finish. SIGHUP reads
+the settings again. Nothing starts on bad settings.
+`
+}
+
+func (c *runCmd) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "JSON settings `file`")
+}
+
+// gcPercent lets the heap grow to one and a half times its live size between
+// two collections: memory at its peak is paid for, and the heap is small.
+const gcPercent = 50
+
+func (c *runCmd) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if c.settings == "" {
+		fmt.Fprintln(os.Stderr, program+": -settings is required")
+		return subcommands.ExitUsageError
+	}
+	set, err := sidecar.Load(c.settings)
+	if err != nil {
+		return fail(err)
+	}
+	debug.SetGCPercent(gcPercent)
+	logger := logging.New(os.Stdout, set.LogLevel)
+	logging.CatchLibraries(logger)
+	n, err := sidecar.New(set, c.settings, logger)
+	if err != nil {
+		return fail(err)
+	}
+	if err := n.Run(); err != nil {
+		_ = logger.Log("event", "node_failed", "err", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, program+":", err)
+	return subcommands.ExitFailure
+}
+
+// checkCmd checks settings.
+type checkCmd struct{}
+
+func (*checkCmd) Name() string     { return "check" }
+func (*checkCmd) Synopsis() string { return "check a settings file" }
+func (*checkCmd) Usage() string {
+	return "check FILE\nPrints a fault of the settings. Exit code 1 if there is one.\n"
+}
+func (*checkCmd) SetFlags(*flag.FlagSet) {}
+
+func (*checkCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		f.Usage()
+		return subcommands.ExitUsageError
+	}
+	if _, err := sidecar.Load(f.Arg(0)); err != nil {
+		return fail(err)
+	}
+	fmt.Println(f.Arg(0) + ": ok")
+	return subcommands.ExitSuccess
+}
--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -57,6 +57,8 @@
 	// Drained says that the peer knows this node's backend server to have been
 	// draining in the node's last incarnation.
 	Drained bool
+	// DrainedInstance is that backend server's instance, where it has one.
+	DrainedInstance string
 }
 
 // PeerDown reports that the last connection to a peer ended.
--- /dev/null
+++ b/coordination/docsync/config.go
@@ -0,0 +1,58 @@
+// Package docsync decides how a node gets the newest configuration document:
+// who in an availability zone reads the platform's store, and how the others
+// get the document from their peers.
+//
+// The live member of the zone that comes first in the order of keys reads the
+// store; a beacon from it, relayed over the zone's links, tells the others that
+// its reads succeed. When no beacon is heard, the next members take over one
+// after the other. No lease is needed: two readers cost only reads, because a
+// document is taken only when its version is higher than the one held.
+//
+// The core is a pure state machine in the sense of coordination/core.
+package docsync
+
+import "time"
+
+// Config holds the parameters of the core.
+type Config struct {
+	// BeaconInterval is the time between two beacons of a reader.
+	BeaconInterval time.Duration
+	// SilenceAfter is how long no beacon is heard before the first member
+	// takes over. It covers two lost beacons.
+	SilenceAfter time.Duration
+	// RankDelay is how much longer each further member waits, so that one
+	// takes over and not all.
+	RankDelay time.Duration
+	// MaxRank bounds the members that wait one after the other; all later
+	// ones wait as long as this one.
+	MaxRank int
+	// FetchTimeout is how long a peer may take to send a document before
+	// another one is asked.
+	FetchTimeout time.Duration
+	// FarFetchDelay is how long a newer document known only in other
+	// availability zones is waited for in the own one: bytes between zones
+	// are dear, and the zone's reader usually has it as soon.
+	FarFetchDelay time.Duration
+	// StartWait is how long a node that has just started waits for the
+	// store's document before it serves with one that a peer holds.
+	StartWait time.Duration
+	// RetryMin and RetryMax bound the wait after a failed read, which doubles
+	// with each failure.
+	RetryMin time.Duration
+	RetryMax time.Duration
+}
+
+// DefaultConfig returns the parameters measured in docs/design/platform.md.
+func DefaultConfig() Config {
+	return Config{
+		BeaconInterval: 500 * time.Millisecond,
+		SilenceAfter:   1100 * time.Millisecond,
+		RankDelay:      150 * time.Millisecond,
+		MaxRank:        4,
+		FetchTimeout:   400 * time.Millisecond,
+		FarFetchDelay:  300 * time.Millisecond,
+		StartWait:      time.Second,
+		RetryMin:       300 * time.Millisecond,
+		RetryMax:       1500 * time.Millisecond,
+	}
+}
--- a/coordination/member/event.go
+++ b/coordination/member/event.go
@@ -20,6 +20,8 @@
 	Draining bool
 	// Unready says that no request can be served now.
 	Unready bool
+	// Instance identifies the start of the backend server; it may be empty.
+	Instance string
 }
 
 // Leave reports that the node shuts down gracefully. The core floods its
--- a/coordination/member/own.go
+++ b/coordination/member/own.go
@@ -13,6 +13,7 @@
 	r.Connections = a.Connections
 	r.Draining = a.Draining
 	r.Unready = a.Unready
+	r.Instance = a.Instance
 	if c.left || r == c.self {
 		return
 	}
--- a/internal/rules/imports_test.go
+++ b/internal/rules/imports_test.go
@@ -30,6 +30,7 @@
 // request and share state between threads.
 var mayImpure = map[string]string{
 	"coordination/admit":   "sync",
+	"coordination/attempt": "sync",
 	"coordination/balance": "sync",
 	"coordination/gate":    "sync",
 	"coordination/retry":   "sync",
--- /dev/null
+++ b/internal/sidecar/backends.go
@@ -0,0 +1,154 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/jacinthgate/jacinthgate/platform"
+	"github.com/jacinthgate/jacinthgate/state/instance"
+)
+
+// backends keeps what the host's backend server says of itself. It implements
+// platform.Backends.
+type backends struct {
+	pub  *published
+	log  log.Logger
+	node string
+	// ttl is how long a backend server that isn't heard counts as there.
+	ttl time.Duration
+	// record writes to the store which instance is leaving.
+	record func(ctx context.Context, node, instance string) error
+	// changed is told after each change that other nodes need to know.
+	changed func(*instance.Instance)
+
+	mu    sync.Mutex
+	local instance.Local
+	// down is set while connections to the backend server are refused.
+	down bool
+}
+
+var _ platform.Backends = (*backends)(nil)
+
+const (
+	// missedHeartbeats is the number of heartbeats after which a backend server
+	// that is silent is no longer offered; each may come seconds late.
+	missedHeartbeats = 3
+	// heartbeatLag is how late a heartbeat may arrive.
+	heartbeatLag = 2 * time.Second
+	// recordTimeout bounds how long an acknowledgement waits until the store
+	// holds that the backend server leaves. Acknowledgements are due within a
+	// second; without the store, the peers remember it.
+	recordTimeout = 300 * time.Millisecond
+)
+
+// Hear implements platform.Backends.
+func (b *backends) Hear(h instance.Heartbeat) {
+	b.mu.Lock()
+	before := b.local.Current()
+	news := b.local.Hear(time.Now(), h)
+	after := b.local.Current()
+	revived := b.down && after != nil && after.ID == h.ID && !news
+	b.down = false
+	b.publish()
+	b.mu.Unlock()
+	if !news && !revived {
+		return
+	}
+	_ = b.log.Log("event", "backend_heard", "instance", h.ID, "service", h.Service, "slots", h.Slots,
+		"draining", h.Draining, "sequence", h.Sequence, "cold", h.Cold)
+	b.changed(after)
+	wasReady := before == nil || before.ID != h.ID || before.State == instance.Ready
+	if h.Draining && wasReady {
+		b.recordDrain(h.ID)
+	}
+}
+
+// Leave implements platform.Backends.
+func (b *backends) Leave(id string) {
+	b.mu.Lock()
+	news := b.local.Leave(time.Now(), id)
+	after := b.local.Current()
+	b.publish()
+	b.mu.Unlock()
+	if !news {
+		return
+	}
+	_ = b.log.Log("event", "backend_left", "instance", id)
+	b.changed(after)
+	b.recordDrain(id)
+}
+
+// recordDrain writes to the store that an instance is leaving, so that a node
+// that is restarted doesn't send to it again.
+func (b *backends) recordDrain(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	if err := b.record(ctx, b.node, id); err != nil {
+		_ = level.Warn(b.log).Log("event", "drain_not_recorded", "instance", id, "err", err)
+	}
+}
+
+// drained notes that an instance was leaving before this node started.
+func (b *backends) drained(id string) {
+	if id == "" {
+		return
+	}
+	b.mu.Lock()
+	was := b.local.Forget(id)
+	b.publish()
+	b.mu.Unlock()
+	_ = b.log.Log("event", "backend_drained_before", "instance", id, "present", was)
+	if was {
+		b.changed(nil)
+	}
+}
+
+// replaced notes that another backend server has the address.
+func (b *backends) replaced(id string) {
+	b.mu.Lock()
+	was := b.local.Forget(id)
+	b.publish()
+	b.mu.Unlock()
+	if !was {
+		return
+	}
+	_ = b.log.Log("event", "backend_replaced", "instance", id)
+	b.changed(nil)
+}
+
+// unreachable notes that connections to the backend server are refused. It is
+// offered again with its next heartbeat.
+func (b *backends) unreachable(id string) {
+	b.mu.Lock()
+	c := b.local.Current()
+	was := c != nil && c.ID == id && !b.down
+	if was {
+		b.down = true
+	}
+	b.mu.Unlock()
+	if !was {
+		return
+	}
+	_ = b.log.Log("event", "backend_unreachable", "instance", id)
+	b.changed(nil)
+}
+
+// expire drops a backend server that wasn't heard for too long.
+func (b *backends) expire(now time.Time) {
+	b.mu.Lock()
+	was := b.local.Expire(now, b.ttl)
+	b.publish()
+	b.mu.Unlock()
+	if !was {
+		return
+	}
+	_ = b.log.Log("event", "backend_silent", "after", b.ttl)
+	b.changed(nil)
+}
+
+// publish hands the present instance to the path of a request. b.mu is held.
+func (b *backends) publish() { b.pub.instance.Store(b.local.Current()) }
--- /dev/null
+++ b/internal/sidecar/control.go
@@ -0,0 +1,204 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/coordination/docsync"
+	"github.com/jacinthgate/jacinthgate/coordination/member"
+	"github.com/jacinthgate/jacinthgate/platform"
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/instance"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/transport/link"
+	"github.com/jacinthgate/jacinthgate/transport/peer/tcp"
+)
+
+func (n *Node) openPeers() error {
+	cfg := tcp.DefaultConfig()
+	cfg.ListenAddr = n.set.Listen.Peers
+	t, err := tcp.New(cfg)
+	if err != nil {
+		return &ListenError{Name: "peers", Addr: n.set.Listen.Peers, Err: err}
+	}
+	n.peers = t
+	return nil
+}
+
+// wireControl wires the control plane: links, cores, event loop, reader.
+func (n *Node) wireControl() error {
+	self := endpoint.Record{
+		Node:        n.set.Node,
+		Zone:        n.set.Zone,
+		Region:      n.set.Region,
+		PeerAddr:    n.peers.Addr(),
+		GateAddr:    n.set.Listen.Gate,
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	seed := rand.Uint64()
+	l := &loop{
+		self:      self,
+		log:       n.log,
+		pub:       n.pub,
+		events:    make(chan core.Event, maxEvents),
+		calls:     make(chan func()),
+		member:    member.New(memberConfig(), self, nil, seed),
+		docs:      docsync.New(docsync.DefaultConfig(), self, seed),
+		linksDone: make(chan struct{}),
+		flush:     time.NewTimer(time.Hour),
+	}
+	n.loop = l
+	n.backends = &backends{
+		pub:     n.pub,
+		log:     n.log,
+		node:    string(n.set.Node),
+		ttl:     missedHeartbeats*n.set.heartbeat() + heartbeatLag,
+		record:  n.store.RecordDrain,
+		changed: n.announce,
+	}
+	l.backends = n.backends
+	l.reader = newReader(platform.NewConfigs(n.store), l, n.log)
+	l.links = n.newLinks()
+	n.links = l.links
+	return nil
+}
+
+// memberConfig returns the parameters of membership.
+func memberConfig() member.Config {
+	cfg := member.DefaultConfig()
+	// The bounds on drains and on entries of returned servers are about two
+	// seconds, so members are watched more closely than the default.
+	cfg.HeartbeatInterval = 700 * time.Millisecond
+	cfg.SuspectAfter = 2500 * time.Millisecond
+	cfg.ConnectTimeout = 2 * time.Second
+	cfg.BackoffMax = 2 * time.Second
+	cfg.ZoneSilentAfter = 2 * time.Second
+	cfg.RejoinInterval = 3 * time.Second
+	cfg.ConnectsPerSecond = 10
+	cfg.ConnectBurst = 20
+	cfg.DigestInterval = 3 * time.Second
+	cfg.RequestTimeout = time.Second
+	return cfg
+}
+
+func (n *Node) newLinks() *link.Manager {
+	cfg := link.DefaultConfig()
+	cfg.Transport = n.peers
+	cfg.Node = n.set.Node
+	cfg.Self = func(to model.NodeID) message.Hello { return n.loop.hello(n.ctx, to) }
+	cfg.Welcome = func(h *message.Hello) *message.Welcome { return n.loop.welcome(n.ctx, h) }
+	cfg.HandshakeTimeout = time.Second
+	cfg.SendTimeout = 2 * time.Second
+	cfg.Logger = n.log
+	cfg.Metrics = n.metrics
+	return link.New(cfg)
+}
+
+// runLinks runs the links until ctx ends and then lets the event loop end.
+func (n *Node) runLinks(ctx context.Context) error {
+	defer close(n.loop.linksDone)
+	err := n.links.Run(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// announce tells the fleet what the host's backend server said. Nil withdraws
+// it.
+func (n *Node) announce(i *instance.Instance) {
+	a := member.Announce{Unready: n.pub.leaving.Load()}
+	if i != nil {
+		a.Service, a.Slots, a.Instance = i.Service, i.Slots, i.ID
+		a.Connections = i.Slots
+		a.Draining = i.State != instance.Ready
+	}
+	n.gate.Update()
+	n.loop.post(n.ctx, a)
+}
+
+const (
+	// storeTimeout bounds one call to the store that doesn't wait for changes.
+	storeTimeout = time.Second
+	// aloneRetry is the time between two looks for peers of a node that has
+	// none; spread by half.
+	aloneRetry = time.Second
+	// discoverCheck is the time between two looks whether the node is alone.
+	discoverCheck = 500 * time.Millisecond
+)
+
+// discover registers the node in the store and finds the others there. They
+// need the store for nothing else: who was found is remembered, and a node that
+// returns is called by its peers.
+func (n *Node) discover(ctx context.Context) error {
+	registered := false
+	for {
+		if !registered || n.alone(ctx) {
+			registered = n.lookUp(ctx, registered)
+		}
+		wait := discoverCheck
+		if !registered {
+			wait = aloneRetry/2 + rand.N(aloneRetry)
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// alone reports whether the node has no peer.
+func (n *Node) alone(ctx context.Context) bool {
+	alone := false
+	n.loop.ask(ctx, func() { alone = len(n.loop.member.Neighbours()) == 0 })
+	return alone
+}
+
+// lookUp makes one round and reports whether the node is registered. A node
+// writes before it reads, so that of two that start at once one finds the
+// other.
+func (n *Node) lookUp(ctx context.Context, registered bool) bool {
+	addr := n.peers.Addr()
+	if !registered && n.set.FirstStart {
+		registered = n.register(ctx, addr)
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	known, err := n.store.Registered(ctx)
+	if err != nil {
+		_ = level.Warn(n.log).Log("event", "nodes_unread", "err", err)
+		return registered
+	}
+	n.backends.drained(known.Drained[string(n.set.Node)])
+	if known.Addrs[string(n.set.Node)] == addr {
+		registered = true
+	}
+	seeds := make([]string, 0, len(known.Addrs))
+	for _, a := range known.Addrs {
+		seeds = append(seeds, a)
+	}
+	slices.Sort(seeds)
+	_ = level.Info(n.log).Log("event", "nodes_read", "nodes", len(seeds), "registered", registered)
+	n.loop.post(ctx, member.SeedsLearned{Addrs: seeds})
+	if registered {
+		return true
+	}
+	return n.register(ctx, addr)
+}
+
+func (n *Node) register(ctx context.Context, addr string) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := n.store.Register(ctx, string(n.set.Node), addr); err != nil {
+		_ = level.Warn(n.log).Log("event", "node_not_registered", "err", err)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/sidecar/loop.go
@@ -0,0 +1,230 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/jacinthgate/jacinthgate/coordination/attempt"
+	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/coordination/docsync"
+	"github.com/jacinthgate/jacinthgate/coordination/member"
+	"github.com/jacinthgate/jacinthgate/platform"
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/route"
+	"github.com/jacinthgate/jacinthgate/transport/inbound"
+	"github.com/jacinthgate/jacinthgate/transport/link"
+)
+
+const (
+	// tickInterval is the time between two Ticks of the cores, which ask for
+	// one at least every 100 ms.
+	tickInterval = 100 * time.Millisecond
+	// maxEvents bounds the events that wait for the loop.
+	maxEvents = 256
+)
+
+// loop is the event loop: it alone touches the control plane's cores.
+type loop struct {
+	self      endpoint.Record
+	log       log.Logger
+	pub       *published
+	events    chan core.Event
+	calls     chan func()
+	member    *member.Core
+	docs      *docsync.Core
+	links     *link.Manager
+	linksDone chan struct{}
+	reader    *reader
+	backends  *backends
+	picker    *balance.Picker
+	gate      *inbound.Gate
+	budget    *attempt.Budget
+	flush     *time.Timer
+}
+
+// run handles events until ctx ends.
+func (l *loop) run(ctx context.Context) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case ev := <-l.events:
+			l.step(ev)
+		case ev := <-l.links.Events():
+			l.step(ev)
+		case call := <-l.calls:
+			call()
+		case now := <-ticker.C:
+			l.backends.expire(now)
+			l.gate.Update()
+			l.step(core.Tick{})
+		case <-l.flush.C:
+			l.step(core.Tick{})
+		case <-ctx.Done():
+			l.drain()
+			return nil
+		}
+	}
+}
+
+// drain takes the links' last events, so that the links can end.
+func (l *loop) drain() {
+	for {
+		select {
+		case <-l.links.Events():
+		case <-l.linksDone:
+			return
+		}
+	}
+}
+
+// post hands an event to the loop. It blocks while the loop is behind, and
+// gives up when ctx ends.
+func (l *loop) post(ctx context.Context, ev core.Event) {
+	select {
+	case l.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// ask runs f on the loop's goroutine and waits for it. It reports false, and f
+// may never run, when ctx ends first.
+func (l *loop) ask(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	call := func() {
+		f()
+		close(done)
+	}
+	select {
+	case l.calls <- call:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// step gives one event to every core and carries out what follows.
+func (l *loop) step(ev core.Event) {
+	now := time.Now()
+	if up, ok := ev.(core.PeerUp); ok && up.Drained {
+		l.backends.drained(up.DrainedInstance)
+	}
+	l.carryOut(now, l.member.Step(now, ev))
+	l.carryOut(now, l.docs.Step(now, ev))
+	if due := l.member.FlushDue(); !due.IsZero() {
+		l.flush.Reset(due.Sub(now))
+	}
+}
+
+func (l *loop) carryOut(now time.Time, actions []core.Action) {
+	for _, a := range actions {
+		l.do(now, a)
+	}
+}
+
+// do carries out one action.
+func (l *loop) do(now time.Time, a core.Action) {
+	switch a := a.(type) {
+	case core.Send:
+		l.member.Sent(now, a.To)
+		if err := l.links.Send(a.To, a.Priority, a.Message); err != nil {
+			_ = level.Error(l.log).Log("event", "message_not_sent", "to", a.To, "kind", a.Message.Kind(), "err", err)
+		}
+	case core.Connect:
+		l.links.Connect(a.Node, a.Addr)
+	case core.Disconnect:
+		l.links.Disconnect(a.Node)
+	case member.TableChanged:
+		l.publishView()
+	case member.MembersChanged:
+		_ = level.Info(l.log).Log("event", "members_changed", "live", len(a.Live))
+		l.carryOut(now, l.docs.Step(now, docsync.Members{Live: a.Live}))
+	case member.IdentityConflict:
+		_ = level.Warn(l.log).Log("event", "identity_conflict", "incarnation", a.Incarnation)
+		l.carryOut(now, l.member.Step(now, member.Incarnate{Incarnation: a.Incarnation + 1}))
+	case member.Refused:
+		_ = level.Warn(l.log).Log("event", "record_refused", "from", a.From, "err", a.Err)
+	case docsync.SetReading:
+		_ = level.Info(l.log).Log("event", "store_reading", "on", a.On)
+		l.reader.set(a.On)
+	case docsync.Apply:
+		l.apply(now, a)
+	}
+}
+
+// publishView makes the backend servers visible to the path of a request.
+func (l *loop) publishView() {
+	v := l.member.Table().View()
+	l.pub.view.Store(v)
+	l.picker.Prune(v)
+	live := 0
+	l.member.Table().Each(func(r *endpoint.Record, _ model.NodeKey) bool {
+		if r.Live() {
+			live++
+		}
+		return true
+	})
+	l.budget.SetNodes(live)
+}
+
+// apply puts a configuration in force. One that can't be used is left out whole
+// and the one before it stays.
+func (l *loop) apply(now time.Time, a docsync.Apply) {
+	table, err := decode(a.Body)
+	if err != nil {
+		_ = level.Error(l.log).Log("event", "config_refused", "version", a.Version, "from", a.From, "err", err)
+		l.carryOut(now, l.docs.Step(now, docsync.Rejected{Version: a.Version}))
+		return
+	}
+	l.pub.table.Store(table)
+	_ = level.Info(l.log).Log("event", "config_applied", "version", a.Version, "from", a.From, "bytes", len(a.Body))
+}
+
+// decode reads the operators' configuration.
+func decode(body []byte) (*route.Table, error) {
+	c, err := platform.DecodeConfig(body)
+	if err != nil {
+		return nil, err
+	}
+	return route.NewTable(c, servicePolicy())
+}
+
+// hello returns the first message to a peer.
+func (l *loop) hello(ctx context.Context, to model.NodeID) message.Hello {
+	h := message.Hello{Protocol: message.ProtocolVersion, Record: l.self, To: to}
+	l.ask(ctx, func() {
+		h.Record = l.member.Self()
+		h.Digest = l.member.Digest()
+	})
+	return h
+}
+
+// welcome answers a Hello with what this node knows of its sender; nil refuses
+// the peer while the node stops.
+func (l *loop) welcome(ctx context.Context, h *message.Hello) *message.Welcome {
+	w := &message.Welcome{Protocol: message.ProtocolVersion}
+	known := l.ask(ctx, func() {
+		w.Record = l.member.Self()
+		w.Digest = l.member.Digest()
+		w.Incarnation = l.member.IncarnationOf(h.Record.Node)
+		before, held := l.member.Table().Get(h.Record.Node)
+		if held && before.Draining && before.Incarnation < h.Record.Incarnation {
+			w.Drained, w.DrainedInstance = true, before.Instance
+		}
+	})
+	if !known {
+		return nil
+	}
+	return w
+}
--- /dev/null
+++ b/internal/sidecar/settings.go
@@ -0,0 +1,173 @@
+// Package sidecar wires a node for the users' platform: one small process
+// beside each backend server, without disk, keys or an operator's interface of
+// its own. What must last lies in the platform's store.
+package sidecar
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/coordination/attempt"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// Settings are the settings of one node, in JSON. deploy/settings.json.tmpl
+// renders them. Fields that are not known are ignored.
+type Settings struct {
+	// Node is the node's unique name.
+	Node model.NodeID `json:"node"`
+	// Zone is the host's availability zone.
+	Zone model.Zone `json:"zone"`
+	// Region is the host's region.
+	Region model.Region `json:"region"`
+	// Service is the service of the host's backend server, until that says
+	// itself what it offers.
+	Service string `json:"service"`
+	// Listen are the addresses to listen on, each IP:port.
+	Listen Listen `json:"listen"`
+	// Store is the address of the platform's store, IP:port.
+	Store string `json:"store"`
+	// FirstStart says that the whole site starts for the first time.
+	FirstStart bool `json:"firstStart"`
+	// HeartbeatMillis is the time between two heartbeats of a backend server,
+	// in milliseconds.
+	HeartbeatMillis int `json:"heartbeatMillis"`
+	// MemoryMB is the memory above which the process is killed, in megabytes.
+	MemoryMB int `json:"memoryMB"`
+	// DrainMillis is how long after its goodbye a backend server still gets
+	// requests at the latest, in milliseconds.
+	DrainMillis int `json:"drainMillis"`
+	// GraceSeconds is the time from SIGTERM to SIGKILL, in seconds.
+	GraceSeconds float64 `json:"graceSeconds"`
+	// Retry bounds the repeats of the whole fleet.
+	Retry RetrySettings `json:"retry"`
+	// LogLevel is debug, info, warn or error; info without it.
+	LogLevel string `json:"logLevel"`
+
+	// content is the file as it was read.
+	content []byte
+}
+
+// Listen are a node's addresses.
+type Listen struct {
+	// Callers takes requests of the callers on this host.
+	Callers string `json:"callers"`
+	// Gate takes requests of other nodes.
+	Gate string `json:"gate"`
+	// Ready answers whether the node takes callers.
+	Ready string `json:"ready"`
+	// Backend takes the heartbeats of the host's backend server.
+	Backend string `json:"backend"`
+	// Peers takes control connections of other nodes.
+	Peers string `json:"peers"`
+	// Metrics serves metrics and profiles.
+	Metrics string `json:"metrics"`
+}
+
+// RetrySettings bound the repeats to one service, over the whole fleet.
+type RetrySettings struct {
+	// Ratio is how many repeats are allowed for each request.
+	Ratio float64 `json:"ratio"`
+	// WindowSeconds is the time over which they are counted, in seconds.
+	WindowSeconds float64 `json:"windowSeconds"`
+	// Slack is how many more are allowed in a window.
+	Slack float64 `json:"slack"`
+}
+
+// SettingsError reports settings that can't be used.
+type SettingsError struct {
+	// Field names the faulty field; empty where the file as a whole is.
+	Field string
+	// Reason says what was expected.
+	Reason string
+	// Err is the cause; it may be nil.
+	Err error
+}
+
+// Error implements error.
+func (e *SettingsError) Error() string {
+	text := "settings"
+	if e.Field != "" {
+		text += ": " + e.Field
+	}
+	if e.Reason != "" {
+		text += ": " + e.Reason
+	}
+	if e.Err != nil {
+		text += ": " + e.Err.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *SettingsError) Unwrap() error { return e.Err }
+
+// Load reads and checks a settings file. The error is a *SettingsError.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &SettingsError{Err: err}
+	}
+	return parse(b)
+}
+
+// parse decodes and checks settings.
+func parse(b []byte) (*Settings, error) {
+	s := &Settings{content: b}
+	if err := json.Unmarshal(b, s); err != nil {
+		return nil, &SettingsError{Err: err}
+	}
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Settings) check() error {
+	if s.Node == "" || s.Zone == "" {
+		return &SettingsError{Field: "node, zone", Reason: "must be given"}
+	}
+	addrs := []struct{ field, value string }{
+		{"listen.callers", s.Listen.Callers}, {"listen.gate", s.Listen.Gate}, {"listen.ready", s.Listen.Ready},
+		{"listen.backend", s.Listen.Backend}, {"listen.peers", s.Listen.Peers}, {"listen.metrics", s.Listen.Metrics},
+		{"store", s.Store},
+	}
+	for _, a := range addrs {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return &SettingsError{Field: a.field, Reason: "want IP:port", Err: err}
+		}
+	}
+	if s.HeartbeatMillis <= 0 || s.DrainMillis <= 0 || s.GraceSeconds <= 0 || s.MemoryMB <= 0 {
+		return &SettingsError{Field: "heartbeatMillis, drainMillis, graceSeconds, memoryMB", Reason: "must be above 0"}
+	}
+	if s.Retry.Ratio < 0 || s.Retry.WindowSeconds <= 0 || s.Retry.Slack < 0 {
+		return &SettingsError{Field: "retry", Reason: "ratio and slack must not be negative, windowSeconds above 0"}
+	}
+	return nil
+}
+
+// heartbeat is the time between two heartbeats of a backend server.
+func (s *Settings) heartbeat() time.Duration {
+	return time.Duration(s.HeartbeatMillis) * time.Millisecond
+}
+
+func (s *Settings) drain() time.Duration { return time.Duration(s.DrainMillis) * time.Millisecond }
+
+func (s *Settings) grace() time.Duration { return seconds(s.GraceSeconds) }
+
+// budget is the bound on repeats.
+func (s *Settings) budget() attempt.BudgetConfig {
+	return attempt.BudgetConfig{
+		Ratio:  s.Retry.Ratio,
+		Slack:  s.Retry.Slack,
+		Window: seconds(s.Retry.WindowSeconds),
+		Safety: retrySafety,
+	}
+}
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
+// ip returns the host's address, from which connections leave.
+func (s *Settings) ip() netip.Addr { return netip.MustParseAddrPort(s.Listen.Gate).Addr() }
--- /dev/null
+++ b/internal/sidecar/signals.go
@@ -0,0 +1,104 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/oklog/run"
+
+	"github.com/jacinthgate/jacinthgate/coordination/member"
+)
+
+const (
+	// noticeTime is how long a leaving node goes on taking what callers send:
+	// the platform asks once a second whether it is ready, and takes its
+	// callers away after two answers that it isn't.
+	noticeTime = 2600 * time.Millisecond
+	// exitMargin is the time before the end of the grace time at which the
+	// node ends in any case.
+	exitMargin = 600 * time.Millisecond
+	// farewellTime is how long the record that the node has left may take to
+	// reach the neighbours.
+	farewellTime = 50 * time.Millisecond
+	// reloadCheck is the time between two looks whether the settings file has
+	// changed: it may change without a signal.
+	reloadCheck = 5 * time.Second
+)
+
+// addSignals adds the part that waits for signals: SIGTERM ends the node,
+// SIGHUP reads the settings again.
+func (n *Node) addSignals(g *run.Group) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	stop := make(chan struct{})
+	execute := func() error {
+		check := time.NewTicker(reloadCheck)
+		defer check.Stop()
+		for {
+			select {
+			case <-stop:
+				return nil
+			case <-check.C:
+				n.reload("file changed")
+			case s := <-signals:
+				if s != syscall.SIGHUP {
+					n.shutdown(s)
+					return nil
+				}
+				n.reload("SIGHUP")
+			}
+		}
+	}
+	interrupt := func(error) {
+		signal.Stop(signals)
+		close(stop)
+	}
+	g.Add(execute, interrupt)
+}
+
+// reload reads the settings again if the file's content has changed. Addresses
+// stay as they were opened; faulty settings change nothing.
+func (n *Node) reload(cause string) {
+	content, err := os.ReadFile(n.path)
+	if err != nil {
+		_ = level.Warn(n.log).Log("event", "settings_unread", "err", err)
+		return
+	}
+	if bytes.Equal(content, n.set.content) {
+		return
+	}
+	set, err := parse(content)
+	if err != nil {
+		n.set.content = content // it is reported once
+		_ = level.Error(n.log).Log("event", "settings_refused", "cause", cause, "err", err)
+		return
+	}
+	n.budget.SetConfig(set.budget())
+	n.set.content = content
+	_ = n.log.Log("event", "settings_read", "cause", cause, "addresses_changed", set.Listen != n.set.Listen)
+}
+
+// shutdown withdraws the node first, goes on serving while the fleet and the
+// callers take notice, and then lets the requests in flight finish.
+func (n *Node) shutdown(s os.Signal) {
+	began := time.Now()
+	_ = n.log.Log("event", "shutdown_started", "signal", s)
+	n.pub.leaving.Store(true)
+	n.announce(n.pub.instance.Load())
+	time.Sleep(min(noticeTime, n.set.grace()/2))
+	ctx, cancel := context.WithDeadline(n.ctx, began.Add(n.set.grace()-exitMargin))
+	defer cancel()
+	err := n.callers.http.Shutdown(ctx)
+	// The gate ends last: requests of this host's callers may be using it.
+	if gateErr := n.gates.http.Shutdown(ctx); err == nil {
+		err = gateErr
+	}
+	n.loop.post(n.ctx, member.Leave{})
+	time.Sleep(farewellTime)
+	_ = n.log.Log("event", "shutdown_finished", "took", time.Since(began), "err", err)
+}
--- /dev/null
+++ b/protocol/dialect/dialect.go
@@ -0,0 +1,54 @@
+// Package dialect defines what a node needs to know of the headers by which
+// callers and backend servers of a site speak, whatever they are called there.
+package dialect
+
+import "time"
+
+// Header holds the headers of a message, under canonical names.
+type Header = map[string][]string
+
+// Dialect reads and writes a site's own headers. Implementations are safe for
+// concurrent use.
+type Dialect interface {
+	// RequestID returns the identifier that the caller gave its request; empty
+	// without one.
+	RequestID(h Header) string
+	// Wait returns how long the caller waits for its answer. given is false
+	// when it doesn't say. The error is typed; the request is malformed.
+	Wait(h Header) (wait time.Duration, given bool, err error)
+	// Mark sets the headers of a request to a backend server, whatever the
+	// caller has sent under their names.
+	Mark(h Header, m Marks)
+	// Foreign reports whether a response belongs to another request.
+	Foreign(request, response Header) bool
+	// Judge reads what a backend server's response says of the request.
+	Judge(status int, response Header) Verdict
+}
+
+// Marks are what a backend server is told about a request.
+type Marks struct {
+	// Remaining is the time that is left for the answer.
+	Remaining time.Duration
+	// Instance is the start of the backend server that is meant.
+	Instance string
+	// CallerService is the service of the host where the request began; empty
+	// when that isn't known.
+	CallerService string
+}
+
+// Verdict says what a response means for the request.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Ran is the backend server's own answer, a failure included.
+	Ran Verdict = iota
+	// Refused is a promise that the backend server did not and will not run
+	// the request.
+	Refused
+	// Misdirected is a refusal by another backend server than the one meant.
+	Misdirected
+	// Broken is a response that no backend server gives: the request may have
+	// run.
+	Broken
+)
--- a/protocol/message/kinds.go
+++ b/protocol/message/kinds.go
@@ -45,6 +45,18 @@
 // Kind implements Message.
 func (*Shares) Kind() Kind { return KindShares }
 
+// Kind implements Message.
+func (*Document) Kind() Kind { return KindDocument }
+
+// Kind implements Message.
+func (*DocumentAdvert) Kind() Kind { return KindDocumentAdvert }
+
+// Kind implements Message.
+func (*DocumentFetch) Kind() Kind { return KindDocumentFetch }
+
+// Kind implements Message.
+func (*ReaderBeacon) Kind() Kind { return KindReaderBeacon }
+
 // newOf returns an empty message of the kind, or nil for an unknown kind.
 func newOf(k Kind) Message {
 	switch k {
@@ -78,6 +90,14 @@
 		return new(Demand)
 	case KindShares:
 		return new(Shares)
+	case KindDocument:
+		return new(Document)
+	case KindDocumentAdvert:
+		return new(DocumentAdvert)
+	case KindDocumentFetch:
+		return new(DocumentFetch)
+	case KindReaderBeacon:
+		return new(ReaderBeacon)
 	default:
 		return nil
 	}
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -47,6 +47,17 @@
 	HeaderLoad = "Jacinthgate-Load"
 	// HeaderServedBy names the node whose backend server answered.
 	HeaderServedBy = "Jacinthgate-Served-By"
+	// HeaderInstance names the start of the backend server that the entry proxy
+	// meant; another one refuses the request.
+	HeaderInstance = "Jacinthgate-Instance"
+	// HeaderCaller names the service of the host where the request began.
+	HeaderCaller = "Jacinthgate-Caller"
+	// HeaderTarget carries the remaining milliseconds within which an answer is
+	// worth most; a gate lets no request wait past it.
+	HeaderTarget = "Jacinthgate-Target"
+	// HeaderReached is "1" on a gate's response when the request was sent to
+	// the backend server, whatever came of it.
+	HeaderReached = "Jacinthgate-Reached"
 	// HeaderIdempotencyKey is the caller's key of a request that must run at
 	// most once.
 	HeaderIdempotencyKey = "Idempotency-Key"
--- a/state/endpoint/digest.go
+++ b/state/endpoint/digest.go
@@ -97,6 +97,7 @@
 	b = appendText(b, r.PeerAddr)
 	b = appendText(b, r.GateAddr)
 	b = appendText(b, r.Service)
+	b = appendText(b, r.Instance)
 	b = binary.AppendUvarint(b, r.Incarnation)
 	b = binary.AppendUvarint(b, r.Sequence)
 	b = binary.AppendVarint(b, int64(r.Slots))
--- a/state/endpoint/record.go
+++ b/state/endpoint/record.go
@@ -51,6 +51,9 @@
 	Draining bool `json:"draining,omitempty" cbor:"12,keyasint,omitempty"`
 	// Unready says that the backend server or the node can't serve now.
 	Unready bool `json:"unready,omitempty" cbor:"13,keyasint,omitempty"`
+	// Instance identifies the start of the backend server, where it gives one;
+	// a request that names another instance is refused by the owner's gate.
+	Instance string `json:"instance,omitempty" cbor:"15,keyasint,omitempty"`
 	// Died is when the owner was found failed or left, in seconds of Unix
 	// time; 0 while it lives. Tombstones expire by it, so that passing one on
 	// doesn't prolong it. It takes no part in the order of records.
--- a/state/endpoint/validate.go
+++ b/state/endpoint/validate.go
@@ -60,6 +60,8 @@
 		return "region"
 	case len(r.Service) > model.MaxNameLength:
 		return "service"
+	case len(r.Instance) > model.MaxNameLength:
+		return "instance"
 	}
 	return ""
 }
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -23,6 +23,10 @@
 	// ContinueTimeout is how long to wait for "100 Continue" before the body
 	// is sent all the same.
 	ContinueTimeout time.Duration
+	// Foreign reports whether a response belongs to another request than req:
+	// a late second answer to an earlier one. It is read to its end and
+	// skipped. Nil holds every response to be the request's own.
+	Foreign func(req *http.Request, resp *http.Response) bool
 	// TLS is used for requests with the scheme "https". It needs a ServerName
 	// or a check of its own unless certificates name the IP address.
 	TLS *tls.Config
--- a/transport/forward/client_conn.go
+++ b/transport/forward/client_conn.go
@@ -4,6 +4,9 @@
 	"bufio"
 	"io"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -30,6 +33,9 @@
 	headLeft int64
 	// idleSince is when it became idle. The pool's lock guards it.
 	idleSince time.Time
+	// idleLimit is how long the server keeps the connection idle, less a
+	// margin; 0 when it didn't say.
+	idleLimit time.Duration
 
 	socket syscall.RawConn // nil where the connection is no socket
 	quiet  bool            // what look found
@@ -49,6 +55,33 @@
 	return c
 }
 
+// idleMargin is taken off the idle time that a server states: a request that
+// leaves just before the end may meet a closed connection.
+const idleMargin = 500 * time.Millisecond
+
+// statedIdle returns how long a server keeps an idle connection by its
+// Keep-Alive header, less idleMargin; 0 when it doesn't say.
+func statedIdle(h http.Header) time.Duration {
+	for _, line := range h["Keep-Alive"] {
+		for field := range strings.SplitSeq(line, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+			seconds, err := strconv.ParseUint(strings.TrimSpace(value), 10, 16)
+			if strings.EqualFold(name, "timeout") && err == nil {
+				return max(time.Duration(seconds)*time.Second-idleMargin, time.Nanosecond)
+			}
+		}
+	}
+	return 0
+}
+
+// fresh reports whether the server still keeps the connection by its own word.
+func (c *clientConn) fresh(idle, timeout time.Duration) bool {
+	if c.idleLimit > 0 {
+		timeout = min(timeout, c.idleLimit)
+	}
+	return idle < timeout
+}
+
 // usable reports whether an idle connection is still open and silent. A server
 // that has closed it, or has sent what nobody asked for, makes it unusable.
 func (c *clientConn) usable() bool {
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -20,6 +20,10 @@
 	outcome.HeaderServedBy,
 	outcome.HeaderOutcome,
 	outcome.HeaderReason,
+	outcome.HeaderInstance,
+	outcome.HeaderCaller,
+	outcome.HeaderTarget,
+	outcome.HeaderReached,
 }
 
 // StripNodeHeaders removes what only nodes may set, whoever sent it.
--- a/transport/forward/pool.go
+++ b/transport/forward/pool.go
@@ -35,7 +35,7 @@
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idleSince) < p.timeout && c.usable() {
+		if c.fresh(time.Since(c.idleSince), p.timeout) && c.usable() {
 			return c
 		}
 		c.close()
--- a/transport/forward/trip.go
+++ b/transport/forward/trip.go
@@ -21,6 +21,8 @@
 	upload *upload
 	body   io.ReadCloser // the response's, below the trip itself
 	err    error         // what reading the body ended with
+	// spoiled keeps the connection from being used again.
+	spoiled bool
 }
 
 // past is a deadline that ends all reading and writing.
@@ -47,6 +49,7 @@
 	if x.upload != nil {
 		x.upload.answered()
 	}
+	x.conn.idleLimit = statedIdle(resp.Header)
 	if resp.Body == http.NoBody {
 		x.end(!resp.Close)
 		return resp, nil
@@ -70,6 +73,10 @@
 		switch {
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, &ProtocolError{What: "upgrade that nobody asked for"}
+		case resp.StatusCode >= http.StatusOK && x.foreign(resp):
+			if err := x.skip(resp); err != nil {
+				return nil, err
+			}
 		case resp.StatusCode >= http.StatusOK:
 			x.conn.headLeft = 0
 			return resp, nil
@@ -82,6 +89,24 @@
 	return nil, &ProtocolError{What: "too many interim responses"}
 }
 
+func (x *trip) foreign(resp *http.Response) bool {
+	return x.client.cfg.Foreign != nil && x.client.cfg.Foreign(x.req, resp)
+}
+
+// skip reads a response that belongs to another request. A server that sends
+// such ones is not trusted with a further request on this connection.
+func (x *trip) skip(resp *http.Response) error {
+	x.spoiled = true
+	x.conn.headLeft = 0
+	_, err := io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close() // it was read to its end
+	x.conn.headLeft = maxResponseHead + 1
+	if err == nil && resp.Close {
+		err = &ProtocolError{What: "the connection ends with the answer to another request"}
+	}
+	return err
+}
+
 func (x *trip) proceed() {
 	if x.upload != nil {
 		x.upload.proceed()
@@ -103,7 +128,7 @@
 // end gives the connection back, or closes it unless all of the request and
 // its response have passed over it.
 func (x *trip) end(reuse bool) {
-	reuse = reuse && (x.upload == nil || x.upload.whole())
+	reuse = reuse && !x.spoiled && (x.upload == nil || x.upload.whole())
 	watched := x.stop()
 	if reuse && watched && x.conn.br.Buffered() == 0 {
 		x.client.pool.put(x.conn)
--- a/transport/gate/gate.go
+++ b/transport/gate/gate.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -167,7 +166,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
 	defer cancel()
-	if refusal = g.acquire(ctx, call, now); refusal != nil {
+	if refusal = g.acquire(ctx, call); refusal != nil {
 		g.refuse(w, refusal)
 		return
 	}
@@ -218,41 +217,14 @@
 }
 
 // acquire takes a slot, waiting for one if need be.
-func (g *Gate) acquire(ctx context.Context, c call, now time.Time) *forward.Refusal {
-	if g.core.Try(c.kind, c.deadline, now) {
-		return nil
-	}
-	settled := make(chan outcome.Reason, 1)
-	w := &core.Waiter{Kind: c.kind, Deadline: c.deadline}
-	w.Settle = func(reason outcome.Reason) { settled <- reason }
-	acquired, reason := g.core.Acquire(w, now)
-	if acquired {
-		return nil
-	}
-	if reason == "" {
-		reason = g.wait(ctx, w, settled)
-	}
+func (g *Gate) acquire(ctx context.Context, c call) *forward.Refusal {
+	reason := g.core.Enter(ctx, c.kind, c.deadline, g.cfg.Now)
 	if reason == "" {
 		return nil
 	}
 	return g.notRun(reason, "the gate could not give the request a slot")
 }
 
-func (g *Gate) wait(ctx context.Context, w *core.Waiter, settled <-chan outcome.Reason) outcome.Reason {
-	select {
-	case reason := <-settled:
-		return reason
-	case <-ctx.Done():
-	}
-	if !g.core.Cancel(w) && <-settled == "" {
-		g.core.Release(w.Kind, 0, g.cfg.Now())
-	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return outcome.ReasonDeadline
-	}
-	return outcome.ReasonCancelled
-}
-
 func (g *Gate) notRun(reason outcome.Reason, detail string) *forward.Refusal {
 	r := forward.NotRun(reason, detail)
 	r.RetryAfter = g.cfg.RetryAfter
--- /dev/null
+++ b/transport/inbound/gate.go
@@ -0,0 +1,298 @@
+// Package inbound is the last hop in front of a host's own backend server, on a
+// site whose backend servers have incarnations of their own. It admits requests
+// to the backend server's slots and refuses with certainty: what it refuses has
+// not run. It is also used in the process itself, as an http.RoundTripper, by
+// requests that begin on the same host.
+package inbound
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	core "github.com/jacinthgate/jacinthgate/coordination/gate"
+	"github.com/jacinthgate/jacinthgate/protocol/dialect"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/instance"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+)
+
+// Config configures a Gate.
+type Config struct {
+	// Instance returns the backend server on this host, or nil. It is one
+	// atomic load.
+	Instance func() *instance.Instance
+	// Connections returns how many connections a backend server of a service
+	// accepts; 0 when that isn't known.
+	Connections func(service string) int
+	// Dialect speaks with the backend server.
+	Dialect dialect.Dialect
+	// Backend sends to the backend server.
+	Backend *forward.Client
+	// DrainGrace is how long a leaving backend server still takes requests that
+	// other nodes have sent before they knew.
+	DrainGrace time.Duration
+	// AnswerGrace is how long past its deadline a request is left to the
+	// backend server, which answers a late request by itself.
+	AnswerGrace time.Duration
+	// Unreachable is told when a connection to the backend server is refused.
+	Unreachable func(id string)
+	// Replaced is told when another backend server has the address.
+	Replaced func(id string)
+	// Metrics is the set that metrics are registered in.
+	Metrics *metrics.Set
+	// Logger gets one line for each event.
+	Logger log.Logger
+	// Now is the clock.
+	Now func() time.Time
+}
+
+// Gate admits requests to the backend server on this host. It is safe for
+// concurrent use.
+type Gate struct {
+	cfg      Config
+	core     *core.Gate
+	refusals sync.Map // outcome.Reason -> *metrics.Counter
+}
+
+// New returns a gate. Update must be called for it to let requests in.
+func New(cfg Config) *Gate {
+	g := &Gate{cfg: cfg, core: core.New()}
+	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots_used", func() float64 { return float64(g.core.Load().Used) })
+	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots", func() float64 { return float64(g.core.Load().Slots) })
+	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_queued", func() float64 { return float64(g.core.Load().Queued) })
+	return g
+}
+
+// Load returns the gate's load.
+func (g *Gate) Load() core.Load { return g.core.Load() }
+
+// queuePerSlot bounds the requests that wait, for each slot of the backend
+// server: more would wait past any useful time.
+const queuePerSlot = 4
+
+// Update takes over what is known of the backend server. Call it after each
+// change and about every 100 ms.
+func (g *Gate) Update() {
+	l := core.Limits{Draining: true}
+	now := g.cfg.Now()
+	if i := g.cfg.Instance(); i != nil {
+		l.Slots = i.Slots
+		l.Connections = i.Slots
+		if n := g.cfg.Connections(i.Service); n > 0 {
+			l.Connections = n
+		}
+		l.QueueLength = queuePerSlot * i.Slots
+		l.Draining = g.left(i, now)
+	}
+	g.core.Update(l, now)
+	g.core.Tick(now)
+}
+
+// left reports whether the backend server takes no further requests.
+func (g *Gate) left(i *instance.Instance, now time.Time) bool {
+	return i.State != instance.Ready && now.Sub(i.DrainSince) >= g.cfg.DrainGrace
+}
+
+// ServeHTTP implements http.Handler, for requests of other nodes. A response
+// that breaks off makes it panic with http.ErrAbortHandler.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var body = r.Body
+	if r.ContentLength != 0 {
+		body = forward.NewStreamBody(w, r)
+	}
+	in := forward.NewRequest(r.Context(), r, "http", "", body, r.ContentLength)
+	resp, err := g.RoundTrip(in)
+	if err != nil {
+		panic(http.ErrAbortHandler) // RoundTrip answers every failure itself
+	}
+	if err := forward.Relay(w, resp); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// call is what the gate knows of a request.
+type call struct {
+	kind     model.ClassKind
+	deadline time.Time
+	target   time.Time
+	instance *instance.Instance
+}
+
+// RoundTrip implements http.RoundTripper. Every failure is an answer with node
+// headers; the error is always nil. The response's body must be closed.
+func (g *Gate) RoundTrip(req *http.Request) (*http.Response, error) {
+	now := g.cfg.Now()
+	c, reason := g.check(req, now)
+	if reason != "" {
+		return g.refuse(req, reason, false), nil
+	}
+	waitCtx, cancelWait := context.WithDeadline(req.Context(), c.deadline)
+	reason = g.core.Enter(waitCtx, c.kind, c.target, g.cfg.Now)
+	cancelWait()
+	if reason != "" {
+		return g.refuse(req, reason, false), nil
+	}
+	// The backend server may have left while the request waited.
+	if i := g.cfg.Instance(); i == nil || i.ID != c.instance.ID || g.left(i, g.cfg.Now()) {
+		g.core.Release(c.kind, 0, g.cfg.Now())
+		return g.refuse(req, outcome.ReasonDraining, false), nil
+	}
+	return g.send(req, c), nil
+}
+
+// check reads the node headers and refuses what can't be sent.
+func (g *Gate) check(req *http.Request, now time.Time) (call, outcome.Reason) {
+	h := req.Header
+	c := call{kind: model.ClassKind(h.Get(outcome.HeaderKind)), instance: g.cfg.Instance()}
+	i := c.instance
+	switch {
+	case i == nil:
+		return c, outcome.ReasonNoEndpoint
+	case i.Service != h.Get(outcome.HeaderService), i.ID != h.Get(outcome.HeaderInstance):
+		return c, outcome.ReasonWrongService
+	case g.left(i, now):
+		return c, outcome.ReasonDraining
+	}
+	left, given, err := forward.HeaderInt(h, outcome.HeaderDeadline)
+	if err != nil || !given {
+		return c, outcome.ReasonMalformed
+	}
+	c.deadline = now.Add(time.Duration(left) * time.Millisecond)
+	target, given, err := forward.HeaderInt(h, outcome.HeaderTarget)
+	if err != nil {
+		return c, outcome.ReasonMalformed
+	}
+	c.target = c.deadline
+	if given {
+		c.target = now.Add(time.Duration(target) * time.Millisecond)
+	}
+	return c, ""
+}
+
+// send sends the request to the backend server. The request holds a slot.
+func (g *Gate) send(req *http.Request, c call) *http.Response {
+	started := g.cfg.Now()
+	ctx, cancel := context.WithDeadline(req.Context(), c.deadline.Add(g.cfg.AnswerGrace))
+	out := req.WithContext(ctx)
+	url := *req.URL
+	url.Scheme, url.Host = "http", c.instance.Addr
+	out.URL = &url
+	caller := req.Header.Get(outcome.HeaderCaller)
+	forward.StripNodeHeaders(out.Header)
+	delete(out.Header, outcome.HeaderDeadline)
+	g.cfg.Dialect.Mark(out.Header, dialect.Marks{
+		Remaining:     c.deadline.Sub(started),
+		Instance:      c.instance.ID,
+		CallerService: caller,
+	})
+	done := func(took time.Duration) {
+		cancel()
+		g.core.Release(c.kind, took, g.cfg.Now())
+	}
+	resp, err := forward.Send(g.cfg.Backend, out, nil)
+	if err != nil {
+		done(0)
+		return g.failed(req, c, err)
+	}
+	return g.judge(req, c, resp, started, done)
+}
+
+// judge reads the backend server's response. It holds the slot until the body
+// has ended.
+func (g *Gate) judge(req *http.Request, c call, resp *http.Response, started time.Time, done func(time.Duration)) *http.Response {
+	switch g.cfg.Dialect.Judge(resp.StatusCode, resp.Header) {
+	case dialect.Ran:
+		h := resp.Header
+		forward.StripNodeHeaders(h)
+		h[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
+		h[outcome.HeaderReached] = reachedValue
+		resp.Body = &slotBody{ReadCloser: resp.Body, done: func() { done(g.cfg.Now().Sub(started)) }}
+		g.stamp(h)
+		return resp
+	case dialect.Misdirected:
+		forward.Drain(resp)
+		done(0)
+		g.cfg.Replaced(c.instance.ID)
+		return g.refuse(req, outcome.ReasonWrongService, true)
+	case dialect.Refused:
+		forward.Drain(resp)
+		done(0)
+		return g.refuse(req, outcome.ReasonBackendRefused, true)
+	default:
+		_ = resp.Body.Close() // what it holds is of no use
+		done(0)
+		return g.unknown(req, outcome.ReasonBackendFailed)
+	}
+}
+
+// failed answers a request that got no response.
+func (g *Gate) failed(req *http.Request, c call, err error) *http.Response {
+	sent := wasSent(err)
+	if !sent && req.Context().Err() == nil {
+		g.cfg.Unreachable(c.instance.ID)
+	}
+	reason := outcome.ReasonBackendFailed
+	switch {
+	case req.Context().Err() != nil:
+		reason = outcome.ReasonCancelled
+	case !g.cfg.Now().Before(c.deadline):
+		reason = outcome.ReasonDeadline
+	}
+	_ = g.cfg.Logger.Log("event", "backend_send_failed", "request", g.cfg.Dialect.RequestID(req.Header),
+		"instance", c.instance.ID, "sent", sent, "reason", reason, "err", err)
+	if !sent {
+		return g.refuse(req, reason, false)
+	}
+	return g.unknown(req, reason)
+}
+
+// refuse answers that the request was not run.
+func (g *Gate) refuse(req *http.Request, reason outcome.Reason, reached bool) *http.Response {
+	g.counter(reason).Inc()
+	return g.answer(req, http.StatusServiceUnavailable, outcome.NotRun, reason, reached)
+}
+
+// unknown answers that the request may have run.
+func (g *Gate) unknown(req *http.Request, reason outcome.Reason) *http.Response {
+	g.counter(reason).Inc()
+	return g.answer(req, http.StatusBadGateway, outcome.Unknown, reason, true)
+}
+
+var reachedValue = []string{"1"}
+
+func (g *Gate) answer(req *http.Request, status int, o outcome.Outcome, reason outcome.Reason, reached bool) *http.Response {
+	h := make(http.Header, 8)
+	h[outcome.HeaderOutcome] = []string{string(o)}
+	h[outcome.HeaderReason] = []string{string(reason)}
+	if reached {
+		h[outcome.HeaderReached] = reachedValue
+	}
+	g.stamp(h)
+	return &http.Response{
+		StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: h, Body: http.NoBody, Request: req,
+	}
+}
+
+// counter returns the counter of refusals for a reason.
+func (g *Gate) counter(reason outcome.Reason) *metrics.Counter {
+	if c, ok := g.refusals.Load(reason); ok {
+		return c.(*metrics.Counter)
+	}
+	c := g.cfg.Metrics.GetOrCreateCounter(`jacinthgate_inbound_refusals_total{reason="` + string(reason) + `"}`)
+	g.refusals.Store(reason, c)
+	return c
+}
+
+// stamp tells the load with every answer.
+func (g *Gate) stamp(h http.Header) {
+	l := g.core.Load()
+	h[outcome.HeaderLoad] = []string{strconv.Itoa(l.Used) + "/" + strconv.Itoa(max(1, l.Slots)) + "/" + strconv.Itoa(l.Queued)}
+}
--- a/transport/link/handshake.go
+++ b/transport/link/handshake.go
@@ -43,6 +43,7 @@
 	up := core.PeerUp{
 		Record: w.Record, Held: w.Held, Ready: w.Ready, Digest: w.Digest,
 		Welcomed: true, Answered: true, LastHeld: w.LastHeld, Incarnation: w.Incarnation, Drained: w.Drained,
+		DrainedInstance: w.DrainedInstance,
 	}
 	return &link{conn: c, dialled: true, up: up}, nil
 }
--- a/transport/link/kinds.go
+++ b/transport/link/kinds.go
@@ -19,6 +19,10 @@
 	message.KindRecordsRequest: "records_request",
 	message.KindDemand:         "demand",
 	message.KindShares:         "shares",
+	message.KindDocument:       "document",
+	message.KindDocumentAdvert: "document_advert",
+	message.KindDocumentFetch:  "document_fetch",
+	message.KindReaderBeacon:   "reader_beacon",
 }
 
 func kindName(k message.Kind) string {
@@ -36,6 +40,12 @@
 		return "beacon/" + string(m.Zone)
 	case *message.Advert:
 		return "advert"
+	case *message.Document:
+		return "document"
+	case *message.DocumentAdvert:
+		return "document_advert"
+	case *message.ReaderBeacon:
+		return "reader_beacon/" + string(m.Reader)
 	case *message.ZoneStatus:
 		return "zone_status/" + string(m.Zone)
 	case *message.Digest:
--- /dev/null
+++ b/transport/outbound/exchange.go
@@ -0,0 +1,322 @@
+package outbound
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/coordination/attempt"
+	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/route"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+)
+
+// exchange is one caller's request and its attempts.
+type exchange struct {
+	p       *Proxy
+	w       http.ResponseWriter
+	r       *http.Request
+	route   *route.Route
+	service *model.Service
+	began   time.Time
+	// deadline ends the request: the earlier of the caller's and the route's.
+	deadline time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wait     time.Duration // what the caller said it waits
+
+	body   []byte // the whole body, when it is kept
+	kept   bool
+	stream *forward.StreamBody // the body when it is not kept
+
+	progress attempt.Progress
+	tried    balance.Tried
+	// worst is the outcome that tells most: unknown once any attempt was.
+	worst  outcome.Outcome
+	reason outcome.Reason
+	// failure is a backend server's own failure that is kept while another
+	// attempt is made.
+	failure *answer
+}
+
+// answer is a whole response of a backend server.
+type answer struct {
+	resp *http.Response
+	body []byte
+}
+
+func newExchange(p *Proxy, w http.ResponseWriter, r *http.Request, t *route.Table, found *route.Route, began time.Time) *exchange {
+	x := &exchange{p: p, w: w, r: r, route: found, began: began, worst: outcome.NotRun}
+	x.service = t.Service(found.Pick(p.rand.Float64()))
+	x.deadline = began.Add(found.Timeout)
+	x.progress = attempt.Progress{Repeatable: found.Repeatable(), Attempts: found.Attempts}
+	x.ctx, x.cancel = r.Context(), func() {}
+	return x
+}
+
+// run makes attempts until one is answered and relayed, or none may follow.
+func (x *exchange) run() *refusal {
+	wait, given, err := x.p.cfg.Dialect.Wait(x.r.Header)
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: outcome.ReasonMalformed}
+	}
+	x.wait = x.route.Timeout
+	if given {
+		x.wait = wait
+		if d := x.began.Add(wait); d.Before(x.deadline) {
+			x.deadline = d
+		}
+	}
+	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline.Add(callerGrace))
+	if refused := x.keepBody(); refused != nil {
+		return refused
+	}
+	x.p.cfg.Budget.Request(x.began, x.service.Name)
+	for {
+		if x.attempt() {
+			return nil
+		}
+		if !x.again() {
+			return x.conclude()
+		}
+	}
+}
+
+// callerGrace is how long past the deadline an answer may still arrive from
+// the gate: the backend server's own late failure tells the caller more.
+const callerGrace = 60 * time.Millisecond
+
+// keepBody reads a small body before anything is sent, so that it can be sent
+// again and a slow caller holds no slot. Other bodies are streamed.
+func (x *exchange) keepBody() *refusal {
+	r := x.r
+	switch {
+	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
+		x.kept = true
+		return nil
+	case r.ContentLength > x.p.cfg.MaxKept, r.Header["Expect"] != nil:
+		x.stream = forward.NewStreamBody(x.w, r)
+		return nil
+	case r.ContentLength < 0:
+		return x.keepChunked()
+	}
+	x.body = make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, x.body); err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: outcome.ReasonCancelled}
+	}
+	x.kept = true
+	return nil
+}
+
+// keepChunked keeps a body of unknown length if it turns out to be small.
+func (x *exchange) keepChunked() *refusal {
+	head, err := io.ReadAll(io.LimitReader(x.r.Body, x.p.cfg.MaxKept+1))
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: outcome.ReasonCancelled}
+	}
+	if int64(len(head)) <= x.p.cfg.MaxKept {
+		x.body, x.kept = head, true
+		return nil
+	}
+	rest := x.r.Body
+	x.r.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(head), rest), rest}
+	x.stream = forward.NewStreamBody(x.w, x.r)
+	return nil
+}
+
+// attempt sends the request once and reports whether it was answered.
+func (x *exchange) attempt() bool {
+	now := x.p.cfg.Now()
+	x.progress.Sends++
+	choice, err := x.p.cfg.Balance.Pick(now, x.service, x.candidates(), &x.tried)
+	if err != nil {
+		x.progress.Sends = x.p.cfg.Policy.MaxSends // there is nobody else to ask
+		x.note(outcome.NotRun, outcome.ReasonNoEndpoint)
+		return false
+	}
+	x.tried.Add(choice.Record.Node)
+	rt := x.p.cfg.Remote
+	if choice.Record.Node == x.p.cfg.Self {
+		rt = x.p.cfg.Local
+	}
+	resp, opening, err := forward.SendTimed(rt, x.request(choice.Record, now), nil)
+	took := max(0, x.p.cfg.Now().Sub(now)-opening)
+	if err != nil {
+		x.sendFailed(choice, err)
+		return false
+	}
+	return x.take(choice, resp, took)
+}
+
+func (x *exchange) candidates() []endpoint.Record {
+	if view := x.p.cfg.View(); view != nil {
+		return view.Service(x.service.Name)
+	}
+	return nil
+}
+
+// request builds the request to the gate of the chosen backend server.
+func (x *exchange) request(to *endpoint.Record, now time.Time) *http.Request {
+	var body io.ReadCloser
+	length := x.r.ContentLength
+	switch {
+	case !x.kept:
+		body = x.stream
+	case len(x.body) > 0:
+		body = forward.NewKeptBody(x.body)
+		length = int64(len(x.body))
+	}
+	out := forward.NewRequest(x.ctx, x.r, "http", to.GateAddr, body, length)
+	h := out.Header
+	forward.StripNodeHeaders(h)
+	left := max(1, x.deadline.Sub(now).Milliseconds())
+	target := max(1, x.began.Add(x.route.Target).Sub(now).Milliseconds())
+	v := [...]string{
+		strconv.FormatInt(left, 10),
+		string(x.route.Kind),
+		x.service.Name,
+		to.Instance,
+		x.p.cfg.CallerService(),
+		strconv.FormatInt(min(left, target), 10),
+	}
+	h[outcome.HeaderDeadline] = v[0:1:1]
+	h[outcome.HeaderKind] = v[1:2:2]
+	h[outcome.HeaderService] = v[2:3:3]
+	h[outcome.HeaderInstance] = v[3:4:4]
+	h[outcome.HeaderCaller] = v[4:5:5]
+	h[outcome.HeaderTarget] = v[5:6:6]
+	return out
+}
+
+// sendFailed notes an attempt that got no response from the gate.
+func (x *exchange) sendFailed(choice balance.Choice, err error) {
+	var send *forward.SendError
+	sent := !errors.As(err, &send) || send.Sent
+	verdict, out := balance.Failed, outcome.NotRun
+	if sent {
+		out = outcome.Unknown
+		x.progress.Reached++
+	}
+	reason := outcome.ReasonBackendFailed
+	switch {
+	case x.r.Context().Err() != nil:
+		reason, verdict = outcome.ReasonCancelled, balance.Cancelled
+	case x.ctx.Err() != nil:
+		reason = outcome.ReasonDeadline
+	}
+	choice.Done(x.p.cfg.Now(), balance.Result{Outcome: verdict})
+	x.note(out, reason)
+	_ = x.p.cfg.Logger.Log("event", "gate_send_failed", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
+		"node", choice.Record.Node, "instance", choice.Record.Instance, "sent", sent, "err", err)
+}
+
+// take reads the gate's response and reports whether it answers the request.
+func (x *exchange) take(choice balance.Choice, resp *http.Response, took time.Duration) bool {
+	h := resp.Header
+	result := balance.Result{Latency: took}
+	if l, err := balance.ParseLoad(h.Get(outcome.HeaderLoad)); err == nil {
+		result.Load = &l
+	}
+	if h[outcome.HeaderReached] != nil {
+		x.progress.Reached++
+	}
+	if outcome.Outcome(h.Get(outcome.HeaderOutcome)) == outcome.Answered {
+		return x.relay(choice, resp, result)
+	}
+	reason := outcome.Reason(h.Get(outcome.HeaderReason))
+	out := outcome.Unknown
+	result.Outcome = balance.Failed
+	if outcome.Outcome(h.Get(outcome.HeaderOutcome)) == outcome.NotRun {
+		out = outcome.NotRun
+		result.Outcome = refusedAs(reason)
+	}
+	forward.Drain(resp)
+	choice.Done(x.p.cfg.Now(), result)
+	x.note(out, reason)
+	return false
+}
+
+// refusedAs says what a gate's refusal tells about its backend server.
+func refusedAs(reason outcome.Reason) balance.Outcome {
+	if reason == outcome.ReasonDeadline || reason == outcome.ReasonCancelled {
+		return balance.Cancelled
+	}
+	return balance.NotRun
+}
+
+// note keeps the outcome that tells most.
+func (x *exchange) note(o outcome.Outcome, reason outcome.Reason) {
+	x.progress.Last = o
+	if o == outcome.Unknown || x.worst == outcome.NotRun {
+		x.reason = reason
+	}
+	if o == outcome.Unknown {
+		x.worst = outcome.Unknown
+	}
+}
+
+// again reports whether another attempt is made.
+func (x *exchange) again() bool {
+	if x.ctx.Err() != nil {
+		return false
+	}
+	if !x.kept {
+		left := x.stream.Reclaim()
+		if left == nil {
+			return false
+		}
+		x.stream = left
+	}
+	now := x.p.cfg.Now()
+	x.progress.Left = x.deadline.Sub(now)
+	switch x.p.cfg.Policy.Next(x.progress) {
+	case attempt.Resend:
+		return true
+	case attempt.Repeat:
+		return x.p.cfg.Budget.Repeat(now, x.service.Name)
+	default:
+		return false
+	}
+}
+
+// conclude answers a request that no attempt has answered. Nil means that a
+// backend server's own failure was passed on.
+func (x *exchange) conclude() *refusal {
+	if x.failure != nil {
+		x.deliver(x.failure)
+		return nil
+	}
+	switch {
+	case x.worst == outcome.NotRun:
+		return &refusal{status: http.StatusServiceUnavailable, reason: x.reason, after: x.comeBack()}
+	case !x.p.cfg.Now().Before(x.deadline):
+		return &refusal{status: http.StatusGatewayTimeout, reason: outcome.ReasonDeadline}
+	default:
+		return &refusal{status: http.StatusBadGateway, reason: x.reason}
+	}
+}
+
+// Bounds of Retry-After, as parts of the time that the caller has left. Callers
+// keep to a third of it at most; the spread keeps those refused together from
+// coming back together.
+const (
+	comeBackLeast  = 0.08
+	comeBackSpread = 0.22
+)
+
+// comeBack returns when a refused caller should come back.
+func (x *exchange) comeBack() time.Duration {
+	left := x.began.Add(x.wait).Sub(x.p.cfg.Now())
+	part := comeBackLeast + comeBackSpread*x.p.rand.Float64()
+	return max(time.Duration(float64(left)*part), time.Millisecond)
+}
--- /dev/null
+++ b/transport/outbound/proxy.go
@@ -0,0 +1,148 @@
+// Package outbound is where requests of the callers on a host enter the mesh.
+// It finds a request's route, picks a backend server, sends the request to the
+// gate in front of it, and repeats it elsewhere where that is allowed.
+package outbound
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+
+	"github.com/jacinthgate/jacinthgate/coordination/attempt"
+	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/coordination/random"
+	"github.com/jacinthgate/jacinthgate/protocol/dialect"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/route"
+)
+
+// Config configures a Proxy.
+type Config struct {
+	// Self is this node.
+	Self model.NodeID
+	// Table returns the routes in force, or nil when none are held. It is one
+	// atomic load.
+	Table func() *route.Table
+	// View returns the backend servers. It is one atomic load.
+	View func() *endpoint.View
+	// CallerService returns the service of the backend server on this host.
+	CallerService func() string
+	// Leaving reports whether callers are to use other connections.
+	Leaving func() bool
+	// Balance picks backend servers.
+	Balance *balance.Picker
+	// Policy bounds the attempts.
+	Policy attempt.Policy
+	// Budget bounds the repeats.
+	Budget *attempt.Budget
+	// Dialect speaks with callers.
+	Dialect dialect.Dialect
+	// Local sends to this host's own gate, Remote to those of other nodes.
+	Local  http.RoundTripper
+	Remote http.RoundTripper
+	// MaxKept is the size up to which bodies are kept, in bytes: of requests,
+	// so that they can be sent again, and of responses, so that one that breaks
+	// off can be replaced.
+	MaxKept int64
+	// Seed seeds the random choices.
+	Seed uint64
+	// Metrics is the set that metrics are registered in.
+	Metrics *metrics.Set
+	// Logger gets one line for each event.
+	Logger log.Logger
+	// Now is the clock.
+	Now func() time.Time
+}
+
+// Proxy serves callers. It is safe for concurrent use.
+type Proxy struct {
+	cfg      Config
+	rand     *random.Source
+	outcomes sync.Map // label -> *metrics.Counter
+	times    sync.Map // class -> *metrics.Histogram
+}
+
+// New returns a proxy.
+func New(cfg Config) *Proxy { return &Proxy{cfg: cfg, rand: random.New(cfg.Seed)} }
+
+// noTableRetry is when a caller may come back to a node that holds no routes
+// yet: a started node usually holds them within half a second.
+const noTableRetry = 500 * time.Millisecond
+
+// ServeHTTP implements http.Handler. A response that breaks off makes it panic
+// with http.ErrAbortHandler.
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := p.cfg.Now()
+	if p.cfg.Leaving() {
+		w.Header()["Connection"] = closeValue
+	}
+	table := p.cfg.Table()
+	if table == nil {
+		p.reject(w, r, refusal{status: http.StatusServiceUnavailable, reason: outcome.ReasonNotReady, after: noTableRetry})
+		return
+	}
+	found := table.Lookup(r.Host, r.URL.EscapedPath())
+	if found == nil {
+		p.reject(w, r, refusal{status: http.StatusNotFound, reason: outcome.ReasonNoRoute})
+		return
+	}
+	if n := table.Limits().BodyBytes; n > 0 && r.ContentLength > n {
+		p.reject(w, r, refusal{status: http.StatusRequestEntityTooLarge, reason: outcome.ReasonTooLarge})
+		return
+	}
+	x := newExchange(p, w, r, table, found, began)
+	defer x.cancel()
+	if refused := x.run(); refused != nil {
+		p.reject(w, r, *refused)
+	}
+	p.observe(found, p.cfg.Now().Sub(began))
+}
+
+var closeValue = []string{"close"}
+
+// refusal is an answer that doesn't come from a backend server.
+type refusal struct {
+	status int
+	reason outcome.Reason
+	// after is when to come back; 0 says nothing about it.
+	after time.Duration
+}
+
+// reject answers with a refusal.
+func (p *Proxy) reject(w http.ResponseWriter, r *http.Request, f refusal) {
+	p.count(f.status, f.reason)
+	_ = p.cfg.Logger.Log("event", "request_refused", "request", p.cfg.Dialect.RequestID(r.Header),
+		"host", r.Host, "path", r.URL.Path, "status", f.status, "reason", f.reason, "retry_after", f.after)
+	h := w.Header()
+	if f.after > 0 {
+		h["Retry-After"] = []string{strconv.FormatFloat(f.after.Seconds(), 'f', 3, 64)}
+	}
+	h["Content-Length"] = []string{"0"}
+	w.WriteHeader(f.status)
+}
+
+// count counts the answers that don't come from backend servers.
+func (p *Proxy) count(status int, reason outcome.Reason) {
+	name := `jacinthgate_outbound_refusals_total{status="` + strconv.Itoa(status) + `",reason="` + string(reason) + `"}`
+	c, ok := p.outcomes.Load(name)
+	if !ok {
+		c, _ = p.outcomes.LoadOrStore(name, p.cfg.Metrics.GetOrCreateCounter(name))
+	}
+	c.(*metrics.Counter).Inc()
+}
+
+// observe notes how long a request of a class took.
+func (p *Proxy) observe(r *route.Route, took time.Duration) {
+	h, ok := p.times.Load(r.Kind)
+	if !ok {
+		name := `jacinthgate_outbound_seconds{class="` + string(r.Kind) + `"}`
+		h, _ = p.times.LoadOrStore(r.Kind, p.cfg.Metrics.GetOrCreateHistogram(name))
+	}
+	h.(*metrics.Histogram).Update(took.Seconds())
+}
--- /dev/null
+++ b/transport/outbound/relay.go
@@ -0,0 +1,105 @@
+package outbound
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/jacinthgate/jacinthgate/coordination/attempt"
+	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+)
+
+// relay passes a backend server's answer on. It reports false when the answer
+// broke off or tells of a failure and another attempt may still be made.
+func (x *exchange) relay(choice balance.Choice, resp *http.Response, result balance.Result) bool {
+	forward.StripNodeHeaders(resp.Header)
+	if resp.ContentLength < 0 || resp.ContentLength > x.p.cfg.MaxKept {
+		x.passOn(choice, resp, result)
+		return true
+	}
+	body := make([]byte, resp.ContentLength)
+	_, err := io.ReadFull(resp.Body, body)
+	if err == nil {
+		_, err = resp.Body.Read(beyond[:]) // the end gives the connection back
+	}
+	_ = resp.Body.Close() // it was read to its end, or has failed
+	if err != nil && err != io.EOF {
+		result.Outcome = x.cutAs()
+		choice.Done(x.p.cfg.Now(), result)
+		x.note(outcome.Unknown, outcome.ReasonBackendFailed)
+		return false
+	}
+	failed := failedStatus(resp.StatusCode)
+	if failed {
+		result.Outcome = balance.Failed
+	}
+	choice.Done(x.p.cfg.Now(), result)
+	whole := &answer{resp: resp, body: body}
+	if failed && x.mayRepeat() {
+		x.failure = whole
+		x.note(outcome.Unknown, outcome.ReasonBackendFailed)
+		return false
+	}
+	x.deliver(whole)
+	return true
+}
+
+// beyond takes the byte that a body doesn't have after its end.
+var beyond [1]byte
+
+// mayRepeat reports whether a failed answer may be replaced by another one.
+func (x *exchange) mayRepeat() bool {
+	g := x.progress
+	g.Last = outcome.Unknown
+	g.Left = x.deadline.Sub(x.p.cfg.Now())
+	return x.kept && x.p.cfg.Policy.Next(g) != attempt.Stop
+}
+
+// cutAs says what a broken answer tells about its backend server: nothing, when
+// it was this side that ended it.
+func (x *exchange) cutAs() balance.Outcome {
+	if x.ctx.Err() != nil {
+		return balance.Cancelled
+	}
+	return balance.Failed
+}
+
+// failedStatus reports whether a backend server's status tells of a failure.
+func failedStatus(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway,
+		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+// deliver writes a whole answer to the caller.
+func (x *exchange) deliver(a *answer) {
+	h := x.w.Header()
+	forward.RemoveHopByHop(a.resp.Header)
+	forward.CopyHeader(h, a.resp.Header)
+	x.w.WriteHeader(a.resp.StatusCode)
+	if _, err := x.w.Write(a.body); err != nil && x.r.Method != http.MethodHead {
+		_ = x.p.cfg.Logger.Log("event", "caller_gone", "request", x.p.cfg.Dialect.RequestID(x.r.Header), "err", err)
+	}
+}
+
+// passOn passes a large answer on as it comes. Where it breaks off, so does
+// the caller's.
+func (x *exchange) passOn(choice balance.Choice, resp *http.Response, result balance.Result) {
+	err := forward.Relay(x.w, resp)
+	var cut *forward.TruncatedError
+	if errors.As(err, &cut) {
+		result.Outcome = x.cutAs()
+	}
+	choice.Done(x.p.cfg.Now(), result)
+	if err == nil {
+		return
+	}
+	_ = x.p.cfg.Logger.Log("event", "answer_cut", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
+		"node", choice.Record.Node, "instance", choice.Record.Instance, "err", err)
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/transport/peer/tcp/tcp.go
@@ -0,0 +1,230 @@
+// Package tcp carries messages between nodes over plain TCP, for sites whose
+// network is trusted and whose hosts hold no keys. Each message is preceded by
+// its length in four bytes. docs/design/platform.md compares it with QUIC.
+package tcp
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/transport/peer"
+)
+
+const (
+	// lengthBytes is the size of a message's length prefix.
+	lengthBytes = 4
+	// readBuffer is the size of a connection's read buffer, in bytes: most
+	// messages are a few records.
+	readBuffer = 2 << 10
+	// tcpUserTimeout is TCP_USER_TIMEOUT on Linux, which package syscall lacks.
+	tcpUserTimeout = 0x12
+)
+
+// Config configures a Transport.
+type Config struct {
+	// ListenAddr is the address to listen on, IP:port.
+	ListenAddr string
+	// DialTimeout bounds opening a connection.
+	DialTimeout time.Duration
+	// SilenceTimeout closes a connection whose peer doesn't acknowledge what
+	// was sent for so long. The kernel's own limit is many minutes.
+	SilenceTimeout time.Duration
+}
+
+// DefaultConfig returns the settings without the address.
+func DefaultConfig() Config {
+	return Config{DialTimeout: time.Second, SilenceTimeout: 3 * time.Second}
+}
+
+// Transport implements peer.Transport.
+type Transport struct {
+	cfg      Config
+	listener net.Listener
+	dialer   net.Dialer
+
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	closed bool
+}
+
+var _ peer.Transport = (*Transport)(nil)
+
+// New listens for peers.
+func New(cfg Config) (*Transport, error) {
+	ln, err := net.Listen("tcp", cfg.ListenAddr)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	t := &Transport{cfg: cfg, listener: ln, conns: make(map[*conn]struct{})}
+	t.dialer.Timeout = cfg.DialTimeout
+	t.dialer.KeepAlive = -1 // heartbeats prove the connection alive
+	if a, ok := ln.Addr().(*net.TCPAddr); ok && !a.IP.IsUnspecified() {
+		t.dialer.LocalAddr = &net.TCPAddr{IP: a.IP}
+	}
+	return t, nil
+}
+
+// Addr implements peer.Transport.
+func (t *Transport) Addr() string { return t.listener.Addr().String() }
+
+// Dial implements peer.Transport.
+func (t *Transport) Dial(ctx context.Context, addr string) (peer.Conn, error) {
+	raw, err := t.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, &peer.DialError{Addr: addr, Err: err}
+	}
+	c, err := t.add(raw)
+	if err != nil {
+		return nil, &peer.DialError{Addr: addr, Err: err}
+	}
+	return c, nil
+}
+
+// Accept implements peer.Transport.
+func (t *Transport) Accept(ctx context.Context) (peer.Conn, error) {
+	stop := context.AfterFunc(ctx, func() { _ = t.listener.Close() }) // Accept returns its error
+	defer stop()
+	raw, err := t.listener.Accept()
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+		return nil, peer.ErrClosed
+	}
+	return t.add(raw)
+}
+
+// add tracks a connection until it is closed.
+func (t *Transport) add(raw net.Conn) (*conn, error) {
+	setUserTimeout(raw, t.cfg.SilenceTimeout)
+	c := &conn{transport: t, raw: raw, br: bufio.NewReaderSize(raw, readBuffer)}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		_ = raw.Close() // it was never used
+		return nil, peer.ErrClosed
+	}
+	t.conns[c] = struct{}{}
+	return c, nil
+}
+
+// setUserTimeout bounds how long sent bytes may stay unacknowledged.
+func setUserTimeout(raw net.Conn, d time.Duration) {
+	tc, ok := raw.(*net.TCPConn)
+	if !ok || d <= 0 {
+		return
+	}
+	sc, err := tc.SyscallConn()
+	if err != nil {
+		return // the connection is closed already; its next use reports it
+	}
+	_ = sc.Control(func(fd uintptr) {
+		// Without it the connection still ends, only later.
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+	})
+}
+
+// Close implements peer.Transport.
+func (t *Transport) Close() error {
+	t.mu.Lock()
+	t.closed = true
+	conns := t.conns
+	t.conns = make(map[*conn]struct{})
+	t.mu.Unlock()
+	for c := range conns {
+		_ = c.Close() // all are dropped together
+	}
+	if err := t.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return errors.Wrap(err, "close the peers' listener")
+	}
+	return nil
+}
+
+// conn is one connection.
+type conn struct {
+	transport *Transport
+	raw       net.Conn
+	br        *bufio.Reader
+	closed    atomic.Bool
+	writing   sync.Mutex
+}
+
+var _ peer.Conn = (*conn)(nil)
+
+// Send implements peer.Conn.
+func (c *conn) Send(ctx context.Context, msg []byte) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.closed.Load() {
+		return peer.ErrClosed
+	}
+	deadline, _ := ctx.Deadline() // the zero time is no deadline
+	if err := c.raw.SetWriteDeadline(deadline); err != nil {
+		return c.ended(err)
+	}
+	frame := make([]byte, lengthBytes, lengthBytes+len(msg))
+	binary.BigEndian.PutUint32(frame, uint32(len(msg)))
+	if _, err := c.raw.Write(append(frame, msg...)); err != nil {
+		_ = c.Close() // a part of the frame may have been sent
+		return c.ended(err)
+	}
+	return nil
+}
+
+// Receive implements peer.Conn.
+func (c *conn) Receive(ctx context.Context) ([]byte, error) {
+	deadline, _ := ctx.Deadline() // the zero time is no deadline
+	if err := c.raw.SetReadDeadline(deadline); err != nil {
+		return nil, c.ended(err)
+	}
+	var prefix [lengthBytes]byte
+	if _, err := io.ReadFull(c.br, prefix[:]); err != nil {
+		return nil, c.ended(err)
+	}
+	size := binary.BigEndian.Uint32(prefix[:])
+	if size > message.MaxSize {
+		return nil, &message.SizeError{Size: int(size)}
+	}
+	msg := make([]byte, size)
+	if _, err := io.ReadFull(c.br, msg); err != nil {
+		return nil, c.ended(err)
+	}
+	return msg, nil
+}
+
+// ended turns the end of a connection into peer.ErrClosed.
+func (c *conn) ended(err error) error {
+	if c.closed.Load() || errors.Is(err, io.EOF) || errors.Is(err, net.ErrClosed) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return peer.ErrClosed
+	}
+	return err
+}
+
+// Peer implements peer.Conn. Connections without keys prove no identity.
+func (c *conn) Peer() model.NodeID { return "" }
+
+// RemoteAddr implements peer.Conn.
+func (c *conn) RemoteAddr() string { return c.raw.RemoteAddr().String() }
+
+// Close implements peer.Conn.
+func (c *conn) Close() error {
+	if !c.closed.CompareAndSwap(false, true) {
+		return nil
+	}
+	c.transport.mu.Lock()
+	delete(c.transport.conns, c)
+	c.transport.mu.Unlock()
+	return c.raw.Close()
+}
