Work on requests that callers send ahead at the same time

Ruled out: more backend capacity: booking-write, which is not pipelined, was late in 19 of 897 with the same backend servers.

Change: transport/callers, a server whose requests are read by net/http, answered on goroutines of their own and written in order. Only GET and HEAD without a body run ahead; others wait, since what stands behind an answer that ends the connection is sent once more by the caller. Limits on heads and idle connections come from the configuration in force. Tests use sockets on loopback; the three on order, ends and cancellation fail with net/http's server by construction. Trailers are not passed on to callers.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/platform"
+	"github.com/jacinthgate/jacinthgate/transport/callers"
 )
 
 // Timeouts and bounds of the node's HTTP servers.
@@ -17,9 +19,16 @@
 	// headerTimeout bounds the time in which a request's head arrives. The
 	// users' operators allow 3 s.
 	headerTimeout = 4 * time.Second
-	// callerIdle is how long a caller's connection may stay idle. It is longer
-	// than the operators' limit, up to which callers use connections again.
+	// callerIdle is how long a caller's connection may stay idle before a
+	// configuration says so.
 	callerIdle = time.Minute
+	// serverIdle is how long connections of other nodes, of the platform and of
+	// the backend server may stay idle: longer than nodes keep theirs.
+	serverIdle = time.Minute
+	// requestsAhead is the number of requests of one caller's connection that
+	// are worked on at the same time. Pages of a screen or a catalogue are a few
+	// requests.
+	requestsAhead = 8
 	// maxHeaderBytes bounds a request's head, in bytes, with room for the
 	// nodes' own headers.
 	maxHeaderBytes = 32 << 10
@@ -41,27 +50,54 @@
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Err }
 
+// httpServer is what serves a listener: net/http's server, or that of package
+// callers.
+type httpServer interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+	Close() error
+}
+
 // server is one HTTP server with its listener.
 type server struct {
-	http *http.Server
+	http httpServer
 	ln   net.Listener
 }
 
+// openServer opens a server of net/http.
 func (n *Node) openServer(name, addr string, h http.Handler) (*server, error) {
+	return n.listen(name, addr, &http.Server{
+		Handler:           h,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       serverIdle,
+	})
+}
+
+func (n *Node) listen(name, addr string, h httpServer) (*server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, &ListenError{Name: name, Addr: addr, Err: err}
 	}
-	s := &server{ln: ln, http: &http.Server{
-		Handler:           h,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       callerIdle,
-	}}
+	s := &server{ln: ln, http: h}
 	n.servers = append(n.servers, s)
 	return s, nil
 }
 
+// callerLimits returns what callers may send by the configuration in force, or
+// what is allowed before there is one.
+func (n *Node) callerLimits() callers.Limits {
+	l := callers.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	t := n.pub.table.Load()
+	if t == nil {
+		return l
+	}
+	if of := t.Limits(); of.HeaderBytes > 0 && of.HeaderTimeout > 0 && of.IdleTimeout > 0 {
+		l = callers.Limits{HeaderBytes: of.HeaderBytes, HeaderTimeout: of.HeaderTimeout, IdleTimeout: of.IdleTimeout}
+	}
+	return l
+}
+
 // serve serves until the server is shut down or closed.
 func (s *server) serve() error {
 	err := s.http.Serve(s.ln)
@@ -74,7 +110,8 @@
 // openServers opens every HTTP server of the node.
 func (n *Node) openServers() error {
 	var err error
-	if n.callers, err = n.openServer("callers", n.set.Listen.Callers, n.proxy); err != nil {
+	front := callers.New(callers.Config{Handler: n.proxy, Limits: n.callerLimits, Ahead: requestsAhead, Logger: n.log})
+	if n.callers, err = n.listen("callers", n.set.Listen.Callers, front); err != nil {
 		return err
 	}
 	if n.gates, err = n.openServer("gate", n.set.Listen.Gate, n.gate); err != nil {
--- /dev/null
+++ b/transport/callers/conn.go
@@ -0,0 +1,381 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+const (
+	// connBuffer is the size of a connection's buffers, in bytes.
+	connBuffer = 4 << 10
+	// lingerTime is how long a connection that was closed on this side is read
+	// on: closing one with unread bytes would reset it, and the caller might
+	// lose the last answer.
+	lingerTime = 500 * time.Millisecond
+	// maxDiscard bounds what is read of a body that the handler has left, in
+	// bytes; a longer rest ends the connection.
+	maxDiscard = 256 << 10
+)
+
+// conn is one caller's connection. Its serve goroutine reads requests; each is
+// answered on a goroutine of its own.
+type conn struct {
+	server *Server
+	raw    net.Conn
+	br     *bufio.Reader
+	bw     *bufio.Writer
+	head   headLimit
+	ctx    context.Context
+	cancel context.CancelFunc
+	slots  chan struct{} // bounds the requests that are worked on
+
+	mu      sync.Mutex
+	pending int  // requests that were read and are not answered
+	ending  bool // no further request is to be read
+	ended   bool // an answer that ends the connection was sent
+	broken  bool // an answer was cut: nothing more may be written
+	last    chan struct{}
+}
+
+func newConn(s *Server, raw net.Conn) *conn {
+	c := &conn{server: s, raw: raw, slots: make(chan struct{}, max(1, s.cfg.Ahead))}
+	c.head.conn = raw
+	c.br = bufio.NewReaderSize(&c.head, connBuffer)
+	c.bw = bufio.NewWriterSize(raw, connBuffer)
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	done := make(chan struct{})
+	close(done)
+	c.last = done
+	return c
+}
+
+// idle reports whether no request is under way. c.mu must not be held.
+func (c *conn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending == 0
+}
+
+// past is a deadline that ends a read at once.
+var past = time.Unix(1, 0)
+
+// hangUp lets the connection end once no request is under way. c.mu must not
+// be held.
+func (c *conn) hangUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	_ = c.raw.SetReadDeadline(past) // the read reports a closed one
+}
+
+// serve reads requests until the connection ends.
+func (c *conn) serve() {
+	defer c.server.forget(c)
+	defer c.cancel()
+	for {
+		x, err := c.next()
+		if err != nil {
+			c.failed(err)
+			return
+		}
+		if !c.start(x) {
+			c.finish()
+			return
+		}
+	}
+}
+
+// next reads one request.
+func (c *conn) next() (*exchange, error) {
+	limits := c.server.cfg.Limits()
+	c.head.allow(limits.HeaderBytes)
+	c.armIdle(limits)
+	if _, err := c.br.Peek(1); err != nil {
+		return nil, &readError{err: err, between: true}
+	}
+	if limits.HeaderTimeout > 0 {
+		_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // the read reports a closed connection
+	}
+	req, err := http.ReadRequest(c.br)
+	if err != nil {
+		return nil, &readError{err: err, tooLarge: c.head.exceeded}
+	}
+	c.head.unlimited()
+	_ = c.raw.SetReadDeadline(time.Time{}) // likewise
+	if err := check(req); err != nil {
+		return nil, &readError{err: err}
+	}
+	req.RemoteAddr = c.raw.RemoteAddr().String()
+	return c.newExchange(req), nil
+}
+
+// armIdle sets the time at which an idle connection is closed. With requests
+// under way there is none.
+func (c *conn) armIdle(limits Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var until time.Time
+	if c.ending {
+		until = past
+	} else if c.pending == 0 && limits.IdleTimeout > 0 {
+		until = time.Now().Add(limits.IdleTimeout)
+	}
+	_ = c.raw.SetReadDeadline(until) // the read reports a closed connection
+}
+
+// check refuses what http.ReadRequest lets pass and net/http's server doesn't.
+func check(req *http.Request) error {
+	switch {
+	case req.ProtoMajor != 1:
+		return &requestError{What: "protocol " + req.Proto}
+	case req.Host == "" && req.ProtoAtLeast(1, 1), !httpguts.ValidHostHeader(req.Host):
+		return &requestError{What: "host"}
+	case req.Method == http.MethodConnect:
+		return &requestError{What: "method CONNECT"}
+	}
+	for name, values := range req.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &requestError{What: "header name"}
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return &requestError{What: "value of " + name}
+			}
+		}
+	}
+	return nil
+}
+
+// start answers a request on a goroutine of its own and returns when the next
+// request may be read. A request that may not run again waits for the answers
+// before it: if one of them ends the connection, the caller sends what came
+// after it once more. It reports false when no request is to be read any more.
+func (c *conn) start(x *exchange) bool {
+	ahead := x.req.Method == http.MethodGet || x.req.Method == http.MethodHead
+	if !ahead || x.hasBody() {
+		<-x.before
+	}
+	select {
+	case c.slots <- struct{}{}:
+	case <-c.ctx.Done():
+		return false
+	}
+	if !c.admit() {
+		return false
+	}
+	go c.answer(x)
+	if x.last.Load() {
+		<-x.done
+		return false
+	}
+	if !x.hasBody() {
+		return true
+	}
+	select {
+	case <-x.bodyEnd: // the next request begins after the body
+	case <-x.done:
+	}
+	return true
+}
+
+// admit counts a request that was read, unless the connection has ended before
+// it.
+func (c *conn) admit() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken || c.ended {
+		return false
+	}
+	c.pending++
+	return true
+}
+
+// writable reports whether further answers may be written.
+func (c *conn) writable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.broken && !c.ended
+}
+
+// answer runs the handler and completes its response.
+func (c *conn) answer(x *exchange) {
+	defer c.answered(x)
+	defer func() {
+		err := recover()
+		if err == nil {
+			return
+		}
+		if err != http.ErrAbortHandler {
+			_ = c.server.cfg.Logger.Log("event", "handler_panicked", "path", x.req.URL.Path, "err", err)
+		}
+		c.breakOff()
+	}()
+	c.server.cfg.Handler.ServeHTTP(x.w, x.req)
+	if err := x.w.complete(); err != nil {
+		c.breakOff()
+		return
+	}
+	if x.hasBody() && !x.drainBody() {
+		x.last.Store(true)
+	}
+}
+
+// answered ends a request.
+func (c *conn) answered(x *exchange) {
+	x.cancel()
+	c.mu.Lock()
+	c.pending--
+	if x.last.Load() && !c.ended {
+		c.ended, c.ending = true, true
+		c.cancel() // what was sent behind it is not answered
+	}
+	c.mu.Unlock()
+	<-c.slots
+	close(x.done)
+	c.armIdle(c.server.cfg.Limits())
+}
+
+// breakOff ends the connection without completing an answer.
+func (c *conn) breakOff() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return // the answer that ended the connection is left to arrive
+	}
+	c.broken, c.ending = true, true
+	c.cancel()
+	_ = c.raw.Close() // the caller must not take a part for the whole
+}
+
+// failed ends the connection when no further request can be read.
+func (c *conn) failed(err error) {
+	c.mu.Lock()
+	asked := c.ending
+	c.ending = true
+	last := c.last
+	c.mu.Unlock()
+	var read *readError
+	if between := errors.As(err, &read) && read.between; between && asked {
+		<-last
+		c.finish()
+		return
+	} else if between {
+		// The caller has left or has been idle for too long. What it still
+		// waits for is cancelled.
+		c.cancel()
+		<-last
+		_ = c.raw.Close() // there is nobody to tell
+		return
+	}
+	_ = c.server.cfg.Logger.Log("event", "request_unreadable", "remote", c.raw.RemoteAddr().String(), "err", err)
+	<-last
+	if c.writable() {
+		c.refuse(read.status())
+	}
+	c.finish()
+}
+
+// refuse answers a request that can't be read.
+func (c *conn) refuse(status int) {
+	_, _ = io.WriteString(c.bw, "HTTP/1.1 "+statusLine(status)+"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	_ = c.bw.Flush() // the connection ends in any case
+}
+
+// finish ends the connection after the last answer.
+func (c *conn) finish() {
+	half, ok := c.raw.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		_ = c.raw.Close() // there is nothing more to say
+		return
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime)) // the read reports a closed one
+	time.AfterFunc(lingerTime, func() { _ = c.raw.Close() })
+	_, _ = io.Copy(io.Discard, c.raw) // until the caller closes it too
+	_ = c.raw.Close()                 // twice does no harm
+}
+
+// readError reports a request that could not be read.
+type readError struct {
+	err error
+	// between is set when the connection ended between two requests.
+	between bool
+	// tooLarge is set when the head exceeds its limit.
+	tooLarge bool
+}
+
+// Error implements error.
+func (e *readError) Error() string { return "read request: " + e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *readError) Unwrap() error { return e.err }
+
+// status returns what the caller is answered.
+func (e *readError) status() int {
+	var timeout net.Error
+	switch {
+	case e.tooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.As(e.err, &timeout) && timeout.Timeout():
+		return http.StatusRequestTimeout
+	default:
+		return http.StatusBadRequest
+	}
+}
+
+// requestError reports a request that breaks HTTP/1.1.
+type requestError struct {
+	// What is wrong.
+	What string
+}
+
+// Error implements error.
+func (e *requestError) Error() string { return "malformed request: " + e.What }
+
+// headLimit bounds the bytes read while a head is read.
+type headLimit struct {
+	conn     net.Conn
+	left     int
+	limited  bool
+	exceeded bool
+}
+
+func (h *headLimit) allow(n int) {
+	h.left, h.limited, h.exceeded = n+connBuffer, n > 0, false
+}
+
+func (h *headLimit) unlimited() { h.limited = false }
+
+// Read implements io.Reader.
+func (h *headLimit) Read(p []byte) (int, error) {
+	if !h.limited {
+		return h.conn.Read(p)
+	}
+	if h.left <= 0 {
+		h.exceeded = true
+		return 0, io.ErrUnexpectedEOF
+	}
+	n, err := h.conn.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
+}
+
+// closes reports whether a Connection header asks for the end.
+func closes(h http.Header) bool {
+	for _, line := range h["Connection"] {
+		for token := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(token), "close") {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/transport/callers/response.go
@@ -0,0 +1,296 @@
+package callers
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// exchange is one request with its response.
+type exchange struct {
+	conn   *conn
+	req    *http.Request
+	w      *response
+	cancel context.CancelFunc
+	// before is closed when the response before this one is complete, done when
+	// this one is.
+	before <-chan struct{}
+	done   chan struct{}
+	// bodyEnd is closed when the request's body was read to its end.
+	bodyEnd chan struct{}
+	// last says that the connection ends with this response.
+	last atomic.Bool
+}
+
+// newExchange queues a request behind the one before it.
+func (c *conn) newExchange(req *http.Request) *exchange {
+	ctx, cancel := context.WithCancel(c.ctx)
+	x := &exchange{conn: c, cancel: cancel, done: make(chan struct{})}
+	x.req = req.WithContext(ctx)
+	x.last.Store(req.Close || c.server.leaving.Load())
+	c.mu.Lock()
+	x.before = c.last
+	c.last = x.done
+	c.mu.Unlock()
+	x.w = &response{x: x, header: make(http.Header)}
+	if x.hasBody() {
+		x.bodyEnd = make(chan struct{})
+		expected := req.Header.Get("Expect") == "100-continue"
+		x.req.Body = &requestBody{ReadCloser: req.Body, x: x, expected: expected}
+	}
+	return x
+}
+
+func (x *exchange) hasBody() bool { return x.req.Body != nil && x.req.Body != http.NoBody }
+
+// drainBody reads what the handler has left of the body and reports whether the
+// next request may follow.
+func (x *exchange) drainBody() bool {
+	if x.last.Load() {
+		return true
+	}
+	b := x.req.Body.(*requestBody)
+	if b.expected && !b.asked {
+		return false // the caller may send the body or leave it out
+	}
+	n, err := io.CopyN(io.Discard, b, maxDiscard)
+	return err == io.EOF || err == nil && n < maxDiscard
+}
+
+// requestBody is a request's body. It asks for the body when it is first read,
+// where the caller waits for that, and tells when it was read to its end.
+type requestBody struct {
+	io.ReadCloser
+	x        *exchange
+	expected bool
+	asked    bool
+	once     sync.Once
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (int, error) {
+	if b.expected && !b.asked {
+		b.asked = true
+		b.x.w.proceed()
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.once.Do(func() { close(b.x.bodyEnd) })
+	}
+	return n, err
+}
+
+// maxAhead bounds what is kept of a response whose turn has not come, in bytes.
+const maxAhead = 64 << 10
+
+// response is the http.ResponseWriter of one request. What is written before
+// its turn is kept, up to maxAhead.
+type response struct {
+	x      *exchange
+	header http.Header
+
+	mu      sync.Mutex
+	status  int
+	kept    []byte
+	length  int64 // by Content-Length; -1 when chunked
+	written int64
+	begun   bool // the head was written
+	chunks  io.WriteCloser
+}
+
+// Header implements http.ResponseWriter.
+func (w *response) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter. Interim responses are left out.
+func (w *response) WriteHeader(status int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.status == 0 && status >= http.StatusOK {
+		w.status = status
+	}
+}
+
+// proceed sends "100 Continue".
+func (w *response) proceed() {
+	<-w.x.before
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.begun {
+		return
+	}
+	bw := w.x.conn.bw
+	_, _ = io.WriteString(bw, "HTTP/1.1 100 Continue\r\n\r\n")
+	_ = bw.Flush() // reading the body reports a closed connection
+}
+
+// bodyless reports whether the response has no body.
+func (w *response) bodyless() bool {
+	return w.x.req.Method == http.MethodHead || w.status == http.StatusNoContent || w.status == http.StatusNotModified
+}
+
+// Write implements http.ResponseWriter.
+func (w *response) Write(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.status == 0 {
+		w.status = http.StatusOK
+	}
+	if w.bodyless() {
+		return 0, http.ErrBodyNotAllowed
+	}
+	if !w.begun && w.mayKeep(len(w.kept)+len(p)) {
+		w.kept = append(w.kept, p...)
+		return len(p), nil
+	}
+	if err := w.begin(false); err != nil {
+		return 0, err
+	}
+	return w.send(p)
+}
+
+// mayKeep reports whether so many bytes are kept: while it is not the response's
+// turn, and of a short one whose length isn't known yet.
+func (w *response) mayKeep(n int) bool {
+	if w.header["Content-Length"] == nil && n <= connBuffer {
+		return true
+	}
+	return n <= maxAhead && !w.myTurn()
+}
+
+// myTurn reports whether the responses before this one are complete.
+func (w *response) myTurn() bool {
+	select {
+	case <-w.x.before:
+		return true
+	default:
+		return false
+	}
+}
+
+// begin waits for the response's turn and writes its head. whole says that
+// kept is all of the body. w.mu is held.
+func (w *response) begin(whole bool) error {
+	if w.begun {
+		return nil
+	}
+	<-w.x.before
+	if !w.x.conn.writable() {
+		return io.ErrClosedPipe
+	}
+	w.begun = true
+	w.frame(whole)
+	bw := w.x.conn.bw
+	_, _ = io.WriteString(bw, "HTTP/1.1 "+statusLine(w.status)+"\r\n")
+	if err := w.header.WriteSubset(bw, nil); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(bw, "\r\n"); err != nil {
+		return err
+	}
+	kept := w.kept
+	w.kept = nil
+	if len(kept) == 0 {
+		return nil
+	}
+	_, err := w.send(kept)
+	return err
+}
+
+// frame sets the headers that say where the body ends.
+func (w *response) frame(whole bool) {
+	h := w.header
+	delete(h, "Transfer-Encoding")
+	if closes(h) || w.x.conn.server.leaving.Load() {
+		w.x.last.Store(true)
+	}
+	if w.x.last.Load() {
+		h["Connection"] = []string{"close"}
+	}
+	w.length = -1
+	if n, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64); err == nil && n >= 0 {
+		w.length = n
+		return
+	}
+	delete(h, "Content-Length")
+	switch {
+	case w.bodyless():
+	case whole:
+		w.length = int64(len(w.kept))
+		h["Content-Length"] = []string{strconv.Itoa(len(w.kept))}
+	case w.x.req.ProtoAtLeast(1, 1):
+		h["Transfer-Encoding"] = []string{"chunked"}
+		w.chunks = httputil.NewChunkedWriter(w.x.conn.bw)
+	default:
+		w.x.last.Store(true) // the end of the connection is the end of the body
+	}
+}
+
+// send writes a part of the body.
+func (w *response) send(p []byte) (int, error) {
+	w.written += int64(len(p))
+	if w.length >= 0 && w.written > w.length {
+		return 0, http.ErrContentLength
+	}
+	if w.chunks != nil {
+		return w.chunks.Write(p)
+	}
+	return w.x.conn.bw.Write(p)
+}
+
+// complete ends the response.
+func (w *response) complete() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.status == 0 {
+		w.status = http.StatusOK
+	}
+	if err := w.begin(true); err != nil {
+		return err
+	}
+	if w.length >= 0 && w.written != w.length && !w.bodyless() {
+		return io.ErrUnexpectedEOF
+	}
+	if w.chunks != nil {
+		if err := w.chunks.Close(); err != nil {
+			return err
+		}
+		if _, err := io.WriteString(w.x.conn.bw, "\r\n"); err != nil {
+			return err
+		}
+	}
+	return w.x.conn.bw.Flush()
+}
+
+// FlushError implements what http.ResponseController looks for.
+func (w *response) FlushError() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.status == 0 {
+		w.status = http.StatusOK
+	}
+	if err := w.begin(false); err != nil {
+		return err
+	}
+	return w.x.conn.bw.Flush()
+}
+
+// EnableFullDuplex implements what http.ResponseController looks for: responses
+// never wait for the request's body here.
+func (w *response) EnableFullDuplex() error { return nil }
+
+// SetReadDeadline implements what http.ResponseController looks for.
+func (w *response) SetReadDeadline(t time.Time) error { return w.x.conn.raw.SetReadDeadline(t) }
+
+// statusLine returns the status with its text.
+func statusLine(status int) string {
+	text := http.StatusText(status)
+	if text == "" {
+		text = "status"
+	}
+	return strconv.Itoa(status) + " " + text
+}
--- /dev/null
+++ b/transport/callers/server_test.go
@@ -0,0 +1,264 @@
+package callers
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+)
+
+// start serves a handler on loopback and returns its address.
+func start(t *testing.T, h http.HandlerFunc) (*Server, string) {
+	t.Helper()
+	s := New(Config{
+		Handler: h,
+		Ahead:   4,
+		Limits: func() Limits {
+			return Limits{HeaderBytes: 1 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+		},
+		Logger: log.NewNopLogger(),
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return s, l.Addr().String()
+}
+
+func dial(t *testing.T, addr string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	must.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return c, bufio.NewReader(c)
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	_, err := io.WriteString(c, text)
+	must.NoError(t, err)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+func answer(t *testing.T, br *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(br, nil)
+	must.NoError(t, err)
+	b, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	return resp, string(b)
+}
+
+func TestRequestsSentAheadAreWorkedOnTogetherAndAnsweredInOrder(t *testing.T) {
+	second := make(chan struct{})
+	_, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			<-second // answered only while the second one is worked on
+		} else {
+			close(second)
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	c, br := dial(t, addr)
+	send(t, c, get("/1")+get("/2"))
+	_, one := answer(t, br)
+	_, two := answer(t, br)
+	must.Eq(t, []string{"/1", "/2"}, []string{one, two})
+}
+
+func TestRequestThatMayNotRunAgainWaitsForThoseBeforeIt(t *testing.T) {
+	var running atomic.Int32
+	_, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		must.Eq(t, 1, running.Add(1))
+		time.Sleep(20 * time.Millisecond)
+		running.Add(-1)
+		_, _ = io.Copy(w, r.Body)
+	})
+	c, br := dial(t, addr)
+	post := "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+	send(t, c, get("/1")+post+post)
+	_, _ = answer(t, br)
+	_, two := answer(t, br)
+	_, three := answer(t, br)
+	must.Eq(t, "abc abc", two+" "+three)
+}
+
+func TestNothingIsServedBehindAnAnswerThatEndsTheConnection(t *testing.T) {
+	var posts atomic.Int32
+	_, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			posts.Add(1)
+		}
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, "one")
+	})
+	c, br := dial(t, addr)
+	send(t, c, get("/1")+"POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+	resp, body := answer(t, br)
+	must.True(t, resp.Close)
+	must.Eq(t, "one", body)
+	_, err := br.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+	must.Eq(t, 0, posts.Load())
+}
+
+func TestCallerThatLeavesCancelsItsRequest(t *testing.T) {
+	for name, request := range map[string]string{
+		"with a request behind it": get("/1") + get("/2"),
+		"after a body":             "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			begun, gone := make(chan struct{}, 2), make(chan struct{}, 2)
+			_, addr := start(t, func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				begun <- struct{}{}
+				<-r.Context().Done()
+				gone <- struct{}{}
+			})
+			c, _ := dial(t, addr)
+			send(t, c, request)
+			<-begun
+			must.NoError(t, c.Close())
+			<-gone
+		})
+	}
+}
+
+func TestFramingOfAnswers(t *testing.T) {
+	for name, tc := range map[string]struct {
+		handler http.HandlerFunc
+		method  string
+		want    string
+		chunked bool
+	}{
+		"short":       {func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "abc") }, "GET", "abc", false},
+		"empty":       {func(http.ResponseWriter, *http.Request) {}, "GET", "", false},
+		"head":        {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "7") }, "HEAD", "", false},
+		"no content":  {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }, "GET", "", false},
+		"flushed":     {flushed, "GET", "abcdef", true},
+		"with length": {withLength, "GET", strings.Repeat("x", 100<<10), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, addr := start(t, tc.handler)
+			c, br := dial(t, addr)
+			for range 2 { // the connection goes on
+				send(t, c, tc.method+" / HTTP/1.1\r\nHost: h\r\n\r\n")
+				resp, err := http.ReadResponse(br, &http.Request{Method: tc.method})
+				must.NoError(t, err)
+				b, err := io.ReadAll(resp.Body)
+				must.NoError(t, err)
+				must.Eq(t, tc.want, string(b))
+				must.Eq(t, tc.chunked, len(resp.TransferEncoding) > 0)
+			}
+		})
+	}
+}
+
+func flushed(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "abc")
+	_ = http.NewResponseController(w).Flush()
+	_, _ = io.WriteString(w, "def")
+}
+
+func withLength(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", fmt.Sprint(100<<10))
+	for range 100 {
+		_, _ = io.WriteString(w, strings.Repeat("x", 1<<10))
+	}
+}
+
+func TestCutAnswerDoesNotLookWhole(t *testing.T) {
+	for name, h := range map[string]http.HandlerFunc{
+		"aborted": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "abc")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		},
+		"short of its length": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "5")
+			_, _ = io.WriteString(w, "abc")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, addr := start(t, h)
+			c, br := dial(t, addr)
+			send(t, c, get("/"))
+			resp, err := http.ReadResponse(br, nil)
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			must.Error(t, err)
+		})
+	}
+}
+
+func TestBadRequestsAreRefusedAndTheServerGoesOn(t *testing.T) {
+	_, addr := start(t, func(http.ResponseWriter, *http.Request) {})
+	for name, tc := range map[string]struct {
+		text   string
+		status int
+	}{
+		"garbage":      {"\x00\x01\x02\r\n\r\n", 400},
+		"no host":      {"GET / HTTP/1.1\r\n\r\n", 400},
+		"bad header":   {"GET / HTTP/1.1\r\nHost: h\r\nX y: 1\r\n\r\n", 400},
+		"two lengths":  {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
+		"large header": {"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 9<<10) + "\r\n\r\n", 431},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, br := dial(t, addr)
+			send(t, c, tc.text)
+			resp, _ := answer(t, br)
+			must.Eq(t, tc.status, resp.StatusCode)
+			must.True(t, resp.Close)
+		})
+	}
+}
+
+func TestShutdownAnswersWhatWasRead(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	s, addr := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})
+	idle, idleReader := dial(t, addr)
+	_ = idle
+	c, br := dial(t, addr)
+	send(t, c, get("/"))
+	<-begun
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(context.Background()) }()
+	_, err := idleReader.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+	close(release)
+	resp, body := answer(t, br)
+	must.Eq(t, "whole", body)
+	must.True(t, resp.Close)
+	must.NoError(t, c.Close())
+	must.NoError(t, idle.Close())
+	must.NoError(t, <-ended)
+}
+
+func TestExpectedBodyIsAskedFor(t *testing.T) {
+	_, addr := start(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	c, br := dial(t, addr)
+	send(t, c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+	line, err := br.ReadString('\n')
+	must.NoError(t, err)
+	must.Eq(t, "HTTP/1.1 100 Continue\r\n", line)
+	_, _ = br.ReadString('\n')
+	send(t, c, "abc")
+	_, body := answer(t, br)
+	must.Eq(t, "abc", body)
+}
