Fetch a document from another zone also while versions follow quickly

The store was silent towards the readers of csepel and obuda; angyalfold had each version and said so, but each advert began the wait of 300 ms before a fetch between zones anew, and a storm brings one every 260 ms.

Ruled out: the readers' successors: they take over after 3.3 s and 1.25 s, which the fetch between zones is there to cover.

Change: the wait counts from when the peer was first ahead, and begins anew only when the node itself gets a newer version.

--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -51,7 +51,7 @@
 type peerState struct {
 	near    bool // in the own availability zone
 	version uint64
-	asked   time.Time // when its newer document was first seen
+	ahead   time.Time // since when it holds a newer document; zero while not
 }
 
 // fetch is the request for a document that is under way.
@@ -145,7 +145,6 @@
 		return
 	}
 	p.version = version
-	p.asked = c.now
 	c.fetchNewer()
 }
 
@@ -180,8 +179,14 @@
 	var best model.NodeID
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
 		p := c.peers[id]
-		tooSoon := !p.near && c.now.Sub(p.asked) < c.cfg.FarFetchDelay
-		if p.version <= want || tooSoon {
+		if p.version <= want {
+			p.ahead = time.Time{}
+			continue
+		}
+		if p.ahead.IsZero() {
+			p.ahead = c.now
+		}
+		if !p.near && c.now.Sub(p.ahead) < c.cfg.FarFetchDelay {
 			continue
 		}
 		if best == "" || best == failed || p.near && !c.peers[best].near {
@@ -248,6 +253,7 @@
 	c.held, c.body = version, body
 	c.act(Apply{Version: version, Body: body, From: from})
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
+		c.peers[id].ahead = time.Time{} // the own zone is not stuck
 		if c.peers[id].version < version {
 			c.send(id, &message.DocumentAdvert{Version: version})
 		}
--- /dev/null
+++ b/coordination/docsync/core_test.go
@@ -0,0 +1,251 @@
+package docsync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+func record(id string, zone model.Zone) endpoint.Record {
+	return endpoint.Record{Node: model.NodeID(id), Zone: zone, Incarnation: 1}
+}
+
+// bed drives one core.
+type bed struct {
+	t    *testing.T
+	core *Core
+	now  time.Time
+	out  []core.Action
+}
+
+func newBed(t *testing.T) *bed {
+	b := &bed{t: t, core: New(DefaultConfig(), record("self", "z1"), 1), now: begin}
+	b.step(core.Tick{})
+	return b
+}
+
+func (b *bed) step(ev core.Event) []core.Action {
+	b.out = b.core.Step(b.now, ev)
+	return b.out
+}
+
+// pass lets time pass in ticks and returns all actions.
+func (b *bed) pass(d time.Duration) []core.Action {
+	var all []core.Action
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(100 * time.Millisecond)
+		all = append(all, b.step(core.Tick{})...)
+	}
+	return all
+}
+
+func (b *bed) up(id string, zone model.Zone) { b.step(core.PeerUp{Record: record(id, zone)}) }
+
+func (b *bed) receive(from string, m message.Message) []core.Action {
+	return b.step(core.Received{From: model.NodeID(from), Message: m})
+}
+
+// fetches returns the peers that a document was asked of.
+func fetches(actions []core.Action) []string {
+	var to []string
+	for _, a := range actions {
+		if s, ok := a.(core.Send); ok {
+			if _, fetch := s.Message.(*message.DocumentFetch); fetch {
+				to = append(to, string(s.To))
+			}
+		}
+	}
+	return to
+}
+
+func applied(actions []core.Action) []uint64 {
+	var versions []uint64
+	for _, a := range actions {
+		if v, ok := a.(Apply); ok {
+			versions = append(versions, v.Version)
+		}
+	}
+	return versions
+}
+
+func TestNewerDocumentOfTheOwnZoneIsFetchedAtOnce(t *testing.T) {
+	b := newBed(t)
+	b.up("near", "z1")
+	must.Eq(t, []string{"near"}, fetches(b.receive("near", &message.DocumentAdvert{Version: 3})))
+}
+
+// In tabla-mesh trouble-1 the readers of two zones were refused by the store
+// while versions came every 260 ms: each advert of the third zone began the
+// wait anew, and two zones stayed behind for seconds.
+func TestDocumentOfAnotherZoneIsFetchedAlsoWhileVersionsFollowQuickly(t *testing.T) {
+	b := newBed(t)
+	b.step(StoreRead{Version: 1, Body: []byte("1")})
+	b.up("far", "z2")
+	var asked []string
+	for v := uint64(2); v < 7; v++ {
+		asked = append(asked, fetches(b.receive("far", &message.DocumentAdvert{Version: v}))...)
+		asked = append(asked, fetches(b.pass(200*time.Millisecond))...)
+	}
+	must.SliceContains(t, asked, "far")
+}
+
+func TestStartedNodePrefersTheStore(t *testing.T) {
+	b := newBed(t)
+	b.up("near", "z1")
+	must.Eq(t, nil, applied(b.receive("near", &message.Document{Version: 3, Body: []byte("3")})))
+	must.Eq(t, []uint64{5}, applied(b.step(StoreRead{Version: 5, Body: []byte("5")})))
+}
+
+func TestStartedNodeTakesAPeersDocumentWhenTheStoreIsAway(t *testing.T) {
+	b := newBed(t)
+	b.up("near", "z1")
+	b.receive("near", &message.Document{Version: 3, Body: []byte("3")})
+	b.step(StoreRead{Err: fmt.Errorf("away")})
+	must.Eq(t, []uint64{3}, applied(b.pass(1200*time.Millisecond)))
+}
+
+func TestVersionsNeverGoBack(t *testing.T) {
+	b := newBed(t)
+	b.up("near", "z1")
+	b.step(StoreRead{Version: 5, Body: []byte("5")})
+	must.Eq(t, nil, applied(b.receive("near", &message.Document{Version: 4, Body: []byte("4")})))
+	must.Eq(t, nil, applied(b.step(StoreRead{Version: 4, Body: []byte("4")})))
+	must.Eq(t, 5, b.core.Held())
+}
+
+func TestRefusedDocumentIsNotFetchedAgain(t *testing.T) {
+	b := newBed(t)
+	b.up("near", "z1")
+	b.step(StoreRead{Version: 5, Body: []byte("5")})
+	b.step(Rejected{Version: 6})
+	must.Eq(t, nil, fetches(b.receive("near", &message.DocumentAdvert{Version: 6})))
+	must.Eq(t, []string{"near"}, fetches(b.receive("near", &message.DocumentAdvert{Version: 7})))
+}
+
+func TestAnotherPeerIsAskedWhenOneIsSilent(t *testing.T) {
+	b := newBed(t)
+	b.up("near1", "z1")
+	b.up("near2", "z1")
+	b.receive("near1", &message.DocumentAdvert{Version: 3})
+	b.receive("near2", &message.DocumentAdvert{Version: 3})
+	must.Eq(t, []string{"near2"}, fetches(b.pass(DefaultConfig().FetchTimeout)))
+}
+
+func TestReaderThatFailsIsReplaced(t *testing.T) {
+	z := newZone(t, "a", "b", "c")
+	z.pass(3 * time.Second)
+	first := z.readers()
+	must.Len(t, 1, first)
+	z.refused[first[0]] = true
+	z.pass(3 * time.Second)
+	second := z.readers()
+	must.Len(t, 1, second)
+	must.NotEq(t, first, second)
+	z.refused[first[0]] = false
+	z.pass(4 * time.Second)
+	must.Eq(t, first, z.readers(), must.Sprint("the first member reads again"))
+}
+
+func TestAllMembersTryWhileTheStoreIsAwayAndOneReadsAfterwards(t *testing.T) {
+	z := newZone(t, "a", "b", "c", "d")
+	for id := range z.cores {
+		z.refused[id] = true
+	}
+	z.pass(20 * time.Second)
+	// Each waits between its tries: four nodes make at most four reads in each
+	// RetryMin, and far fewer once the wait has doubled.
+	must.Less(t, 200, z.reads)
+	clear(z.refused)
+	z.pass(5 * time.Second)
+	must.Len(t, 1, z.readers())
+}
+
+// zone drives the cores of one zone, all linked to each other.
+type zone struct {
+	now     time.Time
+	ids     []model.NodeID
+	cores   map[model.NodeID]*Core
+	reading map[model.NodeID]bool
+	refused map[model.NodeID]bool
+	reads   int
+}
+
+func newZone(t *testing.T, names ...string) *zone {
+	z := &zone{
+		now:     begin,
+		cores:   make(map[model.NodeID]*Core),
+		reading: make(map[model.NodeID]bool),
+		refused: make(map[model.NodeID]bool),
+	}
+	for _, n := range names {
+		id := model.NodeID(n)
+		z.ids = append(z.ids, id)
+		z.cores[id] = New(DefaultConfig(), record(n, "z1"), 1)
+	}
+	live := append([]model.NodeID(nil), z.ids...)
+	for i := range live {
+		for j := range live {
+			if compareNodes(live[i], live[j]) < 0 {
+				live[i], live[j] = live[j], live[i]
+			}
+		}
+	}
+	for _, id := range z.ids {
+		z.step(id, Members{Live: live})
+		for _, other := range z.ids {
+			if other != id {
+				z.step(id, core.PeerUp{Record: record(string(other), "z1")})
+			}
+		}
+	}
+	return z
+}
+
+func (z *zone) step(id model.NodeID, ev core.Event) {
+	for _, a := range z.cores[id].Step(z.now, ev) {
+		switch a := a.(type) {
+		case SetReading:
+			z.reading[id] = a.On
+		case core.Send:
+			z.step(a.To, core.Received{From: id, Message: a.Message})
+		}
+	}
+}
+
+// pass lets time pass; nodes that read get an answer, or a failure, each tick.
+func (z *zone) pass(d time.Duration) {
+	for end := z.now.Add(d); z.now.Before(end); {
+		z.now = z.now.Add(100 * time.Millisecond)
+		for _, id := range z.ids {
+			z.step(id, core.Tick{})
+			if !z.reading[id] {
+				continue
+			}
+			z.reads++
+			read := StoreRead{Version: 1, Body: []byte("1")}
+			if z.refused[id] {
+				read = StoreRead{Err: fmt.Errorf("refused")}
+			}
+			z.step(id, read)
+		}
+	}
+}
+
+func (z *zone) readers() []model.NodeID {
+	var on []model.NodeID
+	for _, id := range z.ids {
+		if z.reading[id] {
+			on = append(on, id)
+		}
+	}
+	return on
+}
