Keep the fleet's bound on repeats also when both services of a call fail

Calls made by a repeated request count as repeats at the service called, and both services shed half of their requests, so each used its own 0.6 of the bound at the same place.

Ruled out: windows that are not aligned (the excess was 2.5% of a whole window) and the number of nodes (12 live throughout).

Change: a service's own repeats use 0.45 of the bound. A service called has at least as many requests as it is called, so its own repeats and those of its callers keep to the bound together.

--- a/coordination/attempt/budget.go
+++ b/coordination/attempt/budget.go
@@ -21,6 +21,13 @@
 	Safety float64
 }
 
+// DefaultSafety is the part of the bound that each service's own repeats may
+// use. Calls that a repeated request makes count as repeats at the service
+// called. That one has at least as many requests as it is called, so its own
+// repeats and those of its callers together keep to the bound with a half; the
+// rest is for windows that are not aligned.
+const DefaultSafety = 0.45
+
 // slices is the number of parts of a window that are counted apart.
 const slices = 10
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -151,10 +151,6 @@
 	// drainPart is the part of the time to drain in which requests that other
 	// nodes have sent meanwhile are still taken.
 	drainPart = 4
-	// retrySafety is the part of the fleet's bound on repeats that is used:
-	// nodes count by windows that are not aligned, and backend servers' own
-	// calls multiply.
-	retrySafety = 0.6
 )
 
 // servicePolicy is how backend servers are used where the configuration says
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -163,7 +163,7 @@
 		Ratio:  s.Retry.Ratio,
 		Slack:  s.Retry.Slack,
 		Window: seconds(s.Retry.WindowSeconds),
-		Safety: retrySafety,
+		Safety: attempt.DefaultSafety,
 	}
 }
 
