Pace large answers by the host's link and admit no more than it can send

Cause: on the grown deployments weak hosts have links of 7.5 and 21 Mbit/s.

Ruled out: processor time (0.026 of 0.16 cores in the mean) and slots (8 each, two thirds in use).

Change: coordination/pace admits and paces large answers to other nodes by the rate of the link in the settings; the gate takes a large answer whole from its backend server, so that the slot is free while it is sent. A node that isn't its zone's reader stops after the first read of its start.

--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -38,6 +38,7 @@
 
 	rank     int
 	reading  bool
+	leading  bool // reads for the zone, not only for its own start
 	failures int
 	retryAt  time.Time
 	sequence uint64
@@ -274,10 +275,14 @@
 	if c.now.Before(c.retryAt) {
 		return false
 	}
-	if !c.read && c.now.Sub(c.started) < c.cfg.StartWait {
-		return true // the first read of a start
-	}
-	if c.reading {
+	c.leading = c.shouldLead()
+	starting := !c.read && c.now.Sub(c.started) < c.cfg.StartWait
+	return c.leading || starting
+}
+
+// shouldLead reports whether this node reads the store for its zone.
+func (c *Core) shouldLead() bool {
+	if c.leading {
 		return !c.betterReader()
 	}
 	if c.rank == 0 {
--- a/internal/rules/imports_test.go
+++ b/internal/rules/imports_test.go
@@ -33,6 +33,7 @@
 	"coordination/attempt": "sync",
 	"coordination/balance": "sync",
 	"coordination/gate":    "sync",
+	"coordination/pace":    "sync",
 	"coordination/retry":   "sync",
 	"coordination/share":   "sync",
 	"state/endpoint":       "net",
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/coordination/pace"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/instance"
@@ -177,6 +178,7 @@
 		Connections: n.connections,
 		Dialect:     speech,
 		Backend:     forward.NewClient(toBackend),
+		Lane:        pace.New(pace.DefaultConfig(n.set.linkBits())),
 		DrainGrace:  n.set.drain() / drainPart,
 		AnswerGrace: answerGrace,
 		Unreachable: n.backends.unreachable,
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -36,6 +36,8 @@
 	HeartbeatMillis int `json:"heartbeatMillis"`
 	// MemoryMB is the memory above which the process is killed, in megabytes.
 	MemoryMB int `json:"memoryMB"`
+	// LinkMbps is the rate of the host's link, in megabits per second.
+	LinkMbps float64 `json:"linkMbps"`
 	// DrainMillis is how long after its goodbye a backend server still gets
 	// requests at the latest, in milliseconds.
 	DrainMillis int `json:"drainMillis"`
@@ -139,8 +141,8 @@
 			return &SettingsError{Field: a.field, Reason: "want IP:port", Err: err}
 		}
 	}
-	if s.HeartbeatMillis <= 0 || s.DrainMillis <= 0 || s.GraceSeconds <= 0 || s.MemoryMB <= 0 {
-		return &SettingsError{Field: "heartbeatMillis, drainMillis, graceSeconds, memoryMB", Reason: "must be above 0"}
+	if s.HeartbeatMillis <= 0 || s.DrainMillis <= 0 || s.GraceSeconds <= 0 || s.MemoryMB <= 0 || s.LinkMbps <= 0 {
+		return &SettingsError{Field: "heartbeatMillis, drainMillis, graceSeconds, memoryMB, linkMbps", Reason: "must be above 0"}
 	}
 	if s.Retry.Ratio < 0 || s.Retry.WindowSeconds <= 0 || s.Retry.Slack < 0 {
 		return &SettingsError{Field: "retry", Reason: "ratio and slack must not be negative, windowSeconds above 0"}
@@ -155,6 +157,9 @@
 
 func (s *Settings) drain() time.Duration { return time.Duration(s.DrainMillis) * time.Millisecond }
 
+// linkBits is the rate of the host's link, in bits per second.
+func (s *Settings) linkBits() float64 { return s.LinkMbps * 1e6 }
+
 func (s *Settings) grace() time.Duration { return seconds(s.GraceSeconds) }
 
 // budget is the bound on repeats.
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -79,6 +79,7 @@
 	ReasonConcurrency      Reason = "concurrency"       // the contract's concurrency is used up
 	ReasonShed             Reason = "shed"              // overload; the least important first
 	ReasonQueueFull        Reason = "queue-full"        // the gate's queue is full
+	ReasonLinkFull         Reason = "link-full"         // the host's link is full of large answers
 	ReasonDeadline         Reason = "deadline"          // the deadline has passed or can't be met
 	ReasonDraining         Reason = "draining"          // the backend server is leaving
 	ReasonWrongService     Reason = "wrong-service"     // the host offers another service
--- /dev/null
+++ b/transport/inbound/bulk.go
@@ -0,0 +1,108 @@
+package inbound
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/coordination/pace"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+)
+
+const (
+	// maxHeld bounds a large answer that is taken whole from the backend
+	// server, in bytes: its slot is then free while the answer is being sent.
+	maxHeld = 2 << 20
+	// maxHeldAll bounds all answers so held, in bytes: a tenth of the memory of
+	// the users' smallest hosts.
+	maxHeldAll = 11 << 20
+)
+
+// serveBulk serves a request for a large answer of another node.
+func (g *Gate) serveBulk(w http.ResponseWriter, req *http.Request) error {
+	wait, given, err := forward.HeaderInt(req.Header, outcome.HeaderWait)
+	if err != nil || !given {
+		return forward.Relay(w, g.refuse(req, outcome.ReasonMalformed, false))
+	}
+	ticket, ok := g.cfg.Lane.Admit(g.cfg.Now(), time.Duration(wait)*time.Millisecond)
+	if !ok {
+		return forward.Relay(w, g.refuse(req, outcome.ReasonLinkFull, false))
+	}
+	resp, err := g.RoundTrip(req)
+	if err != nil {
+		ticket.Size(0)
+		return err
+	}
+	return g.relayPaced(w, req, resp, ticket)
+}
+
+// relayPaced sends an answer at the lane's rate. Small ones go at once.
+func (g *Gate) relayPaced(w http.ResponseWriter, req *http.Request, resp *http.Response, t *pace.Ticket) error {
+	size := resp.ContentLength
+	if size >= 0 && size <= forward.PieceBytes {
+		t.Size(0)
+		return forward.Relay(w, resp)
+	}
+	if size > 0 {
+		t.Size(float64(size))
+	}
+	resp.Body = forward.Paced(req.Context(), resp.Body, g.cfg.Lane)
+	return forward.Relay(w, resp)
+}
+
+// holdWhole takes a large answer whole from the backend server, so that its
+// slot is free at once. Where there is no room the answer stays as it is. It
+// reports false when the answer broke off.
+func (g *Gate) holdWhole(resp *http.Response) bool {
+	size := resp.ContentLength
+	if size <= 0 || size > maxHeld {
+		return true
+	}
+	if g.held.Add(size) > maxHeldAll {
+		g.held.Add(-size)
+		return true
+	}
+	body := make([]byte, size)
+	if err := readWhole(resp.Body, body); err != nil {
+		g.held.Add(-size)
+		return false
+	}
+	resp.Body = &heldBody{KeptBody: forward.NewKeptBody(body), release: func() { g.held.Add(-size) }}
+	return true
+}
+
+// readWhole reads a body that must end after len(p) bytes, and closes it.
+func readWhole(body io.ReadCloser, p []byte) error {
+	_, err := io.ReadFull(body, p)
+	if err == nil {
+		var beyond [1]byte
+		if _, end := body.Read(beyond[:]); end != io.EOF {
+			err = end
+		}
+	}
+	_ = body.Close() // it was read to its end, or has failed
+	return err
+}
+
+// heldBody is a body that counts as held until it is closed.
+type heldBody struct {
+	*forward.KeptBody
+	release func()
+}
+
+// Close implements io.Closer. It is called once, by who relays the answer.
+func (b *heldBody) Close() error {
+	if b.release != nil {
+		b.release()
+		b.release = nil
+	}
+	return nil
+}
+
+// isBulk reports whether a request asks for a large answer.
+func isBulk(h http.Header) bool {
+	v := h[outcome.HeaderKind]
+	return len(v) == 1 && v[0] == string(model.KindBulk)
+}
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -10,12 +10,14 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
 	core "github.com/jacinthgate/jacinthgate/coordination/gate"
+	"github.com/jacinthgate/jacinthgate/coordination/pace"
 	"github.com/jacinthgate/jacinthgate/protocol/dialect"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/instance"
@@ -35,6 +37,8 @@
 	Dialect dialect.Dialect
 	// Backend sends to the backend server.
 	Backend *forward.Client
+	// Lane paces large answers to other nodes.
+	Lane *pace.Lane
 	// DrainGrace is how long a leaving backend server still takes requests that
 	// other nodes have sent before they knew.
 	DrainGrace time.Duration
@@ -59,6 +63,8 @@
 	cfg      Config
 	core     *core.Gate
 	refusals sync.Map // outcome.Reason -> *metrics.Counter
+	// held are the bytes of large answers that are being sent.
+	held atomic.Int64
 }
 
 // New returns a gate. Update must be called for it to let requests in.
@@ -108,15 +114,24 @@
 		body = forward.NewStreamBody(w, r)
 	}
 	in := forward.NewRequest(r.Context(), r, "http", "", body, r.ContentLength)
-	resp, err := g.RoundTrip(in)
-	if err != nil {
-		panic(http.ErrAbortHandler) // RoundTrip answers every failure itself
+	serve := g.serveSmall
+	if isBulk(in.Header) {
+		serve = g.serveBulk
 	}
-	if err := forward.Relay(w, resp); err != nil {
+	if err := serve(w, in); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// serveSmall serves a request whose answer needs no pacing.
+func (g *Gate) serveSmall(w http.ResponseWriter, req *http.Request) error {
+	resp, err := g.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	return forward.Relay(w, resp)
+}
+
 // call is what the gate knows of a request.
 type call struct {
 	kind     model.ClassKind
@@ -213,6 +228,9 @@
 		h[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
 		h[outcome.HeaderReached] = reachedValue
 		resp.Body = &slotBody{ReadCloser: resp.Body, done: func() { done(g.cfg.Now().Sub(started)) }}
+		if c.kind == model.KindBulk && !g.holdWhole(resp) {
+			return g.unknown(req, outcome.ReasonBackendFailed)
+		}
 		g.stamp(h)
 		return resp
 	case dialect.Misdirected:
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -252,9 +252,11 @@
 	return false
 }
 
-// refusedAs says what a gate's refusal tells about its backend server.
+// refusedAs says what a gate's refusal tells about its backend server: nothing,
+// where the reason lies with the request or with the host's link.
 func refusedAs(reason outcome.Reason) balance.Outcome {
-	if reason == outcome.ReasonDeadline || reason == outcome.ReasonCancelled {
+	switch reason {
+	case outcome.ReasonDeadline, outcome.ReasonCancelled, outcome.ReasonLinkFull:
 		return balance.Cancelled
 	}
 	return balance.NotRun
