--- a/coordination/pace/lane.go
+++ b/coordination/pace/lane.go
@@ -22,7 +22,7 @@
 
 // Share is the part of a link's rate that large answers may take. The rest is
 // for small answers, which need far less, and for the headers of packets.
-const Share = 0.85
+const Share = 0.92
 
 // DefaultConfig returns the parameters for a link of the given rate in bits per
 // second.
@@ -37,8 +37,8 @@
 	mu sync.Mutex
 	// size is the mean size of an answer, in bytes.
 	size float64
-	// clear is when all that was admitted will have been sent.
-	clear time.Time
+	// pending is what was admitted and not sent yet, in bytes.
+	pending float64
 	// next is when the next piece may be sent.
 	next time.Time
 }
@@ -46,45 +46,52 @@
 // New returns a lane.
 func New(cfg Config) *Lane { return &Lane{cfg: cfg, size: cfg.FirstSize} }
 
-// Ticket is the room of one admitted answer.
+// Ticket is the room of one admitted answer. It is used by one goroutine.
 type Ticket struct {
-	lane  *Lane
-	bytes float64
+	lane *Lane
+	// left is what is still to be sent, in bytes.
+	left float64
 }
 
 // Admit reserves room for an answer of the mean size, unless what was admitted
-// before would hold it up for longer than wait.
-func (l *Lane) Admit(now time.Time, wait time.Duration) (*Ticket, bool) {
+// before would hold it up for longer than wait. Done must be called in the end.
+func (l *Lane) Admit(wait time.Duration) (*Ticket, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.clear.Sub(now) > wait {
+	if l.span(l.pending) > wait {
 		return nil, false
 	}
-	t := &Ticket{lane: l, bytes: l.size}
-	if l.clear.Before(now) {
-		l.clear = now
-	}
-	l.clear = l.clear.Add(l.span(t.bytes))
-	return t, true
+	l.pending += l.size
+	return &Ticket{lane: l, left: l.size}, true
 }
 
-// Size corrects the room once the answer's size is known, in bytes; 0 gives it
-// back.
+// Size corrects the room once the answer's size is known, in bytes.
 func (t *Ticket) Size(bytes float64) {
 	l := t.lane
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.clear = l.clear.Add(l.span(bytes - t.bytes))
-	t.bytes = bytes
-	if bytes > 0 {
-		l.size += l.cfg.SizeGain * (bytes - l.size)
-	}
+	l.pending += bytes - t.left
+	t.left = bytes
+	l.size += l.cfg.SizeGain * (bytes - l.size)
 }
 
-// Piece returns how long to wait before a piece of the given size is sent.
-func (l *Lane) Piece(now time.Time, bytes int) time.Duration {
+// Done gives back the room of what was not sent.
+func (t *Ticket) Done() {
+	t.lane.mu.Lock()
+	defer t.lane.mu.Unlock()
+	t.lane.pending -= t.left
+	t.left = 0
+}
+
+// Piece counts a piece of the given size, in bytes, as sent and returns how
+// long to wait before it is.
+func (t *Ticket) Piece(now time.Time, bytes int) time.Duration {
+	l := t.lane
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	sent := min(t.left, float64(bytes))
+	t.left -= sent
+	l.pending -= sent
 	if l.next.Before(now) {
 		l.next = now
 	}
--- a/transport/forward/paced.go
+++ b/transport/forward/paced.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Pacer says how long to wait before a piece of a body is sent. *pace.Lane is
-// one.
+// Pacer says how long to wait before a piece of a body is sent. *pace.Ticket
+// is one.
 type Pacer interface {
 	Piece(now time.Time, bytes int) time.Duration
 }
--- a/transport/inbound/bulk.go
+++ b/transport/inbound/bulk.go
@@ -18,6 +18,9 @@
 	// maxHeldAll bounds all answers so held, in bytes: a tenth of the memory of
 	// the users' smallest hosts.
 	maxHeldAll = 11 << 20
+	// maxSending is the number of large answers that are sent side by side: more
+	// than one, so that a receiver that has stopped holds up no other.
+	maxSending = 2
 )
 
 // serveBulk serves a request for a large answer of another node.
@@ -26,29 +29,36 @@
 	if err != nil || !given {
 		return forward.Relay(w, g.refuse(req, outcome.ReasonMalformed, false))
 	}
-	ticket, ok := g.cfg.Lane.Admit(g.cfg.Now(), time.Duration(wait)*time.Millisecond)
+	ticket, ok := g.cfg.Lane.Admit(time.Duration(wait) * time.Millisecond)
 	if !ok {
 		return forward.Relay(w, g.refuse(req, outcome.ReasonLinkFull, false))
 	}
+	defer ticket.Done()
 	resp, err := g.RoundTrip(req)
 	if err != nil {
-		ticket.Size(0)
 		return err
 	}
 	return g.relayPaced(w, req, resp, ticket)
 }
 
-// relayPaced sends an answer at the lane's rate. Small ones go at once.
+// relayPaced sends an answer at the lane's rate, few at a time: answers that are
+// sent side by side all end late. Small ones go at once.
 func (g *Gate) relayPaced(w http.ResponseWriter, req *http.Request, resp *http.Response, t *pace.Ticket) error {
 	size := resp.ContentLength
 	if size >= 0 && size <= forward.PieceBytes {
-		t.Size(0)
 		return forward.Relay(w, resp)
 	}
 	if size > 0 {
 		t.Size(float64(size))
 	}
-	resp.Body = forward.Paced(req.Context(), resp.Body, g.cfg.Lane)
+	select {
+	case g.sending <- struct{}{}:
+		defer func() { <-g.sending }()
+	case <-req.Context().Done():
+		_ = resp.Body.Close() // its caller has left
+		return &forward.CallerError{Err: req.Context().Err()}
+	}
+	resp.Body = forward.Paced(req.Context(), resp.Body, t)
 	return forward.Relay(w, resp)
 }
 
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -65,11 +65,13 @@
 	refusals sync.Map // outcome.Reason -> *metrics.Counter
 	// held are the bytes of large answers that are being sent.
 	held atomic.Int64
+	// sending bounds the large answers that are sent at one time.
+	sending chan struct{}
 }
 
 // New returns a gate. Update must be called for it to let requests in.
 func New(cfg Config) *Gate {
-	g := &Gate{cfg: cfg, core: core.New()}
+	g := &Gate{cfg: cfg, core: core.New(), sending: make(chan struct{}, maxSending)}
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots_used", func() float64 { return float64(g.core.Load().Used) })
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots", func() float64 { return float64(g.core.Load().Slots) })
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_queued", func() float64 { return float64(g.core.Load().Queued) })
