--- a/internal/rules/imports_test.go
+++ b/internal/rules/imports_test.go
@@ -62,10 +62,10 @@
 }
 
 // programs are the daemons and tools that run on a real site.
-var programs = []string{"cmd/jacinthgate-node", "cmd/jacinthgatectl"}
+var programs = []string{"cmd/jacinthgate-node", "cmd/jacinthgate-sidecar", "cmd/jacinthgatectl"}
 
 // tools are the folders that serve tests, trials and measurements only.
-var tools = []string{"internal/standin", "internal/fleet", "internal/measure", "internal/load", "internal/demo"}
+var tools = []string{"internal/standin", "platform/platformtest", "internal/fleet", "internal/measure", "internal/load", "internal/demo"}
 
 func TestProductImportsNoTools(t *testing.T) {
 	imports := make(map[string][]string)
--- a/internal/rules/pages_test.go
+++ b/internal/rules/pages_test.go
@@ -20,7 +20,7 @@
 // notTheNode are folders whose processes are no part of a node.
 var notTheNode = []string{
 	"cmd/jacinthgate-backend", "cmd/jacinthgate-older", "cmd/jacinthgate-platform",
-	"internal/standin", "internal/demo", "internal/load", "internal/measure", "internal/fleet",
+	"internal/standin", "platform/platformtest", "internal/demo", "internal/load", "internal/measure", "internal/fleet",
 }
 
 // forEachNodeFile calls f with each file of the node that is no test.
--- /dev/null
+++ b/internal/sidecar/fleet_test.go
@@ -0,0 +1,417 @@
+package sidecar
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"github.com/jacinthgate/jacinthgate/platform/platformtest"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// fleet is a few nodes with a backend server each, and the platform's store.
+type fleet struct {
+	t     *testing.T
+	store *platformtest.Store
+	nodes []*site
+}
+
+// site is one node and the backend server beside it.
+type site struct {
+	node    *Node
+	backend *platformtest.Backend
+	addr    string // of the backend server
+	ended   chan error
+	logs    *lines
+}
+
+// lines collects log lines.
+type lines struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// free returns a free address on loopback.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+const host = "rooms.example"
+
+func routes(version string) []byte {
+	return platformtest.Config(version, []string{"booking"},
+		platformtest.Route{Host: host, Prefix: "/status/", Kind: "idempotent", Service: "booking", Attempts: 2},
+		platformtest.Route{Host: host, Prefix: "/book/", Kind: "non_idempotent", Service: "booking", Attempts: 2},
+		platformtest.Route{Host: host, Prefix: "/firmware/", Kind: "download", Service: "booking", Attempts: 2},
+	)
+}
+
+// newFleet starts nodes and waits until each knows every backend server.
+func newFleet(t *testing.T, n int) *fleet {
+	f := &fleet{t: t, store: platformtest.NewStore()}
+	f.store.Put("op", "config", routes("r1"))
+	store := httptest.NewServer(f.store)
+	t.Cleanup(store.Close)
+	for i := range n {
+		f.nodes = append(f.nodes, f.start(i, store.Listener.Addr().String()))
+	}
+	f.beat()
+	f.eventually("every node knows every backend server", func() bool {
+		for _, m := range f.nodes {
+			v := m.node.pub.view.Load()
+			if !m.node.ready() || v == nil || len(v.Service("booking")) != n {
+				return false
+			}
+		}
+		return true
+	})
+	return f
+}
+
+func (f *fleet) start(i int, store string) *site {
+	m := &site{
+		backend: &platformtest.Backend{ID: fmt.Sprintf("i-%d", i), Service: "booking", Slots: 4},
+		ended:   make(chan error, 1),
+		logs:    new(lines),
+	}
+	server := httptest.NewServer(m.backend)
+	f.t.Cleanup(server.CloseClientConnections)
+	f.t.Cleanup(server.Close)
+	m.addr = server.Listener.Addr().String()
+	set := &Settings{
+		Node: model.NodeID(fmt.Sprintf("node-%d", i)), Zone: model.Zone(fmt.Sprintf("z%d", i%2)), Region: "r",
+		Service: "booking", Store: store, FirstStart: true,
+		Listen: Listen{
+			Callers: free(f.t), Gate: free(f.t), Ready: free(f.t), Backend: free(f.t), Peers: free(f.t), Metrics: free(f.t),
+		},
+		HeartbeatMillis: 60_000, MemoryMB: 100, LinkMbps: 1000, DrainMillis: 1000, GraceSeconds: 6,
+		Retry: RetrySettings{Ratio: 0.2, WindowSeconds: 10, Slack: 100},
+	}
+	must.NoError(f.t, set.check())
+	node, err := New(set, "no file", log.NewLogfmtLogger(log.NewSyncWriter(m.logs)))
+	must.NoError(f.t, err)
+	m.node = node
+	go func() { m.ended <- node.Run() }()
+	f.t.Cleanup(func() {
+		node.close()
+	})
+	return m
+}
+
+// beat lets every backend server say that it is there.
+func (f *fleet) beat() {
+	for _, m := range f.nodes {
+		must.NoError(f.t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
+	}
+}
+
+func (f *fleet) eventually(what string, cond func() bool) {
+	f.t.Helper()
+	must.Wait(f.t, wait.InitialSuccess(wait.BoolFunc(cond), wait.Timeout(20*time.Second), wait.Gap(20*time.Millisecond)), must.Sprint(what))
+}
+
+// do sends a request to a node as a caller does.
+func (f *fleet) do(m *site, method, path, body string, more ...string) (*http.Response, string) {
+	f.t.Helper()
+	req, err := http.NewRequest(method, "http://"+m.node.set.Listen.Callers+path, strings.NewReader(body))
+	must.NoError(f.t, err)
+	req.Host = host
+	req.Header.Set("X-Request-Id", fmt.Sprintf("%s %s %d", method, path, time.Now().UnixNano()))
+	req.Header.Set("X-Deadline-Ms", "4000")
+	for i := 0; i < len(more); i += 2 {
+		req.Header.Set(more[i], more[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	must.NoError(f.t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	must.NoError(f.t, err)
+	return resp, string(b)
+}
+
+// seen returns all requests that reached backend servers.
+func (f *fleet) seen() []platformtest.Seen {
+	var all []platformtest.Seen
+	for _, m := range f.nodes {
+		all = append(all, m.backend.Seen()...)
+	}
+	return all
+}
+
+func TestRequestReachesABackendServerUnchanged(t *testing.T) {
+	f := newFleet(t, 3)
+	resp, body := f.do(f.nodes[0], "POST", "/book/a%2Fb?x=1&y", "two rooms", "X-Own", "kept", "X-Caller-Service", "forged", "Jacinthgate-Kind", "forged")
+	must.Eq(t, 200, resp.StatusCode)
+	must.NotEq(t, "", resp.Header.Get("X-Response-Stamp"))
+	must.StrContains(t, body, "ran /book/a%2Fb?x=1&y")
+	must.Len(t, 1, f.seen())
+	got := f.seen()[0]
+	must.Eq(t, "POST two rooms booking", got.Method+" "+got.Body+" "+got.Caller)
+	must.Eq(t, "kept", got.Headers.Get("X-Own"))
+	must.Between(t, 1, got.LeftMillis, 2000, must.Sprint("the route's timeout is shorter than the caller's"))
+	for name := range got.Headers {
+		must.False(t, strings.HasPrefix(name, "Jacinthgate-"), must.Sprint(name))
+	}
+	for name := range resp.Header {
+		must.False(t, strings.HasPrefix(name, "Jacinthgate-"), must.Sprint(name))
+	}
+}
+
+func TestUnknownRouteIsNotFound(t *testing.T) {
+	f := newFleet(t, 1)
+	resp, _ := f.do(f.nodes[0], "GET", "/nothing/", "")
+	must.Eq(t, 404, resp.StatusCode)
+	must.Len(t, 0, f.seen())
+}
+
+func TestNewConfigurationIsInForceOnEveryNode(t *testing.T) {
+	f := newFleet(t, 4)
+	f.store.Put("op", "config", platformtest.Config("r7", []string{"booking"},
+		platformtest.Route{Host: host, Prefix: "/new/", Kind: "idempotent", Service: "booking"}))
+	f.eventually("version 7 everywhere", func() bool {
+		for _, m := range f.nodes {
+			if m.node.pub.table.Load().Version() != 7 {
+				return false
+			}
+		}
+		return true
+	})
+	resp, _ := f.do(f.nodes[3], "GET", "/new/x", "")
+	must.Eq(t, 200, resp.StatusCode)
+	f.store.Put("op", "config", []byte(`{"version":"r9","routes":{"columns":["name"],"rows":[["x"]]}}`))
+	f.eventually("version 9 is refused", func() bool {
+		return strings.Contains(f.nodes[0].logs.String(), "config_refused")
+	})
+	must.Eq(t, 7, f.nodes[0].node.pub.table.Load().Version())
+}
+
+func TestConfigurationIsReadAgainAfterTheHistoryIsLost(t *testing.T) {
+	f := newFleet(t, 2)
+	f.store.SetDown(true)
+	f.store.Put("op", "config", routes("r5"))
+	f.store.Compact()
+	f.store.SetDown(false)
+	f.eventually("version 5 everywhere", func() bool {
+		return f.nodes[0].node.pub.table.Load().Version() == 5 && f.nodes[1].node.pub.table.Load().Version() == 5
+	})
+}
+
+func TestNobodySendsToALeavingBackendServer(t *testing.T) {
+	for name, leave := range map[string]func(*site) error{
+		"draining": func(m *site) error { return m.backend.Beat(m.node.set.Listen.Backend, m.addr, true) },
+		"goodbye":  func(m *site) error { return m.backend.Leave(m.node.set.Listen.Backend) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			must.NoError(t, leave(f.nodes[0]))
+			must.Eq(t, "i-0", string(f.store.Row("nodes", "drain/node-0")))
+			// A late heartbeat from before must not bring it back.
+			f.nodes[0].backend.ID = "i-0"
+			f.eventually("the other node knows", func() bool {
+				return len(f.nodes[1].node.pub.view.Load().Service("booking")) == 1
+			})
+			time.Sleep(f.nodes[0].node.set.drain() / drainPart)
+			before := len(f.nodes[0].backend.Seen())
+			for range 20 {
+				resp, _ := f.do(f.nodes[0], "GET", "/status/x", "")
+				must.Eq(t, 200, resp.StatusCode)
+			}
+			must.Eq(t, before, len(f.nodes[0].backend.Seen()))
+		})
+	}
+}
+
+func TestRequestThatMayNotRunAgainIsSentOnce(t *testing.T) {
+	f := newFleet(t, 3)
+	for _, m := range f.nodes {
+		m.backend.Answer = func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	}
+	resp, _ := f.do(f.nodes[0], "POST", "/book/x", "one room")
+	must.Eq(t, 502, resp.StatusCode)
+	must.Len(t, 1, f.seen())
+	resp, _ = f.do(f.nodes[0], "GET", "/status/x", "")
+	must.Eq(t, 502, resp.StatusCode)
+	must.Len(t, 3, f.seen(), must.Sprint("two attempts of the second request"))
+}
+
+func TestRefusalByTheBackendServerIsAPromiseAndTriedElsewhere(t *testing.T) {
+	f := newFleet(t, 2)
+	shed := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(503)
+	}
+	f.nodes[0].backend.Answer, f.nodes[1].backend.Answer = shed, shed
+	resp, _ := f.do(f.nodes[0], "POST", "/book/x", "one room")
+	must.Eq(t, 503, resp.StatusCode)
+	must.NotEq(t, "", resp.Header.Get("Retry-After"))
+	must.Len(t, 2, f.seen())
+	f.nodes[1].backend.Answer = nil
+	f.eventually("the other one serves", func() bool {
+		resp, _ := f.do(f.nodes[0], "POST", "/book/x", "one room")
+		return resp.StatusCode == 200
+	})
+}
+
+func TestWrongAnswersAreNotPassedOn(t *testing.T) {
+	for name, answer := range map[string]http.HandlerFunc{
+		"no signature": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "not mine") },
+		"another's encoding": func(w http.ResponseWriter, _ *http.Request) {
+			platformtest.Stamp(w)
+			w.Header().Set("Content-Encoding", "x")
+		},
+		"short": func(w http.ResponseWriter, _ *http.Request) {
+			platformtest.Stamp(w)
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "abc")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.nodes[0].backend.Answer = answer
+			resp, _ := f.do(f.nodes[0], "GET", "/status/x", "")
+			must.Eq(t, 502, resp.StatusCode)
+		})
+	}
+}
+
+func TestAddressUsedAgainIsFoundOut(t *testing.T) {
+	f := newFleet(t, 2)
+	f.nodes[0].backend.ID = "i-new" // another start, not yet announced
+	for range 20 {
+		resp, body := f.do(f.nodes[0], "GET", "/status/x", "")
+		must.Eq(t, 200, resp.StatusCode)
+		must.StrContains(t, body, "i-1 ran")
+	}
+}
+
+func TestSlotsAreKept(t *testing.T) {
+	f := newFleet(t, 2)
+	for _, m := range f.nodes {
+		m.backend.Work = 20 * time.Millisecond
+	}
+	var wg sync.WaitGroup
+	for range 40 {
+		wg.Go(func() {
+			req, err := http.NewRequest("GET", "http://"+f.nodes[0].node.set.Listen.Callers+"/status/x", nil)
+			if err != nil {
+				return
+			}
+			req.Host = host
+			if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	wg.Wait()
+	for _, m := range f.nodes {
+		must.LessEq(t, m.backend.Slots, m.backend.Most())
+	}
+}
+
+func TestServiceGoesOnWithoutTheStore(t *testing.T) {
+	f := newFleet(t, 2)
+	f.store.SetDown(true)
+	for range 5 {
+		resp, _ := f.do(f.nodes[1], "GET", "/status/x", "")
+		must.Eq(t, 200, resp.StatusCode)
+	}
+	must.NoError(t, f.nodes[0].backend.Beat(f.nodes[0].node.set.Listen.Backend, f.nodes[0].addr, true),
+		must.Sprint("a goodbye is acknowledged without the store"))
+}
+
+func TestLargeAnswersArriveWhole(t *testing.T) {
+	f := newFleet(t, 2)
+	large := strings.Repeat("x", 300<<10)
+	for _, m := range f.nodes {
+		m.backend.Answer = func(w http.ResponseWriter, _ *http.Request) {
+			platformtest.Stamp(w)
+			w.Header().Set("Content-Length", fmt.Sprint(len(large)))
+			_, _ = io.WriteString(w, large)
+		}
+	}
+	for range 6 {
+		resp, body := f.do(f.nodes[0], "GET", "/firmware/x", "")
+		must.Eq(t, 200, resp.StatusCode)
+		must.True(t, body == large)
+	}
+}
+
+func TestLeavingNodeFinishesItsRequests(t *testing.T) {
+	f := newFleet(t, 2)
+	m := f.nodes[0]
+	m.backend.Work, f.nodes[1].backend.Work = 300*time.Millisecond, 300*time.Millisecond
+	results := make(chan int, 8)
+	for range cap(results) {
+		go func() {
+			req, err := http.NewRequest("GET", "http://"+m.node.set.Listen.Callers+"/status/x", nil)
+			if err != nil {
+				results <- 0
+				return
+			}
+			req.Host = host
+			resp, err := http.DefaultTransport.RoundTrip(req)
+			if err != nil {
+				results <- 0
+				return
+			}
+			defer resp.Body.Close()
+			_, _ = io.Copy(io.Discard, resp.Body) // the status counts
+			results <- resp.StatusCode
+		}()
+	}
+	f.eventually("requests run", func() bool { return len(f.seen()) == cap(results) })
+	go m.node.shutdown(syscall.SIGTERM)
+	for range cap(results) {
+		must.Eq(t, 200, <-results)
+	}
+	f.eventually("nobody sends to the host any more", func() bool {
+		return len(f.nodes[1].node.pub.view.Load().Service("booking")) == 1
+	})
+	must.False(t, m.node.ready())
+}
+
+func TestBadInputLeavesTheNodeRunning(t *testing.T) {
+	f := newFleet(t, 1)
+	set := f.nodes[0].node.set.Listen
+	for _, addr := range []string{set.Callers, set.Gate, set.Ready, set.Backend, set.Peers, set.Metrics} {
+		c, err := net.Dial("tcp", addr)
+		must.NoError(t, err)
+		_, _ = c.Write([]byte("\xff\xff\xff\xff garbage \r\n\r\n\x00")) // the node may close it first
+		must.NoError(t, c.Close())
+	}
+	resp, err := http.Post("http://"+set.Backend+"/api/instances/x/heartbeat", "application/json", strings.NewReader("{"))
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	must.Eq(t, 400, resp.StatusCode)
+	got, _ := f.do(f.nodes[0], "GET", "/status/x", "")
+	must.Eq(t, 200, got.StatusCode)
+}
--- /dev/null
+++ b/state/instance/instance_test.go
@@ -0,0 +1,68 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+func beat(id string, sequence uint64, draining bool) Heartbeat {
+	return Heartbeat{ID: id, Addr: "127.0.0.1:1", Service: "s", Slots: 9, Sequence: sequence, Draining: draining}
+}
+
+func TestLateHeartbeatChangesNothing(t *testing.T) {
+	var l Local
+	must.True(t, l.Hear(begin, beat("a", 5, false)))
+	must.True(t, l.Hear(begin, beat("a", 6, true)))
+	must.False(t, l.Hear(begin, beat("a", 4, false)))
+	must.Eq(t, Draining, l.Current().State)
+	must.False(t, l.Hear(begin.Add(time.Second), beat("a", 7, true)))
+	must.Eq(t, begin, l.Current().DrainSince, must.Sprint("a drain begins once"))
+	must.False(t, l.Hear(begin, beat("a", 8, false)), must.Sprint("it is not undone"))
+	must.Eq(t, Draining, l.Current().State)
+}
+
+func TestNewInstanceReplacesTheOldOneForGood(t *testing.T) {
+	var l Local
+	l.Hear(begin, beat("a", 5, false))
+	must.True(t, l.Hear(begin, beat("b", 1, false)))
+	must.False(t, l.Hear(begin, beat("a", 6, false)))
+	must.Eq(t, "b", l.Current().ID)
+}
+
+func TestGoodbye(t *testing.T) {
+	var l Local
+	l.Hear(begin, beat("a", 1, false))
+	must.True(t, l.Leave(begin, "a"))
+	must.False(t, l.Leave(begin.Add(time.Second), "a"))
+	must.Eq(t, begin, l.Current().DrainSince)
+	must.False(t, l.Hear(begin, beat("a", 2, false)))
+	must.Eq(t, Draining, l.Current().State)
+}
+
+func TestGoodbyeOfAnInstanceThatIsNotKnown(t *testing.T) {
+	var l Local // such as after a restart of the node
+	must.True(t, l.Leave(begin, "a"))
+	must.False(t, l.Hear(begin, beat("a", 9, false)))
+	must.Nil(t, l.Current())
+}
+
+func TestSilentInstanceIsDroppedAndMayComeBack(t *testing.T) {
+	var l Local
+	l.Hear(begin, beat("a", 1, false))
+	must.False(t, l.Expire(begin.Add(time.Second), 2*time.Second))
+	must.True(t, l.Expire(begin.Add(2*time.Second), 2*time.Second))
+	must.True(t, l.Hear(begin.Add(3*time.Second), beat("a", 2, false)))
+}
+
+func TestOnlyTheLastOnesAreRememberedAsGone(t *testing.T) {
+	var l Local
+	for i := range 3 * maxGone {
+		l.Forget(string(rune('a' + i)))
+	}
+	must.Len(t, maxGone, l.gone)
+	must.True(t, l.isGone(string(rune('a'+3*maxGone-1))))
+}
