Write logs without blocking and bounded, and name each failed attempt

Cause: log lines were written to standard output where they arose, in any number; a reader that is slow would have held up requests. An attempt that a gate refused left no line, so a request's id did not lead to its cause. One run of internal/sidecar's tests failed: a port that was chosen free was in use when the node opened it.

Change: logging.Async queues 512 lines, lets 100 a second pass (400 at once) and counts the rest (jacinthgate_log_lines_dropped). attempt_failed gives the gate's word, its load, the attempts and the time left; request_refused gives the version in force. Nodes open port 0 and tell which port they got, so that tests need not guess.

--- a/cmd/jacinthgate-sidecar/main.go
+++ b/cmd/jacinthgate-sidecar/main.go
@@ -60,9 +60,11 @@
 		return fail(err)
 	}
 	debug.SetGCPercent(gcPercent)
-	logger := logging.New(os.Stdout, set.LogLevel)
+	out := logging.NewAsync(os.Stdout)
+	defer out.Close()
+	logger := logging.New(out, set.LogLevel)
 	logging.CatchLibraries(logger)
-	n, err := sidecar.New(set, c.settings, logger)
+	n, err := sidecar.New(set, c.settings, logger, out.Dropped)
 	if err != nil {
 		return fail(err)
 	}
--- /dev/null
+++ b/internal/logging/async_test.go
@@ -0,0 +1,54 @@
+package logging
+
+import (
+	"bytes"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// stuck is an output that doesn't take anything until it is released.
+type stuck struct {
+	release chan struct{}
+	got     bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return s.got.Write(p)
+}
+
+func TestLogNeverBlocksAndCountsWhatItDrops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuck{release: make(chan struct{})}
+		a := NewAsync(out)
+		const lines = 10_000
+		for range lines {
+			_, err := a.Write([]byte("line\n"))
+			must.NoError(t, err)
+		}
+		must.Eq(t, lines-asyncBurst, int(a.Dropped()))
+		close(out.release)
+		a.Close()
+		must.Eq(t, asyncBurst, bytes.Count(out.got.Bytes(), []byte("\n")))
+	})
+}
+
+func TestLogGoesOnAfterABurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		a := NewAsync(&out)
+		for range 2 * asyncBurst {
+			_, _ = a.Write([]byte("x\n"))
+		}
+		before := a.Dropped()
+		time.Sleep(time.Second)
+		for range asyncPerSecond {
+			_, _ = a.Write([]byte("x\n"))
+		}
+		must.Eq(t, before, a.Dropped())
+		a.Close()
+	})
+}
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -29,6 +29,7 @@
 		return &ListenError{Name: "peers", Addr: n.set.Listen.Peers, Err: err}
 	}
 	n.peers = t
+	n.set.Listen.Peers = t.Addr()
 	return nil
 }
 
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -56,14 +56,8 @@
 	return l.b.String()
 }
 
-// free returns a free address on loopback.
-func free(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
+// anyAddr is an address whose port the kernel chooses.
+const anyAddr = "127.0.0.1:0"
 
 const host = "rooms.example"
 
@@ -111,13 +105,13 @@
 		Node: model.NodeID(fmt.Sprintf("node-%d", i)), Zone: model.Zone(fmt.Sprintf("z%d", i%2)), Region: "r",
 		Service: "booking", Store: store, FirstStart: true,
 		Listen: Listen{
-			Callers: free(f.t), Gate: free(f.t), Ready: free(f.t), Backend: free(f.t), Peers: free(f.t), Metrics: free(f.t),
+			Callers: anyAddr, Gate: anyAddr, Ready: anyAddr, Backend: anyAddr, Peers: anyAddr, Metrics: anyAddr,
 		},
 		HeartbeatMillis: 60_000, MemoryMB: 100, LinkMbps: 1000, DrainMillis: 1000, GraceSeconds: 6,
 		Retry: RetrySettings{Ratio: 0.2, WindowSeconds: 10, Slack: 100},
 	}
 	must.NoError(f.t, set.check())
-	node, err := New(set, "no file", log.NewLogfmtLogger(log.NewSyncWriter(m.logs)))
+	node, err := New(set, "no file", log.NewLogfmtLogger(log.NewSyncWriter(m.logs)), func() uint64 { return 0 })
 	must.NoError(f.t, err)
 	m.node = node
 	go func() { m.ended <- node.Run() }()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -51,21 +51,25 @@
 	budget   *attempt.Budget
 	gate     *inbound.Gate
 	proxy    *outbound.Proxy
-	servers  []*server
-	callers  *server
-	gates    *server
+	// listeners are the open addresses by the name of their setting.
+	listeners map[string]net.Listener
+	servers   []*server
+	callers   *server
+	gates     *server
 
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
 // New opens the node's addresses and wires its parts. Nothing runs before Run.
-// The error is a *ListenError.
-func New(set *Settings, path string, logger log.Logger) (*Node, error) {
+// path is the settings file, read again when it changes; dropped counts the log
+// lines that were not written. The error is a *ListenError.
+func New(set *Settings, path string, logger log.Logger, dropped func() uint64) (*Node, error) {
 	n := &Node{set: set, path: path, log: logger, metrics: metrics.NewSet(), pub: new(published)}
+	n.metrics.GetOrCreateGauge("jacinthgate_log_lines_dropped", func() float64 { return float64(dropped()) })
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.store = platform.NewStore(set.Store, n.localIP())
-	steps := []func() error{n.openPeers, n.wireControl, n.wireRequests, n.openServers}
+	steps := []func() error{n.openListeners, n.openPeers, n.wireControl, n.wireRequests, n.wireServers}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			n.close()
@@ -80,8 +84,11 @@
 
 func (n *Node) close() {
 	n.cancel()
+	for _, ln := range n.listeners {
+		_ = ln.Close() // the process is about to end
+	}
 	for _, s := range n.servers {
-		_ = s.http.Close() // the process is about to end
+		_ = s.http.Close() // likewise
 	}
 	if n.peers != nil {
 		_ = n.peers.Close() // likewise
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -64,9 +64,9 @@
 	ln   net.Listener
 }
 
-// openServer opens a server of net/http.
-func (n *Node) openServer(name, addr string, h http.Handler) (*server, error) {
-	return n.listen(name, addr, &http.Server{
+// addPlain adds a server of net/http.
+func (n *Node) addPlain(name string, h http.Handler) *server {
+	return n.add(name, &http.Server{
 		Handler:           h,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
@@ -74,14 +74,40 @@
 	})
 }
 
-func (n *Node) listen(name, addr string, h httpServer) (*server, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, &ListenError{Name: name, Addr: addr, Err: err}
-	}
-	s := &server{ln: ln, http: h}
+// add adds a server on the address that was opened for it.
+func (n *Node) add(name string, h httpServer) *server {
+	s := &server{ln: n.listeners[name], http: h}
 	n.servers = append(n.servers, s)
-	return s, nil
+	return s
+}
+
+// The names of the HTTP servers' addresses in the settings.
+const (
+	listenCallers = "callers"
+	listenGate    = "gate"
+	listenReady   = "ready"
+	listenBackend = "backend"
+	listenMetrics = "metrics"
+)
+
+// openListeners opens the addresses of the HTTP servers. A port that the kernel
+// has chosen replaces 0 in the settings.
+func (n *Node) openListeners() error {
+	n.listeners = make(map[string]net.Listener)
+	set := &n.set.Listen
+	addrs := map[string]*string{
+		listenCallers: &set.Callers, listenGate: &set.Gate, listenReady: &set.Ready,
+		listenBackend: &set.Backend, listenMetrics: &set.Metrics,
+	}
+	for name, addr := range addrs {
+		ln, err := net.Listen("tcp", *addr)
+		if err != nil {
+			return &ListenError{Name: name, Addr: *addr, Err: err}
+		}
+		*addr = ln.Addr().String()
+		n.listeners[name] = ln
+	}
+	return nil
 }
 
 // callerLimits returns what callers may send by the configuration in force, or
@@ -107,27 +133,17 @@
 	return err
 }
 
-// openServers opens every HTTP server of the node.
-func (n *Node) openServers() error {
-	var err error
+// wireServers makes the HTTP servers.
+func (n *Node) wireServers() error {
 	front := callers.New(callers.Config{Handler: n.proxy, Limits: n.callerLimits, Ahead: requestsAhead, Logger: n.log})
-	if n.callers, err = n.listen("callers", n.set.Listen.Callers, front); err != nil {
-		return err
-	}
-	if n.gates, err = n.openServer("gate", n.set.Listen.Gate, n.gate); err != nil {
-		return err
-	}
-	if _, err = n.openServer("ready", n.set.Listen.Ready, n.readyHandler()); err != nil {
-		return err
-	}
-	backend := platform.BackendHandler(n.backends, func(err error) {
+	n.callers = n.add(listenCallers, front)
+	n.gates = n.addPlain(listenGate, n.gate)
+	n.addPlain(listenReady, n.readyHandler())
+	n.addPlain(listenBackend, platform.BackendHandler(n.backends, func(err error) {
 		_ = level.Warn(n.log).Log("event", "heartbeat_unreadable", "err", err)
-	})
-	if _, err = n.openServer("backend", n.set.Listen.Backend, backend); err != nil {
-		return err
-	}
-	_, err = n.openServer("metrics", n.set.Listen.Metrics, n.metricsHandler())
-	return err
+	}))
+	n.addPlain(listenMetrics, n.metricsHandler())
+	return nil
 }
 
 // readyHandler answers whether the node takes callers.
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -249,6 +249,10 @@
 	forward.Drain(resp)
 	choice.Done(x.p.cfg.Now(), result)
 	x.note(out, reason)
+	_ = x.p.cfg.Logger.Log("event", "attempt_failed", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
+		"route", x.route.Name, "node", choice.Record.Node, "instance", choice.Record.Instance, "outcome", out,
+		"reason", reason, "load", h.Get(outcome.HeaderLoad), "sends", x.progress.Sends, "reached", x.progress.Reached,
+		"left", x.deadline.Sub(x.p.cfg.Now()))
 	return false
 }
 
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -118,7 +118,8 @@
 func (p *Proxy) reject(w http.ResponseWriter, r *http.Request, f refusal) {
 	p.count(f.status, f.reason)
 	_ = p.cfg.Logger.Log("event", "request_refused", "request", p.cfg.Dialect.RequestID(r.Header),
-		"host", r.Host, "path", r.URL.Path, "status", f.status, "reason", f.reason, "retry_after", f.after)
+		"host", r.Host, "path", r.URL.Path, "version", p.version(), "status", f.status, "reason", f.reason,
+		"retry_after", f.after)
 	h := w.Header()
 	if f.after > 0 {
 		h["Retry-After"] = []string{strconv.FormatFloat(f.after.Seconds(), 'f', 3, 64)}
@@ -127,6 +128,14 @@
 	w.WriteHeader(f.status)
 }
 
+// version returns the version of the routes in force; 0 without any.
+func (p *Proxy) version() route.Version {
+	if t := p.cfg.Table(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
 // count counts the answers that don't come from backend servers.
 func (p *Proxy) count(status int, reason outcome.Reason) {
 	name := `jacinthgate_outbound_refusals_total{status="` + strconv.Itoa(status) + `",reason="` + string(reason) + `"}`
