--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -21,7 +21,7 @@
 	// mergeWait is the pause after a change before the next read: changes in
 	// quick succession are read together. It adds to the time until a change
 	// is in force, for which there are two seconds.
-	mergeWait = 120 * time.Millisecond
+	mergeWait = 400 * time.Millisecond
 )
 
 // reader reads the operators' configuration from the store while it is on.
