End the links at once when a node stops, and leave a sixth of the grace time

The end waits for the links' goroutines, and a handshake with a silent peer waits up to a second, while the shutdown left 0.6 s.

Ruled out: requests in flight: they are cut at the deadline of the shutdown.

Change: the transport closes with the links' context, and the shutdown ends a sixth of the grace time before the end, in which cuts are allowed.

--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -116,9 +116,13 @@
 	return link.New(cfg)
 }
 
-// runLinks runs the links until ctx ends and then lets the event loop end.
+// runLinks runs the links until ctx ends and then lets the event loop end. The
+// transport ends with ctx, so that a peer that is silent in its handshake doesn't
+// hold up the end of the process.
 func (n *Node) runLinks(ctx context.Context) error {
 	defer close(n.loop.linksDone)
+	stop := context.AfterFunc(ctx, func() { _ = n.peers.Close() }) // the process is about to end
+	defer stop()
 	err := n.links.Run(ctx)
 	if ctx.Err() != nil {
 		return nil
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -19,9 +19,9 @@
 	// the platform asks once a second whether it is ready, and takes its
 	// callers away after two answers that it isn't.
 	noticeTime = 2600 * time.Millisecond
-	// exitMargin is the time before the end of the grace time at which the
-	// node ends in any case.
-	exitMargin = 600 * time.Millisecond
+	// exitPart is the last part of the grace time, in which the node ends in any
+	// case: what a backend server is still at work on by then may be cut.
+	exitPart = 6
 	// farewellTime is how long the record that the node has left may take to
 	// reach the neighbours.
 	farewellTime = 50 * time.Millisecond
@@ -91,7 +91,7 @@
 	n.pub.leaving.Store(true)
 	n.announce(n.pub.instance.Load())
 	time.Sleep(min(noticeTime, n.set.grace()/2))
-	ctx, cancel := context.WithDeadline(n.ctx, began.Add(n.set.grace()-exitMargin))
+	ctx, cancel := context.WithDeadline(n.ctx, began.Add(n.set.grace()-n.set.grace()/exitPart))
 	defer cancel()
 	err := n.callers.http.Shutdown(ctx)
 	// The gate ends last: requests of this host's callers may be using it.
