Refuse what gets no slot within a sixth of its target

Cause: a request that waited for a quarter of its target was refused just after it; a caller that is refused within a quarter, and served in time when it comes back, has lost less.

Change: waitPart 6 in place of 4.

--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -199,10 +199,12 @@
 }
 
 // waitPart is the part of a route's target in which a request gets a slot or is
-// refused: its caller then has time to come back, and a request that has waited
-// for most of its target would only be answered late in place of another one
-// that isn't late yet. docs/MEASUREMENTS.md compares it with longer waits.
-const waitPart = 4
+// refused. A caller that was refused within a quarter of the target is still
+// served in good time when it comes back, so the refusal must leave before that;
+// and a request that has waited for most of its target would only be answered
+// late in place of another one that isn't late yet. docs/MEASUREMENTS.md
+// compares it with longer waits.
+const waitPart = 6
 
 // sendFailed notes an attempt that got no response from the gate.
 func (x *exchange) sendFailed(choice balance.Choice, err error) {
