Take the connections that wait before a listener is closed

The suspicion was right: the kernel resets connections that are complete and not accepted yet when a listener is closed.

Ruled out: requests on kept connections: the test closes those with their last answer.

Change: transport/listen drains: Accept goes on until nothing has come for 5 ms, and only then is the listener closed. The node's callers and gate, and those of the sidecar, shut down through it. What connects between the last look and the close is still reset: callers are sent away before by then.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/jacinthgate/jacinthgate/transport/entry"
 	"github.com/jacinthgate/jacinthgate/transport/gate"
 	"github.com/jacinthgate/jacinthgate/transport/link"
+	"github.com/jacinthgate/jacinthgate/transport/listen"
 	"github.com/jacinthgate/jacinthgate/transport/local"
 	"github.com/jacinthgate/jacinthgate/transport/peer/quic"
 )
@@ -52,6 +53,7 @@
 	gauges *gauges
 
 	callerLn    net.Listener
+	callerRaw   *listen.Listener // what callerLn accepts from
 	gateSrv     *server
 	localSrv    *server
 	operatorSrv *server
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/netutil"
+
+	"github.com/jacinthgate/jacinthgate/transport/listen"
 )
 
 // Timeouts of the node's HTTP servers.
@@ -37,6 +39,8 @@
 type server struct {
 	http *http.Server
 	ln   net.Listener
+	// raw is what ln accepts from.
+	raw *listen.Listener
 }
 
 // serverConfig says how to make a server.
@@ -49,18 +53,19 @@
 	maxConns int
 }
 
-// listen opens the address; the handler is set later.
-func listen(cfg serverConfig) (*server, error) {
+// openServer opens the address; the handler is set later.
+func openServer(cfg serverConfig) (*server, error) {
 	ln, err := net.Listen("tcp", cfg.addr)
 	if err != nil {
 		return nil, &ListenError{Name: cfg.name, Addr: cfg.addr, Err: err}
 	}
+	s := &server{raw: listen.New(ln)}
+	s.ln = s.raw
 	if cfg.maxConns > 0 {
-		ln = netutil.LimitListener(ln, cfg.maxConns)
+		s.ln = netutil.LimitListener(s.ln, cfg.maxConns)
 	}
-	s := &server{ln: ln}
 	if cfg.tls != nil {
-		s.ln = tls.NewListener(ln, cfg.tls)
+		s.ln = tls.NewListener(s.ln, cfg.tls)
 	}
 	s.http = &http.Server{
 		MaxHeaderBytes:    cfg.maxHeaderBytes,
@@ -76,15 +81,16 @@
 // serve serves until the server is shut down or closed.
 func (s *server) serve() error {
 	err := s.http.Serve(s.ln)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
-// shutdown stops accepting, waits for requests in flight until ctx ends, and
+// shutdown stops accepting once no connection waits, waits for requests in flight until ctx ends, and
 // closes what is left then.
 func (s *server) shutdown(ctx context.Context) error {
+	_ = s.raw.Drain() // Shutdown closes what is still open
 	err := s.http.Shutdown(ctx)
 	if err != nil {
 		_ = s.http.Close() // the deadline has passed: nothing more to wait for
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -85,7 +85,10 @@
 func (n *Node) drainServers(ctx context.Context) error {
 	var wg sync.WaitGroup
 	var entryErr, gateErr error
-	wg.Go(func() { entryErr = n.proxy.Shutdown(ctx) })
+	wg.Go(func() {
+		_ = n.callerRaw.Drain() // Shutdown closes what is still open
+		entryErr = n.proxy.Shutdown(ctx)
+	})
 	wg.Go(func() { gateErr = n.gateSrv.shutdown(ctx) })
 	wg.Wait()
 	return errors.Join(entryErr, gateErr)
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthgate/jacinthgate/transport/entry"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/gate"
+	"github.com/jacinthgate/jacinthgate/transport/listen"
 	"github.com/jacinthgate/jacinthgate/transport/operatorapi"
 	"github.com/jacinthgate/jacinthgate/transport/platform"
 )
@@ -31,8 +32,9 @@
 	if err != nil {
 		return &ListenError{Name: "caller", Addr: n.set.Listen.Caller, Err: err}
 	}
-	n.callerLn = newCappedListener(callers, n.set.Limits.Connections, n.metrics)
-	n.gateSrv, err = listen(serverConfig{
+	n.callerRaw = listen.New(callers)
+	n.callerLn = newCappedListener(n.callerRaw, n.set.Limits.Connections, n.metrics)
+	n.gateSrv, err = openServer(serverConfig{
 		name:           "gate",
 		addr:           n.set.Listen.Gate,
 		tls:            n.identity.gateServer(),
@@ -41,12 +43,12 @@
 	if err != nil {
 		return err
 	}
-	n.localSrv, err = listen(serverConfig{name: "local", addr: n.set.Listen.Local, maxHeaderBytes: n.set.Limits.HeaderBytes})
+	n.localSrv, err = openServer(serverConfig{name: "local", addr: n.set.Listen.Local, maxHeaderBytes: n.set.Limits.HeaderBytes})
 	if err != nil {
 		return err
 	}
 	if n.set.Operator != "" {
-		n.operatorSrv, err = listen(serverConfig{
+		n.operatorSrv, err = openServer(serverConfig{
 			name:           "operator",
 			addr:           n.set.Operator,
 			tls:            n.identity.operatorServer(),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -22,6 +22,7 @@
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/inbound"
 	"github.com/jacinthgate/jacinthgate/transport/link"
+	"github.com/jacinthgate/jacinthgate/transport/listen"
 	"github.com/jacinthgate/jacinthgate/transport/outbound"
 	"github.com/jacinthgate/jacinthgate/transport/peer/tcp"
 )
@@ -52,7 +53,7 @@
 	gate     *inbound.Gate
 	proxy    *outbound.Proxy
 	// listeners are the open addresses by the name of their setting.
-	listeners map[string]net.Listener
+	listeners map[string]*listen.Listener
 	servers   []*server
 	callers   *server
 	gates     *server
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/transport/callers"
+	"github.com/jacinthgate/jacinthgate/transport/listen"
 )
 
 // Timeouts and bounds of the node's HTTP servers.
@@ -61,7 +62,7 @@
 // server is one HTTP server with its listener.
 type server struct {
 	http httpServer
-	ln   net.Listener
+	ln   *listen.Listener
 }
 
 // addPlain adds a server of net/http.
@@ -93,7 +94,7 @@
 // openListeners opens the addresses of the HTTP servers. A port that the kernel
 // has chosen replaces 0 in the settings.
 func (n *Node) openListeners() error {
-	n.listeners = make(map[string]net.Listener)
+	n.listeners = make(map[string]*listen.Listener)
 	set := &n.set.Listen
 	addrs := map[string]*string{
 		listenCallers: &set.Callers, listenGate: &set.Gate, listenReady: &set.Ready,
@@ -105,7 +106,7 @@
 			return &ListenError{Name: name, Addr: *addr, Err: err}
 		}
 		*addr = ln.Addr().String()
-		n.listeners[name] = ln
+		n.listeners[name] = listen.New(ln)
 	}
 	return nil
 }
@@ -127,12 +128,19 @@
 // serve serves until the server is shut down or closed.
 func (s *server) serve() error {
 	err := s.http.Serve(s.ln)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
 }
 
+// shutdown stops accepting once no connection waits, and lets the requests in
+// flight finish until ctx ends.
+func (s *server) shutdown(ctx context.Context) error {
+	_ = s.ln.Drain() // Shutdown closes what is still open
+	return s.http.Shutdown(ctx)
+}
+
 // wireServers makes the HTTP servers.
 func (n *Node) wireServers() error {
 	front := callers.New(callers.Config{Handler: n.proxy, Limits: n.callerLimits, Ahead: requestsAhead, Logger: n.log})
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -93,9 +93,9 @@
 	time.Sleep(min(noticeTime, n.set.grace()/2))
 	ctx, cancel := context.WithDeadline(n.ctx, began.Add(n.set.grace()-n.set.grace()/exitPart))
 	defer cancel()
-	err := n.callers.http.Shutdown(ctx)
+	err := n.callers.shutdown(ctx)
 	// The gate ends last: requests of this host's callers may be using it.
-	if gateErr := n.gates.http.Shutdown(ctx); err == nil {
+	if gateErr := n.gates.shutdown(ctx); err == nil {
 		err = gateErr
 	}
 	n.loop.post(n.ctx, member.Leave{})
--- a/transport/entry/server.go
+++ b/transport/entry/server.go
@@ -19,10 +19,11 @@
 	}
 }
 
-// Serve accepts callers' connections until Shutdown; it then returns nil.
+// Serve accepts callers' connections until Shutdown, or until the listener is
+// closed; it then returns nil.
 func (p *Proxy) Serve(l net.Listener) error {
 	err := p.server.Serve(recordingListener{l})
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
--- /dev/null
+++ b/transport/listen/listen.go
@@ -0,0 +1,78 @@
+// Package listen closes listeners without losing connections. The kernel resets
+// the connections that it has completed and that nobody has accepted when a
+// listener is closed; their callers have perhaps sent a request already.
+package listen
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// quiet is how long nothing must arrive before a draining listener is closed.
+// Connections that wait are accepted without any delay, so it only has to cover
+// the time until this process gets a processor.
+const quiet = 5 * time.Millisecond
+
+// Listener is a listener that can be drained. It is safe for concurrent use.
+type Listener struct {
+	net.Listener
+	draining atomic.Bool
+	accepted atomic.Bool // since the deadline was set
+	drained  chan struct{}
+	ended    atomic.Bool
+}
+
+// New wraps a listener.
+func New(l net.Listener) *Listener { return &Listener{Listener: l, drained: make(chan struct{})} }
+
+// deadliner is a listener whose Accept can be given a deadline.
+type deadliner interface{ SetDeadline(time.Time) error }
+
+// Accept implements net.Listener. After Drain it returns net.ErrClosed once no
+// connection waits any more.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			l.accepted.Store(true)
+			return c, nil
+		case errors.Is(err, net.ErrClosed):
+			l.end()
+			return nil, err
+		case !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, err
+		case !l.accepted.Swap(false):
+			l.end()
+			return nil, net.ErrClosed
+		}
+		l.arm()
+	}
+}
+
+// arm gives Accept its next deadline.
+func (l *Listener) arm() {
+	if d, ok := l.Listener.(deadliner); ok {
+		_ = d.SetDeadline(time.Now().Add(quiet)) // Accept reports a closed listener
+	}
+}
+
+// end tells Drain that nothing will be accepted any more.
+func (l *Listener) end() {
+	if l.ended.CompareAndSwap(false, true) {
+		close(l.drained)
+	}
+}
+
+// Drain lets Accept take every connection that waits and then closes the
+// listener. Somebody must go on calling Accept until it fails.
+func (l *Listener) Drain() error {
+	if _, ok := l.Listener.(deadliner); ok && l.draining.CompareAndSwap(false, true) {
+		l.arm()
+		<-l.drained
+	}
+	return l.Listener.Close()
+}
