Log refusals with their own reason

Ruled out: refusals by real deadlines: callers had seconds left.

Change: a gate says queue-full where the bound on the wait is the reason, and the entry keeps the reason of the gates that it asked. A refusal for too many requests tells the balancer no more than the load that comes with it, as it did under the wrong name.

Tests: TestRefusalTellsItsReason and the reason in TestWaitThatWouldEndTooLateIsRefusedAtOnce, both failed before.

--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -150,8 +150,8 @@
 	if g.closed.Load() {
 		return false, outcome.ReasonDraining
 	}
-	if g.late(w, now) {
-		return false, outcome.ReasonDeadline
+	if reason := g.late(w, now); reason != "" {
+		return false, reason
 	}
 	if g.queue.size >= g.limits.QueueLength && g.queue.size > 0 {
 		shed := g.queue.evict(w.Kind)
@@ -177,20 +177,25 @@
 	return false, ""
 }
 
-// late reports whether the queue ahead of w leaves no time to run it.
-func (g *Gate) late(w *Waiter, now time.Time) bool {
+// late returns why w is better refused at once: the queue ahead leaves no time
+// to run it before its deadline, or no slot before its bound. It is empty when
+// w may wait.
+func (g *Gate) late(w *Waiter, now time.Time) outcome.Reason {
 	service := g.times.of(w.Kind).get()
 	ahead, slots := g.queue.ahead(w.Kind), max(1, int(g.slots.Load()))
 	wait := time.Duration(ahead/slots) * service
 	if now.Add(wait + service).After(w.Deadline) {
-		return true
+		return outcome.ReasonDeadline
 	}
 	if w.Until.IsZero() {
-		return false
+		return ""
 	}
 	// A slot becomes free each slots-th part of the mean service time.
 	expected := time.Duration(ahead+1) * g.times.average() / time.Duration(slots)
-	return now.Add(expected).After(w.Until)
+	if now.Add(expected).After(w.Until) {
+		return outcome.ReasonQueueFull
+	}
+	return ""
 }
 
 // Cancel gives up waiting. It returns false when w was settled already; its
--- a/coordination/gate/wait_test.go
+++ b/coordination/gate/wait_test.go
@@ -31,9 +31,12 @@
 	for range 10 {
 		w := waiter(model.KindInteractive, time.Hour, "w", &log)
 		w.Until = start.Add(150 * time.Millisecond)
-		if _, reason := g.Acquire(w, start); reason == "" {
+		_, reason := g.Acquire(w, start)
+		if reason == "" {
 			queued++
+			continue
 		}
+		must.Eq(t, outcome.ReasonQueueFull, reason, must.Sprint("not the request's deadline"))
 	}
 	must.Eq(t, 3, queued)
 }
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -409,3 +409,25 @@
 	got, _ := f.do(f.nodes[0], "GET", "/status/x", "")
 	must.Eq(t, 200, got.StatusCode)
 }
+
+// On the incidents of both sites, most refusals of overloaded backend servers
+// were logged as "deadline" or "no-endpoint".
+func TestRefusalTellsItsReason(t *testing.T) {
+	f := newFleet(t, 1)
+	m := f.nodes[0]
+	hold := make(chan struct{})
+	m.backend.Answer = func(w http.ResponseWriter, _ *http.Request) {
+		<-hold
+		platformtest.Stamp(w)
+	}
+	var wg sync.WaitGroup
+	for range m.backend.Slots {
+		wg.Go(func() { f.do(m, "GET", "/status/x", "") })
+	}
+	f.eventually("all slots are in use", func() bool { return len(m.backend.Seen()) == m.backend.Slots })
+	resp, _ := f.do(m, "GET", "/status/y", "")
+	must.Eq(t, 503, resp.StatusCode)
+	close(hold)
+	wg.Wait()
+	must.StrContains(t, m.logs.String(), "status=503 reason=queue-full")
+}
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -140,8 +140,11 @@
 	x.progress.Sends++
 	choice, err := x.p.cfg.Balance.Pick(now, x.service, x.candidates(), &x.tried)
 	if err != nil {
+		if x.reason == "" {
+			x.note(outcome.NotRun, outcome.ReasonNoEndpoint) // nobody was asked
+		}
+		x.progress.Last = outcome.NotRun
 		x.progress.Sends = x.p.cfg.Policy.MaxSends // there is nobody else to ask
-		x.note(outcome.NotRun, outcome.ReasonNoEndpoint)
 		return false
 	}
 	x.tried.Add(choice.Record.Node)
@@ -259,10 +262,11 @@
 }
 
 // refusedAs says what a gate's refusal tells about its backend server: nothing,
-// where the reason lies with the request or with the host's link.
+// where the reason lies with the request or with the host's link, and nothing
+// beyond the load that comes with it, where there are too many requests.
 func refusedAs(reason outcome.Reason) balance.Outcome {
 	switch reason {
-	case outcome.ReasonDeadline, outcome.ReasonCancelled, outcome.ReasonLinkFull:
+	case outcome.ReasonDeadline, outcome.ReasonCancelled, outcome.ReasonLinkFull, outcome.ReasonQueueFull:
 		return balance.Cancelled
 	}
 	return balance.NotRun
