Answer what is under way on a connection before a leaving node ends it

The log shows pairs of requests of angyalfold-2, a host that was leaving, cancelled at the same moment: the first answer after SIGTERM ended its connection, and the requests that stood behind it, already at backend servers, were cancelled.

Change: only the answer to the newest request of a connection ends it; what is read afterwards is not passed on, and does not cut that answer. The server alone decides it; the entry no longer sets the header.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -19,6 +19,7 @@
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/instance"
 	"github.com/jacinthgate/jacinthgate/state/route"
+	"github.com/jacinthgate/jacinthgate/transport/callers"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/inbound"
 	"github.com/jacinthgate/jacinthgate/transport/link"
@@ -56,6 +57,7 @@
 	listeners map[string]*listen.Listener
 	servers   []*server
 	callers   *server
+	front     *callers.Server // what serves callers
 	gates     *server
 
 	ctx    context.Context
@@ -207,7 +209,6 @@
 		Table:         n.pub.table.Load,
 		View:          n.pub.view.Load,
 		CallerService: n.callerService,
-		Leaving:       n.pub.leaving.Load,
 		Balance:       n.loop.picker,
 		Policy:        attempt.DefaultPolicy(),
 		Budget:        n.budget,
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -143,8 +143,8 @@
 
 // wireServers makes the HTTP servers.
 func (n *Node) wireServers() error {
-	front := callers.New(callers.Config{Handler: n.proxy, Limits: n.callerLimits, Ahead: requestsAhead, Logger: n.log})
-	n.callers = n.add(listenCallers, front)
+	n.front = callers.New(callers.Config{Handler: n.proxy, Limits: n.callerLimits, Ahead: requestsAhead, Logger: n.log})
+	n.callers = n.add(listenCallers, n.front)
 	n.gates = n.addPlain(listenGate, n.gate)
 	n.addPlain(listenReady, n.readyHandler())
 	n.addPlain(listenBackend, platform.BackendHandler(n.backends, func(err error) {
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -89,6 +89,7 @@
 	began := time.Now()
 	_ = n.log.Log("event", "shutdown_started", "signal", s)
 	n.pub.leaving.Store(true)
+	n.front.Leave()
 	n.announce(n.pub.instance.Load())
 	time.Sleep(min(noticeTime, n.set.grace()/2))
 	ctx, cancel := context.WithDeadline(n.ctx, began.Add(n.set.grace()-n.set.grace()/exitPart))
--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -41,6 +41,7 @@
 	mu      sync.Mutex
 	pending int  // requests that were read and are not answered
 	ending  bool // no further request is to be read
+	closing bool // an answer that ends the connection has begun
 	ended   bool // an answer that ends the connection was sent
 	broken  bool // an answer was cut: nothing more may be written
 	last    chan struct{}
@@ -167,9 +168,11 @@
 	select {
 	case c.slots <- struct{}{}:
 	case <-c.ctx.Done():
+		<-x.before
 		return false
 	}
 	if !c.admit() {
+		<-x.before
 		return false
 	}
 	go c.answer(x)
@@ -192,13 +195,32 @@
 func (c *conn) admit() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.broken || c.ended {
+	if c.broken || c.closing {
 		return false
 	}
 	c.pending++
 	return true
 }
 
+// close notes that an answer ends the connection.
+func (c *conn) close(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	x.last.Store(true)
+}
+
+// closeIfNewest lets an answer end the connection unless requests stand behind
+// it: those are answered first.
+func (c *conn) closeIfNewest(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.last == x.done {
+		c.closing = true
+		x.last.Store(true)
+	}
+}
+
 // writable reports whether further answers may be written.
 func (c *conn) writable() bool {
 	c.mu.Lock()
@@ -225,7 +247,7 @@
 		return
 	}
 	if x.hasBody() && !x.drainBody() {
-		x.last.Store(true)
+		c.close(x)
 	}
 }
 
--- a/transport/callers/response.go
+++ b/transport/callers/response.go
@@ -205,8 +205,11 @@
 func (w *response) frame(whole bool) {
 	h := w.header
 	delete(h, "Transfer-Encoding")
-	if closes(h) || w.x.conn.server.leaving.Load() {
-		w.x.last.Store(true)
+	c := w.x.conn
+	if closes(h) || w.x.last.Load() {
+		c.close(w.x)
+	} else if c.server.leaving.Load() {
+		c.closeIfNewest(w.x)
 	}
 	if w.x.last.Load() {
 		h["Connection"] = []string{"close"}
@@ -226,7 +229,7 @@
 		h["Transfer-Encoding"] = []string{"chunked"}
 		w.chunks = httputil.NewChunkedWriter(w.x.conn.bw)
 	default:
-		w.x.last.Store(true) // the end of the connection is the end of the body
+		c.close(w.x) // the end of the connection is the end of the body
 	}
 }
 
--- a/transport/callers/server_test.go
+++ b/transport/callers/server_test.go
@@ -262,3 +262,65 @@
 	_, body := answer(t, br)
 	must.Eq(t, "abc", body)
 }
+
+// On tabla-mesh quiet-1 a leaving node ended connections with an answer while
+// it was at work on requests that stood behind it, and cancelled them.
+func TestLeavingServerAnswersAllThatItWorksOn(t *testing.T) {
+	begun, release := make(chan struct{}, 3), make(chan struct{})
+	s, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	c, br := dial(t, addr)
+	send(t, c, get("/1")+get("/2")+get("/3"))
+	for range 3 {
+		<-begun
+	}
+	s.Leave()
+	close(release)
+	for _, want := range []string{"/1", "/2", "/3"} {
+		resp, body := answer(t, br)
+		must.Eq(t, want, body)
+		must.Eq(t, want == "/3", resp.Close, must.Sprint("only the last answer ends the connection"))
+	}
+	_, err := br.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+}
+
+func TestLeavingServerEndsAConnectionWithItsNextAnswer(t *testing.T) {
+	s, addr := start(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	c, br := dial(t, addr)
+	send(t, c, get("/1"))
+	resp, _ := answer(t, br)
+	must.False(t, resp.Close)
+	s.Leave()
+	send(t, c, get("/2"))
+	resp, body := answer(t, br)
+	must.Eq(t, "/2", body)
+	must.True(t, resp.Close)
+}
+
+func TestRequestBehindAnAnswerThatIsEndingDoesNotCutIt(t *testing.T) {
+	begun, release := make(chan struct{}, 2), make(chan struct{})
+	_, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = io.WriteString(w, "first")
+		_ = http.NewResponseController(w).Flush()
+		begun <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, " rest")
+	})
+	c, br := dial(t, addr)
+	send(t, c, get("/1"))
+	<-begun
+	send(t, c, get("/2"))
+	time.Sleep(20 * time.Millisecond) // it is read, or not yet: neither may cut the answer
+	close(release)
+	_, body := answer(t, br)
+	must.Eq(t, "first rest", body)
+	must.Len(t, 0, begun)
+}
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -33,8 +33,6 @@
 	View func() *endpoint.View
 	// CallerService returns the service of the backend server on this host.
 	CallerService func() string
-	// Leaving reports whether callers are to use other connections.
-	Leaving func() bool
 	// Balance picks backend servers.
 	Balance *balance.Picker
 	// Policy bounds the attempts.
@@ -79,9 +77,6 @@
 // with http.ErrAbortHandler.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := p.cfg.Now()
-	if p.cfg.Leaving() {
-		w.Header()["Connection"] = closeValue
-	}
 	table := p.cfg.Table()
 	if table == nil {
 		p.reject(w, r, refusal{status: http.StatusServiceUnavailable, reason: outcome.ReasonNotReady, after: noTableRetry})
@@ -104,8 +99,6 @@
 	p.observe(found, p.cfg.Now().Sub(began))
 }
 
-var closeValue = []string{"close"}
-
 // refusal is an answer that doesn't come from a backend server.
 type refusal struct {
 	status int
