--- a/transport/callers/server_test.go
+++ b/transport/callers/server_test.go
@@ -322,5 +322,5 @@
 	close(release)
 	_, body := answer(t, br)
 	must.Eq(t, "first rest", body)
-	must.Len(t, 0, begun)
+	must.Eq(t, 0, len(begun))
 }
