Keep one event queue, one listen error and the wire's names in one place

The names that only platform/ may know are listed there, and the rule in internal/rules takes the list from it, unchanged.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/coordination/admit"
-	"github.com/jacinthgate/jacinthgate/coordination/core"
 	"github.com/jacinthgate/jacinthgate/coordination/distribute"
 	"github.com/jacinthgate/jacinthgate/coordination/lease"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
@@ -38,7 +38,7 @@
 		reader:   control.NewReader(table, objects),
 		leaseKey: leasePrefix + string(n.set.Zone),
 		timeout:  n.set.Platform.Timeout.Std(),
-		post:     n.loop.post,
+		post:     n.loop.queue.Post,
 		log:      n.log,
 		metrics:  n.metrics,
 	}
@@ -49,10 +49,9 @@
 
 func (n *Node) newLoop() *loop {
 	l := &loop{
-		events:    make(chan core.Event, maxEvents),
+		queue:     eventqueue.New(maxEvents),
 		linksDone: make(chan struct{}),
 		flush:     time.NewTimer(time.Hour),
-		calls:     make(chan func()),
 		member:    member.New(n.memberConfig(), n.self, n.set.Seeds, n.seed()),
 		dist:      distribute.New(n.distributeConfig(), n.self, n.seed()),
 		lease:     lease.New(n.leaseConfig(), n.self, n.seed()),
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -43,7 +43,7 @@
 	ctx, cancel := context.WithTimeout(ctx, gaugeTimeout)
 	defer cancel()
 	var s *operator.Status
-	if !l.ask(ctx, func() { s = l.summary(time.Now()) }) {
+	if !l.queue.Ask(ctx, func() { s = l.summary(time.Now()) }) {
 		return
 	}
 	g.set(s)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"time"
 
 	"github.com/go-kit/log"
@@ -44,8 +45,7 @@
 
 // loop is the event loop: it alone touches the control plane's cores.
 type loop struct {
-	events chan core.Event
-	calls  chan func()
+	queue  *eventqueue.Queue
 	member *member.Core
 	dist   *distribute.Core
 	lease  *lease.Core
@@ -82,11 +82,11 @@
 	l.step(core.Tick{})
 	for {
 		select {
-		case ev := <-l.events:
+		case ev := <-l.queue.Events:
 			l.step(ev)
 		case ev := <-l.links.Events():
 			l.step(ev)
-		case call := <-l.calls:
+		case call := <-l.queue.Calls:
 			call()
 		case <-ticker.C:
 			l.step(core.Tick{})
@@ -111,36 +111,6 @@
 	}
 }
 
-// post hands an event to the loop. It blocks while the loop is behind, and
-// gives up when ctx ends.
-func (l *loop) post(ctx context.Context, ev core.Event) {
-	select {
-	case l.events <- ev:
-	case <-ctx.Done():
-	}
-}
-
-// ask runs f on the loop's goroutine and waits for it. It reports false, and f
-// may never run, when ctx ends first.
-func (l *loop) ask(ctx context.Context, f func()) bool {
-	done := make(chan struct{})
-	call := func() {
-		f()
-		close(done)
-	}
-	select {
-	case l.calls <- call:
-	case <-ctx.Done():
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // step gives one event to every core and publishes what changed.
 func (l *loop) step(ev core.Event) {
 	now := time.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,7 +64,7 @@
 }
 
 // New opens the node's addresses and wires its parts. Nothing runs before Run.
-// The errors are *ListenError and those of the certificates.
+// The errors are *listen.Error and those of the certificates.
 func New(set *settings.Node, logger log.Logger) (*Node, error) {
 	n := &Node{set: set, log: logger, metrics: metrics.NewSet(), pub: new(published)}
 	n.gauges = newGauges(n.metrics, n.pub)
@@ -163,7 +163,7 @@
 // announce tells the fleet what the host's backend server said.
 func (n *Node) announce(a local.Announcement) {
 	_ = n.log.Log("event", "backend_announced", "service", a.Service, "addr", a.Addr, "draining", a.Draining)
-	n.loop.post(n.ctx, member.Announce{
+	n.loop.queue.Post(n.ctx, member.Announce{
 		Service:     a.Service,
 		Slots:       a.Slots,
 		Connections: a.Connections,
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -57,7 +57,7 @@
 // spread hands the newest accepted version to the event loop.
 func (o *operatorDelegate) spread(ctx context.Context) {
 	if s := o.accepter.Newest(); s != nil && s.Version() > 0 {
-		o.loop.post(ctx, distribute.Loaded{Snapshot: s})
+		o.loop.queue.Post(ctx, distribute.Loaded{Snapshot: s})
 	}
 }
 
@@ -178,7 +178,7 @@
 // Status implements operatorapi.Delegate.
 func (o *operatorDelegate) Status(ctx context.Context) (*operator.Status, error) {
 	var s *operator.Status
-	if !o.loop.ask(ctx, func() { s = o.loop.status(time.Now()) }) {
+	if !o.loop.queue.Ask(ctx, func() { s = o.loop.status(time.Now()) }) {
 		return nil, &operator.Problem{Code: operator.CodeNotReady, Message: "the node is busy", Node: o.self}
 	}
 	return s, nil
@@ -187,7 +187,7 @@
 // Progress implements operatorapi.Delegate.
 func (o *operatorDelegate) Progress(ctx context.Context, version uint64) (*operator.Progress, error) {
 	var p *operator.Progress
-	if !o.loop.ask(ctx, func() { p = o.loop.progress(time.Now(), version) }) {
+	if !o.loop.queue.Ask(ctx, func() { p = o.loop.progress(time.Now(), version) }) {
 		return nil, &operator.Problem{Code: operator.CodeNotReady, Message: "the node is busy", Node: o.self}
 	}
 	return p, nil
@@ -205,7 +205,7 @@
 		return o.drainer.local(req.Drain)
 	}
 	var addr string
-	found := o.loop.ask(ctx, func() {
+	found := o.loop.queue.Ask(ctx, func() {
 		if r, ok := o.loop.member.Table().Get(req.Node); ok {
 			addr = r.GateAddr
 		}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/jacinthgate/jacinthgate/transport/listen"
 
 	"github.com/jacinthgate/jacinthgate/protocol/message"
 	"github.com/jacinthgate/jacinthgate/state/model"
@@ -19,7 +20,7 @@
 	n.identity.configurePeers(&cfg)
 	t, err := quic.New(cfg)
 	if err != nil {
-		return &ListenError{Name: "peer", Addr: n.set.Listen.Peer, Err: err}
+		return &listen.Error{Name: "peer", Addr: n.set.Listen.Peer, Err: err}
 	}
 	n.peers = t
 	n.countPeers()
@@ -72,7 +73,7 @@
 func (n *Node) hello(to model.NodeID) message.Hello {
 	h := n.pub.selfState.Load().hello()
 	h.To = to
-	n.loop.ask(n.ctx, func() { h.LastHeld = n.loop.dist.LastHeldOf(to) })
+	n.loop.queue.Ask(n.ctx, func() { h.LastHeld = n.loop.dist.LastHeldOf(to) })
 	return h
 }
 
@@ -81,7 +82,7 @@
 func (n *Node) welcome(h *message.Hello) *message.Welcome {
 	w := n.pub.selfState.Load().welcome()
 	id := h.Record.Node
-	known := n.loop.ask(n.ctx, func() {
+	known := n.loop.queue.Ask(n.ctx, func() {
 		w.LastHeld = n.loop.dist.LastHeldOf(id)
 		w.Incarnation = n.loop.member.IncarnationOf(id)
 		w.Drained = n.loop.drainedBefore(h.Record)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -19,22 +19,6 @@
 	idleTimeout   = 2 * time.Minute
 )
 
-// ListenError reports an address that can't be listened on.
-type ListenError struct {
-	// Name is the name of the setting.
-	Name string
-	// Addr is the address.
-	Addr string
-	// Err is the cause.
-	Err error
-}
-
-// Error implements error.
-func (e *ListenError) Error() string { return "listen." + e.Name + " " + e.Addr + ": " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Err }
-
 // server is one HTTP server with its listener.
 type server struct {
 	http *http.Server
@@ -57,7 +41,7 @@
 func openServer(cfg serverConfig) (*server, error) {
 	ln, err := net.Listen("tcp", cfg.addr)
 	if err != nil {
-		return nil, &ListenError{Name: cfg.name, Addr: cfg.addr, Err: err}
+		return nil, &listen.Error{Name: cfg.name, Addr: cfg.addr, Err: err}
 	}
 	s := &server{raw: listen.New(ln)}
 	s.ln = s.raw
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -66,13 +66,13 @@
 // when the deadline cut one.
 func (n *Node) shutdown() error {
 	a := n.registry.Current()
-	n.loop.post(n.ctx, member.Announce{Unready: true, Draining: a.Draining, Service: a.Service})
+	n.loop.queue.Post(n.ctx, member.Announce{Unready: true, Draining: a.Draining, Service: a.Service})
 	n.proxy.Leave()
 	time.Sleep(n.set.Shutdown.Notice.Std())
 	ctx, cancel := context.WithTimeout(n.ctx, n.set.Shutdown.DrainTimeout.Std())
 	defer cancel()
 	err := n.drainServers(ctx)
-	n.loop.post(n.ctx, member.Leave{})
+	n.loop.queue.Post(n.ctx, member.Leave{})
 	time.Sleep(leaveTime)
 	keeperCtx, cancelKeeper := context.WithTimeout(n.ctx, n.set.Platform.Timeout.Std())
 	defer cancelKeeper()
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -30,7 +30,7 @@
 func (n *Node) openListeners() error {
 	callers, err := net.Listen("tcp", n.set.Listen.Caller)
 	if err != nil {
-		return &ListenError{Name: "caller", Addr: n.set.Listen.Caller, Err: err}
+		return &listen.Error{Name: "caller", Addr: n.set.Listen.Caller, Err: err}
 	}
 	n.callerRaw = listen.New(callers)
 	n.callerLn = newCappedListener(n.callerRaw, n.set.Limits.Connections, n.metrics)
--- a/internal/rules/platform_test.go
+++ b/internal/rules/platform_test.go
@@ -6,18 +6,13 @@
 	"go/token"
 	"io/fs"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
-)
 
-// platformNames are names on the users' platform's wire. Only platform/ may
-// know them.
-var platformNames = regexp.MustCompile(`rows-(tx|get|feed|parts)|blob-(put|get|drop|list)|/api/(ready|instances)|` +
-	`X-(Not-Executed|Response-Stamp|Expect-Instance|Caller-Service|Server-Load|Instance-Id|Deadline-Ms)|` +
-	`coldRemainingMs|trafficSplit|targetLatencyMs|non_idempotent|expectedRev|heartbeatUrl|routeType`)
+	"github.com/jacinthgate/jacinthgate/platform/platformtest"
+)
 
 // TestOnlyTheAdapterKnowsThePlatformsNames looks at the text in all files that
 // are no tests.
@@ -34,7 +29,7 @@
 		must.NoError(t, err)
 		ast.Inspect(file, func(n ast.Node) bool {
 			lit, ok := n.(*ast.BasicLit)
-			if !ok || !platformNames.MatchString(lit.Value) {
+			if !ok || !platformtest.Names.MatchString(lit.Value) {
 				return true
 			}
 			found++
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
+	"github.com/jacinthgate/jacinthgate/transport/listen"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,7 +11,6 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/coordination/budget"
-	"github.com/jacinthgate/jacinthgate/coordination/core"
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
 	"github.com/jacinthgate/jacinthgate/platform"
@@ -26,7 +27,7 @@
 	cfg.ListenAddr = n.set.Listen.Peers
 	t, err := tcp.New(cfg)
 	if err != nil {
-		return &ListenError{Name: "peers", Addr: n.set.Listen.Peers, Err: err}
+		return &listen.Error{Name: "peers", Addr: n.set.Listen.Peers, Err: err}
 	}
 	n.peers = t
 	n.set.Listen.Peers = t.Addr()
@@ -48,8 +49,7 @@
 		self:      self,
 		log:       n.log,
 		pub:       n.pub,
-		events:    make(chan core.Event, maxEvents),
-		calls:     make(chan func()),
+		queue:     eventqueue.New(maxEvents),
 		member:    member.New(memberConfig(), self, nil, seed),
 		docs:      docsync.New(docsync.DefaultConfig(), self, seed),
 		linksDone: make(chan struct{}),
@@ -140,7 +140,7 @@
 		a.Draining = i.State != instance.Ready
 	}
 	n.gate.Update()
-	n.loop.post(n.ctx, a)
+	n.loop.queue.Post(n.ctx, a)
 }
 
 const (
@@ -177,7 +177,7 @@
 // alone reports whether the node has no peer.
 func (n *Node) alone(ctx context.Context) bool {
 	alone := false
-	n.loop.ask(ctx, func() { alone = len(n.loop.member.Neighbours()) == 0 })
+	n.loop.queue.Ask(ctx, func() { alone = len(n.loop.member.Neighbours()) == 0 })
 	return alone
 }
 
@@ -206,7 +206,7 @@
 	}
 	slices.Sort(seeds)
 	_ = level.Info(n.log).Log("event", "nodes_read", "nodes", len(seeds), "registered", registered)
-	n.loop.post(ctx, member.SeedsLearned{Addrs: seeds})
+	n.loop.queue.Post(ctx, member.SeedsLearned{Addrs: seeds})
 	if registered {
 		return true
 	}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -63,9 +63,9 @@
 
 func routes(version string) []byte {
 	return platformtest.Config(version, []string{"booking"},
-		platformtest.Route{Host: host, Prefix: "/status/", Kind: "idempotent", Service: "booking", Attempts: 2},
-		platformtest.Route{Host: host, Prefix: "/book/", Kind: "non_idempotent", Service: "booking", Attempts: 2},
-		platformtest.Route{Host: host, Prefix: "/firmware/", Kind: "download", Service: "booking", Attempts: 2},
+		platformtest.Route{Host: host, Prefix: "/status/", Kind: platformtest.Idempotent, Service: "booking", Attempts: 2},
+		platformtest.Route{Host: host, Prefix: "/book/", Kind: platformtest.NonIdempotent, Service: "booking", Attempts: 2},
+		platformtest.Route{Host: host, Prefix: "/firmware/", Kind: platformtest.Download, Service: "booking", Attempts: 2},
 	)
 }
 
@@ -139,8 +139,8 @@
 	req, err := http.NewRequest(method, "http://"+m.node.set.Listen.Callers+path, strings.NewReader(body))
 	must.NoError(f.t, err)
 	req.Host = host
-	req.Header.Set("X-Request-Id", fmt.Sprintf("%s %s %d", method, path, time.Now().UnixNano()))
-	req.Header.Set("X-Deadline-Ms", "4000")
+	req.Header.Set(platformtest.HeaderRequestID, fmt.Sprintf("%s %s %d", method, path, time.Now().UnixNano()))
+	req.Header.Set(platformtest.HeaderWait, "4000")
 	for i := 0; i < len(more); i += 2 {
 		req.Header.Set(more[i], more[i+1])
 	}
@@ -163,9 +163,9 @@
 
 func TestRequestReachesABackendServerUnchanged(t *testing.T) {
 	f := newFleet(t, 3)
-	resp, body := f.do(f.nodes[0], "POST", "/book/a%2Fb?x=1&y", "two rooms", "X-Own", "kept", "X-Caller-Service", "forged", "Jacinthgate-Kind", "forged")
+	resp, body := f.do(f.nodes[0], "POST", "/book/a%2Fb?x=1&y", "two rooms", "X-Own", "kept", platformtest.HeaderCaller, "forged", "Jacinthgate-Kind", "forged")
 	must.Eq(t, 200, resp.StatusCode)
-	must.NotEq(t, "", resp.Header.Get("X-Response-Stamp"))
+	must.True(t, platformtest.Stamped(resp.Header))
 	must.StrContains(t, body, "ran /book/a%2Fb?x=1&y")
 	must.Len(t, 1, f.seen())
 	got := f.seen()[0]
@@ -190,7 +190,7 @@
 func TestNewConfigurationIsInForceOnEveryNode(t *testing.T) {
 	f := newFleet(t, 4)
 	f.store.Put("op", "config", platformtest.Config("r7", []string{"booking"},
-		platformtest.Route{Host: host, Prefix: "/new/", Kind: "idempotent", Service: "booking"}))
+		platformtest.Route{Host: host, Prefix: "/new/", Kind: platformtest.Idempotent, Service: "booking"}))
 	f.eventually("version 7 everywhere", func() bool {
 		for _, m := range f.nodes {
 			if m.node.pub.table.Load().Version() != 7 {
@@ -259,11 +259,7 @@
 
 func TestRefusalByTheBackendServerIsAPromiseAndTriedElsewhere(t *testing.T) {
 	f := newFleet(t, 2)
-	shed := func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(503)
-	}
-	f.nodes[0].backend.Answer, f.nodes[1].backend.Answer = shed, shed
+	f.nodes[0].backend.Answer, f.nodes[1].backend.Answer = platformtest.Shed, platformtest.Shed
 	resp, _ := f.do(f.nodes[0], "POST", "/book/x", "one room")
 	must.Eq(t, 503, resp.StatusCode)
 	must.NotEq(t, "", resp.Header.Get("Retry-After"))
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"time"
 
 	"github.com/go-kit/log"
@@ -34,8 +35,7 @@
 	self      endpoint.Record
 	log       log.Logger
 	pub       *published
-	events    chan core.Event
-	calls     chan func()
+	queue     *eventqueue.Queue
 	member    *member.Core
 	docs      *docsync.Core
 	links     *link.Manager
@@ -54,11 +54,11 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case ev := <-l.events:
+		case ev := <-l.queue.Events:
 			l.step(ev)
 		case ev := <-l.links.Events():
 			l.step(ev)
-		case call := <-l.calls:
+		case call := <-l.queue.Calls:
 			call()
 		case now := <-ticker.C:
 			l.backends.expire(now)
@@ -84,36 +84,6 @@
 	}
 }
 
-// post hands an event to the loop. It blocks while the loop is behind, and
-// gives up when ctx ends.
-func (l *loop) post(ctx context.Context, ev core.Event) {
-	select {
-	case l.events <- ev:
-	case <-ctx.Done():
-	}
-}
-
-// ask runs f on the loop's goroutine and waits for it. It reports false, and f
-// may never run, when ctx ends first.
-func (l *loop) ask(ctx context.Context, f func()) bool {
-	done := make(chan struct{})
-	call := func() {
-		f()
-		close(done)
-	}
-	select {
-	case l.calls <- call:
-	case <-ctx.Done():
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // step gives one event to every core and carries out what follows.
 func (l *loop) step(ev core.Event) {
 	now := time.Now()
@@ -207,7 +177,7 @@
 // hello returns the first message to a peer.
 func (l *loop) hello(ctx context.Context, to model.NodeID) message.Hello {
 	h := message.Hello{Protocol: message.ProtocolVersion, Record: l.self, To: to}
-	l.ask(ctx, func() {
+	l.queue.Ask(ctx, func() {
 		h.Record = l.member.Self()
 		h.Digest = l.member.Digest()
 	})
@@ -218,7 +188,7 @@
 // the peer while the node stops.
 func (l *loop) welcome(ctx context.Context, h *message.Hello) *message.Welcome {
 	w := &message.Welcome{Protocol: message.ProtocolVersion}
-	known := l.ask(ctx, func() {
+	known := l.queue.Ask(ctx, func() {
 		w.Record = l.member.Self()
 		w.Digest = l.member.Digest()
 		w.Incarnation = l.member.IncarnationOf(h.Record.Node)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -66,7 +66,7 @@
 
 // New opens the node's addresses and wires its parts. Nothing runs before Run.
 // path is the settings file, read again when it changes; dropped counts the log
-// lines that were not written. The error is a *ListenError.
+// lines that were not written. The error is a *listen.Error.
 func New(set *Settings, path string, logger log.Logger, dropped func() uint64) (*Node, error) {
 	n := &Node{set: set, path: path, log: logger, metrics: metrics.NewSet(), pub: new(published)}
 	n.metrics.GetOrCreateGauge("jacinthgate_log_lines_dropped", func() float64 { return float64(dropped()) })
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -75,7 +75,7 @@
 	for {
 		select {
 		case result := <-done:
-			r.loop.post(ctx, result)
+			r.loop.queue.Post(ctx, result)
 			return r.pause(ctx, result)
 		case on := <-r.turn:
 			if !on {
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -35,22 +35,6 @@
 	maxHeaderBytes = 32 << 10
 )
 
-// ListenError reports an address that can't be listened on.
-type ListenError struct {
-	// Name is the name of the setting.
-	Name string
-	// Addr is the address.
-	Addr string
-	// Err is the cause.
-	Err error
-}
-
-// Error implements error.
-func (e *ListenError) Error() string { return "listen." + e.Name + " " + e.Addr + ": " + e.Err.Error() }
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Err }
-
 // httpServer is what serves a listener: net/http's server, or that of package
 // callers.
 type httpServer interface {
@@ -103,7 +87,7 @@
 	for name, addr := range addrs {
 		ln, err := net.Listen("tcp", *addr)
 		if err != nil {
-			return &ListenError{Name: name, Addr: *addr, Err: err}
+			return &listen.Error{Name: name, Addr: *addr, Err: err}
 		}
 		*addr = ln.Addr().String()
 		n.listeners[name] = listen.New(ln)
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -99,7 +99,7 @@
 	if gateErr := n.gates.shutdown(ctx); err == nil {
 		err = gateErr
 	}
-	n.loop.post(n.ctx, member.Leave{})
+	n.loop.queue.Post(n.ctx, member.Leave{})
 	time.Sleep(farewellTime)
 	_ = n.log.Log("event", "shutdown_finished", "took", time.Since(began), "err", err)
 }
--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -76,3 +76,19 @@
 	}
 	return l.Listener.Close()
 }
+
+// Error reports an address that can't be listened on.
+type Error struct {
+	// Name is the name of the setting.
+	Name string
+	// Addr is the address.
+	Addr string
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "listen." + e.Name + " " + e.Addr + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
