Let two members of each zone read the store

A read that waits is found out after 3.3 s and the next member begins 1.25 s later, so version 20, acknowledged at 2.6 s, was in force nowhere at 4.75 s. The fetch between zones has nothing to fetch then.

Ruled out: shorter reads alone: to be found out and replaced within two seconds takes a read each 0.5 s and zone, which is more calls than a second reader's; three refused at once would still break it.

Settings name the zones. Test: TestZoneIsReadOnWhileTheStoreIsSilentTowardsOneReader, which fails with one reader.

--- a/coordination/docsync/config.go
+++ b/coordination/docsync/config.go
@@ -2,8 +2,8 @@
 // who in an availability zone reads the platform's store, and how the others
 // get the document from their peers.
 //
-// The live member of the zone that comes first in the order of keys reads the
-// store; a beacon from it, relayed over the zone's links, tells the others that
+// The live members of the zone that come first in the order of keys read the
+// store; a beacon from each, relayed over the zone's links, tells the others that
 // its reads succeed. When no beacon is heard, the next members take over one
 // after the other. No lease is needed: two readers cost only reads, because a
 // document is taken only when its version is higher than the one held.
@@ -15,6 +15,11 @@
 
 // Config holds the parameters of the core.
 type Config struct {
+	// Leaders is the number of members, first in the order of keys, that read
+	// the store for their zone at the same time. More than one costs reads, but
+	// a store that silently serves some hosts only can't keep a version from a
+	// zone by not serving its one reader.
+	Leaders int
 	// BeaconInterval is the time between two beacons of a reader.
 	BeaconInterval time.Duration
 	// SilenceAfter is how long no beacon is heard before the first member
@@ -45,6 +50,7 @@
 // DefaultConfig returns the parameters measured in docs/design/platform.md.
 func DefaultConfig() Config {
 	return Config{
+		Leaders:        1,
 		BeaconInterval: 500 * time.Millisecond,
 		SilenceAfter:   1100 * time.Millisecond,
 		RankDelay:      150 * time.Millisecond,
--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -282,22 +282,19 @@
 
 // shouldLead reports whether this node reads the store for its zone.
 func (c *Core) shouldLead() bool {
+	if c.rank < c.cfg.Leaders {
+		return true
+	}
 	if c.leading {
 		return !c.betterReader()
 	}
-	if c.rank == 0 {
-		return true
-	}
 	wait := c.cfg.SilenceAfter + time.Duration(min(c.rank, c.cfg.MaxRank))*c.cfg.RankDelay
 	return c.now.Sub(c.lastHeard()) >= wait
 }
 
-// betterReader reports whether a reader with precedence was heard lately. A
-// node that has precedence itself goes on, and the other one stops.
+// betterReader reports whether a reader with precedence was heard lately. The
+// one with precedence goes on, and this one stops.
 func (c *Core) betterReader() bool {
-	if c.rank == 0 {
-		return false
-	}
 	for id, b := range c.heard {
 		if c.now.Sub(b.at) < c.cfg.SilenceAfter && compareNodes(id, c.self.Node) < 0 {
 			return true
--- a/coordination/docsync/core_test.go
+++ b/coordination/docsync/core_test.go
@@ -155,6 +155,28 @@
 	must.Eq(t, first, z.readers(), must.Sprint("the first member reads again"))
 }
 
+// In tabla-mesh trouble-1, seed 716851912093, the store was silent towards the
+// one reader of each of the three zones at once; their successors came after
+// 4.5 s, and version 20 was in force nowhere in time.
+func TestZoneIsReadOnWhileTheStoreIsSilentTowardsOneReader(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Leaders = 2
+	z := newZoneOf(t, cfg, "a", "b", "c", "d")
+	z.pass(3 * time.Second)
+	must.Len(t, 2, z.readers())
+	z.refused[z.readers()[0]] = true
+	for range 50 {
+		z.pass(100 * time.Millisecond)
+		serving := 0
+		for _, id := range z.readers() {
+			if !z.refused[id] {
+				serving++
+			}
+		}
+		must.Positive(t, serving)
+	}
+}
+
 func TestAllMembersTryWhileTheStoreIsAwayAndOneReadsAfterwards(t *testing.T) {
 	z := newZone(t, "a", "b", "c", "d")
 	for id := range z.cores {
@@ -180,6 +202,11 @@
 }
 
 func newZone(t *testing.T, names ...string) *zone {
+	return newZoneOf(t, DefaultConfig(), names...)
+}
+
+func newZoneOf(t *testing.T, cfg Config, names ...string) *zone {
+	t.Helper()
 	z := &zone{
 		now:     begin,
 		cores:   make(map[model.NodeID]*Core),
@@ -189,7 +216,7 @@
 	for _, n := range names {
 		id := model.NodeID(n)
 		z.ids = append(z.ids, id)
-		z.cores[id] = New(DefaultConfig(), record(n, "z1"), 1)
+		z.cores[id] = New(cfg, record(n, "z1"), 1)
 	}
 	live := append([]model.NodeID(nil), z.ids...)
 	for i := range live {
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -51,7 +51,7 @@
 		pub:       n.pub,
 		queue:     eventqueue.New(maxEvents),
 		member:    member.New(memberConfig(), self, nil, seed),
-		docs:      docsync.New(docsync.DefaultConfig(), self, seed),
+		docs:      docsync.New(n.docsConfig(), self, seed),
 		linksDone: make(chan struct{}),
 		flush:     time.NewTimer(time.Hour),
 	}
@@ -71,6 +71,24 @@
 	return nil
 }
 
+const (
+	// siteReaders is the number of nodes that read the store for the whole
+	// site: a store that serves only some hosts, such as two thirds of them,
+	// then serves one of these in all likelihood.
+	siteReaders = 6
+	// minReaders and maxReaders bound them for one availability zone.
+	minReaders = 2
+	maxReaders = 4
+)
+
+// docsConfig returns the parameters of how the configuration is read.
+func (n *Node) docsConfig() docsync.Config {
+	cfg := docsync.DefaultConfig()
+	zones := max(1, len(n.set.Zones))
+	cfg.Leaders = min(max((siteReaders+zones-1)/zones, minReaders), maxReaders)
+	return cfg
+}
+
 // memberConfig returns the parameters of membership.
 func memberConfig() member.Config {
 	cfg := member.DefaultConfig()
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -22,6 +22,8 @@
 	Zone model.Zone `json:"zone"`
 	// Region is the host's region.
 	Region model.Region `json:"region"`
+	// Zones are all availability zones of the site, with their regions.
+	Zones map[model.Zone]model.Region `json:"zones"`
 	// Service is the service of the host's backend server, until that says
 	// itself what it offers.
 	Service string `json:"service"`
