Answer HEAD, read ends without sharing a byte, and never let the loop wait

Change: forward.ReadWhole is the one way to read a body of known length, with a byte of its own; the loop withdraws the backend server by its own step; the runtime's memory limit is 70% of the settings'. Tests: TestAnswersWithoutABody failed before; TestLoopNeverWaitsForItself would hang before.

--- a/cmd/jacinthgate-sidecar/main.go
+++ b/cmd/jacinthgate-sidecar/main.go
@@ -50,6 +50,11 @@
 // two collections: memory at its peak is paid for, and the heap is small.
 const gcPercent = 50
 
+// memoryPart is the part of the process's memory, in percent, near which the
+// collector works harder: beyond all of it the process is killed, and bytes in
+// the kernel's buffers count too.
+const memoryPart = 70
+
 func (c *runCmd) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
 	if c.settings == "" {
 		fmt.Fprintln(os.Stderr, program+": -settings is required")
@@ -60,6 +65,7 @@
 		return fail(err)
 	}
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(set.MemoryMB) << 20 * memoryPart / 100)
 	out := logging.NewAsync(os.Stdout)
 	defer out.Close()
 	logger := logging.New(out, set.LogLevel)
--- a/internal/sidecar/backends.go
+++ b/internal/sidecar/backends.go
@@ -22,7 +22,8 @@
 	ttl time.Duration
 	// record writes to the store which instance is leaving.
 	record func(ctx context.Context, node, instance string) error
-	// changed is told after each change that other nodes need to know.
+	// changed is told after each change that other nodes need to know. It may
+	// wait for the event loop, so the loop itself never brings it about.
 	changed func(*instance.Instance)
 
 	mu    sync.Mutex
@@ -92,19 +93,19 @@
 	}
 }
 
-// drained notes that an instance was leaving before this node started.
-func (b *backends) drained(id string) {
+// drained notes that an instance was leaving before this node started. It
+// reports whether that is the present one, which is then withdrawn by the
+// caller.
+func (b *backends) drained(id string) bool {
 	if id == "" {
-		return
+		return false
 	}
 	b.mu.Lock()
 	was := b.local.Forget(id)
 	b.publish()
 	b.mu.Unlock()
 	_ = b.log.Log("event", "backend_drained_before", "instance", id, "present", was)
-	if was {
-		b.changed(nil)
-	}
+	return was
 }
 
 // replaced notes that another backend server has the address.
@@ -137,17 +138,17 @@
 	b.changed(nil)
 }
 
-// expire drops a backend server that wasn't heard for too long.
-func (b *backends) expire(now time.Time) {
+// expire drops a backend server that wasn't heard for too long. It reports
+// whether there was one, which is then withdrawn by the caller.
+func (b *backends) expire(now time.Time) bool {
 	b.mu.Lock()
 	was := b.local.Expire(now, b.ttl)
 	b.publish()
 	b.mu.Unlock()
-	if !was {
-		return
+	if was {
+		_ = b.log.Log("event", "backend_silent", "after", b.ttl)
 	}
-	_ = b.log.Log("event", "backend_silent", "after", b.ttl)
-	b.changed(nil)
+	return was
 }
 
 // publish hands the present instance to the path of a request. b.mu is held.
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -214,7 +214,9 @@
 		_ = level.Warn(n.log).Log("event", "nodes_unread", "err", err)
 		return registered
 	}
-	n.backends.drained(known.Drained[string(n.set.Node)])
+	if n.backends.drained(known.Drained[string(n.set.Node)]) {
+		n.announce(nil)
+	}
 	if known.Addrs[string(n.set.Node)] == addr {
 		registered = true
 	}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 
+	"github.com/jacinthgate/jacinthgate/coordination/core"
 	"github.com/jacinthgate/jacinthgate/platform/platformtest"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
@@ -427,3 +428,34 @@
 	wg.Wait()
 	must.StrContains(t, m.logs.String(), "status=503 reason=queue-full")
 }
+
+func TestAnswersWithoutABody(t *testing.T) {
+	f := newFleet(t, 2)
+	for _, path := range []string{"/status/x", "/firmware/x"} {
+		for range 4 { // on this host and on the other one
+			resp, body := f.do(f.nodes[0], "HEAD", path, "")
+			must.Eq(t, 200, resp.StatusCode, must.Sprint(path))
+			must.Eq(t, "", body)
+			must.Positive(t, resp.ContentLength)
+		}
+	}
+}
+
+func TestLoopNeverWaitsForItself(t *testing.T) {
+	f := newFleet(t, 1)
+	m := f.nodes[0]
+	l := m.node.loop
+	stop := make(chan struct{})
+	l.queue.Ask(m.node.ctx, func() {
+		for len(l.queue.Events) < cap(l.queue.Events) {
+			l.queue.Events <- core.Tick{}
+		}
+		// With its queue full, the loop learns that the backend server is gone.
+		l.step(core.PeerUp{Record: l.self, Drained: true, DrainedInstance: m.backend.ID})
+		close(stop)
+	})
+	<-stop
+	f.eventually("the backend server is withdrawn", func() bool {
+		return len(m.node.pub.view.Load().Service("booking")) == 0
+	})
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -61,7 +61,9 @@
 		case call := <-l.queue.Calls:
 			call()
 		case now := <-ticker.C:
-			l.backends.expire(now)
+			if l.backends.expire(now) {
+				l.withdraw(now)
+			}
 			l.gate.Update()
 			l.step(core.Tick{})
 		case <-l.flush.C:
@@ -88,7 +90,9 @@
 func (l *loop) step(ev core.Event) {
 	now := time.Now()
 	if up, ok := ev.(core.PeerUp); ok && up.Drained {
-		l.backends.drained(up.DrainedInstance)
+		if l.backends.drained(up.DrainedInstance) {
+			l.withdraw(now)
+		}
 	}
 	l.carryOut(now, l.member.Step(now, ev))
 	l.carryOut(now, l.docs.Step(now, ev))
@@ -97,6 +101,11 @@
 	}
 }
 
+// withdraw tells the fleet that the host offers no backend server.
+func (l *loop) withdraw(now time.Time) {
+	l.carryOut(now, l.member.Step(now, member.Announce{Unready: l.pub.leaving.Load()}))
+}
+
 func (l *loop) carryOut(now time.Time, actions []core.Action) {
 	for _, a := range actions {
 		l.do(now, a)
--- a/transport/forward/relay.go
+++ b/transport/forward/relay.go
@@ -101,3 +101,17 @@
 		}
 	}
 }
+
+// ReadWhole reads a body that must end after len(p) bytes, and closes it. The
+// end is read too: it gives the connection back.
+func ReadWhole(body io.ReadCloser, p []byte) error {
+	_, err := io.ReadFull(body, p)
+	if err == nil {
+		var beyond [1]byte
+		if _, end := body.Read(beyond[:]); end != io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+	}
+	_ = body.Close() // it was read to its end, or has failed
+	return err
+}
--- a/transport/inbound/bulk.go
+++ b/transport/inbound/bulk.go
@@ -1,7 +1,6 @@
 package inbound
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -75,7 +74,7 @@
 		return true
 	}
 	body := make([]byte, size)
-	if err := readWhole(resp.Body, body); err != nil {
+	if err := forward.ReadWhole(resp.Body, body); err != nil {
 		g.held.Add(-size)
 		return false
 	}
@@ -83,19 +82,6 @@
 	return true
 }
 
-// readWhole reads a body that must end after len(p) bytes, and closes it.
-func readWhole(body io.ReadCloser, p []byte) error {
-	_, err := io.ReadFull(body, p)
-	if err == nil {
-		var beyond [1]byte
-		if _, end := body.Read(beyond[:]); end != io.EOF {
-			err = end
-		}
-	}
-	_ = body.Close() // it was read to its end, or has failed
-	return err
-}
-
 // heldBody is a body that counts as held until it is closed.
 type heldBody struct {
 	*forward.KeptBody
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -229,8 +229,9 @@
 		forward.StripNodeHeaders(h)
 		h[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
 		h[outcome.HeaderReached] = reachedValue
+		bodyless := resp.Body == http.NoBody
 		resp.Body = &slotBody{ReadCloser: resp.Body, done: func() { done(g.cfg.Now().Sub(started)) }}
-		if c.kind == model.KindBulk && !g.holdWhole(resp) {
+		if c.kind == model.KindBulk && !bodyless && !g.holdWhole(resp) {
 			return g.unknown(req, outcome.ReasonBackendFailed)
 		}
 		g.stamp(h)
--- a/transport/outbound/relay.go
+++ b/transport/outbound/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
@@ -19,13 +18,11 @@
 		x.passOn(choice, resp, result)
 		return true
 	}
-	body := make([]byte, resp.ContentLength)
-	_, err := io.ReadFull(resp.Body, body)
-	if err == nil {
-		_, err = resp.Body.Read(beyond[:]) // the end gives the connection back
+	var body []byte
+	if x.r.Method != http.MethodHead {
+		body = make([]byte, resp.ContentLength)
 	}
-	_ = resp.Body.Close() // it was read to its end, or has failed
-	if err != nil && err != io.EOF {
+	if err := forward.ReadWhole(resp.Body, body); err != nil {
 		result.Outcome = x.cutAs()
 		choice.Done(x.p.cfg.Now(), result)
 		x.note(outcome.Unknown, outcome.ReasonBackendFailed)
@@ -46,9 +43,6 @@
 	return true
 }
 
-// beyond takes the byte that a body doesn't have after its end.
-var beyond [1]byte
-
 // mayRepeat reports whether a failed answer may be replaced by another one.
 func (x *exchange) mayRepeat() bool {
 	g := x.progress
@@ -82,7 +76,10 @@
 	forward.RemoveHopByHop(a.resp.Header)
 	forward.CopyHeader(h, a.resp.Header)
 	x.w.WriteHeader(a.resp.StatusCode)
-	if _, err := x.w.Write(a.body); err != nil && x.r.Method != http.MethodHead {
+	if len(a.body) == 0 {
+		return
+	}
+	if _, err := x.w.Write(a.body); err != nil {
 		_ = x.p.cfg.Logger.Log("event", "caller_gone", "request", x.p.cfg.Dialect.RequestID(x.r.Header), "err", err)
 	}
 }
