Read small bodies before they are sent on, and detach large ones on abort

A gate's handler aborts by a panic; net/http then gives the connection's buffer back, and the goroutine that still sends the body reads from it. Such a panic outside a handler ends the process.

Ruled out: callers' connections: transport/callers keeps its buffers.

Change: a gate reads bodies of up to 64 KiB whole before it takes a slot, as nodes send what they keep at once; for larger ones the stream is detached before the handler aborts.

--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 )
 
@@ -12,6 +13,8 @@
 type StreamBody struct {
 	body  io.Reader
 	state atomic.Int32
+	// reading is held while the body is read.
+	reading sync.Mutex
 }
 
 // States of a StreamBody.
@@ -31,6 +34,8 @@
 
 // Read implements io.Reader.
 func (s *StreamBody) Read(p []byte) (int, error) {
+	s.reading.Lock()
+	defer s.reading.Unlock()
 	if !s.state.CompareAndSwap(streamUntouched, streamRead) && s.state.Load() == streamReclaimed {
 		return 0, http.ErrBodyReadAfterClose
 	}
@@ -40,6 +45,16 @@
 // Close implements io.Closer.
 func (s *StreamBody) Close() error { return nil }
 
+// Detach ends the reading of the body and waits until nobody reads it. A handler
+// that aborts its connection calls it before: net/http gives the connection's
+// buffer back then, also while the goroutine that sends the body still reads.
+func (s *StreamBody) Detach(w http.ResponseWriter) {
+	s.state.Store(streamReclaimed)
+	_ = http.NewResponseController(w).SetReadDeadline(past) // a writer that can't do it has no connection
+	s.reading.Lock()
+	defer s.reading.Unlock()
+}
+
 // Reclaim returns the body for another attempt, or nil when some of it was
 // read. After it, s reads nothing: the goroutine that sends it may outlive the
 // attempt.
--- /dev/null
+++ b/transport/forward/stream_test.go
@@ -0,0 +1,45 @@
+package forward
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// On tabla-mesh-grown scale-1, seed 993449683438, a node ended with a panic: a
+// gate's handler had aborted its connection, and net/http had given the
+// connection's buffer back, while a goroutine still read the request's body.
+func TestDetachedBodyIsNotReadAfterTheHandlerHasAborted(t *testing.T) {
+	closed, ended := make(chan struct{}, 1), make(chan error, 1)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s := NewStreamBody(w, r)
+		go func() {
+			<-closed
+			time.Sleep(time.Millisecond) // net/http gives the buffer back after it has told
+			_, err := s.Read(make([]byte, 10))
+			ended <- err
+		}()
+		s.Detach(w)
+		panic(http.ErrAbortHandler)
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			closed <- struct{}{}
+		}
+	}
+	server.Start()
+	defer server.Close()
+	for range 20 {
+		c, err := net.Dial("tcp", server.Listener.Addr().String())
+		must.NoError(t, err)
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n")
+		must.NoError(t, err)
+		must.ErrorIs(t, <-ended, http.ErrBodyReadAfterClose)
+		must.NoError(t, c.Close())
+	}
+}
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -108,21 +109,43 @@
 	return i.State != instance.Ready && now.Sub(i.DrainSince) >= g.cfg.DrainGrace
 }
 
+// maxKept bounds a request's body that is read before anything is sent, in
+// bytes: a slow sender then holds no slot. Nodes send what they keep themselves
+// at once.
+const maxKept = 64 << 10
+
 // ServeHTTP implements http.Handler, for requests of other nodes. A response
 // that breaks off makes it panic with http.ErrAbortHandler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	var body = r.Body
-	if r.ContentLength != 0 {
-		body = forward.NewStreamBody(w, r)
-	}
+	body, stream := g.body(w, r)
 	in := forward.NewRequest(r.Context(), r, "http", "", body, r.ContentLength)
 	serve := g.serveSmall
 	if isBulk(in.Header) {
 		serve = g.serveBulk
 	}
 	if err := serve(w, in); err != nil {
+		if stream != nil {
+			stream.Detach(w)
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// body returns the body to send on: whole where it is small, or else as a
+// stream. A small one that breaks off ends the connection; nothing was sent.
+func (g *Gate) body(w http.ResponseWriter, r *http.Request) (io.ReadCloser, *forward.StreamBody) {
+	switch {
+	case r.ContentLength == 0:
+		return r.Body, nil
+	case r.ContentLength < 0 || r.ContentLength > maxKept:
+		stream := forward.NewStreamBody(w, r)
+		return stream, stream
+	}
+	kept := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, kept); err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	return forward.NewKeptBody(kept), nil
 }
 
 // serveSmall serves a request whose answer needs no pacing.
