--- a/cmd/jacinthgate-measure/requests.go
+++ b/cmd/jacinthgate-measure/requests.go
@@ -34,7 +34,7 @@
 // Synopsis implements subcommands.Command.
 func (c *requestsCommand) Synopsis() string {
 	if c.policies {
-		return "measure overload, flooding customers and faulty backend servers"
+		return "measure overload, flooding organisations and faulty backend servers"
 	}
 	return "measure the latency and processor time that the mesh adds to a call"
 }
--- a/cmd/jacinthgatectl/apply.go
+++ b/cmd/jacinthgatectl/apply.go
@@ -145,13 +145,13 @@
 func documentNames(b *model.Batch) []string {
 	var names []string
 	for _, c := range b.Contracts {
-		names = append(names, contractKey(c.Customer))
+		names = append(names, contractKey(c.Organisation))
 	}
 	for _, s := range b.Services {
 		names = append(names, serviceKey(s.Name))
 	}
-	for _, customer := range b.DeleteContracts {
-		names = append(names, contractKey(customer))
+	for _, organisation := range b.DeleteContracts {
+		names = append(names, contractKey(organisation))
 	}
 	for _, service := range b.DeleteServices {
 		names = append(names, serviceKey(service))
@@ -159,13 +159,13 @@
 	return names
 }
 
-func contractKey(customer string) string { return operator.KindContract + "/" + customer }
+func contractKey(organisation string) string { return operator.KindContract + "/" + organisation }
 
 func serviceKey(service string) string { return operator.KindService + "/" + service }
 
 func documentName(d operator.Document) string {
 	if d.Contract != nil {
-		return contractKey(d.Contract.Customer)
+		return contractKey(d.Contract.Organisation)
 	}
 	return serviceKey(d.Service.Name)
 }
--- a/coordination/accept/build.go
+++ b/coordination/accept/build.go
@@ -78,7 +78,7 @@
 // based on.
 func checkBase(base *snapshot.Snapshot, c *Change) error {
 	for _, d := range c.Batch.Contracts {
-		if err := c.checkRevision(ContractKey(d.Customer), contractRevision(base, d.Customer)); err != nil {
+		if err := c.checkRevision(ContractKey(d.Organisation), contractRevision(base, d.Organisation)); err != nil {
 			return err
 		}
 	}
@@ -117,8 +117,8 @@
 	return nil
 }
 
-func contractRevision(s *snapshot.Snapshot, customer string) uint64 {
-	if e := s.Contract(customer); e != nil {
+func contractRevision(s *snapshot.Snapshot, organisation string) uint64 {
+	if e := s.Contract(organisation); e != nil {
 		return e.Revision
 	}
 	return 0
@@ -136,7 +136,7 @@
 func build(base *snapshot.Snapshot, b *model.Batch) (*snapshot.Snapshot, error) {
 	version := base.Version() + 1
 	contracts := make(map[string]*snapshot.ContractEntry)
-	for _, name := range base.Customers() {
+	for _, name := range base.Organisations() {
 		contracts[name] = base.Contract(name)
 	}
 	services := make(map[string]*snapshot.ServiceEntry)
@@ -150,7 +150,7 @@
 		delete(services, name)
 	}
 	for _, d := range b.Contracts {
-		contracts[d.Customer] = &snapshot.ContractEntry{Revision: version, Contract: d}
+		contracts[d.Organisation] = &snapshot.ContractEntry{Revision: version, Contract: d}
 	}
 	for _, d := range b.Services {
 		services[d.Name] = &snapshot.ServiceEntry{Revision: version, Service: d}
--- a/coordination/accept/change.go
+++ b/coordination/accept/change.go
@@ -40,8 +40,8 @@
 // DocumentKey names documents in Change.Base and in ConflictError.
 type DocumentKey = string
 
-// ContractKey returns the key of a customer's contract.
-func ContractKey(customer string) DocumentKey { return "contract/" + customer }
+// ContractKey returns the key of an organisation's contract.
+func ContractKey(organisation string) DocumentKey { return "contract/" + organisation }
 
 // ServiceKey returns the key of a service.
 func ServiceKey(name string) DocumentKey { return "service/" + name }
--- a/coordination/admit/concurrency.go
+++ b/coordination/admit/concurrency.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// enter counts a request into the class's and the customer's concurrency. It
+// enter counts a request into the class's and the organisation's concurrency. It
 // reports whether the request is on the class's reserve, and whether it may
 // enter at all.
-func (l *Limiter) enter(c *customer, k *class, now time.Time) (reserved, ok bool) {
+func (l *Limiter) enter(c *organisation, k *class, now time.Time) (reserved, ok bool) {
 	floor := *l.floor.Load()
 	if !l.enterClass(k, floor, now) {
 		return false, false
@@ -40,7 +40,7 @@
 
 // sharedSlots returns the node's part of the concurrency that is no class's
 // reserve.
-func (l *Limiter) sharedSlots(c *customer, part float64, now time.Time) int64 {
+func (l *Limiter) sharedSlots(c *organisation, part float64, now time.Time) int64 {
 	free := max(0, c.contract.Concurrency-c.reserve)
 	if free == 0 {
 		return 0
@@ -51,7 +51,7 @@
 // overWeight reports whether the class already has more than its weighted part
 // of a shared concurrency that is nearly used up. While there is room every
 // class may use it all.
-func (l *Limiter) overWeight(c *customer, k *class, most int64) bool {
+func (l *Limiter) overWeight(c *organisation, k *class, most int64) bool {
 	if float64(c.limit.shared.Load()) <= l.cfg.ClassPressure*float64(most) {
 		return false
 	}
--- a/coordination/admit/config.go
+++ b/coordination/admit/config.go
@@ -16,10 +16,10 @@
 	// parts of MaxInFlight, 0 to 1, at which requests of the kind are shed.
 	// The least important kind has the lowest.
 	ShedEventual, ShedBulk, ShedInteractive, ShedNonRepeatable float64
-	// FairBand is how far below its kind's part a customer over its weighted
+	// FairBand is how far below its kind's part an organisation over its weighted
 	// fair share is shed already.
 	FairBand float64
-	// ClassPressure is the part of a customer's shared concurrency from which
+	// ClassPressure is the part of an organisation's shared concurrency from which
 	// a class over its weighted share is refused.
 	ClassPressure float64
 	// MinBurst is the smallest bucket of a node's share, in requests. With 1 a
--- a/coordination/admit/contract.go
+++ b/coordination/admit/contract.go
@@ -7,16 +7,16 @@
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
 )
 
-// customer is one contract prepared for admission. It is immutable; the limits
+// organisation is one contract prepared for admission. It is immutable; the limits
 // it points to are the state.
-type customer struct {
+type organisation struct {
 	contract *model.Contract
 	limit    *limit
 	classes  map[string]*class
 	reserve  int // sum of the classes' reserves
 }
 
-// class is one class of a customer.
+// class is one class of an organisation.
 type class struct {
 	class *model.Class
 	limit *limit
@@ -31,24 +31,24 @@
 func (l *Limiter) Update(s *snapshot.Snapshot) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	old := *l.customers.Load()
-	names := s.Customers()
-	next := make(map[string]*customer, len(names))
+	old := *l.organisations.Load()
+	names := s.Organisations()
+	next := make(map[string]*organisation, len(names))
 	for _, name := range names {
 		next[name] = prepare(s.Contract(name).Contract, old[name])
 	}
-	l.customers.Store(&next)
+	l.organisations.Store(&next)
 }
 
-func prepare(c *model.Contract, old *customer) *customer {
+func prepare(c *model.Contract, old *organisation) *organisation {
 	if old != nil && old.contract == c {
 		return old
 	}
-	n := &customer{contract: c, classes: make(map[string]*class, len(c.Classes))}
+	n := &organisation{contract: c, classes: make(map[string]*class, len(c.Classes))}
 	if old != nil {
 		n.limit = old.limit
 	} else {
-		n.limit = newLimit(c.Customer)
+		n.limit = newLimit(c.Organisation)
 	}
 	for i := range c.Classes {
 		k := &c.Classes[i]
@@ -58,19 +58,19 @@
 	return n
 }
 
-func classLimit(c *model.Contract, k *model.Class, old *customer) *limit {
+func classLimit(c *model.Contract, k *model.Class, old *organisation) *limit {
 	if old != nil {
 		if was := old.classes[k.Name]; was != nil {
 			return was.limit
 		}
 	}
-	return newLimit(LimitName(c.Customer, k.Name))
+	return newLimit(LimitName(c.Organisation, k.Name))
 }
 
-// LimitName returns the name of a class's limit in demand and shares. A
-// customer's own limit has the customer's name.
-func LimitName(customer, class string) string { return customer + "/" + class }
+// LimitName returns the name of a class's limit in demand and shares. An
+// organisation's own limit has the organisation's name.
+func LimitName(organisation, class string) string { return organisation + "/" + class }
 
-func cutLimit(name string) (customer, class string, isClass bool) {
+func cutLimit(name string) (organisation, class string, isClass bool) {
 	return strings.Cut(name, "/")
 }
--- a/coordination/admit/demand.go
+++ b/coordination/admit/demand.go
@@ -8,11 +8,11 @@
 	"github.com/jacinthgate/jacinthgate/protocol/message"
 )
 
-// Tick brings the weights of the active customers and classes up to date.
+// Tick brings the weights of the active organisations and classes up to date.
 // Call it about every 100 ms.
 func (l *Limiter) Tick() {
 	var sum int64
-	for _, c := range *l.customers.Load() {
+	for _, c := range *l.organisations.Load() {
 		if c.limit.inFlight.Load() <= 0 {
 			continue
 		}
@@ -39,7 +39,7 @@
 	first := l.lastRead.IsZero()
 	l.lastRead = now
 	var items []message.DemandItem
-	for _, c := range *l.customers.Load() {
+	for _, c := range *l.organisations.Load() {
 		items = c.limit.demand(items, elapsed, first)
 		for _, k := range c.classes {
 			if k.limited() {
@@ -91,9 +91,9 @@
 }
 
 func (l *Limiter) find(name string) *limit {
-	customers := *l.customers.Load()
-	customerName, className, isClass := cutLimit(name)
-	c := customers[customerName]
+	organisations := *l.organisations.Load()
+	organisationName, className, isClass := cutLimit(name)
+	c := organisations[organisationName]
 	if c == nil {
 		return nil
 	}
--- a/coordination/admit/limit.go
+++ b/coordination/admit/limit.go
@@ -31,8 +31,8 @@
 	tokens   bucket.Bucket
 	inFlight atomic.Int64 // all requests
 	reserved atomic.Int64 // those on a class's reserve
-	shared   atomic.Int64 // those of a customer on no reserve
-	weights  atomic.Int64 // of a customer's active classes, set by Tick
+	shared   atomic.Int64 // those of an organisation on no reserve
+	weights  atomic.Int64 // of an organisation's active classes, set by Tick
 
 	offered  atomic.Uint64 // requests since the start
 	released atomic.Uint64 // requests ended since the start
--- a/coordination/admit/limiter.go
+++ b/coordination/admit/limiter.go
@@ -1,7 +1,7 @@
 // Package admit decides which requests a node lets in: by the rate and
-// concurrency of the customer's contract and of the class, by reserves and
+// concurrency of the organisation's contract and of the class, by reserves and
 // weights of classes, and by the node's own limit, where the least important
-// kind is shed first and then customers over their weighted fair share.
+// kind is shed first and then organisations over their weighted fair share.
 //
 // Limits are fleet-wide; a node uses its share of each (see
 // coordination/share). The path of a request takes no lock.
@@ -25,10 +25,10 @@
 	seed uint64
 	rand *random.Source
 
-	customers atomic.Pointer[map[string]*customer]
-	floor     atomic.Pointer[float64]
-	inFlight  atomic.Int64
-	weights   atomic.Int64 // of the active customers, set by Tick
+	organisations atomic.Pointer[map[string]*organisation]
+	floor         atomic.Pointer[float64]
+	inFlight      atomic.Int64
+	weights       atomic.Int64 // of the active organisations, set by Tick
 
 	mu       sync.Mutex // held by writers only, never by Admit
 	lastRead time.Time
@@ -38,7 +38,7 @@
 // whole of each limit, as a fleet of one.
 func New(cfg Config, seed uint64) *Limiter {
 	l := &Limiter{cfg: cfg, seed: seed, rand: random.New(seed)}
-	l.customers.Store(&map[string]*customer{})
+	l.organisations.Store(&map[string]*organisation{})
 	l.SetFloor(1)
 	return l
 }
@@ -58,19 +58,19 @@
 
 // Permit is a request let in. The zero Permit holds nothing.
 type Permit struct {
-	limiter  *Limiter
-	customer *limit
-	class    *limit
-	reserved bool
-	since    int64
+	limiter      *Limiter
+	organisation *limit
+	class        *limit
+	reserved     bool
+	since        int64
 }
 
 // Admit lets a request in or refuses it. The match must have a class. A permit
 // must be released exactly once.
 func (l *Limiter) Admit(now time.Time, m snapshot.Match) (Permit, *Refusal) {
-	c := (*l.customers.Load())[m.Contract.Customer]
+	c := (*l.organisations.Load())[m.Contract.Organisation]
 	if c == nil {
-		return Permit{}, &Refusal{Reason: outcome.ReasonNoCustomer}
+		return Permit{}, &Refusal{Reason: outcome.ReasonNoOrganisation}
 	}
 	k := c.classes[m.Class.Name]
 	if k == nil {
@@ -87,7 +87,7 @@
 		l.inFlight.Add(-1)
 		return Permit{}, l.refuse(outcome.ReasonConcurrency, l.cfg.ConcurrencyRetry)
 	}
-	p := Permit{limiter: l, customer: c.limit, class: k.limit, reserved: reserved, since: now.UnixNano()}
+	p := Permit{limiter: l, organisation: c.limit, class: k.limit, reserved: reserved, since: now.UnixNano()}
 	if wait, ok := l.take(c, k, now); !ok {
 		p.leave()
 		return Permit{}, l.refuse(outcome.ReasonRateLimited, wait)
@@ -101,7 +101,7 @@
 		return
 	}
 	held := now.UnixNano() - p.since
-	for _, l := range [...]*limit{p.customer, p.class} {
+	for _, l := range [...]*limit{p.organisation, p.class} {
 		l.held.Add(held)
 		l.released.Add(1)
 	}
@@ -110,17 +110,17 @@
 
 func (p Permit) leave() {
 	p.limiter.inFlight.Add(-1)
-	p.customer.inFlight.Add(-1)
+	p.organisation.inFlight.Add(-1)
 	p.class.inFlight.Add(-1)
 	if p.reserved {
 		p.class.reserved.Add(-1)
 	} else {
-		p.customer.shared.Add(-1)
+		p.organisation.shared.Add(-1)
 	}
 }
 
-// take takes a token of the class and of the customer, or neither.
-func (l *Limiter) take(c *customer, k *class, now time.Time) (time.Duration, bool) {
+// take takes a token of the class and of the organisation, or neither.
+func (l *Limiter) take(c *organisation, k *class, now time.Time) (time.Duration, bool) {
 	var classSize bucket.Size
 	if r := k.class.Rate; r != nil {
 		classSize = k.limit.size(&l.cfg, *r, *l.floor.Load())
@@ -152,7 +152,7 @@
 
 // shed reports whether the node is too full for a request of the kind. n is
 // the number in flight with the request.
-func (l *Limiter) shed(c *customer, kind model.ClassKind, n int64) bool {
+func (l *Limiter) shed(c *organisation, kind model.ClassKind, n int64) bool {
 	if l.cfg.MaxInFlight <= 0 {
 		return false
 	}
--- a/coordination/admit/limiter_test.go
+++ b/coordination/admit/limiter_test.go
@@ -17,7 +17,7 @@
 
 func contract(name string) *model.Contract {
 	return &model.Contract{
-		Customer: name, Hosts: []string{name + ".example"}, HandledBy: model.SystemMesh,
+		Organisation: name, Hosts: []string{name + ".example"}, HandledBy: model.SystemMesh,
 		Rate: model.Rate{PerSecond: 1000, Burst: 1000}, Concurrency: 10, Weight: 1,
 		Classes: []model.Class{
 			{Name: "book", Kind: model.KindNonRepeatable, Reserve: 2, Weight: 3},
@@ -31,7 +31,7 @@
 func build(t *testing.T, version uint64, cs ...*model.Contract) *snapshot.Snapshot {
 	entries := make(map[string]*snapshot.ContractEntry)
 	for _, c := range cs {
-		entries[c.Customer] = &snapshot.ContractEntry{Revision: version, Contract: c}
+		entries[c.Organisation] = &snapshot.ContractEntry{Revision: version, Contract: c}
 	}
 	s, err := snapshot.Build(version, entries, nil)
 	must.NoError(t, err)
@@ -76,7 +76,7 @@
 	must.Between(t, 100*time.Millisecond, r.RetryAfter, 150*time.Millisecond)
 	ps, _ = fill(l, start.Add(200*time.Millisecond), match(c, "bulk"))
 	must.SliceLen(t, 2, ps)
-	// A refusal by the customer's rate gives the class's token back.
+	// A refusal by the organisation's rate gives the class's token back.
 	c.Rate.Burst = 5
 	l = newLimiter(t, DefaultConfig(), c)
 	_, _ = fill(l, start, match(c, "read"))
@@ -132,7 +132,7 @@
 	}
 }
 
-func TestOverloadShedsCustomersOverTheirShareFirst(t *testing.T) {
+func TestOverloadShedsOrganisationsOverTheirShareFirst(t *testing.T) {
 	cfg := DefaultConfig()
 	cfg.MaxInFlight = 100
 	big, small := contract("big"), contract("small")
@@ -165,7 +165,7 @@
 	must.Nil(t, r)
 	l.Update(build(t, 3))
 	_, r = l.Admit(start, match(&changed, "read"))
-	must.Eq(t, outcome.ReasonNoCustomer, r.Reason)
+	must.Eq(t, outcome.ReasonNoOrganisation, r.Reason)
 	held[1].Release(start)
 }
 
--- a/coordination/claim/record.go
+++ b/coordination/claim/record.go
@@ -110,10 +110,10 @@
 	return a
 }
 
-// ItemKey returns the key of the record of a customer's Idempotency-Key.
-func ItemKey(customer, key string) string {
+// ItemKey returns the key of the record of an organisation's Idempotency-Key.
+func ItemKey(organisation, key string) string {
 	sum := sha256.Sum256([]byte(key))
-	return Prefix + customer + "/" + hex.EncodeToString(sum[:])
+	return Prefix + organisation + "/" + hex.EncodeToString(sum[:])
 }
 
 // Encode returns the record as the value of an item.
--- a/coordination/distribute/cost_test.go
+++ b/coordination/distribute/cost_test.go
@@ -13,11 +13,11 @@
 
 // measure lets a fleet idle and then publishes changes at random nodes. It
 // returns what that costs per node, and how long it takes, by unit.
-func measure(t testing.TB, customers, idle, changes int, sizes ...int) map[string]float64 {
+func measure(t testing.TB, organisations, idle, changes int, sizes ...int) map[string]float64 {
 	t.Helper()
 	const pause = 5 * time.Second
 	n := newNetwork(t, 8, sizes...)
-	n.customers = customers
+	n.organisations = organisations
 	n.publish(-1)
 	for i := range n.nodes {
 		n.start(i)
--- a/coordination/distribute/curve_test.go
+++ b/coordination/distribute/curve_test.go
@@ -11,11 +11,11 @@
 
 // load is a series of changes to a fleet.
 type load struct {
-	nodes, zones, customers int
-	changes                 int
-	every                   time.Duration // between two changes
-	merge                   time.Duration // MergeInterval
-	idle                    time.Duration // before the changes
+	nodes, zones, organisations int
+	changes                     int
+	every                       time.Duration // between two changes
+	merge                       time.Duration // MergeInterval
+	idle                        time.Duration // before the changes
 }
 
 // cost is what a load costs.
@@ -44,7 +44,7 @@
 func (l load) run(t testing.TB) cost {
 	t.Helper()
 	n := newOverlay(t, 8, hashedChord, l.sizes()...)
-	n.customers, n.cfg.MergeInterval = l.customers, l.merge
+	n.organisations, n.cfg.MergeInterval = l.organisations, l.merge
 	n.publish(-1)
 	for i := range n.nodes {
 		n.start(i)
@@ -107,12 +107,12 @@
 
 // burst is 20 changes in 2 s.
 func burst(nodes, zones int, merge time.Duration) load {
-	return load{nodes: nodes, zones: zones, customers: 100, changes: 20, every: 100 * time.Millisecond, merge: merge, idle: 2 * settled}
+	return load{nodes: nodes, zones: zones, organisations: 100, changes: 20, every: 100 * time.Millisecond, merge: merge, idle: 2 * settled}
 }
 
 // spread is changes as of 11,000 a day.
 func spread(nodes, zones int, merge time.Duration) load {
-	return load{nodes: nodes, zones: zones, customers: 100, changes: 10, every: 24 * time.Hour / 11_000, merge: merge, idle: 2 * settled}
+	return load{nodes: nodes, zones: zones, organisations: 100, changes: 10, every: 24 * time.Hour / 11_000, merge: merge, idle: 2 * settled}
 }
 
 // TestMergeIntervalTradesTimeForBytes bounds the two ends of the curve: twenty
@@ -129,7 +129,7 @@
 		t.Run(fmt.Sprint(merge), func(t *testing.T) {
 			t.Parallel()
 			l := burst(50, 3, merge)
-			l.customers, l.idle = 20, settled
+			l.organisations, l.idle = 20, settled
 			c := l.run(t)
 			must.Between(t, bounds.leastMax, c.max, bounds.mostMax)
 			must.Between(t, bounds.leastMean, c.mean, bounds.mostMean)
@@ -142,7 +142,7 @@
 func TestBusiestNodeIsBounded(t *testing.T) {
 	t.Parallel()
 	l := spread(50, 7, DefaultConfig().MergeInterval)
-	l.customers, l.changes, l.idle = 20, 3, settled
+	l.organisations, l.changes, l.idle = 20, 3, settled
 	c := l.run(t)
 	must.Between(t, 100, c.mean, 1500)
 	must.Between(t, c.mean, c.busiest, 6500)
@@ -172,7 +172,7 @@
 		b.Run(fmt.Sprintf("nodes=%d/zones=%d", size.nodes, size.zones), func(b *testing.B) {
 			for b.Loop() {
 				l := spread(size.nodes, size.zones, DefaultConfig().MergeInterval)
-				l.customers, l.changes = 400, 5
+				l.organisations, l.changes = 400, 5
 				l.run(b).report(b)
 			}
 		})
@@ -184,7 +184,7 @@
 func BenchmarkDesignSize(b *testing.B) {
 	for b.Loop() {
 		l := spread(7*614, 7, DefaultConfig().MergeInterval)
-		l.customers, l.changes, l.idle = 20, 3, settled
+		l.organisations, l.changes, l.idle = 20, 3, settled
 		l.run(b).report(b)
 	}
 }
--- a/coordination/distribute/network_test.go
+++ b/coordination/distribute/network_test.go
@@ -34,10 +34,10 @@
 	faults bool                  // drop, duplicate and reorder messages
 	lost   map[message.Kind]bool // kinds that don't arrive
 
-	platform   *snapshot.Snapshot
-	customers  int
-	platformUp bool
-	noReader   bool // nobody gets a lease
+	platform      *snapshot.Snapshot
+	organisations int
+	platformUp    bool
+	noReader      bool // nobody gets a lease
 
 	reads    int // of the head, by nodes that are no reader
 	polls    int // of the head, by readers
@@ -128,7 +128,7 @@
 func newOverlay(t must.T, seed uint64, to chord, sizes ...int) *network {
 	n := &network{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), cut: make(map[link]bool), cfg: DefaultConfig(),
-		index: make(map[model.NodeID]int), platform: snapshot.Empty(), platformUp: true, customers: 8,
+		index: make(map[model.NodeID]int), platform: snapshot.Empty(), platformUp: true, organisations: 8,
 	}
 	n.resetCounts()
 	var gateways []int
@@ -363,7 +363,7 @@
 
 // publish accepts the next version at a node, or on the platform only.
 func (n *network) publish(at int) {
-	n.platform = nextVersion(n.t, n.platform, n.customers)
+	n.platform = nextVersion(n.t, n.platform, n.organisations)
 	if at >= 0 && n.nodes[at].up {
 		n.push(0, at, Loaded{Snapshot: n.platform})
 	}
@@ -380,14 +380,14 @@
 	return ids
 }
 
-// nextVersion changes one contract of a snapshot of so many customers.
-func nextVersion(t must.T, s *snapshot.Snapshot, customers int) *snapshot.Snapshot {
+// nextVersion changes one contract of a snapshot of so many organisations.
+func nextVersion(t must.T, s *snapshot.Snapshot, organisations int) *snapshot.Snapshot {
 	v := s.Version() + 1
 	contracts := make(map[string]*snapshot.ContractEntry)
-	for i := range uint64(customers) {
-		name := fmt.Sprintf("customer-%d", i)
+	for i := range uint64(organisations) {
+		name := fmt.Sprintf("organisation-%d", i)
 		contracts[name] = s.Contract(name)
-		if v == 1 || i == v%uint64(customers) {
+		if v == 1 || i == v%uint64(organisations) {
 			contracts[name] = &snapshot.ContractEntry{Revision: v, Contract: testContract(name, int(v))}
 		}
 	}
@@ -401,7 +401,7 @@
 func testContract(name string, burst int) *model.Contract {
 	noise := rand.New(rand.NewPCG(uint64(model.NodeID(name).Key()), 1))
 	c := &model.Contract{
-		Customer: name, Hosts: []string{fmt.Sprintf("%x.example", noise.Uint64())}, HandledBy: model.SystemMesh,
+		Organisation: name, Hosts: []string{fmt.Sprintf("%x.example", noise.Uint64())}, HandledBy: model.SystemMesh,
 		Rate: model.Rate{PerSecond: 100, Burst: burst}, Concurrency: 20, Weight: 10,
 		Classes: []model.Class{{Name: "screens", Kind: model.KindInteractive, Weight: 1}},
 	}
--- a/coordination/retry/budget.go
+++ b/coordination/retry/budget.go
@@ -12,8 +12,8 @@
 // token is one retry in the units of budget.earned.
 const token = 1_000_000
 
-// budgetKey names one class of one customer.
-type budgetKey struct{ customer, class string }
+// budgetKey names one class of one organisation.
+type budgetKey struct{ organisation, class string }
 
 // budget is the state of one class's retries on this node.
 type budget struct {
@@ -56,7 +56,7 @@
 	defer r.mu.Unlock()
 	old := *r.budgets.Load()
 	next := make(map[budgetKey]*budget)
-	for _, name := range s.Customers() {
+	for _, name := range s.Organisations() {
 		classes := s.Contract(name).Contract.Classes
 		for i := range classes {
 			addBudget(next, old, name, &classes[i])
@@ -65,11 +65,11 @@
 	r.budgets.Store(&next)
 }
 
-func addBudget(next, old map[budgetKey]*budget, customer string, c *model.Class) {
+func addBudget(next, old map[budgetKey]*budget, organisation string, c *model.Class) {
 	if c.RetryBudget == nil {
 		return
 	}
-	k := budgetKey{customer, c.Name}
+	k := budgetKey{organisation, c.Name}
 	b := old[k]
 	if b == nil {
 		b = new(budget)
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -160,7 +160,7 @@
 }
 
 func (r *Retrier) budget(m snapshot.Match) *budget {
-	return (*r.budgets.Load())[budgetKey{m.Contract.Customer, m.Class.Name}]
+	return (*r.budgets.Load())[budgetKey{m.Contract.Organisation, m.Class.Name}]
 }
 
 func (r *Retrier) spend(now time.Time, m snapshot.Match) bool {
@@ -193,7 +193,7 @@
 	case outcome.ReasonRateLimited, outcome.ReasonConcurrency, outcome.ReasonDeadline,
 		outcome.ReasonCancelled, outcome.ReasonLoop, outcome.ReasonMalformed,
 		outcome.ReasonTooLarge, outcome.ReasonInProgress, outcome.ReasonPlatform,
-		outcome.ReasonNoCustomer, outcome.ReasonNoRoute, outcome.ReasonNoEndpoint:
+		outcome.ReasonNoOrganisation, outcome.ReasonNoRoute, outcome.ReasonNoEndpoint:
 		return true
 	}
 	return false
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -16,7 +16,7 @@
 
 func newRetrier(t *testing.T, class model.Class) (*Retrier, snapshot.Match) {
 	class.Name = "read"
-	c := &model.Contract{Customer: "tabla", Classes: []model.Class{class}}
+	c := &model.Contract{Organisation: "tabla", Classes: []model.Class{class}}
 	s, err := snapshot.Build(1, map[string]*snapshot.ContractEntry{"tabla": {Revision: 1, Contract: c}}, nil)
 	must.NoError(t, err)
 	r := New(DefaultConfig(), 1)
--- a/coordination/share/amount.go
+++ b/coordination/share/amount.go
@@ -107,12 +107,12 @@
 	}
 }
 
-// Total returns the fleet-wide limit of the given name, customer or
-// customer/class. It returns false for one that the snapshot does not have. A
+// Total returns the fleet-wide limit of the given name, organisation or
+// organisation/class. It returns false for one that the snapshot does not have. A
 // dimension without a limit of its own is 0.
 func Total(s *snapshot.Snapshot, name string) (Amount, bool) {
-	customer, className, isClass := cutName(name)
-	e := s.Contract(customer)
+	organisation, className, isClass := cutName(name)
+	e := s.Contract(organisation)
 	if e == nil {
 		return Amount{}, false
 	}
--- a/coordination/share/fill.go
+++ b/coordination/share/fill.go
@@ -45,6 +45,6 @@
 	return out
 }
 
-func cutName(limit string) (customer, class string, isClass bool) {
+func cutName(limit string) (organisation, class string, isClass bool) {
 	return strings.Cut(limit, "/")
 }
--- a/coordination/share/fleet_test.go
+++ b/coordination/share/fleet_test.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	limit  = 100.0                  // requests per second of the one customer
+	limit  = 100.0                  // requests per second of the one organisation
 	step   = 100 * time.Millisecond // also the latency of a message
 	fanOut = 3
 )
@@ -74,7 +74,7 @@
 // restart makes the chosen members forget everything.
 func (f *fleet) restart(chosen func(*member) bool) {
 	f.terms++
-	c := &model.Contract{Customer: "tabla", Rate: model.Rate{PerSecond: limit, Burst: 1}, Concurrency: limit}
+	c := &model.Contract{Organisation: "tabla", Rate: model.Rate{PerSecond: limit, Burst: 1}, Concurrency: limit}
 	s, _ := snapshot.Build(1, map[string]*snapshot.ContractEntry{"tabla": {Revision: 1, Contract: c}}, nil)
 	for i, m := range f.members {
 		if !chosen(m) {
--- a/coordination/share/traffic_test.go
+++ b/coordination/share/traffic_test.go
@@ -17,37 +17,37 @@
 )
 
 // Load of the traffic measurement: what one node of the design's size serves
-// of one of 200 customers.
+// of one of 200 organisations.
 const (
-	perNode     = 1.4  // requests per second of one customer at one node
+	perNode     = 1.4  // requests per second of one organisation at one node
 	holdSeconds = 0.05 // of a request
 	spare       = 3    // limit divided by what is used of it
 	neighbours  = 8    // below a node
 )
 
-// zoneTraffic is one zone whose nodes all serve the same customers at random.
+// zoneTraffic is one zone whose nodes all serve the same organisations at random.
 type zoneTraffic struct {
 	fleet
-	random     *rand.Rand
-	estimators []*Estimator
-	customers  []string
-	granted    []map[string]float64
-	bytes      []int // sent and received by each node
-	offered    float64
-	refused    float64
+	random        *rand.Rand
+	estimators    []*Estimator
+	organisations []string
+	granted       []map[string]float64
+	bytes         []int // sent and received by each node
+	offered       float64
+	refused       float64
 }
 
-func newZoneTraffic(nodes, customers int) *zoneTraffic {
+func newZoneTraffic(nodes, organisations int) *zoneTraffic {
 	z := &zoneTraffic{random: rand.New(rand.NewPCG(1, 2)), bytes: make([]int, nodes)}
 	z.fleet = fleet{now: time.Unix(1000, 0), cfg: DefaultConfig(), index: make(map[model.NodeID]*member)}
 	z.cfg.ZoneMembers = nodes
 	contracts := make(map[string]*snapshot.ContractEntry)
-	for i := range customers {
-		name := fmt.Sprintf("customer-%04d", i)
+	for i := range organisations {
+		name := fmt.Sprintf("organisation-%04d", i)
 		rate := perNode * spare * float64(nodes)
-		c := &model.Contract{Customer: name, Rate: model.Rate{PerSecond: rate, Burst: 1}, Concurrency: nodes}
+		c := &model.Contract{Organisation: name, Rate: model.Rate{PerSecond: rate, Burst: 1}, Concurrency: nodes}
 		contracts[name] = &snapshot.ContractEntry{Revision: 1, Contract: c}
-		z.customers = append(z.customers, name)
+		z.organisations = append(z.organisations, name)
 	}
 	s, _ := snapshot.Build(1, contracts, nil)
 	for i := range nodes {
@@ -84,7 +84,7 @@
 
 func (z *zoneTraffic) measure(i int, m *member) {
 	var items []message.DemandItem
-	for _, name := range z.customers {
+	for _, name := range z.organisations {
 		n := poisson(z.random, perNode)
 		z.offered += n
 		z.refused += max(0, n-z.granted[i][name])
@@ -144,9 +144,9 @@
 	return mean, busiest, z.refused / z.offered
 }
 
-func measureZone(nodes, customers int) (mean, busiest, refused float64) {
+func measureZone(nodes, organisations int) (mean, busiest, refused float64) {
 	const settle, seconds = 60 * time.Second, 40
-	z := newZoneTraffic(nodes, customers)
+	z := newZoneTraffic(nodes, organisations)
 	z.run(settle)
 	clear(z.bytes)
 	z.offered, z.refused = 0, 0
@@ -165,9 +165,9 @@
 // BenchmarkControlBytes measures in virtual time; run it with -benchtime 1x.
 func BenchmarkControlBytes(b *testing.B) {
 	for _, nodes := range []int{20, 100, 614} {
-		for _, customers := range []int{10, 50, 200} {
-			b.Run(fmt.Sprintf("nodes=%d/limits=%d", nodes, customers), func(b *testing.B) {
-				mean, busiest, refused := measureZone(nodes, customers)
+		for _, organisations := range []int{10, 50, 200} {
+			b.Run(fmt.Sprintf("nodes=%d/limits=%d", nodes, organisations), func(b *testing.B) {
+				mean, busiest, refused := measureZone(nodes, organisations)
 				b.ReportMetric(mean, "mean-B/s")
 				b.ReportMetric(busiest, "busiest-B/s")
 				b.ReportMetric(100*refused, "%beyond-grants")
--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -20,7 +20,7 @@
 			services := make(map[string]*snapshot.ServiceEntry)
 			for _, b := range documents(t, deployment) {
 				for _, c := range b.Contracts {
-					contracts[c.Customer] = &snapshot.ContractEntry{Revision: 1, Contract: c}
+					contracts[c.Organisation] = &snapshot.ContractEntry{Revision: 1, Contract: c}
 				}
 				for _, s := range b.Services {
 					services[s.Name] = &snapshot.ServiceEntry{Revision: 1, Service: s}
--- a/internal/claims/keeper.go
+++ b/internal/claims/keeper.go
@@ -83,18 +83,18 @@
 	Refusal claim.Refuse
 }
 
-// Begin claims a customer's key for one request. The Claim is nil unless the
+// Begin claims an organisation's key for one request. The Claim is nil unless the
 // verdict is Proceed; then exactly one of its Done, NotRun and Unknown must be
 // called. When ctx ends first the verdict is a refusal as not run.
 func (k *Keeper) Begin(
-	ctx context.Context, customer, key string, fp claim.Fingerprint,
+	ctx context.Context, organisation, key string, fp claim.Fingerprint,
 ) (*Claim, Verdict) {
 	if time.Now().UnixNano() < k.stopUntil.Load() {
 		return nil, k.count(k.away())
 	}
 	c := &Claim{
 		keeper:  k,
-		key:     claim.ItemKey(customer, key),
+		key:     claim.ItemKey(organisation, key),
 		verdict: make(chan Verdict, 1),
 	}
 	c.machine = claim.New(k.cfg.Claim, claim.Record{
--- a/internal/claims/sweep.go
+++ b/internal/claims/sweep.go
@@ -20,13 +20,13 @@
 	Deleted int
 }
 
-// Sweep reads one page of a customer's records from a random place and
+// Sweep reads one page of an organisation's records from a random place and
 // deletes those older than RetainFor. It needs no lease: any node may call it
 // at any time, since deletes are conditional. Called now and then it visits all
 // records. It pauses between deletes and so may take a minute. The errors are
 // those of store.Table and of ctx.
-func (k *Keeper) Sweep(ctx context.Context, customer string) (Swept, error) {
-	items, err := k.page(ctx, claim.Prefix+customer+"/", randomHash())
+func (k *Keeper) Sweep(ctx context.Context, organisation string) (Swept, error) {
+	items, err := k.page(ctx, claim.Prefix+organisation+"/", randomHash())
 	if err != nil {
 		return Swept{}, errors.Wrap(err, "sweep: list claims")
 	}
@@ -106,7 +106,7 @@
 	return rest
 }
 
-// randomHash returns the place in a customer's records where a page starts.
+// randomHash returns the place in an organisation's records where a page starts.
 func randomHash() string {
 	var b [4]byte
 	for i := range b {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -66,9 +66,9 @@
 
 func TestOperatorsRace(t *testing.T) {
 	tests := []struct {
-		name      string
-		customers [2]string
-		conflicts int
+		name          string
+		organisations [2]string
+		conflicts     int
 	}{
 		{"same contract", [2]string{"clinic", "clinic"}, 1},
 		{"different contracts", [2]string{"clinic", "hall"}, 0},
@@ -81,14 +81,14 @@
 			read.Add(2)
 			errs := make([]error, 2)
 			var done sync.WaitGroup
-			for i, customer := range tc.customers {
+			for i, organisation := range tc.organisations {
 				a := newAccepter(s)
 				once := sync.OnceFunc(func() { read.Done(); read.Wait() })
 				a.table = &hookedTable{Table: s.Table(), transact: func(ctx context.Context, w []store.Write) ([]uint64, error) {
 					once()
 					return s.Table().Transact(ctx, w)
 				}}
-				done.Go(func() { _, errs[i] = a.Apply(t.Context(), put("id"+string(rune('a'+i)), customer, i+1, 0)) })
+				done.Go(func() { _, errs[i] = a.Apply(t.Context(), put("id"+string(rune('a'+i)), organisation, i+1, 0)) })
 			}
 			done.Wait()
 			conflicts := 0
--- a/internal/control/helpers_test.go
+++ b/internal/control/helpers_test.go
@@ -13,21 +13,21 @@
 	return cfg
 }
 
-func contract(customer string, weight int) *model.Contract {
-	return &model.Contract{Customer: customer, Hosts: []string{customer + ".example"}, Weight: weight}
+func contract(organisation string, weight int) *model.Contract {
+	return &model.Contract{Organisation: organisation, Hosts: []string{organisation + ".example"}, Weight: weight}
 }
 
 // put returns a change of one contract.
-func put(id, customer string, weight int, base uint64) accept.Change {
+func put(id, organisation string, weight int, base uint64) accept.Change {
 	return accept.Change{
 		ID:    id,
-		Batch: &model.Batch{Contracts: []*model.Contract{contract(customer, weight)}},
-		Base:  map[string]uint64{accept.ContractKey(customer): base},
+		Batch: &model.Batch{Contracts: []*model.Contract{contract(organisation, weight)}},
+		Base:  map[string]uint64{accept.ContractKey(organisation): base},
 	}
 }
 
-func contractRevision(s *snapshot.Snapshot, customer string) uint64 {
-	if e := s.Contract(customer); e != nil {
+func contractRevision(s *snapshot.Snapshot, organisation string) uint64 {
+	if e := s.Contract(organisation); e != nil {
 		return e.Revision
 	}
 	return 0
--- a/internal/control/random_test.go
+++ b/internal/control/random_test.go
@@ -68,14 +68,14 @@
 func (w *world) start(rt *rapid.T) {
 	n := rapid.IntRange(1, 6).Draw(rt, "change")
 	id := "change-" + string(rune('0'+n))
-	customer := []string{"clinic", "hall"}[n%2]
+	organisation := []string{"clinic", "hall"}[n%2]
 	c := accept.Change{
 		ID:    id,
-		Batch: &model.Batch{Contracts: []*model.Contract{contract(customer, n)}},
-		Base:  map[string]uint64{accept.ContractKey(customer): 0},
+		Batch: &model.Batch{Contracts: []*model.Contract{contract(organisation, n)}},
+		Base:  map[string]uint64{accept.ContractKey(organisation): 0},
 	}
 	if rapid.Bool().Draw(rt, "fresh base") {
-		c.Base[accept.ContractKey(customer)] = contractRevision(w.load(), customer)
+		c.Base[accept.ContractKey(organisation)] = contractRevision(w.load(), organisation)
 	}
 	for _, earlier := range w.attempts {
 		if earlier.change.ID != id {
--- a/internal/control/size_test.go
+++ b/internal/control/size_test.go
@@ -19,14 +19,14 @@
 
 // largeContract is a contract of the usual size: three classes, four routes.
 func largeContract(i, weight int) *model.Contract {
-	name := fmt.Sprintf("customer-%04d", i)
+	name := fmt.Sprintf("organisation-%04d", i)
 	c := &model.Contract{
-		Customer:    name,
-		Hosts:       []string{name + ".example", "www." + name + ".example"},
-		HandledBy:   model.SystemMesh,
-		Rate:        model.Rate{PerSecond: float64(100 + i%50), Burst: 200},
-		Concurrency: 40,
-		Weight:      weight,
+		Organisation: name,
+		Hosts:        []string{name + ".example", "www." + name + ".example"},
+		HandledBy:    model.SystemMesh,
+		Rate:         model.Rate{PerSecond: float64(100 + i%50), Burst: 200},
+		Concurrency:  40,
+		Weight:       weight,
 	}
 	kinds := []model.ClassKind{model.KindNonRepeatable, model.KindInteractive, model.KindBulk}
 	for j, kind := range kinds {
@@ -68,7 +68,7 @@
 		// As long as a UUID.
 		ID:    fmt.Sprintf("01234567-89ab-cdef-0123-%012d", n),
 		Batch: &model.Batch{Contracts: []*model.Contract{c}},
-		Base:  map[string]uint64{accept.ContractKey(c.Customer): base},
+		Base:  map[string]uint64{accept.ContractKey(c.Organisation): base},
 	}
 }
 
--- a/internal/demo/events.go
+++ b/internal/demo/events.go
@@ -136,7 +136,7 @@
 // changeContract changes a contract while the killed node is away.
 func (s *show) changeContract(ctx context.Context) error {
 	c := s.asked().Operator()
-	name := s.docs.Contracts[0].Customer
+	name := s.docs.Contracts[0].Organisation
 	docs, err := c.Documents(ctx, "contract", name)
 	if err != nil {
 		return err
--- a/internal/demo/plan.go
+++ b/internal/demo/plan.go
@@ -56,13 +56,13 @@
 
 func classOf(c *model.Contract, r *model.Route) load.Class {
 	out := load.Class{
-		Customer: c.Customer,
-		Name:     r.Name,
-		Host:     c.Hosts[0],
-		Method:   http.MethodGet,
-		Path:     strings.TrimSuffix(r.PathPrefix, "/") + "/{n}",
-		Spread:   100,
-		Deadline: model.Duration(5 * time.Second),
+		Organisation: c.Organisation,
+		Name:         r.Name,
+		Host:         c.Hosts[0],
+		Method:       http.MethodGet,
+		Path:         strings.TrimSuffix(r.PathPrefix, "/") + "/{n}",
+		Spread:       100,
+		Deadline:     model.Duration(5 * time.Second),
 	}
 	if len(r.Methods) > 0 {
 		out.Method = r.Methods[0]
--- a/internal/fleet/cut_test.go
+++ b/internal/fleet/cut_test.go
@@ -51,7 +51,7 @@
 	f.CutZone(far.Zone, true)
 	change := docs.Contracts[0]
 	change.Weight++
-	base := map[string]uint64{"contract/" + change.Customer: first.Version}
+	base := map[string]uint64{"contract/" + change.Organisation: first.Version}
 	resp, err := near.Operator().Apply(context.Background(), &operator.ApplyRequest{
 		ChangeID: "second", Batch: model.Batch{Contracts: []*model.Contract{change}}, Base: base,
 	})
--- a/internal/fleet/helpers_test.go
+++ b/internal/fleet/helpers_test.go
@@ -25,10 +25,10 @@
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
-// customer is the customer of the tests, with its Host header.
+// organisation is the organisation of the tests, with its Host header.
 const (
-	customer = "clinic-csepel"
-	host     = "clinic.rooms.example"
+	organisation = "clinic-csepel"
+	host         = "clinic.rooms.example"
 )
 
 // hosts returns the first n hosts of the Room Signage Mesh, all with foglalas.
@@ -54,9 +54,9 @@
 	return b
 }
 
-// contractOf picks the contract of a customer.
+// contractOf picks the contract of an organisation.
 func contractOf(b model.Batch, name string) *model.Contract {
-	i := slices.IndexFunc(b.Contracts, func(c *model.Contract) bool { return c.Customer == name })
+	i := slices.IndexFunc(b.Contracts, func(c *model.Contract) bool { return c.Organisation == name })
 	return b.Contracts[i]
 }
 
@@ -97,7 +97,7 @@
 	return &operator.ApplyRequest{
 		ChangeID: fmt.Sprintf("marker-%d", c.count+1),
 		Batch:    model.Batch{Contracts: []*model.Contract{&next}},
-		Base:     map[string]uint64{"contract/" + customer: c.base},
+		Base:     map[string]uint64{"contract/" + organisation: c.base},
 	}
 }
 
@@ -123,7 +123,7 @@
 	t.Helper()
 	docs := documents(t)
 	resp := apply(t, f.Members[0], "first", docs, nil)
-	return &changes{contract: *contractOf(docs, customer), base: resp.Version}
+	return &changes{contract: *contractOf(docs, organisation), base: resp.Version}
 }
 
 // inForce waits until a version is in force on all nodes, as m knows it.
@@ -330,14 +330,14 @@
 // screens are reads that a caller may repeat; bookings may run once at most.
 func screens(rate float64) load.Class {
 	return load.Class{
-		Customer: customer, Name: "screens", Host: host, Method: http.MethodGet, Path: "/rooms/{n}",
+		Organisation: organisation, Name: "screens", Host: host, Method: http.MethodGet, Path: "/rooms/{n}",
 		Spread: 100, Rate: rate, Retries: 3, Deadline: model.Duration(2 * time.Second),
 	}
 }
 
 func bookings(rate float64) load.Class {
 	return load.Class{
-		Customer: customer, Name: "bookings", Host: host, Method: http.MethodPost, Path: "/bookings/{n}",
+		Organisation: organisation, Name: "bookings", Host: host, Method: http.MethodPost, Path: "/bookings/{n}",
 		Spread: 100, Rate: rate, Body: 200, Keyed: true, Repeats: 0.5, Retries: 3, Deadline: model.Duration(4 * time.Second),
 	}
 }
--- a/internal/fleet/older_test.go
+++ b/internal/fleet/older_test.go
@@ -25,10 +25,10 @@
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
-// The customer that the older system handles at first.
+// The organisation that the older system handles at first.
 const (
-	olderCustomer = "town-hall-obuda"
-	olderHost     = "town-hall.rooms.example"
+	olderOrganisation = "town-hall-obuda"
+	olderHost         = "town-hall.rooms.example"
 )
 
 // olderHead is the head of the older system's answers, up to the length.
@@ -68,7 +68,7 @@
 	return a
 }
 
-// mover sends requests of a customer that is being moved, each once, and notes
+// mover sends requests of an organisation that is being moved, each once, and notes
 // which system answered.
 type mover struct {
 	f    *Fleet
@@ -144,14 +144,14 @@
 	}
 }
 
-// handle lets a system handle the customer, and returns the version.
+// handle lets a system handle the organisation, and returns the version.
 func handle(t *testing.T, f *Fleet, docs model.Batch, by model.System, base uint64) uint64 {
 	t.Helper()
-	contract := *contractOf(docs, olderCustomer)
+	contract := *contractOf(docs, olderOrganisation)
 	contract.HandledBy = by
 	resp, err := f.Members[0].Operator().Apply(context.Background(), &operator.ApplyRequest{
 		ChangeID: "to-" + string(by), Batch: model.Batch{Contracts: []*model.Contract{&contract}},
-		Base: map[string]uint64{"contract/" + olderCustomer: base},
+		Base: map[string]uint64{"contract/" + olderOrganisation: base},
 	})
 	must.NoError(t, err)
 	inForce(t, f.Members[0], resp.Version)
@@ -159,8 +159,8 @@
 }
 
 // Requests of the older system pass byte for byte, before there is a
-// configuration and under each fault; the nodes that return hold none yet. A
-// customer is moved to the mesh and back under load: nothing is lost or doubled.
+// configuration and under each fault; the nodes that return hold none yet. An
+// organisation is moved to the mesh and back under load: nothing is lost or doubled.
 func TestOlderSystemIsLeftAlone(t *testing.T) {
 	f := start(t, hosts(6), relayed, func(c *Config) { c.Older = true })
 	for _, m := range f.Members {
--- a/internal/fleet/platform_test.go
+++ b/internal/fleet/platform_test.go
@@ -69,7 +69,7 @@
 
 // corrupt damages both objects of a version and returns what undoes it: the
 // delta by one bit, and the whole version by a valid one with the same number
-// that lacks the test's customer.
+// that lacks the test's organisation.
 func corrupt(t *testing.T, f *Fleet, version uint64) (undo func()) {
 	t.Helper()
 	objects := platform.NewObjects(platform.NewStore(platform.DefaultStoreConfig(f.PlatformURL())), prefix, deadline)
@@ -103,14 +103,14 @@
 const prefix = "jacinthgate/"
 
 // without returns a whole version of the same number without the test's
-// customer.
+// organisation.
 func without(t *testing.T, body []byte) []byte {
 	t.Helper()
 	s, err := snapshot.Decode(body)
 	must.NoError(t, err)
 	contracts := make(map[string]*snapshot.ContractEntry)
-	for _, name := range s.Customers() {
-		if name != customer {
+	for _, name := range s.Organisations() {
+		if name != organisation {
 			contracts[name] = s.Contract(name)
 		}
 	}
--- a/internal/fleet/reader_test.go
+++ b/internal/fleet/reader_test.go
@@ -78,7 +78,7 @@
 	}
 	must.Len(t, 1, won)
 	for _, p := range conflicts {
-		must.Eq(t, "contract/"+customer, p.Document)
+		must.Eq(t, "contract/"+organisation, p.Document)
 		must.Eq(t, won[0].resp.Version, p.Revision)
 	}
 	c.accepted(won[0].req, won[0].resp.Version)
--- a/internal/load/example.go
+++ b/internal/load/example.go
@@ -19,7 +19,7 @@
 	proofBody    = 128 << 10
 )
 
-// ExamplePlan returns a small plan with the mix of two customers. room-signage
+// ExamplePlan returns a small plan with the mix of two organisations. room-signage
 // has screens that poll for what is booked, a few bookings, slow firmware and
 // layout look-ups. kalo-kit has catalogue and order status reads, paid orders,
 // artwork proofs and stock checks. The stand-in of the backend server echoes
@@ -38,28 +38,28 @@
 
 func signageClasses() []Class {
 	return []Class{
-		{Customer: signage, Name: "screen", Host: signageHost, Method: http.MethodGet,
+		{Organisation: signage, Name: "screen", Host: signageHost, Method: http.MethodGet,
 			Path: "/rooms/{n}/now", Spread: 400, Rate: 300, Deadline: seconds(1)},
-		{Customer: signage, Name: "booking", Host: signageHost, Method: http.MethodPost,
+		{Organisation: signage, Name: "booking", Host: signageHost, Method: http.MethodPost,
 			Path: "/rooms/{n}/bookings", Spread: 400, Rate: 5, Body: smallBody,
 			Keyed: true, Repeats: 0.1, Retries: 2, Deadline: seconds(3)},
-		{Customer: signage, Name: "firmware", Host: signageHost, Method: http.MethodPost,
+		{Organisation: signage, Name: "firmware", Host: signageHost, Method: http.MethodPost,
 			Path: "/firmware/{n}", Spread: 3, Rate: 2, Body: firmwareBody, Deadline: seconds(30)},
-		{Customer: signage, Name: "layout", Host: signageHost, Method: http.MethodGet,
+		{Organisation: signage, Name: "layout", Host: signageHost, Method: http.MethodGet,
 			Path: "/layouts/{n}", Spread: 50, Rate: 40, Retries: 1, Deadline: seconds(10)},
 	}
 }
 
 func kaloKitClasses() []Class {
 	return []Class{
-		{Customer: kaloKit, Name: "status", Host: kaloKitHost, Method: http.MethodGet,
+		{Organisation: kaloKit, Name: "status", Host: kaloKitHost, Method: http.MethodGet,
 			Path: "/orders/{n}", Spread: 900, Rate: 200, Deadline: seconds(1)},
-		{Customer: kaloKit, Name: "order", Host: kaloKitHost, Method: http.MethodPost,
+		{Organisation: kaloKit, Name: "order", Host: kaloKitHost, Method: http.MethodPost,
 			Path: "/orders", Rate: 4, Body: orderBody,
 			Keyed: true, Repeats: 0.1, Retries: 2, Deadline: seconds(5)},
-		{Customer: kaloKit, Name: "proof", Host: kaloKitHost, Method: http.MethodPost,
+		{Organisation: kaloKit, Name: "proof", Host: kaloKitHost, Method: http.MethodPost,
 			Path: "/proofs/{n}", Spread: 60, Rate: 5, Body: proofBody, Deadline: seconds(10)},
-		{Customer: kaloKit, Name: "stock", Host: kaloKitHost, Method: http.MethodGet,
+		{Organisation: kaloKit, Name: "stock", Host: kaloKitHost, Method: http.MethodGet,
 			Path: "/stock/{n}", Spread: 120, Rate: 60, Retries: 1, Deadline: seconds(5)},
 	}
 }
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -75,8 +75,8 @@
 
 // Class is one kind of request.
 type Class struct {
-	// Customer and Name label the class in the report.
-	Customer string `json:"customer"`
+	// Organisation and Name label the class in the report.
+	Organisation string `json:"organisation"`
 	// Name is the name of the class.
 	Name string `json:"name"`
 	// Host is the HTTP Host.
@@ -155,7 +155,7 @@
 		ok             bool
 		field, problem string
 	}{
-		{c.Name != "" && c.Customer != "", "name", "or customer is missing"},
+		{c.Name != "" && c.Organisation != "", "name", "or organisation is missing"},
 		{slices.Contains(methods, c.Method), "method", "is not GET, POST, PUT or DELETE"},
 		{strings.HasPrefix(c.Path, "/"), "path", "does not start with a slash"},
 		{c.Rate > 0, "rate", "is not above 0"},
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -12,7 +12,7 @@
 // Write prints the result as a table.
 func (r Result) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(t, "arm\tcustomer\tclass\tsent\t")
+	fmt.Fprintf(t, "arm\torganisation\tclass\tsent\t")
 	for _, l := range labels {
 		fmt.Fprintf(t, "%s\t", l)
 	}
@@ -27,7 +27,7 @@
 }
 
 func (c Cell) writeRow(t io.Writer) {
-	fmt.Fprintf(t, "%s\t%s\t%s\t%d\t", c.Arm, c.Customer, c.Class, c.Sent)
+	fmt.Fprintf(t, "%s\t%s\t%s\t%d\t", c.Arm, c.Organisation, c.Class, c.Sent)
 	for _, l := range labels {
 		fmt.Fprintf(t, "%d\t", c.Labels[l])
 	}
@@ -40,7 +40,7 @@
 	var b strings.Builder
 	for _, c := range r.Cells {
 		for _, reason := range slices.Sorted(maps.Keys(c.Reasons)) {
-			fmt.Fprintf(&b, "reason %s/%s/%s %s: %d\n", c.Arm, c.Customer, c.Class, reason, c.Reasons[reason])
+			fmt.Fprintf(&b, "reason %s/%s/%s %s: %d\n", c.Arm, c.Organisation, c.Class, reason, c.Reasons[reason])
 		}
 	}
 	fmt.Fprintf(&b, "run %s: %.1f s, %d unsent, sent late by p99 %.0f us\n", r.Run, r.Elapsed, r.Unsent, r.LagP99)
@@ -62,8 +62,8 @@
 
 // Difference is what the mesh adds to one class.
 type Difference struct {
-	// Customer and Class label the class.
-	Customer string `json:"customer"`
+	// Organisation and Class label the class.
+	Organisation string `json:"organisation"`
 	// Class is the name of the class.
 	Class string `json:"class"`
 	// AddedP50 and AddedP99 are the differences of the percentiles, in
@@ -82,17 +82,17 @@
 	direct := make(map[string]Quantiles)
 	for _, c := range r.Cells {
 		if c.Arm == ArmDirect {
-			direct[c.Customer+"/"+c.Class] = c.Micros
+			direct[c.Organisation+"/"+c.Class] = c.Micros
 		}
 	}
 	var out []Difference
 	for _, c := range r.Cells {
-		d, ok := direct[c.Customer+"/"+c.Class]
+		d, ok := direct[c.Organisation+"/"+c.Class]
 		if c.Arm != ArmMesh || !ok {
 			continue
 		}
 		out = append(out, Difference{
-			Customer: c.Customer, Class: c.Class,
+			Organisation: c.Organisation, Class: c.Class,
 			AddedP50: c.Micros.P50 - d.P50, AddedP99: c.Micros.P99 - d.P99,
 			RatioP50: ratio(c.Micros.P50, d.P50), RatioP99: ratio(c.Micros.P99, d.P99),
 		})
@@ -110,10 +110,10 @@
 // WriteDifferences prints the differences as a table.
 func WriteDifferences(w io.Writer, ds []Difference) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(t, "customer\tclass\tadded p50 us\tadded p99 us\tratio p50\tratio p99\t\n")
+	fmt.Fprintf(t, "organisation\tclass\tadded p50 us\tadded p99 us\tratio p50\tratio p99\t\n")
 	for _, d := range ds {
 		fmt.Fprintf(t, "%s\t%s\t%.0f\t%.0f\t%.2f\t%.2f\t\n",
-			d.Customer, d.Class, d.AddedP50, d.AddedP99, d.RatioP50, d.RatioP99)
+			d.Organisation, d.Class, d.AddedP50, d.AddedP99, d.RatioP50, d.RatioP99)
 	}
 	return t.Flush()
 }
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -54,8 +54,8 @@
 type Cell struct {
 	// Arm is "mesh" or "direct".
 	Arm string `json:"arm"`
-	// Customer and Class label the class.
-	Customer string `json:"customer"`
+	// Organisation and Class label the class.
+	Organisation string `json:"organisation"`
 	// Class is the name of the class.
 	Class string `json:"class"`
 	// Sent is the number of requests sent, repeats and retries included.
@@ -122,7 +122,7 @@
 	for _, a := range arms {
 		for _, c := range classes {
 			r.result.Cells = append(r.result.Cells, Cell{
-				Arm: a.Name, Customer: c.Customer, Class: c.Name,
+				Arm: a.Name, Organisation: c.Organisation, Class: c.Name,
 				Labels: make(map[Label]int), Reasons: make(map[string]int),
 			})
 			r.histograms = append(r.histograms, latencies{newHistogram(), newHistogram()})
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -22,8 +22,8 @@
 	return load.Plan{
 		Seed: 3, Loop: load.LoopClosed, Workers: 4, Duration: minute, Requests: 60,
 		Classes: []load.Class{
-			{Customer: "a", Name: "read", Host: "a.example", Method: "GET", Path: "/r/{n}", Spread: 9, Rate: 2, Deadline: minute},
-			{Customer: "a", Name: "book", Host: "a.example", Method: "POST", Path: "/b", Rate: 2, Body: 64, Keyed: true, Deadline: minute},
+			{Organisation: "a", Name: "read", Host: "a.example", Method: "GET", Path: "/r/{n}", Spread: 9, Rate: 2, Deadline: minute},
+			{Organisation: "a", Name: "book", Host: "a.example", Method: "POST", Path: "/b", Rate: 2, Body: 64, Keyed: true, Deadline: minute},
 		},
 	}
 }
--- a/internal/measure/cores_config.go
+++ b/internal/measure/cores_config.go
@@ -28,7 +28,7 @@
 		if i < changed {
 			e = &snapshot.ContractEntry{Revision: version, Contract: s.contract(i, 2)}
 		}
-		contracts[customer(i)] = e
+		contracts[organisation(i)] = e
 	}
 	return snapshot.Build(version, contracts, services)
 }
@@ -40,7 +40,7 @@
 }
 
 // configFigures measures versions of the configuration and what a node keeps
-// for each customer.
+// for each organisation.
 func configFigures() ([]Figure, error) {
 	of := "contracts"
 	c := configuration{
@@ -50,8 +50,8 @@
 		apply:      Figure{Name: "delta of one contract, decoded, applied and checked", Package: "state/snapshot", Unit: "µs", Of: of},
 		memory:     Figure{Name: "one version held", Package: "state/snapshot", Unit: "B heap", Of: of},
 		kept:       Figure{Name: "an earlier version kept beside it", Package: "coordination/distribute", Unit: "B heap", Of: of},
-		lookup:     Figure{Name: "look-up of customer, route and service", Package: "state/snapshot", Unit: "µs", Of: of},
-		limiter:    Figure{Name: "limits of all customers and their classes", Package: "coordination/admit", Unit: "B heap", Of: of},
+		lookup:     Figure{Name: "look-up of organisation, route and service", Package: "state/snapshot", Unit: "µs", Of: of},
+		limiter:    Figure{Name: "limits of all organisations and their classes", Package: "coordination/admit", Unit: "B heap", Of: of},
 		update:     Figure{Name: "limits brought up to date with a version", Package: "coordination/admit", Unit: "µs", Of: of},
 		tick:       Figure{Name: "limits, work of each 100 ms", Package: "coordination/admit", Unit: "µs", Of: of},
 		histograms: Figure{Name: "latency histograms, 3 classes, 20 buckets in use", Package: "transport/entry", Unit: "B heap", Of: of},
@@ -97,7 +97,7 @@
 	c.apply.add(timed(n, func() { err = applyDelta(base, delta) }))
 	c.memory.add(heap(n, func() any { s, _ := snapshot.Decode(full); return s }))
 	c.kept.add(heap(n, func() any { s, _ := afterDelta(base, delta); return s }))
-	host, path := customer(n/2)+".example", "/v1/part-3/x"
+	host, path := organisation(n/2)+".example", "/v1/part-3/x"
 	c.lookup.add(timed(n, func() { base.Lookup(host, "GET", path) }))
 	c.limits(n, base, next)
 	return err
@@ -128,7 +128,7 @@
 	return base.Apply(d)
 }
 
-// limits measures what a node keeps for each customer.
+// limits measures what a node keeps for each organisation.
 func (c *configuration) limits(n int, base, next *snapshot.Snapshot) {
 	c.limiter.add(heap(n, func() any {
 		l := admit.New(admit.DefaultConfig(), 1)
@@ -147,12 +147,12 @@
 // buckets is the number of buckets of each histogram that are in use.
 const buckets = 20
 
-// histograms fills the histograms that the entry proxy keeps for n customers.
+// histograms fills the histograms that the entry proxy keeps for n organisations.
 func histograms(n int) *metrics.Set {
 	set := metrics.NewSet()
 	for i := range n {
 		for _, kind := range kinds {
-			h := set.NewHistogram(fmt.Sprintf(`request_duration_seconds{customer=%q,class=%q}`, customer(i), kind))
+			h := set.NewHistogram(fmt.Sprintf(`request_duration_seconds{organisation=%q,class=%q}`, organisation(i), kind))
 			for b := range buckets {
 				h.Update((time.Millisecond << (b / 2)).Seconds() * (1 + 0.4*float64(b%2)))
 			}
--- a/internal/measure/cores_share.go
+++ b/internal/measure/cores_share.go
@@ -16,7 +16,7 @@
 		d := &message.Demand{Zone: zones[0], Node: record(0).Node, Nodes: 10, Applied: 1000}
 		s := &message.Shares{Node: record(0).Node, Term: 10, TTLMillis: 8000, Sequence: 1000}
 		for i := range n {
-			name := customer(i)
+			name := organisation(i)
 			d.Items = append(d.Items, message.DemandItem{
 				Limit: name, PerSecond: 12.25, InFlight: 1.75, HeldPerSecond: 20.125, HeldConcurrency: 3.25,
 			})
--- a/internal/measure/documents.go
+++ b/internal/measure/documents.go
@@ -26,14 +26,14 @@
 // contract returns a contract; equal arguments give equal contracts, other
 // weights differ in the weight alone.
 func (s Size) contract(i, weight int) *model.Contract {
-	name := customer(i)
+	name := organisation(i)
 	c := &model.Contract{
-		Customer:    name,
-		Hosts:       []string{name + ".example", "www." + name + ".example"},
-		HandledBy:   model.SystemMesh,
-		Rate:        model.Rate{PerSecond: float64(100 + i%50), Burst: 200},
-		Concurrency: 40,
-		Weight:      weight,
+		Organisation: name,
+		Hosts:        []string{name + ".example", "www." + name + ".example"},
+		HandledBy:    model.SystemMesh,
+		Rate:         model.Rate{PerSecond: float64(100 + i%50), Burst: 200},
+		Concurrency:  40,
+		Weight:       weight,
 	}
 	for j, kind := range kinds {
 		c.Classes = append(c.Classes, model.Class{
@@ -54,7 +54,7 @@
 	return c
 }
 
-func customer(i int) string { return fmt.Sprintf("customer-%04d", i) }
+func organisation(i int) string { return fmt.Sprintf("organisation-%04d", i) }
 
 // batch returns the whole configuration.
 func (s Size) batch() model.Batch {
--- a/internal/measure/policies.go
+++ b/internal/measure/policies.go
@@ -49,11 +49,11 @@
 	screens, flood, capped *model.Contract
 }
 
-// cappedPart is the limit of the customer that floods, as a part of the
+// cappedPart is the limit of the organisation that floods, as a part of the
 // capacity.
 const cappedPart = 0.7
 
-// RunPolicies measures overload, a customer that floods, and faulty backend
+// RunPolicies measures overload, an organisation that floods, and faulty backend
 // servers.
 func RunPolicies(ctx context.Context, o RequestOptions) (*Policies, error) {
 	b := &bench{}
@@ -92,7 +92,7 @@
 	}
 	steady := b.class(b.screens, 0.2*b.capacity)
 	for _, other := range []*model.Contract{b.flood, b.capped} {
-		t := &Trial{Name: other.Customer, Offered: 3.2}
+		t := &Trial{Name: other.Organisation, Offered: 3.2}
 		t.classes = []load.Class{steady, b.class(other, 3*b.capacity)}
 		all = append(all, t)
 	}
--- a/internal/measure/requests_rig.go
+++ b/internal/measure/requests_rig.go
@@ -151,30 +151,30 @@
 // callDeadline is what a caller allows for one request.
 const callDeadline = time.Second
 
-// class returns the class that calls as a contract's customer.
+// class returns the class that calls as a contract's organisation.
 func (r *requestRig) class(c *model.Contract, rate float64) load.Class {
 	return load.Class{
-		Customer: c.Customer,
-		Name:     c.Classes[0].Name,
-		Host:     c.Hosts[0],
-		Method:   "GET",
-		Path:     "/rooms/{n}/now",
-		Spread:   400,
-		Rate:     rate,
-		Deadline: model.Duration(callDeadline),
+		Organisation: c.Organisation,
+		Name:         c.Classes[0].Name,
+		Host:         c.Hosts[0],
+		Method:       "GET",
+		Path:         "/rooms/{n}/now",
+		Spread:       400,
+		Rate:         rate,
+		Deadline:     model.Duration(callDeadline),
 	}
 }
 
 // requestContract returns a contract with one interactive class and the given
 // rate per second.
-func requestContract(customer, service string, rate float64) *model.Contract {
+func requestContract(organisation, service string, rate float64) *model.Contract {
 	return &model.Contract{
-		Customer:    customer,
-		Hosts:       []string{customer + ".example"},
-		HandledBy:   model.SystemMesh,
-		Rate:        model.Rate{PerSecond: rate, Burst: max(1, int(rate/10))},
-		Concurrency: unlimited,
-		Weight:      1,
+		Organisation: organisation,
+		Hosts:        []string{organisation + ".example"},
+		HandledBy:    model.SystemMesh,
+		Rate:         model.Rate{PerSecond: rate, Burst: max(1, int(rate/10))},
+		Concurrency:  unlimited,
+		Weight:       1,
 		Classes: []model.Class{{
 			Name:        "screen",
 			Kind:        model.KindInteractive,
--- a/internal/measure/requests_tables.go
+++ b/internal/measure/requests_tables.go
@@ -66,13 +66,13 @@
 	for _, t := range p.Trials {
 		for i, mesh := range t.Mesh {
 			direct := t.Direct[i]
-			row := []string{t.Name, num(t.Offered), mesh.Customer, t.Load}
+			row := []string{t.Name, num(t.Offered), mesh.Organisation, t.Load}
 			row = append(row, outcomeColumns(mesh, t.MeshSeconds, p.Capacity)...)
 			row = append(row, outcomeColumns(direct, t.DirectSeconds, p.Capacity)...)
 			rows = append(rows, append(row, nums(max(t.MeshLate, t.DirectLate)/1000)...))
 		}
 	}
-	table(b, []string{"trial", "offered", "customer", "load", "mesh: useful %", "not answered %", "unknown, cut or failed %",
+	table(b, []string{"trial", "offered", "organisation", "load", "mesh: useful %", "not answered %", "unknown, cut or failed %",
 		"p50 ms", "p99 ms", "in turn: useful %", "not answered %", "unknown, cut or failed %", "p50 ms", "p99 ms", "late ms"}, rows)
 }
 
--- a/internal/measure/rig.go
+++ b/internal/measure/rig.go
@@ -98,7 +98,7 @@
 			return err
 		}
 		for _, c := range chunk {
-			r.revisions[c.Customer] = resp.Version
+			r.revisions[c.Organisation] = resp.Version
 		}
 		if err := r.inForce(ctx, resp.Version); err != nil {
 			return err
@@ -119,7 +119,7 @@
 // change changes the weight of one contract, through one of the nodes that run.
 func (r *rig) change(ctx context.Context) (uint64, error) {
 	i := r.changes % r.opts.Size.Contracts
-	name := customer(i)
+	name := organisation(i)
 	c := r.opts.Size.contract(i, 1+(r.changes+1)%1000)
 	base := map[string]uint64{"contract/" + name: r.revisions[name]}
 	resp, err := r.apply(ctx, r.operator(), model.Batch{Contracts: []*model.Contract{c}}, base)
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -17,8 +17,8 @@
 }
 
 // Begin implements entry.Claimer.
-func (c claimer) Begin(ctx context.Context, customer, key string, fp claim.Fingerprint) (entry.Claim, entry.ClaimVerdict) {
-	held, v := c.keeper.Begin(ctx, customer, key, fp)
+func (c claimer) Begin(ctx context.Context, organisation, key string, fp claim.Fingerprint) (entry.Claim, entry.ClaimVerdict) {
+	held, v := c.keeper.Begin(ctx, organisation, key, fp)
 	switch v.Kind {
 	case claims.Replay:
 		return nil, entry.ClaimVerdict{Replay: &v.Answer}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -133,7 +133,7 @@
 	}
 }
 
-// collect does one round: superseded versions, and old claims of one customer.
+// collect does one round: superseded versions, and old claims of one organisation.
 func (n *Node) collect(ctx context.Context) {
 	if !n.pub.reader.Load() {
 		return
@@ -141,12 +141,12 @@
 	swept, err := n.collector.Sweep(ctx, time.Now())
 	_ = level.Debug(n.log).Log("event", "versions_collected", "objects", swept.Objects, "records", swept.Records, "err", err)
 	s := n.pub.Snapshot()
-	if s == nil || len(s.Customers()) == 0 {
+	if s == nil || len(s.Organisations()) == 0 {
 		return
 	}
-	customers := s.Customers()
-	customer := customers[rand.IntN(len(customers))]
-	if _, err := n.keeper.Sweep(ctx, customer); err != nil {
-		_ = level.Warn(n.log).Log("event", "claims_collect_failed", "customer", customer, "err", err)
+	organisations := s.Organisations()
+	organisation := organisations[rand.IntN(len(organisations))]
+	if _, err := n.keeper.Sweep(ctx, organisation); err != nil {
+		_ = level.Warn(n.log).Log("event", "claims_collect_failed", "organisation", organisation, "err", err)
 	}
 }
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -115,9 +115,9 @@
 
 func contractsOf(s *snapshot.Snapshot, name string) []operator.Document {
 	var out []operator.Document
-	for _, customer := range s.Customers() {
-		if name == "" || name == customer {
-			e := s.Contract(customer)
+	for _, organisation := range s.Organisations() {
+		if name == "" || name == organisation {
+			e := s.Contract(organisation)
 			out = append(out, operator.Document{Revision: e.Revision, Contract: e.Contract})
 		}
 	}
--- a/internal/schemagen/schema.go
+++ b/internal/schemagen/schema.go
@@ -37,7 +37,7 @@
 
 func documents() []document {
 	return []document{
-		{name: "contract", title: "Contract of one customer", value: &model.Contract{}},
+		{name: "contract", title: "Contract of one organisation", value: &model.Contract{}},
 		{name: "service", title: "Service", value: &model.Service{}},
 		{name: "batch", title: "Changes that become one version", value: &model.Batch{}},
 		{name: "node-settings", title: "Settings of jacinthgate-node", value: nodeDefaults()},
--- a/internal/schemagen/schemagen_test.go
+++ b/internal/schemagen/schemagen_test.go
@@ -126,7 +126,7 @@
 		parse              func([]byte) error
 		good, bad          []any
 	}{
-		{"contract", "contracts/clinic-csepel.json", "customer", parseContract, []any{strings.Repeat("a", 63)}, []any{strings.Repeat("a", 64), "-a", "A", "", nil}},
+		{"contract", "contracts/clinic-csepel.json", "organisation", parseContract, []any{strings.Repeat("a", 63)}, []any{strings.Repeat("a", 64), "-a", "A", "", nil}},
 		{"contract", "contracts/clinic-csepel.json", "weight", parseContract, []any{1, 1000}, []any{0, 1001, "1", nil}},
 		{"contract", "contracts/clinic-csepel.json", "hosts", parseContract, []any{[]string{"a"}}, []any{[]string{}, []string{"a", "a"}, make([]string, 65)}},
 		{"contract", "contracts/clinic-csepel.json", "handledBy", parseContract, []any{"older"}, []any{"old", nil}},
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -240,7 +240,7 @@
 
 // DemandItem is the demand on one limit.
 type DemandItem struct {
-	// Limit names the limit: the customer, or customer/class.
+	// Limit names the limit: the organisation, or organisation/class.
 	Limit string `cbor:"1,keyasint"`
 	// PerSecond is the offered rate, in requests per second.
 	PerSecond float64 `cbor:"2,keyasint,omitempty"`
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -32,9 +32,9 @@
 	// on every call made on its behalf further down the chain. Such calls earn
 	// no retries. Backend servers pass it on like HeaderDeadline.
 	HeaderAttempt = "Jacinthgate-Attempt"
-	// HeaderCustomer and HeaderClass tell the gate how the entry proxy
+	// HeaderOrganisation and HeaderClass tell the gate how the entry proxy
 	// classified the request.
-	HeaderCustomer = "Jacinthgate-Customer"
+	HeaderOrganisation = "Jacinthgate-Organisation"
 	// HeaderClass names the class of the request.
 	HeaderClass = "Jacinthgate-Class"
 	// HeaderKind carries the class's kind, which decides the queue's order.
@@ -72,7 +72,7 @@
 // The reasons.
 const (
 	ReasonNotReady         Reason = "not-ready"         // the node holds no whole version yet
-	ReasonNoCustomer       Reason = "no-customer"       // no contract has this host
+	ReasonNoOrganisation   Reason = "no-organisation"   // no contract has this host
 	ReasonNoRoute          Reason = "no-route"          // the contract has no matching route
 	ReasonNoEndpoint       Reason = "no-endpoint"       // no backend server may take the request
 	ReasonRateLimited      Reason = "rate-limited"      // the contract's rate is used up
--- a/state/model/batch.go
+++ b/state/model/batch.go
@@ -12,7 +12,7 @@
 	Contracts []*Contract `json:"contracts,omitempty"`
 	// Services are the services to create or replace.
 	Services []*Service `json:"services,omitempty"`
-	// DeleteContracts names the customers whose contracts are deleted.
+	// DeleteContracts names the organisations whose contracts are deleted.
 	DeleteContracts []string `json:"deleteContracts,omitempty" jsonschema:"uniqueItems=true"`
 	// DeleteServices names the services that are deleted. No route may refer
 	// to them afterwards.
@@ -44,7 +44,7 @@
 			continue
 		}
 		k.below(path, c.faults())
-		k.unique(path+".customer", c.Customer, seen)
+		k.unique(path+".organisation", c.Organisation, seen)
 		k.foreignHosts(path+".hosts", c, hosts)
 	}
 	k.deletions("deleteContracts", b.DeleteContracts, seen)
@@ -54,10 +54,10 @@
 func (k *checker) foreignHosts(path string, c *Contract, owners map[string]string) {
 	for i, host := range c.Hosts {
 		owner, taken := owners[host]
-		if taken && owner != c.Customer {
+		if taken && owner != c.Organisation {
 			k.faults.AddValue(strictjson.Index(path, i), host, fmt.Sprintf("a host that %s doesn't claim", owner))
 		}
-		owners[host] = c.Customer
+		owners[host] = c.Organisation
 	}
 }
 
--- a/state/model/check.go
+++ b/state/model/check.go
@@ -27,7 +27,7 @@
 	pathBytes    = lowerLetters + upperLetters + digits + pathMarks
 )
 
-// ValidName reports whether s is a valid name of a customer, class, route,
+// ValidName reports whether s is a valid name of an organisation, class, route,
 // service, node, zone or region.
 func ValidName(s string) bool {
 	return s != "" && len(s) <= MaxNameLength && s[0] != '-' && onlyBytes(s, nameBytes)
--- a/state/model/contract.go
+++ b/state/model/contract.go
@@ -1,34 +1,34 @@
 package model
 
-// Contract is the single document from which every limit on one customer's
+// Contract is the single document from which every limit on one organisation's
 // traffic follows. Contracts are immutable once they are part of a snapshot.
 type Contract struct {
-	// Customer is the customer's unique name. All names here are of lower-case
+	// Organisation is the name of the firm, unique on the site. All names here are of lower-case
 	// letters, digits and hyphens, and don't start with a hyphen.
-	Customer string `json:"customer" cbor:"1,keyasint" jsonschema:"pattern=^[a-z0-9][a-z0-9-]*$,maxLength=63"`
+	Organisation string `json:"organisation" cbor:"1,keyasint" jsonschema:"pattern=^[a-z0-9][a-z0-9-]*$,maxLength=63"`
 	// Hosts lists the HTTP Host values, in lower case and without port, that
-	// identify the customer's callers. A host belongs to one contract only.
+	// identify the organisation's callers. A host belongs to one contract only.
 	Hosts []string `json:"hosts" cbor:"2,keyasint" jsonschema:"minItems=1,maxItems=64,uniqueItems=true"`
-	// HandledBy says which system handles the customer's traffic. A route may
+	// HandledBy says which system handles the organisation's traffic. A route may
 	// override it.
 	HandledBy System `json:"handledBy" cbor:"3,keyasint" jsonschema:"enum=mesh,enum=older"`
-	// Rate limits the customer's requests over the whole fleet.
+	// Rate limits the organisation's requests over the whole fleet.
 	Rate Rate `json:"rate" cbor:"4,keyasint"`
-	// Concurrency limits the customer's requests in flight over the whole
+	// Concurrency limits the organisation's requests in flight over the whole
 	// fleet.
 	Concurrency int `json:"concurrency" cbor:"5,keyasint" jsonschema:"minimum=1,maximum=10000000"`
-	// Weight is the customer's part of spare capacity, relative to the
+	// Weight is the organisation's part of spare capacity, relative to the
 	// weights of the others.
 	Weight int `json:"weight" cbor:"6,keyasint" jsonschema:"minimum=1,maximum=1000"`
-	// Classes are the classes of request that routes refer to by name. Only a
-	// customer that the older system handles may have none.
+	// Classes are the classes of request that routes refer to by name. Only an
+	// organisation that the older system handles may have none.
 	Classes []Class `json:"classes" cbor:"7,keyasint" jsonschema:"maxItems=16"`
-	// Routes are matched in order; the first match decides. Only a customer
+	// Routes are matched in order; the first match decides. Only an organisation
 	// that the older system handles may have none.
 	Routes []Route `json:"routes" cbor:"8,keyasint" jsonschema:"maxItems=256"`
 }
 
-// System names the system that handles a customer's or a route's traffic.
+// System names the system that handles an organisation's or a route's traffic.
 type System string
 
 // The systems that may handle traffic.
@@ -63,23 +63,23 @@
 	KindEventual ClassKind = "eventual"
 )
 
-// Class is a class of request of one customer.
+// Class is a class of request of one organisation.
 type Class struct {
 	// Name is unique within the contract.
 	Name string `json:"name" cbor:"1,keyasint" jsonschema:"pattern=^[a-z0-9][a-z0-9-]*$,maxLength=63"`
 	// Kind decides importance and shedding order.
 	Kind ClassKind `json:"kind" cbor:"2,keyasint" jsonschema:"enum=non-repeatable,enum=interactive,enum=bulk,enum=eventual"`
 	// Rate limits the class over the whole fleet. Without it only the
-	// customer's rate holds.
+	// organisation's rate holds.
 	Rate *Rate `json:"rate,omitempty" cbor:"3,keyasint,omitempty"`
 	// Concurrency limits the class's requests in flight over the whole fleet.
-	// Without it, or with 0, only the customer's limit holds.
+	// Without it, or with 0, only the organisation's limit holds.
 	Concurrency int `json:"concurrency,omitempty" cbor:"4,keyasint,omitempty" jsonschema:"minimum=0,maximum=10000000"`
-	// Reserve is the part of the customer's concurrency that only this class
+	// Reserve is the part of the organisation's concurrency that only this class
 	// may use, in requests. The reserves of all classes together must not
-	// exceed the customer's concurrency.
+	// exceed the organisation's concurrency.
 	Reserve int `json:"reserve,omitempty" cbor:"5,keyasint,omitempty" jsonschema:"minimum=0,maximum=10000000"`
-	// Weight is the class's part of the customer's spare capacity.
+	// Weight is the class's part of the organisation's spare capacity.
 	Weight int `json:"weight" cbor:"6,keyasint" jsonschema:"minimum=1,maximum=1000"`
 	// Deadline is the longest time a request of the class may take, 1ms to
 	// 1h.
--- a/state/model/doc.go
+++ b/state/model/doc.go
@@ -1,5 +1,5 @@
 // Package model defines the configuration documents that operators write:
-// one Contract for each customer and one Service for each service.
+// one Contract for each organisation and one Service for each service.
 //
 // The package holds plain data, its strict parsing and its validation. It
 // performs no I/O and depends on state/strictjson only, so every layer may
--- a/state/model/name.go
+++ b/state/model/name.go
@@ -4,7 +4,7 @@
 
 // Limits on documents. They bound memory and message sizes.
 const (
-	// MaxNameLength is the longest name of a customer, class, route, service
+	// MaxNameLength is the longest name of an organisation, class, route, service
 	// or node, in bytes.
 	MaxNameLength = 63
 	// MaxWeight is the largest weight.
--- a/state/model/parse.go
+++ b/state/model/parse.go
@@ -48,13 +48,13 @@
 	return batch, nil
 }
 
-// ParseDocument reads a contract (it has the key customer), a service (it has
+// ParseDocument reads a contract (it has the key organisation), a service (it has
 // the key name) or a batch, and returns it as a batch. The error is a
 // strictjson.Faults; its paths are those of the document as written.
 func ParseDocument(b []byte) (*Batch, error) {
 	keys := strictjson.Keys(b)
 	switch {
-	case slices.Contains(keys, "customer"):
+	case slices.Contains(keys, "organisation"):
 		c, err := ParseContract(b)
 		if err != nil {
 			return nil, err
--- a/state/model/parse_test.go
+++ b/state/model/parse_test.go
@@ -10,7 +10,7 @@
 )
 
 const wholeContract = `{
- "customer": "clinic", "hosts": ["clinic.example"], "handledBy": "mesh",
+ "organisation": "clinic", "hosts": ["clinic.example"], "handledBy": "mesh",
  "rate": {"perSecond": 50, "burst": 100}, "concurrency": 20, "weight": 10,
  "classes": [
   {"name": "screens", "kind": "interactive", "reserve": 8, "weight": 5, "deadline": "2s", "repeatable": true,
@@ -28,9 +28,9 @@
 func TestParseContractTakesWholeOne(t *testing.T) {
 	c, err := ParseContract([]byte(wholeContract))
 	must.NoError(t, err)
-	must.Eq(t, "clinic", c.Customer)
+	must.Eq(t, "clinic", c.Organisation)
 	must.Eq(t, Duration(2*time.Second), c.Classes[0].Deadline)
-	older := `{"customer": "hall", "hosts": ["10.0.0.1"], "handledBy": "older", "rate": {"perSecond": 1, "burst": 1},
+	older := `{"organisation": "hall", "hosts": ["10.0.0.1"], "handledBy": "older", "rate": {"perSecond": 1, "burst": 1},
 	 "concurrency": 1, "weight": 1, "classes": [], "routes": []}`
 	_, err = ParseContract([]byte(older))
 	must.NoError(t, err)
@@ -39,9 +39,9 @@
 func TestParseContractRefuses(t *testing.T) {
 	const name = allowedName
 	cases := []struct{ old, new, want string }{
-		{`"clinic",`, `"Clinic",`, `customer: found "Clinic", allowed: ` + name},
-		{`"clinic",`, `"` + strings.Repeat("a", 64) + `",`, `customer: found "` + strings.Repeat("a", 64) + `", allowed: ` + name},
-		{`"clinic",`, `"-a",`, `customer: found "-a", allowed: ` + name},
+		{`"clinic",`, `"Clinic",`, `organisation: found "Clinic", allowed: ` + name},
+		{`"clinic",`, `"` + strings.Repeat("a", 64) + `",`, `organisation: found "` + strings.Repeat("a", 64) + `", allowed: ` + name},
+		{`"clinic",`, `"-a",`, `organisation: found "-a", allowed: ` + name},
 		{`["clinic.example"]`, `[]`, `hosts: found no host, allowed: 1 to 64 hosts`},
 		{`clinic.example`, `Clinic.example`, `hosts[0]: found "Clinic.example", allowed: ` + allowedHost},
 		{`clinic.example`, `a.example:80`, `hosts[0]: found "a.example:80", allowed: ` + allowedHost},
@@ -54,8 +54,8 @@
 		{`50,`, `1e8,`, `rate.perSecond: found 1e+08, allowed: more than 0, at most 10000000`},
 		{`"burst": 100`, `"burst": 0`, `rate.burst: found 0, allowed: 1 to 10000000`},
 		{`"concurrency": 20`, `"concurrency": 0`, `concurrency: found 0, allowed: 1 to 10000000`},
-		{`"concurrency": 20`, `"concurrency": 19`, `classes: found reserves of 20 in all, allowed: at most the customer's concurrency, 19`},
-		{`"concurrency": 12`, `"concurrency": 21`, `classes[1].concurrency: found 21, allowed: at most the customer's concurrency, 20`},
+		{`"concurrency": 20`, `"concurrency": 19`, `classes: found reserves of 20 in all, allowed: at most the organisation's concurrency, 19`},
+		{`"concurrency": 12`, `"concurrency": 21`, `classes[1].concurrency: found 21, allowed: at most the organisation's concurrency, 20`},
 		{`"concurrency": 12`, `"concurrency": 11`, `classes[1].reserve: found 12, allowed: at most the class's concurrency, 11`},
 		{`"reserve": 8`, `"reserve": -1`, `classes[0].reserve: found -1, allowed: 0 to 10000000`},
 		{`"weight": 10,`, `"weight": 1001,`, `weight: found 1001, allowed: 1 to 1000`},
@@ -130,7 +130,7 @@
 func TestParseDocument(t *testing.T) {
 	b, err := ParseDocument([]byte(wholeContract))
 	must.NoError(t, err)
-	must.Eq(t, "clinic", b.Contracts[0].Customer)
+	must.Eq(t, "clinic", b.Contracts[0].Organisation)
 	b, err = ParseDocument([]byte(wholeService))
 	must.NoError(t, err)
 	must.Eq(t, "foglalas", b.Services[0].Name)
--- a/state/model/validate.go
+++ b/state/model/validate.go
@@ -29,7 +29,7 @@
 
 func (c *Contract) faults() strictjson.Faults {
 	k := new(checker)
-	k.name("customer", c.Customer)
+	k.name("organisation", c.Organisation)
 	k.hosts(c.Hosts)
 	oneOf(k, "handledBy", c.HandledBy, systems)
 	k.rate("rate", &c.Rate)
@@ -66,7 +66,7 @@
 
 func (k *checker) classes(c *Contract) {
 	if len(c.Classes) == 0 && c.HandledBy != SystemOlder {
-		k.faults.Add("classes", "no class", "at least 1 class, unless the older system handles the customer")
+		k.faults.Add("classes", "no class", "at least 1 class, unless the older system handles the organisation")
 	}
 	k.count("classes", len(c.Classes), MaxClasses)
 	seen := make(map[string]bool, len(c.Classes))
@@ -82,18 +82,18 @@
 	}
 	if c.Concurrency >= 1 && reserved > c.Concurrency {
 		k.faults.Add("classes", fmt.Sprintf("reserves of %d in all", reserved),
-			fmt.Sprintf("at most the customer's concurrency, %d", c.Concurrency))
+			fmt.Sprintf("at most the organisation's concurrency, %d", c.Concurrency))
 	}
 }
 
-func (k *checker) class(path string, class *Class, customer int) {
+func (k *checker) class(path string, class *Class, organisation int) {
 	oneOf(k, path+".kind", class.Kind, kinds)
 	if class.Rate != nil {
 		k.rate(path+".rate", class.Rate)
 	}
 	k.within(path+".concurrency", class.Concurrency, 0, MaxRequests)
 	k.within(path+".reserve", class.Reserve, 0, MaxRequests)
-	k.classLimits(path, class, customer)
+	k.classLimits(path, class, organisation)
 	k.within(path+".weight", class.Weight, 1, MaxWeight)
 	k.duration(path+".deadline", class.Deadline, MinDeadline, MaxDeadline)
 	if class.Kind == KindNonRepeatable && class.Repeatable {
@@ -106,13 +106,13 @@
 }
 
 // classLimits checks a class's concurrency against its reserve and against
-// the customer's concurrency.
-func (k *checker) classLimits(path string, class *Class, customer int) {
+// the organisation's concurrency.
+func (k *checker) classLimits(path string, class *Class, organisation int) {
 	if class.Concurrency <= 0 {
 		return
 	}
-	if customer >= 1 && class.Concurrency > customer {
-		k.faults.AddValue(path+".concurrency", class.Concurrency, fmt.Sprintf("at most the customer's concurrency, %d", customer))
+	if organisation >= 1 && class.Concurrency > organisation {
+		k.faults.AddValue(path+".concurrency", class.Concurrency, fmt.Sprintf("at most the organisation's concurrency, %d", organisation))
 	}
 	if class.Reserve > class.Concurrency {
 		k.faults.AddValue(path+".reserve", class.Reserve, fmt.Sprintf("at most the class's concurrency, %d", class.Concurrency))
@@ -121,7 +121,7 @@
 
 func (k *checker) routes(c *Contract) {
 	if len(c.Routes) == 0 && c.HandledBy != SystemOlder {
-		k.faults.Add("routes", "no route", "at least 1 route, unless the older system handles the customer")
+		k.faults.Add("routes", "no route", "at least 1 route, unless the older system handles the organisation")
 	}
 	k.count("routes", len(c.Routes), MaxRoutes)
 	seen := make(map[string]bool, len(c.Routes))
--- a/state/snapshot/consistent.go
+++ b/state/snapshot/consistent.go
@@ -28,7 +28,7 @@
 		}
 		e.valid.Store(true)
 	}
-	for _, name := range s.Customers() {
+	for _, name := range s.Organisations() {
 		e := s.contracts[name]
 		if e.valid.Load() {
 			continue
@@ -47,8 +47,8 @@
 			return &NameError{Key: key, Name: name}
 		}
 	}
-	for _, key := range s.Customers() {
-		if name := s.contracts[key].Contract.Customer; name != key {
+	for _, key := range s.Organisations() {
+		if name := s.contracts[key].Contract.Organisation; name != key {
 			return &NameError{Key: key, Name: name}
 		}
 	}
@@ -56,8 +56,8 @@
 }
 
 func (s *Snapshot) checkReferences() error {
-	for _, customer := range s.Customers() {
-		c := s.contracts[customer].Contract
+	for _, organisation := range s.Organisations() {
+		c := s.contracts[organisation].Contract
 		classes := make(map[string]bool, len(c.Classes))
 		for i := range c.Classes {
 			classes[c.Classes[i].Name] = true
@@ -65,10 +65,10 @@
 		for i := range c.Routes {
 			r := &c.Routes[i]
 			if s.services[r.Service] == nil {
-				return &ReferenceError{Customer: customer, Route: r.Name, Kind: "service", Name: r.Service}
+				return &ReferenceError{Organisation: organisation, Route: r.Name, Kind: "service", Name: r.Service}
 			}
 			if !classes[r.Class] {
-				return &ReferenceError{Customer: customer, Route: r.Name, Kind: "class", Name: r.Class}
+				return &ReferenceError{Organisation: organisation, Route: r.Name, Kind: "class", Name: r.Class}
 			}
 		}
 	}
@@ -77,13 +77,13 @@
 
 func (s *Snapshot) checkHosts() error {
 	owner := make(map[string]string)
-	for _, customer := range s.Customers() {
-		for _, host := range s.contracts[customer].Contract.Hosts {
+	for _, organisation := range s.Organisations() {
+		for _, host := range s.contracts[organisation].Contract.Hosts {
 			host = NormalizeHost(host)
 			if first, taken := owner[host]; taken {
-				return &HostError{Host: host, First: first, Second: customer}
+				return &HostError{Host: host, First: first, Second: organisation}
 			}
-			owner[host] = customer
+			owner[host] = organisation
 		}
 	}
 	return nil
--- a/state/snapshot/delta.go
+++ b/state/snapshot/delta.go
@@ -33,7 +33,7 @@
 			d.PutServices[name] = e
 		}
 	}
-	for _, name := range a.Customers() {
+	for _, name := range a.Organisations() {
 		if b.contracts[name] == nil {
 			d.DeleteContracts = append(d.DeleteContracts, name)
 		}
--- a/state/snapshot/errors.go
+++ b/state/snapshot/errors.go
@@ -54,8 +54,8 @@
 // ReferenceError reports a route that points at something the snapshot does
 // not hold.
 type ReferenceError struct {
-	// Customer and Route name the route.
-	Customer, Route string
+	// Organisation and Route name the route.
+	Organisation, Route string
 	// Kind is "service" or "class".
 	Kind string
 	// Name is what the route refers to.
@@ -64,14 +64,14 @@
 
 // Error implements error.
 func (e *ReferenceError) Error() string {
-	return fmt.Sprintf("contract %s, route %s: %s %q is not held", e.Customer, e.Route, e.Kind, e.Name)
+	return fmt.Sprintf("contract %s, route %s: %s %q is not held", e.Organisation, e.Route, e.Kind, e.Name)
 }
 
 // HostError reports a host that two contracts claim.
 type HostError struct {
 	// Host is the HTTP host.
 	Host string
-	// First and Second are the customers, in order of name.
+	// First and Second are the organisations, in order of name.
 	First, Second string
 }
 
--- a/state/snapshot/lookup.go
+++ b/state/snapshot/lookup.go
@@ -10,7 +10,7 @@
 
 // Target is one contract prepared for lookups on the path of a request.
 type Target struct {
-	// Contract is the customer's contract.
+	// Contract is the organisation's contract.
 	Contract *model.Contract
 
 	classes map[string]*model.Class
@@ -19,7 +19,7 @@
 // Match is the result of a lookup: what a request is and where it goes. All
 // pointers are into the immutable snapshot.
 type Match struct {
-	// Contract is the customer's contract.
+	// Contract is the organisation's contract.
 	Contract *model.Contract
 	// Route is the first route that matches; nil when none does.
 	Route *model.Route
@@ -31,7 +31,7 @@
 	HandledBy model.System
 }
 
-// Lookup finds the customer by the request's Host and the first route that
+// Lookup finds the organisation by the request's Host and the first route that
 // matches method and path. It returns false when no contract has the host. It
 // allocates nothing for a lower-case host without a port.
 func (s *Snapshot) Lookup(host, method, path string) (Match, bool) {
--- a/state/snapshot/snapshot.go
+++ b/state/snapshot/snapshot.go
@@ -71,14 +71,14 @@
 // Version returns the snapshot's version.
 func (s *Snapshot) Version() uint64 { return s.ref.Version }
 
-// Contract returns a customer's entry, or nil. It must not be changed.
-func (s *Snapshot) Contract(customer string) *ContractEntry { return s.contracts[customer] }
+// Contract returns an organisation's entry, or nil. It must not be changed.
+func (s *Snapshot) Contract(organisation string) *ContractEntry { return s.contracts[organisation] }
 
 // Service returns a service's entry, or nil. It must not be changed.
 func (s *Snapshot) Service(name string) *ServiceEntry { return s.services[name] }
 
-// Customers returns the names of all customers, sorted.
-func (s *Snapshot) Customers() []string { return slices.Sorted(maps.Keys(s.contracts)) }
+// Organisations returns the names of all organisations, sorted.
+func (s *Snapshot) Organisations() []string { return slices.Sorted(maps.Keys(s.contracts)) }
 
 // Services returns the names of all services, sorted.
 func (s *Snapshot) Services() []string { return slices.Sorted(maps.Keys(s.services)) }
@@ -132,7 +132,7 @@
 	}
 	writeUint(version)
 	writeUint(uint64(len(s.contracts)))
-	for _, name := range s.Customers() {
+	for _, name := range s.Organisations() {
 		e := s.contracts[name]
 		writeEntry(name, e.Revision, e.sum[:])
 	}
--- a/state/snapshot/snapshot_test.go
+++ b/state/snapshot/snapshot_test.go
@@ -9,13 +9,13 @@
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
-func contract(customer, host, service string) *model.Contract {
+func contract(organisation, host, service string) *model.Contract {
 	return &model.Contract{
-		Customer:  customer,
-		Hosts:     []string{host},
-		HandledBy: model.SystemMesh,
-		Classes:   []model.Class{{Name: "screens", Kind: model.KindInteractive}},
-		Routes:    []model.Route{{Name: "all", PathPrefix: "/rooms", Service: service, Class: "screens"}},
+		Organisation: organisation,
+		Hosts:        []string{host},
+		HandledBy:    model.SystemMesh,
+		Classes:      []model.Class{{Name: "screens", Kind: model.KindInteractive}},
+		Routes:       []model.Route{{Name: "all", PathPrefix: "/rooms", Service: service, Class: "screens"}},
 	}
 }
 
@@ -23,7 +23,7 @@
 	t.Helper()
 	cs := make(map[string]*ContractEntry)
 	for _, c := range contracts {
-		cs[c.Customer] = &ContractEntry{Revision: version, Contract: c}
+		cs[c.Organisation] = &ContractEntry{Revision: version, Contract: c}
 	}
 	ss := map[string]*ServiceEntry{"foglalas": {Revision: 1, Service: &model.Service{Name: "foglalas"}}}
 	s, err := Build(version, cs, ss)
--- a/transport/entry/bed_test.go
+++ b/transport/entry/bed_test.go
@@ -27,7 +27,7 @@
 		class.Deadline = model.Duration(5 * time.Second)
 	}
 	c := &model.Contract{
-		Customer: "signage", Hosts: []string{testHost}, HandledBy: model.SystemMesh,
+		Organisation: "signage", Hosts: []string{testHost}, HandledBy: model.SystemMesh,
 		Classes: []model.Class{class},
 		Routes: []model.Route{
 			{Name: "older", PathPrefix: "/older", Service: "rooms", Class: "main", HandledBy: model.SystemOlder},
--- a/transport/entry/claim.go
+++ b/transport/entry/claim.go
@@ -36,7 +36,7 @@
 		sum := sha256.Sum256(x.body)
 		fp.BodyHash = sum[:]
 	}
-	held, v := x.p.cfg.Claim.Begin(x.ctx, x.plan.match.Contract.Customer, keys[0], fp)
+	held, v := x.p.cfg.Claim.Begin(x.ctx, x.plan.match.Contract.Organisation, keys[0], fp)
 	switch {
 	case v.Refusal != nil:
 		return &forward.Refusal{
--- a/transport/entry/config.go
+++ b/transport/entry/config.go
@@ -63,9 +63,9 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout closes a caller's idle connection.
 	IdleTimeout time.Duration
-	// MaxMetricCustomers bounds the customers with their own histograms; the
+	// MaxMetricOrganisations bounds the organisations with their own histograms; the
 	// others share one named "other".
-	MaxMetricCustomers int
+	MaxMetricOrganisations int
 	// Metrics is the set that metrics are registered in.
 	Metrics *metrics.Set
 	// Logger gets one line for each event.
@@ -77,19 +77,19 @@
 // DefaultConfig returns the settings that don't depend on the node.
 func DefaultConfig() Config {
 	return Config{
-		Admit:              AdmitAll{},
-		Claim:              NoClaim{},
-		GateScheme:         "http",
-		OlderDialTimeout:   time.Second,
-		MaxHops:            16,
-		MaxHeaderBytes:     32 << 10,
-		MaxReplayBody:      64 << 10,
-		RetryAfter:         time.Second,
-		HeaderTimeout:      10 * time.Second,
-		IdleTimeout:        2 * time.Minute,
-		MaxMetricCustomers: 200,
-		Logger:             log.NewNopLogger(),
-		Now:                time.Now,
+		Admit:                  AdmitAll{},
+		Claim:                  NoClaim{},
+		GateScheme:             "http",
+		OlderDialTimeout:       time.Second,
+		MaxHops:                16,
+		MaxHeaderBytes:         32 << 10,
+		MaxReplayBody:          64 << 10,
+		RetryAfter:             time.Second,
+		HeaderTimeout:          10 * time.Second,
+		IdleTimeout:            2 * time.Minute,
+		MaxMetricOrganisations: 200,
+		Logger:                 log.NewNopLogger(),
+		Now:                    time.Now,
 	}
 }
 
@@ -104,7 +104,7 @@
 	setIfZero(&c.RetryAfter, d.RetryAfter)
 	setIfZero(&c.HeaderTimeout, d.HeaderTimeout)
 	setIfZero(&c.IdleTimeout, d.IdleTimeout)
-	setIfZero(&c.MaxMetricCustomers, d.MaxMetricCustomers)
+	setIfZero(&c.MaxMetricOrganisations, d.MaxMetricOrganisations)
 	setIfZero(&c.Admit, d.Admit)
 	setIfZero(&c.Claim, d.Claim)
 	setIfZero(&c.Logger, d.Logger)
--- a/transport/entry/decide.go
+++ b/transport/entry/decide.go
@@ -34,7 +34,7 @@
 	pl.match = m
 	switch {
 	case !found:
-		return pl, p.notRun(outcome.ReasonNoCustomer, "no contract has this host")
+		return pl, p.notRun(outcome.ReasonNoOrganisation, "no contract has this host")
 	case m.HandledBy == model.SystemOlder:
 		pl.older = true
 		return pl, nil
--- a/transport/entry/delegates.go
+++ b/transport/entry/delegates.go
@@ -13,7 +13,7 @@
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
 )
 
-// Admitter decides whether a request fits the customer's limits.
+// Admitter decides whether a request fits the organisation's limits.
 // *admit.Limiter is one.
 type Admitter interface {
 	// Admit lets a request in or refuses it. The permit is released once.
@@ -38,7 +38,7 @@
 // once.
 type Claimer interface {
 	// Begin claims the key. The Claim is nil unless the verdict is to proceed.
-	Begin(ctx context.Context, customer, key string, fp claim.Fingerprint) (Claim, ClaimVerdict)
+	Begin(ctx context.Context, organisation, key string, fp claim.Fingerprint) (Claim, ClaimVerdict)
 }
 
 // ClaimVerdict says what to do with a request. The zero value is to proceed.
--- a/transport/entry/doc.go
+++ b/transport/entry/doc.go
@@ -3,6 +3,6 @@
 // request to the gate of that server's host.
 //
 // Every response carries its outcome: answered, not run, or unknown. Requests
-// of customers and routes that the older system handles are passed to it
+// of organisations and routes that the older system handles are passed to it
 // untouched.
 package entry
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -148,14 +148,14 @@
 	v := [...]string{
 		strconv.FormatInt(remaining, 10),
 		strconv.Itoa(x.plan.hops),
-		m.Contract.Customer,
+		m.Contract.Organisation,
 		m.Class.Name,
 		string(m.Class.Kind),
 		m.Service.Name,
 	}
 	h[outcome.HeaderDeadline] = v[0:1:1]
 	h[outcome.HeaderHops] = v[1:2:2]
-	h[outcome.HeaderCustomer] = v[2:3:3]
+	h[outcome.HeaderOrganisation] = v[2:3:3]
 	h[outcome.HeaderClass] = v[3:4:4]
 	h[outcome.HeaderKind] = v[4:5:5]
 	h[outcome.HeaderService] = v[5:6:6]
--- a/transport/entry/metrics.go
+++ b/transport/entry/metrics.go
@@ -11,11 +11,11 @@
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
 )
 
-// otherLabel stands for all customers above the cap, and for requests without
+// otherLabel stands for all organisations above the cap, and for requests without
 // a contract.
 const otherLabel = "other"
 
-type histogramKey struct{ customer, class string }
+type histogramKey struct{ organisation, class string }
 
 type counterKey struct {
 	outcome outcome.Outcome
@@ -24,22 +24,22 @@
 
 // requestMetrics holds the metrics of requests. Reading them takes no lock.
 type requestMetrics struct {
-	set          *metrics.Set
-	maxCustomers int64
-	customers    atomic.Int64
-	known        sync.Map // customer -> struct{}
-	histograms   sync.Map // histogramKey -> *metrics.Histogram
-	counters     sync.Map // counterKey -> *metrics.Counter
-	truncated    *metrics.Counter
-	older        *metrics.Counter
+	set              *metrics.Set
+	maxOrganisations int64
+	organisations    atomic.Int64
+	known            sync.Map // organisation -> struct{}
+	histograms       sync.Map // histogramKey -> *metrics.Histogram
+	counters         sync.Map // counterKey -> *metrics.Counter
+	truncated        *metrics.Counter
+	older            *metrics.Counter
 }
 
-func newRequestMetrics(set *metrics.Set, maxCustomers int) *requestMetrics {
+func newRequestMetrics(set *metrics.Set, maxOrganisations int) *requestMetrics {
 	return &requestMetrics{
-		set:          set,
-		maxCustomers: int64(maxCustomers),
-		truncated:    set.GetOrCreateCounter("jacinthgate_responses_truncated_total"),
-		older:        set.GetOrCreateCounter("jacinthgate_older_requests_total"),
+		set:              set,
+		maxOrganisations: int64(maxOrganisations),
+		truncated:        set.GetOrCreateCounter("jacinthgate_responses_truncated_total"),
+		older:            set.GetOrCreateCounter("jacinthgate_older_requests_total"),
 	}
 }
 
@@ -49,7 +49,7 @@
 	if m.Contract == nil || m.Class == nil {
 		return
 	}
-	q.histogram(q.label(m.Contract.Customer), m.Class.Name).Update(d.Seconds())
+	q.histogram(q.label(m.Contract.Organisation), m.Class.Name).Update(d.Seconds())
 }
 
 func (q *requestMetrics) counter(k counterKey) *metrics.Counter {
@@ -61,30 +61,30 @@
 	return c
 }
 
-// label returns the customer's label: its name for the first customers seen,
+// label returns the organisation's label: its name for the first organisations seen,
 // otherLabel for the rest.
-func (q *requestMetrics) label(customer string) string {
-	if _, ok := q.known.Load(customer); ok {
-		return customer
+func (q *requestMetrics) label(organisation string) string {
+	if _, ok := q.known.Load(organisation); ok {
+		return organisation
 	}
-	if q.customers.Load() >= q.maxCustomers {
+	if q.organisations.Load() >= q.maxOrganisations {
 		return otherLabel
 	}
-	if _, loaded := q.known.LoadOrStore(customer, struct{}{}); !loaded {
-		q.customers.Add(1)
+	if _, loaded := q.known.LoadOrStore(organisation, struct{}{}); !loaded {
+		q.organisations.Add(1)
 	}
-	return customer
+	return organisation
 }
 
-func (q *requestMetrics) histogram(customer, class string) *metrics.Histogram {
-	if customer == otherLabel {
-		class = otherLabel // class names are the customers' own
+func (q *requestMetrics) histogram(organisation, class string) *metrics.Histogram {
+	if organisation == otherLabel {
+		class = otherLabel // class names are the organisations' own
 	}
-	k := histogramKey{customer, class}
+	k := histogramKey{organisation, class}
 	if h, ok := q.histograms.Load(k); ok {
 		return h.(*metrics.Histogram)
 	}
-	h := q.set.GetOrCreateHistogram(`jacinthgate_request_duration_seconds{customer="` + customer + `",class="` + class + `"}`)
+	h := q.set.GetOrCreateHistogram(`jacinthgate_request_duration_seconds{organisation="` + organisation + `",class="` + class + `"}`)
 	q.histograms.Store(k, h)
 	return h
 }
--- a/transport/entry/outcome_test.go
+++ b/transport/entry/outcome_test.go
@@ -29,7 +29,7 @@
 		status int
 		reason outcome.Reason
 	}{
-		{"no customer", func(_ *bed, r *http.Request) { r.Host = "other" }, 404, outcome.ReasonNoCustomer},
+		{"no organisation", func(_ *bed, r *http.Request) { r.Host = "other" }, 404, outcome.ReasonNoOrganisation},
 		{"passed deadline", func(_ *bed, r *http.Request) { r.Header.Set(outcome.HeaderDeadline, "0") }, 504, outcome.ReasonDeadline},
 		{"two deadlines", func(_ *bed, r *http.Request) { r.Header[outcome.HeaderDeadline] = []string{"1000", "9"} }, 400, outcome.ReasonMalformed},
 		{"negative deadline", func(_ *bed, r *http.Request) { r.Header.Set(outcome.HeaderDeadline, "-1") }, 400, outcome.ReasonMalformed},
@@ -304,7 +304,7 @@
 	}))
 }
 
-func TestCustomersAboveTheCapShareOneLabel(t *testing.T) {
+func TestOrganisationsAboveTheCapShareOneLabel(t *testing.T) {
 	q := newRequestMetrics(newBed().cfg.withDefaults().Metrics, 2)
 	must.Eq(t, []string{"a", "b", "other", "a"}, []string{q.label("a"), q.label("b"), q.label("c"), q.label("a")})
 }
--- a/transport/entry/proxy.go
+++ b/transport/entry/proxy.go
@@ -24,7 +24,7 @@
 // New returns a proxy. Snapshot, View and Ready must be set.
 func New(cfg Config) *Proxy {
 	cfg = cfg.withDefaults()
-	p := &Proxy{cfg: cfg, metrics: newRequestMetrics(cfg.Metrics, cfg.MaxMetricCustomers)}
+	p := &Proxy{cfg: cfg, metrics: newRequestMetrics(cfg.Metrics, cfg.MaxMetricOrganisations)}
 	p.older = newOlderServer(p)
 	p.server = newServer(p)
 	return p
@@ -51,7 +51,7 @@
 	}
 }
 
-// admit serves the request under the customer's limits. It returns a refusal
+// admit serves the request under the organisation's limits. It returns a refusal
 // that still has to be written, or nil when the answer was passed on.
 func (p *Proxy) admit(w http.ResponseWriter, r *http.Request, pl *plan, start time.Time) *forward.Refusal {
 	permit, refused := p.cfg.Admit.Admit(start, pl.match)
@@ -82,7 +82,7 @@
 	if errors.As(err, &cut) {
 		p.metrics.truncated.Inc()
 		_ = level.Warn(p.cfg.Logger).Log("event", "response_truncated",
-			"customer", pl.match.Contract.Customer, "route", pl.match.Route.Name, "err", err)
+			"organisation", pl.match.Contract.Organisation, "route", pl.match.Route.Name, "err", err)
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -12,7 +12,7 @@
 // nodeHeaders are the headers that only nodes may set. The constants are in
 // canonical form, so they index an http.Header directly.
 var nodeHeaders = [...]string{
-	outcome.HeaderCustomer,
+	outcome.HeaderOrganisation,
 	outcome.HeaderClass,
 	outcome.HeaderKind,
 	outcome.HeaderService,
--- a/transport/forward/refusal.go
+++ b/transport/forward/refusal.go
@@ -55,7 +55,7 @@
 	switch r.Reason {
 	case outcome.ReasonRateLimited, outcome.ReasonConcurrency:
 		return http.StatusTooManyRequests
-	case outcome.ReasonNoCustomer, outcome.ReasonNoRoute:
+	case outcome.ReasonNoOrganisation, outcome.ReasonNoRoute:
 		return http.StatusNotFound
 	case outcome.ReasonWrongService:
 		return http.StatusMisdirectedRequest
--- a/transport/operatorapi/handler_test.go
+++ b/transport/operatorapi/handler_test.go
@@ -64,7 +64,7 @@
 
 func TestBadInputReachesNothing(t *testing.T) {
 	apply, drain := operator.PathApply, operator.PathDrain
-	contract := `{"changeId":"a","batch":{"contracts":[{"customer":7}]}}`
+	contract := `{"changeId":"a","batch":{"contracts":[{"organisation":7}]}}`
 	cases := []struct {
 		name, method, target, body string
 		status                     int
@@ -78,7 +78,7 @@
 		{"double key", "POST", drain, `{"node":"a","node":"b","drain":true}`, 400, operator.CodeMalformed, "node"},
 		{"missing key", "POST", drain, `{"node":"a"}`, 400, operator.CodeMalformed, "drain"},
 		{"null", "POST", apply, `{"changeId":"a","batch":{},"base":null}`, 400, operator.CodeMalformed, "base"},
-		{"document", "POST", apply, contract, 422, operator.CodeInvalid, "batch.contracts[0].customer"},
+		{"document", "POST", apply, contract, 422, operator.CodeInvalid, "batch.contracts[0].organisation"},
 		{"change id", "POST", apply, `{"changeId":"../x","batch":{}}`, 400, operator.CodeMalformed, ""},
 		{"node name", "POST", drain, `{"node":"A/B","drain":true}`, 400, operator.CodeMalformed, ""},
 		{"oversize", "POST", apply, strings.Repeat(" ", operator.MaxBody+1), 400, operator.CodeMalformed, ""},
