Bound the draining of a listener by the shutdown's own deadline

Cause: Listener.Drain waited until no connection had arrived for 5 ms, without a bound. Where callers never stop connecting, or the process has so little of a core that the next connection is always there, a node's shutdown waited there until it was killed: a way to the finding "one or two processes still there at the end of their grace time" of the grown deployments. Ruled out by reading: the links' end, the event loop, the servers' shutdown and the farewell, which have deadlines or end with their context. Change: Drain takes the shutdown's context and closes the listener when it ends. TestDrainingEndsWithItsContext hangs without it (the method had no context). After: transport/listen and internal/sidecar pass.

--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -74,7 +74,7 @@
 // shutdown stops accepting once no connection waits, waits for requests in flight until ctx ends, and
 // closes what is left then.
 func (s *server) shutdown(ctx context.Context) error {
-	_ = s.raw.Drain() // Shutdown closes what is still open
+	_ = s.raw.Drain(ctx) // Shutdown closes what is still open
 	err := s.http.Shutdown(ctx)
 	if err != nil {
 		_ = s.http.Close() // the deadline has passed: nothing more to wait for
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -86,7 +86,7 @@
 	var wg sync.WaitGroup
 	var entryErr, gateErr error
 	wg.Go(func() {
-		_ = n.callerRaw.Drain() // Shutdown closes what is still open
+		_ = n.callerRaw.Drain(ctx) // Shutdown closes what is still open
 		entryErr = n.proxy.Shutdown(ctx)
 	})
 	wg.Go(func() { gateErr = n.gateSrv.shutdown(ctx) })
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -121,7 +121,7 @@
 // shutdown stops accepting once no connection waits, and lets the requests in
 // flight finish until ctx ends.
 func (s *server) shutdown(ctx context.Context) error {
-	_ = s.ln.Drain() // Shutdown closes what is still open
+	_ = s.ln.Drain(ctx) // Shutdown closes what is still open
 	return s.http.Shutdown(ctx)
 }
 
--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -4,6 +4,7 @@
 package listen
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -68,11 +69,15 @@
 }
 
 // Drain lets Accept take every connection that waits and then closes the
-// listener. Somebody must go on calling Accept until it fails.
-func (l *Listener) Drain() error {
+// listener, at the latest when ctx ends: callers may go on connecting for ever.
+// Somebody must go on calling Accept until it fails.
+func (l *Listener) Drain(ctx context.Context) error {
 	if _, ok := l.Listener.(deadliner); ok && l.draining.CompareAndSwap(false, true) {
 		l.arm()
-		<-l.drained
+		select {
+		case <-l.drained:
+		case <-ctx.Done():
+		}
 	}
 	return l.Listener.Close()
 }
--- a/transport/listen/listen_test.go
+++ b/transport/listen/listen_test.go
@@ -1,9 +1,11 @@
 package listen
 
 import (
+	"context"
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -57,7 +59,7 @@
 	l, callers := waiting(t, 50)
 	done := make(chan int, 1)
 	drained := make(chan error, 1)
-	go func() { drained <- l.Drain() }()
+	go func() { drained <- l.Drain(t.Context()) }()
 	go serve(l, done)
 	must.Eq(t, 50, <-done)
 	must.NoError(t, <-drained)
@@ -77,5 +79,36 @@
 	go serve(l, done)
 	must.NoError(t, l.Close())
 	must.Eq(t, 0, <-done)
-	must.Error(t, l.Drain())
+	must.Error(t, l.Drain(t.Context()))
+}
+
+// endless is a listener at which connections never stop arriving.
+type endless struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (endless) Accept() (net.Conn, error) {
+	a, b := net.Pipe()
+	_ = b.Close() // the caller has left already
+	return a, nil
+}
+
+// SetDeadline lets the listener be drained.
+func (endless) SetDeadline(time.Time) error { return nil }
+
+// Callers that never stop connecting don't hold up the end of a node.
+func TestDrainingEndsWithItsContext(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	l := New(endless{inner})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for ctx.Err() == nil {
+			c, err := l.Accept()
+			if err == nil {
+				_ = c.Close()
+			}
+		}
+	}()
+	time.AfterFunc(10*time.Millisecond, cancel)
+	must.NoError(t, l.Drain(ctx))
 }
