Play seeded faults to real processes, and check what callers see

Weighed: every stand-in as a process of its own, as the issue has it, against stand-ins in the soak's process. The second: the nodes are what is tested, and what backend servers have run must be compared with what callers were told; it also leaves nothing behind. The relays of internal/fleet got delays and resets. Change: internal/soak (plan from a seed, pure checks over the history, site, faults, callers, versions), jacinthgate-soak, docs/SOAK.md. The sidecar's settings got "advertise", the addresses at which other nodes reach it, where a relay (or a translation of addresses) stands in front; internal/process is what fleet and soak share. Not in it yet: deadlines and cancellation, the bound on repeats, leaks, steps of the wall clock.

--- /dev/null
+++ b/cmd/jacinthgate-soak/main.go
@@ -0,0 +1,134 @@
+// Command jacinthgate-soak plays seeded disturbances to a site of real processes
+// on this machine and checks the product's promises. It is a tool for developers
+// and CI; docs/SOAK.md tells how to use it.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/jacinthgate/jacinthgate/internal/soak"
+	"github.com/jacinthgate/jacinthgate/internal/version"
+)
+
+const program = "jacinthgate-soak"
+
+func main() {
+	cdr := subcommands.NewCommander(flag.CommandLine, program)
+	cdr.Register(cdr.HelpCommand(), "")
+	cdr.Register(&runCmd{}, "")
+	cdr.Register(&planCmd{}, "")
+	cdr.Register(&version.Command{Program: program}, "")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(int(cdr.Execute(ctx)))
+}
+
+// planFlags choose a plan.
+type planFlags struct {
+	seed   uint64
+	nodes  int
+	length time.Duration
+}
+
+func (c *planFlags) set(f *flag.FlagSet) {
+	f.Uint64Var(&c.seed, "seed", 0, "seed of the first plan; 0 takes one from the clock")
+	f.IntVar(&c.nodes, "nodes", 6, "number of nodes")
+	f.DurationVar(&c.length, "length", 20*time.Second, "time in which disturbances begin")
+}
+
+// first returns the seed of the first plan.
+func (c *planFlags) first() uint64 {
+	if c.seed != 0 {
+		return c.seed
+	}
+	return uint64(time.Now().UnixMilli())
+}
+
+// planCmd prints a plan.
+type planCmd struct{ planFlags }
+
+func (*planCmd) Name() string               { return "plan" }
+func (*planCmd) Synopsis() string           { return "print the disturbances of a seed" }
+func (*planCmd) Usage() string              { return "plan -seed N [-nodes N] [-length D]\n" }
+func (c *planCmd) SetFlags(f *flag.FlagSet) { c.set(f) }
+
+func (c *planCmd) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	fmt.Println(soak.NewPlan(c.first(), c.nodes, c.length))
+	return subcommands.ExitSuccess
+}
+
+// runCmd plays plans.
+type runCmd struct {
+	planFlags
+	seeds int
+	bin   string
+	dir   string
+}
+
+func (*runCmd) Name() string     { return "run" }
+func (*runCmd) Synopsis() string { return "play seeds and check the promises" }
+func (*runCmd) Usage() string {
+	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-bin DIR] [-dir DIR]
+Plays one seed after the other. A seed that breaks a promise is printed with what
+was seen, and its logs stay in DIR/SEED. Exit code 1 if any did.
+`
+}
+
+func (c *runCmd) SetFlags(f *flag.FlagSet) {
+	c.set(f)
+	f.IntVar(&c.seeds, "seeds", 1, "number of seeds, counted up from the first")
+	f.StringVar(&c.bin, "bin", "bin", "`folder` with the programs")
+	f.StringVar(&c.dir, "dir", "", "`folder` for settings and logs; empty takes one that is removed when nothing broke")
+}
+
+func (c *runCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	status := subcommands.ExitSuccess
+	first := c.first()
+	for i := range uint64(c.seeds) {
+		broken, err := c.play(ctx, first+i)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, program+":", err)
+			return subcommands.ExitFailure
+		}
+		if broken {
+			status = subcommands.ExitFailure
+		}
+	}
+	return status
+}
+
+// play plays one seed and reports whether a promise broke.
+func (c *runCmd) play(ctx context.Context, seed uint64) (bool, error) {
+	dir, err := os.MkdirTemp(c.dir, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		return false, err
+	}
+	bin, err := filepath.Abs(c.bin)
+	if err != nil {
+		return false, err
+	}
+	plan := soak.NewPlan(seed, c.nodes, c.length)
+	r, err := soak.Run(ctx, soak.Config{Bin: bin, Dir: dir, Plan: plan})
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed %d: %d requests, %d served, %d arrivals, %d violations\n", seed, r.Requests, r.Served, r.Arrivals, len(r.Violations))
+	if len(r.Violations) == 0 {
+		return false, os.RemoveAll(dir)
+	}
+	for _, v := range r.Violations {
+		fmt.Printf("  %s: %s\n", v.Check, v.Detail)
+	}
+	fmt.Printf("  plan: %s\n  logs: %s\n", plan, dir)
+	return true, nil
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 
 	"github.com/jacinthgate/jacinthgate/internal/fleet/relay"
 	"github.com/jacinthgate/jacinthgate/internal/operatorclient"
+	"github.com/jacinthgate/jacinthgate/internal/process"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
@@ -23,10 +24,10 @@
 // different hosts.
 type Fleet struct {
 	cfg      Config
-	platform *process
-	older    *process
+	platform *process.Process
+	older    *process.Process
 	relays   []io.Closer
-	reserved net.Listener
+	network  *process.Network
 	// Cuts severs zones from each other and from the platform, where
 	// Config.Relay is set.
 	Cuts *relay.Cuts
@@ -39,8 +40,8 @@
 	Host
 	fleet   *Fleet
 	ip      string
-	node    *process
-	backend *process
+	node    *process.Process
+	backend *process.Process
 }
 
 // StartError reports a process that did not listen in time.
@@ -58,11 +59,12 @@
 // waits until all of them listen. Stop must be called, also after an error.
 func Start(cfg Config) (*Fleet, error) {
 	f := &Fleet{cfg: cfg, Cuts: relay.NewCuts()}
-	if err := f.reserve(); err != nil {
+	var err error
+	if f.network, err = process.ReserveNetwork(cfg.Network); err != nil {
 		return f, err
 	}
 	f.layOut()
-	err := f.issue()
+	err = f.issue()
 	if err != nil {
 		return f, err
 	}
@@ -97,7 +99,7 @@
 			zones[h.Zone] = len(zones) + 1
 		}
 		hosts[h.Zone]++
-		ip := fmt.Sprintf("127.%d.%d.%d", f.cfg.Network, zones[h.Zone], hosts[h.Zone])
+		ip := f.network.IP(zones[h.Zone], hosts[h.Zone])
 		f.Members = append(f.Members, &Member{Host: h, fleet: f, ip: ip})
 	}
 }
@@ -118,19 +120,24 @@
 	return nil
 }
 
+// start starts one of the fleet's programs.
+func (f *Fleet) start(name, program string, args ...string) (*process.Process, error) {
+	return process.Start(f.cfg.Dir, name, filepath.Join(f.cfg.Bin, program), args...)
+}
+
 // Stop ends all processes that the fleet started.
 func (f *Fleet) Stop() {
 	_ = f.each(func(m *Member) error {
-		m.backend.kill()
-		m.node.kill()
+		m.backend.Kill()
+		m.node.Kill()
 		return nil
 	})
 	for _, r := range f.relays {
 		_ = r.Close() // nothing is left to lose
 	}
-	f.older.kill()
-	f.platform.kill()
-	f.release()
+	f.older.Kill()
+	f.platform.Kill()
+	f.network.Release()
 }
 
 // Member returns the host of a node, or nil.
@@ -144,14 +151,14 @@
 }
 
 func (f *Fleet) platformAddr() string {
-	return fmt.Sprintf("127.%d.0.1:%d", f.cfg.Network, portPlatform)
+	return fmt.Sprintf("%s:%d", f.network.IP(0, 1), portPlatform)
 }
 
 // PlatformURL is the base URL of the platform's stand-in.
 func (f *Fleet) PlatformURL() string { return "http://" + f.platformAddr() }
 
 // OlderAddr is the address of the older system's stand-in.
-func (f *Fleet) OlderAddr() string { return fmt.Sprintf("127.%d.0.2:%d", f.cfg.Network, portOlder) }
+func (f *Fleet) OlderAddr() string { return fmt.Sprintf("%s:%d", f.network.IP(0, 2), portOlder) }
 
 // await waits until something listens on addr.
 func (f *Fleet) await(name, addr string) error {
@@ -203,26 +210,26 @@
 }
 
 // KillNode ends the node at once.
-func (m *Member) KillNode() { m.node.kill() }
+func (m *Member) KillNode() { m.node.Kill() }
 
 // KillBackend ends the backend server at once.
-func (m *Member) KillBackend() { m.backend.kill() }
+func (m *Member) KillBackend() { m.backend.Kill() }
 
 // TerminateNode ends the node gracefully. It reports whether the node ended
 // within the timeout by itself.
-func (m *Member) TerminateNode(timeout time.Duration) bool { return m.node.terminate(timeout) }
+func (m *Member) TerminateNode(timeout time.Duration) bool { return m.node.Terminate(timeout) }
 
 // FreezeNode stops the node's process without ending it.
-func (m *Member) FreezeNode() error { return m.node.signal(syscall.SIGSTOP) }
+func (m *Member) FreezeNode() error { return m.node.Signal(syscall.SIGSTOP) }
 
 // ThawNode lets a frozen node go on.
-func (m *Member) ThawNode() error { return m.node.signal(syscall.SIGCONT) }
+func (m *Member) ThawNode() error { return m.node.Signal(syscall.SIGCONT) }
 
 // Alive reports whether the node's process runs.
-func (m *Member) Alive() bool { return m.node.alive() }
+func (m *Member) Alive() bool { return m.node.Alive() }
 
 // PID is the process id of the node.
-func (m *Member) PID() int { return m.node.cmd.Process.Pid }
+func (m *Member) PID() int { return m.node.PID() }
 
 func (m *Member) addr(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
 
@@ -245,7 +252,7 @@
 func (m *Member) BackendURL() string { return "http://" + m.BackendAddr() }
 
 // LogPath is the file with the node's log, over all its lives.
-func (m *Member) LogPath() string { return filepath.Join(m.fleet.cfg.Dir, string(m.Node)+".log") }
+func (m *Member) LogPath() string { return process.LogFile(m.fleet.cfg.Dir, string(m.Node)) }
 
 // Operator returns a client of the node's operator interface.
 func (m *Member) Operator() *operatorclient.Client {
--- a/internal/fleet/relay/tcp.go
+++ b/internal/fleet/relay/tcp.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,10 +18,29 @@
 	sideOf func(netip.AddrPort) Side
 	ln     net.Listener
 
+	// delay is added to each piece that is passed on, in nanoseconds.
+	delay atomic.Int64
+
 	mu    sync.Mutex
 	conns map[net.Conn]bool
 }
 
+// SetDelay adds a delay to each piece that is passed on, either way.
+func (t *TCP) SetDelay(d time.Duration) { t.delay.Store(int64(d)) }
+
+// Reset resets all connections. New ones are relayed as before.
+func (t *TCP) Reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		if tc, ok := c.(*net.TCPConn); ok {
+			_ = tc.SetLinger(0) // its end is then a reset; it may be closed already
+		}
+		delete(t.conns, c)
+		_ = c.Close() // likewise
+	}
+}
+
 // ListenTCP relays connections at addr to a target on the given side. sideOf
 // tells a caller's side by its address.
 func ListenTCP(cuts *Cuts, addr, target string, side Side, sideOf func(netip.AddrPort) Side) (*TCP, error) {
@@ -119,6 +139,7 @@
 
 // pass writes bytes once no cut is in the way.
 func (t *TCP) pass(dst, src net.Conn, b []byte, from Side) bool {
+	time.Sleep(time.Duration(t.delay.Load()))
 	if !t.await(src, from) {
 		return false
 	}
--- a/internal/fleet/tls_test.go
+++ b/internal/fleet/tls_test.go
@@ -247,10 +247,10 @@
 			first(t, f)
 			held(t, f)
 			m := f.Members[0]
-			must.NoError(t, m.node.signal(syscall.SIGTERM))
+			must.NoError(t, m.node.Signal(syscall.SIGTERM))
 			eventually(t, "the shutdown starts", func() bool { return events(t, m, "event=shutdown_started") == 1 })
 			if tc.signals == 2 {
-				must.NoError(t, m.node.signal(syscall.SIGTERM))
+				must.NoError(t, m.node.Signal(syscall.SIGTERM))
 			}
 			eventually(t, "the node ends", func() bool { return !m.Alive() })
 			must.Eq(t, 1, events(t, m, tc.says))
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,102 @@
+// Package process starts programs as processes of their own, for tools that see
+// what a site of real processes does. Everything that it has started ends with
+// the process that started it.
+package process
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Process is one process that was started.
+type Process struct {
+	name string
+	cmd  *exec.Cmd
+	log  *os.File
+	done chan struct{}
+}
+
+// Start starts a program with its output appended to dir/NAME.log.
+func Start(dir, name, program string, args ...string) (*Process, error) {
+	out, err := os.OpenFile(LogFile(dir, name), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// The processes must not outlive the one that started them.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		_ = out.Close() // the start failed already
+		return nil, errors.Wrap(err, "start "+name)
+	}
+	p := &Process{name: name, cmd: cmd, log: out, done: make(chan struct{})}
+	go p.wait()
+	return p, nil
+}
+
+func (p *Process) wait() {
+	_ = p.cmd.Wait() // how it ended is in Exited
+	_ = p.log.Close()
+	close(p.done)
+}
+
+// Alive reports whether the process runs.
+func (p *Process) Alive() bool {
+	if p == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal to this very process.
+func (p *Process) Signal(s os.Signal) error {
+	if !p.Alive() {
+		return nil
+	}
+	return p.cmd.Process.Signal(s)
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	if !p.Alive() {
+		return
+	}
+	_ = p.cmd.Process.Kill() // it may just have ended
+	<-p.done
+}
+
+// Terminate ends the process gracefully, or at once after the timeout. It
+// reports whether it ended by itself.
+func (p *Process) Terminate(timeout time.Duration) bool {
+	if !p.Alive() {
+		return true
+	}
+	_ = p.cmd.Process.Signal(syscall.SIGTERM) // it may just have ended
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(timeout):
+		p.Kill()
+		return false
+	}
+}
+
+// PID returns the process's id.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Ended is closed when the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.done }
+
+// LogFile returns the file with the output of the processes of one name.
+func LogFile(dir, name string) string { return filepath.Join(dir, name+".log") }
--- a/internal/rules/imports_test.go
+++ b/internal/rules/imports_test.go
@@ -65,7 +65,9 @@
 var programs = []string{"cmd/jacinthgate-node", "cmd/jacinthgate-sidecar", "cmd/jacinthgatectl"}
 
 // tools are the folders that serve tests, trials and measurements only.
-var tools = []string{"internal/standin", "platform/platformtest", "internal/fleet", "internal/measure", "internal/load", "internal/demo"}
+var tools = []string{"internal/standin", "platform/platformtest", "internal/fleet", "internal/measure", "internal/load", "internal/demo",
+	"internal/process", "internal/soak",
+}
 
 func TestProductImportsNoTools(t *testing.T) {
 	imports := make(map[string][]string)
--- a/internal/rules/pages_test.go
+++ b/internal/rules/pages_test.go
@@ -21,6 +21,7 @@
 var notTheNode = []string{
 	"cmd/jacinthgate-backend", "cmd/jacinthgate-older", "cmd/jacinthgate-platform",
 	"internal/standin", "platform/platformtest", "internal/demo", "internal/load", "internal/measure", "internal/fleet",
+	"internal/process", "internal/soak", "cmd/jacinthgate-soak",
 }
 
 // forEachNodeFile calls f with each file of the node that is no test.
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
-	"github.com/jacinthgate/jacinthgate/transport/listen"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,12 +11,14 @@
 	"github.com/jacinthgate/jacinthgate/coordination/budget"
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/protocol/message"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/instance"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/transport/link"
+	"github.com/jacinthgate/jacinthgate/transport/listen"
 	"github.com/jacinthgate/jacinthgate/transport/peer/tcp"
 )
 
@@ -40,8 +40,8 @@
 		Node:        n.set.Node,
 		Zone:        n.set.Zone,
 		Region:      n.set.Region,
-		PeerAddr:    n.peers.Addr(),
-		GateAddr:    n.set.Listen.Gate,
+		PeerAddr:    n.set.peersAddr(),
+		GateAddr:    n.set.gateAddr(),
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
 	seed := rand.Uint64()
@@ -203,7 +203,7 @@
 // writes before it reads, so that of two that start at once one finds the
 // other.
 func (n *Node) lookUp(ctx context.Context, registered bool) bool {
-	addr := n.peers.Addr()
+	addr := n.set.peersAddr()
 	if !registered && n.set.FirstStart {
 		registered = n.register(ctx, addr)
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"time"
 
 	"github.com/go-kit/log"
@@ -13,6 +12,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/core"
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/protocol/message"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -4,6 +4,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/netip"
 	"os"
@@ -29,6 +30,9 @@
 	Service string `json:"service"`
 	// Listen are the addresses to listen on, each IP:port.
 	Listen Listen `json:"listen"`
+	// Advertise are the addresses at which other nodes reach this one, where they
+	// differ from those it listens on.
+	Advertise Advertise `json:"advertise"`
 	// Store is the address of the platform's store, IP:port.
 	Store string `json:"store"`
 	// FirstStart says that the whole site starts for the first time.
@@ -70,6 +74,15 @@
 	Metrics string `json:"metrics"`
 }
 
+// Advertise are a node's addresses as others see them, such as behind a
+// translation of addresses. An empty one is that of Listen.
+type Advertise struct {
+	// Gate is where other nodes send requests.
+	Gate string `json:"gate"`
+	// Peers is where other nodes open control connections.
+	Peers string `json:"peers"`
+}
+
 // RetrySettings bound the repeats to one service, over the whole fleet.
 type RetrySettings struct {
 	// Ratio is how many repeats are allowed for each request.
@@ -138,6 +151,12 @@
 		{"listen.backend", s.Listen.Backend}, {"listen.peers", s.Listen.Peers}, {"listen.metrics", s.Listen.Metrics},
 		{"store", s.Store},
 	}
+	if s.Advertise.Gate != "" {
+		addrs = append(addrs, struct{ field, value string }{"advertise.gate", s.Advertise.Gate})
+	}
+	if s.Advertise.Peers != "" {
+		addrs = append(addrs, struct{ field, value string }{"advertise.peers", s.Advertise.Peers})
+	}
 	for _, a := range addrs {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
 			return &SettingsError{Field: a.field, Reason: "want IP:port", Err: err}
@@ -152,6 +171,12 @@
 	return nil
 }
 
+// gateAddr is where other nodes send requests.
+func (s *Settings) gateAddr() string { return cmp.Or(s.Advertise.Gate, s.Listen.Gate) }
+
+// peersAddr is where other nodes open control connections.
+func (s *Settings) peersAddr() string { return cmp.Or(s.Advertise.Peers, s.Listen.Peers) }
+
 // heartbeat is the time between two heartbeats of a backend server.
 func (s *Settings) heartbeat() time.Duration {
 	return time.Duration(s.HeartbeatMillis) * time.Millisecond
--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/platform/platformtest"
+)
+
+// Parameters of the callers.
+const (
+	// callersPerNode is the number of callers beside each node, each with a
+	// connection of its own that it uses until the node closes it.
+	callersPerNode = 3
+	// callerPause is the time between two requests of a caller.
+	callerPause = 15 * time.Millisecond
+	// callerWait is how long a caller waits for an answer.
+	callerWait = 2 * time.Second
+	// routeHost is the host that all routes are of.
+	routeHost = "soak.example"
+)
+
+// callers send requests and note what becomes of them.
+type callers struct {
+	site *site
+
+	mu       sync.Mutex
+	requests []Request
+	next     int
+	wait     sync.WaitGroup
+}
+
+// start starts the callers beside a node until ctx ends.
+func (c *callers) start(ctx context.Context, n *node) {
+	for range callersPerNode {
+		c.wait.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+			defer client.CloseIdleConnections()
+			for ctx.Err() == nil {
+				c.send(client, n, "")
+				time.Sleep(callerPause)
+			}
+		})
+	}
+}
+
+// kinds are the requests in turn.
+var kinds = []struct {
+	method, prefix string
+	idempotent     bool
+}{
+	{http.MethodGet, "/status/", true},
+	{http.MethodPost, "/book/", false},
+	{http.MethodGet, "/layout/", true},
+}
+
+// send sends one request, to a path with the given beginning or to one of the
+// routes in turn, and returns it as its caller saw it.
+func (c *callers) send(client *http.Client, n *node, prefix string) Request {
+	c.mu.Lock()
+	c.next++
+	number := c.next
+	c.mu.Unlock()
+	kind := kinds[number%len(kinds)]
+	if prefix == "" {
+		prefix = kind.prefix
+	} else {
+		kind = kinds[0]
+	}
+	id := fmt.Sprintf("soak-%d", number)
+	r := Request{ID: id, Method: kind.method, Path: prefix + id, Node: n.number, Service: n.set.Service, Idempotent: kind.idempotent}
+	exchange(client, n.addr(portCallers), &r)
+	c.mu.Lock()
+	c.requests = append(c.requests, r)
+	c.mu.Unlock()
+	return r
+}
+
+// exchange sends a request and notes its answer.
+func exchange(client *http.Client, addr string, r *Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), callerWait+callerWait/2)
+	defer cancel()
+	defer func() { r.Done = time.Now() }()
+	var body io.Reader
+	if !r.Idempotent {
+		// A body that can't be read again keeps net/http from repeating it.
+		body = io.NopCloser(strings.NewReader("a booking"))
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+addr+r.Path, body)
+	if err != nil {
+		return // the address is the site's own
+	}
+	req.Host = routeHost
+	req.Header.Set(platformtest.HeaderRequestID, r.ID)
+	req.Header.Set(platformtest.HeaderWait, strconv.FormatInt(callerWait.Milliseconds(), 10))
+	if r.Idempotent {
+		// net/http repeats a GET on a connection that was closed; its caller
+		// would have given that attempt another id.
+		req.Body = http.NoBody
+		req.GetBody = nil
+	}
+	r.Sent = time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return
+	}
+	r.Status, r.Stamped, r.Body = resp.StatusCode, platformtest.Stamped(resp.Header), string(b)
+}
+
+// taken returns the requests so far.
+func (c *callers) taken() []Request {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]Request(nil), c.requests...)
+}
--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,181 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Check is one promise that a soak looks at.
+type Check string
+
+// The checks.
+const (
+	// CheckWhole: a success is the backend server's own whole answer to this
+	// request.
+	CheckWhole Check = "whole-own-answer"
+	// CheckOnce: a request that isn't idempotent runs once at most.
+	CheckOnce Check = "at-most-once"
+	// CheckNotRun: a refusal that promises "not run" is true.
+	CheckNotRun Check = "not-run-is-true"
+	// CheckAsked: backend servers get only requests that callers have sent, as
+	// they were sent, and the service where they began.
+	CheckAsked Check = "only-what-was-asked"
+	// CheckDrain: a backend server gets nothing after its drain.
+	CheckDrain Check = "drained"
+	// CheckPlanned: planned work cuts no request that a backend server runs.
+	CheckPlanned Check = "planned-work-cuts-nothing"
+	// CheckStop: a node that is asked to stop ends by itself in time.
+	CheckStop Check = "stops-in-time"
+	// CheckVersion: a node never goes back to an older configuration, and the
+	// newest one is in force in time.
+	CheckVersion Check = "newest-version"
+	// CheckRecovery: every node serves again after the last disturbance.
+	CheckRecovery Check = "recovery"
+	// CheckExplained: the logs tell of each refused or failed request by its id.
+	CheckExplained Check = "explained"
+)
+
+// Violation is one broken promise.
+type Violation struct {
+	// Check is the promise.
+	Check Check
+	// Detail says what was seen.
+	Detail string
+}
+
+// Request is one request as its caller saw it.
+type Request struct {
+	// ID, Method and Path are the request's.
+	ID, Method, Path string
+	// Node is the number of the node that it was sent to.
+	Node int
+	// Service is the service beside that node.
+	Service string
+	// Idempotent says that it may run more than once.
+	Idempotent bool
+	// Sent and Done are when it was sent and answered or given up.
+	Sent, Done time.Time
+	// Status is the answer's; 0 without a whole one.
+	Status int
+	// Stamped says that a backend server has signed the answer.
+	Stamped bool
+	// Body is the answer's.
+	Body string
+}
+
+// Arrival is one request as a backend server saw it.
+type Arrival struct {
+	// Server is the instance of the backend server.
+	Server string
+	// ID, Method and Path are the request's.
+	ID, Method, Path string
+	// Caller is the service where it is said to have begun.
+	Caller string
+	// Refused says that it was not run.
+	Refused bool
+	// At is when it arrived.
+	At time.Time
+}
+
+// Span is a time in which something was disturbed.
+type Span struct {
+	// From and To bound it.
+	From, To time.Time
+	// Fault is what it was.
+	Fault Fault
+}
+
+// History is all that a soak has seen.
+type History struct {
+	// Requests are those of callers.
+	Requests []Request
+	// Arrivals are those at backend servers.
+	Arrivals []Arrival
+	// Drained is when each backend server's drain was over, by instance.
+	Drained map[string]time.Time
+	// Spans are the disturbances.
+	Spans []Span
+}
+
+const (
+	// drainMargin is added to the time to drain, for the machine's own delays.
+	drainMargin = time.Second
+	// calm is how long before a request, and up to its end, nothing but planned
+	// work may be under way for it to count as cut by that.
+	calm = 5 * time.Second
+)
+
+// notRun are the statuses that promise that the request was not run.
+var notRun = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// Violations returns the promises that the history breaks.
+func (h *History) Violations() []Violation {
+	runs := make(map[string][]Arrival)
+	sent := make(map[string]*Request, len(h.Requests))
+	for i := range h.Requests {
+		sent[h.Requests[i].ID] = &h.Requests[i]
+	}
+	var found []Violation
+	add := func(c Check, format string, args ...any) {
+		found = append(found, Violation{Check: c, Detail: fmt.Sprintf(format, args...)})
+	}
+	for _, a := range h.Arrivals {
+		r := sent[a.ID]
+		if r == nil || r.Method != a.Method || r.Path != a.Path || r.Service != a.Caller {
+			add(CheckAsked, "%s got %s %s of %q from %q", a.Server, a.Method, a.Path, a.ID, a.Caller)
+			continue
+		}
+		if end, drained := h.Drained[a.Server]; drained && a.At.After(end.Add(drainMargin)) {
+			add(CheckDrain, "%s got %s %v after its drain", a.Server, a.ID, a.At.Sub(end))
+		}
+		if !a.Refused {
+			runs[a.ID] = append(runs[a.ID], a)
+		}
+	}
+	for i := range h.Requests {
+		r := &h.Requests[i]
+		ran := runs[r.ID]
+		if !r.Idempotent && len(ran) > 1 {
+			add(CheckOnce, "%s ran %d times", r.ID, len(ran))
+		}
+		if !r.Idempotent && len(ran) > 0 && slices.Contains(notRun, r.Status) && !r.Stamped {
+			add(CheckNotRun, "%s was refused with %d and ran at %s", r.ID, r.Status, ran[0].Server)
+		}
+		if r.Status == http.StatusOK && !h.own(r, ran) {
+			add(CheckWhole, "%s got %q, signed %v", r.ID, r.Body, r.Stamped)
+		}
+		if r.Status == 0 && len(ran) > 0 && h.onlyPlanned(r) {
+			add(CheckPlanned, "%s to node %d ran at %s and got no answer", r.ID, r.Node, ran[0].Server)
+		}
+	}
+	return found
+}
+
+// own reports whether a success is the answer of one of the request's runs.
+func (h *History) own(r *Request, ran []Arrival) bool {
+	if !r.Stamped {
+		return false
+	}
+	return slices.ContainsFunc(ran, func(a Arrival) bool { return r.Body == Answer(a.Server, r.Path) })
+}
+
+// Answer is the body with which a backend server answers.
+func Answer(server, path string) string { return server + " ran " + path }
+
+// onlyPlanned reports whether planned work, and nothing else, was under way
+// around the request.
+func (h *History) onlyPlanned(r *Request) bool {
+	planned := false
+	for _, s := range h.Spans {
+		if s.From.After(r.Done) || s.To.Before(r.Sent.Add(-calm)) {
+			continue
+		}
+		if !s.Fault.Planned() {
+			return false
+		}
+		planned = true
+	}
+	return planned
+}
--- /dev/null
+++ b/internal/soak/check_test.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+// at returns the time so many milliseconds after the beginning.
+func at(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+
+// served is a history in which one request was answered as it should.
+func served() History {
+	return History{
+		Requests: []Request{{
+			ID: "a", Method: "POST", Path: "/book/a", Service: "rooms", Sent: at(0), Done: at(50),
+			Status: http.StatusOK, Stamped: true, Body: Answer("i-1", "/book/a"),
+		}},
+		Arrivals: []Arrival{{Server: "i-1", ID: "a", Method: "POST", Path: "/book/a", Caller: "rooms", At: at(10)}},
+		Drained:  map[string]time.Time{},
+		Spans:    []Span{{From: at(-100), To: at(100), Fault: FaultTerm}},
+	}
+}
+
+// Each check finds the fault that it is there for, and nothing else.
+func TestEveryCheckCanFail(t *testing.T) {
+	good := served()
+	must.SliceEmpty(t, good.Violations())
+	for want, spoil := range map[Check]func(h *History){
+		CheckWhole: func(h *History) { h.Requests[0].Body = Answer("i-1", "/book/b") },
+		CheckOnce:  func(h *History) { h.Arrivals = append(h.Arrivals, h.Arrivals[0]) },
+		CheckNotRun: func(h *History) {
+			h.Requests[0].Status, h.Requests[0].Stamped = http.StatusServiceUnavailable, false
+		},
+		CheckAsked:   func(h *History) { h.Arrivals[0].Caller = "another" },
+		CheckDrain:   func(h *History) { h.Drained["i-1"] = at(10).Add(-drainMargin - time.Millisecond) },
+		CheckPlanned: func(h *History) { h.Requests[0].Status = 0 },
+	} {
+		t.Run(string(want), func(t *testing.T) {
+			h := served()
+			spoil(&h)
+			found := h.Violations()
+			// A changed service leaves the success without a run as well.
+			must.Positive(t, len(found))
+			must.Eq(t, want, found[0].Check)
+		})
+	}
+}
+
+func TestWhatIsNoViolation(t *testing.T) {
+	for name, change := range map[string]func(h *History){
+		"a cut beside an unplanned fault": func(h *History) {
+			h.Requests[0].Status = 0
+			h.Spans = append(h.Spans, Span{From: at(-4000), To: at(-3000), Fault: FaultKill})
+		},
+		"an idempotent request that ran twice": func(h *History) {
+			h.Requests[0].Idempotent = true
+			h.Arrivals = append(h.Arrivals, h.Arrivals[0])
+		},
+		"a refusal by a backend server of its own": func(h *History) { h.Requests[0].Status = http.StatusServiceUnavailable },
+		"a refusal of what was not run": func(h *History) {
+			h.Requests[0].Status, h.Requests[0].Stamped = http.StatusServiceUnavailable, false
+			h.Arrivals[0].Refused = true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := served()
+			change(&h)
+			must.SliceEmpty(t, h.Violations())
+		})
+	}
+}
+
+func TestPlansAreDrawnFromTheSeed(t *testing.T) {
+	a, b := NewPlan(7, 4, time.Minute), NewPlan(7, 4, time.Minute)
+	must.Eq(t, a.String(), b.String())
+	must.NotEq(t, a.String(), NewPlan(8, 4, time.Minute).String())
+	seen := make(map[Fault]bool)
+	for seed := range uint64(20) {
+		for _, s := range NewPlan(seed, 4, time.Minute).Steps {
+			seen[s.Fault] = true
+			must.Between(t, 0, s.Node, 3)
+			must.Between(t, shortest, s.For, longest)
+		}
+	}
+	for _, f := range all {
+		must.True(t, seen[f], must.Sprint(f, "is never drawn"))
+	}
+}
--- /dev/null
+++ b/internal/soak/disturb.go
@@ -0,0 +1,147 @@
+package soak
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+const (
+	// slowStore is the time of a call to a slow store: fifty times the usual 4 ms.
+	slowStore = model.Duration(200 * time.Millisecond)
+	// linkDelay is what a delayed link adds to each piece.
+	linkDelay = 50 * time.Millisecond
+	// ackTime is how long a leaving backend server waits for its
+	// acknowledgement before it leaves all the same.
+	ackTime = 4 * time.Second
+	// settled is how long after a process has started its start counts as a
+	// disturbance: its caller and its peers are still finding it.
+	settled = 3 * time.Second
+)
+
+// disturb carries out one step.
+func (s *soak) disturb(ctx context.Context, step Step) {
+	n := s.site.nodes[step.Node]
+	over := s.open(step.Fault)
+	defer over()
+	switch step.Fault {
+	case FaultTerm, FaultKill, FaultFreeze:
+		s.strike(ctx, n, step)
+	case FaultHup:
+		s.hup(n)
+	case FaultCutNode:
+		s.site.cutNode(n, true)
+		wait(ctx, step.For)
+		s.site.cutNode(n, false)
+	case FaultCutStore:
+		s.site.cut(n.side(), storeSide, true)
+		wait(ctx, step.For)
+		s.site.cut(n.side(), storeSide, false)
+	case FaultReset:
+		for _, r := range n.relays {
+			r.Reset()
+		}
+	case FaultDelay:
+		s.delay(n, linkDelay)
+		wait(ctx, step.For)
+		s.delay(n, 0)
+	case FaultStoreDown, FaultStoreSlow, FaultStoreLost:
+		s.setStore(step.Fault, 1)
+		wait(ctx, step.For)
+		s.setStore(step.Fault, -1)
+	case FaultCompact:
+		s.site.store.Compact()
+	case FaultChange:
+		s.versions.change()
+	case FaultDrain:
+		s.drain(ctx, n)
+	case FaultCrash:
+		s.crash(ctx, n, step.For)
+	}
+}
+
+// strike stops or freezes a node's process, one at a time.
+func (s *soak) strike(ctx context.Context, n *node, step Step) {
+	n.busy.Lock()
+	defer n.busy.Unlock()
+	p, _ := n.running()
+	switch step.Fault {
+	case FaultFreeze:
+		s.signalNode(n, syscall.SIGSTOP)
+		wait(ctx, step.For)
+		s.signalNode(n, syscall.SIGCONT)
+		return
+	case FaultTerm:
+		s.terminate(n, graceTime+stopMargin)
+	case FaultKill:
+		p.Kill()
+		wait(ctx, step.For)
+	}
+	n.set.FirstStart = false
+	if err := n.write(); err != nil {
+		s.add(CheckRecovery, "%s: %v", n.name, err)
+	}
+	if err := s.site.start(n); err != nil {
+		s.add(CheckRecovery, "%s: %v", n.name, err)
+	}
+	wait(ctx, settled)
+}
+
+// hup changes the node's settings file and sends SIGHUP.
+func (s *soak) hup(n *node) {
+	n.busy.Lock()
+	defer n.busy.Unlock()
+	n.set.Retry.Slack++
+	if err := n.write(); err != nil {
+		s.add(CheckRecovery, "%s: %v", n.name, err)
+	}
+	s.signalNode(n, syscall.SIGHUP)
+}
+
+func (s *soak) delay(n *node, d time.Duration) {
+	for _, r := range n.relays {
+		r.SetDelay(d)
+	}
+}
+
+// drain lets a backend server say that it leaves, serve on for its time, say
+// goodbye and end; another one comes.
+func (s *soak) drain(ctx context.Context, n *node) {
+	old, acked := n.host.drain()
+	if old == nil {
+		return
+	}
+	select {
+	case <-acked:
+		s.noteDrain(old.ID, time.Now().Add(drainTime))
+	case <-time.After(ackTime):
+	}
+	wait(ctx, drainTime+drainMargin)
+	if !n.host.is(old) {
+		return // it has crashed meanwhile
+	}
+	_ = old.Leave(n.addr(portBackend)) // a node that is away misses it
+	if err := n.host.replace(int(time.Now().UnixMilli() % 1000)); err != nil {
+		s.add(CheckRecovery, "%s: %v", n.name, err)
+	}
+	// What is sent to the one that has left shows that the drain was not kept.
+	wait(ctx, drainMargin)
+	_ = old.http.Close() // its requests have ended, or break the promise
+}
+
+func (s *soak) noteDrain(id string, end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drained[id] = end
+}
+
+// crash ends a backend server without a word; another one comes later.
+func (s *soak) crash(ctx context.Context, n *node, down time.Duration) {
+	n.host.crash()
+	wait(ctx, down)
+	if err := n.host.replace(int(time.Now().UnixMilli() % 1000)); err != nil {
+		s.add(CheckRecovery, "%s: %v", n.name, err)
+	}
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,130 @@
+// Package soak runs the real programs of a site as separate processes on
+// loopback, injects faults from outside them, drawn from a seed, and checks what
+// callers and backend servers see. It is a tool for developers and CI.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Fault is one kind of disturbance.
+type Fault string
+
+// The kinds of faults.
+const (
+	// FaultTerm ends a node by SIGTERM and starts it again.
+	FaultTerm Fault = "term"
+	// FaultKill kills a node and starts it again.
+	FaultKill Fault = "kill"
+	// FaultFreeze stops a node by SIGSTOP and lets it go on by SIGCONT.
+	FaultFreeze Fault = "freeze"
+	// FaultHup sends SIGHUP after a change of the settings file.
+	FaultHup Fault = "hup"
+	// FaultCutNode cuts a node from all others; its connections fall silent.
+	FaultCutNode Fault = "cut-node"
+	// FaultCutStore cuts a node from the store.
+	FaultCutStore Fault = "cut-store"
+	// FaultReset resets all connections to a node.
+	FaultReset Fault = "reset"
+	// FaultDelay delays everything that is sent to a node by other ones.
+	FaultDelay Fault = "delay"
+	// FaultStoreDown lets the store refuse every call.
+	FaultStoreDown Fault = "store-down"
+	// FaultStoreSlow lets each call of the store take long.
+	FaultStoreSlow Fault = "store-slow"
+	// FaultStoreLost lets the store lose answers of writes.
+	FaultStoreLost Fault = "store-lost"
+	// FaultCompact lets the store forget its history.
+	FaultCompact Fault = "compact"
+	// FaultChange changes the configuration.
+	FaultChange Fault = "change"
+	// FaultDrain drains a backend server and replaces it.
+	FaultDrain Fault = "drain"
+	// FaultCrash ends a backend server without a word and starts another one.
+	FaultCrash Fault = "crash"
+)
+
+// planned are the disturbances that belong to daily work.
+var planned = []Fault{FaultTerm, FaultHup, FaultChange, FaultDrain}
+
+// Planned reports whether the disturbance belongs to daily work, beside which
+// nothing may be cut.
+func (f Fault) Planned() bool { return slices.Contains(planned, f) }
+
+// all are the kinds that a plan draws from; planned work comes twice as often.
+var all = append([]Fault{
+	FaultTerm, FaultKill, FaultFreeze, FaultHup, FaultCutNode, FaultCutStore, FaultReset, FaultDelay,
+	FaultStoreDown, FaultStoreSlow, FaultStoreLost, FaultCompact, FaultChange, FaultDrain, FaultCrash,
+}, planned...)
+
+// Step is one disturbance of a plan.
+type Step struct {
+	// At is when it begins, from the start of the plan.
+	At time.Duration
+	// Fault is its kind.
+	Fault Fault
+	// Node is the number of the node that it strikes; kinds that strike the
+	// store ignore it.
+	Node int
+	// For is how long it lasts, where it lasts.
+	For time.Duration
+}
+
+// String returns the step in one word.
+func (s Step) String() string {
+	return fmt.Sprintf("%.1fs:%s(%d,%.1fs)", s.At.Seconds(), s.Fault, s.Node, s.For.Seconds())
+}
+
+// Plan is a schedule of disturbances.
+type Plan struct {
+	// Seed is what it was drawn from.
+	Seed uint64
+	// Nodes is the number of nodes.
+	Nodes int
+	// Length is the time in which disturbances begin.
+	Length time.Duration
+	// Steps are in order of time. They overlap.
+	Steps []Step
+}
+
+// Bounds of what a plan draws.
+const (
+	// stepEvery is the mean time between two disturbances: they overlap, and
+	// most of them are over before the next two have begun.
+	stepEvery = 900 * time.Millisecond
+	// shortest and longest bound how long one lasts: from less than a heartbeat
+	// between nodes to more than the time after which a silent node is dropped.
+	shortest = 300 * time.Millisecond
+	longest  = 4 * time.Second
+)
+
+// NewPlan draws a schedule. The same arguments give the same plan.
+func NewPlan(seed uint64, nodes int, length time.Duration) Plan {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	p := Plan{Seed: seed, Nodes: nodes, Length: length}
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() * float64(stepEvery))
+		if at >= length {
+			return p
+		}
+		p.Steps = append(p.Steps, Step{
+			At:    at.Round(100 * time.Millisecond),
+			Fault: all[rng.IntN(len(all))],
+			Node:  rng.IntN(nodes),
+			For:   (shortest + time.Duration(rng.Float64()*float64(longest-shortest))).Round(100 * time.Millisecond),
+		})
+	}
+}
+
+// String returns the plan in one line.
+func (p Plan) String() string {
+	words := make([]string, 0, len(p.Steps))
+	for _, s := range p.Steps {
+		words = append(words, s.String())
+	}
+	return strings.Join(words, " ")
+}
--- /dev/null
+++ b/internal/soak/server.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/platform/platformtest"
+)
+
+// Parameters of the stand-ins of backend servers.
+const (
+	// serverSlots is the number of requests that one runs at a time, and
+	// serverWork how long each takes: a fifth of the callers' load fits.
+	serverSlots = 8
+	serverWork  = 30 * time.Millisecond
+	// heartbeatEvery is the time between two heartbeats.
+	heartbeatEvery = 400 * time.Millisecond
+)
+
+// server is a backend server beside a node.
+type server struct {
+	*platformtest.Backend
+	addr string
+	http *http.Server
+}
+
+// startServer starts a backend server on an address that the kernel completes.
+func startServer(ip, id, service string) (*server, error) {
+	ln, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return nil, err
+	}
+	s := &server{Backend: &platformtest.Backend{ID: id, Service: service, Slots: serverSlots, Work: serverWork}}
+	s.addr = ln.Addr().String()
+	s.http = &http.Server{Handler: s.Backend}
+	go func() { _ = s.http.Serve(ln) }() // it ends with Close
+	return s, nil
+}
+
+// host is what stands beside a node: the backend server of the moment.
+type host struct {
+	ip      string
+	service string
+	control string // the node's address for backend servers
+
+	mu       sync.Mutex
+	current  *server
+	draining bool
+	acked    chan struct{} // closed when the node has acknowledged the drain
+	all      []*server
+}
+
+// replace starts a new backend server in place of the present one.
+func (h *host) replace(number int) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	id := fmt.Sprintf("i-%s-%d-%d", h.ip, len(h.all), number)
+	s, err := startServer(h.ip, id, h.service)
+	if err != nil {
+		return err
+	}
+	h.current, h.draining, h.acked = s, false, nil
+	h.all = append(h.all, s)
+	return nil
+}
+
+// beat sends one heartbeat. A node that is away misses it.
+func (h *host) beat() {
+	h.mu.Lock()
+	s, draining, acked := h.current, h.draining, h.acked
+	h.mu.Unlock()
+	if s == nil {
+		return
+	}
+	err := s.Beat(h.control, s.addr, draining)
+	if err != nil || !draining {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.acked == acked && acked != nil {
+		close(acked)
+		h.acked = nil
+	}
+}
+
+// crash ends the present backend server without a word.
+func (h *host) crash() {
+	h.mu.Lock()
+	s := h.current
+	h.current = nil
+	h.mu.Unlock()
+	if s != nil {
+		_ = s.http.Close() // all its requests break off
+	}
+}
+
+// drain lets the present backend server say that it leaves. It returns the
+// server, and a channel that is closed when that was acknowledged; nil without a
+// server or during another drain.
+func (h *host) drain() (*server, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.current == nil || h.draining {
+		return nil, nil
+	}
+	acked := make(chan struct{})
+	h.draining, h.acked = true, acked
+	return h.current, acked
+}
+
+// is reports whether s is the present backend server.
+func (h *host) is(s *server) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.current == s
+}
