Look for a free slot first, tell what servers take, count small answers on the link

A node of 82 sees each backend server once in seconds, so its knowledge of load and speed is old: requests queue for a sixth of their target at one server beside idle ones, and fast (0.6) and slow (1.4) servers get alike. Large answers took 0.92 of a link on which layout-lookup answers for requests that hold slots elsewhere also go. Change: (1) interactive requests ask two gates for a free slot before they wait at one (attempt.Policy.Probes); (2) gates tell with each answer what the kind takes on average, and the picker compares servers by that, kind by kind; (3) small answers are counted on the link (pace.Lane.Small), large ones get 0.85 of it less that.

--- a/coordination/balance/done.go
+++ b/coordination/balance/done.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // Outcome is how a request to a picked server ended, as far as it tells about
@@ -33,6 +35,14 @@
 	Outcome Outcome
 	// Load is the reported load; nil when there was no report.
 	Load *Load
+	// Kind is the kind of the request's class: a server is compared with others
+	// by what they take for the same kind.
+	Kind model.ClassKind
+	// Typical is the time that the server's requests of this kind take on
+	// average, as its gate reports; 0 when there was no report. It tells more
+	// than Latency, which is one request's: where there are many servers a node
+	// sees each of them seldom.
+	Typical time.Duration
 }
 
 // Done ends the request. It must be called exactly once for each Choice.
@@ -45,7 +55,7 @@
 	}
 	switch {
 	case r.Outcome == OK:
-		c.succeeded(r.Latency, at)
+		c.succeeded(&r, at)
 	case r.faulty():
 		c.failed(at)
 	default:
@@ -62,12 +72,12 @@
 	return r.Outcome == Failed
 }
 
-func (c Choice) succeeded(latency time.Duration, at int64) {
+func (c Choice) succeeded(r *Result, at int64) {
 	cfg, s := &c.picker.cfg, c.server
 	if c.trial {
 		s.restore(at)
 	}
-	c.noteLatency(latency, at)
+	c.noteLatency(r, at)
 	s.inRow.Store(0)
 	average(&s.failureRate, 0, cfg.FailureGain)
 	countUpTo(&s.results, cfg.MinSamples)
@@ -80,22 +90,28 @@
 // for in a server's own one, so that the first few don't decide alone.
 const priorLatencies = 3
 
+// typicalGain is the weight of a reported average in a server's own one: it is
+// one over many requests already.
+const typicalGain = 0.5
+
 // maxLatencies is the number from which latencies are no longer counted.
 const maxLatencies = 1000
 
-func (c Choice) noteLatency(latency time.Duration, at int64) {
-	s, g := c.server, c.group.stats
-	v := math.Log2(float64(max(latency, 1)))
-	if g.latencies.CompareAndSwap(0, 1) {
-		storeFloat(&g.latency, v)
-	}
-	average(&g.latency, v, groupGain)
+// noteLatency compares what a request took with what the group takes for its
+// kind.
+func (c Choice) noteLatency(r *Result, at int64) {
+	s, g := c.server, &c.group.stats.latency[kindIndex(r.Kind)]
 	n := s.latencies.Load()
-	if n == 0 {
-		storeFloat(&s.latency, floatOf(&g.latency))
+	took, gain := r.Latency, max(c.picker.cfg.LatencyGain, 1/float64(n+1+priorLatencies))
+	if r.Typical > 0 {
+		took, gain = r.Typical, typicalGain
+	}
+	v := math.Log2(float64(max(took, 1)))
+	if g.seen.CompareAndSwap(false, true) {
+		storeFloat(&g.mean, v)
 	}
-	gain := max(c.picker.cfg.LatencyGain, 1/float64(n+1+priorLatencies))
-	average(&s.latency, v, gain)
+	average(&g.mean, v, groupGain)
+	average(&s.latency, v-floatOf(&g.mean), gain)
 	countUpTo(&s.latencies, maxLatencies)
 	s.latencyAt.Store(at)
 }
--- a/coordination/balance/group.go
+++ b/coordination/balance/group.go
@@ -33,9 +33,31 @@
 
 // stats are averages over a service's servers. They outlive views.
 type stats struct {
-	latency   atomic.Uint64 // float64: moving average of log2(nanoseconds)
-	latencies atomic.Int32  // 0 before the first
-	load      atomic.Uint64 // float64: moving average of reported load per slot
+	latency [numKinds]latency
+	load    atomic.Uint64 // float64: moving average of reported load per slot
+}
+
+// latency is a moving average of what requests of one kind take.
+type latency struct {
+	mean atomic.Uint64 // float64: of log2(nanoseconds)
+	seen atomic.Bool   // false before the first
+}
+
+// numKinds is the number of kinds of class that are compared apart; the last one
+// is for kinds that are not known.
+const numKinds = 4
+
+func kindIndex(k model.ClassKind) int {
+	switch k {
+	case model.KindNonRepeatable:
+		return 0
+	case model.KindInteractive:
+		return 1
+	case model.KindBulk:
+		return 2
+	default:
+		return numKinds - 1
+	}
 }
 
 // holds reports whether the group was made of this service and this slice.
--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -115,7 +115,7 @@
 // rate returns what a request would meet at the member: the load with the
 // request itself, times how slow the member is.
 func (p *Picker) rate(g *group, m *member, load float64, at int64) float64 {
-	return (load + 1/float64(m.slots)) * m.server.slowness(&p.cfg, floatOf(&g.stats.latency), at)
+	return (load + 1/float64(m.slots)) * m.server.slowness(&p.cfg, at)
 }
 
 // draw returns a random member that may be used, other than not.
--- a/coordination/balance/picker_test.go
+++ b/coordination/balance/picker_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -246,3 +248,47 @@
 		must.Zero(t, known.inFlight.Load(), must.Sprint(k))
 	}
 }
+
+// A node of a large site sees each server seldom. What gates report lets it tell
+// fast servers from slow ones all the same, where single latencies don't.
+func TestReportedTimesTellServersApart(t *testing.T) {
+	const nodes, picks = 100, 40 // each node sees each server five times
+	fast := func(id model.NodeID) bool { return (id[0]-'a')%2 == 0 }
+	rng := rand.New(rand.NewPCG(1, 1))
+	share := func(typical bool) float64 {
+		got := 0
+		for node := range uint64(nodes) {
+			p, s, rs := New(DefaultConfig(), "z1", "r1", node), service(0.5), records(8)
+			for range picks {
+				c, err := p.Pick(start, s, rs, nil)
+				must.NoError(t, err)
+				mean := 300 * time.Millisecond
+				if fast(c.Record.Node) {
+					got++
+					mean = 150 * time.Millisecond
+				}
+				r := Result{Outcome: OK, Kind: model.KindInteractive, Latency: time.Duration(float64(mean) * math.Exp(rng.NormFloat64()))}
+				if typical {
+					r.Typical = mean
+				}
+				c.Done(start, r)
+			}
+		}
+		return float64(got) / (nodes * picks)
+	}
+	told, own := share(true), share(false)
+	t.Logf("part of the requests at fast servers: %.3f by reports, %.3f by single latencies", told, own)
+	must.Greater(t, 0.7, told)
+	must.Less(t, 0.65, own)
+}
+
+// A server that happens to have run large answers only is not held to be slow.
+func TestKindsAreComparedApart(t *testing.T) {
+	p, s, rs := newPicker(), service(0.5), records(2)
+	for range 50 {
+		finish(t, p, start, s, rs, "a", Result{Outcome: OK, Kind: model.KindBulk, Latency: 400 * time.Millisecond}, 1)
+		finish(t, p, start, s, rs, "b", Result{Outcome: OK, Kind: model.KindInteractive, Latency: 50 * time.Millisecond}, 1)
+	}
+	got := counts(t, p, start, s, rs, 1000)
+	must.Between(t, 400, got["a"], 600)
+}
--- a/coordination/balance/server.go
+++ b/coordination/balance/server.go
@@ -25,7 +25,7 @@
 	slots      atomic.Int64  // reported slots; 0 when not known
 	reportedAt atomic.Int64
 
-	latency   atomic.Uint64 // float64: moving average of log2(nanoseconds)
+	latency   atomic.Uint64 // float64: moving average of log2(latency / group's of the kind)
 	latencyAt atomic.Int64
 	latencies atomic.Int32 // number of latencies, up to maxLatencies
 
@@ -76,7 +76,7 @@
 
 // slowness returns how many times slower than the group the server is, within
 // the cap both ways; 1 when nothing recent is known.
-func (s *server) slowness(c *Config, group float64, at int64) float64 {
+func (s *server) slowness(c *Config, at int64) float64 {
 	if s.latencies.Load() == 0 {
 		return 1
 	}
@@ -84,7 +84,7 @@
 	if age >= int64(c.LatencyTTL) {
 		return 1
 	}
-	d := (floatOf(&s.latency) - group) * (1 - float64(max(age, 0))/float64(c.LatencyTTL))
+	d := floatOf(&s.latency) * (1 - float64(max(age, 0))/float64(c.LatencyTTL))
 	return math.Exp2(max(min(d, c.LatencyCap), -c.LatencyCap))
 }
 
@@ -118,6 +118,7 @@
 	s.results.Store(0)
 	storeFloat(&s.failureRate, 0)
 	s.latencies.Store(0)
+	storeFloat(&s.latency, 0)
 	s.warmFrom.Store(at)
 	s.restoredAt.Store(at)
 	s.ejectedUntil.Store(0)
--- a/coordination/gate/estimate.go
+++ b/coordination/gate/estimate.go
@@ -25,8 +25,10 @@
 // estimate is a low estimate of a service time. Concurrent updates may lose
 // one of the two samples, which does no harm.
 type estimate struct {
-	nanos   atomic.Int64
-	mean    atomic.Int64
+	nanos atomic.Int64
+	mean  atomic.Int64
+	// typical is as mean, but doesn't decay: it is for others to compare servers.
+	typical atomic.Int64
 	samples atomic.Int64
 	ticked  int64
 }
@@ -38,11 +40,8 @@
 
 func (e *estimate) add(d time.Duration) {
 	e.samples.Add(1)
-	if mean := e.mean.Load(); mean == 0 {
-		e.mean.Store(int64(d))
-	} else {
-		e.mean.Store(mean + (int64(d)-mean)>>meanShift)
-	}
+	addTo(&e.mean, d)
+	addTo(&e.typical, d)
 	old := e.nanos.Load()
 	switch sample := int64(d); {
 	case old == 0:
@@ -54,6 +53,16 @@
 	}
 }
 
+// addTo adds a service time to a mean, which is 0 before the first.
+func addTo(mean *atomic.Int64, d time.Duration) {
+	old := mean.Load()
+	if old == 0 {
+		mean.Store(int64(d))
+		return
+	}
+	mean.Store(old + (int64(d)-old)>>meanShift)
+}
+
 // tick lets the estimate decay when nothing was completed since the last one.
 func (e *estimate) tick() {
 	n := e.samples.Load()
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -76,6 +76,11 @@
 	return Load{Used: int(g.used.Load()), Slots: int(g.slots.Load()), Queued: int(g.waiting.Load())}
 }
 
+// Typical returns what requests of a kind take on average; 0 before the first.
+func (g *Gate) Typical(kind model.ClassKind) time.Duration {
+	return time.Duration(g.times.of(kind).typical.Load())
+}
+
 // Update sets the limits. Slots that were taken away are not refilled as they
 // become free; slots that were added go to those who wait.
 func (g *Gate) Update(l Limits, now time.Time) {
--- a/coordination/pace/lane.go
+++ b/coordination/pace/lane.go
@@ -20,9 +20,9 @@
 	SizeGain float64
 }
 
-// Share is the part of a link's rate that large answers may take. The rest is
-// for small answers, which need far less, and for the headers of packets.
-const Share = 0.92
+// Share is the part of a link's rate that answers may take, small ones first. The
+// rest is for the headers of packets and for what isn't counted.
+const Share = 0.85
 
 // DefaultConfig returns the parameters for a link of the given rate in bits per
 // second.
@@ -53,12 +53,34 @@
 	left float64
 }
 
+// Small counts a small answer of the given size, in bytes, that is sent at once:
+// large ones wait for it. Without that they would take all of the link, and the
+// small answers, of which callers may need several for one request, would queue
+// behind them.
+func (l *Lane) Small(now time.Time, bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.advance(now, float64(bytes))
+}
+
+// advance moves the time of the next piece by what is sent before it, and returns
+// when that was due. l.mu is held.
+func (l *Lane) advance(now time.Time, bytes float64) time.Time {
+	if l.next.Before(now) {
+		l.next = now
+	}
+	due := l.next
+	l.next = l.next.Add(l.span(bytes))
+	return due
+}
+
 // Admit reserves room for an answer of the mean size, unless what was admitted
-// before would hold it up for longer than wait. Done must be called in the end.
-func (l *Lane) Admit(wait time.Duration) (*Ticket, bool) {
+// before and what is being sent would hold it up for longer than wait. Done must
+// be called in the end.
+func (l *Lane) Admit(now time.Time, wait time.Duration) (*Ticket, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.span(l.pending) > wait {
+	if l.span(l.pending)+max(0, l.next.Sub(now)) > wait {
 		return nil, false
 	}
 	l.pending += l.size
@@ -92,12 +114,7 @@
 	sent := min(t.left, float64(bytes))
 	t.left -= sent
 	l.pending -= sent
-	if l.next.Before(now) {
-		l.next = now
-	}
-	wait := l.next.Sub(now)
-	l.next = l.next.Add(l.span(float64(bytes)))
-	return wait
+	return l.advance(now, float64(bytes)).Sub(now)
 }
 
 // span is the time that so many bytes take.
--- a/coordination/pace/lane_test.go
+++ b/coordination/pace/lane_test.go
@@ -23,31 +23,47 @@
 	l := lane() // an answer takes 100 ms
 	var tickets []*Ticket
 	for range 10 {
-		if ticket, ok := l.Admit(150 * time.Millisecond); ok {
+		if ticket, ok := l.Admit(begin, 150*time.Millisecond); ok {
 			tickets = append(tickets, ticket)
 		}
 	}
 	must.Len(t, 2, tickets)
-	must.Eq(t, 90*time.Millisecond, send(tickets[0], begin).Sub(begin))
-	_, ok := l.Admit(150 * time.Millisecond)
+	sent := send(tickets[0], begin)
+	must.Eq(t, 90*time.Millisecond, sent.Sub(begin))
+	_, ok := l.Admit(sent, 150*time.Millisecond)
 	must.True(t, ok, must.Sprint("what was sent makes room"))
 }
 
 func TestRoomFollowsTheRealSize(t *testing.T) {
 	l := lane()
-	a, ok := l.Admit(0)
+	a, ok := l.Admit(begin, 0)
 	must.True(t, ok)
 	a.Size(3e5)
-	_, ok = l.Admit(299 * time.Millisecond)
+	_, ok = l.Admit(begin, 299*time.Millisecond)
 	must.False(t, ok)
-	_, ok = l.Admit(300 * time.Millisecond)
+	_, ok = l.Admit(begin, 300*time.Millisecond)
 	must.True(t, ok)
 	must.Eq(t, 2e5, l.size, must.Sprint("the mean of 1e5 and 3e5"))
 }
 
+// Small answers go at once. What they take of the link is missing to large ones.
+func TestSmallAnswersTakeTheirPartOfTheLink(t *testing.T) {
+	l := lane()
+	l.Small(begin, 5e4)
+	a, ok := l.Admit(begin, 50*time.Millisecond)
+	must.True(t, ok)
+	must.Eq(t, 50*time.Millisecond, a.Piece(begin, 1e4))
+	_, ok = l.Admit(begin, 140*time.Millisecond)
+	must.False(t, ok, must.Sprint("50 ms of small answers and 90 ms of the large one are due"))
+	// Time without any answer is not saved up.
+	later := begin.Add(time.Hour)
+	l.Small(later, 1e4)
+	must.Eq(t, 10*time.Millisecond, a.Piece(later, 1e4))
+}
+
 func TestAnswerThatIsNotSentGivesItsRoomBack(t *testing.T) {
 	l := lane()
-	a, _ := l.Admit(0)
+	a, _ := l.Admit(begin, 0)
 	a.Piece(begin, 1e4)
 	a.Done()
 	a.Done()
@@ -56,18 +72,20 @@
 
 func TestPiecesKeepToTheRate(t *testing.T) {
 	l := lane()
-	a, _ := l.Admit(0)
+	a, _ := l.Admit(begin, 0)
 	a.Size(1e6)
 	end := send(a, begin)
 	must.Eq(t, 990*time.Millisecond, end.Sub(begin), must.Sprint("99 pieces of 10 ms before the last"))
-	b, _ := l.Admit(0)
-	must.Eq(t, 0, b.Piece(end.Add(time.Second), 1e4), must.Sprint("an idle lane sends at once"))
+	end = end.Add(time.Second)
+	b, ok := l.Admit(end, 0)
+	must.True(t, ok)
+	must.Eq(t, 0, b.Piece(end, 1e4), must.Sprint("an idle lane sends at once"))
 }
 
 func TestFastLinksAdmitMany(t *testing.T) {
 	l := New(DefaultConfig(1e9))
 	for range 20 {
-		_, ok := l.Admit(50 * time.Millisecond)
+		_, ok := l.Admit(begin, 50*time.Millisecond)
 		must.True(t, ok)
 	}
 }
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -45,6 +45,9 @@
 	// HeaderLoad carries the gate's load on every response: slots in use,
 	// slots and queue length, as "used/slots/queued".
 	HeaderLoad = "Jacinthgate-Load"
+	// HeaderTypical carries what requests of the same kind take on average at the
+	// gate's backend server, in microseconds.
+	HeaderTypical = "Jacinthgate-Typical-Micros"
 	// HeaderServedBy names the node whose backend server answered.
 	HeaderServedBy = "Jacinthgate-Served-By"
 	// HeaderInstance names the start of the backend server that the entry proxy
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -17,6 +17,7 @@
 	outcome.HeaderKind,
 	outcome.HeaderService,
 	outcome.HeaderLoad,
+	outcome.HeaderTypical,
 	outcome.HeaderServedBy,
 	outcome.HeaderOutcome,
 	outcome.HeaderReason,
--- a/transport/inbound/bulk.go
+++ b/transport/inbound/bulk.go
@@ -28,7 +28,7 @@
 	if err != nil || !given {
 		return forward.Relay(w, g.refuse(req, outcome.ReasonMalformed, false))
 	}
-	ticket, ok := g.cfg.Lane.Admit(time.Duration(wait) * time.Millisecond)
+	ticket, ok := g.cfg.Lane.Admit(g.cfg.Now(), time.Duration(wait)*time.Millisecond)
 	if !ok {
 		return forward.Relay(w, g.refuse(req, outcome.ReasonLinkFull, false))
 	}
@@ -45,6 +45,7 @@
 func (g *Gate) relayPaced(w http.ResponseWriter, req *http.Request, resp *http.Response, t *pace.Ticket) error {
 	size := resp.ContentLength
 	if size >= 0 && size <= forward.PieceBytes {
+		g.cfg.Lane.Small(g.cfg.Now(), size)
 		return forward.Relay(w, resp)
 	}
 	if size > 0 {
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -154,9 +154,14 @@
 	if err != nil {
 		return err
 	}
+	g.cfg.Lane.Small(g.cfg.Now(), headBytes+max(0, resp.ContentLength))
 	return forward.Relay(w, resp)
 }
 
+// headBytes stands for the head of an answer, in bytes: the platform's and the
+// nodes' own headers are about so long.
+const headBytes = 400
+
 // call is what the gate knows of a request.
 type call struct {
 	kind     model.ClassKind
@@ -258,6 +263,9 @@
 			return g.unknown(req, outcome.ReasonBackendFailed)
 		}
 		g.stamp(h)
+		if typical := g.core.Typical(c.kind); typical > 0 {
+			h[outcome.HeaderTypical] = []string{strconv.FormatInt(typical.Microseconds(), 10)}
+		}
 		return resp
 	case dialect.Misdirected:
 		forward.Drain(resp)
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -138,7 +138,8 @@
 func (x *exchange) attempt() bool {
 	now := x.p.cfg.Now()
 	x.progress.Sends++
-	choice, err := x.p.cfg.Balance.Pick(now, x.service, x.candidates(), &x.tried)
+	servers := x.candidates()
+	choice, err := x.p.cfg.Balance.Pick(now, x.service, servers, &x.tried)
 	if err != nil {
 		if x.reason == "" {
 			x.note(outcome.NotRun, outcome.ReasonNoEndpoint) // nobody was asked
@@ -152,7 +153,7 @@
 	if choice.Record.Node == x.p.cfg.Self {
 		rt = x.p.cfg.Local
 	}
-	resp, opening, err := forward.SendTimed(rt, x.request(choice.Record, now), nil)
+	resp, opening, err := forward.SendTimed(rt, x.request(choice.Record, now, x.slotWait(now, len(servers))), nil)
 	took := max(0, x.p.cfg.Now().Sub(now)-opening)
 	if err != nil {
 		x.sendFailed(choice, err)
@@ -168,8 +169,9 @@
 	return nil
 }
 
-// request builds the request to the gate of the chosen backend server.
-func (x *exchange) request(to *endpoint.Record, now time.Time) *http.Request {
+// request builds the request to the gate of the chosen backend server. wait is
+// how long it may wait there for a slot.
+func (x *exchange) request(to *endpoint.Record, now time.Time, wait time.Duration) *http.Request {
 	var body io.ReadCloser
 	length := x.r.ContentLength
 	switch {
@@ -183,14 +185,13 @@
 	h := out.Header
 	forward.StripNodeHeaders(h)
 	left := max(1, x.deadline.Sub(now).Milliseconds())
-	wait := max(0, x.began.Add(x.route.Target/waitPart).Sub(now).Milliseconds())
 	v := [...]string{
 		strconv.FormatInt(left, 10),
 		string(x.route.Kind),
 		x.service.Name,
 		to.Instance,
 		x.p.cfg.CallerService(),
-		strconv.FormatInt(min(left, wait), 10),
+		strconv.FormatInt(min(left, wait.Milliseconds()), 10),
 	}
 	h[outcome.HeaderDeadline] = v[0:1:1]
 	h[outcome.HeaderKind] = v[1:2:2]
@@ -201,6 +202,17 @@
 	return out
 }
 
+// slotWait returns how long the present send may wait for a slot, where the service
+// has so many backend servers. Only interactive requests look for a free slot
+// elsewhere first: one that must not be repeated goes before the others that wait,
+// and a large answer needs a link more than a slot.
+func (x *exchange) slotWait(now time.Time, servers int) time.Duration {
+	if x.route.Kind == model.KindInteractive && !x.p.cfg.Policy.MayWait(x.progress.Sends, servers) {
+		return 0
+	}
+	return max(0, x.began.Add(x.route.Target/waitPart).Sub(now))
+}
+
 // waitPart is the part of a route's target in which a request gets a slot or is
 // refused. A caller that was refused within a quarter of the target is still
 // served in good time when it comes back, so the refusal must leave before that;
@@ -234,7 +246,7 @@
 // take reads the gate's response and reports whether it answers the request.
 func (x *exchange) take(choice balance.Choice, resp *http.Response, took time.Duration) bool {
 	h := resp.Header
-	result := balance.Result{Latency: took}
+	result := balance.Result{Latency: took, Kind: x.route.Kind, Typical: typical(h)}
 	if l, err := balance.ParseLoad(h.Get(outcome.HeaderLoad)); err == nil {
 		result.Load = &l
 	}
@@ -261,6 +273,15 @@
 	return false
 }
 
+// typical returns what the gate says that such requests take; 0 where it doesn't.
+func typical(h http.Header) time.Duration {
+	micros, given, err := forward.HeaderInt(h, outcome.HeaderTypical)
+	if err != nil || !given {
+		return 0 // an older gate, or none: the request's own latency stands in
+	}
+	return time.Duration(micros) * time.Microsecond
+}
+
 // refusedAs says what a gate's refusal tells about its backend server: nothing,
 // where the reason lies with the request or with the host's link, and nothing
 // beyond the load that comes with it, where there are too many requests.
--- /dev/null
+++ b/transport/outbound/exchange_test.go
@@ -0,0 +1,128 @@
+package outbound
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/coordination/attempt"
+	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/protocol/dialect"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/route"
+)
+
+// plain is a dialect whose callers say nothing.
+type plain struct{ dialect.Dialect }
+
+func (plain) RequestID(dialect.Header) string                  { return "id" }
+func (plain) Wait(dialect.Header) (time.Duration, bool, error) { return 0, false, nil }
+
+// gates answers in place of the gates of a fleet and notes how long each was
+// asked to let the request wait, in milliseconds.
+type gates struct {
+	waits  []int
+	answer func(n int) (outcome.Outcome, outcome.Reason)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (g *gates) RoundTrip(req *http.Request) (*http.Response, error) {
+	wait, err := strconv.Atoi(req.Header.Get(outcome.HeaderWait))
+	if err != nil {
+		return nil, err
+	}
+	g.waits = append(g.waits, wait)
+	o, reason := g.answer(len(g.waits))
+	h := http.Header{outcome.HeaderOutcome: {string(o)}, outcome.HeaderReason: {string(reason)}}
+	status := http.StatusOK
+	if o != outcome.Answered {
+		status = http.StatusServiceUnavailable
+	}
+	return &http.Response{StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: h, Body: http.NoBody}, nil
+}
+
+// target is the latency target of the route under test.
+const target = 600 * time.Millisecond
+
+// newProxy returns a proxy in front of the gates of so many backend servers.
+func newProxy(t *testing.T, kind model.ClassKind, servers int, g *gates) *Proxy {
+	t.Helper()
+	table, err := route.NewTable(route.Config{
+		Version:  1,
+		Routes:   []route.Route{{Name: "status", Host: "h", Prefix: "/", Kind: kind, Timeout: time.Second, Target: target, Attempts: 2, Splits: []route.Split{{Service: "s", Weight: 1}}}},
+		Services: []route.Service{{Name: "s"}},
+	}, route.Policy{MaxEjected: 0.5})
+	must.NoError(t, err)
+	records := endpoint.NewTable()
+	for i := range servers {
+		records.Put(endpoint.Record{
+			Node: model.NodeID("n" + strconv.Itoa(i)), Zone: "z", Region: "r", Incarnation: 1, Sequence: 1,
+			Service: "s", Slots: 4, Connections: 4, GateAddr: "127.0.0.1:1", Instance: "i" + strconv.Itoa(i),
+		})
+	}
+	view := records.View()
+	now := time.Now() // it stands still, but contexts end by the real clock
+	return New(Config{
+		Self:          "elsewhere",
+		Table:         func() *route.Table { return table },
+		View:          func() *endpoint.View { return view },
+		CallerService: func() string { return "caller" },
+		Balance:       balance.New(balance.DefaultConfig(), "z", "r", 1),
+		Policy:        attempt.DefaultPolicy(),
+		Budget:        attempt.NewBudget(attempt.BudgetConfig{Ratio: 1, Slack: 10, Window: time.Second, Safety: 1}),
+		Dialect:       plain{},
+		Remote:        g,
+		Metrics:       metrics.NewSet(),
+		Logger:        log.NewNopLogger(),
+		Now:           func() time.Time { return now },
+	})
+}
+
+func ask(p *Proxy) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
+	p.ServeHTTP(w, r)
+	return w
+}
+
+// full refuses as a gate without a free slot does.
+func full(int) (outcome.Outcome, outcome.Reason) { return outcome.NotRun, outcome.ReasonQueueFull }
+
+// A free slot is looked for at several gates before the request waits at one.
+func TestFreeSlotIsLookedForBeforeWaiting(t *testing.T) {
+	wait := int((target / waitPart).Milliseconds())
+	for name, tc := range map[string]struct {
+		kind    model.ClassKind
+		servers int
+		want    []int
+	}{
+		"many servers":   {model.KindInteractive, 9, []int{0, 0, wait, wait}},
+		"three":          {model.KindInteractive, 3, []int{0, 0, wait}},
+		"two":            {model.KindInteractive, 2, []int{0, wait}},
+		"one":            {model.KindInteractive, 1, []int{wait}},
+		"goes first":     {model.KindNonRepeatable, 9, []int{wait, wait, wait, wait}},
+		"a large answer": {model.KindBulk, 2, []int{wait, wait}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := &gates{answer: full}
+			must.Eq(t, http.StatusServiceUnavailable, ask(newProxy(t, tc.kind, tc.servers, g)).Code)
+			must.Eq(t, tc.want, g.waits)
+		})
+	}
+	g := &gates{answer: func(n int) (outcome.Outcome, outcome.Reason) {
+		if n < 2 {
+			return full(n)
+		}
+		return outcome.Answered, ""
+	}}
+	must.Eq(t, http.StatusOK, ask(newProxy(t, model.KindInteractive, 9, g)).Code)
+	must.Eq(t, []int{0, 0}, g.waits)
+}
