Take the probes back; serve large answers from the caller's own host

They are more messages and more to explain, so they are reverted (attempt.Policy.Probes, MayWait). New: large answers are limited by links where these are slow, and an answer to the caller's own host passes no link, so Picker.PickNode asks the own host's backend server first for them. Before, one in as many as the zone has went there. TestLargeAnswersComeFromTheOwnHost failed before (its kind bulk, 0 of 100 there).

--- a/coordination/attempt/policy.go
+++ b/coordination/attempt/policy.go
@@ -11,25 +11,12 @@
 	// MaxSends bounds the gates that are asked, those that refused before the
 	// backend server was reached included.
 	MaxSends int
-	// Probes is the number of gates that are asked for a free slot at once before
-	// one is asked to let the request wait for a slot. What a node knows of other
-	// hosts' load is old where there are many, so a server that is full is met by
-	// chance while others are idle; asking again costs a round trip, waiting
-	// costs a part of a service time.
-	Probes int
 	// MinLeft is the least time for which another attempt is worth making.
 	MinLeft time.Duration
 }
 
 // DefaultPolicy returns the policy measured in docs/design/platform.md.
-func DefaultPolicy() Policy {
-	return Policy{MaxSends: 4, Probes: 2, MinLeft: 15 * time.Millisecond}
-}
-
-// MayWait reports whether the send of the given number, from 1, may wait for a
-// slot, when a service has so many backend servers: it is not one of the probes,
-// or the last server that is left to ask.
-func (p Policy) MayWait(send, servers int) bool { return send > p.Probes || send >= servers }
+func DefaultPolicy() Policy { return Policy{MaxSends: 4, MinLeft: 15 * time.Millisecond} }
 
 // Progress is what has become of a request so far.
 type Progress struct {
--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -68,6 +68,29 @@
 	return Choice{Record: m.record, picker: p, group: g, server: m.server, trial: trial}, nil
 }
 
+// PickNode chooses the given node's server among the candidates, and reports false
+// where it is none of them, was tried, or is ejected. candidates and tried are as
+// for Pick.
+func (p *Picker) PickNode(now time.Time, s *model.Service, candidates []endpoint.Record, id model.NodeID, tried *Tried) (Choice, bool) {
+	at := now.UnixNano()
+	g := p.group(s, candidates, at)
+	for t := range g.tiers {
+		for i := range g.tiers[t] {
+			m := &g.tiers[t][i]
+			if m.record.Node != id {
+				continue
+			}
+			ok, trial := p.usable(m, nil, tried, at)
+			if !ok {
+				return Choice{}, false
+			}
+			m.server.inFlight.Add(1)
+			return Choice{Record: m.record, picker: p, group: g, server: m.server, trial: trial}, true
+		}
+	}
+	return Choice{}, false
+}
+
 // choose goes outwards tier by tier and stops at the first server that is not
 // saturated. A server further away must be less loaded by SpillMargin.
 func (p *Picker) choose(g *group, tried *Tried, at int64) (best *member, trial bool) {
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -138,8 +138,7 @@
 func (x *exchange) attempt() bool {
 	now := x.p.cfg.Now()
 	x.progress.Sends++
-	servers := x.candidates()
-	choice, err := x.p.cfg.Balance.Pick(now, x.service, servers, &x.tried)
+	choice, err := x.pick(now)
 	if err != nil {
 		if x.reason == "" {
 			x.note(outcome.NotRun, outcome.ReasonNoEndpoint) // nobody was asked
@@ -153,7 +152,7 @@
 	if choice.Record.Node == x.p.cfg.Self {
 		rt = x.p.cfg.Local
 	}
-	resp, opening, err := forward.SendTimed(rt, x.request(choice.Record, now, x.slotWait(now, len(servers))), nil)
+	resp, opening, err := forward.SendTimed(rt, x.request(choice.Record, now), nil)
 	took := max(0, x.p.cfg.Now().Sub(now)-opening)
 	if err != nil {
 		x.sendFailed(choice, err)
@@ -162,6 +161,19 @@
 	return x.take(choice, resp, took)
 }
 
+// pick chooses the backend server for the next send. A large answer from the
+// caller's own host needs no link, and links are what limits large answers where
+// they are slow, so that server is asked first.
+func (x *exchange) pick(now time.Time) (balance.Choice, error) {
+	servers := x.candidates()
+	if x.route.Kind == model.KindBulk {
+		if c, ok := x.p.cfg.Balance.PickNode(now, x.service, servers, x.p.cfg.Self, &x.tried); ok {
+			return c, nil
+		}
+	}
+	return x.p.cfg.Balance.Pick(now, x.service, servers, &x.tried)
+}
+
 func (x *exchange) candidates() []endpoint.Record {
 	if view := x.p.cfg.View(); view != nil {
 		return view.Service(x.service.Name)
@@ -169,9 +181,8 @@
 	return nil
 }
 
-// request builds the request to the gate of the chosen backend server. wait is
-// how long it may wait there for a slot.
-func (x *exchange) request(to *endpoint.Record, now time.Time, wait time.Duration) *http.Request {
+// request builds the request to the gate of the chosen backend server.
+func (x *exchange) request(to *endpoint.Record, now time.Time) *http.Request {
 	var body io.ReadCloser
 	length := x.r.ContentLength
 	switch {
@@ -185,13 +196,14 @@
 	h := out.Header
 	forward.StripNodeHeaders(h)
 	left := max(1, x.deadline.Sub(now).Milliseconds())
+	wait := max(0, x.began.Add(x.route.Target/waitPart).Sub(now).Milliseconds())
 	v := [...]string{
 		strconv.FormatInt(left, 10),
 		string(x.route.Kind),
 		x.service.Name,
 		to.Instance,
 		x.p.cfg.CallerService(),
-		strconv.FormatInt(min(left, wait.Milliseconds()), 10),
+		strconv.FormatInt(min(left, wait), 10),
 	}
 	h[outcome.HeaderDeadline] = v[0:1:1]
 	h[outcome.HeaderKind] = v[1:2:2]
@@ -202,17 +214,6 @@
 	return out
 }
 
-// slotWait returns how long the present send may wait for a slot, where the service
-// has so many backend servers. Only interactive requests look for a free slot
-// elsewhere first: one that must not be repeated goes before the others that wait,
-// and a large answer needs a link more than a slot.
-func (x *exchange) slotWait(now time.Time, servers int) time.Duration {
-	if x.route.Kind == model.KindInteractive && !x.p.cfg.Policy.MayWait(x.progress.Sends, servers) {
-		return 0
-	}
-	return max(0, x.began.Add(x.route.Target/waitPart).Sub(now))
-}
-
 // waitPart is the part of a route's target in which a request gets a slot or is
 // refused. A caller that was refused within a quarter of the target is still
 // served in good time when it comes back, so the refusal must leave before that;
--- a/transport/outbound/exchange_test.go
+++ b/transport/outbound/exchange_test.go
@@ -96,33 +96,38 @@
 // full refuses as a gate without a free slot does.
 func full(int) (outcome.Outcome, outcome.Reason) { return outcome.NotRun, outcome.ReasonQueueFull }
 
-// A free slot is looked for at several gates before the request waits at one.
-func TestFreeSlotIsLookedForBeforeWaiting(t *testing.T) {
+// A request that finds no slot asks every server that it may, and waits at each
+// for what is left of its wait.
+func TestEveryServerIsAskedOnce(t *testing.T) {
 	wait := int((target / waitPart).Milliseconds())
-	for name, tc := range map[string]struct {
-		kind    model.ClassKind
-		servers int
-		want    []int
-	}{
-		"many servers":   {model.KindInteractive, 9, []int{0, 0, wait, wait}},
-		"three":          {model.KindInteractive, 3, []int{0, 0, wait}},
-		"two":            {model.KindInteractive, 2, []int{0, wait}},
-		"one":            {model.KindInteractive, 1, []int{wait}},
-		"goes first":     {model.KindNonRepeatable, 9, []int{wait, wait, wait, wait}},
-		"a large answer": {model.KindBulk, 2, []int{wait, wait}},
-	} {
-		t.Run(name, func(t *testing.T) {
-			g := &gates{answer: full}
-			must.Eq(t, http.StatusServiceUnavailable, ask(newProxy(t, tc.kind, tc.servers, g)).Code)
-			must.Eq(t, tc.want, g.waits)
-		})
+	for servers, want := range map[int][]int{9: {wait, wait, wait, wait}, 2: {wait, wait}, 1: {wait}} {
+		g := &gates{answer: full}
+		must.Eq(t, http.StatusServiceUnavailable, ask(newProxy(t, model.KindInteractive, servers, g)).Code)
+		must.Eq(t, want, g.waits)
 	}
-	g := &gates{answer: func(n int) (outcome.Outcome, outcome.Reason) {
-		if n < 2 {
-			return full(n)
+}
+
+// A large answer comes from the caller's own host where that offers the service,
+// and from another one where the own server can't.
+func TestLargeAnswersComeFromTheOwnHost(t *testing.T) {
+	for kind, own := range map[model.ClassKind]bool{model.KindBulk: true, model.KindInteractive: false} {
+		local := 0
+		const requests = 100
+		for range requests {
+			near, far := &gates{answer: answered}, &gates{answer: answered}
+			p := newProxy(t, kind, 9, far)
+			p.cfg.Self, p.cfg.Local = "n4", near
+			must.Eq(t, http.StatusOK, ask(p).Code)
+			local += len(near.waits)
 		}
-		return outcome.Answered, ""
-	}}
-	must.Eq(t, http.StatusOK, ask(newProxy(t, model.KindInteractive, 9, g)).Code)
-	must.Eq(t, []int{0, 0}, g.waits)
+		must.Eq(t, own, local == requests, must.Sprint(kind, local))
+	}
+	near, far := &gates{answer: full}, &gates{answer: answered}
+	p := newProxy(t, model.KindBulk, 9, far)
+	p.cfg.Self, p.cfg.Local = "n4", near
+	must.Eq(t, http.StatusOK, ask(p).Code)
+	must.Len(t, 1, near.waits)
+	must.Len(t, 1, far.waits)
 }
+
+func answered(int) (outcome.Outcome, outcome.Reason) { return outcome.Answered, "" }
