Keep one driver of the event loop, one verb "check" and one order of kinds

Change: eventqueue.Loop drives both nodes, cli.CheckCommand and cli.Fail serve both programs, model.ClassKind.Rank is the one order. No behaviour changes but one line of help of "check". Tests of node, sidecar, rules, coordination and cmd pass; the verb was run by hand with a missing file (exit 1) and without one (exit 2).

--- a/cmd/jacinthgate-node/main.go
+++ b/cmd/jacinthgate-node/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/jacinthgate/jacinthgate/internal/cli"
 	"github.com/jacinthgate/jacinthgate/internal/logging"
 	"github.com/jacinthgate/jacinthgate/internal/node"
 	"github.com/jacinthgate/jacinthgate/internal/settings"
@@ -20,7 +21,10 @@
 	cdr := subcommands.NewCommander(flag.CommandLine, "jacinthgate-node")
 	cdr.Register(cdr.HelpCommand(), "")
 	cdr.Register(&runCmd{}, "")
-	cdr.Register(&checkCmd{}, "")
+	cdr.Register(&cli.CheckCommand{Program: "jacinthgate-node", Load: func(path string) error {
+		_, err := settings.LoadNode(path)
+		return err
+	}}, "")
 	cdr.Register(&version.Command{Program: "jacinthgate-node"}, "")
 	flag.Parse()
 	os.Exit(int(cdr.Execute(context.Background())))
@@ -51,13 +55,13 @@
 	}
 	set, err := settings.LoadNode(c.settings)
 	if err != nil {
-		return fail(err)
+		return cli.Fail("jacinthgate-node", err)
 	}
 	logger := logging.New(os.Stderr, set.LogLevel)
 	logging.CatchLibraries(logger)
 	n, err := node.New(set, logger)
 	if err != nil {
-		return fail(err)
+		return cli.Fail("jacinthgate-node", err)
 	}
 	if err := n.Run(); err != nil {
 		_ = logger.Log("event", "node_failed", "err", err)
@@ -65,30 +69,3 @@
 	}
 	return subcommands.ExitSuccess
 }
-
-func fail(err error) subcommands.ExitStatus {
-	fmt.Fprintln(os.Stderr, "jacinthgate-node:", err)
-	return subcommands.ExitFailure
-}
-
-// checkCmd checks settings.
-type checkCmd struct{}
-
-func (*checkCmd) Name() string     { return "check" }
-func (*checkCmd) Synopsis() string { return "check a settings file" }
-func (*checkCmd) Usage() string {
-	return "check FILE\nPrints every fault of the settings. Exit code 1 if there is one.\n"
-}
-func (*checkCmd) SetFlags(*flag.FlagSet) {}
-
-func (*checkCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() != 1 {
-		f.Usage()
-		return subcommands.ExitUsageError
-	}
-	if _, err := settings.LoadNode(f.Arg(0)); err != nil {
-		return fail(err)
-	}
-	fmt.Println(f.Arg(0) + ": ok")
-	return subcommands.ExitSuccess
-}
--- a/cmd/jacinthgate-sidecar/main.go
+++ b/cmd/jacinthgate-sidecar/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/jacinthgate/jacinthgate/internal/cli"
 	"github.com/jacinthgate/jacinthgate/internal/logging"
 	"github.com/jacinthgate/jacinthgate/internal/sidecar"
 	"github.com/jacinthgate/jacinthgate/internal/version"
@@ -22,7 +23,10 @@
 	cdr := subcommands.NewCommander(flag.CommandLine, program)
 	cdr.Register(cdr.HelpCommand(), "")
 	cdr.Register(&runCmd{}, "")
-	cdr.Register(&checkCmd{}, "")
+	cdr.Register(&cli.CheckCommand{Program: program, Load: func(path string) error {
+		_, err := sidecar.Load(path)
+		return err
+	}}, "")
 	cdr.Register(&version.Command{Program: program}, "")
 	flag.Parse()
 	os.Exit(int(cdr.Execute(context.Background())))
@@ -62,7 +66,7 @@
 	}
 	set, err := sidecar.Load(c.settings)
 	if err != nil {
-		return fail(err)
+		return cli.Fail(program, err)
 	}
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(set.MemoryMB) << 20 * memoryPart / 100)
@@ -72,7 +76,7 @@
 	logging.CatchLibraries(logger)
 	n, err := sidecar.New(set, c.settings, logger, out.Dropped)
 	if err != nil {
-		return fail(err)
+		return cli.Fail(program, err)
 	}
 	if err := n.Run(); err != nil {
 		_ = logger.Log("event", "node_failed", "err", err)
@@ -80,30 +84,3 @@
 	}
 	return subcommands.ExitSuccess
 }
-
-func fail(err error) subcommands.ExitStatus {
-	fmt.Fprintln(os.Stderr, program+":", err)
-	return subcommands.ExitFailure
-}
-
-// checkCmd checks settings.
-type checkCmd struct{}
-
-func (*checkCmd) Name() string     { return "check" }
-func (*checkCmd) Synopsis() string { return "check a settings file" }
-func (*checkCmd) Usage() string {
-	return "check FILE\nPrints a fault of the settings. Exit code 1 if there is one.\n"
-}
-func (*checkCmd) SetFlags(*flag.FlagSet) {}
-
-func (*checkCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() != 1 {
-		f.Usage()
-		return subcommands.ExitUsageError
-	}
-	if _, err := sidecar.Load(f.Arg(0)); err != nil {
-		return fail(err)
-	}
-	fmt.Println(f.Arg(0) + ": ok")
-	return subcommands.ExitSuccess
-}
--- a/coordination/balance/done.go
+++ b/coordination/balance/done.go
@@ -100,7 +100,7 @@
 // noteLatency compares what a request took with what the group takes for its
 // kind.
 func (c Choice) noteLatency(r *Result, at int64) {
-	s, g := c.server, &c.group.stats.latency[kindIndex(r.Kind)]
+	s, g := c.server, &c.group.stats.latency[r.Kind.Rank()]
 	n := s.latencies.Load()
 	took, gain := r.Latency, max(c.picker.cfg.LatencyGain, 1/float64(n+1+priorLatencies))
 	if r.Typical > 0 {
--- a/coordination/balance/group.go
+++ b/coordination/balance/group.go
@@ -33,7 +33,7 @@
 
 // stats are averages over a service's servers. They outlive views.
 type stats struct {
-	latency [numKinds]latency
+	latency [model.NumKinds]latency
 	load    atomic.Uint64 // float64: moving average of reported load per slot
 }
 
@@ -43,23 +43,6 @@
 	seen atomic.Bool   // false before the first
 }
 
-// numKinds is the number of kinds of class that are compared apart; the last one
-// is for kinds that are not known.
-const numKinds = 4
-
-func kindIndex(k model.ClassKind) int {
-	switch k {
-	case model.KindNonRepeatable:
-		return 0
-	case model.KindInteractive:
-		return 1
-	case model.KindBulk:
-		return 2
-	default:
-		return numKinds - 1
-	}
-}
-
 // holds reports whether the group was made of this service and this slice.
 // The group keeps the slice alive, so an equal address is the same slice.
 func (g *group) holds(s *model.Service, candidates []endpoint.Record) bool {
--- a/coordination/gate/estimate.go
+++ b/coordination/gate/estimate.go
@@ -75,9 +75,9 @@
 	e.ticked = n
 }
 
-type estimates [numKinds]estimate
+type estimates [model.NumKinds]estimate
 
-func (e *estimates) of(kind model.ClassKind) *estimate { return &e[rank(kind)] }
+func (e *estimates) of(kind model.ClassKind) *estimate { return &e[kind.Rank()] }
 
 // average returns the mean service time over the kinds that were seen, each
 // weighing the same; 0 before the first.
--- a/coordination/gate/queue.go
+++ b/coordination/gate/queue.go
@@ -8,24 +8,6 @@
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
-// numKinds is the number of kinds of class.
-const numKinds = 4
-
-// rank returns a kind's place in the order of importance, 0 first. A kind that
-// is not known is the least important.
-func rank(k model.ClassKind) int {
-	switch k {
-	case model.KindNonRepeatable:
-		return 0
-	case model.KindInteractive:
-		return 1
-	case model.KindBulk:
-		return 2
-	default:
-		return numKinds - 1
-	}
-}
-
 // fairEvery is how often the longest waiting request goes first, whatever its
 // kind, so that the less important kinds are slowed down but not starved.
 const fairEvery = 8
@@ -52,7 +34,7 @@
 // queue orders waiters by importance, then by arrival. It is not safe for
 // concurrent use.
 type queue struct {
-	lists [numKinds]list.List
+	lists [model.NumKinds]list.List
 	size  int
 	next  uint64
 	pops  uint64
@@ -61,7 +43,7 @@
 func (q *queue) push(w *Waiter) {
 	q.next++
 	w.number = q.next
-	w.place = q.lists[rank(w.Kind)].PushBack(w)
+	w.place = q.lists[w.Kind.Rank()].PushBack(w)
 	q.size++
 }
 
@@ -70,7 +52,7 @@
 	if w.place == nil {
 		return false
 	}
-	q.lists[rank(w.Kind)].Remove(w.place)
+	q.lists[w.Kind.Rank()].Remove(w.place)
 	w.place = nil
 	q.size--
 	return true
@@ -116,7 +98,7 @@
 // evict takes the newest waiter of the least important kind, if that kind is
 // less important than the given one.
 func (q *queue) evict(kind model.ClassKind) *Waiter {
-	for i := numKinds - 1; i > rank(kind); i-- {
+	for i := model.NumKinds - 1; i > kind.Rank(); i-- {
 		if e := q.lists[i].Back(); e != nil {
 			w := e.Value.(*Waiter)
 			q.remove(w)
@@ -129,7 +111,7 @@
 // ahead returns the number of waiters that go before a newcomer of the kind.
 func (q *queue) ahead(kind model.ClassKind) int {
 	n := 0
-	for i := 0; i <= rank(kind); i++ {
+	for i := 0; i <= kind.Rank(); i++ {
 		n += q.lists[i].Len()
 	}
 	return n
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -72,7 +72,7 @@
 	cfg := member.DefaultConfig()
 	// A tick longer, so that a link that carries the reader's beacons needs no
 	// heartbeats.
-	cfg.HeartbeatInterval = n.set.Control.BeaconInterval.Std() + tickInterval
+	cfg.HeartbeatInterval = n.set.Control.BeaconInterval.Std() + eventqueue.TickInterval
 	cfg.SuspicionTimeout = n.set.Control.SuspicionTimeout.Std()
 	cfg.BatchDelay = n.set.Control.Debounce.Std()
 	cfg.MaxPeers = n.set.Limits.MaxPeers
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -17,13 +17,8 @@
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
 )
 
-// Parameters of the event loop.
-const (
-	// tickInterval is the time between two Ticks of the cores.
-	tickInterval = 100 * time.Millisecond
-	// maxEvents bounds the events that wait for the loop.
-	maxEvents = 1024
-)
+// maxEvents bounds the events that wait for the loop.
+const maxEvents = 1024
 
 // links are the connections to peers. *link.Manager is one.
 type links interface {
@@ -77,38 +72,16 @@
 
 // run handles events until ctx ends.
 func (l *loop) run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
 	l.step(core.Tick{})
-	for {
-		select {
-		case ev := <-l.queue.Events:
-			l.step(ev)
-		case ev := <-l.links.Events():
-			l.step(ev)
-		case call := <-l.queue.Calls:
-			call()
-		case <-ticker.C:
+	driver := eventqueue.Loop{
+		Queue: l.queue, Links: l.links, LinksDone: l.linksDone, Flush: l.flush, Step: l.step,
+		OnTick: func(time.Time) {
 			l.step(core.Tick{})
 			l.noteRejection()
-		case <-l.flush.C:
-			l.step(core.Tick{})
-		case <-ctx.Done():
-			l.drain()
-			return nil
-		}
-	}
-}
-
-// drain takes the links' last events, so that the links can end.
-func (l *loop) drain() {
-	for {
-		select {
-		case <-l.links.Events():
-		case <-l.linksDone:
-			return
-		}
+		},
 	}
+	driver.Run(ctx)
+	return nil
 }
 
 // step gives one event to every core and publishes what changed.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -22,13 +22,8 @@
 	"github.com/jacinthgate/jacinthgate/transport/link"
 )
 
-const (
-	// tickInterval is the time between two Ticks of the cores, which ask for
-	// one at least every 100 ms.
-	tickInterval = 100 * time.Millisecond
-	// maxEvents bounds the events that wait for the loop.
-	maxEvents = 256
-)
+// maxEvents bounds the events that wait for the loop.
+const maxEvents = 256
 
 // loop is the event loop: it alone touches the control plane's cores.
 type loop struct {
@@ -50,40 +45,21 @@
 
 // run handles events until ctx ends.
 func (l *loop) run(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case ev := <-l.queue.Events:
-			l.step(ev)
-		case ev := <-l.links.Events():
-			l.step(ev)
-		case call := <-l.queue.Calls:
-			call()
-		case now := <-ticker.C:
-			if l.backends.expire(now) {
-				l.withdraw(now)
-			}
-			l.gate.Update()
-			l.step(core.Tick{})
-		case <-l.flush.C:
-			l.step(core.Tick{})
-		case <-ctx.Done():
-			l.drain()
-			return nil
-		}
+	driver := eventqueue.Loop{
+		Queue: l.queue, Links: l.links, LinksDone: l.linksDone, Flush: l.flush, Step: l.step,
+		OnTick: l.tick,
 	}
+	driver.Run(ctx)
+	return nil
 }
 
-// drain takes the links' last events, so that the links can end.
-func (l *loop) drain() {
-	for {
-		select {
-		case <-l.links.Events():
-		case <-l.linksDone:
-			return
-		}
+// tick looks at what ages, and gives the cores their Tick.
+func (l *loop) tick(now time.Time) {
+	if l.backends.expire(now) {
+		l.withdraw(now)
 	}
+	l.gate.Update()
+	l.step(core.Tick{})
 }
 
 // step gives one event to every core and carries out what follows.
--- a/state/model/contract.go
+++ b/state/model/contract.go
@@ -63,6 +63,24 @@
 	KindEventual ClassKind = "eventual"
 )
 
+// NumKinds is the number of kinds.
+const NumKinds = 4
+
+// Rank returns a kind's place in the order of importance, from 0, the first, to
+// NumKinds-1. A kind that is not known is the least important.
+func (k ClassKind) Rank() int {
+	switch k {
+	case KindNonRepeatable:
+		return 0
+	case KindInteractive:
+		return 1
+	case KindBulk:
+		return 2
+	default:
+		return NumKinds - 1
+	}
+}
+
 // Class is a class of request of one organisation.
 type Class struct {
 	// Name is unique within the contract.
