Let a leaving host's backend server work on until shortly before the node ends

Ruled out: withdrawing only at the end (what is sent in the last moment would not be answered within the grace time). Change: callers are told at once as before; the fleet 0.8 s before the listeners close. TestLeavingNodeOffersItsBackendServerForAWhile failed before (unready at once).

--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -151,7 +151,7 @@
 // announce tells the fleet what the host's backend server said. Nil withdraws
 // it.
 func (n *Node) announce(i *instance.Instance) {
-	a := member.Announce{Unready: n.pub.leaving.Load()}
+	a := member.Announce{Unready: n.pub.withdrawn.Load()}
 	if i != nil {
 		a.Service, a.Slots, a.Instance = i.Service, i.Slots, i.ID
 		a.Connections = i.Slots
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -459,3 +459,25 @@
 		return len(m.node.pub.view.Load().Service("booking")) == 0
 	})
 }
+
+// A node that leaves takes no more callers at once, but its backend server works
+// on for the callers of other hosts until shortly before the node ends.
+func TestLeavingNodeOffersItsBackendServerForAWhile(t *testing.T) {
+	f := newFleet(t, 2)
+	m, other := f.nodes[0], f.nodes[1]
+	go m.node.shutdown(syscall.SIGTERM)
+	f.eventually("it takes no more callers", func() bool { return !m.node.ready() })
+	unready := func() bool {
+		var is bool
+		must.True(t, m.node.loop.queue.Ask(t.Context(), func() { is = m.node.loop.member.Self().Unready }))
+		return is
+	}
+	must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
+	must.False(t, unready())
+	f.eventually("the fleet knows that it is gone", func() bool {
+		return len(other.node.pub.view.Load().Service("booking")) == 1
+	})
+	must.True(t, m.node.pub.withdrawn.Load())
+	resp, _ := f.do(other, "GET", "/status/x", "")
+	must.Eq(t, 200, resp.StatusCode)
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -79,7 +79,7 @@
 
 // withdraw tells the fleet that the host offers no backend server.
 func (l *loop) withdraw(now time.Time) {
-	l.carryOut(now, l.member.Step(now, member.Announce{Unready: l.pub.leaving.Load()}))
+	l.carryOut(now, l.member.Step(now, member.Announce{Unready: l.pub.withdrawn.Load()}))
 }
 
 func (l *loop) carryOut(now time.Time, actions []core.Action) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -34,7 +34,9 @@
 	table    atomic.Pointer[route.Table]
 	view     atomic.Pointer[endpoint.View]
 	instance atomic.Pointer[instance.Instance]
-	leaving  atomic.Bool
+	// leaving is set when the node takes no more callers, withdrawn when it also
+	// offers the backend server no more.
+	leaving, withdrawn atomic.Bool
 }
 
 // Node is one running node.
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -19,6 +19,13 @@
 	// the platform asks once a second whether it is ready, and takes its
 	// callers away after two answers that it isn't.
 	noticeTime = 2600 * time.Millisecond
+	// withdrawLead is the last part of noticeTime, in which the fleet already
+	// knows that the backend server beside the node is not to be had. Until then
+	// it goes on working for the callers of other hosts: hosts are restarted in
+	// turn, and a service misses the slots of each. A flood of the record takes
+	// some milliseconds; requests that are under way at its end still have the
+	// rest of the grace time.
+	withdrawLead = 800 * time.Millisecond
 	// exitPart is the last part of the grace time, in which the node ends in any
 	// case: what a backend server is still at work on by then may be cut.
 	exitPart = 6
@@ -83,15 +90,18 @@
 	_ = n.log.Log("event", "settings_read", "cause", cause, "addresses_changed", set.Listen != n.set.Listen)
 }
 
-// shutdown withdraws the node first, goes on serving while the fleet and the
-// callers take notice, and then lets the requests in flight finish.
+// shutdown lets the callers take notice first, then withdraws the node from the
+// fleet, and in the end lets the requests in flight finish.
 func (n *Node) shutdown(s os.Signal) {
 	began := time.Now()
 	_ = n.log.Log("event", "shutdown_started", "signal", s)
 	n.pub.leaving.Store(true)
 	n.front.Leave()
+	notice := min(noticeTime, n.set.grace()/2)
+	time.Sleep(notice - min(withdrawLead, notice))
+	n.pub.withdrawn.Store(true)
 	n.announce(n.pub.instance.Load())
-	time.Sleep(min(noticeTime, n.set.grace()/2))
+	time.Sleep(min(withdrawLead, notice))
 	ctx, cancel := context.WithDeadline(n.ctx, began.Add(n.set.grace()-n.set.grace()/exitPart))
 	defer cancel()
 	err := n.callers.shutdown(ctx)
