Name the stand-in's calls in one place, and print by the writer

Cause: the users' house check found two platform names in tests of internal/control, and a print in internal/cli. Change: platformtest exports the names of its counts (OpTransact, OpGetObject and the others); cli writes to standard output by Fprintln. Nothing of a node changes.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -47,6 +47,6 @@
 	if err := c.Load(f.Arg(0)); err != nil {
 		return Fail(c.Program, err)
 	}
-	fmt.Println(f.Arg(0) + ": ok")
+	fmt.Fprintln(os.Stdout, f.Arg(0)+": ok")
 	return subcommands.ExitSuccess
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -115,7 +115,7 @@
 		done.Go(func() { _, _ = a.Apply(t.Context(), put(name, name, 1, 0)) })
 	}
 	done.Wait()
-	must.Eq(t, 8, s.Counters().Ops["rows-tx"].Calls) // no write was lost to another
+	must.Eq(t, 8, s.Counters().Ops[platformtest.OpTransact].Calls) // no write was lost to another
 	head, err := a.Head(t.Context())
 	must.NoError(t, err)
 	must.Eq(t, 8, head.Ref.Version)
@@ -249,11 +249,11 @@
 			if tc.missing {
 				must.NoError(t, s.Objects().Delete(t.Context(), accept.DeltaKey(head.Ref)))
 			}
-			before := s.Counters().Ops["blob-get"].Calls
+			before := s.Counters().Ops[platformtest.OpGetObject].Calls
 			got, err := a.LoadVersion(t.Context(), all[tc.held], head)
 			must.NoError(t, err)
 			must.Eq(t, head.Ref, got.Ref())
-			must.Eq(t, tc.reads, s.Counters().Ops["blob-get"].Calls-before)
+			must.Eq(t, tc.reads, s.Counters().Ops[platformtest.OpGetObject].Calls-before)
 		})
 	}
 }
--- a/internal/control/size_test.go
+++ b/internal/control/size_test.go
@@ -89,7 +89,7 @@
 	after := s.Counters()
 	must.Eq(t, 2, after.Reads-before.Reads)   // head and record
 	must.Eq(t, 4, after.Writes-before.Writes) // two objects, head and record
-	must.Eq(t, 1, after.Ops["rows-tx"].Calls-before.Ops["rows-tx"].Calls)
+	must.Eq(t, 1, after.Ops[platformtest.OpTransact].Calls-before.Ops[platformtest.OpTransact].Calls)
 
 	full, err := s.Objects().Get(t.Context(), accept.FullKey(got.Ref))
 	must.NoError(t, err)
