Split the soak's checks by what they look at

Cause: one function went over arrivals and requests, with six checks in it. The tests of the checks pass unchanged.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -112,45 +112,60 @@
 
 // Violations returns the promises that the history breaks.
 func (h *History) Violations() []Violation {
-	runs := make(map[string][]Arrival)
+	var found report
+	runs := h.runs(&found)
+	for i := range h.Requests {
+		r := &h.Requests[i]
+		h.checkRequest(r, runs[r.ID], &found)
+	}
+	return found
+}
+
+// report gathers violations.
+type report []Violation
+
+func (r *report) add(c Check, format string, args ...any) {
+	*r = append(*r, Violation{Check: c, Detail: fmt.Sprintf(format, args...)})
+}
+
+// runs returns the runs of each request by its id, and checks what arrived at
+// backend servers.
+func (h *History) runs(found *report) map[string][]Arrival {
 	sent := make(map[string]*Request, len(h.Requests))
 	for i := range h.Requests {
 		sent[h.Requests[i].ID] = &h.Requests[i]
 	}
-	var found []Violation
-	add := func(c Check, format string, args ...any) {
-		found = append(found, Violation{Check: c, Detail: fmt.Sprintf(format, args...)})
-	}
+	runs := make(map[string][]Arrival)
 	for _, a := range h.Arrivals {
 		r := sent[a.ID]
 		if r == nil || r.Method != a.Method || r.Path != a.Path || r.Service != a.Caller {
-			add(CheckAsked, "%s got %s %s of %q from %q", a.Server, a.Method, a.Path, a.ID, a.Caller)
+			found.add(CheckAsked, "%s got %s %s of %q from %q", a.Server, a.Method, a.Path, a.ID, a.Caller)
 			continue
 		}
 		if end, drained := h.Drained[a.Server]; drained && a.At.After(end.Add(drainMargin)) {
-			add(CheckDrain, "%s got %s %v after its drain", a.Server, a.ID, a.At.Sub(end))
+			found.add(CheckDrain, "%s got %s %v after its drain", a.Server, a.ID, a.At.Sub(end))
 		}
 		if !a.Refused {
 			runs[a.ID] = append(runs[a.ID], a)
 		}
 	}
-	for i := range h.Requests {
-		r := &h.Requests[i]
-		ran := runs[r.ID]
-		if !r.Idempotent && len(ran) > 1 {
-			add(CheckOnce, "%s ran %d times", r.ID, len(ran))
-		}
-		if !r.Idempotent && len(ran) > 0 && slices.Contains(notRun, r.Status) && !r.Stamped {
-			add(CheckNotRun, "%s was refused with %d and ran at %s", r.ID, r.Status, ran[0].Server)
-		}
-		if r.Status == http.StatusOK && !h.own(r, ran) {
-			add(CheckWhole, "%s got %q, signed %v", r.ID, r.Body, r.Stamped)
-		}
-		if r.Status == 0 && len(ran) > 0 && h.onlyPlanned(r) {
-			add(CheckPlanned, "%s to node %d ran at %s and got no answer", r.ID, r.Node, ran[0].Server)
-		}
+	return runs
+}
+
+// checkRequest checks what a caller was told against the request's runs.
+func (h *History) checkRequest(r *Request, ran []Arrival, found *report) {
+	if !r.Idempotent && len(ran) > 1 {
+		found.add(CheckOnce, "%s ran %d times", r.ID, len(ran))
+	}
+	if !r.Idempotent && len(ran) > 0 && slices.Contains(notRun, r.Status) && !r.Stamped {
+		found.add(CheckNotRun, "%s was refused with %d and ran at %s", r.ID, r.Status, ran[0].Server)
+	}
+	if r.Status == http.StatusOK && !h.own(r, ran) {
+		found.add(CheckWhole, "%s got %q, signed %v", r.ID, r.Body, r.Stamped)
+	}
+	if r.Status == 0 && len(ran) > 0 && h.onlyPlanned(r) {
+		found.add(CheckPlanned, "%s to node %d ran at %s and got no answer", r.ID, r.Node, ran[0].Server)
 	}
-	return found
 }
 
 // own reports whether a success is the answer of one of the request's runs.
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -32,7 +32,7 @@
 	found    []Violation
 }
 
-// route returns the path that a version adds.
+// versionRoute returns the path that a version adds.
 func versionRoute(version int) string { return fmt.Sprintf("/v%d/", version) }
 
 // change writes the next version.
