Answer the links' last questions, so that a node always ends

A handshake with a peer asks the event loop for the node's record. The loop that stops took the links' events only; the question had the context of the whole node, which ends after the loop has; the links wait for the handshake, the loop for the links: nobody ends. It takes a handshake within the moment of the stop. Ruled out: a listener's drain (bounded, and the log is past it), the store's reader (its last line is in the log). Change: a loop that stops goes on answering questions and taking events until the links have ended, in jacinthgate-sidecar and jacinthgate-node alike. TestLoopAnswersUntilTheLinksHaveEnded failed before (deadlock).

--- a/internal/eventqueue/loop.go
+++ b/internal/eventqueue/loop.go
@@ -56,11 +56,15 @@
 	}
 }
 
-// drain takes the links' last events, so that the links can end.
+// drain takes the links' last events, and answers what their handshakes still ask,
+// so that the links can end.
 func (l *Loop) drain() {
 	for {
 		select {
 		case <-l.Links.Events():
+		case <-l.Queue.Events:
+		case call := <-l.Queue.Calls:
+			call()
 		case <-l.LinksDone:
 			return
 		}
--- /dev/null
+++ b/internal/eventqueue/loop_test.go
@@ -0,0 +1,49 @@
+package eventqueue
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+)
+
+// links are links without events.
+type links chan core.Event
+
+// Events implements Links.
+func (l links) Events() <-chan core.Event { return l }
+
+// A handshake with a peer asks the loop what to say, and may do so just as the
+// node stops. The links wait for the handshake and the loop for the links, so an
+// answer that never comes holds up the end of the process. The soak met it with
+// seed 3006: a node still ran 8 s after SIGTERM.
+func TestLoopAnswersUntilTheLinksHaveEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		linksDone := make(chan struct{})
+		q := New(1)
+		l := Loop{
+			Queue: q, Links: make(links), LinksDone: linksDone, Flush: time.NewTimer(time.Hour),
+			Step: func(core.Event) {}, OnTick: func(time.Time) {},
+		}
+		ended := make(chan struct{})
+		go func() {
+			l.Run(ctx)
+			close(ended)
+		}()
+		cancel()
+		synctest.Wait()
+		answered := false
+		must.True(t, q.Ask(t.Context(), func() { answered = true }))
+		must.True(t, answered)
+		for range 3 { // more than fit
+			q.Post(t.Context(), core.Tick{})
+		}
+		close(linksDone)
+		<-ended
+	})
+}
