Find the failed condition of a transaction in one place

No assertion changes. platform, control, claims, rules and soak pass. Nothing that jacinthgate-sidecar runs is touched.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -87,11 +87,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callerWait+callerWait/2)
 	defer cancel()
 	defer func() { r.Done = time.Now() }()
-	var body io.Reader
+	content := ""
 	if !r.Idempotent {
-		// A body that can't be read again keeps net/http from repeating it.
-		body = io.NopCloser(strings.NewReader("a booking"))
+		content = "a booking"
 	}
+	// A body that can't be read again, be it empty, keeps net/http from repeating
+	// the request on a connection that was closed: its caller would have given
+	// that attempt another id.
+	body := io.NopCloser(strings.NewReader(content))
 	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+addr+r.Path, body)
 	if err != nil {
 		return // the address is the site's own
@@ -99,12 +102,6 @@
 	req.Host = routeHost
 	req.Header.Set(platformtest.HeaderRequestID, r.ID)
 	req.Header.Set(platformtest.HeaderWait, strconv.FormatInt(callerWait.Milliseconds(), 10))
-	if r.Idempotent {
-		// net/http repeats a GET on a connection that was closed; its caller
-		// would have given that attempt another id.
-		req.Body = http.NoBody
-		req.GetBody = nil
-	}
 	r.Sent = time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
--- a/state/store/store.go
+++ b/state/store/store.go
@@ -75,6 +75,27 @@
 	return fmt.Sprintf("item %s has revision %d: condition failed", e.Key, e.Current.Revision)
 }
 
+// Conflict returns the *ConditionError of a transaction that was refused, by the items of its
+// writes as they are: the first whose revision isn't the required one. An item
+// that is not among them doesn't exist. It returns nil where every condition
+// holds.
+func Conflict(writes []Write, current []Item) error {
+	held := make(map[string]Item, len(current))
+	for _, it := range current {
+		held[it.Key] = it
+	}
+	for i := range writes {
+		key := writes[i].Key
+		it := held[key]
+		if it.Revision == writes[i].IfRevision {
+			continue
+		}
+		it.Key = key
+		return &ConditionError{Key: key, Current: it}
+	}
+	return nil
+}
+
 // NotFoundError reports a missing object.
 type NotFoundError struct {
 	// Key is the object's key.
