Order waiting requests by rank and by the time they have left

Change: gates order by the operator's priority, then by latest start (due less the class's mean time); a class that takes less than the average may wait longer in proportion; four slots' time is waited in any case. Service times are kept by class (kind, rank, target). The entry tells the gate when the answer is due in place of how long to wait.

--- a/coordination/gate/enter.go
+++ b/coordination/gate/enter.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
-	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // waitedError is the cause of a wait that ended at its bound.
@@ -17,27 +16,26 @@
 
 var errWaited error = new(waitedError)
 
-// Enter takes a slot for a request, waiting for one until the given time or the
-// end of ctx, which should end at the deadline. A zero until is no bound. On an empty reason the
-// caller holds a slot and must call Release. clock is read at the start and
-// when a slot is given back unused.
-func (g *Gate) Enter(ctx context.Context, kind model.ClassKind, deadline, until time.Time, clock func() time.Time) outcome.Reason {
+// Enter takes a slot for a request, waiting for one while it can still be
+// answered when it is due, or until the end of ctx, which should end at the
+// deadline. On an empty reason the caller holds a slot and must call Release.
+// clock is read at the start and when a slot is given back unused.
+func (g *Gate) Enter(ctx context.Context, r Request, clock func() time.Time) outcome.Reason {
 	now := clock()
-	if g.Try(kind, deadline, now) {
+	if g.Try(r, now) {
 		return ""
 	}
-	if !until.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadlineCause(ctx, until, errWaited)
-		defer cancel()
-	}
 	settled := make(chan outcome.Reason, 1)
-	w := &Waiter{Kind: kind, Deadline: deadline, Until: until}
-	w.Settle = func(reason outcome.Reason) { settled <- reason }
+	w := &Waiter{Request: r, Settle: func(reason outcome.Reason) { settled <- reason }}
 	acquired, reason := g.Acquire(w, now)
 	if acquired || reason != "" {
 		return reason
 	}
+	if !w.until.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadlineCause(ctx, w.until, errWaited)
+		defer cancel()
+	}
 	return g.wait(ctx, w, settled, clock)
 }
 
@@ -49,7 +47,7 @@
 	case <-ctx.Done():
 	}
 	if !g.Cancel(w) && <-settled == "" {
-		g.Release(w.Kind, 0, clock())
+		g.Release(w.Request.Class, 0, clock())
 	}
 	if errors.Is(context.Cause(ctx), errWaited) {
 		return outcome.ReasonQueueFull
--- a/coordination/gate/estimate.go
+++ b/coordination/gate/estimate.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -75,19 +76,68 @@
 	e.ticked = n
 }
 
-type estimates [model.NumKinds]estimate
+// maxClasses bounds the classes that are told apart: a configuration has a few,
+// and other nodes name them. Those beyond share one estimate for each kind.
+const maxClasses = 64
 
-func (e *estimates) of(kind model.ClassKind) *estimate { return &e[kind.Rank()] }
+// estimates are the service times of a backend server: by class, and over all.
+type estimates struct {
+	all     estimate
+	classes atomic.Pointer[map[Class]*estimate]
+	mu      sync.Mutex // held by who adds a class
+}
+
+// of returns the estimate of a class. It takes a lock for a class's first
+// request only.
+func (e *estimates) of(c Class) *estimate {
+	if m := e.classes.Load(); m != nil {
+		if found := (*m)[c]; found != nil {
+			return found
+		}
+	}
+	return e.addClass(c)
+}
+
+func (e *estimates) addClass(c Class) *estimate {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	grown := make(map[Class]*estimate)
+	if m := e.classes.Load(); m != nil {
+		for k, v := range *m {
+			grown[k] = v
+		}
+	}
+	if grown[c] == nil && len(grown) >= maxClasses {
+		c = Class{Kind: knownKind(c.Kind)}
+	}
+	if grown[c] == nil {
+		grown[c] = new(estimate)
+		e.classes.Store(&grown)
+	}
+	return grown[c]
+}
+
+// knownKind bounds the kinds that estimates are kept for.
+func knownKind(kind model.ClassKind) model.ClassKind {
+	switch kind {
+	case model.KindInteractive, model.KindNonRepeatable, model.KindBulk:
+		return kind
+	}
+	return model.KindEventual
+}
+
+// add notes what a request of a class took.
+func (e *estimates) add(c Class, took time.Duration) {
+	e.of(c).add(took)
+	e.all.add(took)
+}
 
-// average returns the mean service time over the kinds that were seen, each
-// weighing the same; 0 before the first.
-func (e *estimates) average() time.Duration {
-	sum, seen := time.Duration(0), time.Duration(0)
-	for i := range e {
-		if d := e[i].average(); d > 0 {
-			sum += d
-			seen++
+// tick lets all estimates decay.
+func (e *estimates) tick() {
+	e.all.tick()
+	if m := e.classes.Load(); m != nil {
+		for _, v := range *m {
+			v.tick()
 		}
 	}
-	return sum / max(1, seen)
 }
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
-	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // Limits are what a backend server offers and what of it may be used.
@@ -76,9 +75,9 @@
 	return Load{Used: int(g.used.Load()), Slots: int(g.slots.Load()), Queued: int(g.waiting.Load())}
 }
 
-// Typical returns what requests of a kind take on average; 0 before the first.
-func (g *Gate) Typical(kind model.ClassKind) time.Duration {
-	return time.Duration(g.times.of(kind).typical.Load())
+// Typical returns what requests of a class take on average; 0 before the first.
+func (g *Gate) Typical(c Class) time.Duration {
+	return time.Duration(g.times.of(c).typical.Load())
 }
 
 // Update sets the limits. Slots that were taken away are not refilled as they
@@ -101,9 +100,7 @@
 func (g *Gate) Tick(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for i := range g.times {
-		g.times[i].tick()
-	}
+	g.times.tick()
 	if !g.closed.Load() {
 		g.slots.Store(int64(g.limits.usable(now)))
 		g.grant(now)
@@ -113,8 +110,8 @@
 // Try takes a slot where one is free and nobody waits. On true the caller holds
 // a slot and must call Release. On false it calls Acquire, which says why; Try
 // only spares a request that need not wait the making of a Waiter.
-func (g *Gate) Try(kind model.ClassKind, deadline, now time.Time) bool {
-	if g.closed.Load() || now.Add(g.times.of(kind).get()).After(deadline) {
+func (g *Gate) Try(r Request, now time.Time) bool {
+	if g.closed.Load() || now.Add(g.times.of(r.Class).get()).After(r.Deadline) {
 		return false
 	}
 	return g.waiting.Load() == 0 && g.take()
@@ -124,15 +121,20 @@
 // call Release. On false with an empty reason, w waits and its Settle is called
 // later. On false with a reason the request is refused.
 func (g *Gate) Acquire(w *Waiter, now time.Time) (acquired bool, refused outcome.Reason) {
-	if g.Try(w.Kind, w.Deadline, now) {
+	if g.Try(w.Request, now) {
 		return true, ""
 	}
 	if g.closed.Load() {
 		return false, outcome.ReasonDraining
 	}
-	if now.Add(g.times.of(w.Kind).get()).After(w.Deadline) {
+	times := g.times.of(w.Request.Class)
+	if now.Add(times.get()).After(w.Request.Deadline) {
 		return false, outcome.ReasonDeadline
 	}
+	if !w.Request.Due.IsZero() {
+		w.latest = w.Request.Due.Add(-times.average())
+		w.until = g.waitBound(w, now)
+	}
 	return g.enqueue(w, now)
 }
 
@@ -159,7 +161,7 @@
 		return false, reason
 	}
 	if g.queue.size >= g.limits.QueueLength && g.queue.size > 0 {
-		shed := g.queue.evict(w.Kind)
+		shed := g.queue.evict(w.Request.Class)
 		if shed == nil {
 			return false, outcome.ReasonQueueFull
 		}
@@ -183,26 +185,57 @@
 }
 
 // late returns why w is better refused at once: the queue ahead leaves no time
-// to run it before its deadline, or no slot before its bound. It is empty when
-// w may wait.
+// to run it before its deadline, or no slot in time for when it is due. It is
+// empty when w may wait.
 func (g *Gate) late(w *Waiter, now time.Time) outcome.Reason {
-	service := g.times.of(w.Kind).get()
-	ahead, slots := g.queue.ahead(w.Kind), max(1, int(g.slots.Load()))
+	service := g.times.of(w.Request.Class).get()
+	ahead, slots := g.queue.ahead(w), max(1, int(g.slots.Load()))
 	wait := time.Duration(ahead/slots) * service
-	if now.Add(wait + service).After(w.Deadline) {
+	if now.Add(wait + service).After(w.Request.Deadline) {
 		return outcome.ReasonDeadline
 	}
-	if w.Until.IsZero() {
+	if w.until.IsZero() {
 		return ""
 	}
-	// A slot becomes free each slots-th part of the mean service time.
-	expected := time.Duration(ahead+1) * g.times.average() / time.Duration(slots)
-	if now.Add(expected).After(w.Until) {
+	if now.Add(time.Duration(ahead+1) * g.interval()).After(w.until) {
 		return outcome.ReasonQueueFull
 	}
 	return ""
 }
 
+// interval returns the mean time until a slot becomes free while all are in use:
+// the slots-th part of the mean service time.
+func (g *Gate) interval() time.Duration {
+	return g.times.all.average() / time.Duration(max(1, g.slots.Load()))
+}
+
+// waitPart is the part of its target that a request of average work waits for a
+// slot at most. Under a standing overload the queue is as long as its bound lets
+// it be, and all that wait longer are late in place of a few that are refused.
+const waitPart = 6
+
+// waitSlots is the number of slots becoming free for which a request may wait
+// in any case: one that goes next is then seldom refused by an accident of the
+// running requests' ends.
+const waitSlots = 4
+
+// waitBound returns when w is better refused, so that its caller can come back.
+// Requests of less than average work may wait longer: one that is served takes
+// little from the others, and the short calls of a request that is running waste
+// its run when they are refused.
+func (g *Gate) waitBound(w *Waiter, now time.Time) time.Time {
+	work, target := g.times.of(w.Request.Class).average(), w.Request.Class.Target
+	if work == 0 || target == 0 {
+		return w.latest // nothing is known to bound it by
+	}
+	wait := float64(target/waitPart) * float64(g.times.all.average()) / float64(work)
+	wait = max(wait, float64(waitSlots*g.interval()))
+	if until := now.Add(time.Duration(wait)); until.Before(w.latest) {
+		return until
+	}
+	return w.latest
+}
+
 // Cancel gives up waiting. It returns false when w was settled already; its
 // slot, if it got one, must then be released.
 func (g *Gate) Cancel(w *Waiter) bool {
@@ -215,9 +248,9 @@
 
 // Release returns a slot. took is the time the request held it; 0 when the
 // backend server did not run it.
-func (g *Gate) Release(kind model.ClassKind, took time.Duration, now time.Time) {
+func (g *Gate) Release(c Class, took time.Duration, now time.Time) {
 	if took > 0 {
-		g.times.of(kind).add(took)
+		g.times.add(c, took)
 	}
 	g.used.Add(-1)
 	if g.waiting.Load() == 0 {
@@ -245,7 +278,7 @@
 // those before it.
 func (g *Gate) nextInTime(now time.Time) *Waiter {
 	for w := g.queue.pop(); w != nil; w = g.queue.pop() {
-		if !now.Add(g.times.of(w.Kind).get()).After(w.Deadline) {
+		if !now.Add(g.times.of(w.Request.Class).get()).After(w.Request.Deadline) {
 			return w
 		}
 		w.Settle(outcome.ReasonDeadline)
--- a/coordination/gate/queue.go
+++ b/coordination/gate/queue.go
@@ -5,36 +5,44 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
-	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // fairEvery is how often the longest waiting request goes first, whatever its
-// kind, so that the less important kinds are slowed down but not starved.
+// rank, so that the less important ones are slowed down but not starved.
 const fairEvery = 8
 
 // Waiter is a request that waits for a slot.
 type Waiter struct {
-	// Kind is the kind of the request's class.
-	Kind model.ClassKind
-	// Deadline is the request's deadline.
-	Deadline time.Time
-	// Until is when a request that has no slot yet is better refused, so that
-	// its caller can come back in time; zero is no bound. A request that would
-	// wait longer by the service times seen is refused at once.
-	Until time.Time
+	// Request is what waits.
+	Request Request
 	// Settle is called once, with an empty reason when the request has a slot
 	// and with the reason of the refusal otherwise. It must not block or call
 	// the Gate.
 	Settle func(reason outcome.Reason)
 
+	// latest is when the request must start to be answered when it is due; zero
+	// without such a time.
+	latest time.Time
+	// until is when the request is better refused; zero is no bound.
+	until  time.Time
 	place  *list.Element
 	number uint64
 }
 
-// queue orders waiters by importance, then by arrival. It is not safe for
-// concurrent use.
+// before reports whether w starts before o, which is of the same rank: whoever
+// has less time goes first, then whoever came first. The calls of a request that
+// is running are due soon, so they pass new requests, which have cost nothing yet.
+func (w *Waiter) before(o *Waiter) bool {
+	if w.latest.Equal(o.latest) {
+		return w.number < o.number
+	}
+	return w.latest.Before(o.latest)
+}
+
+// queue orders waiters by rank, then by the time that they have. It is not safe
+// for concurrent use.
 type queue struct {
-	lists [model.NumKinds]list.List
+	lists [NumRanks]list.List
 	size  int
 	next  uint64
 	pops  uint64
@@ -43,8 +51,15 @@
 func (q *queue) push(w *Waiter) {
 	q.next++
 	w.number = q.next
-	w.place = q.lists[w.Kind.Rank()].PushBack(w)
+	l := &q.lists[w.Request.Class.place()]
 	q.size++
+	for e := l.Back(); e != nil; e = e.Prev() {
+		if e.Value.(*Waiter).before(w) {
+			w.place = l.InsertAfter(w, e)
+			return
+		}
+	}
+	w.place = l.PushFront(w)
 }
 
 // remove reports whether w was waiting.
@@ -52,7 +67,7 @@
 	if w.place == nil {
 		return false
 	}
-	q.lists[w.Kind.Rank()].Remove(w.place)
+	q.lists[w.Request.Class.place()].Remove(w.place)
 	w.place = nil
 	q.size--
 	return true
@@ -81,24 +96,23 @@
 	return nil
 }
 
+// oldest returns the waiter that came first.
 func (q *queue) oldest() *Waiter {
 	var oldest *Waiter
 	for i := range q.lists {
-		e := q.lists[i].Front()
-		if e == nil {
-			continue
-		}
-		if w := e.Value.(*Waiter); oldest == nil || w.number < oldest.number {
-			oldest = w
+		for e := q.lists[i].Front(); e != nil; e = e.Next() {
+			if w := e.Value.(*Waiter); oldest == nil || w.number < oldest.number {
+				oldest = w
+			}
 		}
 	}
 	return oldest
 }
 
-// evict takes the newest waiter of the least important kind, if that kind is
-// less important than the given one.
-func (q *queue) evict(kind model.ClassKind) *Waiter {
-	for i := model.NumKinds - 1; i > kind.Rank(); i-- {
+// evict takes the last waiter of the lowest rank, if that one is below the
+// class's.
+func (q *queue) evict(c Class) *Waiter {
+	for i := NumRanks - 1; i > c.place(); i-- {
 		if e := q.lists[i].Back(); e != nil {
 			w := e.Value.(*Waiter)
 			q.remove(w)
@@ -108,11 +122,17 @@
 	return nil
 }
 
-// ahead returns the number of waiters that go before a newcomer of the kind.
-func (q *queue) ahead(kind model.ClassKind) int {
-	n := 0
-	for i := 0; i <= kind.Rank(); i++ {
+// ahead returns the number of waiters that go before w, which may be new.
+func (q *queue) ahead(w *Waiter) int {
+	place, n := w.Request.Class.place(), 0
+	for i := range place {
 		n += q.lists[i].Len()
 	}
+	for e := q.lists[place].Front(); e != nil; e = e.Next() {
+		if w.latest.Before(e.Value.(*Waiter).latest) {
+			break
+		}
+		n++
+	}
 	return n
 }
--- a/coordination/gate/wait_test.go
+++ b/coordination/gate/wait_test.go
@@ -16,7 +16,7 @@
 func busy(t *testing.T, slots int) *Gate {
 	g := full(t, Limits{Slots: slots, Connections: slots, QueueLength: 100})
 	for range 64 {
-		g.times.of(model.KindInteractive).add(200 * time.Millisecond)
+		g.times.add(OfKind(model.KindInteractive), 200*time.Millisecond)
 	}
 	return g
 }
@@ -30,7 +30,7 @@
 	queued := 0
 	for range 10 {
 		w := waiter(model.KindInteractive, time.Hour, "w", &log)
-		w.Until = start.Add(150 * time.Millisecond)
+		w.Request.Due = start.Add(350 * time.Millisecond) // 200 ms of work
 		_, reason := g.Acquire(w, start)
 		if reason == "" {
 			queued++
@@ -45,16 +45,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := New()
 		g.Update(Limits{Slots: 1, Connections: 1, QueueLength: 4}, time.Now())
-		must.True(t, g.Try(model.KindInteractive, time.Now().Add(time.Hour), time.Now()))
+		must.True(t, g.Try(Request{Class: OfKind(model.KindInteractive), Deadline: time.Now().Add(time.Hour)}, time.Now()))
 		began := time.Now()
 		until := began.Add(150 * time.Millisecond)
-		reason := g.Enter(context.Background(), model.KindInteractive, began.Add(time.Second), until, time.Now)
+		reason := g.Enter(context.Background(), Request{Class: OfKind(model.KindInteractive), Deadline: began.Add(time.Second), Due: until}, time.Now)
 		must.Eq(t, outcome.ReasonQueueFull, reason)
 		must.Eq(t, 150*time.Millisecond, time.Since(began))
 		must.Eq(t, 0, g.Load().Queued)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		reason = g.Enter(ctx, model.KindInteractive, time.Now().Add(time.Second), time.Time{}, time.Now)
+		reason = g.Enter(ctx, Request{Class: OfKind(model.KindInteractive), Deadline: time.Now().Add(time.Second)}, time.Now)
 		must.Eq(t, outcome.ReasonDeadline, reason)
 	})
 }
@@ -63,9 +63,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := New()
 		g.Update(Limits{Slots: 1, Connections: 1, QueueLength: 4}, time.Now())
-		must.True(t, g.Try(model.KindInteractive, time.Now().Add(time.Hour), time.Now()))
-		time.AfterFunc(100*time.Millisecond, func() { g.Release(model.KindInteractive, 100*time.Millisecond, time.Now()) })
-		reason := g.Enter(context.Background(), model.KindInteractive, time.Now().Add(time.Second), time.Now().Add(150*time.Millisecond), time.Now)
+		must.True(t, g.Try(Request{Class: OfKind(model.KindInteractive), Deadline: time.Now().Add(time.Hour)}, time.Now()))
+		time.AfterFunc(100*time.Millisecond, func() { g.Release(OfKind(model.KindInteractive), 100*time.Millisecond, time.Now()) })
+		reason := g.Enter(context.Background(), Request{Class: OfKind(model.KindInteractive), Deadline: time.Now().Add(time.Second), Due: time.Now().Add(150 * time.Millisecond)}, time.Now)
 		must.Eq(t, "", reason)
 		must.Eq(t, 1, g.Load().Used)
 	})
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -55,9 +55,8 @@
 	HeaderInstance = "Jacinthgate-Instance"
 	// HeaderCaller names the service of the host where the request began.
 	HeaderCaller = "Jacinthgate-Caller"
-	// HeaderWait carries the milliseconds that the request may wait for a slot
-	// at the gate.
-	HeaderWait = "Jacinthgate-Wait"
+	// HeaderUrgency carries the request's Urgency.
+	HeaderUrgency = "Jacinthgate-Urgency"
 	// HeaderReached is "1" on a gate's response when the request was sent to
 	// the backend server, whatever came of it.
 	HeaderReached = "Jacinthgate-Reached"
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -23,7 +23,7 @@
 	outcome.HeaderReason,
 	outcome.HeaderInstance,
 	outcome.HeaderCaller,
-	outcome.HeaderWait,
+	outcome.HeaderUrgency,
 	outcome.HeaderReached,
 }
 
--- a/transport/inbound/bulk.go
+++ b/transport/inbound/bulk.go
@@ -24,11 +24,11 @@
 
 // serveBulk serves a request for a large answer of another node.
 func (g *Gate) serveBulk(w http.ResponseWriter, req *http.Request) error {
-	wait, given, err := forward.HeaderInt(req.Header, outcome.HeaderWait)
-	if err != nil || !given {
+	u, err := outcome.ParseUrgency(req.Header.Get(outcome.HeaderUrgency))
+	if err != nil {
 		return forward.Relay(w, g.refuse(req, outcome.ReasonMalformed, false))
 	}
-	ticket, ok := g.cfg.Lane.Admit(g.cfg.Now(), time.Duration(wait)*time.Millisecond)
+	ticket, ok := g.cfg.Lane.Admit(g.cfg.Now(), linkWait(u))
 	if !ok {
 		return forward.Relay(w, g.refuse(req, outcome.ReasonLinkFull, false))
 	}
@@ -40,6 +40,16 @@
 	return g.relayPaced(w, req, resp, ticket)
 }
 
+// linkWaitPart is the part of its target that a large answer may wait for the
+// host's link: a caller that is refused so early is still served in time when it
+// comes back. docs/MEASUREMENTS.md compares it with a third.
+const linkWaitPart = 6
+
+// linkWait returns how long a large answer may still wait for the host's link.
+func linkWait(u outcome.Urgency) time.Duration {
+	return max(0, u.Left-u.Target+u.Target/linkWaitPart)
+}
+
 // relayPaced sends an answer at the lane's rate, few at a time: answers that are
 // sent side by side all end late. Small ones go at once.
 func (g *Gate) relayPaced(w http.ResponseWriter, req *http.Request, resp *http.Response, t *pace.Ticket) error {
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -164,9 +164,7 @@
 
 // call is what the gate knows of a request.
 type call struct {
-	kind     model.ClassKind
-	deadline time.Time
-	until    time.Time // when the wait for a slot ends
+	core.Request
 	instance *instance.Instance
 }
 
@@ -178,15 +176,15 @@
 	if reason != "" {
 		return g.refuse(req, reason, false), nil
 	}
-	waitCtx, cancelWait := context.WithDeadline(req.Context(), c.deadline)
-	reason = g.core.Enter(waitCtx, c.kind, c.deadline, c.until, g.cfg.Now)
+	waitCtx, cancelWait := context.WithDeadline(req.Context(), c.Deadline)
+	reason = g.core.Enter(waitCtx, c.Request, g.cfg.Now)
 	cancelWait()
 	if reason != "" {
 		return g.refuse(req, reason, false), nil
 	}
 	// The backend server may have left while the request waited.
 	if i := g.cfg.Instance(); i == nil || i.ID != c.instance.ID || g.left(i, g.cfg.Now()) {
-		g.core.Release(c.kind, 0, g.cfg.Now())
+		g.core.Release(c.Class, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonDraining, false), nil
 	}
 	return g.send(req, c), nil
@@ -195,7 +193,7 @@
 // check reads the node headers and refuses what can't be sent.
 func (g *Gate) check(req *http.Request, now time.Time) (call, outcome.Reason) {
 	h := req.Header
-	c := call{kind: model.ClassKind(h.Get(outcome.HeaderKind)), instance: g.cfg.Instance()}
+	c := call{instance: g.cfg.Instance()}
 	i := c.instance
 	switch {
 	case i == nil:
@@ -209,21 +207,20 @@
 	if err != nil || !given {
 		return c, outcome.ReasonMalformed
 	}
-	c.deadline = now.Add(time.Duration(left) * time.Millisecond)
-	wait, given, err := forward.HeaderInt(h, outcome.HeaderWait)
+	c.Deadline = now.Add(time.Duration(left) * time.Millisecond)
+	u, err := outcome.ParseUrgency(h.Get(outcome.HeaderUrgency))
 	if err != nil {
 		return c, outcome.ReasonMalformed
 	}
-	if given {
-		c.until = now.Add(time.Duration(wait) * time.Millisecond)
-	}
+	c.Class = core.Class{Kind: model.ClassKind(h.Get(outcome.HeaderKind)), Rank: u.Rank, Target: u.Target}
+	c.Due = now.Add(u.Left)
 	return c, ""
 }
 
 // send sends the request to the backend server. The request holds a slot.
 func (g *Gate) send(req *http.Request, c call) *http.Response {
 	started := g.cfg.Now()
-	ctx, cancel := context.WithDeadline(req.Context(), c.deadline.Add(g.cfg.AnswerGrace))
+	ctx, cancel := context.WithDeadline(req.Context(), c.Deadline.Add(g.cfg.AnswerGrace))
 	out := req.WithContext(ctx)
 	url := *req.URL
 	url.Scheme, url.Host = "http", c.instance.Addr
@@ -232,13 +229,13 @@
 	forward.StripNodeHeaders(out.Header)
 	delete(out.Header, outcome.HeaderDeadline)
 	g.cfg.Dialect.Mark(out.Header, dialect.Marks{
-		Remaining:     c.deadline.Sub(started),
+		Remaining:     c.Deadline.Sub(started),
 		Instance:      c.instance.ID,
 		CallerService: caller,
 	})
 	done := func(took time.Duration) {
 		cancel()
-		g.core.Release(c.kind, took, g.cfg.Now())
+		g.core.Release(c.Class, took, g.cfg.Now())
 	}
 	resp, err := forward.Send(g.cfg.Backend, out, nil)
 	if err != nil {
@@ -259,11 +256,11 @@
 		h[outcome.HeaderReached] = reachedValue
 		bodyless := resp.Body == http.NoBody
 		resp.Body = &slotBody{ReadCloser: resp.Body, done: func() { done(g.cfg.Now().Sub(started)) }}
-		if c.kind == model.KindBulk && !bodyless && !g.holdWhole(resp) {
+		if c.Class.Kind == model.KindBulk && !bodyless && !g.holdWhole(resp) {
 			return g.unknown(req, outcome.ReasonBackendFailed)
 		}
 		g.stamp(h)
-		if typical := g.core.Typical(c.kind); typical > 0 {
+		if typical := g.core.Typical(c.Class); typical > 0 {
 			h[outcome.HeaderTypical] = []string{strconv.FormatInt(typical.Microseconds(), 10)}
 		}
 		return resp
@@ -293,7 +290,7 @@
 	switch {
 	case req.Context().Err() != nil:
 		reason = outcome.ReasonCancelled
-	case !g.cfg.Now().Before(c.deadline):
+	case !g.cfg.Now().Before(c.Deadline):
 		reason = outcome.ReasonDeadline
 	}
 	_ = g.cfg.Logger.Log("event", "backend_send_failed", "request", g.cfg.Dialect.RequestID(req.Header),
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -196,31 +196,36 @@
 	h := out.Header
 	forward.StripNodeHeaders(h)
 	left := max(1, x.deadline.Sub(now).Milliseconds())
-	wait := max(0, x.began.Add(x.route.Target/waitPart).Sub(now).Milliseconds())
+	urgency := outcome.Urgency{
+		Left:   max(0, x.due().Sub(now)),
+		Target: x.route.Target,
+		Rank:   x.route.Priority,
+	}
 	v := [...]string{
 		strconv.FormatInt(left, 10),
 		string(x.route.Kind),
 		x.service.Name,
 		to.Instance,
 		x.p.cfg.CallerService(),
-		strconv.FormatInt(min(left, wait), 10),
+		urgency.String(),
 	}
 	h[outcome.HeaderDeadline] = v[0:1:1]
 	h[outcome.HeaderKind] = v[1:2:2]
 	h[outcome.HeaderService] = v[2:3:3]
 	h[outcome.HeaderInstance] = v[3:4:4]
 	h[outcome.HeaderCaller] = v[4:5:5]
-	h[outcome.HeaderWait] = v[5:6:6]
+	h[outcome.HeaderUrgency] = v[5:6:6]
 	return out
 }
 
-// waitPart is the part of a route's target in which a request gets a slot or is
-// refused. A caller that was refused within a quarter of the target is still
-// served in good time when it comes back, so the refusal must leave before that;
-// and a request that has waited for most of its target would only be answered
-// late in place of another one that isn't late yet. docs/MEASUREMENTS.md
-// compares it with longer waits.
-const waitPart = 6
+// due returns when the answer should be there.
+func (x *exchange) due() time.Time {
+	due := x.began.Add(x.route.Target)
+	if x.deadline.Before(due) {
+		return x.deadline
+	}
+	return due
+}
 
 // sendFailed notes an attempt that got no response from the gate.
 func (x *exchange) sendFailed(choice balance.Choice, err error) {
--- a/transport/outbound/exchange_test.go
+++ b/transport/outbound/exchange_test.go
@@ -26,8 +26,8 @@
 func (plain) RequestID(dialect.Header) string                  { return "id" }
 func (plain) Wait(dialect.Header) (time.Duration, bool, error) { return 0, false, nil }
 
-// gates answers in place of the gates of a fleet and notes how long each was
-// asked to let the request wait, in milliseconds.
+// gates answers in place of the gates of a fleet and notes in what time each was
+// told to have the request answered, in milliseconds.
 type gates struct {
 	waits  []int
 	answer func(n int) (outcome.Outcome, outcome.Reason)
@@ -35,11 +35,11 @@
 
 // RoundTrip implements http.RoundTripper.
 func (g *gates) RoundTrip(req *http.Request) (*http.Response, error) {
-	wait, err := strconv.Atoi(req.Header.Get(outcome.HeaderWait))
+	u, err := outcome.ParseUrgency(req.Header.Get(outcome.HeaderUrgency))
 	if err != nil {
 		return nil, err
 	}
-	g.waits = append(g.waits, wait)
+	g.waits = append(g.waits, int(u.Left.Milliseconds()))
 	o, reason := g.answer(len(g.waits))
 	h := http.Header{outcome.HeaderOutcome: {string(o)}, outcome.HeaderReason: {string(reason)}}
 	status := http.StatusOK
@@ -96,10 +96,10 @@
 // full refuses as a gate without a free slot does.
 func full(int) (outcome.Outcome, outcome.Reason) { return outcome.NotRun, outcome.ReasonQueueFull }
 
-// A request that finds no slot asks every server that it may, and waits at each
-// for what is left of its wait.
+// A request that finds no slot asks every server that it may, and tells each
+// what is left until its answer is due.
 func TestEveryServerIsAskedOnce(t *testing.T) {
-	wait := int((target / waitPart).Milliseconds())
+	wait := int(target.Milliseconds())
 	for servers, want := range map[int][]int{9: {wait, wait, wait, wait}, 2: {wait, wait}, 1: {wait}} {
 		g := &gates{answer: full}
 		must.Eq(t, http.StatusServiceUnavailable, ask(newProxy(t, model.KindInteractive, servers, g)).Code)
