Stay in the own zone while the answer is still in time

Change: gates tell the mean time that a request holds a slot, so that a node estimates the delay at a server; a request stays near while that is under a quarter of the time until it is due, and goes elsewhere only where it is sooner by that and 10 ms. Latencies are compared by sort of work (kind, rank, target). A server counts as slow for leaving the zone beyond twice the average. SpillLoad is gone.

--- a/coordination/balance/config.go
+++ b/coordination/balance/config.go
@@ -18,12 +18,9 @@
 	// LatencyCap bounds how many times worse a slow server is rated, as a
 	// power of two.
 	LatencyCap float64
-	// SpillLoad is the load per slot from which the local zone's servers
-	// count as saturated and servers of other zones are compared.
-	SpillLoad float64
-	// SpillMargin is how much lower, per slot, the load of a server further
-	// away must be.
-	SpillMargin float64
+	// SpillMargin is how much sooner a server further away must answer than a
+	// nearer one to be taken, beyond what the request bears.
+	SpillMargin time.Duration
 	// ColdFloor is the smallest part of its share that a cold server gets,
 	// above 0.
 	ColdFloor float64
@@ -56,8 +53,7 @@
 		LatencyTTL:   10 * time.Second,
 		LatencyGain:  0.1,
 		LatencyCap:   4,
-		SpillLoad:    1,
-		SpillMargin:  0.2,
+		SpillMargin:  10 * time.Millisecond,
 		ColdFloor:    0.1,
 		Failures:     3,
 		FailureRate:  0.5,
--- a/coordination/balance/done.go
+++ b/coordination/balance/done.go
@@ -35,10 +35,10 @@
 	Outcome Outcome
 	// Load is the reported load; nil when there was no report.
 	Load *Load
-	// Kind is the kind of the request's class: a server is compared with others
-	// by what they take for the same kind.
-	Kind model.ClassKind
-	// Typical is the time that the server's requests of this kind take on
+	// Work is the request's sort of work: a server is compared with others by
+	// what they take for the same sort.
+	Work model.Work
+	// Typical is the time that the server's requests of this sort take on
 	// average, as its gate reports; 0 when there was no report. It tells more
 	// than Latency, which is one request's: where there are many servers a node
 	// sees each of them seldom.
@@ -97,10 +97,10 @@
 // maxLatencies is the number from which latencies are no longer counted.
 const maxLatencies = 1000
 
-// noteLatency compares what a request took with what the group takes for its
-// kind.
+// noteLatency compares what a request took with what the group takes for such
+// work.
 func (c Choice) noteLatency(r *Result, at int64) {
-	s, g := c.server, &c.group.stats.latency[r.Kind.Rank()]
+	s, g := c.server, c.group.stats.latency.Of(r.Work)
 	n := s.latencies.Load()
 	took, gain := r.Latency, max(c.picker.cfg.LatencyGain, 1/float64(n+1+priorLatencies))
 	if r.Typical > 0 {
--- a/coordination/balance/group.go
+++ b/coordination/balance/group.go
@@ -1,9 +1,11 @@
 package balance
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
+	"github.com/jacinthgate/jacinthgate/coordination/perwork"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
@@ -33,11 +35,11 @@
 
 // stats are averages over a service's servers. They outlive views.
 type stats struct {
-	latency [model.NumKinds]latency
+	latency perwork.Map[latency]
 	load    atomic.Uint64 // float64: moving average of reported load per slot
 }
 
-// latency is a moving average of what requests of one kind take.
+// latency is a moving average of what requests of one sort take.
 type latency struct {
 	mean atomic.Uint64 // float64: of log2(nanoseconds)
 	seen atomic.Bool   // false before the first
@@ -52,6 +54,19 @@
 	return g.size == 0 || g.source == &candidates[0]
 }
 
+// defaultWork stands for what requests take before the first answer: the middle
+// of what the deployments' services take, 30 to 480 ms.
+const defaultWork = 100 * time.Millisecond
+
+// typical returns what requests of a sort take on average.
+func (g *group) typical(w model.Work) time.Duration {
+	l := g.stats.latency.Of(w)
+	if !l.seen.Load() {
+		return defaultWork
+	}
+	return time.Duration(math.Exp2(floatOf(&l.mean)))
+}
+
 func (g *group) slowStart() time.Duration { return g.service.SlowStart.Std() }
 
 // group returns the group of the candidates. It is built once for each view;
--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -51,13 +51,30 @@
 	trial  bool
 }
 
-// Pick chooses among the candidates, which should be the slice of the current
+// Want is what a request needs of the server that is picked for it.
+type Want struct {
+	// Work is the request's sort of work.
+	Work model.Work
+	// Patience is the delay, beyond what an idle server of the service takes,
+	// that the request bears at a near server before one further away is better
+	// for it. At 0 any wait for a slot is too long; how slow a server is counts
+	// among those of one tier only.
+	Patience time.Duration
+}
+
+// Pick chooses among the candidates for a request of which nothing is known: it
+// goes further away where it would wait for a slot. See PickFor.
+func (p *Picker) Pick(now time.Time, s *model.Service, candidates []endpoint.Record, tried *Tried) (Choice, error) {
+	return p.PickFor(now, s, candidates, tried, Want{Work: model.WorkOf(model.KindInteractive)})
+}
+
+// PickFor chooses among the candidates, which should be the slice of the current
 // view itself: a copy is taken for a new view and indexed again. tried may be
 // nil. The error is a *NoEndpointError; the request was not run.
-func (p *Picker) Pick(now time.Time, s *model.Service, candidates []endpoint.Record, tried *Tried) (Choice, error) {
+func (p *Picker) PickFor(now time.Time, s *model.Service, candidates []endpoint.Record, tried *Tried, want Want) (Choice, error) {
 	at := now.UnixNano()
 	g := p.group(s, candidates, at)
-	m, trial := p.choose(g, tried, at)
+	m, trial := p.choose(g, tried, want, at)
 	if m == nil {
 		m = p.lastResort(g, tried)
 	}
@@ -91,48 +108,52 @@
 	return Choice{}, false
 }
 
-// choose goes outwards tier by tier and stops at the first server that is not
-// saturated. A server further away must be less loaded by SpillMargin.
-func (p *Picker) choose(g *group, tried *Tried, at int64) (best *member, trial bool) {
-	bestLoad := 0.0
+// choose goes outwards tier by tier and stops at the first server where the
+// request is delayed no more than it bears. A server further away is taken only
+// where it is sooner by SpillMargin and by what the request bears: a crossing
+// that saves its caller nothing only costs.
+func (p *Picker) choose(g *group, tried *Tried, want Want, at int64) (best *member, trial bool) {
+	var least time.Duration
 	for t := range g.tiers {
-		m, load, trial := p.chooseIn(g, g.tiers[t], tried, at)
+		m, delay, trial := p.chooseIn(g, g.tiers[t], tried, want, at)
 		if m == nil {
 			continue
 		}
 		if trial {
 			return m, true
 		}
-		if best == nil || load+p.cfg.SpillMargin < bestLoad {
-			best, bestLoad = m, load
+		if best == nil || delay+p.cfg.SpillMargin+want.Patience < least {
+			best, least = m, delay
 		}
-		if load < p.cfg.SpillLoad {
+		if delay <= want.Patience {
 			break
 		}
 	}
 	return best, false
 }
 
-// chooseIn returns the better of two random members and its load per slot, or
-// a member that is due for its trial.
-func (p *Picker) chooseIn(g *group, members []member, tried *Tried, at int64) (*member, float64, bool) {
+// chooseIn returns the better of two random members and the delay there, or a
+// member that is due for its trial.
+func (p *Picker) chooseIn(g *group, members []member, tried *Tried, want Want, at int64) (*member, time.Duration, bool) {
 	a, trial := p.draw(members, nil, tried, at)
 	if a == nil {
 		return nil, 0, false
 	}
 	loadA := a.server.loadPerSlot(&p.cfg, g, a, at)
 	if trial {
-		return a, loadA, true
+		return a, 0, true
 	}
 	b, trial := p.draw(members, a, tried, at)
-	if b == nil {
-		return a, loadA, false
+	if trial {
+		return b, 0, true
 	}
-	loadB := b.server.loadPerSlot(&p.cfg, g, b, at)
-	if trial || p.rate(g, b, loadB, at) < p.rate(g, a, loadA, at) {
-		return b, loadB, trial
+	if b != nil {
+		loadB := b.server.loadPerSlot(&p.cfg, g, b, at)
+		if p.rate(g, b, loadB, at) < p.rate(g, a, loadA, at) {
+			a, loadA = b, loadB
+		}
 	}
-	return a, loadA, false
+	return a, p.delay(g, a, loadA, want, at), false
 }
 
 // rate returns what a request would meet at the member: the load with the
@@ -141,6 +162,25 @@
 	return (load + 1/float64(m.slots)) * m.server.slowness(&p.cfg, at)
 }
 
+// delay returns how much later than at an idle average member a request would
+// be answered at this one: its wait for a slot, and what a slow one takes more.
+func (p *Picker) delay(g *group, m *member, load float64, want Want, at int64) time.Duration {
+	s := m.server
+	slots := s.slotsOr(m.slots)
+	typical := g.typical(want.Work)
+	waiting := max(0, load*slots+1-slots)
+	delay := waiting / slots * float64(s.workOr(typical))
+	if want.Patience > 0 {
+		delay += max(0, s.slowness(&p.cfg, at)-usualSpread) * float64(typical)
+	}
+	return time.Duration(delay)
+}
+
+// usualSpread is how many times slower than the average a server of a service
+// may seem without being thought slow: sound servers differ by that much, and a
+// few latencies tell it no better.
+const usualSpread = 2
+
 // draw returns a random member that may be used, other than not.
 func (p *Picker) draw(members []member, not *member, tried *Tried, at int64) (*member, bool) {
 	n := len(members)
--- a/coordination/balance/picker_test.go
+++ b/coordination/balance/picker_test.go
@@ -267,7 +267,7 @@
 					got++
 					mean = 150 * time.Millisecond
 				}
-				r := Result{Outcome: OK, Kind: model.KindInteractive, Latency: time.Duration(float64(mean) * math.Exp(rng.NormFloat64()))}
+				r := Result{Outcome: OK, Work: model.WorkOf(model.KindInteractive), Latency: time.Duration(float64(mean) * math.Exp(rng.NormFloat64()))}
 				if typical {
 					r.Typical = mean
 				}
@@ -286,8 +286,8 @@
 func TestKindsAreComparedApart(t *testing.T) {
 	p, s, rs := newPicker(), service(0.5), records(2)
 	for range 50 {
-		finish(t, p, start, s, rs, "a", Result{Outcome: OK, Kind: model.KindBulk, Latency: 400 * time.Millisecond}, 1)
-		finish(t, p, start, s, rs, "b", Result{Outcome: OK, Kind: model.KindInteractive, Latency: 50 * time.Millisecond}, 1)
+		finish(t, p, start, s, rs, "a", Result{Outcome: OK, Work: model.WorkOf(model.KindBulk), Latency: 400 * time.Millisecond}, 1)
+		finish(t, p, start, s, rs, "b", Result{Outcome: OK, Work: model.WorkOf(model.KindInteractive), Latency: 50 * time.Millisecond}, 1)
 	}
 	got := counts(t, p, start, s, rs, 1000)
 	must.Between(t, 400, got["a"], 600)
--- a/coordination/balance/policy_test.go
+++ b/coordination/balance/policy_test.go
@@ -304,11 +304,8 @@
 		{"no reports", picker(func(c *Config) { c.LoadTTL = 0 })},
 		{"reports 3 s", picker(func(c *Config) { c.LoadTTL = 3 * time.Second })},
 		{"no slow start", picker(func(c *Config) { c.ColdFloor = 1 })},
-		{"spill 0.5", picker(func(c *Config) { c.SpillLoad = 0.5 })},
-		{"spill 0.8", picker(func(c *Config) { c.SpillLoad = 0.8 })},
-		{"spill 1.5", picker(func(c *Config) { c.SpillLoad = 1.5 })},
 		{"no margin", picker(func(c *Config) { c.SpillMargin = 0 })},
-		{"no zones", picker(func(c *Config) { c.SpillLoad, c.SpillMargin = 0, 0 })},
+		{"margin 25 ms", picker(func(c *Config) { c.SpillMargin = 25 * time.Millisecond })},
 	}
 	for _, s := range scenarios {
 		if !*compare && math.IsInf(s.p99, 1) {
--- a/coordination/balance/server.go
+++ b/coordination/balance/server.go
@@ -23,9 +23,10 @@
 
 	others     atomic.Uint64 // float64: reported load that is not this node's own
 	slots      atomic.Int64  // reported slots; 0 when not known
+	work       atomic.Int64  // reported mean time that a request holds a slot; 0 when not known
 	reportedAt atomic.Int64
 
-	latency   atomic.Uint64 // float64: moving average of log2(latency / group's of the kind)
+	latency   atomic.Uint64 // float64: moving average of log2(latency / group's for such work)
 	latencyAt atomic.Int64
 	latencies atomic.Int32 // number of latencies, up to maxLatencies
 
@@ -46,10 +47,7 @@
 // heard of is neither idle nor full. A cold server counts as having fewer
 // slots.
 func (s *server) loadPerSlot(c *Config, g *group, m *member, at int64) float64 {
-	slots := float64(m.slots)
-	if n := s.slots.Load(); n > 0 {
-		slots = float64(n)
-	}
+	slots := s.slotsOr(m.slots)
 	own := float64(s.inFlight.Load())
 	load := max(own, floatOf(&g.stats.load)*slots)
 	if age := at - s.reportedAt.Load(); age < int64(c.LoadTTL) {
@@ -59,6 +57,23 @@
 	return load / (slots * s.warmth(c, g.slowStart(), at))
 }
 
+// slotsOr returns the reported slots, or else those given.
+func (s *server) slotsOr(otherwise int) float64 {
+	if n := s.slots.Load(); n > 0 {
+		return float64(n)
+	}
+	return float64(otherwise)
+}
+
+// workOr returns the reported mean time that a request holds a slot, or else
+// the one given.
+func (s *server) workOr(otherwise time.Duration) time.Duration {
+	if d := s.work.Load(); d > 0 {
+		return time.Duration(d)
+	}
+	return otherwise
+}
+
 // warmth returns the part of its full share that the server gets, from
 // ColdFloor to 1.
 func (s *server) warmth(c *Config, slowStart time.Duration, at int64) float64 {
@@ -93,6 +108,7 @@
 func (s *server) report(l Load, own int64, at int64) {
 	storeFloat(&s.others, max(0, float64(int64(l.Used+l.Queued)-own)))
 	s.slots.Store(int64(l.Slots))
+	s.work.Store(int64(l.Work))
 	s.reportedAt.Store(at)
 }
 
--- a/coordination/gate/enter.go
+++ b/coordination/gate/enter.go
@@ -47,7 +47,7 @@
 	case <-ctx.Done():
 	}
 	if !g.Cancel(w) && <-settled == "" {
-		g.Release(w.Request.Class, 0, clock())
+		g.Release(w.Request.Work, 0, clock())
 	}
 	if errors.Is(context.Cause(ctx), errWaited) {
 		return outcome.ReasonQueueFull
--- a/coordination/gate/estimate.go
+++ b/coordination/gate/estimate.go
@@ -1,10 +1,10 @@
 package gate
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/jacinthgate/jacinthgate/coordination/perwork"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
@@ -76,68 +76,21 @@
 	e.ticked = n
 }
 
-// maxClasses bounds the classes that are told apart: a configuration has a few,
-// and other nodes name them. Those beyond share one estimate for each kind.
-const maxClasses = 64
-
-// estimates are the service times of a backend server: by class, and over all.
+// estimates are the service times of a backend server: by sort of work, and over
+// all.
 type estimates struct {
-	all     estimate
-	classes atomic.Pointer[map[Class]*estimate]
-	mu      sync.Mutex // held by who adds a class
-}
-
-// of returns the estimate of a class. It takes a lock for a class's first
-// request only.
-func (e *estimates) of(c Class) *estimate {
-	if m := e.classes.Load(); m != nil {
-		if found := (*m)[c]; found != nil {
-			return found
-		}
-	}
-	return e.addClass(c)
+	perwork.Map[estimate]
+	all estimate
 }
 
-func (e *estimates) addClass(c Class) *estimate {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	grown := make(map[Class]*estimate)
-	if m := e.classes.Load(); m != nil {
-		for k, v := range *m {
-			grown[k] = v
-		}
-	}
-	if grown[c] == nil && len(grown) >= maxClasses {
-		c = Class{Kind: knownKind(c.Kind)}
-	}
-	if grown[c] == nil {
-		grown[c] = new(estimate)
-		e.classes.Store(&grown)
-	}
-	return grown[c]
-}
-
-// knownKind bounds the kinds that estimates are kept for.
-func knownKind(kind model.ClassKind) model.ClassKind {
-	switch kind {
-	case model.KindInteractive, model.KindNonRepeatable, model.KindBulk:
-		return kind
-	}
-	return model.KindEventual
-}
-
-// add notes what a request of a class took.
-func (e *estimates) add(c Class, took time.Duration) {
-	e.of(c).add(took)
+// add notes what a request took.
+func (e *estimates) add(w model.Work, took time.Duration) {
+	e.Of(w).add(took)
 	e.all.add(took)
 }
 
 // tick lets all estimates decay.
 func (e *estimates) tick() {
 	e.all.tick()
-	if m := e.classes.Load(); m != nil {
-		for _, v := range *m {
-			v.tick()
-		}
-	}
+	e.Each(func(_ model.Work, v *estimate) { v.tick() })
 }
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // Limits are what a backend server offers and what of it may be used.
@@ -75,9 +76,12 @@
 	return Load{Used: int(g.used.Load()), Slots: int(g.slots.Load()), Queued: int(g.waiting.Load())}
 }
 
-// Typical returns what requests of a class take on average; 0 before the first.
-func (g *Gate) Typical(c Class) time.Duration {
-	return time.Duration(g.times.of(c).typical.Load())
+// Work returns the mean time that a request holds a slot; 0 before the first.
+func (g *Gate) Work() time.Duration { return g.times.all.average() }
+
+// Typical returns what requests of a sort take on average; 0 before the first.
+func (g *Gate) Typical(w model.Work) time.Duration {
+	return time.Duration(g.times.Of(w).typical.Load())
 }
 
 // Update sets the limits. Slots that were taken away are not refilled as they
@@ -111,7 +115,7 @@
 // a slot and must call Release. On false it calls Acquire, which says why; Try
 // only spares a request that need not wait the making of a Waiter.
 func (g *Gate) Try(r Request, now time.Time) bool {
-	if g.closed.Load() || now.Add(g.times.of(r.Class).get()).After(r.Deadline) {
+	if g.closed.Load() || now.Add(g.times.Of(r.Work).get()).After(r.Deadline) {
 		return false
 	}
 	return g.waiting.Load() == 0 && g.take()
@@ -127,7 +131,7 @@
 	if g.closed.Load() {
 		return false, outcome.ReasonDraining
 	}
-	times := g.times.of(w.Request.Class)
+	times := g.times.Of(w.Request.Work)
 	if now.Add(times.get()).After(w.Request.Deadline) {
 		return false, outcome.ReasonDeadline
 	}
@@ -161,7 +165,7 @@
 		return false, reason
 	}
 	if g.queue.size >= g.limits.QueueLength && g.queue.size > 0 {
-		shed := g.queue.evict(w.Request.Class)
+		shed := g.queue.evict(w.Request.Work)
 		if shed == nil {
 			return false, outcome.ReasonQueueFull
 		}
@@ -188,7 +192,7 @@
 // to run it before its deadline, or no slot in time for when it is due. It is
 // empty when w may wait.
 func (g *Gate) late(w *Waiter, now time.Time) outcome.Reason {
-	service := g.times.of(w.Request.Class).get()
+	service := g.times.Of(w.Request.Work).get()
 	ahead, slots := g.queue.ahead(w), max(1, int(g.slots.Load()))
 	wait := time.Duration(ahead/slots) * service
 	if now.Add(wait + service).After(w.Request.Deadline) {
@@ -224,7 +228,7 @@
 // little from the others, and the short calls of a request that is running waste
 // its run when they are refused.
 func (g *Gate) waitBound(w *Waiter, now time.Time) time.Time {
-	work, target := g.times.of(w.Request.Class).average(), w.Request.Class.Target
+	work, target := g.times.Of(w.Request.Work).average(), w.Request.Work.Target
 	if work == 0 || target == 0 {
 		return w.latest // nothing is known to bound it by
 	}
@@ -248,9 +252,9 @@
 
 // Release returns a slot. took is the time the request held it; 0 when the
 // backend server did not run it.
-func (g *Gate) Release(c Class, took time.Duration, now time.Time) {
+func (g *Gate) Release(w model.Work, took time.Duration, now time.Time) {
 	if took > 0 {
-		g.times.add(c, took)
+		g.times.add(w, took)
 	}
 	g.used.Add(-1)
 	if g.waiting.Load() == 0 {
@@ -278,7 +282,7 @@
 // those before it.
 func (g *Gate) nextInTime(now time.Time) *Waiter {
 	for w := g.queue.pop(); w != nil; w = g.queue.pop() {
-		if !now.Add(g.times.of(w.Request.Class).get()).After(w.Request.Deadline) {
+		if !now.Add(g.times.Of(w.Request.Work).get()).After(w.Request.Deadline) {
 			return w
 		}
 		w.Settle(outcome.ReasonDeadline)
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -20,7 +20,7 @@
 
 // waiter returns a waiter that appends its name and result to log.
 func waiter(kind model.ClassKind, deadline time.Duration, name string, log *[]string) *Waiter {
-	return &Waiter{Request: Request{Class: OfKind(kind), Deadline: start.Add(deadline)}, Settle: func(r outcome.Reason) {
+	return &Waiter{Request: Request{Work: model.WorkOf(kind), Deadline: start.Add(deadline)}, Settle: func(r outcome.Reason) {
 		if r == "" {
 			r = settledOK
 		}
@@ -33,7 +33,7 @@
 	g := New()
 	g.Update(l, start)
 	for range l.usable(start) {
-		ok, _ := g.Acquire(&Waiter{Request: Request{Class: OfKind(model.KindInteractive), Deadline: start.Add(time.Hour)}}, start)
+		ok, _ := g.Acquire(&Waiter{Request: Request{Work: model.WorkOf(model.KindInteractive), Deadline: start.Add(time.Hour)}}, start)
 		must.True(t, ok)
 	}
 	return g
@@ -56,7 +56,7 @@
 	_, reason := g.Acquire(waiter(model.KindBulk, time.Hour, "late", &log), start)
 	must.Eq(t, outcome.ReasonQueueFull, reason)
 	for range 4 {
-		g.Release(OfKind(model.KindInteractive), 0, start)
+		g.Release(model.WorkOf(model.KindInteractive), 0, start)
 	}
 	must.Eq(t, []string{"eventual shed", "booking slot", "first slot", "second slot", "bulk slot"}, log)
 }
@@ -70,7 +70,7 @@
 		_, _ = g.Acquire(waiter(model.KindInteractive, time.Hour, "screen", &log), start)
 	}
 	for range fairEvery {
-		g.Release(OfKind(model.KindInteractive), 0, start)
+		g.Release(model.WorkOf(model.KindInteractive), 0, start)
 	}
 	must.Eq(t, "eventual slot", log[fairEvery-1])
 }
@@ -117,7 +117,7 @@
 	for range 100 {
 		ok, _ := g.Acquire(waiter(model.KindBulk, time.Hour, "", &log), start)
 		must.True(t, ok)
-		g.Release(OfKind(model.KindBulk), time.Second, start)
+		g.Release(model.WorkOf(model.KindBulk), time.Second, start)
 	}
 	_, reason := g.Acquire(waiter(model.KindBulk, 100*time.Millisecond, "", &log), start)
 	must.Eq(t, outcome.ReasonDeadline, reason)
@@ -125,7 +125,7 @@
 	// completes.
 	ok, _ := g.Acquire(waiter(model.KindInteractive, 100*time.Millisecond, "", &log), start)
 	must.True(t, ok)
-	g.Release(OfKind(model.KindInteractive), 0, start)
+	g.Release(model.WorkOf(model.KindInteractive), 0, start)
 	for range 30 {
 		g.Tick(start)
 	}
@@ -133,7 +133,7 @@
 	must.True(t, ok)
 	// A waiter whose time has passed is refused when its turn comes.
 	_, _ = g.Acquire(waiter(model.KindBulk, time.Second, "waits", &log), start)
-	g.Release(OfKind(model.KindBulk), 0, start.Add(2*time.Second))
+	g.Release(model.WorkOf(model.KindBulk), 0, start.Add(2*time.Second))
 	must.Eq(t, []string{"waits deadline"}, log)
 	must.Eq(t, Load{Slots: 1}, g.Load())
 }
@@ -150,7 +150,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0, 1:
-				w := &Waiter{Request: Request{Class: OfKind(rapid.SampledFrom(kinds).Draw(t, "kind")), Deadline: start.Add(time.Hour)}}
+				w := &Waiter{Request: Request{Work: model.WorkOf(rapid.SampledFrom(kinds).Draw(t, "kind")), Deadline: start.Add(time.Hour)}}
 				w.Settle = func(r outcome.Reason) {
 					must.True(t, waiting[w], must.Sprint("settled twice or unasked"))
 					delete(waiting, w)
@@ -168,7 +168,7 @@
 			case 2:
 				if holding > 0 {
 					holding--
-					g.Release(OfKind(model.KindBulk), 0, start)
+					g.Release(model.WorkOf(model.KindBulk), 0, start)
 				}
 			case 3:
 				for w := range waiting {
@@ -200,7 +200,7 @@
 		wg.Go(func() {
 			for range 200 {
 				settled := make(chan outcome.Reason, 1)
-				w := &Waiter{Request: Request{Class: OfKind(model.KindBulk), Deadline: start.Add(time.Hour)}, Settle: func(r outcome.Reason) { settled <- r }}
+				w := &Waiter{Request: Request{Work: model.WorkOf(model.KindBulk), Deadline: start.Add(time.Hour)}, Settle: func(r outcome.Reason) { settled <- r }}
 				ok, reason := g.Acquire(w, start)
 				if !ok && reason == "" {
 					if rand.IntN(8) == 0 && g.Cancel(w) {
@@ -212,7 +212,7 @@
 				must.LessEq(t, slots, running.Add(1))
 				running.Add(-1)
 				done.Add(1)
-				g.Release(w.Request.Class, 0, start)
+				g.Release(w.Request.Work, 0, start)
 			}
 		})
 	}
--- a/coordination/gate/load_test.go
+++ b/coordination/gate/load_test.go
@@ -16,8 +16,8 @@
 
 // stream is a load of requests of one class at one gate.
 type stream struct {
-	class    Class
-	work     time.Duration // mean, spread over half of it to one and a half
+	work     model.Work
+	takes    time.Duration // mean, spread over half of it to one and a half
 	rate     float64       // requests a second
 	deadline time.Duration
 
@@ -37,7 +37,7 @@
 			go func() {
 				for ctx.Err() == nil {
 					time.Sleep(time.Duration(rnd.ExpFloat64() / s.rate * float64(time.Second)))
-					work := time.Duration((0.5 + rnd.Float64()) * float64(s.work))
+					work := time.Duration((0.5 + rnd.Float64()) * float64(s.takes))
 					go s.request(g, work)
 				}
 			}()
@@ -52,16 +52,16 @@
 
 func (s *stream) request(g *Gate, work time.Duration) {
 	began := time.Now()
-	due, deadline := began.Add(s.class.Target), began.Add(s.deadline)
+	due, deadline := began.Add(s.work.Target), began.Add(s.deadline)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	s.asked.Add(1)
-	if reason := g.Enter(ctx, Request{Class: s.class, Deadline: deadline, Due: due}, time.Now); reason != "" {
+	if reason := g.Enter(ctx, Request{Work: s.work, Deadline: deadline, Due: due}, time.Now); reason != "" {
 		s.refused.Add(1)
 		return
 	}
 	time.Sleep(work)
-	g.Release(s.class, work, time.Now())
+	g.Release(s.work, work, time.Now())
 	if time.Now().After(due) {
 		s.late.Add(1)
 		return
@@ -77,8 +77,8 @@
 // calls are refused, with four slots at least 0.097, and 0.027 where waits follow
 // the work of a class.
 func TestShortCallsPassNewRequestsUnderOverload(t *testing.T) {
-	calls := &stream{class: Class{Kind: model.KindInteractive, Rank: 1, Target: 120 * time.Millisecond}, work: 30 * time.Millisecond, rate: 60, deadline: 400 * time.Millisecond}
-	fresh := &stream{class: Class{Kind: model.KindNonRepeatable, Rank: 1, Target: 500 * time.Millisecond}, work: 180 * time.Millisecond, rate: 60, deadline: 1200 * time.Millisecond}
+	calls := &stream{work: model.Work{Kind: model.KindInteractive, Rank: 1, Target: 120 * time.Millisecond}, takes: 30 * time.Millisecond, rate: 60, deadline: 400 * time.Millisecond}
+	fresh := &stream{work: model.Work{Kind: model.KindNonRepeatable, Rank: 1, Target: 500 * time.Millisecond}, takes: 180 * time.Millisecond, rate: 60, deadline: 1200 * time.Millisecond}
 	play(t, 9, calls, fresh)
 	t.Logf("calls: %d asked, %d in time, %d late, %d refused", calls.asked.Load(), calls.inTime.Load(), calls.late.Load(), calls.refused.Load())
 	t.Logf("new: %d asked, %d in time, %d late, %d refused", fresh.asked.Load(), fresh.inTime.Load(), fresh.late.Load(), fresh.refused.Load())
@@ -91,8 +91,8 @@
 // What an operator ranks first is served first: with both classes pressing
 // together at 1.7 times the slots, the first is served nearly whole.
 func TestRankGoesFirstUnderOverload(t *testing.T) {
-	first := &stream{class: Class{Kind: model.KindInteractive, Rank: 0, Target: 600 * time.Millisecond}, work: 150 * time.Millisecond, rate: 30, deadline: time.Second}
-	second := &stream{class: Class{Kind: model.KindNonRepeatable, Rank: 2, Target: 300 * time.Millisecond}, work: 150 * time.Millisecond, rate: 60, deadline: time.Second}
+	first := &stream{work: model.Work{Kind: model.KindInteractive, Rank: 0, Target: 600 * time.Millisecond}, takes: 150 * time.Millisecond, rate: 30, deadline: time.Second}
+	second := &stream{work: model.Work{Kind: model.KindNonRepeatable, Rank: 2, Target: 300 * time.Millisecond}, takes: 150 * time.Millisecond, rate: 60, deadline: time.Second}
 	play(t, 8, first, second)
 	must.Greater(t, 0.97, share(&first.inTime, &first.asked))
 	must.Greater(t, 0.2, share(&second.inTime, &second.asked))
@@ -101,7 +101,7 @@
 // A request that was told to be refused at once never waits first.
 func TestRefusalForAFullQueueComesAtOnce(t *testing.T) {
 	g := busy(t, 1) // a slot becomes free each 200 ms
-	w := &Waiter{Request: Request{Class: OfKind(model.KindInteractive), Deadline: start.Add(time.Hour), Due: start.Add(300 * time.Millisecond)}}
+	w := &Waiter{Request: Request{Work: model.WorkOf(model.KindInteractive), Deadline: start.Add(time.Hour), Due: start.Add(300 * time.Millisecond)}}
 	_, reason := g.Acquire(w, start)
 	must.Eq(t, outcome.ReasonQueueFull, reason)
 	must.Eq(t, 0, g.Load().Queued)
--- a/coordination/gate/queue.go
+++ b/coordination/gate/queue.go
@@ -5,8 +5,21 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
+// Request is what a gate needs to know of a request.
+type Request struct {
+	// Work is the request's sort of work.
+	Work model.Work
+	// Deadline is when the caller stops to wait.
+	Deadline time.Time
+	// Due is when the answer should be there; zero when nothing is known. A
+	// request that can't start in time for that is refused, so that its caller
+	// can come back elsewhere and others are not late as well.
+	Due time.Time
+}
+
 // fairEvery is how often the longest waiting request goes first, whatever its
 // rank, so that the less important ones are slowed down but not starved.
 const fairEvery = 8
@@ -42,7 +55,7 @@
 // queue orders waiters by rank, then by the time that they have. It is not safe
 // for concurrent use.
 type queue struct {
-	lists [NumRanks]list.List
+	lists [model.NumRanks]list.List
 	size  int
 	next  uint64
 	pops  uint64
@@ -51,7 +64,7 @@
 func (q *queue) push(w *Waiter) {
 	q.next++
 	w.number = q.next
-	l := &q.lists[w.Request.Class.place()]
+	l := &q.lists[w.Request.Work.Place()]
 	q.size++
 	for e := l.Back(); e != nil; e = e.Prev() {
 		if e.Value.(*Waiter).before(w) {
@@ -67,7 +80,7 @@
 	if w.place == nil {
 		return false
 	}
-	q.lists[w.Request.Class.place()].Remove(w.place)
+	q.lists[w.Request.Work.Place()].Remove(w.place)
 	w.place = nil
 	q.size--
 	return true
@@ -110,9 +123,9 @@
 }
 
 // evict takes the last waiter of the lowest rank, if that one is below the
-// class's.
-func (q *queue) evict(c Class) *Waiter {
-	for i := NumRanks - 1; i > c.place(); i-- {
+// given one's.
+func (q *queue) evict(work model.Work) *Waiter {
+	for i := model.NumRanks - 1; i > work.Place(); i-- {
 		if e := q.lists[i].Back(); e != nil {
 			w := e.Value.(*Waiter)
 			q.remove(w)
@@ -124,7 +137,7 @@
 
 // ahead returns the number of waiters that go before w, which may be new.
 func (q *queue) ahead(w *Waiter) int {
-	place, n := w.Request.Class.place(), 0
+	place, n := w.Request.Work.Place(), 0
 	for i := range place {
 		n += q.lists[i].Len()
 	}
--- a/coordination/gate/wait_test.go
+++ b/coordination/gate/wait_test.go
@@ -16,7 +16,7 @@
 func busy(t *testing.T, slots int) *Gate {
 	g := full(t, Limits{Slots: slots, Connections: slots, QueueLength: 100})
 	for range 64 {
-		g.times.add(OfKind(model.KindInteractive), 200*time.Millisecond)
+		g.times.add(model.WorkOf(model.KindInteractive), 200*time.Millisecond)
 	}
 	return g
 }
@@ -45,16 +45,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := New()
 		g.Update(Limits{Slots: 1, Connections: 1, QueueLength: 4}, time.Now())
-		must.True(t, g.Try(Request{Class: OfKind(model.KindInteractive), Deadline: time.Now().Add(time.Hour)}, time.Now()))
+		must.True(t, g.Try(Request{Work: model.WorkOf(model.KindInteractive), Deadline: time.Now().Add(time.Hour)}, time.Now()))
 		began := time.Now()
 		until := began.Add(150 * time.Millisecond)
-		reason := g.Enter(context.Background(), Request{Class: OfKind(model.KindInteractive), Deadline: began.Add(time.Second), Due: until}, time.Now)
+		reason := g.Enter(context.Background(), Request{Work: model.WorkOf(model.KindInteractive), Deadline: began.Add(time.Second), Due: until}, time.Now)
 		must.Eq(t, outcome.ReasonQueueFull, reason)
 		must.Eq(t, 150*time.Millisecond, time.Since(began))
 		must.Eq(t, 0, g.Load().Queued)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		reason = g.Enter(ctx, Request{Class: OfKind(model.KindInteractive), Deadline: time.Now().Add(time.Second)}, time.Now)
+		reason = g.Enter(ctx, Request{Work: model.WorkOf(model.KindInteractive), Deadline: time.Now().Add(time.Second)}, time.Now)
 		must.Eq(t, outcome.ReasonDeadline, reason)
 	})
 }
@@ -63,9 +63,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := New()
 		g.Update(Limits{Slots: 1, Connections: 1, QueueLength: 4}, time.Now())
-		must.True(t, g.Try(Request{Class: OfKind(model.KindInteractive), Deadline: time.Now().Add(time.Hour)}, time.Now()))
-		time.AfterFunc(100*time.Millisecond, func() { g.Release(OfKind(model.KindInteractive), 100*time.Millisecond, time.Now()) })
-		reason := g.Enter(context.Background(), Request{Class: OfKind(model.KindInteractive), Deadline: time.Now().Add(time.Second), Due: time.Now().Add(150 * time.Millisecond)}, time.Now)
+		must.True(t, g.Try(Request{Work: model.WorkOf(model.KindInteractive), Deadline: time.Now().Add(time.Hour)}, time.Now()))
+		time.AfterFunc(100*time.Millisecond, func() { g.Release(model.WorkOf(model.KindInteractive), 100*time.Millisecond, time.Now()) })
+		reason := g.Enter(context.Background(), Request{Work: model.WorkOf(model.KindInteractive), Deadline: time.Now().Add(time.Second), Due: time.Now().Add(150 * time.Millisecond)}, time.Now)
 		must.Eq(t, "", reason)
 		must.Eq(t, 1, g.Load().Used)
 	})
--- /dev/null
+++ b/coordination/perwork/perwork_test.go
@@ -0,0 +1,26 @@
+package perwork
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// Whatever sorts other nodes name, the map stays bounded, and those seen first
+// keep a value of their own.
+func TestSortsAreBounded(t *testing.T) {
+	var m Map[int]
+	first := model.Work{Kind: model.KindInteractive, Rank: 1, Target: time.Millisecond}
+	*m.Of(first) = 7
+	for i := range 10 * Most {
+		*m.Of(model.Work{Kind: model.ClassKind(rune('a' + i)), Rank: i})++
+	}
+	n := 0
+	m.Each(func(model.Work, *int) { n++ })
+	must.LessEq(t, Most+model.NumKinds, n)
+	must.Eq(t, 7, *m.Of(first))
+	must.Eq(t, 10*Most-Most+1, *m.Of(model.Work{Kind: "unheard", Rank: 99}))
+}
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -217,6 +217,6 @@
 		Latency: x.last.latency,
 		Outcome: o,
 		Load:    x.last.load,
-		Kind:    x.plan.match.Class.Kind,
+		Work:    model.WorkOf(x.plan.match.Class.Kind),
 	})
 }
--- a/transport/gate/gate.go
+++ b/transport/gate/gate.go
@@ -178,7 +178,7 @@
 		if ran {
 			took = end.Sub(started)
 		}
-		g.core.Release(core.OfKind(call.kind), took, end)
+		g.core.Release(model.WorkOf(call.kind), took, end)
 	}()
 	ran = g.forward(ctx, w, r, call)
 }
@@ -218,7 +218,7 @@
 
 // acquire takes a slot, waiting for one if need be.
 func (g *Gate) acquire(ctx context.Context, c call) *forward.Refusal {
-	reason := g.core.Enter(ctx, core.Request{Class: core.OfKind(c.kind), Deadline: c.deadline}, g.cfg.Now)
+	reason := g.core.Enter(ctx, core.Request{Work: model.WorkOf(c.kind), Deadline: c.deadline}, g.cfg.Now)
 	if reason == "" {
 		return nil
 	}
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -17,6 +17,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"github.com/jacinthgate/jacinthgate/coordination/balance"
 	core "github.com/jacinthgate/jacinthgate/coordination/gate"
 	"github.com/jacinthgate/jacinthgate/coordination/pace"
 	"github.com/jacinthgate/jacinthgate/protocol/dialect"
@@ -184,7 +185,7 @@
 	}
 	// The backend server may have left while the request waited.
 	if i := g.cfg.Instance(); i == nil || i.ID != c.instance.ID || g.left(i, g.cfg.Now()) {
-		g.core.Release(c.Class, 0, g.cfg.Now())
+		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonDraining, false), nil
 	}
 	return g.send(req, c), nil
@@ -212,7 +213,7 @@
 	if err != nil {
 		return c, outcome.ReasonMalformed
 	}
-	c.Class = core.Class{Kind: model.ClassKind(h.Get(outcome.HeaderKind)), Rank: u.Rank, Target: u.Target}
+	c.Work = model.Work{Kind: model.ClassKind(h.Get(outcome.HeaderKind)), Rank: u.Rank, Target: u.Target}
 	c.Due = now.Add(u.Left)
 	return c, ""
 }
@@ -235,7 +236,7 @@
 	})
 	done := func(took time.Duration) {
 		cancel()
-		g.core.Release(c.Class, took, g.cfg.Now())
+		g.core.Release(c.Work, took, g.cfg.Now())
 	}
 	resp, err := forward.Send(g.cfg.Backend, out, nil)
 	if err != nil {
@@ -256,11 +257,11 @@
 		h[outcome.HeaderReached] = reachedValue
 		bodyless := resp.Body == http.NoBody
 		resp.Body = &slotBody{ReadCloser: resp.Body, done: func() { done(g.cfg.Now().Sub(started)) }}
-		if c.Class.Kind == model.KindBulk && !bodyless && !g.holdWhole(resp) {
+		if c.Work.Kind == model.KindBulk && !bodyless && !g.holdWhole(resp) {
 			return g.unknown(req, outcome.ReasonBackendFailed)
 		}
 		g.stamp(h)
-		if typical := g.core.Typical(c.Class); typical > 0 {
+		if typical := g.core.Typical(c.Work); typical > 0 {
 			h[outcome.HeaderTypical] = []string{strconv.FormatInt(typical.Microseconds(), 10)}
 		}
 		return resp
@@ -342,5 +343,6 @@
 // stamp tells the load with every answer.
 func (g *Gate) stamp(h http.Header) {
 	l := g.core.Load()
-	h[outcome.HeaderLoad] = []string{strconv.Itoa(l.Used) + "/" + strconv.Itoa(max(1, l.Slots)) + "/" + strconv.Itoa(l.Queued)}
+	told := balance.Load{Used: l.Used, Slots: max(1, l.Slots), Queued: l.Queued, Work: g.core.Work()}
+	h[outcome.HeaderLoad] = []string{told.String()}
 }
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -171,9 +171,14 @@
 			return c, nil
 		}
 	}
-	return x.p.cfg.Balance.Pick(now, x.service, servers, &x.tried)
+	want := balance.Want{Work: x.work(), Patience: max(0, x.due().Sub(now)/patiencePart)}
+	return x.p.cfg.Balance.PickFor(now, x.service, servers, &x.tried, want)
 }
 
+// patiencePart is the part of the time until its answer is due that a request
+// may be delayed by the load of a near server before one in another zone is taken.
+const patiencePart = 4
+
 func (x *exchange) candidates() []endpoint.Record {
 	if view := x.p.cfg.View(); view != nil {
 		return view.Service(x.service.Name)
@@ -218,6 +223,11 @@
 	return out
 }
 
+// work returns the request's sort of work.
+func (x *exchange) work() model.Work {
+	return model.Work{Kind: x.route.Kind, Rank: x.route.Priority, Target: x.route.Target}
+}
+
 // due returns when the answer should be there.
 func (x *exchange) due() time.Time {
 	due := x.began.Add(x.route.Target)
@@ -252,7 +262,7 @@
 // take reads the gate's response and reports whether it answers the request.
 func (x *exchange) take(choice balance.Choice, resp *http.Response, took time.Duration) bool {
 	h := resp.Header
-	result := balance.Result{Latency: took, Kind: x.route.Kind, Typical: typical(h)}
+	result := balance.Result{Latency: took, Work: x.work(), Typical: typical(h)}
 	if l, err := balance.ParseLoad(h.Get(outcome.HeaderLoad)); err == nil {
 		result.Load = &l
 	}
