Pack the heads of messages between zones

Ruled out: HTTP/2 between nodes (its client may send again, and one lost packet holds up all requests of a connection), compression of whole streams (bodies don't compress, and a window a connection takes memory that the hosts lack). Change: transport/headpack wraps a connection and encodes heads by HPACK (golang.org/x/net/http2/hpack); what doesn't look like a head passes as it is, so the bytes that come out are the same, whatever they are. Connections to other zones pack; gates accept both kinds.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -206,10 +206,13 @@
 	toGates.DialTimeout = gateDialTimeout
 	toGates.IdlePerHost = idlePerHost
 	toGates.LocalIP = n.localIP()
+	toZones := toGates
+	toZones.PackHeads = true
 	seed := rand.Uint64()
 	n.loop.picker = balance.New(balance.DefaultConfig(), n.set.Zone, n.set.Region, seed)
 	n.proxy = outbound.New(outbound.Config{
 		Self:          n.set.Node,
+		Zone:          n.set.Zone,
 		Table:         n.pub.table.Load,
 		View:          n.pub.view.Load,
 		CallerService: n.callerService,
@@ -218,7 +221,8 @@
 		Budget:        n.budget,
 		Dialect:       speech,
 		Local:         n.gate,
-		Remote:        forward.NewClient(toGates),
+		Near:          forward.NewClient(toGates),
+		Far:           forward.NewClient(toZones),
 		MaxKept:       maxKept,
 		Seed:          seed,
 		Metrics:       n.metrics,
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/transport/callers"
+	"github.com/jacinthgate/jacinthgate/transport/headpack"
 	"github.com/jacinthgate/jacinthgate/transport/listen"
 )
 
@@ -47,6 +48,8 @@
 type server struct {
 	http httpServer
 	ln   *listen.Listener
+	// wrap is put around ln; nil is nothing.
+	wrap func(net.Listener) net.Listener
 }
 
 // addPlain adds a server of net/http.
@@ -111,7 +114,11 @@
 
 // serve serves until the server is shut down or closed.
 func (s *server) serve() error {
-	err := s.http.Serve(s.ln)
+	var ln net.Listener = s.ln
+	if s.wrap != nil {
+		ln = s.wrap(ln)
+	}
+	err := s.http.Serve(ln)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -130,6 +137,7 @@
 	n.front = callers.New(callers.Config{Handler: n.proxy, Limits: n.callerLimits, Ahead: requestsAhead, Logger: n.log})
 	n.callers = n.add(listenCallers, n.front)
 	n.gates = n.addPlain(listenGate, n.gate)
+	n.gates.wrap = func(ln net.Listener) net.Listener { return headpack.Listener{Listener: ln} }
 	n.addPlain(listenReady, n.readyHandler())
 	n.addPlain(listenBackend, platform.BackendHandler(n.backends, func(err error) {
 		_ = level.Warn(n.log).Log("event", "heartbeat_unreadable", "err", err)
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/jacinthgate/jacinthgate/transport/headpack"
 )
 
 // ClientConfig configures NewClient.
@@ -23,6 +25,9 @@
 	// ContinueTimeout is how long to wait for "100 Continue" before the body
 	// is sent all the same.
 	ContinueTimeout time.Duration
+	// PackHeads makes heads small on connections without TLS, by package
+	// headpack. The servers must accept such connections.
+	PackHeads bool
 	// Foreign reports whether a response belongs to another request than req:
 	// a late second answer to an earlier one. It is read to its end and
 	// skipped. Nil holds every response to be the request's own.
@@ -122,7 +127,14 @@
 		return nil, err
 	}
 	tracked := &trackedConn{Conn: raw}
-	if key.scheme != "https" {
+	switch {
+	case key.scheme == "https":
+	case c.cfg.PackHeads:
+		packed := headpack.Client(tracked)
+		conn := newClientConn(key, tracked, packed)
+		conn.packed = packed
+		return conn, nil
+	default:
 		return newClientConn(key, tracked, tracked), nil
 	}
 	secured := tls.Client(tracked, c.tlsConfig(key.addr))
--- a/transport/forward/client_conn.go
+++ b/transport/forward/client_conn.go
@@ -9,6 +9,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/jacinthgate/jacinthgate/transport/headpack"
 )
 
 const (
@@ -26,9 +28,11 @@
 type clientConn struct {
 	key  connKey
 	raw  *trackedConn
-	conn net.Conn // raw, or TLS over it
-	br   *bufio.Reader
-	bw   *bufio.Writer
+	conn net.Conn // raw, or TLS or packed heads over it
+	// packed is conn where heads are packed, or else nil.
+	packed *headpack.Conn
+	br     *bufio.Reader
+	bw     *bufio.Writer
 	// headLeft bounds the reading of a head; 0 is no bound.
 	headLeft int64
 	// idleSince is when it became idle. The pool's lock guards it.
@@ -85,7 +89,7 @@
 // usable reports whether an idle connection is still open and silent. A server
 // that has closed it, or has sent what nobody asked for, makes it unusable.
 func (c *clientConn) usable() bool {
-	if c.br.Buffered() > 0 {
+	if c.leftover() {
 		return false
 	}
 	if c.socket == nil {
@@ -98,6 +102,11 @@
 	return c.quiet
 }
 
+// leftover reports whether bytes were received that belong to no response.
+func (c *clientConn) leftover() bool {
+	return c.br.Buffered() > 0 || c.packed != nil && c.packed.Pending()
+}
+
 // lookAt looks for bytes or the end of the connection without waiting.
 func (c *clientConn) lookAt(fd uintptr) bool {
 	var b [1]byte
--- a/transport/forward/trip.go
+++ b/transport/forward/trip.go
@@ -130,7 +130,7 @@
 func (x *trip) end(reuse bool) {
 	reuse = reuse && !x.spoiled && (x.upload == nil || x.upload.whole())
 	watched := x.stop()
-	if reuse && watched && x.conn.br.Buffered() == 0 {
+	if reuse && watched && !x.conn.leftover() {
 		x.client.pool.put(x.conn)
 		return
 	}
--- /dev/null
+++ b/transport/headpack/headpack_test.go
@@ -0,0 +1,243 @@
+package headpack
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// countedConn counts what is written to it.
+type countedConn struct {
+	net.Conn
+	written int
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.written += len(p)
+	return c.Conn.Write(p)
+}
+
+// pair returns both ends of a packed connection, and what the client's end
+// counts.
+func pair(t *testing.T) (client, server *Conn, sent *countedConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	a, err := net.Dial("tcp", ln.Addr().String())
+	must.NoError(t, err)
+	b, err := ln.Accept()
+	must.NoError(t, err)
+	t.Cleanup(func() { _, _ = a.Close(), b.Close() })
+	sent = &countedConn{Conn: a}
+	return Client(sent), Server(b), sent
+}
+
+// pass writes p at one end, reads as many bytes at the other and checks that
+// they are the same.
+func pass(t *testing.T, from, to *Conn, p []byte) {
+	t.Helper()
+	done := make(chan error, 1)
+	go func() {
+		_, err := from.Write(p)
+		done <- err
+	}()
+	got := make([]byte, len(p))
+	_, err := io.ReadFull(to, got)
+	must.NoError(t, err)
+	must.NoError(t, <-done)
+	must.Eq(t, string(p), string(got))
+	must.False(t, to.Pending())
+}
+
+// request is a head as nodes send it; ids and times differ from one to the next.
+func request(rnd *rand.Rand) string {
+	hosts := []string{"screens.example", "desk.example"}
+	id := func() string { return strconv.FormatUint(rnd.Uint64()|1<<63, 16) }
+	return "GET /status/" + id()[:6] + " HTTP/1.1\r\nHost: " + hosts[rnd.IntN(2)] +
+		"\r\nAccept: */*\r\nAccept-Encoding: identity\r\nJacinthgate-Caller: status" +
+		"\r\nJacinthgate-Deadline: " + strconv.Itoa(rnd.IntN(1000)) +
+		"\r\nJacinthgate-Instance: i-2ecfe3c95f\r\nJacinthgate-Kind: interactive\r\nJacinthgate-Service: status" +
+		"\r\nJacinthgate-Urgency: " + strconv.Itoa(rnd.IntN(400)) + "/400/2\r\nUser-Agent: screen/1.9.3" +
+		"\r\nX-Deadline-Ms: " + strconv.Itoa(rnd.IntN(1000)) + "\r\nX-Request-Id: " + id() + "\r\n\r\n"
+}
+
+func response(rnd *rand.Rand) string {
+	return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(rnd.IntN(9000)) +
+		"\r\nContent-Type: application/octet-stream\r\nDate: Wed, 02 Dec 2026 21:04:" + strconv.Itoa(10+rnd.IntN(50)) + " GMT" +
+		"\r\nJacinthgate-Load: " + strconv.Itoa(rnd.IntN(9)) + "/9/0/" + strconv.Itoa(rnd.IntN(200000)) +
+		"\r\nJacinthgate-Outcome: answered\r\nJacinthgate-Reached: 1\r\nJacinthgate-Typical-Micros: " + strconv.Itoa(rnd.IntN(200000)) +
+		"\r\nX-Request-Id: " + strconv.FormatUint(rnd.Uint64()|1<<63, 16) + "\r\n\r\n"
+}
+
+// Heads between two nodes are 352 and 271 bytes as text here. Packed they take 58
+// and 72 in the mean over a hundred on one connection, the first ones included.
+func TestHeadsBecomeSmall(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for _, tc := range []struct {
+		head func(*rand.Rand) string
+		most int
+	}{{request, 75}, {response, 80}} {
+		client, server, sent := pair(t)
+		plain := 0
+		const heads = 100
+		for range heads {
+			head := tc.head(rnd)
+			plain += len(head)
+			pass(t, client, server, []byte(head))
+		}
+		t.Logf("%d bytes plain, %d packed", plain/heads, sent.written/heads)
+		must.Less(t, tc.most, sent.written/heads)
+	}
+}
+
+// Values that don't repeat don't push out those that do.
+func TestTableKeepsWhatRepeats(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(3, 4))
+	client, server, sent := pair(t)
+	for range 2000 {
+		pass(t, client, server, []byte(request(rnd)))
+	}
+	before := sent.written
+	pass(t, client, server, []byte(request(rnd)))
+	must.Less(t, 75, sent.written-before)
+}
+
+// What is no head passes as it is, and so does a head that would not come out
+// the same.
+func TestOtherBytesPassAsTheyAre(t *testing.T) {
+	for _, text := range []string{
+		"x", "\x01\x02\x00", strings.Repeat("A", 100_000), "GET / HTTP/1.1\r\nHost: h\r\n", "GET / HTTP/1.0\r\n\r\n",
+		"GET / HTTP/1.1\r\nNo-Space:v\r\n\r\n", "GET / HTTP/1.1\r\n:m: x\r\n\r\n", "HTTP/1.1 \r\n\r\n", " HTTP/1.1\r\n\r\n",
+		"GET / HTTP/1.1\r\nEmpty: \r\nSpaces:   v  \r\nBare\r: \n\r\n\r\nbody",
+		"GET / HTTP/1.1\r\nLong: " + strings.Repeat("v", 5000) + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nHTTP/1.1 2", "HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+	} {
+		client, server, _ := pair(t)
+		for range 3 {
+			pass(t, client, server, []byte(text))
+			pass(t, server, client, []byte(text))
+		}
+	}
+}
+
+// A server answers whoever doesn't pack without packing.
+func TestPlainPeerIsAnsweredPlainly(t *testing.T) {
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	}))
+	s.Listener = Listener{s.Listener}
+	s.Start()
+	defer s.Close()
+	for range 3 {
+		resp, err := http.Post(s.URL, "text/plain", strings.NewReader("hello"))
+		must.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		must.NoError(t, err)
+		must.Eq(t, "hello", string(body))
+		must.NoError(t, resp.Body.Close())
+	}
+}
+
+// A read that ends at its deadline loses nothing: servers end reads so.
+func TestReadIsTakenUpAgain(t *testing.T) {
+	client, server, sent := pair(t)
+	var wire bytes.Buffer
+	record := Client(&writerConn{&wire})
+	head := request(rand.New(rand.NewPCG(5, 6)))
+	_, err := record.Write([]byte(head + "body"))
+	must.NoError(t, err)
+	var got []byte
+	for _, b := range wire.Bytes() {
+		_, err := sent.Write([]byte{b})
+		must.NoError(t, err)
+		must.NoError(t, server.SetReadDeadline(time.Now().Add(2*time.Millisecond)))
+		p := make([]byte, 4096)
+		n, err := server.Read(p)
+		if err != nil {
+			must.True(t, errors.Is(err, os.ErrDeadlineExceeded))
+		}
+		got = append(got, p[:n]...)
+	}
+	must.NoError(t, server.SetReadDeadline(time.Time{}))
+	rest := make([]byte, len(head)+4-len(got))
+	_, err = io.ReadFull(server, rest)
+	must.NoError(t, err)
+	must.Eq(t, head+"body", string(got)+string(rest))
+	_ = client
+}
+
+// writerConn is a connection that only takes.
+type writerConn struct{ io.Writer }
+
+func (writerConn) Read([]byte) (int, error)         { return 0, io.EOF }
+func (writerConn) Close() error                     { return nil }
+func (writerConn) LocalAddr() net.Addr              { return nil }
+func (writerConn) RemoteAddr() net.Addr             { return nil }
+func (writerConn) SetDeadline(time.Time) error      { return nil }
+func (writerConn) SetReadDeadline(time.Time) error  { return nil }
+func (writerConn) SetWriteDeadline(time.Time) error { return nil }
+
+// readerConn is a connection that only gives.
+type readerConn struct {
+	writerConn
+	r io.Reader
+}
+
+func (c readerConn) Read(p []byte) (int, error) { return c.r.Read(p) }
+
+// Whatever is written comes out the same, however it is cut into pieces.
+func FuzzBytesComeOutTheSame(f *testing.F) {
+	rnd := rand.New(rand.NewPCG(7, 8))
+	f.Add([]byte(request(rnd)+response(rnd)+request(rnd)+"body"), uint16(30))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nA: b\r\n\r\n\x02\x01GET / HTTP/1.1\r\n\r\n"), uint16(3))
+	f.Fuzz(func(t *testing.T, text []byte, piece uint16) {
+		var wire bytes.Buffer
+		c := Client(&writerConn{&wire})
+		for rest := text; len(rest) > 0; {
+			n := min(len(rest), int(piece)+1)
+			_, err := c.Write(rest[:n])
+			must.NoError(t, err)
+			rest = rest[n:]
+		}
+		got, err := io.ReadAll(Server(readerConn{r: &wire}))
+		must.NoError(t, err)
+		must.Eq(t, string(text), string(got))
+	})
+}
+
+// Whatever arrives is read or refused.
+func FuzzAnyBytesAreRead(f *testing.F) {
+	f.Add([]byte{frameHead, 1, 0x82})
+	f.Add([]byte{frameRaw, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1})
+	f.Fuzz(func(t *testing.T, wire []byte) {
+		_, err := io.Copy(io.Discard, Server(readerConn{r: bytes.NewReader(wire)}))
+		var frame *FrameError
+		must.True(t, err == nil || errors.As(err, &frame) || errors.Is(err, io.ErrUnexpectedEOF))
+	})
+}
+
+func BenchmarkHead(b *testing.B) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	heads := make([]string, 64)
+	for i := range heads {
+		heads[i] = request(rnd)
+	}
+	e, d := newEncoder(), newDecoder()
+	b.ReportAllocs()
+	for i := range b.N {
+		block, _ := e.encode(heads[i%len(heads)])
+		_, _ = d.decode(block)
+	}
+}
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -148,11 +148,7 @@
 		return false
 	}
 	x.tried.Add(choice.Record.Node)
-	rt := x.p.cfg.Remote
-	if choice.Record.Node == x.p.cfg.Self {
-		rt = x.p.cfg.Local
-	}
-	resp, opening, err := forward.SendTimed(rt, x.request(choice.Record, now), nil)
+	resp, opening, err := forward.SendTimed(x.p.way(choice.Record), x.request(choice.Record, now), nil)
 	took := max(0, x.p.cfg.Now().Sub(now)-opening)
 	if err != nil {
 		x.sendFailed(choice, err)
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -24,8 +24,9 @@
 
 // Config configures a Proxy.
 type Config struct {
-	// Self is this node.
+	// Self is this node, and Zone its availability zone.
 	Self model.NodeID
+	Zone model.Zone
 	// Table returns the routes in force, or nil when none are held. It is one
 	// atomic load.
 	Table func() *route.Table
@@ -41,9 +42,9 @@
 	Budget *attempt.Budget
 	// Dialect speaks with callers.
 	Dialect dialect.Dialect
-	// Local sends to this host's own gate, Remote to those of other nodes.
-	Local  http.RoundTripper
-	Remote http.RoundTripper
+	// Local sends to this host's own gate, Near to those of other nodes in the
+	// zone, and Far to those in other zones.
+	Local, Near, Far http.RoundTripper
 	// MaxKept is the size up to which bodies are kept, in bytes: of requests,
 	// so that they can be sent again, and of responses, so that one that breaks
 	// off can be replaced.
@@ -99,6 +100,17 @@
 	p.observe(found, p.cfg.Now().Sub(began))
 }
 
+// way returns what sends to a backend server's gate.
+func (p *Proxy) way(to *endpoint.Record) http.RoundTripper {
+	switch {
+	case to.Node == p.cfg.Self:
+		return p.cfg.Local
+	case to.Zone == p.cfg.Zone:
+		return p.cfg.Near
+	}
+	return p.cfg.Far
+}
+
 // refusal is an answer that doesn't come from a backend server.
 type refusal struct {
 	status int
