--- a/coordination/perwork/perwork.go
+++ b/coordination/perwork/perwork.go
@@ -2,7 +2,6 @@
 package perwork
 
 import (
-	"sync"
 	"sync/atomic"
 
 	"github.com/jacinthgate/jacinthgate/state/model"
@@ -16,7 +15,6 @@
 // concurrent use; reading a value that exists takes no lock.
 type Map[V any] struct {
 	values atomic.Pointer[map[model.Work]*V]
-	mu     sync.Mutex // held by who adds a sort
 }
 
 // Of returns the value of a sort, which is new and zero at its first use.
@@ -29,19 +27,23 @@
 	return m.add(w)
 }
 
+// add puts a new sort into a copy of the map and swaps it in.
 func (m *Map[V]) add(w model.Work) *V {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	grown := make(map[model.Work]*V)
-	m.Each(func(k model.Work, v *V) { grown[k] = v })
-	if grown[w] == nil && len(grown) >= Most {
-		w = model.Work{Kind: known(w.Kind)}
-	}
-	if grown[w] == nil {
+	for {
+		old := m.values.Load()
+		grown := make(map[model.Work]*V)
+		m.Each(func(k model.Work, v *V) { grown[k] = v })
+		if grown[w] == nil && len(grown) >= Most {
+			w = model.Work{Kind: known(w.Kind)}
+		}
+		if v := grown[w]; v != nil {
+			return v
+		}
 		grown[w] = new(V)
-		m.values.Store(&grown)
+		if m.values.CompareAndSwap(old, &grown) {
+			return grown[w]
+		}
 	}
-	return grown[w]
 }
 
 // Each calls f for each sort seen so far.
