Let nodes that start together find each other sooner

Change: 40 to 120 ms between the first seeds, and tries to find others from 80 ms on, doubling. Measured: test on virtual time, twenty sites of 15 hosts, all agreed 3.3 s after the last start before (7.6 s at most), 0.29 s after (0.95 s).

--- a/coordination/member/config.go
+++ b/coordination/member/config.go
@@ -81,6 +81,11 @@
 	// RejoinInterval is the time between attempts to reach an address that
 	// may belong to a part of the fleet that this node has lost.
 	RejoinInterval time.Duration
+	// RejoinMin is the time between the first of these attempts after a start,
+	// and between the first attempts to find any peer. It doubles up to
+	// RejoinInterval. With 80 ms, sites of 15 hosts that start at once
+	// hold all records 3 s sooner (TestSiteThatStartsAtOnceFindsItself).
+	RejoinMin time.Duration
 	// MaxRecords bounds the table against hostile input, in records.
 	MaxRecords int
 }
@@ -114,6 +119,7 @@
 		ConnectsPerSecond:    4,
 		ConnectBurst:         8,
 		RejoinInterval:       10 * time.Second,
+		RejoinMin:            80 * time.Millisecond,
 		MaxRecords:           16 << 10,
 	}
 }
--- a/coordination/member/joining.go
+++ b/coordination/member/joining.go
@@ -16,6 +16,8 @@
 	failures int
 	next     time.Time // next attempt without a link
 	rejoin   time.Time // next attempt to find a lost part
+	// wait is the time between two such attempts.
+	wait time.Duration
 	// silent is since when each other zone has no link.
 	silent map[model.Zone]time.Time
 }
@@ -58,26 +60,39 @@
 	}
 	addr := j.seeds[j.pos%len(j.seeds)]
 	j.pos++
-	t := target{failures: j.failures / len(j.seeds)} // each seed once a round
-	c.backOff(&t)
+	j.next = c.nextSeed(j.failures / len(j.seeds)) // each seed once a round
 	j.failures++
-	j.next = t.next
 	c.act(core.Connect{Addr: addr})
 }
 
-// rejoin tries, once per RejoinInterval, an address at which no live member is
-// known: a seed, or a member of the own zone that failed lately. The members
-// draw lots for the failed ones, so that together they try each about once in
-// that time, however large the zone is.
+// nextSeed returns when the next seed is tried after so many rounds in vain. In
+// the first round a seed that doesn't answer, since its host starts at this very
+// moment or is gone, holds up the next one only shortly.
+func (c *Core) nextSeed(rounds int) time.Time {
+	if rounds == 0 {
+		return c.now.Add(c.cfg.RejoinMin/2 + c.jitter(c.cfg.RejoinMin))
+	}
+	t := target{failures: rounds - 1}
+	c.backOff(&t)
+	return t.next
+}
+
+// rejoin tries, now and then, an address at which no live member is known: a
+// seed, or a member of the own zone that failed lately. The members draw lots for
+// the failed ones, so that together they try each about once in RejoinInterval,
+// however large the zone is. A node that has just started tries more often: where
+// all start at once each finds a few others first, and these parts have to meet.
 func (c *Core) rejoin() {
 	j := &c.joining
-	if j.rejoin.IsZero() {
-		j.rejoin = c.now.Add(c.jitter(c.cfg.RejoinInterval))
+	if j.wait == 0 {
+		j.wait = c.cfg.RejoinMin
+		j.rejoin = c.now.Add(c.jitter(j.wait))
 	}
 	if c.now.Before(j.rejoin) {
 		return
 	}
-	j.rejoin = c.now.Add(c.cfg.RejoinInterval)
+	j.rejoin = c.now.Add(j.wait)
+	j.wait = min(2*j.wait, c.cfg.RejoinInterval)
 	seeds, failed := c.lostAddrs()
 	if len(seeds) > 0 && c.takeConnect() {
 		c.act(core.Connect{Addr: seeds[c.rng.IntN(len(seeds))]})
--- a/coordination/member/member_test.go
+++ b/coordination/member/member_test.go
@@ -59,6 +59,38 @@
 	t.Logf("they were back on all after %v", took)
 }
 
+// All hosts of a site have lost power and start within 0.3 s. What the store
+// names are the seeds, hosts that are gone for good among them. A host without
+// power doesn't answer, so whoever dials it too early hears nothing for seconds.
+// All agree 0.29 s after the last start on the mean of twenty sites, 0.95 s at
+// most; with BackoffMin between two seeds and RejoinInterval between two tries to
+// find the others it was 3.3 s, and 7.6 s at most.
+func TestSiteThatStartsAtOnceFindsItself(t *testing.T) {
+	t.Parallel()
+	var sum, most time.Duration
+	const sites = 20
+	for seed := range uint64(sites) {
+		n := newNetwork(t, 3, 6, seed)
+		n.cut = func(a, b *node) bool { return !a.up || !b.up }
+		for _, id := range n.ids {
+			n.seeds = append(n.seeds, n.nodes[id].rec.PeerAddr)
+		}
+		n.runFor(2 * time.Second)
+		for i, id := range n.ids {
+			n.crash(id)
+			if i%6 < 5 { // one in each zone is gone
+				n.after(time.Duration(n.rng.Int64N(int64(300*time.Millisecond))), func() { n.start(id) })
+			}
+		}
+		n.runFor(300 * time.Millisecond)
+		took := n.until("all found", 20*time.Second, n.agreed)
+		sum, most = sum+took, max(most, took)
+	}
+	t.Logf("all agreed %v after the last start, at most %v", sum/sites, most)
+	must.LessEq(t, 600*time.Millisecond, sum/sites)
+	must.LessEq(t, 1500*time.Millisecond, most)
+}
+
 func TestOverlayStaysConnectedWithoutAnyNode(t *testing.T) {
 	t.Parallel()
 	n := started(t, 2, 25)
--- a/coordination/member/network_test.go
+++ b/coordination/member/network_test.go
@@ -27,6 +27,7 @@
 	nodes             map[model.NodeID]*node
 	ids               []model.NodeID
 	cut               func(a, b *node) bool
+	seeds             []string // of every node; nil for those of newNetwork
 	drop, dup, jumble float64
 	bytes, messages   int
 	wired             message.Message // sent last
@@ -103,6 +104,9 @@
 	x.up, x.paused, x.conns, x.backlog = true, false, map[model.NodeID]bool{}, nil
 	zone := n.ids[slices.IndexFunc(n.ids, func(o model.NodeID) bool { return n.nodes[o].rec.Zone == x.rec.Zone })]
 	seeds := []string{n.nodes[zone].rec.PeerAddr, n.nodes[n.ids[0]].rec.PeerAddr, x.rec.PeerAddr}
+	if n.seeds != nil {
+		seeds = n.seeds
+	}
 	x.core = New(DefaultConfig(), x.rec, seeds, n.rng.Uint64())
 	run := x.run
 	var tick func()
