End connections to gates and backend servers that are silent

Change: TCP_USER_TIMEOUT of 400 ms on connections to gates and to the host's backend server, moved from the links' transport to transport/sockopt; after such an end the other idle connections to the address are closed. Opening a connection may take 150 ms in place of 250.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -158,8 +158,12 @@
 	// gateIdle is how long a connection between nodes is kept idle.
 	gateIdle = 20 * time.Second
 	// gateDialTimeout bounds opening a connection to another node, which takes
-	// a few milliseconds where the way is open.
-	gateDialTimeout = 250 * time.Millisecond
+	// a few milliseconds where the way is open, 70 ms between regions.
+	gateDialTimeout = 150 * time.Millisecond
+	// unackedTimeout is how long what was sent to a gate or to the backend server
+	// may stay unacknowledged: twice the kernel's least time before it sends
+	// once more, so that one lost packet ends no connection.
+	unackedTimeout = 400 * time.Millisecond
 	// idlePerHost is the number of idle connections kept to one address: more
 	// than the slots of a backend server are not used.
 	idlePerHost = 32
@@ -184,6 +188,7 @@
 	toBackend.IdleTimeout = backendIdle
 	toBackend.IdlePerHost = idlePerHost
 	toBackend.LocalIP = n.localIP()
+	toBackend.UnackedTimeout = unackedTimeout
 	toBackend.Foreign = func(req *http.Request, resp *http.Response) bool {
 		return speech.Foreign(req.Header, resp.Header)
 	}
@@ -206,6 +211,7 @@
 	toGates.DialTimeout = gateDialTimeout
 	toGates.IdlePerHost = idlePerHost
 	toGates.LocalIP = n.localIP()
+	toGates.UnackedTimeout = unackedTimeout
 	toZones := toGates
 	toZones.PackHeads = true
 	seed := rand.Uint64()
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/transport/headpack"
+	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
 // ClientConfig configures NewClient.
@@ -25,6 +28,10 @@
 	// ContinueTimeout is how long to wait for "100 Continue" before the body
 	// is sent all the same.
 	ContinueTimeout time.Duration
+	// UnackedTimeout ends a connection on which what was sent stays
+	// unacknowledged for so long, since the way or the other host is gone: its
+	// request fails then and not at its deadline. 0 leaves it to the kernel.
+	UnackedTimeout time.Duration
 	// PackHeads makes heads small on connections without TLS, by package
 	// headpack. The servers must accept such connections.
 	PackHeads bool
@@ -97,6 +104,9 @@
 		// Sealed first: a body's goroutine can send nothing after the count.
 		sent := conn.raw.seal() > x.start
 		x.end(false)
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			c.pool.closeIdle(conn.key) // the others lead the same way
+		}
 		return nil, opening, &SendError{Sent: sent, Err: causeOf(req.Context(), err)}
 	}
 	return resp, opening, nil
@@ -126,6 +136,7 @@
 	if err != nil {
 		return nil, err
 	}
+	sockopt.SetUnackedTimeout(raw, c.cfg.UnackedTimeout)
 	tracked := &trackedConn{Conn: raw}
 	switch {
 	case key.scheme == "https":
--- a/transport/forward/pool.go
+++ b/transport/forward/pool.go
@@ -111,9 +111,19 @@
 // closeAll closes all idle connections.
 func (p *pool) closeAll() {
 	for _, v := range p.hosts.Range {
-		h := v.(*idleConns)
-		for c := h.take(); c != nil; c = h.take() {
-			c.close()
-		}
+		v.(*idleConns).closeAll()
+	}
+}
+
+// closeIdle closes the idle connections of one address.
+func (p *pool) closeIdle(key connKey) {
+	if v, ok := p.hosts.Load(key); ok {
+		v.(*idleConns).closeAll()
+	}
+}
+
+func (h *idleConns) closeAll() {
+	for c := h.take(); c != nil; c = h.take() {
+		c.close()
 	}
 }
--- a/transport/peer/tcp/tcp.go
+++ b/transport/peer/tcp/tcp.go
@@ -19,6 +19,7 @@
 	"github.com/jacinthgate/jacinthgate/protocol/message"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/transport/peer"
+	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
 const (
@@ -27,8 +28,6 @@
 	// readBuffer is the size of a connection's read buffer, in bytes: most
 	// messages are a few records.
 	readBuffer = 2 << 10
-	// tcpUserTimeout is TCP_USER_TIMEOUT on Linux, which package syscall lacks.
-	tcpUserTimeout = 0x12
 )
 
 // Config configures a Transport.
@@ -107,7 +106,7 @@
 
 // add tracks a connection until it is closed.
 func (t *Transport) add(raw net.Conn) (*conn, error) {
-	setUserTimeout(raw, t.cfg.SilenceTimeout)
+	sockopt.SetUnackedTimeout(raw, t.cfg.SilenceTimeout)
 	c := &conn{transport: t, raw: raw, br: bufio.NewReaderSize(raw, readBuffer)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -119,22 +118,6 @@
 	return c, nil
 }
 
-// setUserTimeout bounds how long sent bytes may stay unacknowledged.
-func setUserTimeout(raw net.Conn, d time.Duration) {
-	tc, ok := raw.(*net.TCPConn)
-	if !ok || d <= 0 {
-		return
-	}
-	sc, err := tc.SyscallConn()
-	if err != nil {
-		return // the connection is closed already; its next use reports it
-	}
-	_ = sc.Control(func(fd uintptr) {
-		// Without it the connection still ends, only later.
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
-	})
-}
-
 // Close implements peer.Transport.
 func (t *Transport) Close() error {
 	t.mu.Lock()
--- /dev/null
+++ b/transport/sockopt/sockopt.go
@@ -0,0 +1,29 @@
+// Package sockopt sets options of TCP sockets that package net doesn't offer.
+package sockopt
+
+import (
+	"net"
+	"syscall"
+	"time"
+)
+
+// tcpUserTimeout is TCP_USER_TIMEOUT on Linux, which package syscall lacks.
+const tcpUserTimeout = 0x12
+
+// SetUnackedTimeout bounds how long bytes that were sent may stay unacknowledged
+// before the connection ends; the kernel's own limit is many minutes. 0 leaves it
+// so. On other connections than TCP it does nothing.
+func SetUnackedTimeout(c net.Conn, d time.Duration) {
+	tc, ok := c.(*net.TCPConn)
+	if !ok || d <= 0 {
+		return
+	}
+	sc, err := tc.SyscallConn()
+	if err != nil {
+		return // the connection is closed already; its next use reports it
+	}
+	_ = sc.Control(func(fd uintptr) {
+		// Without it the connection still ends, only later.
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+	})
+}
--- /dev/null
+++ b/transport/sockopt/sockopt_test.go
@@ -0,0 +1,29 @@
+package sockopt
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestUnackedTimeoutIsSet(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	for want, d := range map[int]time.Duration{400: 400 * time.Millisecond, 0: 0} {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		must.NoError(t, err)
+		SetUnackedTimeout(c, d)
+		raw, err := c.(*net.TCPConn).SyscallConn()
+		must.NoError(t, err)
+		must.NoError(t, raw.Control(func(fd uintptr) {
+			got, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
+			must.NoError(t, err)
+			must.Eq(t, want, got)
+		}))
+		must.NoError(t, c.Close())
+	}
+}
