Send nothing into a zone that is cut off

Change: four sends in a row that reach nobody, to two hosts at least, close the way into their zone; one request each 300 ms tries it, and any answer from there opens it. A send counts as not reaching when it fails without its own time ending, or when no connection came in 100 ms.

--- a/coordination/balance/config.go
+++ b/coordination/balance/config.go
@@ -42,6 +42,12 @@
 	// TrialTimeout is how long the one trial after an ejection may take before
 	// another one is let through.
 	TrialTimeout time.Duration
+	// ZoneMisses is the number of sends in a row, to two hosts of a zone at
+	// least, that reach nobody until the zone counts as cut off. Four are no
+	// accident: one in forty packets is lost on the worst links.
+	ZoneMisses int32
+	// ZoneRetry is the time between two trials of a zone that is cut off.
+	ZoneRetry time.Duration
 	// DefaultSlots stands in where neither record nor report gives slots.
 	DefaultSlots int
 }
@@ -62,6 +68,8 @@
 		EjectBase:    2 * time.Second,
 		EjectMax:     time.Minute,
 		TrialTimeout: 5 * time.Second,
+		ZoneMisses:   4,
+		ZoneRetry:    300 * time.Millisecond,
 		DefaultSlots: 10,
 	}
 }
--- a/coordination/balance/done.go
+++ b/coordination/balance/done.go
@@ -25,6 +25,9 @@
 	// Cancelled is a request that the caller gave up or that was refused for
 	// a reason of its own, such as its deadline; it tells nothing.
 	Cancelled
+	// Unreachable is a request that didn't get to the server's host. It is a
+	// failure of the server, and tells of the way into its zone besides.
+	Unreachable
 )
 
 // Result is what a request told about its server.
@@ -53,6 +56,7 @@
 		c.server.report(*r.Load, own, at)
 		average(&c.group.stats.load, float64(r.Load.Used+r.Load.Queued)/float64(r.Load.Slots), groupGain)
 	}
+	c.noteWay(&r, at)
 	switch {
 	case r.Outcome == OK:
 		c.succeeded(&r, at)
@@ -69,7 +73,17 @@
 	if r.Outcome == NotRun {
 		return r.Load == nil || r.Load.Used < r.Load.Slots
 	}
-	return r.Outcome == Failed
+	return r.Outcome == Failed || r.Outcome == Unreachable
+}
+
+// noteWay notes whether the server's host was reached: a load comes from there.
+func (c Choice) noteWay(r *Result, at int64) {
+	switch {
+	case r.Outcome == Unreachable:
+		c.picker.zones.of(c.Record.Zone).missed(&c.picker.cfg, c.Record.Node, at)
+	case r.Load != nil:
+		c.picker.zones.of(c.Record.Zone).reached()
+	}
 }
 
 func (c Choice) succeeded(r *Result, at int64) {
--- a/coordination/balance/group.go
+++ b/coordination/balance/group.go
@@ -110,7 +110,7 @@
 			p.servers[k] = known
 		}
 		t := p.tierOf(r)
-		g.tiers[t] = append(g.tiers[t], member{record: r, server: known, slots: p.slotsOf(s, r)})
+		g.tiers[t] = append(g.tiers[t], member{record: r, server: known, way: p.zones.of(r.Zone), slots: p.slotsOf(s, r)})
 	}
 	return g
 }
--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -28,6 +28,7 @@
 	rand   *random.Source
 
 	groups atomic.Pointer[map[string]*group]
+	zones  zones
 
 	mu      sync.Mutex // held by writers only, never by a warm Pick
 	servers map[key]*server
@@ -76,7 +77,7 @@
 	g := p.group(s, candidates, at)
 	m, trial := p.choose(g, tried, want, at)
 	if m == nil {
-		m = p.lastResort(g, tried)
+		m = p.lastResort(g, tried, at)
 	}
 	if m == nil {
 		return Choice{}, &NoEndpointError{Service: s.Name, Candidates: len(candidates), Tried: tried.Len()}
@@ -208,15 +209,16 @@
 		return false, false
 	}
 	if !m.server.ejected() {
-		return true, false
+		return m.way.passes(&p.cfg, at), false
 	}
-	trial = m.server.startTrial(&p.cfg, at)
+	trial = m.way.open(at) && m.server.startTrial(&p.cfg, at) && m.way.passes(&p.cfg, at)
 	return trial, trial
 }
 
 // lastResort returns an ejected member that was not tried: a doubtful server
-// is better than none.
-func (p *Picker) lastResort(g *group, tried *Tried) *member {
+// is better than none. One in a zone that is cut off is not: its caller would only
+// wait for nothing.
+func (p *Picker) lastResort(g *group, tried *Tried, at int64) *member {
 	for t := range g.tiers {
 		members := g.tiers[t]
 		if len(members) == 0 {
@@ -225,7 +227,7 @@
 		start := p.rand.IntN(len(members))
 		for i := range members {
 			m := &members[(start+i)%len(members)]
-			if !tried.excludes(m.record) {
+			if !tried.excludes(m.record) && m.way.passes(&p.cfg, at) {
 				return m
 			}
 		}
--- a/coordination/balance/server.go
+++ b/coordination/balance/server.go
@@ -145,6 +145,7 @@
 type member struct {
 	record *endpoint.Record
 	server *server
+	way    *zoneWay
 	slots  int
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -235,6 +235,7 @@
 		Logger:        n.log,
 		Now:           time.Now,
 	})
+	n.metrics.GetOrCreateGauge("jacinthgate_zones_unreachable", func() float64 { return float64(n.loop.picker.Unreachable()) })
 	n.loop.gate = n.gate
 	n.loop.budget = n.budget
 	return nil
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -151,7 +151,7 @@
 	resp, opening, err := forward.SendTimed(x.p.way(choice.Record), x.request(choice.Record, now), nil)
 	took := max(0, x.p.cfg.Now().Sub(now)-opening)
 	if err != nil {
-		x.sendFailed(choice, err)
+		x.sendFailed(choice, err, x.p.cfg.Now().Sub(now))
 		return false
 	}
 	return x.take(choice, resp, took)
@@ -233,8 +233,14 @@
 	return due
 }
 
-// sendFailed notes an attempt that got no response from the gate.
-func (x *exchange) sendFailed(choice balance.Choice, err error) {
+// unreachableAfter is how long opening a connection in vain tells that the way is
+// cut, also where the caller left meanwhile: it takes a few milliseconds, 70
+// between regions.
+const unreachableAfter = 100 * time.Millisecond
+
+// sendFailed notes an attempt that got no response from the gate in the time that
+// it waited for one.
+func (x *exchange) sendFailed(choice balance.Choice, err error, waited time.Duration) {
 	var send *forward.SendError
 	sent := !errors.As(err, &send) || send.Sent
 	verdict, out := balance.Failed, outcome.NotRun
@@ -249,6 +255,9 @@
 	case x.ctx.Err() != nil:
 		reason = outcome.ReasonDeadline
 	}
+	if verdict == balance.Failed && x.ctx.Err() == nil || !sent && waited >= unreachableAfter {
+		verdict = balance.Unreachable
+	}
 	choice.Done(x.p.cfg.Now(), balance.Result{Outcome: verdict})
 	x.note(out, reason)
 	_ = x.p.cfg.Logger.Log("event", "gate_send_failed", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
