--- a/coordination/attempt/policy.go
+++ b/coordination/attempt/policy.go
@@ -28,6 +28,8 @@
 	Sends int
 	// Reached is the number of backend servers that it has reached.
 	Reached int
+	// Exhausted says that there is no further gate to ask.
+	Exhausted bool
 	// Left is the time until its deadline.
 	Left time.Duration
 	// Last is the outcome of the last attempt.
@@ -51,7 +53,7 @@
 // Next returns what may be done after an attempt without an answer.
 func (p Policy) Next(g Progress) Step {
 	switch {
-	case g.Sends >= p.MaxSends, g.Left < p.MinLeft:
+	case g.Exhausted, g.Sends >= p.MaxSends, g.Left < p.MinLeft:
 		return Stop
 	case g.Last != outcome.NotRun && !g.Repeatable:
 		return Stop
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -1,10 +1,8 @@
 package outbound
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -32,15 +30,9 @@
 	cancel   context.CancelFunc
 	wait     time.Duration // what the caller said it waits
 
-	body   []byte // the whole body, when it is kept
-	kept   bool
-	stream *forward.StreamBody // the body when it is not kept
-
-	progress attempt.Progress
-	tried    balance.Tried
-	// worst is the outcome that tells most: unknown once any attempt was.
-	worst  outcome.Outcome
-	reason outcome.Reason
+	body  requestBody
+	trail attempt.Trail
+	tried balance.Tried
 	// failure is a backend server's own failure that is kept while another
 	// attempt is made.
 	failure *answer
@@ -53,10 +45,10 @@
 }
 
 func newExchange(p *Proxy, w http.ResponseWriter, r *http.Request, t *route.Table, found *route.Route, began time.Time) *exchange {
-	x := &exchange{p: p, w: w, r: r, route: found, began: began, worst: outcome.NotRun}
+	x := &exchange{p: p, w: w, r: r, route: found, began: began}
 	x.service = t.Service(found.Pick(p.rand.Float64()))
 	x.deadline = began.Add(found.Timeout)
-	x.progress = attempt.Progress{Repeatable: found.Repeatable(), Attempts: found.Attempts}
+	x.trail = attempt.NewTrail(found.Repeatable(), found.Attempts)
 	x.ctx, x.cancel = r.Context(), func() {}
 	return x
 }
@@ -75,8 +67,8 @@
 		}
 	}
 	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline.Add(callerGrace))
-	if refused := x.keepBody(); refused != nil {
-		return refused
+	if x.body, err = readBody(x.w, x.r, x.p.cfg.MaxKept); err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: outcome.ReasonCancelled}
 	}
 	x.p.cfg.Budget.Request(x.began, x.service.Name)
 	for {
@@ -93,60 +85,15 @@
 // the gate: the backend server's own late failure tells the caller more.
 const callerGrace = 60 * time.Millisecond
 
-// keepBody reads a small body before anything is sent, so that it can be sent
-// again and a slow caller holds no slot. Other bodies are streamed.
-func (x *exchange) keepBody() *refusal {
-	r := x.r
-	switch {
-	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
-		x.kept = true
-		return nil
-	case r.ContentLength > x.p.cfg.MaxKept, r.Header["Expect"] != nil:
-		x.stream = forward.NewStreamBody(x.w, r)
-		return nil
-	case r.ContentLength < 0:
-		return x.keepChunked()
-	}
-	x.body = make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, x.body); err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: outcome.ReasonCancelled}
-	}
-	x.kept = true
-	return nil
-}
-
-// keepChunked keeps a body of unknown length if it turns out to be small.
-func (x *exchange) keepChunked() *refusal {
-	head, err := io.ReadAll(io.LimitReader(x.r.Body, x.p.cfg.MaxKept+1))
-	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: outcome.ReasonCancelled}
-	}
-	if int64(len(head)) <= x.p.cfg.MaxKept {
-		x.body, x.kept = head, true
-		return nil
-	}
-	rest := x.r.Body
-	x.r.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(bytes.NewReader(head), rest), rest}
-	x.stream = forward.NewStreamBody(x.w, x.r)
-	return nil
-}
-
 // attempt sends the request once and reports whether it was answered.
 func (x *exchange) attempt() bool {
 	now := x.p.cfg.Now()
-	x.progress.Sends++
 	choice, err := x.pick(now)
 	if err != nil {
-		if x.reason == "" {
-			x.note(outcome.NotRun, outcome.ReasonNoEndpoint) // nobody was asked
-		}
-		x.progress.Last = outcome.NotRun
-		x.progress.Sends = x.p.cfg.Policy.MaxSends // there is nobody else to ask
+		x.trail.NobodyLeft()
 		return false
 	}
+	x.trail.Sent()
 	x.tried.Add(choice.Record.Node)
 	resp, opening, err := forward.SendTimed(x.p.way(choice.Record), x.request(choice.Record, now), nil)
 	took := max(0, x.p.cfg.Now().Sub(now)-opening)
@@ -186,15 +133,7 @@
 
 // request builds the request to the gate of the chosen backend server.
 func (x *exchange) request(to *endpoint.Record, now time.Time) *http.Request {
-	var body io.ReadCloser
-	length := x.r.ContentLength
-	switch {
-	case !x.kept:
-		body = x.stream
-	case len(x.body) > 0:
-		body = forward.NewKeptBody(x.body)
-		length = int64(len(x.body))
-	}
+	body, length := x.body.source(x.r)
 	out := forward.NewRequest(x.ctx, x.r, "http", to.GateAddr, body, length)
 	h := out.Header
 	forward.StripNodeHeaders(h)
@@ -248,7 +187,7 @@
 	verdict, out := balance.Failed, outcome.NotRun
 	if sent {
 		out = outcome.Unknown
-		x.progress.Reached++
+		x.trail.Reached()
 	}
 	reason := outcome.ReasonBackendFailed
 	switch {
@@ -261,7 +200,7 @@
 		verdict = balance.Unreachable
 	}
 	choice.Done(x.p.cfg.Now(), balance.Result{Outcome: verdict})
-	x.note(out, reason)
+	x.trail.Note(out, reason)
 	_ = x.p.cfg.Logger.Log("event", "gate_send_failed", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
 		"node", choice.Record.Node, "instance", choice.Record.Instance, "sent", sent, "err", err)
 }
@@ -274,7 +213,7 @@
 		result.Load = &l
 	}
 	if h[outcome.HeaderReached] != nil {
-		x.progress.Reached++
+		x.trail.Reached()
 	}
 	if outcome.Outcome(h.Get(outcome.HeaderOutcome)) == outcome.Answered {
 		return x.relay(choice, resp, result)
@@ -288,10 +227,10 @@
 	}
 	forward.Drain(resp)
 	choice.Done(x.p.cfg.Now(), result)
-	x.note(out, reason)
+	x.trail.Note(out, reason)
 	_ = x.p.cfg.Logger.Log("event", "attempt_failed", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
 		"route", x.route.Name, "node", choice.Record.Node, "instance", choice.Record.Instance, "outcome", out,
-		"reason", reason, "load", h.Get(outcome.HeaderLoad), "sends", x.progress.Sends, "reached", x.progress.Reached,
+		"reason", reason, "load", h.Get(outcome.HeaderLoad), "sends", x.trail.Progress.Sends, "reached", x.trail.Progress.Reached,
 		"left", x.deadline.Sub(x.p.cfg.Now()))
 	return false
 }
@@ -316,32 +255,17 @@
 	return balance.NotRun
 }
 
-// note keeps the outcome that tells most.
-func (x *exchange) note(o outcome.Outcome, reason outcome.Reason) {
-	x.progress.Last = o
-	if o == outcome.Unknown || x.worst == outcome.NotRun {
-		x.reason = reason
-	}
-	if o == outcome.Unknown {
-		x.worst = outcome.Unknown
-	}
-}
-
 // again reports whether another attempt is made.
 func (x *exchange) again() bool {
 	if x.ctx.Err() != nil {
 		return false
 	}
-	if !x.kept {
-		left := x.stream.Reclaim()
-		if left == nil {
-			return false
-		}
-		x.stream = left
+	if !x.body.reclaim() {
+		return false
 	}
 	now := x.p.cfg.Now()
-	x.progress.Left = x.deadline.Sub(now)
-	switch x.p.cfg.Policy.Next(x.progress) {
+	x.trail.Progress.Left = x.deadline.Sub(now)
+	switch x.p.cfg.Policy.Next(x.trail.Progress) {
 	case attempt.Resend:
 		return true
 	case attempt.Repeat:
@@ -358,13 +282,14 @@
 		x.deliver(x.failure)
 		return nil
 	}
+	worst, reason := x.trail.Worst()
 	switch {
-	case x.worst == outcome.NotRun:
-		return &refusal{status: http.StatusServiceUnavailable, reason: x.reason, after: x.comeBack()}
+	case worst == outcome.NotRun:
+		return &refusal{status: http.StatusServiceUnavailable, reason: reason, after: x.comeBack()}
 	case !x.p.cfg.Now().Before(x.deadline):
 		return &refusal{status: http.StatusGatewayTimeout, reason: outcome.ReasonDeadline}
 	default:
-		return &refusal{status: http.StatusBadGateway, reason: x.reason}
+		return &refusal{status: http.StatusBadGateway, reason: reason}
 	}
 }
 
--- a/transport/outbound/relay.go
+++ b/transport/outbound/relay.go
@@ -25,7 +25,7 @@
 	if err := forward.ReadWhole(resp.Body, body); err != nil {
 		result.Outcome = x.cutAs()
 		choice.Done(x.p.cfg.Now(), result)
-		x.note(outcome.Unknown, outcome.ReasonBackendFailed)
+		x.trail.Note(outcome.Unknown, outcome.ReasonBackendFailed)
 		return false
 	}
 	failed := failedStatus(resp.StatusCode)
@@ -36,7 +36,7 @@
 	whole := &answer{resp: resp, body: body}
 	if failed && x.mayRepeat() {
 		x.failure = whole
-		x.note(outcome.Unknown, outcome.ReasonBackendFailed)
+		x.trail.Note(outcome.Unknown, outcome.ReasonBackendFailed)
 		return false
 	}
 	x.deliver(whole)
@@ -45,10 +45,10 @@
 
 // mayRepeat reports whether a failed answer may be replaced by another one.
 func (x *exchange) mayRepeat() bool {
-	g := x.progress
+	g := x.trail.Progress
 	g.Last = outcome.Unknown
 	g.Left = x.deadline.Sub(x.p.cfg.Now())
-	return x.kept && x.p.cfg.Policy.Next(g) != attempt.Stop
+	return x.body.kept() && x.p.cfg.Policy.Next(g) != attempt.Stop
 }
 
 // cutAs says what a broken answer tells about its backend server: nothing, when
