Half-close packed connections as plain ones

Cause: read in the diff: net/http closes a connection with unread bytes in two steps only where it has CloseWrite, and headpack.Conn hid it. A gate's refusal to a streamed body from another zone could so be lost to a reset, and the caller be told that the outcome is unknown.

--- a/coordination/gate/order.go
+++ b/coordination/gate/order.go
@@ -11,7 +11,9 @@
 // weight orders the sorts of work by what serving them gains for the time it
 // takes (weighted shortest job first): each rank counts twice the next one. The
 // short calls that running requests wait for so pass longer requests, of which
-// each would cost several of them, also where those rank a little higher.
+// each would cost several of them, also where those rank a little higher: with
+// ranks alone 0.76 of such calls are refused at 1.7 times the load, 0.04 so
+// (TestShortCallsPassLongerRequestsOfAHigherRank).
 func (g *Gate) weight(w model.Work) float64 {
 	rank := float64(min(max(w.Rank, 0), maxRank))
 	work, all := g.times.Of(w).average(), g.times.all.average()
@@ -51,12 +53,15 @@
 
 // waitPart is the part of its target that a request of average work waits for a
 // slot at most. Under a standing overload the queue is as long as its bound lets
-// it be, and all that wait longer are late in place of a few that are refused.
+// it be, and all that wait longer are late in place of a few that are refused:
+// waits for as long as an answer is in time made 2,133 of 14,589 answers late in
+// place of 602 (one played day), a quarter was no better than a sixth.
 const waitPart = 6
 
 // waitSlots is the number of slots becoming free for which a request may wait
 // in any case: one that goes next is then seldom refused by an accident of the
-// running requests' ends.
+// running requests' ends: 0.10 of short calls in place of 0.47
+// (TestShortCallsPassNewRequestsUnderOverload).
 const waitSlots = 4
 
 // waitBound returns when w is better refused, so that its caller can come back.
--- a/transport/headpack/conn.go
+++ b/transport/headpack/conn.go
@@ -186,6 +186,19 @@
 	return len(p) - len(body) + n, err
 }
 
+// closeWriter is a connection of which one direction can be closed.
+type closeWriter interface{ CloseWrite() error }
+
+// CloseWrite closes the direction that this end writes, which servers do before
+// they close a connection with bytes that they haven't read. Where that can't be
+// done alone it does nothing; Close follows.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(closeWriter); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // packHead packs the head that p begins with, and returns its length in p; 0
 // where there is none.
 func (c *Conn) packHead(p []byte) int {
--- a/transport/headpack/headpack_test.go
+++ b/transport/headpack/headpack_test.go
@@ -241,3 +241,28 @@
 		_, _ = d.decode(block)
 	}
 }
+
+// A server that answers before it has read a request's body half-closes the
+// connection and lingers; closed at once with unread bytes the kernel would reset
+// it, and the refusal on it would be lost.
+func TestRefusalBeforeTheBodyIsReadArrives(t *testing.T) {
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	s.Listener = Listener{s.Listener}
+	s.Start()
+	defer s.Close()
+	for range 20 {
+		raw, err := net.Dial("tcp", s.Listener.Addr().String())
+		must.NoError(t, err)
+		c := Client(raw)
+		_, err = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1048576\r\n\r\n")
+		must.NoError(t, err)
+		_, _ = c.Write(make([]byte, 512<<10)) // the server may have closed its side
+		got, err := io.ReadAll(c)
+		must.NoError(t, err)
+		must.StrHasPrefix(t, "HTTP/1.1 503 ", string(got))
+		must.NoError(t, c.Close())
+	}
+}
