--- a/transport/headpack/encode.go
+++ b/transport/headpack/encode.go
@@ -9,7 +9,7 @@
 )
 
 // Names of the fields that stand for parts of a message's first line. No header
-// has a name that begins with a colon: see splitHead.
+// has a name that begins with a colon: splitHead refuses those.
 const (
 	fieldMethod = ":m"
 	fieldDir    = ":d" // the path up to its last slash: routes share it
@@ -136,7 +136,7 @@
 }
 
 // splitHead takes a head apart, which ends with an empty line. It reports false
-// where joinHead would not give the same bytes.
+// where a decoder would not give the same bytes.
 func splitHead(head string) ([]hpack.HeaderField, bool) {
 	line, rest, ok := strings.Cut(strings.TrimSuffix(head, lineEnd), lineEnd)
 	if !ok {
