Look for a link that is soon free before a large answer waits for one

Cause: the link's lane of a host knows how busy it is and told nobody. An entry node drew hosts at random and each refused at a backlog of a sixth of the target; at the load of the large site's links (0.6 to 0.85 of their rate) four such draws often all failed, and the caller came back late.

Ruled out: backlog told with each answer. A node hears of a server about once a second, while ten answers pass its link.

Change: two near hosts are asked for a link that is free within a quarter of the time left; those that refuse tell their backlog, before anything has run, and the one with the shortest is then taken if its link is free within half of the time left. Other zones are asked only after that. The gate's gauge jacinthgate_inbound_link_backlog_seconds shows the backlog.

--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -59,6 +59,9 @@
 	// Patience is how long the request may wait for a slot at a near server before
 	// one further away is better for it. At 0 any wait is too long.
 	Patience time.Duration
+	// Near leaves servers out that are further away than the nearest ones, also
+	// where all of those were tried or are ejected.
+	Near bool
 }
 
 // Pick chooses among the candidates for a request of which nothing is known: it
@@ -74,7 +77,7 @@
 	at := now.UnixNano()
 	g := p.group(s, candidates, at)
 	m, trial := p.choose(g, tried, want, at)
-	if m == nil {
+	if m == nil && !want.Near {
 		m = p.lastResort(g, tried, at)
 	}
 	if m == nil {
@@ -115,6 +118,9 @@
 	var least time.Duration
 	for t := range g.tiers {
 		m, delay, trial := p.chooseIn(g, g.tiers[t], tried, want, at)
+		if m == nil && want.Near && len(g.tiers[t]) > 0 {
+			break
+		}
 		if m == nil {
 			continue
 		}
@@ -124,7 +130,7 @@
 		if best == nil || delay+p.cfg.SpillMargin+want.Patience < least {
 			best, least = m, delay
 		}
-		if delay <= want.Patience {
+		if delay <= want.Patience || want.Near {
 			break
 		}
 	}
--- a/coordination/balance/want_test.go
+++ b/coordination/balance/want_test.go
@@ -64,3 +64,22 @@
 		must.Eq(t, near, got, must.Sprint(patience))
 	}
 }
+
+// A request that is to stay near finds nobody where the near servers were tried,
+// although others are further away.
+func TestNearRequestLeavesItsZoneForNothing(t *testing.T) {
+	p, s, rs := newPicker(), service(0.5), records(3)
+	rs[2].Zone = "z2"
+	var tried Tried
+	for range 2 {
+		c, err := p.PickFor(start, s, rs, &tried, Want{Work: report, Near: true})
+		must.NoError(t, err)
+		must.Eq(t, "z1", c.Record.Zone)
+		tried.Add(c.Record.Node)
+	}
+	_, err := p.PickFor(start, s, rs, &tried, Want{Work: report, Near: true})
+	must.Error(t, err)
+	c, err := p.PickFor(start, s, rs, &tried, Want{Work: report})
+	must.NoError(t, err)
+	must.Eq(t, "z2", c.Record.Zone)
+}
--- a/coordination/pace/lane.go
+++ b/coordination/pace/lane.go
@@ -75,17 +75,31 @@
 	return due
 }
 
-// Admit reserves room for an answer of the mean size, unless what was admitted
-// before and what is being sent would hold it up for longer than wait. Done must
-// be called in the end.
-func (l *Lane) Admit(now time.Time, wait time.Duration) (*Ticket, bool) {
+// Ask reserves room for an answer of the mean size, unless what was admitted
+// before and what is being sent would hold it up for longer than wait. It returns
+// for how long that is. Done must be called in the end.
+func (l *Lane) Ask(now time.Time, wait time.Duration) (t *Ticket, backlog time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.span(l.pending)+max(0, l.next.Sub(now)) > wait {
-		return nil, false
+	backlog = l.backlog(now)
+	if backlog > wait {
+		return nil, backlog, false
 	}
 	l.pending += l.size
-	return &Ticket{lane: l, left: l.size}, true
+	return &Ticket{lane: l, left: l.size}, backlog, true
+}
+
+// Backlog returns how long the link is busy with what was admitted and what is being
+// sent.
+func (l *Lane) Backlog(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.backlog(now)
+}
+
+// backlog is Backlog; l.mu is held.
+func (l *Lane) backlog(now time.Time) time.Duration {
+	return l.span(l.pending) + max(0, l.next.Sub(now))
 }
 
 // Size corrects the room once the answer's size is known, in bytes.
--- a/coordination/pace/lane_test.go
+++ b/coordination/pace/lane_test.go
@@ -23,25 +23,25 @@
 	l := lane() // an answer takes 100 ms
 	var tickets []*Ticket
 	for range 10 {
-		if ticket, ok := l.Admit(begin, 150*time.Millisecond); ok {
+		if ticket, _, ok := l.Ask(begin, 150*time.Millisecond); ok {
 			tickets = append(tickets, ticket)
 		}
 	}
 	must.Len(t, 2, tickets)
 	sent := send(tickets[0], begin)
 	must.Eq(t, 90*time.Millisecond, sent.Sub(begin))
-	_, ok := l.Admit(sent, 150*time.Millisecond)
+	_, _, ok := l.Ask(sent, 150*time.Millisecond)
 	must.True(t, ok, must.Sprint("what was sent makes room"))
 }
 
 func TestRoomFollowsTheRealSize(t *testing.T) {
 	l := lane()
-	a, ok := l.Admit(begin, 0)
+	a, _, ok := l.Ask(begin, 0)
 	must.True(t, ok)
 	a.Size(3e5)
-	_, ok = l.Admit(begin, 299*time.Millisecond)
+	_, _, ok = l.Ask(begin, 299*time.Millisecond)
 	must.False(t, ok)
-	_, ok = l.Admit(begin, 300*time.Millisecond)
+	_, _, ok = l.Ask(begin, 300*time.Millisecond)
 	must.True(t, ok)
 	must.Eq(t, 2e5, l.size, must.Sprint("the mean of 1e5 and 3e5"))
 }
@@ -50,10 +50,10 @@
 func TestSmallAnswersTakeTheirPartOfTheLink(t *testing.T) {
 	l := lane()
 	l.Small(begin, 5e4)
-	a, ok := l.Admit(begin, 50*time.Millisecond)
+	a, _, ok := l.Ask(begin, 50*time.Millisecond)
 	must.True(t, ok)
 	must.Eq(t, 50*time.Millisecond, a.Piece(begin, 1e4))
-	_, ok = l.Admit(begin, 140*time.Millisecond)
+	_, _, ok = l.Ask(begin, 140*time.Millisecond)
 	must.False(t, ok, must.Sprint("50 ms of small answers and 90 ms of the large one are due"))
 	// Time without any answer is not saved up.
 	later := begin.Add(time.Hour)
@@ -63,7 +63,7 @@
 
 func TestAnswerThatIsNotSentGivesItsRoomBack(t *testing.T) {
 	l := lane()
-	a, _ := l.Admit(begin, 0)
+	a, _, _ := l.Ask(begin, 0)
 	a.Piece(begin, 1e4)
 	a.Done()
 	a.Done()
@@ -72,12 +72,12 @@
 
 func TestPiecesKeepToTheRate(t *testing.T) {
 	l := lane()
-	a, _ := l.Admit(begin, 0)
+	a, _, _ := l.Ask(begin, 0)
 	a.Size(1e6)
 	end := send(a, begin)
 	must.Eq(t, 990*time.Millisecond, end.Sub(begin), must.Sprint("99 pieces of 10 ms before the last"))
 	end = end.Add(time.Second)
-	b, ok := l.Admit(end, 0)
+	b, _, ok := l.Ask(end, 0)
 	must.True(t, ok)
 	must.Eq(t, 0, b.Piece(end, 1e4), must.Sprint("an idle lane sends at once"))
 }
@@ -85,7 +85,7 @@
 func TestFastLinksAdmitMany(t *testing.T) {
 	l := New(DefaultConfig(1e9))
 	for range 20 {
-		_, ok := l.Admit(begin, 50*time.Millisecond)
+		_, _, ok := l.Ask(begin, 50*time.Millisecond)
 		must.True(t, ok)
 	}
 }
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -57,6 +57,12 @@
 	HeaderCaller = "Jacinthgate-Caller"
 	// HeaderUrgency carries the request's Urgency.
 	HeaderUrgency = "Jacinthgate-Urgency"
+	// HeaderLinkWait carries how long a large answer may wait for the link of the
+	// gate's host, in milliseconds.
+	HeaderLinkWait = "Jacinthgate-Link-Wait"
+	// HeaderLinkBacklog carries how long the link of the gate's host is busy with
+	// large answers, in milliseconds, where a request is refused for that.
+	HeaderLinkBacklog = "Jacinthgate-Link-Backlog"
 	// HeaderReached is "1" on a gate's response when the request was sent to
 	// the backend server, whatever came of it.
 	HeaderReached = "Jacinthgate-Reached"
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -23,7 +23,7 @@
 	outcome.HeaderReason,
 	outcome.HeaderInstance,
 	outcome.HeaderCaller,
-	outcome.HeaderUrgency,
+	outcome.HeaderUrgency, outcome.HeaderLinkWait, outcome.HeaderLinkBacklog,
 	outcome.HeaderReached,
 }
 
--- a/transport/inbound/bulk.go
+++ b/transport/inbound/bulk.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/pace"
@@ -24,13 +25,13 @@
 
 // serveBulk serves a request for a large answer of another node.
 func (g *Gate) serveBulk(w http.ResponseWriter, req *http.Request) error {
-	u, err := outcome.ParseUrgency(req.Header.Get(outcome.HeaderUrgency))
-	if err != nil {
+	wait, given, err := forward.HeaderInt(req.Header, outcome.HeaderLinkWait)
+	if err != nil || !given {
 		return forward.Relay(w, g.refuse(req, outcome.ReasonMalformed, false))
 	}
-	ticket, ok := g.cfg.Lane.Admit(g.cfg.Now(), linkWait(u))
+	ticket, backlog, ok := g.cfg.Lane.Ask(g.cfg.Now(), time.Duration(wait)*time.Millisecond)
 	if !ok {
-		return forward.Relay(w, g.refuse(req, outcome.ReasonLinkFull, false))
+		return forward.Relay(w, g.refuseLink(req, backlog))
 	}
 	defer ticket.Done()
 	resp, err := g.RoundTrip(req)
@@ -40,14 +41,12 @@
 	return g.relayPaced(w, req, resp, ticket)
 }
 
-// linkWaitPart is the part of its target that a large answer may wait for the
-// host's link: a caller that is refused so early is still served in time when it
-// comes back. docs/MEASUREMENTS.md compares it with a third.
-const linkWaitPart = 6
-
-// linkWait returns how long a large answer may still wait for the host's link.
-func linkWait(u outcome.Urgency) time.Duration {
-	return max(0, u.Left-u.Target+u.Target/linkWaitPart)
+// refuseLink refuses a large answer for the link's backlog, and tells it, so that
+// the entry node can take the host with the shortest one.
+func (g *Gate) refuseLink(req *http.Request, backlog time.Duration) *http.Response {
+	resp := g.refuse(req, outcome.ReasonLinkFull, false)
+	resp.Header[outcome.HeaderLinkBacklog] = []string{strconv.FormatInt(backlog.Milliseconds(), 10)}
+	return resp
 }
 
 // relayPaced sends an answer at the lane's rate, few at a time: answers that are
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -77,6 +77,7 @@
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots_used", func() float64 { return float64(g.core.Load().Used) })
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots", func() float64 { return float64(g.core.Load().Slots) })
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_queued", func() float64 { return float64(g.core.Load().Queued) })
+	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_link_backlog_seconds", func() float64 { return cfg.Lane.Backlog(cfg.Now()).Seconds() })
 	return g
 }
 
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/coordination/pace"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
@@ -33,6 +34,7 @@
 	body  requestBody
 	trail attempt.Trail
 	tried balance.Tried
+	links pace.Search
 	// failure is a backend server's own failure that is kept while another
 	// attempt is made.
 	failure *answer
@@ -104,17 +106,13 @@
 	return x.take(choice, resp, took)
 }
 
-// pick chooses the backend server for the next send. A large answer from the
-// caller's own host needs no link, and links are what limits large answers where
-// they are slow, so that server is asked first.
+// pick chooses the backend server for the next send.
 func (x *exchange) pick(now time.Time) (balance.Choice, error) {
 	servers := x.candidates()
+	want := balance.Want{Work: x.work(), Patience: max(0, x.due().Sub(now)/patiencePart)}
 	if x.route.Kind == model.KindBulk {
-		if c, ok := x.p.cfg.Balance.PickNode(now, x.service, servers, x.p.cfg.Self, &x.tried); ok {
-			return c, nil
-		}
+		return x.pickLink(now, servers, want)
 	}
-	want := balance.Want{Work: x.work(), Patience: max(0, x.due().Sub(now)/patiencePart)}
 	return x.p.cfg.Balance.PickFor(now, x.service, servers, &x.tried, want)
 }
 
@@ -157,6 +155,9 @@
 	h[outcome.HeaderInstance] = v[3:4:4]
 	h[outcome.HeaderCaller] = v[4:5:5]
 	h[outcome.HeaderUrgency] = v[5:6:6]
+	if x.route.Kind == model.KindBulk {
+		h[outcome.HeaderLinkWait] = []string{strconv.FormatInt(x.links.Wait(urgency.Left).Milliseconds(), 10)}
+	}
 	return out
 }
 
@@ -225,6 +226,9 @@
 		out = outcome.NotRun
 		result.Outcome = refusedAs(reason)
 	}
+	if reason == outcome.ReasonLinkFull {
+		x.linkFull(choice, h)
+	}
 	forward.Drain(resp)
 	choice.Done(x.p.cfg.Now(), result)
 	x.trail.Note(out, reason)
