Let a few nodes of each zone register, and new sites read once

Cause: each node wrote its address into the store, read the list and read the configuration when it started: 885 calls for 295 hosts, and at 4,300 hosts 4,300 writes to a part of a table that takes 150 a second, 29 s.

Ruled out: that all have to be found in the store.

Change: a node registers where fewer than eight of its zone are listed, where it has found nobody, and as one of the first two live members of its zone. A site that starts for the first time spreads its looks over a second, and its nodes take the configuration from a peer: nobody has served with a newer one. A node that has peers asks a store that doesn't answer less and less often. The row holds the zone as well. coordination/registry decides, sidecar's discover.go carries it out.

--- a/coordination/docsync/config.go
+++ b/coordination/docsync/config.go
@@ -49,6 +49,12 @@
 	// StartWait is how long a node that has just started waits for the
 	// store's document before it serves with one that a peer holds.
 	StartWait time.Duration
+	// ReadDelay is how long a node that has just started doesn't read the store,
+	// so that it gets the document from a peer where one has it.
+	ReadDelay time.Duration
+	// Fresh says that the whole site starts for the first time: no node has served
+	// with a newer document before, so that a peer's is taken without the store's.
+	Fresh bool
 	// RetryMin and RetryMax bound the wait after a failed read, which doubles
 	// with each failure.
 	RetryMin time.Duration
--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -211,7 +211,7 @@
 	if d.Version <= c.wanted() {
 		return
 	}
-	if !c.read && c.held == 0 && c.now.Sub(c.started) < c.cfg.StartWait {
+	if !c.read && !c.cfg.Fresh && c.held == 0 && c.now.Sub(c.started) < c.cfg.StartWait {
 		c.waiting, c.from = d, from
 		return
 	}
@@ -277,11 +277,12 @@
 }
 
 func (c *Core) shouldRead() bool {
-	if c.now.Before(c.retryAt) {
+	age := c.now.Sub(c.started)
+	if age < c.cfg.ReadDelay || c.now.Before(c.retryAt) {
 		return false
 	}
 	c.leading = c.shouldLead()
-	starting := !c.read && c.now.Sub(c.started) < c.cfg.StartWait
+	starting := !c.read && c.held == 0 && age < c.cfg.ReadDelay+c.cfg.StartWait
 	return c.leading || starting
 }
 
--- a/coordination/docsync/core_test.go
+++ b/coordination/docsync/core_test.go
@@ -113,6 +113,33 @@
 	must.Eq(t, []uint64{3}, applied(b.pass(1200*time.Millisecond)))
 }
 
+// Where the whole site starts for the first time nobody has served before, so the
+// nodes that come later get the document from those that came first, and the store
+// isn't asked: 295 hosts made 885 calls to start, of which 295 were such reads.
+func TestNodeOfANewSiteTakesAPeersDocumentWithoutReading(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Fresh, cfg.ReadDelay = true, 500*time.Millisecond
+	b := &bed{t: t, core: New(cfg, record("self", "z1"), 1), now: begin}
+	b.step(core.Tick{})
+	b.step(Members{Live: []model.NodeID{"a", "b", "c", "self"}})
+	b.up("a", "z1")
+	must.Eq(t, []uint64{3}, applied(b.receive("a", &message.Document{Version: 3, Body: []byte("3")})))
+	b.receive("a", &message.ReaderBeacon{Reader: "a", Incarnation: 1, Sequence: 1})
+	b.pass(time.Second)
+	must.False(t, b.core.Reading())
+}
+
+func TestNodeOfANewSiteReadsWhereNobodyHasTheDocument(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Fresh, cfg.ReadDelay = true, 500*time.Millisecond
+	b := &bed{t: t, core: New(cfg, record("self", "z1"), 1), now: begin}
+	b.step(core.Tick{})
+	b.pass(400 * time.Millisecond)
+	must.False(t, b.core.Reading())
+	b.pass(200 * time.Millisecond)
+	must.True(t, b.core.Reading())
+}
+
 func TestVersionsNeverGoBack(t *testing.T) {
 	b := newBed(t)
 	b.up("near", "z1")
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"github.com/jacinthgate/jacinthgate/coordination/budget"
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
@@ -81,11 +78,20 @@
 	maxReaders = 4
 )
 
+// joinTime is how long a node that starts with its whole site takes to find a peer
+// that has the configuration: some milliseconds for the store and the handshake,
+// six times as long where it has a sixth of a core.
+const joinTime = 300 * time.Millisecond
+
 // docsConfig returns the parameters of how the configuration is read.
 func (n *Node) docsConfig() docsync.Config {
 	cfg := docsync.DefaultConfig()
 	zones := max(1, len(n.set.Zones))
 	cfg.Leaders = min(max((siteReaders+zones-1)/zones, minReaders), maxReaders)
+	if n.set.FirstStart {
+		cfg.Fresh = true
+		cfg.ReadDelay = n.startDelay + joinTime
+	}
 	return cfg
 }
 
@@ -160,85 +166,3 @@
 	n.gate.Update()
 	n.loop.queue.Post(n.ctx, a)
 }
-
-const (
-	// storeTimeout bounds one call to the store that doesn't wait for changes.
-	storeTimeout = time.Second
-	// aloneRetry is the time between two looks for peers of a node that has
-	// none; spread by half.
-	aloneRetry = time.Second
-	// discoverCheck is the time between two looks whether the node is alone.
-	discoverCheck = 500 * time.Millisecond
-)
-
-// discover registers the node in the store and finds the others there. They
-// need the store for nothing else: who was found is remembered, and a node that
-// returns is called by its peers.
-func (n *Node) discover(ctx context.Context) error {
-	registered := false
-	for {
-		if !registered || n.alone(ctx) {
-			registered = n.lookUp(ctx, registered)
-		}
-		wait := discoverCheck
-		if !registered {
-			wait = aloneRetry/2 + rand.N(aloneRetry)
-		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// alone reports whether the node has no peer.
-func (n *Node) alone(ctx context.Context) bool {
-	alone := false
-	n.loop.queue.Ask(ctx, func() { alone = len(n.loop.member.Neighbours()) == 0 })
-	return alone
-}
-
-// lookUp makes one round and reports whether the node is registered. A node
-// writes before it reads, so that of two that start at once one finds the
-// other.
-func (n *Node) lookUp(ctx context.Context, registered bool) bool {
-	addr := n.set.peersAddr()
-	if !registered && n.set.FirstStart {
-		registered = n.register(ctx, addr)
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	known, err := n.store.Registered(ctx)
-	if err != nil {
-		_ = level.Warn(n.log).Log("event", "nodes_unread", "err", err)
-		return registered
-	}
-	if n.backends.drained(known.Drained[string(n.set.Node)]) {
-		n.announce(nil)
-	}
-	if known.Addrs[string(n.set.Node)] == addr {
-		registered = true
-	}
-	seeds := make([]string, 0, len(known.Addrs))
-	for _, a := range known.Addrs {
-		seeds = append(seeds, a)
-	}
-	slices.Sort(seeds)
-	_ = level.Info(n.log).Log("event", "nodes_read", "nodes", len(seeds), "registered", registered)
-	n.loop.queue.Post(ctx, member.SeedsLearned{Addrs: seeds})
-	if registered {
-		return true
-	}
-	return n.register(ctx, addr)
-}
-
-func (n *Node) register(ctx context.Context, addr string) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	if err := n.store.Register(ctx, string(n.set.Node), addr); err != nil {
-		_ = level.Warn(n.log).Log("event", "node_not_registered", "err", err)
-		return false
-	}
-	return true
-}
--- /dev/null
+++ b/internal/sidecar/discover.go
@@ -0,0 +1,141 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/jacinthgate/jacinthgate/coordination/member"
+	"github.com/jacinthgate/jacinthgate/coordination/registry"
+	"github.com/jacinthgate/jacinthgate/platform"
+)
+
+const (
+	// storeTimeout bounds one call to the store that doesn't wait for changes.
+	storeTimeout = time.Second
+	// discoverCheck is the time between two looks whether the node is alone or has
+	// to register.
+	discoverCheck = 500 * time.Millisecond
+	// aloneRetry is the time between two looks for peers of a node that has none,
+	// or hasn't read the list yet; spread by half. It doubles up to aloneRetryMax
+	// while the store doesn't answer and the node has peers, and so needs nothing
+	// of it.
+	aloneRetry    = time.Second
+	aloneRetryMax = 8 * time.Second
+)
+
+// discovery is what the node knows of the registered nodes. One goroutine uses it.
+type discovery struct {
+	n       *Node
+	policy  registry.Config
+	started time.Time
+	// known is set once the list was read.
+	known, registered bool
+	// listed is the number of registered nodes of the own zone.
+	listed int
+	// failures counts the calls in a row that the store has not answered.
+	failures int
+}
+
+// discover finds the other nodes in the store and registers this one where it is
+// needed. They need the store for nothing else: who was found is remembered, and a
+// node that returns is called by its peers.
+func (n *Node) discover(ctx context.Context) error {
+	d := &discovery{n: n, policy: registry.DefaultConfig(), started: time.Now()}
+	wait := n.startDelay
+	for first := true; ; first = false {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return nil
+		}
+		wait = d.round(ctx, first)
+	}
+}
+
+// round looks at the list where that is needed, registers the node where that is,
+// and returns when to do so again.
+func (d *discovery) round(ctx context.Context, first bool) time.Duration {
+	rank, alone := d.place(ctx)
+	alone = alone && !first // nobody was looked for before
+	if !d.known || alone {
+		d.read(ctx)
+	}
+	view := registry.View{Listed: d.listed, Rank: rank, Age: time.Since(d.started), Alone: alone}
+	if d.known && !d.registered && d.policy.Register(view) {
+		d.register(ctx)
+	}
+	if d.known && !alone && d.failures == 0 {
+		return discoverCheck
+	}
+	wait := aloneRetry
+	if !alone && d.failures > 0 {
+		wait = min(aloneRetry<<min(d.failures-1, maxDoublings), aloneRetryMax)
+	}
+	return wait/2 + rand.N(wait)
+}
+
+// maxDoublings keeps a doubled wait within the range of time.Duration.
+const maxDoublings = 16
+
+// place returns the node's rank in its zone, and whether it has no peer.
+func (d *discovery) place(ctx context.Context) (rank int, alone bool) {
+	d.n.loop.queue.Ask(ctx, func() {
+		m := d.n.loop.member
+		rank = slices.Index(m.Live(), d.n.set.Node)
+		alone = len(m.Neighbours()) == 0
+	})
+	return max(0, rank), alone
+}
+
+// read reads the list and hands its addresses to membership.
+func (d *discovery) read(ctx context.Context) {
+	n := d.n
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	nodes, err := n.store.Registered(ctx)
+	if err != nil {
+		d.failures++
+		_ = level.Warn(n.log).Log("event", "nodes_unread", "err", err)
+		return
+	}
+	d.known, d.failures = true, 0
+	if n.backends.drained(nodes.Drained[string(n.set.Node)]) {
+		n.announce(nil)
+	}
+	d.listed = 0
+	seeds := make([]string, 0, len(nodes.Seeds))
+	for id, s := range nodes.Seeds {
+		seeds = append(seeds, s.Addr)
+		if s.Zone == string(n.set.Zone) {
+			d.listed++
+		}
+		if id == string(n.set.Node) {
+			d.registered = s == d.self()
+		}
+	}
+	slices.Sort(seeds)
+	_ = level.Info(n.log).Log("event", "nodes_read", "nodes", len(seeds), "own_zone", d.listed, "registered", d.registered)
+	n.loop.queue.Post(ctx, member.SeedsLearned{Addrs: seeds})
+}
+
+// register writes the node's address into the store.
+func (d *discovery) register(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := d.n.store.Register(ctx, string(d.n.set.Node), d.self()); err != nil {
+		d.failures++
+		_ = level.Warn(d.n.log).Log("event", "node_not_registered", "err", err)
+		return
+	}
+	d.registered, d.failures = true, 0
+	_ = level.Info(d.n.log).Log("event", "node_registered", "own_zone", d.listed)
+}
+
+// self returns what other nodes find of this one.
+func (d *discovery) self() platform.Seed {
+	return platform.Seed{Addr: d.n.set.peersAddr(), Zone: string(d.n.set.Zone)}
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -15,6 +15,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
 	"github.com/jacinthgate/jacinthgate/coordination/pace"
+	"github.com/jacinthgate/jacinthgate/coordination/registry"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/instance"
@@ -62,6 +63,9 @@
 	front     *callers.Server // what serves callers
 	gates     *server
 
+	// startDelay is when the node first looks for others after its start.
+	startDelay time.Duration
+
 	ctx    context.Context
 	cancel context.CancelFunc
 }
@@ -72,6 +76,7 @@
 func New(set *Settings, path string, logger log.Logger, dropped func() uint64) (*Node, error) {
 	n := &Node{set: set, path: path, log: logger, metrics: metrics.NewSet(), pub: new(published)}
 	n.metrics.GetOrCreateGauge("jacinthgate_log_lines_dropped", func() float64 { return float64(dropped()) })
+	n.startDelay = registry.DefaultConfig().StartDelay(set.FirstStart, rand.Float64())
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	store := platform.DefaultStoreConfig("http://" + set.Store)
 	store.LocalIP = n.localIP()
