Count small answers in a link's backlog, and split five long files

Cause: a lane's backlog was the bytes of large answers over the whole rate, but small answers go first. Ruled out: nothing yet beside it; the bound's part is looked at next.

Change: the backlog is what large answers take beside the small ones of the last second or so.

Before and after (TestBacklogCountsTheSmallAnswersThatWillComeBetween): 100 KB on a link of 1 MB/s, of which small answers take 0.3 MB/s: 100 ms, 143 ms.

--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -1,7 +1,6 @@
 package docsync
 
 import (
-	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -235,21 +234,6 @@
 	c.sendBeacon()
 }
 
-// backoff returns the wait after a failed read, spread by half.
-func (c *Core) backoff() time.Duration {
-	wait := c.cfg.RetryMax
-	if c.failures < maxDoublings {
-		wait = min(wait, c.cfg.RetryMin<<(c.failures-1))
-	}
-	if c.rank >= c.cfg.Leaders {
-		wait = max(wait, time.Duration(c.live)*c.cfg.TurnDelay)
-	}
-	return wait/2 + time.Duration(c.rng.Int64N(int64(wait)))
-}
-
-// maxDoublings keeps the doubled wait within the range of time.Duration.
-const maxDoublings = 16
-
 // take puts a document in force and tells the peers.
 func (c *Core) take(version uint64, body []byte, from model.NodeID) {
 	c.waiting = nil
@@ -266,104 +250,6 @@
 	}
 }
 
-// decideReading turns reading on and off.
-func (c *Core) decideReading() {
-	on := c.shouldRead()
-	if on == c.reading {
-		return
-	}
-	c.reading = on
-	c.act(SetReading{On: on})
-}
-
-func (c *Core) shouldRead() bool {
-	age := c.now.Sub(c.started)
-	if age < c.cfg.ReadDelay || c.now.Before(c.retryAt) {
-		return false
-	}
-	c.leading = c.shouldLead()
-	starting := !c.read && c.held == 0 && age < c.cfg.ReadDelay+c.cfg.StartWait
-	return c.leading || starting
-}
-
-// shouldLead reports whether this node reads the store for its zone.
-func (c *Core) shouldLead() bool {
-	if c.rank < c.cfg.Leaders {
-		return true
-	}
-	if c.leading {
-		return !c.betterReader()
-	}
-	return c.now.Sub(c.lastHeard()) >= c.cfg.SilenceAfter+c.turn()
-}
-
-// turn returns how much later than the first member this one takes over.
-func (c *Core) turn() time.Duration {
-	quick := min(c.rank, c.cfg.QuickRanks)
-	return time.Duration(quick)*c.cfg.RankDelay + time.Duration(c.rank-quick)*c.cfg.TurnDelay
-}
-
-// betterReader reports whether a reader with precedence was heard lately. The
-// one with precedence goes on, and this one stops.
-func (c *Core) betterReader() bool {
-	for id, b := range c.heard {
-		if c.now.Sub(b.at) < c.cfg.SilenceAfter && compareNodes(id, c.self.Node) < 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// lastHeard returns when a reader was last heard.
-func (c *Core) lastHeard() time.Time {
-	last := c.quiet
-	for _, b := range c.heard {
-		if b.at.After(last) {
-			last = b.at
-		}
-	}
-	return last
-}
-
-// compareNodes orders nodes as the zone's list of members does.
-func compareNodes(a, b model.NodeID) int {
-	return cmp.Or(cmp.Compare(a.Key(), b.Key()), cmp.Compare(a, b))
-}
-
-// sendBeacon tells the zone that this node reads the store with success.
-func (c *Core) sendBeacon() {
-	if !c.reading || !c.read || c.failures > 0 || c.now.Before(c.beaconAt) {
-		return
-	}
-	c.beaconAt = c.now.Add(c.cfg.BeaconInterval)
-	c.sequence++
-	c.relay("", &message.ReaderBeacon{Reader: c.self.Node, Incarnation: c.self.Incarnation, Sequence: c.sequence})
-}
-
-// takeBeacon notes a reader's beacon and relays it once.
-func (c *Core) takeBeacon(from model.NodeID, m *message.ReaderBeacon) {
-	p := c.peers[from]
-	if p == nil || !p.near || m.Reader == c.self.Node {
-		return
-	}
-	old := c.heard[m.Reader]
-	older := cmp.Or(cmp.Compare(m.Incarnation, old.incarnation), cmp.Compare(m.Sequence, old.sequence)) <= 0
-	if older {
-		return
-	}
-	c.heard[m.Reader] = beacon{incarnation: m.Incarnation, sequence: m.Sequence, at: c.now}
-	c.relay(from, m)
-}
-
-// relay sends a beacon to the peers of the own zone but the one it came from.
-func (c *Core) relay(from model.NodeID, m *message.ReaderBeacon) {
-	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
-		if c.peers[id].near && id != from && id != m.Reader {
-			c.send(id, m)
-		}
-	}
-}
-
 func (c *Core) act(a core.Action) { c.out = append(c.out, a) }
 
 func (c *Core) send(to model.NodeID, m message.Message) {
--- a/coordination/pace/lane.go
+++ b/coordination/pace/lane.go
@@ -5,6 +5,7 @@
 package pace
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -42,6 +43,10 @@
 	pending float64
 	// next is when the next piece may be sent.
 	next time.Time
+	// small is what small answers have lately taken, in bytes; what was sent
+	// smallWindow ago counts for the e-th part.
+	small   float64
+	smallAt time.Time
 }
 
 // New returns a lane.
@@ -62,6 +67,29 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.advance(now, float64(bytes))
+	l.small = l.smallLeft(now) + float64(bytes)
+	l.smallAt = now
+}
+
+// smallWindow is the time over which the rate of small answers is measured: long
+// enough for some dozen of them, and short against the waits that it corrects.
+const smallWindow = time.Second
+
+// smallLeft returns what still counts of the small answers.
+func (l *Lane) smallLeft(now time.Time) float64 {
+	return l.small * math.Exp(-max(0, now.Sub(l.smallAt)).Seconds()/smallWindow.Seconds())
+}
+
+// leastPart is the part of the rate that counts for large answers in any case.
+const leastPart = 0.2
+
+// drain returns how long the link takes to send so many bytes of large answers
+// beside the small ones, which go first. Without those the wait looks shorter than
+// it is, by a fifth where they take a fifth of the link.
+func (l *Lane) drain(now time.Time, bytes float64) time.Duration {
+	free := l.cfg.BytesPerSecond - l.smallLeft(now)/smallWindow.Seconds()
+	free = max(free, leastPart*l.cfg.BytesPerSecond)
+	return time.Duration(bytes / free * float64(time.Second))
 }
 
 // advance moves the time of the next piece by what is sent before it, and returns
@@ -99,7 +127,7 @@
 
 // backlog is Backlog; l.mu is held.
 func (l *Lane) backlog(now time.Time) time.Duration {
-	return l.span(l.pending) + max(0, l.next.Sub(now))
+	return l.drain(now, l.pending) + max(0, l.next.Sub(now))
 }
 
 // Size corrects the room once the answer's size is known, in bytes.
--- a/coordination/pace/lane_test.go
+++ b/coordination/pace/lane_test.go
@@ -89,3 +89,17 @@
 		must.True(t, ok)
 	}
 }
+
+// Small answers go first, so large ones wait for longer than their own bytes take.
+func TestBacklogCountsTheSmallAnswersThatWillComeBetween(t *testing.T) {
+	l := lane()
+	now := begin
+	for range 500 { // 300 KB a second of the 1 MB that the link sends
+		l.Small(now, 3e3)
+		now = now.Add(10 * time.Millisecond)
+	}
+	_, _, ok := l.Ask(now, 0)
+	must.True(t, ok)
+	must.InDelta(t, 0.143, l.Backlog(now).Seconds(), 0.002)
+	must.InDelta(t, 0.1, l.Backlog(now.Add(10*time.Second)).Seconds(), 0.002)
+}
--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -132,29 +130,6 @@
 	_ = c.raw.SetReadDeadline(until) // the read reports a closed connection
 }
 
-// check refuses what http.ReadRequest lets pass and net/http's server doesn't.
-func check(req *http.Request) error {
-	switch {
-	case req.ProtoMajor != 1:
-		return &requestError{What: "protocol " + req.Proto}
-	case req.Host == "" && req.ProtoAtLeast(1, 1), !httpguts.ValidHostHeader(req.Host):
-		return &requestError{What: "host"}
-	case req.Method == http.MethodConnect:
-		return &requestError{What: "method CONNECT"}
-	}
-	for name, values := range req.Header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return &requestError{What: "header name"}
-		}
-		for _, v := range values {
-			if !httpguts.ValidHeaderFieldValue(v) {
-				return &requestError{What: "value of " + name}
-			}
-		}
-	}
-	return nil
-}
-
 // start answers a request on a goroutine of its own and returns when the next
 // request may be read. A request that may not run again waits for the answers
 // before it: if one of them ends the connection, the caller sends what came
--- /dev/null
+++ b/transport/inbound/answer.go
@@ -0,0 +1,55 @@
+package inbound
+
+import (
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+)
+
+// refuse answers that the request was not run.
+func (g *Gate) refuse(req *http.Request, reason outcome.Reason, reached bool) *http.Response {
+	g.counter(reason).Inc()
+	return g.answer(req, http.StatusServiceUnavailable, outcome.NotRun, reason, reached)
+}
+
+// unknown answers that the request may have run.
+func (g *Gate) unknown(req *http.Request, reason outcome.Reason) *http.Response {
+	g.counter(reason).Inc()
+	return g.answer(req, http.StatusBadGateway, outcome.Unknown, reason, true)
+}
+
+var reachedValue = []string{"1"}
+
+func (g *Gate) answer(req *http.Request, status int, o outcome.Outcome, reason outcome.Reason, reached bool) *http.Response {
+	h := make(http.Header, 8)
+	h[outcome.HeaderOutcome] = []string{string(o)}
+	h[outcome.HeaderReason] = []string{string(reason)}
+	if reached {
+		h[outcome.HeaderReached] = reachedValue
+	}
+	g.stamp(h)
+	return &http.Response{
+		StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: h, Body: http.NoBody, Request: req,
+	}
+}
+
+// counter returns the counter of refusals for a reason.
+func (g *Gate) counter(reason outcome.Reason) *metrics.Counter {
+	if c, ok := g.refusals.Load(reason); ok {
+		return c.(*metrics.Counter)
+	}
+	c := g.cfg.Metrics.GetOrCreateCounter(`jacinthgate_inbound_refusals_total{reason="` + string(reason) + `"}`)
+	g.refusals.Store(reason, c)
+	return c
+}
+
+// stamp tells the load with every answer.
+func (g *Gate) stamp(h http.Header) {
+	l := g.core.Load()
+	told := balance.Load{Used: l.Used, Slots: max(1, l.Slots), Queued: l.Queued, Work: g.core.Work()}
+	h[outcome.HeaderLoad] = []string{told.String()}
+}
--- /dev/null
+++ b/transport/inbound/check.go
@@ -0,0 +1,45 @@
+package inbound
+
+import (
+	"net/http"
+	"time"
+
+	core "github.com/jacinthgate/jacinthgate/coordination/gate"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/instance"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+)
+
+// call is what the gate knows of a request.
+type call struct {
+	core.Request
+	instance *instance.Instance
+}
+
+// check reads the node headers and refuses what can't be sent.
+func (g *Gate) check(req *http.Request, now time.Time) (call, outcome.Reason) {
+	h := req.Header
+	c := call{instance: g.cfg.Instance()}
+	i := c.instance
+	switch {
+	case i == nil:
+		return c, outcome.ReasonNoEndpoint
+	case i.Service != h.Get(outcome.HeaderService), i.ID != h.Get(outcome.HeaderInstance):
+		return c, outcome.ReasonWrongService
+	case g.left(i, now):
+		return c, outcome.ReasonDraining
+	}
+	left, given, err := forward.HeaderInt(h, outcome.HeaderDeadline)
+	if err != nil || !given {
+		return c, outcome.ReasonMalformed
+	}
+	c.Deadline = now.Add(time.Duration(left) * time.Millisecond)
+	u, err := outcome.ParseUrgency(h.Get(outcome.HeaderUrgency))
+	if err != nil {
+		return c, outcome.ReasonMalformed
+	}
+	c.Work = model.Work{Kind: model.ClassKind(h.Get(outcome.HeaderKind)), Rank: u.Rank, Target: u.Target}
+	c.Due = now.Add(u.Left)
+	return c, ""
+}
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -17,7 +17,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
-	"github.com/jacinthgate/jacinthgate/coordination/balance"
 	core "github.com/jacinthgate/jacinthgate/coordination/gate"
 	"github.com/jacinthgate/jacinthgate/coordination/pace"
 	"github.com/jacinthgate/jacinthgate/protocol/dialect"
@@ -164,12 +163,6 @@
 // nodes' own headers are about so long.
 const headBytes = 400
 
-// call is what the gate knows of a request.
-type call struct {
-	core.Request
-	instance *instance.Instance
-}
-
 // RoundTrip implements http.RoundTripper. Every failure is an answer with node
 // headers; the error is always nil. The response's body must be closed.
 func (g *Gate) RoundTrip(req *http.Request) (*http.Response, error) {
@@ -192,33 +185,6 @@
 	return g.send(req, c), nil
 }
 
-// check reads the node headers and refuses what can't be sent.
-func (g *Gate) check(req *http.Request, now time.Time) (call, outcome.Reason) {
-	h := req.Header
-	c := call{instance: g.cfg.Instance()}
-	i := c.instance
-	switch {
-	case i == nil:
-		return c, outcome.ReasonNoEndpoint
-	case i.Service != h.Get(outcome.HeaderService), i.ID != h.Get(outcome.HeaderInstance):
-		return c, outcome.ReasonWrongService
-	case g.left(i, now):
-		return c, outcome.ReasonDraining
-	}
-	left, given, err := forward.HeaderInt(h, outcome.HeaderDeadline)
-	if err != nil || !given {
-		return c, outcome.ReasonMalformed
-	}
-	c.Deadline = now.Add(time.Duration(left) * time.Millisecond)
-	u, err := outcome.ParseUrgency(h.Get(outcome.HeaderUrgency))
-	if err != nil {
-		return c, outcome.ReasonMalformed
-	}
-	c.Work = model.Work{Kind: model.ClassKind(h.Get(outcome.HeaderKind)), Rank: u.Rank, Target: u.Target}
-	c.Due = now.Add(u.Left)
-	return c, ""
-}
-
 // send sends the request to the backend server. The request holds a slot.
 func (g *Gate) send(req *http.Request, c call) *http.Response {
 	started := g.cfg.Now()
@@ -302,48 +268,3 @@
 	}
 	return g.unknown(req, reason)
 }
-
-// refuse answers that the request was not run.
-func (g *Gate) refuse(req *http.Request, reason outcome.Reason, reached bool) *http.Response {
-	g.counter(reason).Inc()
-	return g.answer(req, http.StatusServiceUnavailable, outcome.NotRun, reason, reached)
-}
-
-// unknown answers that the request may have run.
-func (g *Gate) unknown(req *http.Request, reason outcome.Reason) *http.Response {
-	g.counter(reason).Inc()
-	return g.answer(req, http.StatusBadGateway, outcome.Unknown, reason, true)
-}
-
-var reachedValue = []string{"1"}
-
-func (g *Gate) answer(req *http.Request, status int, o outcome.Outcome, reason outcome.Reason, reached bool) *http.Response {
-	h := make(http.Header, 8)
-	h[outcome.HeaderOutcome] = []string{string(o)}
-	h[outcome.HeaderReason] = []string{string(reason)}
-	if reached {
-		h[outcome.HeaderReached] = reachedValue
-	}
-	g.stamp(h)
-	return &http.Response{
-		StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: h, Body: http.NoBody, Request: req,
-	}
-}
-
-// counter returns the counter of refusals for a reason.
-func (g *Gate) counter(reason outcome.Reason) *metrics.Counter {
-	if c, ok := g.refusals.Load(reason); ok {
-		return c.(*metrics.Counter)
-	}
-	c := g.cfg.Metrics.GetOrCreateCounter(`jacinthgate_inbound_refusals_total{reason="` + string(reason) + `"}`)
-	g.refusals.Store(reason, c)
-	return c
-}
-
-// stamp tells the load with every answer.
-func (g *Gate) stamp(h http.Header) {
-	l := g.core.Load()
-	told := balance.Load{Used: l.Used, Slots: max(1, l.Slots), Queued: l.Queued, Work: g.core.Work()}
-	h[outcome.HeaderLoad] = []string{told.String()}
-}
--- /dev/null
+++ b/transport/outbound/conclude.go
@@ -0,0 +1,62 @@
+package outbound
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/coordination/attempt"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+)
+
+// again reports whether another attempt is made.
+func (x *exchange) again() bool {
+	if x.ctx.Err() != nil {
+		return false
+	}
+	if !x.body.reclaim() {
+		return false
+	}
+	now := x.p.cfg.Now()
+	x.trail.Progress.Left = x.deadline.Sub(now)
+	switch x.p.cfg.Policy.Next(x.trail.Progress) {
+	case attempt.Resend:
+		return true
+	case attempt.Repeat:
+		return x.p.cfg.Budget.Repeat(now, x.service.Name)
+	default:
+		return false
+	}
+}
+
+// conclude answers a request that no attempt has answered. Nil means that a
+// backend server's own failure was passed on.
+func (x *exchange) conclude() *refusal {
+	if x.failure != nil {
+		x.deliver(x.failure)
+		return nil
+	}
+	worst, reason := x.trail.Worst()
+	switch {
+	case worst == outcome.NotRun:
+		return &refusal{status: http.StatusServiceUnavailable, reason: reason, after: x.comeBack()}
+	case !x.p.cfg.Now().Before(x.deadline):
+		return &refusal{status: http.StatusGatewayTimeout, reason: outcome.ReasonDeadline}
+	default:
+		return &refusal{status: http.StatusBadGateway, reason: reason}
+	}
+}
+
+// Bounds of Retry-After, as parts of the time that the caller has left. Callers
+// keep to a third of it at most; the spread keeps those refused together from
+// coming back together.
+const (
+	comeBackLeast  = 0.08
+	comeBackSpread = 0.22
+)
+
+// comeBack returns when a refused caller should come back.
+func (x *exchange) comeBack() time.Duration {
+	left := x.began.Add(x.wait).Sub(x.p.cfg.Now())
+	part := comeBackLeast + comeBackSpread*x.p.rand.Float64()
+	return max(time.Duration(float64(left)*part), time.Millisecond)
+}
