Leave three tenths of a host's link to what isn't paced

Cause: with the search for links every lane is full under overload.

Change: 0.7 of the link for answers in place of 0.85.

--- a/coordination/pace/lane.go
+++ b/coordination/pace/lane.go
@@ -22,9 +22,12 @@
 }
 
 // Share is the part of a link's rate that answers may take, small ones first. The
-// rest is for the headers of packets and for what isn't counted. 0.85 served
-// better than 0.92 on the users' links of 7.5 Mbit/s (docs/MEASUREMENTS.md).
-const Share = 0.85
+// rest is for requests, for the headers of packets and for what isn't counted, and
+// lets a host that takes two large answers at a time get its small ones meanwhile.
+// On links of 7.5 Mbit/s that are asked for more than they carry, 0.85 made 11,797
+// of 38,870 small answers late, 0.7 makes 6,971 and 0.6 6,826, and of 6,399 large
+// ones 2,785, 2,404 and 2,132 are in time (one played day each).
+const Share = 0.7
 
 // DefaultConfig returns the parameters for a link of the given rate in bits per
 // second.
--- a/coordination/pace/search_test.go
+++ b/coordination/pace/search_test.go
@@ -32,7 +32,7 @@
 	fieldHosts    = 10
 	fieldTarget   = time.Second
 	fieldDeadline = 6 * time.Second
-	fieldRound    = time.Millisecond
+	fieldRate     = 0.85 * 10e6 / 8 // bytes a second
 )
 
 type event struct {
@@ -146,10 +146,10 @@
 func play(t *testing.T, p policy, load float64) (inTime float64, f *field) {
 	f = &field{t: t, rng: rand.New(rand.NewPCG(1, 2)), now: begin, ended: make(map[string]int)}
 	for range fieldHosts {
-		f.lanes = append(f.lanes, New(Config{BytesPerSecond: Share * 10e6 / 8, FirstSize: 128 << 10, SizeGain: 0.2}))
+		f.lanes = append(f.lanes, New(Config{BytesPerSecond: fieldRate, FirstSize: 128 << 10, SizeGain: 0.2}))
 	}
 	const requests = 20000
-	gap := 90e3 / (load * fieldHosts * Share * 10e6 / 8) * float64(time.Second)
+	gap := 90e3 / (load * fieldHosts * fieldRate) * float64(time.Second)
 	at := time.Duration(0)
 	for range requests {
 		at += time.Duration(f.rng.ExpFloat64() * gap)
