Let callers come back in time where backend servers refuse with room left

Change: where the last refusal came from a backend server whose gate reports free slots, callers come back after 0.05 to 0.2 of the time until the answer is due. The decision is attempt.ComeBack.

--- a/transport/outbound/conclude.go
+++ b/transport/outbound/conclude.go
@@ -46,17 +46,13 @@
 	}
 }
 
-// Bounds of Retry-After, as parts of the time that the caller has left. Callers
-// keep to a third of it at most; the spread keeps those refused together from
-// coming back together.
-const (
-	comeBackLeast  = 0.08
-	comeBackSpread = 0.22
-)
-
 // comeBack returns when a refused caller should come back.
 func (x *exchange) comeBack() time.Duration {
-	left := x.began.Add(x.wait).Sub(x.p.cfg.Now())
-	part := comeBackLeast + comeBackSpread*x.p.rand.Float64()
-	return max(time.Duration(float64(left)*part), time.Millisecond)
+	now := x.p.cfg.Now()
+	return attempt.ComeBack(attempt.Refused{
+		Left: x.began.Add(x.wait).Sub(now),
+		Due:  x.due().Sub(now),
+		Room: x.room,
+		Lot:  x.p.rand.Float64(),
+	})
 }
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -35,6 +35,8 @@
 	trail attempt.Trail
 	tried balance.Tried
 	links pace.Search
+	// room says that the last refusal came from a backend server with free slots.
+	room bool
 	// failure is a backend server's own failure that is kept while another
 	// attempt is made.
 	failure *answer
@@ -226,6 +228,7 @@
 		out = outcome.NotRun
 		result.Outcome = refusedAs(reason)
 	}
+	x.room = reason == outcome.ReasonBackendRefused && result.Load != nil && result.Load.Used < result.Load.Slots
 	if reason == outcome.ReasonLinkFull {
 		x.linkFull(choice, h)
 	}
