Let members take over at once after an outage of the store

A member that failed while the store was away waited for a round of all, in a zone of 60 for up to 27 s, also once the store was back and when it became a leader because those before it were gone.

Ruled out: that the turns of others cover it. They read only after the zone's beacons have been silent for their rank, up to 18 s.

Change: a beacon ends the wait of a member that doesn't read, and one that becomes a leader waits as leaders do.

Before and after: TestMembersTakeOverSoonAfterTheStoreWasAway and TestNewLeadersReadSoonWhereTheLeadersAreGoneWithTheStore, no read in 0.5 s and in 1.7 s; both leaders read.

--- a/coordination/attempt/comeback.go
+++ b/coordination/attempt/comeback.go
@@ -56,7 +56,9 @@
 
 // ComeBackToStart returns when the caller of a node that has been up for so long,
 // and doesn't know yet where to send the request, should come back: after as long
-// again, so that a start that takes longer isn't met with ever more attempts.
+// again, so that a start that takes longer isn't met with ever more attempts, and
+// after StartTime at the latest, spread by a quarter.
 func ComeBackToStart(up time.Duration, lot float64) time.Duration {
-	return time.Duration(float64(max(up, startLeast)) * (0.75 + lot/2))
+	wait := min(max(up, startLeast), StartTime)
+	return time.Duration(float64(wait) * (0.75 + lot/2))
 }
--- a/coordination/attempt/comeback_test.go
+++ b/coordination/attempt/comeback_test.go
@@ -99,4 +99,5 @@
 	}
 	must.Greater(t, 800*time.Millisecond, waited)
 	must.Eq(t, 150*time.Millisecond, ComeBackToStart(0, 0))
+	must.Eq(t, StartTime, ComeBackToStart(time.Hour, 0.5), must.Sprint("a node that has had no configuration for long"))
 }
--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -108,8 +108,7 @@
 	case core.Received:
 		c.received(ev.From, ev.Message)
 	case Members:
-		c.rank = max(0, slices.Index(ev.Live, c.self.Node))
-		c.live = len(ev.Live)
+		c.setRank(max(0, slices.Index(ev.Live, c.self.Node)), len(ev.Live))
 	case StoreRead:
 		c.storeRead(ev)
 	case Rejected:
--- a/coordination/docsync/core_test.go
+++ b/coordination/docsync/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -252,6 +253,53 @@
 	must.LessEq(t, 60, large)
 }
 
+// Members that failed while the store was away wait for a round of all; once one is
+// seen to read again they need not, for they may have to take over.
+func TestMembersTakeOverSoonAfterTheStoreWasAway(t *testing.T) {
+	names := make([]string, 60)
+	for i := range names {
+		names[i] = fmt.Sprintf("node-%03d", i)
+	}
+	cfg := DefaultConfig()
+	cfg.Leaders = 2
+	z := newZoneOf(t, cfg, names...)
+	z.pass(3 * time.Second)
+	for id := range z.cores {
+		z.refused[id] = true
+	}
+	z.pass(20 * time.Second)
+	clear(z.refused)
+	z.pass(5 * time.Second)
+	for range 10 { // one pair of leaders after the other is gone
+		z.crash(z.readers()...)
+		before := z.reads
+		z.pass(500 * time.Millisecond)
+		must.Greater(t, before, z.reads)
+		must.Len(t, 2, z.readers())
+	}
+}
+
+// The leaders may be gone when the store returns: the next ones read as soon.
+func TestNewLeadersReadSoonWhereTheLeadersAreGoneWithTheStore(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Leaders = 2
+	names := make([]string, 60)
+	for i := range names {
+		names[i] = fmt.Sprintf("node-%03d", i)
+	}
+	z := newZoneOf(t, cfg, names...)
+	z.pass(3 * time.Second)
+	first := z.readers()
+	for id := range z.cores {
+		z.refused[id] = true
+	}
+	z.pass(20 * time.Second)
+	z.crash(first...)
+	clear(z.refused)
+	z.pass(cfg.RetryMax + 200*time.Millisecond)
+	must.Len(t, 2, z.readers())
+}
+
 // zone drives the cores of one zone, all linked to each other.
 type zone struct {
 	now     time.Time
@@ -298,6 +346,19 @@
 	return z
 }
 
+// crash ends nodes and tells the others.
+func (z *zone) crash(gone ...model.NodeID) {
+	isGone := func(id model.NodeID) bool { return slices.Contains(gone, id) }
+	z.ids = slices.DeleteFunc(z.ids, isGone)
+	live := slices.SortedFunc(slices.Values(z.ids), compareNodes)
+	for _, id := range z.ids {
+		for _, g := range gone {
+			z.step(id, core.PeerDown{Node: g})
+		}
+		z.step(id, Members{Live: live})
+	}
+}
+
 func (z *zone) step(id model.NodeID, ev core.Event) {
 	for _, a := range z.cores[id].Step(z.now, ev) {
 		switch a := a.(type) {
--- a/coordination/docsync/reading.go
+++ b/coordination/docsync/reading.go
@@ -111,9 +111,31 @@
 		return
 	}
 	c.heard[m.Reader] = beacon{incarnation: m.Incarnation, sequence: m.Sequence, at: c.now}
+	c.storeIsBack()
 	c.relay(from, m)
 }
 
+// storeIsBack ends the wait for the next turn of a member that doesn't read: the
+// store answers another one, and this one may have to take over. Without it the
+// next two leaders of a zone of 60 waited for up to 27 s after an outage.
+func (c *Core) storeIsBack() {
+	if c.reading || c.rank < c.cfg.Leaders {
+		return // a leader that the store doesn't answer keeps its own wait
+	}
+	c.failures = 0
+	c.retryAt = time.Time{}
+}
+
+// setRank takes the node's place among the live members. One that becomes a leader
+// waits as leaders do, not for a round of all.
+func (c *Core) setRank(rank, live int) {
+	leads := rank < c.cfg.Leaders && c.rank >= c.cfg.Leaders
+	c.rank, c.live = rank, live
+	if latest := c.now.Add(c.cfg.RetryMax); leads && latest.Before(c.retryAt) {
+		c.retryAt = latest
+	}
+}
+
 // relay sends a beacon to the peers of the own zone but the one it came from.
 func (c *Core) relay(from model.NodeID, m *message.ReaderBeacon) {
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
--- a/transport/callers/fuzz_test.go
+++ b/transport/callers/fuzz_test.go
@@ -67,8 +67,10 @@
 				defer mu.Unlock()
 				handled = append(handled, seen)
 			}),
-			Ahead:  4,
-			Limits: func() Limits { return Limits{HeaderBytes: 4 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second} },
+			Ahead: 4,
+			Limits: func() Limits {
+				return Limits{HeaderBytes: 4 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second}
+			},
 			Logger: log.NewNopLogger(),
 		})
 		l, err := net.Listen("tcp", "127.0.0.1:0")
