--- a/coordination/member/member_test.go
+++ b/coordination/member/member_test.go
@@ -91,6 +91,42 @@
 	must.LessEq(t, 1500*time.Millisecond, most)
 }
 
+// A large site registers a few nodes of each zone only. Where all of it restarts at
+// once, nodes find each other by these as soon as by the addresses of all.
+func TestFewAddressesAreEnoughToFindALargeSite(t *testing.T) {
+	t.Parallel()
+	const zones, per = 5, 20
+	known := func(registered int) float64 {
+		n := newNetwork(t, zones, per, 3)
+		n.cut = func(a, b *node) bool { return !a.up || !b.up }
+		for i, id := range n.ids {
+			if i%per < registered {
+				n.seeds = append(n.seeds, n.nodes[id].rec.PeerAddr)
+			}
+		}
+		n.runFor(2 * time.Second)
+		for _, id := range n.ids {
+			n.crash(id)
+			n.after(time.Duration(n.rng.Int64N(int64(300*time.Millisecond))), func() { n.start(id) })
+		}
+		n.runFor(time.Second)
+		sum := 0
+		for _, id := range n.ids {
+			n.nodes[id].core.Table().Each(func(r *endpoint.Record, _ model.NodeKey) bool {
+				if r.Live() && r.Incarnation == n.nodes[r.Node].rec.Incarnation {
+					sum++
+				}
+				return true
+			})
+		}
+		return float64(sum) / (zones * per)
+	}
+	few, all := known(8), known(per)
+	t.Logf("of %d nodes each knows %.1f a second after the return with 8 addresses a zone, %.1f with all", zones*per, few, all)
+	must.GreaterEq(t, 0.97*zones*per, few)
+	must.GreaterEq(t, 0.97*all, few)
+}
+
 func TestOverlayStaysConnectedWithoutAnyNode(t *testing.T) {
 	t.Parallel()
 	n := started(t, 2, 25)
