Make the large zone of three tests in one place

Cause: three tests of docsync made their zone of many members in the same lines.

Ruled out: a change of what they check; checks and figures are the same.

Change: newLargeZone.

--- a/coordination/docsync/core_test.go
+++ b/coordination/docsync/core_test.go
@@ -225,13 +225,7 @@
 func TestReadsOfAStoreThatIsAwayDontGrowWithTheZone(t *testing.T) {
 	const away = 8 * time.Second
 	reads := func(members int) int {
-		names := make([]string, members)
-		for i := range names {
-			names[i] = fmt.Sprintf("node-%03d", i)
-		}
-		cfg := DefaultConfig()
-		cfg.Leaders = 2
-		z := newZoneOf(t, cfg, names...)
+		z, cfg := newLargeZone(t, members)
 		z.pass(3 * time.Second)
 		for id := range z.cores {
 			z.refused[id] = true
@@ -256,13 +250,7 @@
 // Members that failed while the store was away wait for a round of all; once one is
 // seen to read again they need not, for they may have to take over.
 func TestMembersTakeOverSoonAfterTheStoreWasAway(t *testing.T) {
-	names := make([]string, 60)
-	for i := range names {
-		names[i] = fmt.Sprintf("node-%03d", i)
-	}
-	cfg := DefaultConfig()
-	cfg.Leaders = 2
-	z := newZoneOf(t, cfg, names...)
+	z, _ := newLargeZone(t, 60)
 	z.pass(3 * time.Second)
 	for id := range z.cores {
 		z.refused[id] = true
@@ -281,13 +269,7 @@
 
 // The leaders may be gone when the store returns: the next ones read as soon.
 func TestNewLeadersReadSoonWhereTheLeadersAreGoneWithTheStore(t *testing.T) {
-	cfg := DefaultConfig()
-	cfg.Leaders = 2
-	names := make([]string, 60)
-	for i := range names {
-		names[i] = fmt.Sprintf("node-%03d", i)
-	}
-	z := newZoneOf(t, cfg, names...)
+	z, cfg := newLargeZone(t, 60)
 	z.pass(3 * time.Second)
 	first := z.readers()
 	for id := range z.cores {
@@ -314,6 +296,17 @@
 	return newZoneOf(t, DefaultConfig(), names...)
 }
 
+// newLargeZone returns a zone of so many members, two of which lead.
+func newLargeZone(t *testing.T, members int) (*zone, Config) {
+	cfg := DefaultConfig()
+	cfg.Leaders = 2
+	names := make([]string, members)
+	for i := range names {
+		names[i] = fmt.Sprintf("node-%03d", i)
+	}
+	return newZoneOf(t, cfg, names...), cfg
+}
+
 func newZoneOf(t *testing.T, cfg Config, names ...string) *zone {
 	t.Helper()
 	z := &zone{
