Say in the logs what a request that broke off had asked for

Change: entry nodes compute a fingerprint of what a request asks for (method, host, path, query, and the body, or its first 4 KB where it is passed on as it comes) and send it with the request; the gate logs it, with the path. Ruled out: the caller's service as part of it (the same path came at nodes beside two services), the identifier (another one each time). No logic is changed: nothing decides by the fingerprint yet. Conclusion: with it the broken requests of all gates can be compared.

--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -63,6 +63,8 @@
 	// HeaderLinkBacklog carries how long the link of the gate's host is busy with
 	// large answers, in milliseconds, where a request is refused for that.
 	HeaderLinkBacklog = "Jacinthgate-Link-Backlog"
+	// HeaderFingerprint carries the fingerprint of what the request asks for.
+	HeaderFingerprint = "Jacinthgate-Fingerprint"
 	// HeaderReached is "1" on a gate's response when the request was sent to
 	// the backend server, whatever came of it.
 	HeaderReached = "Jacinthgate-Reached"
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -25,6 +25,7 @@
 	outcome.HeaderCaller,
 	outcome.HeaderUrgency, outcome.HeaderLinkWait, outcome.HeaderLinkBacklog,
 	outcome.HeaderReached,
+	outcome.HeaderFingerprint,
 }
 
 // StripNodeHeaders removes what only nodes may set, whoever sent it.
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -8,6 +8,7 @@
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/instance"
 	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
@@ -15,6 +16,9 @@
 type call struct {
 	core.Request
 	instance *instance.Instance
+	// print is the fingerprint of what the request asks for; 0 where the entry node
+	// tells none.
+	print suspect.Fingerprint
 }
 
 // check reads the node headers and refuses what can't be sent.
@@ -41,5 +45,10 @@
 	}
 	c.Work = model.Work{Kind: model.ClassKind(h.Get(outcome.HeaderKind)), Rank: u.Rank, Target: u.Target}
 	c.Due = now.Add(u.Left)
+	if v := h[outcome.HeaderFingerprint]; len(v) > 0 {
+		if c.print, err = suspect.ParseFingerprint(v[0]); err != nil {
+			return c, outcome.ReasonMalformed
+		}
+	}
 	return c, ""
 }
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -262,7 +262,7 @@
 		reason = outcome.ReasonDeadline
 	}
 	_ = g.cfg.Logger.Log("event", "backend_send_failed", "request", g.cfg.Dialect.RequestID(req.Header),
-		"instance", c.instance.ID, "sent", sent, "reason", reason, "err", err)
+		"fingerprint", c.print, "path", req.URL.Path, "instance", c.instance.ID, "sent", sent, "reason", reason, "err", err)
 	if !sent {
 		return g.refuse(req, reason, false)
 	}
--- a/transport/outbound/body.go
+++ b/transport/outbound/body.go
@@ -13,6 +13,8 @@
 type requestBody struct {
 	whole  []byte
 	stream *forward.StreamBody // nil where the body is kept
+	// begin is the beginning of a stream, where it was read.
+	begin []byte
 }
 
 // readBody reads a body of up to most bytes before anything is sent. The error is
@@ -21,8 +23,10 @@
 	switch {
 	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
 		return requestBody{}, nil
-	case r.ContentLength > most, r.Header["Expect"] != nil:
-		return requestBody{stream: forward.NewStreamBody(w, r)}, nil
+	case r.Header["Expect"] != nil:
+		return requestBody{stream: forward.NewStreamBody(w, r)}, nil // the caller waits for leave to send it
+	case r.ContentLength > most:
+		return readBegin(w, r)
 	case r.ContentLength < 0:
 		return readChunked(w, r, most)
 	}
@@ -31,18 +35,41 @@
 	return requestBody{whole: whole}, err
 }
 
+// readBegin reads the beginning of a body that is passed on as it comes.
+func readBegin(w http.ResponseWriter, r *http.Request) (requestBody, error) {
+	begin := make([]byte, min(r.ContentLength, forward.FingerprintBytes))
+	if _, err := io.ReadFull(r.Body, begin); err != nil {
+		return requestBody{}, err
+	}
+	return streamed(w, r, begin), nil
+}
+
+// streamed returns the body whose beginning was read as a stream.
+func streamed(w http.ResponseWriter, r *http.Request, begin []byte) requestBody {
+	rest := r.Body
+	r.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(begin), rest), rest}
+	known := begin[:min(len(begin), forward.FingerprintBytes)]
+	return requestBody{stream: forward.NewStreamBody(w, r), begin: known}
+}
+
 // readChunked keeps a body of unknown length if it turns out to be small.
 func readChunked(w http.ResponseWriter, r *http.Request, most int64) (requestBody, error) {
 	head, err := io.ReadAll(io.LimitReader(r.Body, most+1))
 	if err != nil || int64(len(head)) <= most {
 		return requestBody{whole: head}, err
 	}
-	rest := r.Body
-	r.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(bytes.NewReader(head), rest), rest}
-	return requestBody{stream: forward.NewStreamBody(w, r)}, nil
+	return streamed(w, r, head), nil
+}
+
+// known returns the part of the body that was read.
+func (b *requestBody) known() []byte {
+	if b.stream != nil {
+		return b.begin
+	}
+	return b.whole
 }
 
 // kept reports whether the body can be sent again.
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/route"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
@@ -31,7 +32,9 @@
 	cancel   context.CancelFunc
 	wait     time.Duration // what the caller said it waits
 
-	body  requestBody
+	body requestBody
+	// print is the fingerprint of what the request asks for.
+	print suspect.Fingerprint
 	trail attempt.Trail
 	tried balance.Tried
 	links pace.Search
@@ -74,6 +77,7 @@
 	if x.body, err = readBody(x.w, x.r, x.p.cfg.MaxKept); err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: outcome.ReasonCancelled}
 	}
+	x.print = forward.Fingerprint(x.r, x.body.known())
 	x.p.cfg.Budget.Request(x.began, x.service.Name)
 	for {
 		if x.attempt() {
@@ -150,6 +154,7 @@
 		to.Instance,
 		x.p.cfg.CallerService(),
 		urgency.String(),
+		x.print.String(),
 	}
 	h[outcome.HeaderDeadline] = v[0:1:1]
 	h[outcome.HeaderKind] = v[1:2:2]
@@ -157,6 +162,7 @@
 	h[outcome.HeaderInstance] = v[3:4:4]
 	h[outcome.HeaderCaller] = v[4:5:5]
 	h[outcome.HeaderUrgency] = v[5:6:6]
+	h[outcome.HeaderFingerprint] = v[6:7:7]
 	if x.route.Kind == model.KindBulk {
 		h[outcome.HeaderLinkWait] = []string{strconv.FormatInt(x.links.Wait(urgency.Left).Milliseconds(), 10)}
 	}
