Keep requests that crash backend servers from being sent again

Cause: nothing in the mesh remembers what a request that broke off had asked for. Bounds on repeats hold for one attempt of a client; the next one, at any node and under another identifier, was sent as new, so one request ended 22 and 26 backend servers of a service of nine. Its class: evidence about what is asked was kept for one attempt and one node, while the harm is the fleet's. A success anywhere clears what was there by chance. Nodes that start or were cut off learn it from their peers, and from the store where all ended. Ruled out: the calling service as part of the fingerprint (the path came at nodes beside two services); counting broken connections alone (answers are lost and connections reset without an end); keeping evidence in a node's own record (it goes with the node's restart). On the way: the body of a request was exchanged while callers' server looked at it (chunked bodies of more than 48 KB; the race detector found it): the stream is made beside it now.

--- a/coordination/attempt/trail.go
+++ b/coordination/attempt/trail.go
@@ -44,5 +44,11 @@
 	t.Progress.Exhausted = true
 }
 
+// Forbid notes that the request may be sent to no backend server, and why.
+func (t *Trail) Forbid(reason outcome.Reason) {
+	t.Note(outcome.NotRun, reason)
+	t.Progress.Exhausted = true
+}
+
 // Worst returns the outcome that the caller is told, and why.
 func (t *Trail) Worst() (outcome.Outcome, outcome.Reason) { return t.worst, t.reason }
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -8,12 +8,14 @@
 	"github.com/jacinthgate/jacinthgate/coordination/budget"
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
+	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
 	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/protocol/message"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/instance"
 	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/link"
 	"github.com/jacinthgate/jacinthgate/transport/listen"
 	"github.com/jacinthgate/jacinthgate/transport/peer/tcp"
@@ -49,8 +51,11 @@
 		queue:     eventqueue.New(maxEvents),
 		member:    member.New(memberConfig(), self, nil, seed),
 		docs:      docsync.New(n.docsConfig(), self, seed),
+		suspects:  quarantine.New(seed),
 		linksDone: make(chan struct{}),
 		flush:     time.NewTimer(time.Hour),
+
+		unrecorded: make(chan suspect.Entry, maxUnrecorded),
 	}
 	n.loop = l
 	n.backends = &backends{
--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jacinthgate/jacinthgate/platform/platformtest"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 )
 
 // crashing is a backend server that ends when it runs a request whose path holds
@@ -196,3 +197,35 @@
 	}
 	_ = resp.Body.Close() // an answer that is cut short is one of the things that happen
 }
+
+// Where all nodes end at once, those that start again know from the store what is
+// quarantined: each time that it is found out anew costs three backend servers.
+func TestQuarantineOutlastsAllNodes(t *testing.T) {
+	f := newFleet(t, 4)
+	servers := f.crashes()
+	f.present(servers)
+	for i := range 2 * len(f.nodes) {
+		f.tryTo(f.nodes[i%len(f.nodes)], "GET", "/status/deadly", "")
+		f.present(servers)
+	}
+	var known suspect.Fingerprint
+	f.eventually("the store holds the quarantine", func() bool {
+		nodes, err := f.nodes[0].node.store.Registered(t.Context())
+		must.NoError(t, err)
+		for text := range nodes.Quarantined {
+			print, err := suspect.ParseFingerprint(text)
+			must.NoError(t, err)
+			known = print
+		}
+		return known != 0
+	})
+	f.store.Put("nodes", "quarantine/no fingerprint", []byte("1"))
+	f.store.Put("nodes", "quarantine/77", []byte("no time"))
+	for _, m := range f.nodes {
+		m.node.close()
+	}
+	m := f.start(9, f.nodes[0].node.set.Store)
+	f.eventually("a node that starts knows it", func() bool { return m.node.pub.suspects.Load().Quarantined(known) })
+	must.False(t, m.node.pub.suspects.Load().Suspected(0x77), must.Sprint("a row without a time tells nothing"))
+	must.StrContains(t, m.logs.String(), "event=quarantine_unreadable")
+}
--- a/internal/sidecar/discover.go
+++ b/internal/sidecar/discover.go
@@ -106,6 +106,7 @@
 	if n.backends.drained(nodes.Drained[string(n.set.Node)]) {
 		n.announce(nil)
 	}
+	n.learnQuarantines(ctx, nodes)
 	d.listed = 0
 	seeds := make([]string, 0, len(nodes.Seeds))
 	for id, s := range nodes.Seeds {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -12,12 +12,14 @@
 	"github.com/jacinthgate/jacinthgate/coordination/core"
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
+	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
 	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/protocol/message"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/route"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/inbound"
 	"github.com/jacinthgate/jacinthgate/transport/link"
 )
@@ -33,6 +35,7 @@
 	queue     *eventqueue.Queue
 	member    *member.Core
 	docs      *docsync.Core
+	suspects  *quarantine.Core
 	links     *link.Manager
 	linksDone chan struct{}
 	reader    *reader
@@ -41,6 +44,8 @@
 	gate      *inbound.Gate
 	budget    *attempt.Budget
 	flush     *time.Timer
+	// unrecorded are quarantines that the store has to keep.
+	unrecorded chan suspect.Entry
 }
 
 // run handles events until ctx ends.
@@ -72,6 +77,7 @@
 	}
 	l.carryOut(now, l.member.Step(now, ev))
 	l.carryOut(now, l.docs.Step(now, ev))
+	l.carryOut(now, l.suspects.Step(now, ev))
 	if due := l.member.FlushDue(); !due.IsZero() {
 		l.flush.Reset(due.Sub(now))
 	}
@@ -115,6 +121,10 @@
 		l.reader.set(a.On)
 	case docsync.Apply:
 		l.apply(now, a)
+	case quarantine.Changed:
+		l.pub.suspects.Store(l.suspects.View())
+	case quarantine.Quarantined:
+		l.quarantined(a)
 	}
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -20,6 +20,7 @@
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/instance"
 	"github.com/jacinthgate/jacinthgate/state/route"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/callers"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/inbound"
@@ -35,6 +36,7 @@
 	table    atomic.Pointer[route.Table]
 	view     atomic.Pointer[endpoint.View]
 	instance atomic.Pointer[instance.Instance]
+	suspects atomic.Pointer[suspect.View]
 	// leaving is set when the node takes no more callers, withdrawn when it also
 	// offers the backend server no more.
 	leaving, withdrawn atomic.Bool
@@ -114,6 +116,7 @@
 	n.addActor(&g, n.runLinks)
 	n.addActor(&g, n.loop.reader.run)
 	n.addActor(&g, n.discover)
+	n.addActor(&g, n.recordQuarantines)
 	for _, s := range n.servers {
 		n.addServer(&g, s)
 	}
@@ -207,6 +210,9 @@
 		Lane:        pace.New(pace.DefaultConfig(n.set.linkBits())),
 		DrainGrace:  n.set.drain() / drainPart,
 		AnswerGrace: answerGrace,
+		Suspects:    n.pub.suspects.Load,
+		Crashed:     n.crashed,
+		Succeeded:   n.succeeded,
 		Unreachable: n.backends.unreachable,
 		Replaced:    n.backends.replaced,
 		Metrics:     n.metrics,
@@ -232,6 +238,7 @@
 		Balance:       n.loop.picker,
 		Policy:        attempt.DefaultPolicy(),
 		Budget:        n.budget,
+		Suspects:      n.pub.suspects.Load,
 		Dialect:       speech,
 		Local:         n.gate,
 		Near:          forward.NewClient(toGates),
@@ -242,6 +249,8 @@
 		Logger:        n.log,
 		Now:           time.Now,
 	})
+	n.metrics.GetOrCreateGauge("jacinthgate_requests_quarantined", func() float64 { return float64(n.pub.suspects.Load().Quarantines()) })
+	n.metrics.GetOrCreateGauge("jacinthgate_requests_suspected", func() float64 { return float64(n.pub.suspects.Load().Len()) })
 	n.metrics.GetOrCreateGauge("jacinthgate_zones_unreachable", func() float64 { return float64(n.loop.picker.Unreachable()) })
 	n.loop.gate = n.gate
 	n.loop.budget = n.budget
--- /dev/null
+++ b/internal/sidecar/quarantine.go
@@ -0,0 +1,91 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
+	"github.com/jacinthgate/jacinthgate/platform"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
+)
+
+// maxUnrecorded bounds the quarantines that wait for the store. Each has cost three
+// backend servers, so that more than a few are rare.
+const maxUnrecorded = 64
+
+// crashed passes on that the host's backend server has ended.
+func (n *Node) crashed(c suspect.Crash, prints []suspect.Fingerprint) {
+	n.loop.queue.Post(n.ctx, quarantine.Crashed{Crash: c, Prints: prints})
+}
+
+// succeeded passes on that a suspected request has succeeded.
+func (n *Node) succeeded(f suspect.Fingerprint) {
+	n.loop.queue.Post(n.ctx, quarantine.Succeeded{Print: f})
+}
+
+// quarantined tells that a request is no longer sent, and has it written to the store
+// by those who saw a crash: should all nodes end at once, none would know it.
+func (l *loop) quarantined(a quarantine.Quarantined) {
+	_ = level.Warn(l.log).Log("event", "request_quarantined", "fingerprint", a.Entry.Print,
+		"crashes", len(a.Entry.Evidence), "last_crash", a.Entry.LastCrash().UTC(), "witness", a.Witness)
+	if !a.Witness {
+		return
+	}
+	select {
+	case l.unrecorded <- a.Entry:
+	default:
+		_ = level.Warn(l.log).Log("event", "quarantine_not_recorded", "fingerprint", a.Entry.Print, "err", "too many wait")
+	}
+}
+
+// recordQuarantines writes quarantines to the store until ctx ends.
+func (n *Node) recordQuarantines(ctx context.Context) error {
+	for {
+		select {
+		case e := <-n.loop.unrecorded:
+			n.recordQuarantine(ctx, e)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// recordQuarantine writes one, again and again while the store doesn't take it.
+func (n *Node) recordQuarantine(ctx context.Context, e suspect.Entry) {
+	for wait := aloneRetry; ; wait = min(2*wait, aloneRetryMax) {
+		err := n.putQuarantine(ctx, e)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		_ = level.Warn(n.log).Log("event", "quarantine_not_recorded", "fingerprint", e.Print, "err", err)
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (n *Node) putQuarantine(ctx context.Context, e suspect.Entry) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return n.store.RecordQuarantine(ctx, e.Print.String(), e.LastCrash())
+}
+
+// learnQuarantines takes what the store knows.
+func (n *Node) learnQuarantines(ctx context.Context, nodes platform.Nodes) {
+	var known quarantine.Learned
+	for text, at := range nodes.Quarantined {
+		f, err := suspect.ParseFingerprint(text)
+		if err != nil {
+			_ = level.Warn(n.log).Log("event", "quarantine_unreadable", "err", err)
+			continue
+		}
+		known.Entries = append(known.Entries, suspect.Stored(f, at))
+	}
+	if len(known.Entries) > 0 {
+		n.loop.queue.Post(ctx, known)
+	}
+}
--- a/protocol/message/fuzz_test.go
+++ b/protocol/message/fuzz_test.go
@@ -8,16 +8,18 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 )
 
 func FuzzDecode(f *testing.F) {
-	for k := Kind(0); k <= KindReaderBeacon+1; k++ {
+	for k := Kind(0); k <= KindSuspectsDigest+1; k++ {
 		f.Add([]byte{byte(k), 0xa0})
 	}
 	for _, m := range []Message{
 		&Hello{Protocol: 1, Record: endpoint.Record{Node: "csepel-1"}, Digest: []ZoneDigest{{Zone: "csepel", Hash: 7}}},
 		&Full{Count: 2, Body: []byte("body")},
 		&ZoneStatus{Zone: "csepel", Rejections: []Rejection{{Node: "a", Reason: "hash"}}},
+		&Suspects{Entries: []suspect.Entry{{Print: 7, Evidence: []suspect.Evidence{{Crash: suspect.Crash{ID: 9, At: 1}, Refuted: true}}}}},
 		&Demand{Items: []DemandItem{{Limit: "clinic/screens", PerSecond: 1.5}}},
 	} {
 		b, err := Encode(m)
--- a/protocol/message/kinds.go
+++ b/protocol/message/kinds.go
@@ -98,6 +98,10 @@
 		return new(DocumentFetch)
 	case KindReaderBeacon:
 		return new(ReaderBeacon)
+	case KindSuspects:
+		return new(Suspects)
+	case KindSuspectsDigest:
+		return new(SuspectsDigest)
 	default:
 		return nil
 	}
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -38,6 +38,8 @@
 	KindDocumentAdvert
 	KindDocumentFetch
 	KindReaderBeacon
+	KindSuspects
+	KindSuspectsDigest
 )
 
 // Message is any message between nodes.
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -101,6 +101,7 @@
 	ReasonAnswerNotKept    Reason = "answer-not-kept"   // the key has run; its answer was too large to keep
 	ReasonBackendFailed    Reason = "backend-failed"    // the connection broke after the request was sent
 	ReasonBackendRefused   Reason = "backend-refused"   // the backend server refused before running
+	ReasonQuarantined      Reason = "quarantined"       // backend servers have crashed under such requests
 	ReasonMalformed        Reason = "malformed"         // the request can't be understood
 	ReasonTooLarge         Reason = "too-large"         // headers exceed the limit
 	ReasonOlderUnreachable Reason = "older-unreachable" // the older system did not accept the connection
--- a/state/suspect/fingerprint.go
+++ b/state/suspect/fingerprint.go
@@ -6,7 +6,10 @@
 // are merged in any order, and ages by the time of the crash.
 package suspect
 
-import "strconv"
+import (
+	"strconv"
+	"strings"
+)
 
 // Fingerprint identifies what a request asks for, whoever sends it, at whichever
 // node and however often. 0 stands for none.
@@ -37,3 +40,12 @@
 	}
 	return Fingerprint(f), nil
 }
+
+// Join returns fingerprints as they stand in a log line, with commas between them.
+func Join(prints []Fingerprint) string {
+	texts := make([]string, 0, len(prints))
+	for _, f := range prints {
+		texts = append(texts, f.String())
+	}
+	return strings.Join(texts, ",")
+}
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -84,6 +84,16 @@
 	return resp, err
 }
 
+// Reach opens a connection to an address and closes it again, to learn whether
+// anybody listens there.
+func (c *Client) Reach(ctx context.Context, addr string) error {
+	conn, err := c.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 // CloseIdleConnections closes all connections that are not in use.
 func (c *Client) CloseIdleConnections() { c.pool.closeAll() }
 
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"sync"
@@ -27,9 +28,18 @@
 // NewStreamBody returns the body of r. It lets the response begin before the
 // body has ended; net/http would otherwise take the rest of the body away.
 func NewStreamBody(w http.ResponseWriter, r *http.Request) *StreamBody {
+	return ResumeStreamBody(w, r, nil)
+}
+
+// ResumeStreamBody returns the body of r where its beginning has been read. r stays as
+// it is: its server looks at the body while it is handled.
+func ResumeStreamBody(w http.ResponseWriter, r *http.Request, begin []byte) *StreamBody {
 	// A writer that can't do it has no connection to lose.
 	_ = http.NewResponseController(w).EnableFullDuplex()
-	return &StreamBody{body: r.Body}
+	if len(begin) == 0 {
+		return &StreamBody{body: r.Body}
+	}
+	return &StreamBody{body: io.MultiReader(bytes.NewReader(begin), r.Body)}
 }
 
 // Read implements io.Reader.
--- a/transport/inbound/body.go
+++ b/transport/inbound/body.go
@@ -12,14 +12,34 @@
 type slotBody struct {
 	io.ReadCloser
 	once sync.Once
-	done func()
+	// left is how much of the body is to come, in bytes; below 0 where it has no
+	// length.
+	left int64
+	done func(bodyEnd)
 }
 
+// bodyEnd says how a response body ended.
+type bodyEnd uint8
+
+// The ways.
+const (
+	// bodyWhole is a body that was read to its end.
+	bodyWhole bodyEnd = iota
+	// bodyBroken is one that broke off.
+	bodyBroken
+	// bodyLeft is one that was closed before its end.
+	bodyLeft
+)
+
 // Read implements io.Reader.
 func (b *slotBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil {
-		b.once.Do(b.done)
+	b.left -= int64(n)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.end(bodyWhole)
+	case err != nil:
+		b.end(bodyBroken)
 	}
 	return n, err
 }
@@ -27,10 +47,16 @@
 // Close implements io.Closer.
 func (b *slotBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.once.Do(b.done)
+	if b.left == 0 {
+		b.end(bodyWhole)
+	}
+	b.end(bodyLeft)
 	return err
 }
 
+// end tells the first end of the body.
+func (b *slotBody) end(how bodyEnd) { b.once.Do(func() { b.done(how) }) }
+
 // wasSent reports whether a failed request may have reached its receiver.
 func wasSent(err error) bool {
 	var send *forward.SendError
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -45,10 +45,21 @@
 	}
 	c.Work = model.Work{Kind: model.ClassKind(h.Get(outcome.HeaderKind)), Rank: u.Rank, Target: u.Target}
 	c.Due = now.Add(u.Left)
-	if v := h[outcome.HeaderFingerprint]; len(v) > 0 {
-		if c.print, err = suspect.ParseFingerprint(v[0]); err != nil {
-			return c, outcome.ReasonMalformed
-		}
+	if c.print, err = fingerprint(h); err != nil {
+		return c, outcome.ReasonMalformed
+	}
+	if g.cfg.Suspects().Quarantined(c.print) {
+		return c, outcome.ReasonQuarantined
 	}
 	return c, ""
 }
+
+// fingerprint reads what the request asks for; 0 where an older node doesn't tell. The
+// error is a *suspect.FingerprintError.
+func fingerprint(h http.Header) (suspect.Fingerprint, error) {
+	v := h[outcome.HeaderFingerprint]
+	if len(v) == 0 {
+		return 0, nil
+	}
+	return suspect.ParseFingerprint(v[0])
+}
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -19,10 +19,12 @@
 
 	core "github.com/jacinthgate/jacinthgate/coordination/gate"
 	"github.com/jacinthgate/jacinthgate/coordination/pace"
+	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
 	"github.com/jacinthgate/jacinthgate/protocol/dialect"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/instance"
 	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
@@ -46,6 +48,13 @@
 	// AnswerGrace is how long past its deadline a request is left to the
 	// backend server, which answers a late request by itself.
 	AnswerGrace time.Duration
+	// Suspects returns the requests that are suspected to crash backend servers. It is
+	// one atomic load.
+	Suspects func() *suspect.View
+	// Crashed is told when the backend server has ended without a goodbye, and which
+	// requests were under way; Succeeded when a suspected request has succeeded.
+	Crashed   func(suspect.Crash, []suspect.Fingerprint)
+	Succeeded func(suspect.Fingerprint)
 	// Unreachable is told when a connection to the backend server is refused.
 	Unreachable func(id string)
 	// Replaced is told when another backend server has the address.
@@ -68,11 +77,17 @@
 	held atomic.Int64
 	// sending bounds the large answers that are sent at one time.
 	sending chan struct{}
+	// watch finds the requests that were under way when the backend server ended, and
+	// probing is set while a look at it is due.
+	watch   quarantine.Watch
+	probing atomic.Bool
+	crashes *metrics.Counter
 }
 
 // New returns a gate. Update must be called for it to let requests in.
 func New(cfg Config) *Gate {
 	g := &Gate{cfg: cfg, core: core.New(), sending: make(chan struct{}, maxSending)}
+	g.crashes = cfg.Metrics.GetOrCreateCounter("jacinthgate_inbound_backend_crashes_total")
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots_used", func() float64 { return float64(g.core.Load().Used) })
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots", func() float64 { return float64(g.core.Load().Slots) })
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_queued", func() float64 { return float64(g.core.Load().Queued) })
@@ -182,6 +197,10 @@
 		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonDraining, false), nil
 	}
+	if g.cfg.Suspects().Quarantined(c.print) { // another backend server has crashed meanwhile
+		g.core.Release(c.Work, 0, g.cfg.Now())
+		return g.refuse(req, outcome.ReasonQuarantined, false), nil
+	}
 	return g.send(req, c), nil
 }
 
@@ -223,7 +242,10 @@
 		h[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
 		h[outcome.HeaderReached] = reachedValue
 		bodyless := resp.Body == http.NoBody
-		resp.Body = &slotBody{ReadCloser: resp.Body, done: func() { done(g.cfg.Now().Sub(started)) }}
+		resp.Body = &slotBody{ReadCloser: resp.Body, left: resp.ContentLength, done: func(how bodyEnd) {
+			done(g.cfg.Now().Sub(started))
+			g.answered(req, c, resp.StatusCode, started, how)
+		}}
 		if c.Work.Kind == model.KindBulk && !bodyless && !g.holdWhole(resp) {
 			return g.unknown(req, outcome.ReasonBackendFailed)
 		}
@@ -240,6 +262,7 @@
 	case dialect.Refused:
 		forward.Drain(resp)
 		done(0)
+		g.watch.Alive(started, c.instance.ID)
 		return g.refuse(req, outcome.ReasonBackendRefused, true)
 	default:
 		_ = resp.Body.Close() // what it holds is of no use
@@ -264,7 +287,9 @@
 	_ = g.cfg.Logger.Log("event", "backend_send_failed", "request", g.cfg.Dialect.RequestID(req.Header),
 		"fingerprint", c.print, "path", req.URL.Path, "instance", c.instance.ID, "sent", sent, "reason", reason, "err", err)
 	if !sent {
+		g.notReached(c, err)
 		return g.refuse(req, reason, false)
 	}
+	g.cut(c, reason == outcome.ReasonBackendFailed)
 	return g.unknown(req, reason)
 }
--- a/transport/link/kinds.go
+++ b/transport/link/kinds.go
@@ -23,6 +23,8 @@
 	message.KindDocumentAdvert: "document_advert",
 	message.KindDocumentFetch:  "document_fetch",
 	message.KindReaderBeacon:   "reader_beacon",
+	message.KindSuspects:       "suspects",
+	message.KindSuspectsDigest: "suspects_digest",
 }
 
 func kindName(k message.Kind) string {
@@ -50,6 +52,8 @@
 		return "zone_status/" + string(m.Zone)
 	case *message.Digest:
 		return "digest"
+	case *message.SuspectsDigest:
+		return "suspects_digest"
 	default:
 		return ""
 	}
--- a/transport/outbound/body.go
+++ b/transport/outbound/body.go
@@ -1,7 +1,6 @@
 package outbound
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 
@@ -46,13 +45,8 @@
 
 // streamed returns the body whose beginning was read as a stream.
 func streamed(w http.ResponseWriter, r *http.Request, begin []byte) requestBody {
-	rest := r.Body
-	r.Body = struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(bytes.NewReader(begin), rest), rest}
 	known := begin[:min(len(begin), forward.FingerprintBytes)]
-	return requestBody{stream: forward.NewStreamBody(w, r), begin: known}
+	return requestBody{stream: forward.ResumeStreamBody(w, r, begin), begin: known}
 }
 
 // readChunked keeps a body of unknown length if it turns out to be small.
--- a/transport/outbound/conclude.go
+++ b/transport/outbound/conclude.go
@@ -49,7 +49,10 @@
 // comeBack returns when a refused caller should come back.
 func (x *exchange) comeBack() time.Duration {
 	now := x.p.cfg.Now()
-	if _, reason := x.trail.Worst(); reason == outcome.ReasonNoEndpoint && now.Sub(x.p.started) < attempt.StartTime {
+	switch _, reason := x.trail.Worst(); {
+	case reason == outcome.ReasonQuarantined:
+		return attempt.QuarantineRetry
+	case reason == outcome.ReasonNoEndpoint && now.Sub(x.p.started) < attempt.StartTime:
 		return x.p.comeBackToStart(now)
 	}
 	return attempt.ComeBack(attempt.Refused{
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -95,6 +95,12 @@
 
 // attempt sends the request once and reports whether it was answered.
 func (x *exchange) attempt() bool {
+	// Callers ask again under a new identifier at any node: only what is asked for tells
+	// that backend servers have crashed under it before.
+	if x.p.cfg.Suspects().Quarantined(x.print) {
+		x.trail.Forbid(outcome.ReasonQuarantined)
+		return false
+	}
 	now := x.p.cfg.Now()
 	choice, err := x.pick(now)
 	if err != nil {
@@ -241,6 +247,9 @@
 	forward.Drain(resp)
 	choice.Done(x.p.cfg.Now(), result)
 	x.trail.Note(out, reason)
+	if reason == outcome.ReasonQuarantined {
+		x.trail.Forbid(reason) // this node doesn't know it yet; another gate would say the same
+	}
 	_ = x.p.cfg.Logger.Log("event", "attempt_failed", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
 		"route", x.route.Name, "node", choice.Record.Node, "instance", choice.Record.Instance, "outcome", out,
 		"reason", reason, "load", h.Get(outcome.HeaderLoad), "sends", x.trail.Progress.Sends, "reached", x.trail.Progress.Reached,
@@ -262,7 +271,8 @@
 // beyond the load that comes with it, where there are too many requests.
 func refusedAs(reason outcome.Reason) balance.Outcome {
 	switch reason {
-	case outcome.ReasonDeadline, outcome.ReasonCancelled, outcome.ReasonLinkFull, outcome.ReasonQueueFull:
+	case outcome.ReasonDeadline, outcome.ReasonCancelled, outcome.ReasonLinkFull, outcome.ReasonQueueFull,
+		outcome.ReasonQuarantined:
 		return balance.Cancelled
 	}
 	return balance.NotRun
--- a/transport/outbound/exchange_test.go
+++ b/transport/outbound/exchange_test.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/route"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 )
 
 // plain is a dialect whose callers say nothing.
@@ -78,6 +79,7 @@
 		Balance:       balance.New(balance.DefaultConfig(), "z", "r", 1),
 		Policy:        attempt.DefaultPolicy(),
 		Budget:        attempt.NewBudget(attempt.BudgetConfig{Ratio: 1, Slack: 10, Window: time.Second, Safety: 1}),
+		Suspects:      func() *suspect.View { return nil },
 		Dialect:       plain{},
 		Near:          g,
 		Far:           g,
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -20,6 +20,7 @@
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/route"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 )
 
 // Config configures a Proxy.
@@ -40,6 +41,9 @@
 	Policy attempt.Policy
 	// Budget bounds the repeats.
 	Budget *attempt.Budget
+	// Suspects returns the requests that are suspected to crash backend servers. It is
+	// one atomic load.
+	Suspects func() *suspect.View
 	// Dialect speaks with callers.
 	Dialect dialect.Dialect
 	// Local sends to this host's own gate, Near to those of other nodes in the
