Keep such requests from being sent again in jacinthgate-node too

Cause: the other program has the same gap: its entry proxy and gate remember nothing of a request that broke off with a backend server. Change: what a gate sees of its backend server's crashes is one package (transport/crash) that both gates use; the entry proxy sends the fingerprint, refuses what is quarantined unsent, and doesn't repeat what a gate refuses for it; the node's event loop shares evidence by the same core. Ruled out: a second watch in transport/gate. Conclusion: both programs hold it.

--- a/coordination/attempt/comeback.go
+++ b/coordination/attempt/comeback.go
@@ -50,11 +50,6 @@
 // came in between: their targets are 0.8 s and 1 s.
 const startLeast = 200 * time.Millisecond
 
-// QuarantineRetry is after what time the caller of a quarantined request should come
-// back: it isn't served before the fault in the backend servers is mended, which takes
-// people minutes at least. Callers that wait less than that end with the refusal.
-const QuarantineRetry = time.Minute
-
 // StartTime is how long after its start a node may still be getting to know the
 // backend servers.
 const StartTime = 2 * time.Second
--- a/coordination/quarantine/doc.go
+++ b/coordination/quarantine/doc.go
@@ -14,3 +14,10 @@
 //
 // A request that was there by chance is cleared by its next success anywhere.
 package quarantine
+
+import "time"
+
+// RetryAfter is after what time the caller of a quarantined request should come back:
+// it isn't served before the fault in the backend servers is mended, which takes people
+// minutes at least. Callers that wait less than that end with the refusal.
+const RetryAfter = time.Minute
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -193,7 +193,8 @@
 	case outcome.ReasonRateLimited, outcome.ReasonConcurrency, outcome.ReasonDeadline,
 		outcome.ReasonCancelled, outcome.ReasonLoop, outcome.ReasonMalformed,
 		outcome.ReasonTooLarge, outcome.ReasonInProgress, outcome.ReasonPlatform,
-		outcome.ReasonNoOrganisation, outcome.ReasonNoRoute, outcome.ReasonNoEndpoint:
+		outcome.ReasonNoOrganisation, outcome.ReasonNoRoute, outcome.ReasonNoEndpoint,
+		outcome.ReasonQuarantined:
 		return true
 	}
 	return false
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -12,6 +12,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/distribute"
 	"github.com/jacinthgate/jacinthgate/coordination/lease"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
+	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
 	"github.com/jacinthgate/jacinthgate/internal/control"
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
 	"github.com/jacinthgate/jacinthgate/transport/local"
@@ -55,6 +56,7 @@
 		member:    member.New(n.memberConfig(), n.self, n.set.Seeds, n.seed()),
 		dist:      distribute.New(n.distributeConfig(), n.self, n.seed()),
 		lease:     lease.New(n.leaseConfig(), n.self, n.seed()),
+		suspects:  quarantine.New(n.seed()),
 		shares:    newShares(n.set.Node, n.set.Zone, n.limiter),
 		pub:       n.pub,
 		onSwap:    n.swapped,
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"time"
 
 	"github.com/go-kit/log"
@@ -12,6 +11,8 @@
 	"github.com/jacinthgate/jacinthgate/coordination/distribute"
 	"github.com/jacinthgate/jacinthgate/coordination/lease"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
+	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/protocol/message"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
@@ -45,7 +46,9 @@
 	dist   *distribute.Core
 	lease  *lease.Core
 	shares *shares
-	links  links
+	// suspects shares which requests crash backend servers.
+	suspects *quarantine.Core
+	links    links
 	// linksDone is closed when the links have ended.
 	linksDone chan struct{}
 	platform  platformCalls
@@ -91,6 +94,7 @@
 	l.carryOut(now, l.member.Step(now, ev))
 	l.carryOut(now, l.dist.Step(now, ev))
 	l.carryOut(now, l.lease.Step(now, ev))
+	l.carryOut(now, l.suspects.Step(now, ev))
 	l.followLease(now)
 	l.shares.step(now, ev, l)
 	l.discover(now)
@@ -190,6 +194,11 @@
 		l.platform.readLease(a)
 	case lease.WriteItem:
 		l.platform.writeLease(a)
+	case quarantine.Changed:
+		l.pub.suspects.Store(l.suspects.View())
+	case quarantine.Quarantined:
+		_ = level.Warn(l.log).Log("event", "request_quarantined", "fingerprint", a.Entry.Print,
+			"crashes", len(a.Entry.Evidence), "last_crash", a.Entry.LastCrash().UTC(), "witness", a.Witness)
 	}
 }
 
--- a/internal/node/published.go
+++ b/internal/node/published.go
@@ -7,6 +7,7 @@
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 )
 
 // published is what the event loop hands to other goroutines. The loop stores,
@@ -14,6 +15,7 @@
 type published struct {
 	snapshot atomic.Pointer[snapshot.Snapshot]
 	view     atomic.Pointer[endpoint.View]
+	suspects atomic.Pointer[suspect.View]
 	ready    atomic.Bool
 	// reader says that this node holds its zone's lease.
 	reader    atomic.Bool
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
 	"github.com/jacinthgate/jacinthgate/coordination/retry"
 	"github.com/jacinthgate/jacinthgate/internal/claims"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/store"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/entry"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/gate"
@@ -101,6 +103,11 @@
 	cfg.Announcement = n.registry.Current
 	cfg.Service = n.pub.Service
 	cfg.MaxQueue = n.set.Limits.Queue
+	cfg.Suspects = n.pub.suspects.Load
+	cfg.Crashed = func(c suspect.Crash, prints []suspect.Fingerprint) {
+		n.loop.queue.Post(n.ctx, quarantine.Crashed{Crash: c, Prints: prints})
+	}
+	cfg.Succeeded = func(f suspect.Fingerprint) { n.loop.queue.Post(n.ctx, quarantine.Succeeded{Print: f}) }
 	cfg.Metrics = n.metrics
 	cfg.Logger = n.log
 	n.gate = gate.New(cfg)
@@ -115,6 +122,7 @@
 	cfg.Snapshot = n.pub.Snapshot
 	cfg.View = n.pub.View
 	cfg.Ready = n.pub.Ready
+	cfg.Suspects = n.pub.suspects.Load
 	cfg.Admit = n.limiter
 	cfg.Balance = n.picker
 	cfg.Retry = n.retrier
--- a/transport/entry/bed_test.go
+++ b/transport/entry/bed_test.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/gate"
 	"github.com/jacinthgate/jacinthgate/transport/local"
 )
@@ -44,9 +45,13 @@
 
 // bed is one backend server, its gate and one entry proxy.
 type bed struct {
-	service  model.Service
-	class    model.Class
-	work     http.Handler
+	service model.Service
+	class   model.Class
+	work    http.Handler
+	// addr is the backend server's address where it isn't work that runs there.
+	addr string
+	// crashed is told by the gate of crashes of the backend server.
+	crashed  func(suspect.Crash, []suspect.Fingerprint)
 	cfg      Config
 	snap     atomic.Pointer[snapshot.Snapshot]
 	view     atomic.Pointer[endpoint.View]
@@ -69,12 +74,16 @@
 
 func (b *bed) start(t testing.TB) *bed {
 	t.Helper()
-	server := httptest.NewServer(b.work)
-	t.Cleanup(server.Close)
+	if b.work != nil {
+		server := httptest.NewServer(b.work)
+		t.Cleanup(server.Close)
+		b.addr = strings.TrimPrefix(server.URL, "http://")
+	}
 	b.snap.Store(testSnapshot(t, b.service, b.class))
 	b.registry = local.New(local.DefaultConfig())
 	b.gate = gate.New(gate.Config{
 		Self: "host-1", Announcement: b.registry.Current,
+		Suspects: b.cfg.Suspects, Crashed: b.crashed,
 		Service: func(name string) *model.Service {
 			if e := b.snap.Load().Service(name); e != nil {
 				return e.Service
@@ -84,7 +93,7 @@
 	})
 	b.registry.OnChange(func(local.Announcement) { b.gate.Update() })
 	must.NoError(t, b.registry.Announce(local.Announcement{
-		Service: "rooms", Addr: strings.TrimPrefix(server.URL, "http://"), Slots: 200, Connections: 200,
+		Service: "rooms", Addr: b.addr, Slots: 200, Connections: 200,
 	}))
 	gateServer := httptest.NewServer(b.gate)
 	t.Cleanup(gateServer.Close)
--- a/transport/entry/config.go
+++ b/transport/entry/config.go
@@ -12,6 +12,7 @@
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
@@ -32,6 +33,9 @@
 	View func() *endpoint.View
 	// Ready reports whether the node may serve with what it holds.
 	Ready func() bool
+	// Suspects returns the requests that are suspected to crash backend servers. It is
+	// one atomic load. Nil suspects none.
+	Suspects func() *suspect.View
 	// Admit, Balance, Retry and Claim take the decisions. A node gives its
 	// own. Nil takes AdmitAll, a balance.Picker, a retry.Retrier without
 	// budgets and NoClaim.
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
 	"github.com/jacinthgate/jacinthgate/coordination/retry"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
@@ -24,8 +26,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	body []byte // the whole body, when it is kept
+	body []byte // the whole body when it is kept, or the beginning of a stream
 	kept bool
+	// print is the fingerprint of what the request asks for.
+	print suspect.Fingerprint
 	// stream is the body when it is not kept.
 	stream *forward.StreamBody
 	claim  Claim // nil without one
@@ -65,6 +69,7 @@
 	if refusal := x.keepBody(); refusal != nil {
 		return refusal
 	}
+	x.print = forward.Fingerprint(x.r, x.body)
 	if refusal := x.beginClaim(); refusal != nil || x.resp != nil {
 		return refusal
 	}
@@ -104,6 +109,11 @@
 	if remaining <= 0 {
 		return x.p.notRun(outcome.ReasonDeadline, "the deadline passed before the request was sent")
 	}
+	if x.p.cfg.Suspects != nil && x.p.cfg.Suspects().Quarantined(x.print) {
+		refusal := forward.NotRun(outcome.ReasonQuarantined, "backend servers have crashed under such requests")
+		refusal.RetryAfter = quarantine.RetryAfter
+		return refusal
+	}
 	choice, err := x.pick(now)
 	if err != nil {
 		return x.p.notRun(outcome.ReasonNoEndpoint, "no backend server may take the request")
@@ -152,6 +162,7 @@
 		m.Class.Name,
 		string(m.Class.Kind),
 		m.Service.Name,
+		x.print.String(),
 	}
 	h[outcome.HeaderDeadline] = v[0:1:1]
 	h[outcome.HeaderHops] = v[1:2:2]
@@ -159,6 +170,7 @@
 	h[outcome.HeaderClass] = v[3:4:4]
 	h[outcome.HeaderKind] = v[4:5:5]
 	h[outcome.HeaderService] = v[5:6:6]
+	h[outcome.HeaderFingerprint] = v[6:7:7]
 	if x.number > 1 && !x.inherited {
 		h[outcome.HeaderAttempt] = []string{strconv.Itoa(x.number)}
 	}
--- a/transport/entry/verdict.go
+++ b/transport/entry/verdict.go
@@ -56,9 +56,9 @@
 }
 
 // refusedAs says what a gate's refusal tells about its server. A deadline that
-// can't be met is the request's own and says nothing.
+// can't be met is the request's own and says nothing, nor does its quarantine.
 func refusedAs(reason outcome.Reason) balance.Outcome {
-	if reason == outcome.ReasonDeadline {
+	if reason == outcome.ReasonDeadline || reason == outcome.ReasonQuarantined {
 		return balance.Cancelled
 	}
 	return balance.NotRun
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -86,8 +86,13 @@
 
 // Reach opens a connection to an address and closes it again, to learn whether
 // anybody listens there.
-func (c *Client) Reach(ctx context.Context, addr string) error {
-	conn, err := c.dialer.DialContext(ctx, "tcp", addr)
+func (c *Client) Reach(ctx context.Context, addr string) error { return reach(ctx, &c.dialer, addr) }
+
+// Reach is Client.Reach from any address of this host.
+func Reach(ctx context.Context, addr string) error { return reach(ctx, &net.Dialer{}, addr) }
+
+func reach(ctx context.Context, d *net.Dialer, addr string) error {
+	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
--- a/transport/gate/forward.go
+++ b/transport/gate/forward.go
@@ -21,19 +21,20 @@
 		g.refuse(w, g.notRun(outcome.ReasonDeadline, "the deadline passed before the request was sent"))
 		return false
 	}
-	resp, err := forward.Send(g.cfg.Backend, backendRequest(ctx, w, r, c.addr, remaining), w)
+	resp, err := forward.Send(g.cfg.Backend, backendRequest(ctx, w, r, c.run.Addr, remaining), w)
 	if err != nil {
-		g.refuse(w, g.failed(ctx, r, err))
+		g.refuse(w, g.failed(ctx, r, c, err))
 		return false
 	}
 	if shed(resp) {
 		refusal := g.notRun(outcome.ReasonBackendRefused, "the backend server shed the request")
 		refusal.RetryAfter = forward.RetryAfter(resp.Header, g.cfg.RetryAfter)
 		forward.Drain(resp)
+		g.crashes.Alive(c.run)
 		g.refuse(w, refusal)
 		return false
 	}
-	g.relay(w, resp)
+	g.relay(ctx, w, resp, c)
 	return true
 }
 
@@ -45,6 +46,7 @@
 	out := forward.NewRequest(ctx, r, "http", addr, body, r.ContentLength)
 	delete(out.Header, outcome.HeaderKind)
 	delete(out.Header, outcome.HeaderService)
+	delete(out.Header, outcome.HeaderFingerprint)
 	out.Header[outcome.HeaderDeadline] = []string{strconv.FormatInt(remaining, 10)}
 	return out
 }
@@ -56,17 +58,20 @@
 }
 
 // failed classifies a request that got no response.
-func (g *Gate) failed(ctx context.Context, r *http.Request, err error) *forward.Refusal {
+func (g *Gate) failed(ctx context.Context, r *http.Request, c call, err error) *forward.Refusal {
 	var send *forward.SendError
 	sent := !errors.As(err, &send) || send.Sent
 	switch {
 	case !sent && ctx.Err() == nil:
+		g.crashes.Unsent(c.run, err)
 		return g.notRun(outcome.ReasonBackendRefused, "the backend server can't be reached")
 	case !sent:
 		return g.notRun(reasonOf(ctx, r), "given up before the request was sent")
 	case ctx.Err() != nil:
+		g.crashes.Left(c.run)
 		return forward.Unknown(reasonOf(ctx, r), "given up while the request ran")
 	default:
+		g.crashes.Broken(c.run)
 		return forward.Unknown(outcome.ReasonBackendFailed, "the connection to the backend server broke")
 	}
 }
@@ -79,16 +84,22 @@
 }
 
 // relay passes the answer on and aborts the connection when it is not whole.
-func (g *Gate) relay(w http.ResponseWriter, resp *http.Response) {
+func (g *Gate) relay(ctx context.Context, w http.ResponseWriter, resp *http.Response, c call) {
 	forward.StripNodeHeaders(resp.Header)
 	g.stamp(resp.Header)
 	resp.Header[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
 	err := forward.Relay(w, resp)
 	if err == nil {
+		g.crashes.Answered(c.run, resp.StatusCode)
 		return
 	}
 	var cut *forward.TruncatedError
-	if errors.As(err, &cut) {
+	if errors.As(err, &cut) && ctx.Err() == nil {
+		g.crashes.Broken(c.run)
+	} else {
+		g.crashes.Left(c.run)
+	}
+	if cut != nil {
 		g.truncated.Inc()
 		_ = level.Warn(g.cfg.Logger).Log("event", "backend_response_truncated", "err", err)
 	}
--- a/transport/gate/gate.go
+++ b/transport/gate/gate.go
@@ -16,6 +16,8 @@
 	core "github.com/jacinthgate/jacinthgate/coordination/gate"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
+	"github.com/jacinthgate/jacinthgate/transport/crash"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/local"
 )
@@ -44,6 +46,10 @@
 	// Backend sends to the backend server. Nil takes one with the default
 	// settings.
 	Backend http.RoundTripper
+	// Suspects, Crashed and Succeeded are those of crash.Config.
+	Suspects  func() *suspect.View
+	Crashed   func(suspect.Crash, []suspect.Fingerprint)
+	Succeeded func(suspect.Fingerprint)
 	// Tick is the time between looks at the limits.
 	Tick time.Duration
 	// RetryAfter is when a refused request is asked to come back.
@@ -75,6 +81,7 @@
 	core      *core.Gate
 	refusals  sync.Map // outcome.Reason -> *metrics.Counter
 	truncated *metrics.Counter
+	crashes   *crash.Observer
 }
 
 // New returns a gate. Update or Run must be called for it to let requests in.
@@ -100,9 +107,25 @@
 	}
 	g := &Gate{cfg: cfg, core: core.New()}
 	g.registerMetrics()
+	g.crashes = crash.New(crash.Config{
+		Suspects:  cfg.Suspects,
+		Crashed:   cfg.Crashed,
+		Succeeded: cfg.Succeeded,
+		Reach:     forward.Reach,
+		Gone:      func(string) {}, // its announcement runs out
+		Leaving:   func(instance string) bool { a := g.cfg.Announcement(); return a.Draining && instanceOf(a) == instance },
+		Crashes:   cfg.Metrics.GetOrCreateCounter("jacinthgate_gate_backend_crashes_total"),
+		Logger:    cfg.Logger,
+		Now:       cfg.Now,
+	})
 	return g
 }
 
+// instanceOf identifies the start of the backend server that an announcement is of.
+func instanceOf(a local.Announcement) string {
+	return a.Addr + " since " + strconv.FormatInt(a.Since.UnixMilli(), 10)
+}
+
 func (g *Gate) registerMetrics() {
 	set := g.cfg.Metrics
 	g.truncated = set.GetOrCreateCounter("jacinthgate_gate_responses_truncated_total")
@@ -170,7 +193,13 @@
 		g.refuse(w, refusal)
 		return
 	}
+	if refusal = g.quarantined(call); refusal != nil { // another backend server has crashed meanwhile
+		g.core.Release(model.WorkOf(call.kind), 0, g.cfg.Now())
+		g.refuse(w, refusal)
+		return
+	}
 	started := g.cfg.Now()
+	call.run.Sent = started
 	ran := false
 	defer func() {
 		end := g.cfg.Now()
@@ -187,7 +216,8 @@
 type call struct {
 	kind     model.ClassKind
 	deadline time.Time
-	addr     string
+	// run is the request as the backend server runs it.
+	run crash.Run
 }
 
 // maxDeadline stands for a request without a deadline.
@@ -195,7 +225,7 @@
 
 func (g *Gate) check(r *http.Request, now time.Time) (call, *forward.Refusal) {
 	a := g.cfg.Announcement()
-	c := call{kind: model.ClassKind(r.Header.Get(outcome.HeaderKind)), addr: a.Addr}
+	c := call{kind: model.ClassKind(r.Header.Get(outcome.HeaderKind)), run: crash.Run{Instance: instanceOf(a), Addr: a.Addr}}
 	if !a.Announced() {
 		return c, g.notRun(outcome.ReasonNoEndpoint, "no backend server is announced on this host")
 	}
@@ -213,7 +243,18 @@
 	if given {
 		c.deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
-	return c, nil
+	if c.run.Print, err = crash.Fingerprint(r.Header); err != nil {
+		return c, g.notRun(outcome.ReasonMalformed, err.Error())
+	}
+	return c, g.quarantined(c)
+}
+
+// quarantined refuses a request under which backend servers have crashed.
+func (g *Gate) quarantined(c call) *forward.Refusal {
+	if !g.crashes.Quarantined(c.run.Print) {
+		return nil
+	}
+	return g.notRun(outcome.ReasonQuarantined, "backend servers have crashed under such requests")
 }
 
 // acquire takes a slot, waiting for one if need be.
--- a/transport/inbound/body.go
+++ b/transport/inbound/body.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"sync"
+	"time"
 
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
@@ -62,3 +64,16 @@
 	var send *forward.SendError
 	return !errors.As(err, &send) || send.Sent
 }
+
+// bodyEnded tells how a run ended that the backend server has answered.
+func (g *Gate) bodyEnded(req *http.Request, c call, sent time.Time, status int, how bodyEnd) {
+	broken := how == bodyBroken && req.Context().Err() == nil && g.cfg.Now().Before(c.Deadline)
+	switch {
+	case how == bodyWhole:
+		g.crashes.Answered(c.run(sent), status)
+	case broken:
+		g.crashes.Broken(c.run(sent))
+	default:
+		g.crashes.Left(c.run(sent))
+	}
+}
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -9,6 +9,7 @@
 	"github.com/jacinthgate/jacinthgate/state/instance"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/suspect"
+	"github.com/jacinthgate/jacinthgate/transport/crash"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
@@ -45,21 +46,16 @@
 	}
 	c.Work = model.Work{Kind: model.ClassKind(h.Get(outcome.HeaderKind)), Rank: u.Rank, Target: u.Target}
 	c.Due = now.Add(u.Left)
-	if c.print, err = fingerprint(h); err != nil {
+	if c.print, err = crash.Fingerprint(h); err != nil {
 		return c, outcome.ReasonMalformed
 	}
-	if g.cfg.Suspects().Quarantined(c.print) {
+	if g.crashes.Quarantined(c.print) {
 		return c, outcome.ReasonQuarantined
 	}
 	return c, ""
 }
 
-// fingerprint reads what the request asks for; 0 where an older node doesn't tell. The
-// error is a *suspect.FingerprintError.
-func fingerprint(h http.Header) (suspect.Fingerprint, error) {
-	v := h[outcome.HeaderFingerprint]
-	if len(v) == 0 {
-		return 0, nil
-	}
-	return suspect.ParseFingerprint(v[0])
+// run returns the request as the backend server runs it.
+func (c *call) run(sent time.Time) crash.Run {
+	return crash.Run{Instance: c.instance.ID, Addr: c.instance.Addr, Print: c.print, Sent: sent}
 }
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -9,7 +9,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,12 +18,11 @@
 
 	core "github.com/jacinthgate/jacinthgate/coordination/gate"
 	"github.com/jacinthgate/jacinthgate/coordination/pace"
-	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
 	"github.com/jacinthgate/jacinthgate/protocol/dialect"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/instance"
-	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/suspect"
+	"github.com/jacinthgate/jacinthgate/transport/crash"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
@@ -48,11 +46,8 @@
 	// AnswerGrace is how long past its deadline a request is left to the
 	// backend server, which answers a late request by itself.
 	AnswerGrace time.Duration
-	// Suspects returns the requests that are suspected to crash backend servers. It is
-	// one atomic load.
-	Suspects func() *suspect.View
-	// Crashed is told when the backend server has ended without a goodbye, and which
-	// requests were under way; Succeeded when a suspected request has succeeded.
+	// Suspects, Crashed and Succeeded are those of crash.Config.
+	Suspects  func() *suspect.View
 	Crashed   func(suspect.Crash, []suspect.Fingerprint)
 	Succeeded func(suspect.Fingerprint)
 	// Unreachable is told when a connection to the backend server is refused.
@@ -77,17 +72,23 @@
 	held atomic.Int64
 	// sending bounds the large answers that are sent at one time.
 	sending chan struct{}
-	// watch finds the requests that were under way when the backend server ended, and
-	// probing is set while a look at it is due.
-	watch   quarantine.Watch
-	probing atomic.Bool
-	crashes *metrics.Counter
+	crashes *crash.Observer
 }
 
 // New returns a gate. Update must be called for it to let requests in.
 func New(cfg Config) *Gate {
 	g := &Gate{cfg: cfg, core: core.New(), sending: make(chan struct{}, maxSending)}
-	g.crashes = cfg.Metrics.GetOrCreateCounter("jacinthgate_inbound_backend_crashes_total")
+	g.crashes = crash.New(crash.Config{
+		Suspects:  cfg.Suspects,
+		Crashed:   cfg.Crashed,
+		Succeeded: cfg.Succeeded,
+		Reach:     cfg.Backend.Reach,
+		Gone:      cfg.Unreachable,
+		Leaving:   g.leaving,
+		Crashes:   cfg.Metrics.GetOrCreateCounter("jacinthgate_inbound_backend_crashes_total"),
+		Logger:    cfg.Logger,
+		Now:       cfg.Now,
+	})
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots_used", func() float64 { return float64(g.core.Load().Used) })
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots", func() float64 { return float64(g.core.Load().Slots) })
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_queued", func() float64 { return float64(g.core.Load().Queued) })
@@ -125,6 +126,12 @@
 	return i.State != instance.Ready && now.Sub(i.DrainSince) >= g.cfg.DrainGrace
 }
 
+// leaving reports whether a start of the backend server has said goodbye.
+func (g *Gate) leaving(id string) bool {
+	i := g.cfg.Instance()
+	return i != nil && i.ID == id && i.State != instance.Ready
+}
+
 // maxKept bounds a request's body that is read before anything is sent, in
 // bytes: a slow sender then holds no slot. Nodes send what they keep themselves
 // at once.
@@ -197,99 +204,9 @@
 		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonDraining, false), nil
 	}
-	if g.cfg.Suspects().Quarantined(c.print) { // another backend server has crashed meanwhile
+	if g.crashes.Quarantined(c.print) { // another backend server has crashed meanwhile
 		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonQuarantined, false), nil
 	}
 	return g.send(req, c), nil
 }
-
-// send sends the request to the backend server. The request holds a slot.
-func (g *Gate) send(req *http.Request, c call) *http.Response {
-	started := g.cfg.Now()
-	ctx, cancel := context.WithDeadline(req.Context(), c.Deadline.Add(g.cfg.AnswerGrace))
-	out := req.WithContext(ctx)
-	url := *req.URL
-	url.Scheme, url.Host = "http", c.instance.Addr
-	out.URL = &url
-	caller := req.Header.Get(outcome.HeaderCaller)
-	forward.StripNodeHeaders(out.Header)
-	delete(out.Header, outcome.HeaderDeadline)
-	g.cfg.Dialect.Mark(out.Header, dialect.Marks{
-		Remaining:     c.Deadline.Sub(started),
-		Instance:      c.instance.ID,
-		CallerService: caller,
-	})
-	done := func(took time.Duration) {
-		cancel()
-		g.core.Release(c.Work, took, g.cfg.Now())
-	}
-	resp, err := forward.Send(g.cfg.Backend, out, nil)
-	if err != nil {
-		done(0)
-		return g.failed(req, c, err)
-	}
-	return g.judge(req, c, resp, started, done)
-}
-
-// judge reads the backend server's response. It holds the slot until the body
-// has ended.
-func (g *Gate) judge(req *http.Request, c call, resp *http.Response, started time.Time, done func(time.Duration)) *http.Response {
-	switch g.cfg.Dialect.Judge(resp.StatusCode, resp.Header) {
-	case dialect.Ran:
-		h := resp.Header
-		forward.StripNodeHeaders(h)
-		h[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
-		h[outcome.HeaderReached] = reachedValue
-		bodyless := resp.Body == http.NoBody
-		resp.Body = &slotBody{ReadCloser: resp.Body, left: resp.ContentLength, done: func(how bodyEnd) {
-			done(g.cfg.Now().Sub(started))
-			g.answered(req, c, resp.StatusCode, started, how)
-		}}
-		if c.Work.Kind == model.KindBulk && !bodyless && !g.holdWhole(resp) {
-			return g.unknown(req, outcome.ReasonBackendFailed)
-		}
-		g.stamp(h)
-		if typical := g.core.Typical(c.Work); typical > 0 {
-			h[outcome.HeaderTypical] = []string{strconv.FormatInt(typical.Microseconds(), 10)}
-		}
-		return resp
-	case dialect.Misdirected:
-		forward.Drain(resp)
-		done(0)
-		g.cfg.Replaced(c.instance.ID)
-		return g.refuse(req, outcome.ReasonWrongService, true)
-	case dialect.Refused:
-		forward.Drain(resp)
-		done(0)
-		g.watch.Alive(started, c.instance.ID)
-		return g.refuse(req, outcome.ReasonBackendRefused, true)
-	default:
-		_ = resp.Body.Close() // what it holds is of no use
-		done(0)
-		return g.unknown(req, outcome.ReasonBackendFailed)
-	}
-}
-
-// failed answers a request that got no response.
-func (g *Gate) failed(req *http.Request, c call, err error) *http.Response {
-	sent := wasSent(err)
-	if !sent && req.Context().Err() == nil {
-		g.cfg.Unreachable(c.instance.ID)
-	}
-	reason := outcome.ReasonBackendFailed
-	switch {
-	case req.Context().Err() != nil:
-		reason = outcome.ReasonCancelled
-	case !g.cfg.Now().Before(c.Deadline):
-		reason = outcome.ReasonDeadline
-	}
-	_ = g.cfg.Logger.Log("event", "backend_send_failed", "request", g.cfg.Dialect.RequestID(req.Header),
-		"fingerprint", c.print, "path", req.URL.Path, "instance", c.instance.ID, "sent", sent, "reason", reason, "err", err)
-	if !sent {
-		g.notReached(c, err)
-		return g.refuse(req, reason, false)
-	}
-	g.cut(c, reason == outcome.ReasonBackendFailed)
-	return g.unknown(req, reason)
-}
--- /dev/null
+++ b/transport/inbound/send.go
@@ -0,0 +1,107 @@
+package inbound
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/protocol/dialect"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+)
+
+// send sends the request to the backend server. The request holds a slot.
+func (g *Gate) send(req *http.Request, c call) *http.Response {
+	started := g.cfg.Now()
+	ctx, cancel := context.WithDeadline(req.Context(), c.Deadline.Add(g.cfg.AnswerGrace))
+	out := req.WithContext(ctx)
+	url := *req.URL
+	url.Scheme, url.Host = "http", c.instance.Addr
+	out.URL = &url
+	caller := req.Header.Get(outcome.HeaderCaller)
+	forward.StripNodeHeaders(out.Header)
+	delete(out.Header, outcome.HeaderDeadline)
+	g.cfg.Dialect.Mark(out.Header, dialect.Marks{
+		Remaining:     c.Deadline.Sub(started),
+		Instance:      c.instance.ID,
+		CallerService: caller,
+	})
+	done := func(took time.Duration) {
+		cancel()
+		g.core.Release(c.Work, took, g.cfg.Now())
+	}
+	resp, err := forward.Send(g.cfg.Backend, out, nil)
+	if err != nil {
+		done(0)
+		return g.failed(req, c, started, err)
+	}
+	return g.judge(req, c, resp, started, done)
+}
+
+// judge reads the backend server's response. It holds the slot until the body
+// has ended.
+func (g *Gate) judge(req *http.Request, c call, resp *http.Response, started time.Time, done func(time.Duration)) *http.Response {
+	switch g.cfg.Dialect.Judge(resp.StatusCode, resp.Header) {
+	case dialect.Ran:
+		h := resp.Header
+		forward.StripNodeHeaders(h)
+		h[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
+		h[outcome.HeaderReached] = reachedValue
+		bodyless := resp.Body == http.NoBody
+		resp.Body = &slotBody{ReadCloser: resp.Body, left: resp.ContentLength, done: func(how bodyEnd) {
+			done(g.cfg.Now().Sub(started))
+			g.bodyEnded(req, c, started, resp.StatusCode, how)
+		}}
+		if c.Work.Kind == model.KindBulk && !bodyless && !g.holdWhole(resp) {
+			return g.unknown(req, outcome.ReasonBackendFailed)
+		}
+		g.stamp(h)
+		if typical := g.core.Typical(c.Work); typical > 0 {
+			h[outcome.HeaderTypical] = []string{strconv.FormatInt(typical.Microseconds(), 10)}
+		}
+		return resp
+	case dialect.Misdirected:
+		forward.Drain(resp)
+		done(0)
+		g.cfg.Replaced(c.instance.ID)
+		return g.refuse(req, outcome.ReasonWrongService, true)
+	case dialect.Refused:
+		forward.Drain(resp)
+		done(0)
+		g.crashes.Alive(c.run(started))
+		return g.refuse(req, outcome.ReasonBackendRefused, true)
+	default:
+		_ = resp.Body.Close() // what it holds is of no use
+		done(0)
+		return g.unknown(req, outcome.ReasonBackendFailed)
+	}
+}
+
+// failed answers a request that got no response.
+func (g *Gate) failed(req *http.Request, c call, started time.Time, err error) *http.Response {
+	sent := wasSent(err)
+	if !sent && req.Context().Err() == nil {
+		g.cfg.Unreachable(c.instance.ID)
+	}
+	reason := outcome.ReasonBackendFailed
+	switch {
+	case req.Context().Err() != nil:
+		reason = outcome.ReasonCancelled
+	case !g.cfg.Now().Before(c.Deadline):
+		reason = outcome.ReasonDeadline
+	}
+	_ = g.cfg.Logger.Log("event", "backend_send_failed", "request", g.cfg.Dialect.RequestID(req.Header),
+		"fingerprint", c.print, "path", req.URL.Path, "instance", c.instance.ID, "sent", sent, "reason", reason, "err", err)
+	switch {
+	case !sent:
+		g.crashes.Unsent(c.run(started), err)
+		return g.refuse(req, reason, false)
+	case reason == outcome.ReasonBackendFailed:
+		g.crashes.Broken(c.run(started))
+	default:
+		g.crashes.Left(c.run(started))
+	}
+	return g.unknown(req, reason)
+}
--- a/transport/outbound/conclude.go
+++ b/transport/outbound/conclude.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
+	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 )
 
@@ -51,7 +52,7 @@
 	now := x.p.cfg.Now()
 	switch _, reason := x.trail.Worst(); {
 	case reason == outcome.ReasonQuarantined:
-		return attempt.QuarantineRetry
+		return quarantine.RetryAfter
 	case reason == outcome.ReasonNoEndpoint && now.Sub(x.p.started) < attempt.StartTime:
 		return x.p.comeBackToStart(now)
 	}
--- a/transport/outbound/quarantine_test.go
+++ b/transport/outbound/quarantine_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/suspect"
@@ -40,7 +39,6 @@
 	g := &gates{answer: func(int) (outcome.Outcome, outcome.Reason) { return outcome.NotRun, outcome.ReasonQuarantined }}
 	w := ask(newProxy(t, model.KindInteractive, 9, g))
 	must.Eq(t, http.StatusServiceUnavailable, w.Code)
-	must.Eq(t, attempt.QuarantineRetry, time.Minute)
 	must.Len(t, 1, g.waits)
 }
 
