Show that a backend server that returns under its identifier stays out (fails)

Cause: a backend server may start again under its identifier; its heartbeats tell the start and count anew. The node doesn't read the start: after a drain or a goodbye the next start is taken for the one that left, a late word of the former start puts the present one out, and heartbeats of another writer with a state, service, sequence, start or address that nobody names are taken for a new backend server. Tests with real nodes and heartbeats on the wire.

--- /dev/null
+++ b/internal/sidecar/returned_test.go
@@ -0,0 +1,103 @@
+package sidecar
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// A backend server that starts again under its identifier counts its heartbeats anew.
+// They were taken for late ones of its former start: after a crash it was dropped as
+// silent and stayed unused for good, and one that had drained stayed out.
+func TestBackendServerThatReturnsUnderItsIdentifierIsUsed(t *testing.T) {
+	for name, end := range map[string]func(*site) error{
+		"after a crash":   func(*site) error { return nil },
+		"after a drain":   func(m *site) error { return m.backend.Beat(m.node.set.Listen.Backend, m.addr, true) },
+		"after a goodbye": func(m *site) error { return m.backend.Leave(m.node.set.Listen.Backend) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 2)
+			m, other := f.nodes[0], f.nodes[1]
+			m.backend.Born = 1_000_000
+			for range 5 {
+				must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
+			}
+			must.NoError(t, end(m))
+			m.node.backends.unreachable(m.node.pub.instance.Load().ID)
+
+			again := m.backend.Again(1_000_500)
+			must.NoError(t, again.Beat(m.node.set.Listen.Backend, m.addr, false))
+			f.eventually("the other node knows it", func() bool {
+				return len(other.node.pub.view.Load().Service("booking")) == 2
+			})
+			must.NoError(t, other.backend.Beat(other.node.set.Listen.Backend, other.addr, true))
+			f.eventually("the other backend server leaves", func() bool {
+				return len(other.node.pub.view.Load().Service("booking")) == 1
+			})
+			resp, _ := f.do(other, "GET", "/status/x", "")
+			must.Eq(t, http.StatusOK, resp.StatusCode)
+			must.Eq(t, m.backend.ID, m.backend.Seen()[0].Headers.Get("X-Expect-Instance"))
+		})
+	}
+}
+
+// What the former start has said may arrive after the next one has registered. It is
+// neither taken for the present one nor puts it out.
+func TestWordOfAFormerStartChangesNothing(t *testing.T) {
+	f := newFleet(t, 1)
+	m := f.nodes[0]
+	m.backend.Born = 1_000_000
+	must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
+	again := m.backend.Again(1_000_500)
+	must.NoError(t, again.Beat(m.node.set.Listen.Backend, m.addr, false))
+	must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, true))
+	must.NoError(t, m.backend.Leave(m.node.set.Listen.Backend))
+	must.NoError(t, again.Beat(m.node.set.Listen.Backend, m.addr, false))
+	resp, _ := f.do(m, "GET", "/status/x", "")
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+}
+
+// A heartbeat may come from another writer. One that can't be read, or tells what no
+// backend server says, names none to use, and the one that is known stays.
+func TestHeartbeatOfAnotherWriterNamesNoBackendServer(t *testing.T) {
+	const whole = `{"address":"ADDR","info":{"service":"booking","version":"v1","zone":"z","slots":4},"status":{"state":"ready","seq":9,"coldRemainingMs":0},"born":1000000}`
+	for name, change := range map[string][2]string{
+		"state that nobody names":    {`"ready"`, `"resting"`},
+		"no state":                   {`"state":"ready",`, ``},
+		"state of another type":      {`"ready"`, `7`},
+		"fraction as start":          {`1000000`, `1000000.5`},
+		"start as text":              {`1000000`, `"1000000"`},
+		"start below zero":           {`1000000`, `-1`},
+		"sequence as text":           {`9,`, `"9",`},
+		"no sequence":                {`"seq":9,`, ``},
+		"negative sequence":          {`9,`, `-9,`},
+		"slots as a list":            {`4`, `[4]`},
+		"more slots than there are":  {`4`, `400000000`},
+		"no service":                 {`"service":"booking",`, ``},
+		"service that nobody offers": {`"booking"`, `"nobody"`},
+		"address without a port":     {`"ADDR"`, `"127.0.0.1"`},
+		"address by name":            {`"ADDR"`, `"localhost:80"`},
+		"bytes that are no JSON":     {`{"address"`, `{address`},
+		"no UTF-8":                   {`ADDR`, "\xff\xfe:1"},
+		"cut off":                    {`,"born":1000000}`, ``},
+		"null in place of a table":   {`{"state":"ready","seq":9,"coldRemainingMs":0}`, `null`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			m := f.nodes[0]
+			before := *m.node.pub.instance.Load()
+			body := strings.Replace(whole, change[0], change[1], 1)
+			body = strings.Replace(body, "ADDR", "127.0.0.1:1", 1)
+			resp, err := http.Post("http://"+m.node.set.Listen.Backend+"/api/instances/i-stranger/heartbeat", "application/json", strings.NewReader(body))
+			must.NoError(t, err)
+			must.NoError(t, resp.Body.Close())
+			after := m.node.pub.instance.Load()
+			must.NotNil(t, after)
+			must.Eq(t, before.ID, after.ID)
+			answer, _ := f.do(m, "GET", "/status/x", "")
+			must.Eq(t, http.StatusOK, answer.StatusCode)
+		})
+	}
+}
