Tell the starts of a backend server apart, and refuse what names none

Cause: an instance was an identifier alone, ordered by sequence. A backend server that starts again under its identifier counts anew: its heartbeats were late ones, and after a drain or goodbye it stayed out for good; a late word of the former start put the present one out. Heartbeats with a state, service, sequence, start or address that nobody names were taken for a new backend server. Change: an instance is identifier and start (instance.Start), ordered by start, then by sequence, and its key stands wherever the identifier was one: records, the gate's check, drains in the store and in peers' welcomes, crashes; only what the backend server itself is told stays the identifier. Ruled out: refusing heartbeats without a start (backend servers that can't return don't tell one); taking any lower sequence for a new start (heartbeats come late). Not changed: what the balancer has seen of a host's backend server outlives a start, as it did with a new identifier. Conclusion: starts are told apart.

--- a/internal/sidecar/backends.go
+++ b/internal/sidecar/backends.go
@@ -50,87 +50,101 @@
 func (b *backends) Hear(h instance.Heartbeat) {
 	b.mu.Lock()
 	before := b.local.Current()
+	if (before == nil || before.ID != h.ID) && !b.offered(h.Service) {
+		b.mu.Unlock()
+		_ = b.log.Log("event", "backend_not_offered", "instance", h.Key(), "service", h.Service)
+		return
+	}
 	news := b.local.Hear(time.Now(), h)
 	after := b.local.Current()
-	revived := b.down && after != nil && after.ID == h.ID && !news
-	b.down = false
+	// Any word of the present start says that it is there.
+	present := after != nil && after.ID == h.ID && (h.Born == 0 || h.Born == after.Born)
+	revived := b.down && present && !news
+	b.down = b.down && !present
 	b.publish()
 	b.mu.Unlock()
 	if !news && !revived {
 		return
 	}
-	_ = b.log.Log("event", "backend_heard", "instance", h.ID, "service", h.Service, "slots", h.Slots,
+	_ = b.log.Log("event", "backend_heard", "instance", h.Key(), "service", h.Service, "slots", h.Slots,
 		"draining", h.Draining, "sequence", h.Sequence, "cold", h.Cold)
 	b.changed(after)
-	wasReady := before == nil || before.ID != h.ID || before.State == instance.Ready
+	wasReady := before == nil || before.Start != after.Start || before.State == instance.Ready
 	if h.Draining && wasReady {
-		b.recordDrain(h.ID)
+		b.recordDrain(h.Key())
 	}
 }
 
 // Leave implements platform.Backends.
-func (b *backends) Leave(id string) {
+func (b *backends) Leave(s instance.Start) {
 	b.mu.Lock()
-	news := b.local.Leave(time.Now(), id)
+	news := b.local.Leave(time.Now(), s)
 	after := b.local.Current()
 	b.publish()
 	b.mu.Unlock()
 	if !news {
 		return
 	}
-	_ = b.log.Log("event", "backend_left", "instance", id)
+	_ = b.log.Log("event", "backend_left", "instance", s.Key())
 	b.changed(after)
-	b.recordDrain(id)
+	b.recordDrain(s.Key())
+}
+
+// offered reports whether a backend server may offer a service: the configuration names
+// it. Without a configuration any may.
+func (b *backends) offered(service string) bool {
+	t := b.pub.table.Load()
+	return t == nil || t.Service(service) != nil
 }
 
 // recordDrain writes to the store that an instance is leaving, so that a node
 // that is restarted doesn't send to it again.
-func (b *backends) recordDrain(id string) {
+func (b *backends) recordDrain(key string) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	if err := b.record(ctx, b.node, id); err != nil {
-		_ = level.Warn(b.log).Log("event", "drain_not_recorded", "instance", id, "err", err)
+	if err := b.record(ctx, b.node, key); err != nil {
+		_ = level.Warn(b.log).Log("event", "drain_not_recorded", "instance", key, "err", err)
 	}
 }
 
 // drained notes that an instance was leaving before this node started. It
 // reports whether that is the present one, which is then withdrawn by the
 // caller.
-func (b *backends) drained(id string) bool {
-	if id == "" {
+func (b *backends) drained(key string) bool {
+	if key == "" {
 		return false
 	}
 	b.mu.Lock()
-	was := b.local.Forget(id)
+	was := b.local.Forget(time.Now(), instance.ParseStart(key))
 	if was && b.local.Current() != nil {
 		b.down = true // the one that is back is announced with its next heartbeat
 	}
 	b.publish()
 	b.mu.Unlock()
-	_ = b.log.Log("event", "backend_drained_before", "instance", id, "present", was)
+	_ = b.log.Log("event", "backend_drained_before", "instance", key, "present", was)
 	return was
 }
 
 // replaced notes that another backend server has the address.
-func (b *backends) replaced(id string) {
+func (b *backends) replaced(key string) {
 	b.mu.Lock()
-	was := b.local.Forget(id)
+	was := b.local.Forget(time.Now(), instance.ParseStart(key))
 	after := b.local.Current()
 	b.publish()
 	b.mu.Unlock()
 	if !was {
 		return
 	}
-	_ = b.log.Log("event", "backend_replaced", "instance", id)
+	_ = b.log.Log("event", "backend_replaced", "instance", key)
 	b.changed(after)
 }
 
 // unreachable notes that connections to the backend server are refused. It is
 // offered again with its next heartbeat.
-func (b *backends) unreachable(id string) {
+func (b *backends) unreachable(key string) {
 	b.mu.Lock()
 	c := b.local.Current()
-	was := c != nil && c.ID == id && !b.down
+	was := c != nil && c.Key() == key && !b.down
 	if was {
 		b.down = true
 	}
@@ -138,7 +152,7 @@
 	if !was {
 		return
 	}
-	_ = b.log.Log("event", "backend_unreachable", "instance", id)
+	_ = b.log.Log("event", "backend_unreachable", "instance", key)
 	b.changed(nil)
 }
 
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -164,7 +164,7 @@
 func (n *Node) announce(i *instance.Instance) {
 	a := member.Announce{Unready: n.pub.withdrawn.Load()}
 	if i != nil {
-		a.Service, a.Slots, a.Instance = i.Service, i.Slots, i.ID
+		a.Service, a.Slots, a.Instance = i.Service, i.Slots, i.Key()
 		a.Connections = i.Slots
 		a.Draining = i.State != instance.Ready
 	}
--- a/state/endpoint/validate.go
+++ b/state/endpoint/validate.go
@@ -49,6 +49,10 @@
 	return nil
 }
 
+// maxInstance bounds the key of an instance, in bytes: an identifier and the time of a
+// start.
+const maxInstance = model.MaxNameLength + 16
+
 // invalidName returns the first field whose text is missing or too long.
 func invalidName(r *Record) string {
 	switch {
@@ -60,7 +64,7 @@
 		return "region"
 	case len(r.Service) > model.MaxNameLength:
 		return "service"
-	case len(r.Instance) > model.MaxNameLength:
+	case len(r.Instance) > maxInstance:
 		return "instance"
 	}
 	return ""
--- a/state/instance/instance_test.go
+++ b/state/instance/instance_test.go
@@ -10,7 +10,7 @@
 var begin = time.Unix(1_000_000, 0)
 
 func beat(id string, sequence uint64, draining bool) Heartbeat {
-	return Heartbeat{ID: id, Addr: "127.0.0.1:1", Service: "s", Slots: 9, Sequence: sequence, Draining: draining}
+	return Heartbeat{Start: Start{ID: id}, Addr: "127.0.0.1:1", Service: "s", Slots: 9, Sequence: sequence, Draining: draining}
 }
 
 func TestLateHeartbeatChangesNothing(t *testing.T) {
@@ -36,8 +36,8 @@
 func TestGoodbye(t *testing.T) {
 	var l Local
 	l.Hear(begin, beat("a", 1, false))
-	must.True(t, l.Leave(begin, "a"))
-	must.False(t, l.Leave(begin.Add(time.Second), "a"))
+	must.True(t, l.Leave(begin, Start{ID: "a"}))
+	must.False(t, l.Leave(begin.Add(time.Second), Start{ID: "a"}))
 	must.Eq(t, begin, l.Current().DrainSince)
 	must.False(t, l.Hear(begin, beat("a", 2, false)))
 	must.Eq(t, Draining, l.Current().State)
@@ -45,7 +45,7 @@
 
 func TestGoodbyeOfAnInstanceThatIsNotKnown(t *testing.T) {
 	var l Local // such as after a restart of the node
-	must.True(t, l.Leave(begin, "a"))
+	must.True(t, l.Leave(begin, Start{ID: "a"}))
 	must.False(t, l.Hear(begin, beat("a", 9, false)))
 	must.Nil(t, l.Current())
 }
@@ -61,10 +61,10 @@
 func TestOnlyTheLastOnesAreRememberedAsGone(t *testing.T) {
 	var l Local
 	for i := range 3 * maxGone {
-		l.Forget(string(rune('a' + i)))
+		l.Forget(begin, Start{ID: string(rune('a' + i))})
 	}
 	must.Len(t, maxGone, l.gone)
-	must.True(t, l.isGone(string(rune('a'+3*maxGone-1))))
+	must.True(t, l.isGone(begin, Start{ID: string(rune('a' + 3*maxGone - 1))}))
 }
 
 // A heartbeat that was held up may arrive after its sender has crashed and another
@@ -72,7 +72,7 @@
 // live one out for good.
 func TestLateHeartbeatOfACrashedInstanceDoesNotEvictTheNewOne(t *testing.T) {
 	for name, end := range map[string]func(*Local) bool{
-		"the backend server says that it is another one": func(l *Local) bool { return l.Forget("a") },
+		"the backend server says that it is another one": func(l *Local) bool { return l.Forget(begin, Start{ID: "a"}) },
 		"no second heartbeat comes":                      func(l *Local) bool { return l.Expire(begin.Add(time.Minute), 4*time.Second) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -94,7 +94,7 @@
 	l.Hear(begin, beat("a", 5, false))
 	l.Hear(begin, beat("b", 1, false))
 	l.Hear(begin, beat("b", 2, false))
-	must.True(t, l.Forget("b"))
+	must.True(t, l.Forget(begin, Start{ID: "b"}))
 	must.Nil(t, l.Current())
 	must.False(t, l.Hear(begin, beat("a", 6, false)))
 }
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -30,7 +30,7 @@
 	switch {
 	case i == nil:
 		return c, outcome.ReasonNoEndpoint
-	case i.Service != h.Get(outcome.HeaderService), i.ID != h.Get(outcome.HeaderInstance):
+	case i.Service != h.Get(outcome.HeaderService), i.Key() != h.Get(outcome.HeaderInstance):
 		return c, outcome.ReasonWrongService
 	case g.left(i, now):
 		return c, outcome.ReasonDraining
@@ -57,5 +57,5 @@
 
 // run returns the request as the backend server runs it.
 func (c *call) run(sent time.Time) crash.Run {
-	return crash.Run{Instance: c.instance.ID, Addr: c.instance.Addr, Print: c.print, Sent: sent}
+	return crash.Run{Instance: c.instance.Key(), Addr: c.instance.Addr, Print: c.print, Sent: sent}
 }
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -50,10 +50,10 @@
 	Suspects  func() *suspect.View
 	Crashed   func(suspect.Crash, []suspect.Fingerprint)
 	Succeeded func(suspect.Fingerprint)
-	// Unreachable is told when a connection to the backend server is refused.
-	Unreachable func(id string)
+	// Both are given the key of the instance. Unreachable is told when a connection to the backend server is refused.
+	Unreachable func(key string)
 	// Replaced is told when another backend server has the address.
-	Replaced func(id string)
+	Replaced func(key string)
 	// Metrics is the set that metrics are registered in.
 	Metrics *metrics.Set
 	// Logger gets one line for each event.
@@ -127,9 +127,9 @@
 }
 
 // leaving reports whether a start of the backend server has said goodbye.
-func (g *Gate) leaving(id string) bool {
+func (g *Gate) leaving(key string) bool {
 	i := g.cfg.Instance()
-	return i != nil && i.ID == id && i.State != instance.Ready
+	return i != nil && i.Key() == key && i.State != instance.Ready
 }
 
 // maxKept bounds a request's body that is read before anything is sent, in
@@ -200,7 +200,7 @@
 		return g.refuse(req, reason, false), nil
 	}
 	// The backend server may have left while the request waited.
-	if i := g.cfg.Instance(); i == nil || i.ID != c.instance.ID || g.left(i, g.cfg.Now()) {
+	if i := g.cfg.Instance(); i == nil || i.Key() != c.instance.Key() || g.left(i, g.cfg.Now()) {
 		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonDraining, false), nil
 	}
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -65,7 +65,7 @@
 	case dialect.Misdirected:
 		forward.Drain(resp)
 		done(0)
-		g.cfg.Replaced(c.instance.ID)
+		g.cfg.Replaced(c.instance.Key())
 		return g.refuse(req, outcome.ReasonWrongService, true)
 	case dialect.Refused:
 		forward.Drain(resp)
@@ -93,7 +93,7 @@
 		reason = outcome.ReasonDeadline
 	}
 	_ = g.cfg.Logger.Log("event", "backend_send_failed", "request", g.cfg.Dialect.RequestID(req.Header),
-		"fingerprint", c.print, "path", req.URL.Path, "instance", c.instance.ID, "sent", sent, "reason", reason, "err", err)
+		"fingerprint", c.print, "path", req.URL.Path, "instance", c.instance.Key(), "sent", sent, "reason", reason, "err", err)
 	switch {
 	case !sent:
 		g.crashes.Unsent(c.run(started), err)
