Send no fingerprint where the head tells it, and look again after a crash

The fingerprint's header is 15 bytes more for each request between zones, where bytes are dear, though the gate can compute it of a request without a body. Change: the header is sent with bodies only; the interval counts from a look that has found the backend server.

--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"github.com/jacinthgate/jacinthgate/platform/platformtest"
 	"github.com/jacinthgate/jacinthgate/state/suspect"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
 // crashing is a backend server that ends when it runs a request whose path holds
@@ -147,6 +149,7 @@
 func TestRequestThatEndsBackendServersIsNotSentOn(t *testing.T) {
 	long := strings.Repeat("a page ", 10_000)
 	for name, asked := range map[string]struct{ method, path, body string }{
+		"lookup with escapes":                  {"GET", "/status/deadly%2Fx%20y?a=%2F&b", ""},
 		"lookup":                               {"GET", "/status/deadly", ""},
 		"booking":                              {"POST", "/book/deadly", "two rooms"},
 		"large answer":                         {"GET", "/firmware/deadly100000", ""},
@@ -170,6 +173,11 @@
 				f.present(servers)
 			}
 			must.Between(t, toldBy, reached(), 2*toldBy)
+			r := httptest.NewRequest(asked.method, "http://"+host+asked.path, strings.NewReader(asked.body))
+			print := forward.Fingerprint(r, []byte(asked.body[:min(len(asked.body), forward.FingerprintBytes)]))
+			for _, m := range f.nodes {
+				must.True(t, m.node.pub.suspects.Load().Quarantined(print))
+			}
 			for _, m := range f.nodes {
 				resp, _ := f.do(m, asked.method, strings.Replace(asked.path, "deadly", "other", 1), asked.body)
 				must.Eq(t, http.StatusOK, resp.StatusCode)
--- a/transport/crash/crash.go
+++ b/transport/crash/crash.go
@@ -17,6 +17,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/suspect"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
 const (
@@ -24,9 +25,9 @@
 	// backend server is still there, before it is looked at. A request every 20 ms is
 	// less than the users' backend servers get, so that few looks are made.
 	probeDelay = 20 * time.Millisecond
-	// probeInterval is the least time between two looks: backend servers that reset
-	// connections when they are full break off many runs, and each look is one more
-	// connection.
+	// probeInterval is the least time after a look that has found the backend server:
+	// those that reset connections when they are full break off many runs, and each look
+	// is one more connection.
 	probeInterval = time.Second
 	// probeTimeout bounds that look; opening a connection takes some milliseconds.
 	probeTimeout = 200 * time.Millisecond
@@ -72,10 +73,10 @@
 type Observer struct {
 	cfg   Config
 	watch quarantine.Watch
-	// probing is set while a look at the backend server is due, and probedAt is when the
-	// last one was, in nanoseconds of Unix time.
-	probing  atomic.Bool
-	probedAt atomic.Int64
+	// probing is set while a look at the backend server is due, and foundAt is when the
+	// last one has found it, in nanoseconds of Unix time.
+	probing atomic.Bool
+	foundAt atomic.Int64
 }
 
 // New returns an observer.
@@ -92,14 +93,18 @@
 	return &Observer{cfg: cfg}
 }
 
-// Fingerprint reads what a request asks for from its headers; 0 where an older node
-// doesn't tell. The error is a *suspect.FingerprintError.
-func Fingerprint(h http.Header) (suspect.Fingerprint, error) {
-	v := h[outcome.HeaderFingerprint]
-	if len(v) == 0 {
-		return 0, nil
+// Fingerprint returns what a request of an entry node asks for. Of one without a body
+// the head tells it, which spares the header its 15 bytes between zones; 0 where an
+// older node sends a body and no header. The error is a *suspect.FingerprintError.
+func Fingerprint(req *http.Request) (suspect.Fingerprint, error) {
+	v := req.Header[outcome.HeaderFingerprint]
+	switch {
+	case len(v) > 0:
+		return suspect.ParseFingerprint(v[0])
+	case req.ContentLength == 0:
+		return forward.Fingerprint(req, nil), nil
 	}
-	return suspect.ParseFingerprint(v[0])
+	return 0, nil
 }
 
 // Quarantined reports whether a request is not to be sent.
@@ -134,7 +139,7 @@
 	case known:
 		o.report(r.Instance, crash, []suspect.Fingerprint{r.Print})
 	case o.probing.CompareAndSwap(false, true):
-		next := time.Unix(0, o.probedAt.Load()).Add(probeInterval)
+		next := time.Unix(0, o.foundAt.Load()).Add(probeInterval)
 		time.AfterFunc(max(probeDelay, next.Sub(o.cfg.Now())), func() { o.probe(r) })
 	}
 }
@@ -160,9 +165,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	began := o.cfg.Now()
-	o.probedAt.Store(began.UnixNano())
 	switch err := o.cfg.Reach(ctx, r.Addr); {
 	case err == nil:
+		o.foundAt.Store(began.UnixNano())
 		o.watch.Alive(began, r.Instance)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		o.ended(r.Instance)
--- a/transport/crash/crash_test.go
+++ b/transport/crash/crash_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -15,6 +17,7 @@
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/suspect"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
 // scene is an observer and what it tells.
@@ -168,10 +171,21 @@
 	must.Eq(t, []suspect.Fingerprint{1}, s.succeeded)
 }
 
-func TestFingerprintOfAnOlderNodeIsNone(t *testing.T) {
-	f, err := Fingerprint(http.Header{})
+func TestHeadTellsWhatARequestWithoutABodyAsksFor(t *testing.T) {
+	r := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
+	f, err := Fingerprint(r)
 	must.NoError(t, err)
-	must.Zero(t, f)
-	_, err = Fingerprint(http.Header{outcome.HeaderFingerprint: {"none"}})
+	must.Eq(t, forward.Fingerprint(r, nil), f)
+
+	r = httptest.NewRequest(http.MethodPost, "http://h/x", strings.NewReader("a body"))
+	f, err = Fingerprint(r)
+	must.NoError(t, err)
+	must.Zero(t, f, must.Sprint("an older node doesn't tell"))
+	r.Header.Set(outcome.HeaderFingerprint, "7f")
+	f, err = Fingerprint(r)
+	must.NoError(t, err)
+	must.Eq(t, 0x7f, f)
+	r.Header.Set(outcome.HeaderFingerprint, "none")
+	_, err = Fingerprint(r)
 	must.Error(t, err)
 }
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -170,7 +170,9 @@
 	h[outcome.HeaderClass] = v[3:4:4]
 	h[outcome.HeaderKind] = v[4:5:5]
 	h[outcome.HeaderService] = v[5:6:6]
-	h[outcome.HeaderFingerprint] = v[6:7:7]
+	if x.r.ContentLength != 0 { // the gate reads the rest from the head
+		h[outcome.HeaderFingerprint] = v[6:7:7]
+	}
 	if x.number > 1 && !x.inherited {
 		h[outcome.HeaderAttempt] = []string{strconv.Itoa(x.number)}
 	}
--- a/transport/gate/gate.go
+++ b/transport/gate/gate.go
@@ -243,7 +243,7 @@
 	if given {
 		c.deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
-	if c.run.Print, err = crash.Fingerprint(r.Header); err != nil {
+	if c.run.Print, err = crash.Fingerprint(r); err != nil {
 		return c, g.notRun(outcome.ReasonMalformed, err.Error())
 	}
 	return c, g.quarantined(c)
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -46,7 +46,7 @@
 	}
 	c.Work = model.Work{Kind: model.ClassKind(h.Get(outcome.HeaderKind)), Rank: u.Rank, Target: u.Target}
 	c.Due = now.Add(u.Left)
-	if c.print, err = crash.Fingerprint(h); err != nil {
+	if c.print, err = crash.Fingerprint(req); err != nil {
 		return c, outcome.ReasonMalformed
 	}
 	if g.crashes.Quarantined(c.print) {
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -168,7 +168,9 @@
 	h[outcome.HeaderInstance] = v[3:4:4]
 	h[outcome.HeaderCaller] = v[4:5:5]
 	h[outcome.HeaderUrgency] = v[5:6:6]
-	h[outcome.HeaderFingerprint] = v[6:7:7]
+	if x.r.ContentLength != 0 { // the gate reads the rest from the head
+		h[outcome.HeaderFingerprint] = v[6:7:7]
+	}
 	if x.route.Kind == model.KindBulk {
 		h[outcome.HeaderLinkWait] = []string{strconv.FormatInt(x.links.Wait(urgency.Left).Milliseconds(), 10)}
 	}
