Compute doubled waits in one place

Cause: the doubled wait with its bound stood in five packages (member, docsync, balance, retry, sidecar), each with a constant or a bare 16 of its own. Change: coordination/backoff.Doubled serves them and the writing of quarantines. Ruled out: moving the spread in as well: each draws it from its own source. Conclusion: one copy.

--- a/coordination/balance/eject.go
+++ b/coordination/balance/eject.go
@@ -3,15 +3,14 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/jacinthgate/jacinthgate/coordination/backoff"
 )
 
 // ejectRetry is how long a server that could not be ejected, because the floor
 // was reached, is left alone.
 const ejectRetry = 100 * time.Millisecond
 
-// maxDoublings bounds the exponent of the ejection time.
-const maxDoublings = 16
-
 // eject takes a server out of the choice unless too many of its group are out.
 // It is off the usual path, so it may take the writers' lock.
 func (p *Picker) eject(g *group, s *server, at int64) {
@@ -46,8 +45,7 @@
 
 // ejectTime returns the time of the next ejection and doubles it.
 func (p *Picker) ejectTime(s *server) time.Duration {
-	n := min(s.ejections.Add(1)-1, maxDoublings)
-	return min(p.cfg.EjectBase<<n, p.cfg.EjectMax)
+	return backoff.Doubled(p.cfg.EjectBase, p.cfg.EjectMax, int(s.ejections.Add(1)-1))
 }
 
 // mayEject returns the largest number of members that may be out at one time.
--- a/coordination/docsync/reading.go
+++ b/coordination/docsync/reading.go
@@ -6,25 +6,20 @@
 	"slices"
 	"time"
 
+	"github.com/jacinthgate/jacinthgate/coordination/backoff"
 	"github.com/jacinthgate/jacinthgate/protocol/message"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // backoff returns the wait after a failed read, spread by half.
 func (c *Core) backoff() time.Duration {
-	wait := c.cfg.RetryMax
-	if c.failures < maxDoublings {
-		wait = min(wait, c.cfg.RetryMin<<(c.failures-1))
-	}
+	wait := backoff.Doubled(c.cfg.RetryMin, c.cfg.RetryMax, c.failures-1)
 	if c.rank >= c.cfg.Leaders {
 		wait = max(wait, time.Duration(c.live)*c.cfg.TurnDelay)
 	}
 	return wait/2 + time.Duration(c.rng.Int64N(int64(wait)))
 }
 
-// maxDoublings keeps the doubled wait within the range of time.Duration.
-const maxDoublings = 16
-
 // decideReading turns reading on and off.
 func (c *Core) decideReading() {
 	on := c.shouldRead()
--- a/coordination/member/dialer.go
+++ b/coordination/member/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/jacinthgate/jacinthgate/coordination/backoff"
 	"github.com/jacinthgate/jacinthgate/coordination/core"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
@@ -91,17 +92,11 @@
 // backOff sets the time of the next attempt: twice as late after each failure,
 // spread by half.
 func (c *Core) backOff(t *target) {
-	wait := c.cfg.BackoffMax
-	if t.failures < maxDoublings {
-		wait = min(wait, c.cfg.BackoffMin<<t.failures)
-	}
+	wait := backoff.Doubled(c.cfg.BackoffMin, c.cfg.BackoffMax, t.failures)
 	t.failures++
 	t.next = c.now.Add(wait/2 + c.jitter(wait))
 }
 
-// maxDoublings keeps the doubled wait within the range of time.Duration.
-const maxDoublings = 16
-
 // connected notes that a peer was reached.
 func (d *dialer) connected(id model.NodeID) {
 	if t := d.targets[id]; t != nil {
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jacinthgate/jacinthgate/coordination/backoff"
 	"github.com/jacinthgate/jacinthgate/coordination/random"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/model"
@@ -155,7 +156,7 @@
 
 // backoff draws the wait before the retry that follows attempt n.
 func (r *Retrier) backoff(n int) time.Duration {
-	longest := min(r.cfg.BackoffBase<<min(n-1, 16), r.cfg.BackoffMax)
+	longest := backoff.Doubled(r.cfg.BackoffBase, r.cfg.BackoffMax, n-1)
 	return time.Duration(r.rand.Float64() * float64(longest))
 }
 
--- a/internal/sidecar/discover.go
+++ b/internal/sidecar/discover.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/jacinthgate/jacinthgate/coordination/backoff"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
 	"github.com/jacinthgate/jacinthgate/coordination/registry"
 	"github.com/jacinthgate/jacinthgate/platform"
@@ -73,14 +74,11 @@
 	}
 	wait := aloneRetry
 	if !alone && d.failures > 0 {
-		wait = min(aloneRetry<<min(d.failures-1, maxDoublings), aloneRetryMax)
+		wait = backoff.Doubled(aloneRetry, aloneRetryMax, d.failures-1)
 	}
 	return wait/2 + rand.N(wait)
 }
 
-// maxDoublings keeps a doubled wait within the range of time.Duration.
-const maxDoublings = 16
-
 // place returns the node's rank in its zone, and whether it has no peer.
 func (d *discovery) place(ctx context.Context) (rank int, alone bool) {
 	d.n.loop.queue.Ask(ctx, func() {
--- a/internal/sidecar/quarantine.go
+++ b/internal/sidecar/quarantine.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/jacinthgate/jacinthgate/coordination/backoff"
 	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/state/suspect"
@@ -54,14 +55,14 @@
 
 // recordQuarantine writes one, again and again while the store doesn't take it.
 func (n *Node) recordQuarantine(ctx context.Context, e suspect.Entry) {
-	for wait := aloneRetry; ; wait = min(2*wait, aloneRetryMax) {
+	for failures := 0; ; failures++ {
 		err := n.putQuarantine(ctx, e)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
 		_ = level.Warn(n.log).Log("event", "quarantine_not_recorded", "fingerprint", e.Print, "err", err)
 		select {
-		case <-time.After(wait):
+		case <-time.After(backoff.Doubled(aloneRetry, aloneRetryMax, failures)):
 		case <-ctx.Done():
 			return
 		}
