--- a/internal/sidecar/returned_test.go
+++ b/internal/sidecar/returned_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/platform/platformtest"
 )
 
 // A backend server that starts again under its identifier counts its heartbeats anew.
@@ -38,7 +40,7 @@
 			})
 			resp, _ := f.do(other, "GET", "/status/x", "")
 			must.Eq(t, http.StatusOK, resp.StatusCode)
-			must.Eq(t, m.backend.ID, m.backend.Seen()[0].Headers.Get("X-Expect-Instance"))
+			must.Eq(t, m.backend.ID, m.backend.Seen()[0].Headers.Get(platformtest.HeaderInstance))
 		})
 	}
 }
@@ -62,34 +64,11 @@
 // A heartbeat may come from another writer. One that can't be read, or tells what no
 // backend server says, names none to use, and the one that is known stays.
 func TestHeartbeatOfAnotherWriterNamesNoBackendServer(t *testing.T) {
-	const whole = `{"address":"ADDR","info":{"service":"booking","version":"v1","zone":"z","slots":4},"status":{"state":"ready","seq":9,"coldRemainingMs":0},"born":1000000}`
-	for name, change := range map[string][2]string{
-		"state that nobody names":    {`"ready"`, `"resting"`},
-		"no state":                   {`"state":"ready",`, ``},
-		"state of another type":      {`"ready"`, `7`},
-		"fraction as start":          {`1000000`, `1000000.5`},
-		"start as text":              {`1000000`, `"1000000"`},
-		"start below zero":           {`1000000`, `-1`},
-		"sequence as text":           {`9,`, `"9",`},
-		"no sequence":                {`"seq":9,`, ``},
-		"negative sequence":          {`9,`, `-9,`},
-		"slots as a list":            {`4`, `[4]`},
-		"more slots than there are":  {`4`, `400000000`},
-		"no service":                 {`"service":"booking",`, ``},
-		"service that nobody offers": {`"booking"`, `"nobody"`},
-		"address without a port":     {`"ADDR"`, `"127.0.0.1"`},
-		"address by name":            {`"ADDR"`, `"localhost:80"`},
-		"bytes that are no JSON":     {`{"address"`, `{address`},
-		"no UTF-8":                   {`ADDR`, "\xff\xfe:1"},
-		"cut off":                    {`,"born":1000000}`, ``},
-		"null in place of a table":   {`{"state":"ready","seq":9,"coldRemainingMs":0}`, `null`},
-	} {
+	for name, body := range platformtest.UnreadableHeartbeats("booking") {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 1)
 			m := f.nodes[0]
 			before := *m.node.pub.instance.Load()
-			body := strings.Replace(whole, change[0], change[1], 1)
-			body = strings.Replace(body, "ADDR", "127.0.0.1:1", 1)
 			resp, err := http.Post("http://"+m.node.set.Listen.Backend+"/api/instances/i-stranger/heartbeat", "application/json", strings.NewReader(body))
 			must.NoError(t, err)
 			must.NoError(t, resp.Body.Close())
