Let the soak ask for what ends backend servers, and let them return

Change: plans by -crashes draw requests that end each backend server that runs them, asked for at all nodes in turn, and backend servers that start again under their identifier; the check counts how often such a request reaches one later than 3 s after the third end, through nodes that weren't just stopped, frozen or started. Ruled out: cuts in these plans, where nodes can't know of each other's crashes.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -63,18 +63,35 @@
 // send sends one request, to a path with the given beginning or to one of the
 // routes in turn, and returns it as its caller saw it.
 func (c *callers) send(client *http.Client, n *node, prefix string) Request {
-	c.mu.Lock()
-	c.next++
-	number := c.next
-	c.mu.Unlock()
+	number := c.number()
 	kind := kinds[number%len(kinds)]
 	if prefix == "" {
 		prefix = kind.prefix
 	} else {
 		kind = kinds[0]
 	}
-	id := fmt.Sprintf("soak-%d", number)
-	r := Request{ID: id, Method: kind.method, Path: prefix + id, Node: n.number, Service: n.set.Service, Idempotent: kind.idempotent}
+	return c.sendAs(client, n, number, kind.method, prefix+requestID(number), kind.idempotent)
+}
+
+// ask sends one request for a path and returns it as its caller saw it.
+func (c *callers) ask(client *http.Client, n *node, method, path string, idempotent bool) Request {
+	return c.sendAs(client, n, c.number(), method, path, idempotent)
+}
+
+// number returns the number of the next request.
+func (c *callers) number() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next++
+	return c.next
+}
+
+func requestID(number int) string { return fmt.Sprintf("soak-%d", number) }
+
+func (c *callers) sendAs(client *http.Client, n *node, number int, method, path string, idempotent bool) Request {
+	r := Request{
+		ID: requestID(number), Method: method, Path: path, Node: n.number, Service: n.set.Service, Idempotent: idempotent,
+	}
 	exchange(client, n.addr(portCallers), &r)
 	c.mu.Lock()
 	c.requests = append(c.requests, r)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,6 +33,9 @@
 	CheckVersion Check = "newest-version"
 	// CheckRecovery: every node serves again after the last disturbance.
 	CheckRecovery Check = "recovery"
+	// CheckQuarantine: a request under which three backend servers have ended reaches
+	// no more than three again.
+	CheckQuarantine Check = "quarantine"
 	// CheckExplained: the logs tell of each refused or failed request by its id.
 	CheckExplained Check = "explained"
 )
@@ -67,8 +70,9 @@
 
 // Arrival is one request as a backend server saw it.
 type Arrival struct {
-	// Server is the instance of the backend server.
+	// Server is the identifier of the backend server, and Born its start.
 	Server string
+	Born   int64
 	// ID, Method and Path are the request's.
 	ID, Method, Path string
 	// Caller is the service where it is said to have begun.
@@ -85,6 +89,8 @@
 	From, To time.Time
 	// Fault is what it was.
 	Fault Fault
+	// Node is the number of the node that it struck.
+	Node int
 }
 
 // History is all that a soak has seen.
@@ -93,7 +99,7 @@
 	Requests []Request
 	// Arrivals are those at backend servers.
 	Arrivals []Arrival
-	// Drained is when each backend server's drain was over, by instance.
+	// Drained is when the drain of each start of a backend server was over, by startOf.
 	Drained map[string]time.Time
 	// Spans are the disturbances.
 	Spans []Span
@@ -118,6 +124,7 @@
 		r := &h.Requests[i]
 		h.checkRequest(r, runs[r.ID], &found)
 	}
+	h.checkQuarantine(&found)
 	return found
 }
 
@@ -142,7 +149,7 @@
 			found.add(CheckAsked, "%s got %s %s of %q from %q", a.Server, a.Method, a.Path, a.ID, a.Caller)
 			continue
 		}
-		if end, drained := h.Drained[a.Server]; drained && a.At.After(end.Add(drainMargin)) {
+		if end, drained := h.Drained[startOf(a.Server, a.Born)]; drained && a.At.After(end.Add(drainMargin)) {
 			found.add(CheckDrain, "%s got %s %v after its drain", a.Server, a.ID, a.At.Sub(end))
 		}
 		if !a.Refused {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -36,9 +37,10 @@
 		CheckNotRun: func(h *History) {
 			h.Requests[0].Status, h.Requests[0].Stamped = http.StatusServiceUnavailable, false
 		},
-		CheckAsked:   func(h *History) { h.Arrivals[0].Caller = "another" },
-		CheckDrain:   func(h *History) { h.Drained["i-1"] = at(10).Add(-drainMargin - time.Millisecond) },
-		CheckPlanned: func(h *History) { h.Requests[0].Status = 0 },
+		CheckAsked:      func(h *History) { h.Arrivals[0].Caller = "another" },
+		CheckDrain:      func(h *History) { h.Drained["i-1"] = at(10).Add(-drainMargin - time.Millisecond) },
+		CheckPlanned:    func(h *History) { h.Requests[0].Status = 0 },
+		CheckQuarantine: func(h *History) { h.askDeadly(0, 100, 200, 3300, 3400, 3500, 3600) },
 	} {
 		t.Run(string(want), func(t *testing.T) {
 			h := served()
@@ -51,6 +53,16 @@
 	}
 }
 
+// askDeadly adds a request that reaches a new backend server at each of the times, in
+// milliseconds.
+func (h *History) askDeadly(times ...int) {
+	for i, ms := range times {
+		id := "deadly-" + strconv.Itoa(i)
+		h.Requests = append(h.Requests, Request{ID: id, Method: "GET", Path: deadlyPath(0), Service: "rooms", Idempotent: true, Sent: at(ms), Done: at(ms + 1), Status: http.StatusBadGateway})
+		h.Arrivals = append(h.Arrivals, Arrival{Server: "i-2", Born: int64(ms + 1), ID: id, Method: "GET", Path: deadlyPath(0), Caller: "rooms", At: at(ms)})
+	}
+}
+
 func TestWhatIsNoViolation(t *testing.T) {
 	for name, change := range map[string]func(h *History){
 		"a cut beside an unplanned fault": func(h *History) {
@@ -62,6 +74,14 @@
 			h.Arrivals = append(h.Arrivals, h.Arrivals[0])
 		},
 		"a refusal by a backend server of its own": func(h *History) { h.Requests[0].Status = http.StatusServiceUnavailable },
+		"a request that ends backend servers until it is known": func(h *History) {
+			h.askDeadly(0, 100, 200, 1000, 2000, 3000, 3300, 3400, 3500)
+		},
+		"such a request at a node that has just started": func(h *History) {
+			h.askDeadly(0, 100, 200, 3300, 3400, 3500, 3600)
+			h.Spans = append(h.Spans, Span{From: at(3000), To: at(3500), Fault: FaultKill})
+		},
+		"a drain of the former start": func(h *History) { h.Drained[startOf("i-1", 7)] = at(-10_000) },
 		"a refusal of what was not run": func(h *History) {
 			h.Requests[0].Status, h.Requests[0].Stamped = http.StatusServiceUnavailable, false
 			h.Arrivals[0].Refused = true
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -24,7 +25,7 @@
 // disturb carries out one step.
 func (s *soak) disturb(ctx context.Context, step Step) {
 	n := s.site.nodes[step.Node]
-	over := s.open(step.Fault)
+	over := s.open(step.Fault, step.Node)
 	defer over()
 	switch step.Fault {
 	case FaultTerm, FaultKill, FaultFreeze:
@@ -58,7 +59,25 @@
 	case FaultDrain:
 		s.drain(ctx, n)
 	case FaultCrash:
-		s.crash(ctx, n, step.For)
+		s.crash(ctx, n, step.For, func() error { return n.host.replace(int(time.Now().UnixMilli() % 1000)) })
+	case FaultReturn:
+		s.crash(ctx, n, step.For, n.host.again)
+	case FaultDeadly:
+		s.askDeadly(ctx, step)
+	}
+}
+
+// deadlyEvery is the time between two attempts of callers for what ends backend servers.
+const deadlyEvery = 100 * time.Millisecond
+
+// askDeadly asks at all nodes in turn for one of two paths that end backend servers.
+func (s *soak) askDeadly(ctx context.Context, step Step) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	until := time.Now().Add(step.For)
+	for i := step.Node; time.Now().Before(until) && ctx.Err() == nil; i++ {
+		n := s.site.nodes[i%len(s.site.nodes)]
+		s.callers.ask(client, n, http.MethodGet, deadlyPath(step.Node%2), true)
+		wait(ctx, deadlyEvery)
 	}
 }
 
@@ -115,7 +134,7 @@
 	}
 	select {
 	case <-acked:
-		s.noteDrain(old.ID, time.Now().Add(drainTime))
+		s.noteDrain(startOf(old.ID, old.Born), time.Now().Add(drainTime))
 	case <-time.After(ackTime):
 	}
 	wait(ctx, drainTime+drainMargin)
@@ -131,17 +150,17 @@
 	_ = old.http.Close() // its requests have ended, or break the promise
 }
 
-func (s *soak) noteDrain(id string, end time.Time) {
+func (s *soak) noteDrain(start string, end time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.drained[id] = end
+	s.drained[start] = end
 }
 
-// crash ends a backend server without a word; another one comes later.
-func (s *soak) crash(ctx context.Context, n *node, down time.Duration) {
+// crash ends a backend server without a word; next starts one later.
+func (s *soak) crash(ctx context.Context, n *node, down time.Duration, next func() error) {
 	n.host.crash()
 	wait(ctx, down)
-	if err := n.host.replace(int(time.Now().UnixMilli() % 1000)); err != nil {
+	if err := next(); err != nil {
 		s.add(CheckRecovery, "%s: %v", n.name, err)
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -46,6 +46,12 @@
 	FaultDrain Fault = "drain"
 	// FaultCrash ends a backend server without a word and starts another one.
 	FaultCrash Fault = "crash"
+	// FaultReturn ends a backend server without a word and starts it again under its
+	// identifier.
+	FaultReturn Fault = "return"
+	// FaultDeadly lets callers ask at all nodes in turn for what ends each backend server
+	// that runs it.
+	FaultDeadly Fault = "deadly"
 )
 
 // planned are the disturbances that belong to daily work.
@@ -61,6 +67,13 @@
 	FaultStoreDown, FaultStoreSlow, FaultStoreLost, FaultCompact, FaultChange, FaultDrain, FaultCrash,
 }, planned...)
 
+// crashing are the kinds around backend servers that crash. There are no cuts among
+// them: nodes that can't know of each other's crashes may each send a request on.
+var crashing = []Fault{
+	FaultDeadly, FaultDeadly, FaultReturn, FaultReturn, FaultCrash, FaultDrain, FaultChange,
+	FaultTerm, FaultKill, FaultFreeze, FaultStoreDown,
+}
+
 // Step is one disturbance of a plan.
 type Step struct {
 	// At is when it begins, from the start of the plan.
@@ -113,6 +126,12 @@
 	return draw(planned, seed, nodes, length)
 }
 
+// NewCrashPlan draws a schedule around backend servers that crash, return under their
+// identifier, and get requests that end them.
+func NewCrashPlan(seed uint64, nodes int, length time.Duration) Plan {
+	return draw(crashing, seed, nodes, length)
+}
+
 func draw(kinds []Fault, seed uint64, nodes int, length time.Duration) Plan {
 	rng := rand.New(rand.NewPCG(seed, seed))
 	p := Plan{Seed: seed, Nodes: nodes, Length: length}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -138,12 +138,12 @@
 }
 
 // open notes that a disturbance begins, and returns what notes its end.
-func (s *soak) open(f Fault) func() {
+func (s *soak) open(f Fault, node int) func() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	i := len(s.spans)
 	// Until it is over its end is not known, and lies in the future.
-	s.spans = append(s.spans, Span{From: time.Now(), To: time.Now().Add(time.Hour), Fault: f})
+	s.spans = append(s.spans, Span{From: time.Now(), To: time.Now().Add(time.Hour), Fault: f, Node: node})
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -224,7 +224,7 @@
 	var out []Arrival
 	for _, seen := range b.Seen() {
 		out = append(out, Arrival{
-			Server: b.ID, ID: seen.ID, Method: seen.Method, Path: seen.Path, Caller: seen.Caller, Refused: seen.Refused, At: seen.At,
+			Server: b.ID, Born: b.Born, ID: seen.ID, Method: seen.Method, Path: seen.Path, Caller: seen.Caller, Refused: seen.Refused, At: seen.At,
 		})
 	}
 	return out
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -30,13 +30,26 @@
 	http *http.Server
 }
 
-// startServer starts a backend server on an address that the kernel completes.
-func startServer(ip, id, service string) (*server, error) {
+// downTime is how long a backend server is away after a request has ended it.
+const downTime = 700 * time.Millisecond
+
+// startServer starts a backend server on an address that the kernel completes. ended is
+// told when a request has ended it.
+func startServer(ip, id, service string, ended func(*server)) (*server, error) {
 	ln, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
-	s := &server{Backend: &platformtest.Backend{ID: id, Service: service, Slots: serverSlots, Work: serverWork[service]}}
+	s := &server{Backend: &platformtest.Backend{
+		ID: id, Service: service, Slots: serverSlots, Work: serverWork[service], Born: time.Now().UnixMilli(),
+	}}
+	s.Crash = func(r *http.Request) bool {
+		if isDeadly(r.URL.Path) {
+			ended(s)
+			return true
+		}
+		return false
+	}
 	s.addr = ln.Addr().String()
 	s.http = &http.Server{Handler: s.Backend}
 	go func() { _ = s.http.Serve(ln) }() // it ends with Close
@@ -54,14 +67,29 @@
 	draining bool
 	acked    chan struct{} // closed when the node has acknowledged the drain
 	all      []*server
+	closed   bool // nothing is started any more
 }
 
 // replace starts a new backend server in place of the present one.
 func (h *host) replace(number int) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	id := fmt.Sprintf("i-%s-%d-%d", h.ip, len(h.all), number)
-	s, err := startServer(h.ip, id, h.service)
+	return h.startAs(fmt.Sprintf("i-%s-%d-%d", h.ip, len(h.all), number))
+}
+
+// again starts the last backend server again under its identifier.
+func (h *host) again() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.startAs(h.all[len(h.all)-1].ID)
+}
+
+// startAs starts a backend server under an identifier. h.mu is held.
+func (h *host) startAs(id string) error {
+	if h.closed {
+		return nil
+	}
+	s, err := startServer(h.ip, id, h.service, h.ended)
 	if err != nil {
 		return err
 	}
@@ -90,6 +118,31 @@
 	}
 }
 
+// ended notes that a request has ended a backend server, and starts it again in a
+// while: every other time under its identifier.
+func (h *host) ended(s *server) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	go func() { _ = s.http.Close() }() // this request's own connection as well
+	if h.current != s {
+		return
+	}
+	h.current = nil
+	start := h.again
+	if len(h.all)%2 == 0 {
+		start = func() error { return h.replace(0) }
+	}
+	time.AfterFunc(downTime, func() { _ = start() }) // the recovery is checked
+}
+
+// close ends the present backend server for good.
+func (h *host) close() {
+	h.mu.Lock()
+	h.closed = true
+	h.mu.Unlock()
+	h.crash()
+}
+
 // crash ends the present backend server without a word.
 func (h *host) crash() {
 	h.mu.Lock()
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -203,7 +203,7 @@
 		p, _ := n.running()
 		_ = p.Signal(syscall.SIGCONT) // a stopped process can't end
 		p.Kill()
-		n.host.crash()
+		n.host.close()
 	}
 	for i := len(s.close) - 1; i >= 0; i-- {
 		s.close[i]()
