Call a fingerprint a fingerprint

Cause: reading the change as a newcomer: fields and variables named Print and prints need explaining. Change: they are Fingerprint and fingerprints; nothing else. Ruled out: nothing.

--- a/coordination/quarantine/core.go
+++ b/coordination/quarantine/core.go
@@ -90,7 +90,7 @@
 	case Crashed:
 		c.crashed(ev)
 	case Succeeded:
-		c.succeeded(ev.Print)
+		c.succeeded(ev.Fingerprint)
 	case Learned:
 		c.merge("", ev.Entries)
 	}
@@ -113,9 +113,9 @@
 		clear(c.own) // witnesses of a later quarantine are found among other nodes
 	}
 	c.own[ev.Crash.ID] = true
-	entries := make([]suspect.Entry, 0, len(ev.Prints))
-	for _, f := range ev.Prints {
-		entries = append(entries, suspect.Entry{Print: f, Evidence: []suspect.Evidence{{Crash: ev.Crash}}})
+	entries := make([]suspect.Entry, 0, len(ev.Fingerprints))
+	for _, f := range ev.Fingerprints {
+		entries = append(entries, suspect.Entry{Fingerprint: f, Evidence: []suspect.Evidence{{Crash: ev.Crash}}})
 	}
 	c.merge("", entries)
 }
@@ -124,13 +124,13 @@
 // what is news.
 func (c *Core) merge(from model.NodeID, entries []suspect.Entry) {
 	for _, e := range entries {
-		before, _ := c.table.Get(e.Print)
+		before, _ := c.table.Get(e.Fingerprint)
 		if !c.table.Merge(c.now, e) {
 			continue
 		}
 		c.changed = true
-		c.pending[e.Print] = from
-		after, _ := c.table.Get(e.Print)
+		c.pending[e.Fingerprint] = from
+		after, _ := c.table.Get(e.Fingerprint)
 		c.urgent = c.urgent || after.Near()
 		if after.Quarantined() && !before.Quarantined() {
 			c.act(Quarantined{Entry: after, Witness: c.witness(after)})
@@ -189,10 +189,10 @@
 
 // flush passes the waiting entries on to each peer that hasn't sent them itself.
 func (c *Core) flush() {
-	prints := slices.Sorted(maps.Keys(c.pending))
+	fingerprints := slices.Sorted(maps.Keys(c.pending))
 	for _, to := range slices.Sorted(maps.Keys(c.peers)) {
 		var news []suspect.Entry
-		for _, f := range prints {
+		for _, f := range fingerprints {
 			if e, held := c.table.Get(f); held && c.pending[f] != to {
 				news = append(news, e)
 			}
--- a/coordination/quarantine/core_test.go
+++ b/coordination/quarantine/core_test.go
@@ -122,9 +122,9 @@
 }
 
 // crash ends the backend server beside a node with requests under way.
-func (w *network) crash(at int, prints ...suspect.Fingerprint) {
+func (w *network) crash(at int, fingerprints ...suspect.Fingerprint) {
 	id := uint64(w.now.UnixNano()) + uint64(at)
-	w.step(node(at), Crashed{Crash: suspect.Crash{ID: id, At: w.now.Unix()}, Prints: prints})
+	w.step(node(at), Crashed{Crash: suspect.Crash{ID: id, At: w.now.Unix()}, Fingerprints: fingerprints})
 }
 
 // quarantined returns the nodes that don't send a request.
@@ -169,7 +169,7 @@
 	w.crash(0, chance)
 	w.crash(4, chance)
 	w.run(200 * time.Millisecond)
-	w.step(node(7), Succeeded{Print: chance})
+	w.step(node(7), Succeeded{Fingerprint: chance})
 	w.run(200 * time.Millisecond)
 	w.crash(9, chance)
 	w.run(200 * time.Millisecond)
@@ -243,11 +243,11 @@
 	w := newNetwork(t, 100)
 	before := w.messages
 	for i := range 70 {
-		var prints []suspect.Fingerprint
+		var fingerprints []suspect.Fingerprint
 		for j := range 7 {
-			prints = append(prints, suspect.Fingerprint(1000*i+j+1))
+			fingerprints = append(fingerprints, suspect.Fingerprint(1000*i+j+1))
 		}
-		w.crash(i, prints...)
+		w.crash(i, fingerprints...)
 	}
 	w.run(5 * time.Second)
 	must.Eq(t, 490, w.cores[node(50)].table.Len())
--- a/coordination/quarantine/event.go
+++ b/coordination/quarantine/event.go
@@ -5,13 +5,13 @@
 // Crashed reports a crash of the host's backend server and the requests that were
 // under way.
 type Crashed struct {
-	Crash  suspect.Crash
-	Prints []suspect.Fingerprint
+	Crash        suspect.Crash
+	Fingerprints []suspect.Fingerprint
 }
 
 // Succeeded reports that a suspected request has succeeded.
 type Succeeded struct {
-	Print suspect.Fingerprint
+	Fingerprint suspect.Fingerprint
 }
 
 // Learned reports what was known before this node started.
--- a/coordination/quarantine/watch.go
+++ b/coordination/quarantine/watch.go
@@ -37,9 +37,9 @@
 
 // open is a run without an answer.
 type open struct {
-	print suspect.Fingerprint
-	at    time.Time
-	cut   Cut
+	fingerprint suspect.Fingerprint
+	at          time.Time
+	cut         Cut
 }
 
 // Watch finds which requests were under way when the host's backend server ended. A
@@ -71,7 +71,7 @@
 	}
 	w.follow(instance)
 	if len(w.open) < maxOpen {
-		w.open = append(w.open, open{print: f, at: now, cut: cut})
+		w.open = append(w.open, open{fingerprint: f, at: now, cut: cut})
 	}
 	return suspect.Crash{}, false
 }
@@ -113,9 +113,9 @@
 	if w.instance != instance || len(w.open) == 0 {
 		return suspect.Crash{}, nil
 	}
-	prints := make([]suspect.Fingerprint, 0, len(w.open))
+	fingerprints := make([]suspect.Fingerprint, 0, len(w.open))
 	for _, o := range w.open {
-		prints = append(prints, o.print)
+		fingerprints = append(fingerprints, o.fingerprint)
 	}
 	w.open = nil
 	if instance != w.ended || now.Sub(w.endedAt) >= stragglerWindow {
@@ -125,7 +125,7 @@
 			At: now.Unix(),
 		}
 	}
-	return w.crash, prints
+	return w.crash, fingerprints
 }
 
 // Unexplained reports whether runs of a start broke off and nothing has told since
--- a/coordination/quarantine/watch_test.go
+++ b/coordination/quarantine/watch_test.go
@@ -22,8 +22,8 @@
 		must.False(t, known)
 	}
 	must.True(t, w.Unexplained("a"))
-	crash, prints := w.Ended(after(time.Millisecond), "a")
-	must.Eq(t, []suspect.Fingerprint{1, 2, 3}, prints)
+	crash, fingerprints := w.Ended(after(time.Millisecond), "a")
+	must.Eq(t, []suspect.Fingerprint{1, 2, 3}, fingerprints)
 	must.Eq(t, begin.Unix(), crash.At)
 	must.False(t, w.Unexplained("a"))
 	_, again := w.Ended(after(2*time.Millisecond), "a")
@@ -42,8 +42,8 @@
 	must.True(t, w.Unexplained("a"))
 	w.Alive(after(time.Second), "a")
 	must.False(t, w.Unexplained("a"))
-	_, prints := w.Ended(after(time.Minute), "a")
-	must.Len(t, 0, prints)
+	_, fingerprints := w.Ended(after(time.Minute), "a")
+	must.Len(t, 0, fingerprints)
 }
 
 // A request whose caller has left may run on for a while and end the backend server.
@@ -53,8 +53,8 @@
 		w.Note(after(0), "a", 1, Left)
 		must.False(t, w.Unexplained("a"))
 		w.Alive(after(passed), "a")
-		_, prints := w.Ended(after(passed), "a")
-		must.Len(t, want, prints)
+		_, fingerprints := w.Ended(after(passed), "a")
+		must.Len(t, want, fingerprints)
 	}
 }
 
@@ -64,21 +64,21 @@
 	var w Watch
 	w.Note(after(0), "a", 1, Broken)
 	w.Note(after(0), "b", 2, Broken)
-	_, prints := w.Ended(after(0), "a")
-	must.Len(t, 0, prints)
-	first, prints := w.Ended(after(0), "b")
-	must.Eq(t, []suspect.Fingerprint{2}, prints)
+	_, fingerprints := w.Ended(after(0), "a")
+	must.Len(t, 0, fingerprints)
+	first, fingerprints := w.Ended(after(0), "b")
+	must.Eq(t, []suspect.Fingerprint{2}, fingerprints)
 
 	_, known := w.Note(after(time.Second), "b", 3, Broken) // it has returned
 	must.False(t, known)
-	second, prints := w.Ended(after(time.Second), "b")
-	must.Eq(t, []suspect.Fingerprint{3}, prints)
+	second, fingerprints := w.Ended(after(time.Second), "b")
+	must.Eq(t, []suspect.Fingerprint{3}, fingerprints)
 	must.NotEq(t, first.ID, second.ID)
 }
 
 func TestRequestWithoutFingerprintIsNoEvidence(t *testing.T) {
 	var w Watch
 	w.Note(after(0), "a", 0, Broken)
-	_, prints := w.Ended(after(0), "a")
-	must.Len(t, 0, prints)
+	_, fingerprints := w.Ended(after(0), "a")
+	must.Len(t, 0, fingerprints)
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -197,7 +197,7 @@
 	case quarantine.Changed:
 		l.pub.suspects.Store(l.suspects.View())
 	case quarantine.Quarantined:
-		_ = level.Warn(l.log).Log("event", "request_quarantined", "fingerprint", a.Entry.Print,
+		_ = level.Warn(l.log).Log("event", "request_quarantined", "fingerprint", a.Entry.Fingerprint,
 			"crashes", len(a.Entry.Evidence), "last_crash", a.Entry.LastCrash().UTC(), "witness", a.Witness)
 	}
 }
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -104,10 +104,10 @@
 	cfg.Service = n.pub.Service
 	cfg.MaxQueue = n.set.Limits.Queue
 	cfg.Suspects = n.pub.suspects.Load
-	cfg.Crashed = func(c suspect.Crash, prints []suspect.Fingerprint) {
-		n.loop.queue.Post(n.ctx, quarantine.Crashed{Crash: c, Prints: prints})
+	cfg.Crashed = func(c suspect.Crash, fingerprints []suspect.Fingerprint) {
+		n.loop.queue.Post(n.ctx, quarantine.Crashed{Crash: c, Fingerprints: fingerprints})
 	}
-	cfg.Succeeded = func(f suspect.Fingerprint) { n.loop.queue.Post(n.ctx, quarantine.Succeeded{Print: f}) }
+	cfg.Succeeded = func(f suspect.Fingerprint) { n.loop.queue.Post(n.ctx, quarantine.Succeeded{Fingerprint: f}) }
 	cfg.Metrics = n.metrics
 	cfg.Logger = n.log
 	n.gate = gate.New(cfg)
--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -174,9 +174,9 @@
 			}
 			must.Between(t, toldBy, reached(), 2*toldBy)
 			r := httptest.NewRequest(asked.method, "http://"+host+asked.path, strings.NewReader(asked.body))
-			print := forward.Fingerprint(r, []byte(asked.body[:min(len(asked.body), forward.FingerprintBytes)]))
+			fingerprint := forward.Fingerprint(r, []byte(asked.body[:min(len(asked.body), forward.FingerprintBytes)]))
 			for _, m := range f.nodes {
-				must.True(t, m.node.pub.suspects.Load().Quarantined(print))
+				must.True(t, m.node.pub.suspects.Load().Quarantined(fingerprint))
 			}
 			for _, m := range f.nodes {
 				resp, _ := f.do(m, asked.method, strings.Replace(asked.path, "deadly", "other", 1), asked.body)
@@ -221,9 +221,9 @@
 		nodes, err := f.nodes[0].node.store.Registered(t.Context())
 		must.NoError(t, err)
 		for text := range nodes.Quarantined {
-			print, err := suspect.ParseFingerprint(text)
+			fingerprint, err := suspect.ParseFingerprint(text)
 			must.NoError(t, err)
-			known = print
+			known = fingerprint
 		}
 		return known != 0
 	})
--- a/internal/sidecar/quarantine.go
+++ b/internal/sidecar/quarantine.go
@@ -17,19 +17,19 @@
 const maxUnrecorded = 64
 
 // crashed passes on that the host's backend server has ended.
-func (n *Node) crashed(c suspect.Crash, prints []suspect.Fingerprint) {
-	n.loop.queue.Post(n.ctx, quarantine.Crashed{Crash: c, Prints: prints})
+func (n *Node) crashed(c suspect.Crash, fingerprints []suspect.Fingerprint) {
+	n.loop.queue.Post(n.ctx, quarantine.Crashed{Crash: c, Fingerprints: fingerprints})
 }
 
 // succeeded passes on that a suspected request has succeeded.
 func (n *Node) succeeded(f suspect.Fingerprint) {
-	n.loop.queue.Post(n.ctx, quarantine.Succeeded{Print: f})
+	n.loop.queue.Post(n.ctx, quarantine.Succeeded{Fingerprint: f})
 }
 
 // quarantined tells that a request is no longer sent, and has it written to the store
 // by those who saw a crash: should all nodes end at once, none would know it.
 func (l *loop) quarantined(a quarantine.Quarantined) {
-	_ = level.Warn(l.log).Log("event", "request_quarantined", "fingerprint", a.Entry.Print,
+	_ = level.Warn(l.log).Log("event", "request_quarantined", "fingerprint", a.Entry.Fingerprint,
 		"crashes", len(a.Entry.Evidence), "last_crash", a.Entry.LastCrash().UTC(), "witness", a.Witness)
 	if !a.Witness {
 		return
@@ -37,7 +37,7 @@
 	select {
 	case l.unrecorded <- a.Entry:
 	default:
-		_ = level.Warn(l.log).Log("event", "quarantine_not_recorded", "fingerprint", a.Entry.Print, "err", "too many wait")
+		_ = level.Warn(l.log).Log("event", "quarantine_not_recorded", "fingerprint", a.Entry.Fingerprint, "err", "too many wait")
 	}
 }
 
@@ -60,7 +60,7 @@
 		if err == nil || ctx.Err() != nil {
 			return
 		}
-		_ = level.Warn(n.log).Log("event", "quarantine_not_recorded", "fingerprint", e.Print, "err", err)
+		_ = level.Warn(n.log).Log("event", "quarantine_not_recorded", "fingerprint", e.Fingerprint, "err", err)
 		select {
 		case <-time.After(backoff.Doubled(aloneRetry, aloneRetryMax, failures)):
 		case <-ctx.Done():
@@ -72,7 +72,7 @@
 func (n *Node) putQuarantine(ctx context.Context, e suspect.Entry) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return n.store.RecordQuarantine(ctx, e.Print.String(), e.LastCrash())
+	return n.store.RecordQuarantine(ctx, e.Fingerprint.String(), e.LastCrash())
 }
 
 // learnQuarantines takes what the store knows.
--- a/protocol/message/fuzz_test.go
+++ b/protocol/message/fuzz_test.go
@@ -19,7 +19,7 @@
 		&Hello{Protocol: 1, Record: endpoint.Record{Node: "csepel-1"}, Digest: []ZoneDigest{{Zone: "csepel", Hash: 7}}},
 		&Full{Count: 2, Body: []byte("body")},
 		&ZoneStatus{Zone: "csepel", Rejections: []Rejection{{Node: "a", Reason: "hash"}}},
-		&Suspects{Entries: []suspect.Entry{{Print: 7, Evidence: []suspect.Evidence{{Crash: suspect.Crash{ID: 9, At: 1}, Refuted: true}}}}},
+		&Suspects{Entries: []suspect.Entry{{Fingerprint: 7, Evidence: []suspect.Evidence{{Crash: suspect.Crash{ID: 9, At: 1}, Refuted: true}}}}},
 		&Demand{Items: []DemandItem{{Limit: "clinic/screens", PerSecond: 1.5}}},
 	} {
 		b, err := Encode(m)
--- a/state/suspect/fingerprint.go
+++ b/state/suspect/fingerprint.go
@@ -42,9 +42,9 @@
 }
 
 // Join returns fingerprints as they stand in a log line, with commas between them.
-func Join(prints []Fingerprint) string {
-	texts := make([]string, 0, len(prints))
-	for _, f := range prints {
+func Join(fingerprints []Fingerprint) string {
+	texts := make([]string, 0, len(fingerprints))
+	for _, f := range fingerprints {
 		texts = append(texts, f.String())
 	}
 	return strings.Join(texts, ",")
--- a/state/suspect/table.go
+++ b/state/suspect/table.go
@@ -44,8 +44,8 @@
 
 // Entry is what is known of one suspected request.
 type Entry struct {
-	Print    Fingerprint `cbor:"1,keyasint"`
-	Evidence []Evidence  `cbor:"2,keyasint"`
+	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	Evidence    []Evidence  `cbor:"2,keyasint"`
 }
 
 // Quarantined reports whether the evidence is enough.
@@ -127,7 +127,7 @@
 	if e == nil {
 		return Entry{}, false
 	}
-	return Entry{Print: f, Evidence: slices.Clone(e.Evidence)}, true
+	return Entry{Fingerprint: f, Evidence: slices.Clone(e.Evidence)}, true
 }
 
 // All returns copies of all entries, in order of fingerprint.
@@ -137,7 +137,7 @@
 		e, _ := t.Get(f)
 		all = append(all, e)
 	}
-	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.Print, b.Print) })
+	slices.SortFunc(all, func(a, b Entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return all
 }
 
@@ -148,7 +148,7 @@
 // Merge takes what another table holds of a request, and reports whether any of it
 // is news.
 func (t *Table) Merge(now time.Time, e Entry) bool {
-	if e.Print == 0 {
+	if e.Fingerprint == 0 {
 		return false
 	}
 	news := false
@@ -157,14 +157,14 @@
 		if now.Sub(time.Unix(v.Crash.At, 0)) > Quarantine {
 			continue
 		}
-		held := t.entries[e.Print]
+		held := t.entries[e.Fingerprint]
 		if held == nil {
-			held = t.make(e.Print)
+			held = t.make(e.Fingerprint)
 		}
 		news = held.add(v) || news
 	}
-	if held := t.entries[e.Print]; held != nil && held.outdated(now) {
-		delete(t.entries, e.Print)
+	if held := t.entries[e.Fingerprint]; held != nil && held.outdated(now) {
+		delete(t.entries, e.Fingerprint)
 		return false
 	}
 	return news
@@ -175,7 +175,7 @@
 	if len(t.entries) >= MaxEntries {
 		delete(t.entries, t.oldest())
 	}
-	e := &Entry{Print: f}
+	e := &Entry{Fingerprint: f}
 	t.entries[f] = e
 	return e
 }
@@ -193,7 +193,7 @@
 		}
 		return cmp.Compare(a.last(), b.last())
 	})
-	return e.Print
+	return e.Fingerprint
 }
 
 // Refute notes that a request has succeeded: no crash so far was its fault. It
--- a/state/suspect/table_test.go
+++ b/state/suspect/table_test.go
@@ -12,7 +12,7 @@
 
 // crash returns evidence of the crash with an ID, so many seconds after begin.
 func crash(id uint64, after int64) Entry {
-	return Entry{Print: 7, Evidence: []Evidence{{Crash: Crash{ID: id, At: begin.Unix() + after}}}}
+	return Entry{Fingerprint: 7, Evidence: []Evidence{{Crash: Crash{ID: id, At: begin.Unix() + after}}}}
 }
 
 func TestThreeCrashesQuarantineARequest(t *testing.T) {
@@ -66,7 +66,7 @@
 	table.Merge(begin, Stored(7, begin))
 	for f := range Fingerprint(2 * MaxEntries) {
 		e := crash(1, int64(f))
-		e.Print = 100 + f
+		e.Fingerprint = 100 + f
 		table.Merge(begin.Add(Memory), e)
 	}
 	must.Eq(t, MaxEntries, table.Len())
@@ -81,7 +81,7 @@
 		entries := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Entry {
 			e := crash(rapid.Uint64Range(1, 9).Draw(t, "id"), 0)
 			e.Evidence[0].Crash.At += int64(e.Evidence[0].Crash.ID % 3)
-			e.Print = Fingerprint(rapid.IntRange(1, 3).Draw(t, "print"))
+			e.Fingerprint = Fingerprint(rapid.IntRange(1, 3).Draw(t, "fingerprint"))
 			e.Evidence[0].Refuted = rapid.Bool().Draw(t, "refuted")
 			return e
 		}), 0, 20).Draw(t, "entries")
@@ -107,7 +107,7 @@
 	table := NewTable()
 	for f := range Fingerprint(MaxEntries) {
 		e := crash(1, 0)
-		e.Print = f + 1
+		e.Fingerprint = f + 1
 		table.Merge(begin, e)
 	}
 	v := table.View()
--- a/state/suspect/view.go
+++ b/state/suspect/view.go
@@ -59,7 +59,7 @@
 // Stored returns the entry of a quarantine that is read from a store, of which only
 // the time of the last crash is kept.
 func Stored(f Fingerprint, at time.Time) Entry {
-	e := Entry{Print: f}
+	e := Entry{Fingerprint: f}
 	for i := range Threshold {
 		e.Evidence = append(e.Evidence, Evidence{Crash: Crash{ID: uint64(i) + 1, At: at.Unix()}})
 	}
--- a/transport/crash/crash.go
+++ b/transport/crash/crash.go
@@ -61,9 +61,9 @@
 type Run struct {
 	// Instance identifies the start of the backend server, and Addr is its address.
 	Instance, Addr string
-	// Print is the fingerprint of what the request asks for; 0 where the entry node
+	// Fingerprint is the fingerprint of what the request asks for; 0 where the entry node
 	// tells none.
-	Print suspect.Fingerprint
+	Fingerprint suspect.Fingerprint
 	// Sent is when the request was sent.
 	Sent time.Time
 }
@@ -118,8 +118,8 @@
 // Answered notes a whole answer.
 func (o *Observer) Answered(r Run, status int) {
 	o.Alive(r)
-	if isSuccess(status) && o.cfg.Suspects().Suspected(r.Print) {
-		o.cfg.Succeeded(r.Print)
+	if isSuccess(status) && o.cfg.Suspects().Suspected(r.Fingerprint) {
+		o.cfg.Succeeded(r.Fingerprint)
 	}
 }
 
@@ -130,14 +130,14 @@
 }
 
 // Left notes a run that its caller or this node has given up.
-func (o *Observer) Left(r Run) { o.watch.Note(o.cfg.Now(), r.Instance, r.Print, quarantine.Left) }
+func (o *Observer) Left(r Run) { o.watch.Note(o.cfg.Now(), r.Instance, r.Fingerprint, quarantine.Left) }
 
 // Broken notes a run that the backend server broke off.
 func (o *Observer) Broken(r Run) {
-	crash, known := o.watch.Note(o.cfg.Now(), r.Instance, r.Print, quarantine.Broken)
+	crash, known := o.watch.Note(o.cfg.Now(), r.Instance, r.Fingerprint, quarantine.Broken)
 	switch {
 	case known:
-		o.report(r.Instance, crash, []suspect.Fingerprint{r.Print})
+		o.report(r.Instance, crash, []suspect.Fingerprint{r.Fingerprint})
 	case o.probing.CompareAndSwap(false, true):
 		next := time.Unix(0, o.foundAt.Load()).Add(probeInterval)
 		time.AfterFunc(max(probeDelay, next.Sub(o.cfg.Now())), func() { o.probe(r) })
@@ -179,19 +179,19 @@
 
 // ended takes the evidence where the backend server is gone.
 func (o *Observer) ended(instance string) {
-	crash, prints := o.watch.Ended(o.cfg.Now(), instance)
-	if len(prints) > 0 {
-		o.report(instance, crash, prints)
+	crash, fingerprints := o.watch.Ended(o.cfg.Now(), instance)
+	if len(fingerprints) > 0 {
+		o.report(instance, crash, fingerprints)
 	}
 }
 
 // report tells of a crash. A backend server that has said goodbye ends with runs under
 // way that are not to blame.
-func (o *Observer) report(instance string, crash suspect.Crash, prints []suspect.Fingerprint) {
+func (o *Observer) report(instance string, crash suspect.Crash, fingerprints []suspect.Fingerprint) {
 	if o.cfg.Leaving(instance) {
 		return
 	}
 	o.cfg.Crashes.Inc()
-	_ = o.cfg.Logger.Log("event", "backend_crashed", "instance", instance, "crash", crash.ID, "fingerprints", suspect.Join(prints))
-	o.cfg.Crashed(crash, prints)
+	_ = o.cfg.Logger.Log("event", "backend_crashed", "instance", instance, "crash", crash.ID, "fingerprints", suspect.Join(fingerprints))
+	o.cfg.Crashed(crash, fingerprints)
 }
--- a/transport/crash/crash_test.go
+++ b/transport/crash/crash_test.go
@@ -55,7 +55,7 @@
 }
 
 func run(f suspect.Fingerprint) Run {
-	return Run{Instance: "a", Addr: "127.0.0.1:1", Print: f, Sent: time.Now()}
+	return Run{Instance: "a", Addr: "127.0.0.1:1", Fingerprint: f, Sent: time.Now()}
 }
 
 var errRefused = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
@@ -162,7 +162,7 @@
 func TestSuccessOfASuspectIsTold(t *testing.T) {
 	s := newScene()
 	table := suspect.NewTable()
-	table.Merge(time.Now(), suspect.Entry{Print: 1, Evidence: []suspect.Evidence{{Crash: suspect.Crash{ID: 1, At: time.Now().Unix()}}}})
+	table.Merge(time.Now(), suspect.Entry{Fingerprint: 1, Evidence: []suspect.Evidence{{Crash: suspect.Crash{ID: 1, At: time.Now().Unix()}}}})
 	s.view = table.View()
 	s.Answered(run(1), http.StatusRequestEntityTooLarge)
 	s.Answered(run(2), http.StatusOK)
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -28,8 +28,8 @@
 
 	body []byte // the whole body when it is kept, or the beginning of a stream
 	kept bool
-	// print is the fingerprint of what the request asks for.
-	print suspect.Fingerprint
+	// fingerprint is the fingerprint of what the request asks for.
+	fingerprint suspect.Fingerprint
 	// stream is the body when it is not kept.
 	stream *forward.StreamBody
 	claim  Claim // nil without one
@@ -69,7 +69,7 @@
 	if refusal := x.keepBody(); refusal != nil {
 		return refusal
 	}
-	x.print = forward.Fingerprint(x.r, x.body)
+	x.fingerprint = forward.Fingerprint(x.r, x.body)
 	if refusal := x.beginClaim(); refusal != nil || x.resp != nil {
 		return refusal
 	}
@@ -109,7 +109,7 @@
 	if remaining <= 0 {
 		return x.p.notRun(outcome.ReasonDeadline, "the deadline passed before the request was sent")
 	}
-	if x.p.cfg.Suspects != nil && x.p.cfg.Suspects().Quarantined(x.print) {
+	if x.p.cfg.Suspects != nil && x.p.cfg.Suspects().Quarantined(x.fingerprint) {
 		refusal := forward.NotRun(outcome.ReasonQuarantined, "backend servers have crashed under such requests")
 		refusal.RetryAfter = quarantine.RetryAfter
 		return refusal
@@ -162,7 +162,7 @@
 		m.Class.Name,
 		string(m.Class.Kind),
 		m.Service.Name,
-		x.print.String(),
+		x.fingerprint.String(),
 	}
 	h[outcome.HeaderDeadline] = v[0:1:1]
 	h[outcome.HeaderHops] = v[1:2:2]
--- a/transport/entry/quarantine_test.go
+++ b/transport/entry/quarantine_test.go
@@ -52,8 +52,8 @@
 	suspects := quarantine.New(1)
 	var view atomic.Pointer[suspect.View]
 	b := newBed()
-	b.crashed = func(c suspect.Crash, prints []suspect.Fingerprint) {
-		var ev core.Event = quarantine.Crashed{Crash: c, Prints: prints}
+	b.crashed = func(c suspect.Crash, fingerprints []suspect.Fingerprint) {
+		var ev core.Event = quarantine.Crashed{Crash: c, Fingerprints: fingerprints}
 		suspects.Step(time.Now(), ev)
 		view.Store(suspects.View())
 	}
--- a/transport/gate/check.go
+++ b/transport/gate/check.go
@@ -41,7 +41,7 @@
 	if given {
 		c.deadline = now.Add(time.Duration(ms) * time.Millisecond)
 	}
-	if c.run.Print, err = crash.Fingerprint(r); err != nil {
+	if c.run.Fingerprint, err = crash.Fingerprint(r); err != nil {
 		return c, g.notRun(outcome.ReasonMalformed, err.Error())
 	}
 	return c, g.quarantined(c)
@@ -49,7 +49,7 @@
 
 // quarantined refuses a request under which backend servers have crashed.
 func (g *Gate) quarantined(c call) *forward.Refusal {
-	if !g.crashes.Quarantined(c.run.Print) {
+	if !g.crashes.Quarantined(c.run.Fingerprint) {
 		return nil
 	}
 	return g.notRun(outcome.ReasonQuarantined, "backend servers have crashed under such requests")
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -17,9 +17,9 @@
 type call struct {
 	core.Request
 	instance *instance.Instance
-	// print is the fingerprint of what the request asks for; 0 where the entry node
+	// fingerprint is the fingerprint of what the request asks for; 0 where the entry node
 	// tells none.
-	print suspect.Fingerprint
+	fingerprint suspect.Fingerprint
 }
 
 // check reads the node headers and refuses what can't be sent.
@@ -46,10 +46,10 @@
 	}
 	c.Work = model.Work{Kind: model.ClassKind(h.Get(outcome.HeaderKind)), Rank: u.Rank, Target: u.Target}
 	c.Due = now.Add(u.Left)
-	if c.print, err = crash.Fingerprint(req); err != nil {
+	if c.fingerprint, err = crash.Fingerprint(req); err != nil {
 		return c, outcome.ReasonMalformed
 	}
-	if g.crashes.Quarantined(c.print) {
+	if g.crashes.Quarantined(c.fingerprint) {
 		return c, outcome.ReasonQuarantined
 	}
 	return c, ""
@@ -57,5 +57,5 @@
 
 // run returns the request as the backend server runs it.
 func (c *call) run(sent time.Time) crash.Run {
-	return crash.Run{Instance: c.instance.Key(), Addr: c.instance.Addr, Print: c.print, Sent: sent}
+	return crash.Run{Instance: c.instance.Key(), Addr: c.instance.Addr, Fingerprint: c.fingerprint, Sent: sent}
 }
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -208,7 +208,7 @@
 		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonDraining, false), nil
 	}
-	if g.crashes.Quarantined(c.print) { // another backend server has crashed meanwhile
+	if g.crashes.Quarantined(c.fingerprint) { // another backend server has crashed meanwhile
 		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonQuarantined, false), nil
 	}
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -93,7 +93,7 @@
 		reason = outcome.ReasonDeadline
 	}
 	_ = g.cfg.Logger.Log("event", "backend_send_failed", "request", g.cfg.Dialect.RequestID(req.Header),
-		"fingerprint", c.print, "path", req.URL.Path, "instance", c.instance.Key(), "sent", sent, "reason", reason, "err", err)
+		"fingerprint", c.fingerprint, "path", req.URL.Path, "instance", c.instance.Key(), "sent", sent, "reason", reason, "err", err)
 	switch {
 	case !sent:
 		g.crashes.Unsent(c.run(started), err)
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -33,11 +33,11 @@
 	wait     time.Duration // what the caller said it waits
 
 	body requestBody
-	// print is the fingerprint of what the request asks for.
-	print suspect.Fingerprint
-	trail attempt.Trail
-	tried balance.Tried
-	links pace.Search
+	// fingerprint is the fingerprint of what the request asks for.
+	fingerprint suspect.Fingerprint
+	trail       attempt.Trail
+	tried       balance.Tried
+	links       pace.Search
 	// room says that the last refusal came from a backend server with free slots.
 	room bool
 	// failure is a backend server's own failure that is kept while another
@@ -77,7 +77,7 @@
 	if x.body, err = readBody(x.w, x.r, x.p.cfg.MaxKept); err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: outcome.ReasonCancelled}
 	}
-	x.print = forward.Fingerprint(x.r, x.body.known())
+	x.fingerprint = forward.Fingerprint(x.r, x.body.known())
 	x.p.cfg.Budget.Request(x.began, x.service.Name)
 	for {
 		if x.attempt() {
@@ -97,7 +97,7 @@
 func (x *exchange) attempt() bool {
 	// Callers ask again under a new identifier at any node: only what is asked for tells
 	// that backend servers have crashed under it before.
-	if x.p.cfg.Suspects().Quarantined(x.print) {
+	if x.p.cfg.Suspects().Quarantined(x.fingerprint) {
 		x.trail.Forbid(outcome.ReasonQuarantined)
 		return false
 	}
@@ -160,7 +160,7 @@
 		to.Instance,
 		x.p.cfg.CallerService(),
 		urgency.String(),
-		x.print.String(),
+		x.fingerprint.String(),
 	}
 	h[outcome.HeaderDeadline] = v[0:1:1]
 	h[outcome.HeaderKind] = v[1:2:2]
--- a/transport/outbound/quarantine_test.go
+++ b/transport/outbound/quarantine_test.go
@@ -18,8 +18,8 @@
 func quarantineOf() *suspect.View {
 	now := time.Now()
 	table := suspect.NewTable()
-	print := forward.Fingerprint(httptest.NewRequest(http.MethodGet, "http://h/x", nil), nil)
-	table.Merge(now, suspect.Stored(print, now))
+	fingerprint := forward.Fingerprint(httptest.NewRequest(http.MethodGet, "http://h/x", nil), nil)
+	table.Merge(now, suspect.Stored(fingerprint, now))
 	return table.View()
 }
 
