Keep the goodbye of an instance that seems to be replaced

Cause: an instance that another one's heartbeat has put out counts as gone, so that its goodbye or drain was dropped though acknowledged; where the other one is found to be somewhere else, the former is restored as it was, ready. Change: a goodbye or a draining heartbeat of the one that seems to be replaced marks it as leaving, and one that is forgotten for good isn't restored. Ruled out: refusing the acknowledgement (the backend server would leave without one).

--- a/state/instance/local.go
+++ b/state/instance/local.go
@@ -42,6 +42,9 @@
 	c := l.current
 	switch {
 	case l.isGone(now, h.Start):
+		if h.Draining {
+			l.leaveReplaced(now, h.Start)
+		}
 		return false
 	case c == nil, !c.same(h.Start) && !h.before(c.Start):
 		l.replace(now, h)
@@ -71,6 +74,9 @@
 func (l *Local) Leave(now time.Time, s Start) bool {
 	c := l.current
 	if c == nil || !c.same(s) {
+		if l.leaveReplaced(now, s) {
+			return true
+		}
 		if l.isGone(now, s) || c != nil && s.before(c.Start) {
 			return false
 		}
@@ -86,6 +92,19 @@
 	return true
 }
 
+// leaveReplaced notes that the instance that seems to have been replaced is leaving, and
+// reports whether that is news: should it be back, it isn't ready again.
+func (l *Local) leaveReplaced(now time.Time, s Start) bool {
+	r := l.replaced
+	if r == nil || !r.same(s) || r.State != Ready {
+		return false
+	}
+	next := *r
+	next.drain(now)
+	l.replaced = &next
+	return true
+}
+
 // Forget drops a start for good: it has ended, or another one has taken its
 // address. It reports whether it was the present one. The one that it seemed to
 // have replaced is back where only one heartbeat had said so.
@@ -94,6 +113,9 @@
 		l.remember(now, s)
 	}
 	if l.current == nil || !l.current.same(s) {
+		if l.replaced != nil && l.replaced.same(s) {
+			l.replaced = nil // it won't be back
+		}
 		return false
 	}
 	l.current = l.restore()
