--- a/transport/crash/crash.go
+++ b/transport/crash/crash.go
@@ -61,7 +61,7 @@
 type Run struct {
 	// Instance identifies the start of the backend server, and Addr is its address.
 	Instance, Addr string
-	// Fingerprint is the fingerprint of what the request asks for; 0 where the entry node
+	// Fingerprint is that of what the request asks for; 0 where the entry node
 	// tells none.
 	Fingerprint suspect.Fingerprint
 	// Sent is when the request was sent.
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -28,7 +28,7 @@
 
 	body []byte // the whole body when it is kept, or the beginning of a stream
 	kept bool
-	// fingerprint is the fingerprint of what the request asks for.
+	// fingerprint is that of what the request asks for.
 	fingerprint suspect.Fingerprint
 	// stream is the body when it is not kept.
 	stream *forward.StreamBody
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -17,8 +17,8 @@
 type call struct {
 	core.Request
 	instance *instance.Instance
-	// fingerprint is the fingerprint of what the request asks for; 0 where the entry node
-	// tells none.
+	// fingerprint is that of what the request asks for; 0 where the entry node tells
+	// none.
 	fingerprint suspect.Fingerprint
 }
 
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -50,9 +50,11 @@
 	Suspects  func() *suspect.View
 	Crashed   func(suspect.Crash, []suspect.Fingerprint)
 	Succeeded func(suspect.Fingerprint)
-	// Both are given the key of the instance. Unreachable is told when a connection to the backend server is refused.
+	// Unreachable is told the key of the instance when a connection to the backend
+	// server is refused.
 	Unreachable func(key string)
-	// Replaced is told when another backend server has the address.
+	// Replaced is told the key of the instance when another backend server has the
+	// address.
 	Replaced func(key string)
 	// Metrics is the set that metrics are registered in.
 	Metrics *metrics.Set
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -33,7 +33,7 @@
 	wait     time.Duration // what the caller said it waits
 
 	body requestBody
-	// fingerprint is the fingerprint of what the request asks for.
+	// fingerprint is that of what the request asks for.
 	fingerprint suspect.Fingerprint
 	trail       attempt.Trail
 	tried       balance.Tried
