Find the organisation that holds a caller's key, and keep the key in the node

Cause: a configuration with organisations was served as if it had none: every key was passed on to backend servers and unknown keys were served. An organisation's priority goes before the route's wherever a rank is used. Interfaces for quotas and for the proof that the configuration is current stand in transport/outbound; nothing implements them yet. Faulty organisations make a version unusable, without a key in the error. Without organisations in the configuration nothing changes.

--- a/coordination/attempt/comeback.go
+++ b/coordination/attempt/comeback.go
@@ -43,6 +43,20 @@
 	return max(time.Duration(after), time.Millisecond)
 }
 
+// proofLeast and proofSpread bound after how long the caller of a node comes back whose
+// configuration isn't proved to be current. Proofs come about once a second where the way
+// to the platform or to other nodes is open.
+const (
+	proofLeast  = 200 * time.Millisecond
+	proofSpread = 400 * time.Millisecond
+)
+
+// ComeBackToProof returns when the caller of such a node should come back. lot is a random
+// number below 1.
+func ComeBackToProof(lot float64) time.Duration {
+	return proofLeast + time.Duration(lot*float64(proofSpread))
+}
+
 // startLeast is the least time after which a caller comes back to a node that has
 // just started. On hosts with 0.16 of a core and links of 10 Mbit/s nodes hold the
 // configuration 0.05 to 0.23 s after their start and know backend servers some
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -54,6 +54,10 @@
 	Retry RetrySettings `json:"retry"`
 	// Rollout bounds what a new version of backend servers gets before it is trusted.
 	Rollout RolloutSettings `json:"rollout"`
+	// Revocation bounds how long a key that was taken away may still be used.
+	Revocation RevocationSettings `json:"revocation"`
+	// Quota tells how strictly the quotas of organisations are kept.
+	Quota QuotaSettings `json:"quota"`
 	// LogLevel is debug, info, warn or error; info without it.
 	LogLevel string `json:"logLevel"`
 
@@ -103,6 +107,27 @@
 	ExposeShare float64 `json:"exposeShare"`
 }
 
+// RevocationSettings bound the use of keys that were taken away.
+type RevocationSettings struct {
+	// FailClosed says that requests with a key are refused where it isn't known whether
+	// the key still holds.
+	FailClosed bool `json:"failClosed"`
+	// Millis is how long after it was taken away a key may still be used, in
+	// milliseconds.
+	Millis int `json:"millis"`
+}
+
+// QuotaSettings bound what organisations get beyond their quotas.
+type QuotaSettings struct {
+	// WindowSeconds is the time over which requests are counted, in seconds; 0 keeps no
+	// quota.
+	WindowSeconds float64 `json:"windowSeconds"`
+	// Over is the part of a quota that may be served beyond it in a window, 0 to 1, and
+	// Slack how many more requests may be.
+	Over  float64 `json:"over"`
+	Slack float64 `json:"slack"`
+}
+
 // SettingsError reports settings that can't be used.
 type SettingsError struct {
 	// Field names the faulty field; empty where the file as a whole is.
@@ -181,6 +206,12 @@
 	if s.Rollout.ExposeShare < 0 || s.Rollout.ExposeShare > 1 {
 		return &SettingsError{Field: "rollout.exposeShare", Reason: "must be from 0 to 1"}
 	}
+	if s.Revocation.FailClosed && s.Revocation.Millis <= 0 {
+		return &SettingsError{Field: "revocation.millis", Reason: "must be above 0 with failClosed"}
+	}
+	if s.Quota.WindowSeconds < 0 || s.Quota.Over < 0 || s.Quota.Over > 1 || s.Quota.Slack < 0 {
+		return &SettingsError{Field: "quota", Reason: "windowSeconds and slack must not be negative, over from 0 to 1"}
+	}
 	return nil
 }
 
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -16,6 +16,11 @@
 	// Wait returns how long the caller waits for its answer. given is false
 	// when it doesn't say. The error is typed; the request is malformed.
 	Wait(h Header) (wait time.Duration, given bool, err error)
+	// Key returns the key that the caller shows; empty without exactly one.
+	Key(h Header) string
+	// StripKey removes the key, and whatever the caller has sent under the name by
+	// which backend servers are told the organisation.
+	StripKey(h Header)
 	// Mark sets the headers of a request to a backend server, whatever the
 	// caller has sent under their names.
 	Mark(h Header, m Marks)
@@ -34,6 +39,8 @@
 	// CallerService is the service of the host where the request began; empty
 	// when that isn't known.
 	CallerService string
+	// Organisation is the organisation that holds the caller's key; empty for none.
+	Organisation string
 }
 
 // Verdict says what a response means for the request.
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -65,6 +65,9 @@
 	HeaderLinkBacklog = "Jacinthgate-Link-Backlog"
 	// HeaderFingerprint carries the fingerprint of what the request asks for.
 	HeaderFingerprint = "Jacinthgate-Fingerprint"
+	// HeaderStartWithin carries within how many milliseconds the request must be handed
+	// to the backend server: the proof that its caller's key holds ends then.
+	HeaderStartWithin = "Jacinthgate-Start-Within"
 	// HeaderReached is "1" on a gate's response when the request was sent to
 	// the backend server, whatever came of it.
 	HeaderReached = "Jacinthgate-Reached"
@@ -84,6 +87,8 @@
 	ReasonNotReady         Reason = "not-ready"         // the node holds no whole version yet
 	ReasonNoOrganisation   Reason = "no-organisation"   // no contract has this host
 	ReasonNoRoute          Reason = "no-route"          // the contract has no matching route
+	ReasonUnknownKey       Reason = "unknown-key"       // no organisation holds the caller's key
+	ReasonUnproved         Reason = "unproved"          // the configuration isn't proved to be current
 	ReasonNoEndpoint       Reason = "no-endpoint"       // no backend server may take the request
 	ReasonRateLimited      Reason = "rate-limited"      // the contract's rate is used up
 	ReasonConcurrency      Reason = "concurrency"       // the contract's concurrency is used up
--- /dev/null
+++ b/state/route/organisation_test.go
@@ -0,0 +1,66 @@
+package route
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+func keyed(all ...Organisation) Config { return Config{Version: 1, Organisations: all} }
+
+func TestKeyFindsItsOrganisation(t *testing.T) {
+	table, err := NewTable(keyed(
+		Organisation{Name: "a", Keys: []string{"k1", "k2"}, Quota: &model.Rate{PerSecond: 2, Burst: 1}},
+		Organisation{Name: "b", Keys: []string{"k3"}},
+	), Policy{})
+	must.NoError(t, err)
+	must.True(t, table.Keyed())
+	must.Eq(t, "a", table.Organisation("k2").Name)
+	must.Eq(t, "b", table.Organisation("k3").Name)
+	must.Nil(t, table.Organisation("k4"))
+	must.Nil(t, table.Organisation(""))
+}
+
+// A site whose configuration names no organisations has no keys; one whose list is empty
+// lets nobody in.
+func TestKeysAreAskedForOnlyWhereOrganisationsAreNamed(t *testing.T) {
+	without, err := NewTable(Config{Version: 1}, Policy{})
+	must.NoError(t, err)
+	must.False(t, without.Keyed())
+	none, err := NewTable(Config{Version: 1, Organisations: []Organisation{}}, Policy{})
+	must.NoError(t, err)
+	must.True(t, none.Keyed())
+}
+
+// A configuration in which it isn't clear who holds a key is not used, and what is said of
+// it holds no key.
+func TestFaultyOrganisationsAreRefusedWithoutTheirKeys(t *testing.T) {
+	const secret = "s3cr3t"
+	for name, faulty := range map[string][]Organisation{
+		"two with one key":  {{Name: "a", Keys: []string{secret}}, {Name: "b", Keys: []string{secret}}},
+		"two with one name": {{Name: "a"}, {Name: "a", Keys: []string{secret}}},
+		"no name":           {{Keys: []string{secret}}},
+		"an empty key":      {{Name: "a", Keys: []string{secret, ""}}},
+		"an empty quota":    {{Name: "a", Keys: []string{secret}, Quota: &model.Rate{}}},
+	} {
+		_, err := NewTable(keyed(faulty...), Policy{})
+		var typed *OrganisationError
+		must.True(t, errors.As(err, &typed), must.Sprint(name))
+		must.False(t, strings.Contains(err.Error(), secret), must.Sprint(name))
+	}
+}
+
+func BenchmarkOrganisation(b *testing.B) {
+	table, err := NewTable(keyed(Organisation{Name: "a", Keys: []string{"92cqf75rjvz48wuakn2f"}}), Policy{})
+	must.NoError(b, err)
+	b.ReportAllocs()
+	for b.Loop() {
+		if table.Organisation("92cqf75rjvz48wuakn2f") == nil {
+			b.Fatal("the key isn't found")
+		}
+	}
+}
--- a/state/route/table.go
+++ b/state/route/table.go
@@ -30,6 +30,8 @@
 	Target time.Duration
 	// Priority ranks requests that compete for a slot; 0 is the most important.
 	Priority int
+	// Anonymous says that callers need no key.
+	Anonymous bool
 	// Attempts is the number of backend servers that one request may reach.
 	Attempts int
 	// Splits are the services that share the requests. There is at least one.
@@ -91,6 +93,9 @@
 	Limits   CallerLimits
 	Routes   []Route
 	Services []Service
+	// Organisations are the firms whose callers show a key. Nil is a site without
+	// keys; an empty list is one where nobody holds a key.
+	Organisations []Organisation
 }
 
 // Policy is how the backend servers of every service are used, as far as the
@@ -110,10 +115,14 @@
 	hosts       map[string]map[string]*Route
 	services    map[string]*model.Service
 	connections map[string]int
+	// keyed says that callers show keys; keys and organisations index who holds them.
+	keyed         bool
+	keys          map[string]*Organisation
+	organisations map[string]*Organisation
 }
 
-// NewTable indexes a configuration. The error is an *InvalidError, and nothing
-// of the configuration is used.
+// NewTable indexes a configuration. The error is an *InvalidError or an
+// *OrganisationError, and nothing of the configuration is used.
 func NewTable(c Config, p Policy) (*Table, error) {
 	t := &Table{
 		version:     c.Version,
@@ -121,6 +130,15 @@
 		hosts:       make(map[string]map[string]*Route),
 		services:    make(map[string]*model.Service, len(c.Services)),
 		connections: make(map[string]int, len(c.Services)),
+
+		keyed:         c.Organisations != nil,
+		keys:          make(map[string]*Organisation, len(c.Organisations)),
+		organisations: make(map[string]*Organisation, len(c.Organisations)),
+	}
+	for i := range c.Organisations {
+		if err := t.addOrganisation(&c.Organisations[i]); err != nil {
+			return nil, err
+		}
 	}
 	for _, s := range c.Services {
 		t.connections[s.Name] = s.Connections
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -26,6 +26,7 @@
 	outcome.HeaderUrgency, outcome.HeaderLinkWait, outcome.HeaderLinkBacklog,
 	outcome.HeaderReached,
 	outcome.HeaderFingerprint,
+	outcome.HeaderStartWithin,
 }
 
 // StripNodeHeaders removes what only nodes may set, whoever sent it.
@@ -58,6 +59,11 @@
 	return int(v), true, nil
 }
 
+// Millis returns the value of a header that holds a time, in whole milliseconds.
+func Millis(d time.Duration) string {
+	return strconv.FormatInt(max(0, d.Milliseconds()), 10)
+}
+
 // maxDrain is how much of a refusal's body is read so that its connection can
 // be used again, in bytes.
 const maxDrain = 4 << 10
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -20,6 +20,9 @@
 	// fingerprint is that of what the request asks for; 0 where the entry node tells
 	// none.
 	fingerprint suspect.Fingerprint
+	// startBy is until when the request may be handed to the backend server; zero is no
+	// bound.
+	startBy time.Time
 }
 
 // check reads the node headers and refuses what can't be sent.
@@ -41,6 +44,13 @@
 	if err != nil || !given {
 		return c, outcome.ReasonMalformed
 	}
+	within, bounded, err := forward.HeaderInt(h, outcome.HeaderStartWithin)
+	if err != nil {
+		return c, outcome.ReasonMalformed
+	}
+	if bounded {
+		c.startBy = now.Add(time.Duration(within) * time.Millisecond)
+	}
 	c.Deadline = now.Add(time.Duration(left) * time.Millisecond)
 	u, err := outcome.ParseUrgency(h.Get(outcome.HeaderUrgency))
 	if err != nil {
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -226,6 +226,10 @@
 		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonWithdrawn, false), nil
 	}
+	if !c.startBy.IsZero() && g.cfg.Now().After(c.startBy) {
+		g.core.Release(c.Work, 0, g.cfg.Now())
+		return g.refuse(req, outcome.ReasonUnproved, false), nil
+	}
 	if g.crashes.Quarantined(c.fingerprint) { // another backend server has crashed meanwhile
 		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonQuarantined, false), nil
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -20,13 +20,14 @@
 	url := *req.URL
 	url.Scheme, url.Host = "http", c.instance.Addr
 	out.URL = &url
-	caller := req.Header.Get(outcome.HeaderCaller)
+	caller, organisation := req.Header.Get(outcome.HeaderCaller), req.Header.Get(outcome.HeaderOrganisation)
 	forward.StripNodeHeaders(out.Header)
 	delete(out.Header, outcome.HeaderDeadline)
 	g.cfg.Dialect.Mark(out.Header, dialect.Marks{
 		Remaining:     c.Deadline.Sub(started),
 		Instance:      c.instance.ID,
 		CallerService: caller,
+		Organisation:  organisation,
 	})
 	done := func(took time.Duration) {
 		cancel()
--- a/transport/outbound/due.go
+++ b/transport/outbound/due.go
@@ -8,7 +8,7 @@
 
 // work returns the request's sort of work.
 func (x *exchange) work() model.Work {
-	return model.Work{Kind: x.route.Kind, Rank: x.route.Priority, Target: x.route.Target}
+	return model.Work{Kind: x.route.Kind, Rank: x.rank(), Target: x.route.Target}
 }
 
 // until returns until when the caller waits.
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -26,7 +26,13 @@
 	r       *http.Request
 	route   *route.Route
 	service *model.Service
-	began   time.Time
+	// organisation holds the caller's key; nil without one. keyed says that the
+	// configuration knows keys, so that none is passed on.
+	organisation *route.Organisation
+	keyed        bool
+	// leave says that the organisation's quota has been charged.
+	leave bool
+	began time.Time
 	// first is when the caller's first attempt arrived: its answer is due as long after
 	// that as any.
 	first time.Time
@@ -60,6 +66,7 @@
 
 func newExchange(p *Proxy, w http.ResponseWriter, r *http.Request, t *route.Table, found *route.Route, began time.Time) *exchange {
 	x := &exchange{p: p, w: w, r: r, route: found, began: began, first: began}
+	x.keyed = t.Keyed()
 	x.service = t.Service(found.Pick(p.rand.Float64()))
 	x.deadline = began.Add(found.Timeout)
 	x.trail = attempt.NewTrail(found.Repeatable(), found.Attempts)
@@ -89,6 +96,10 @@
 		x.first = first
 		x.p.returned.Inc()
 	}
+	if refused := x.takeLeave(); refused != nil {
+		return refused
+	}
+	defer x.returnLeave()
 	x.p.cfg.Budget.Request(x.began, x.service.Name)
 	for {
 		if x.attempt() {
@@ -112,6 +123,10 @@
 		x.trail.Forbid(outcome.ReasonQuarantined)
 		return false
 	}
+	if x.keyed && !x.stillAuthorised() {
+		x.trail.Forbid(outcome.ReasonUnproved)
+		return false
+	}
 	now := x.p.cfg.Now()
 	choice, err := x.pick(now)
 	if err != nil {
@@ -170,7 +185,7 @@
 	urgency := outcome.Urgency{
 		Left:   max(0, x.due().Sub(now)),
 		Target: x.route.Target,
-		Rank:   x.route.Priority,
+		Rank:   x.rank(),
 	}
 	v := [...]string{
 		strconv.FormatInt(left, 10),
@@ -190,6 +205,7 @@
 	if x.r.ContentLength != 0 { // the gate reads the rest from the head
 		h[outcome.HeaderFingerprint] = v[6:7:7]
 	}
+	x.nameOrganisation(h)
 	if x.route.Kind == model.KindBulk {
 		h[outcome.HeaderLinkWait] = []string{strconv.FormatInt(x.links.Wait(urgency.Left).Milliseconds(), 10)}
 	}
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -45,6 +45,10 @@
 	Policy attempt.Policy
 	// Budget bounds the repeats.
 	Budget *attempt.Budget
+	// Quotas bounds the requests of organisations; nil bounds none.
+	Quotas Quotas
+	// Currency proves the configuration in force; nil where requests need no proof.
+	Currency Currency
 	// Suspects returns the requests that are suspected to crash backend servers. It is
 	// one atomic load.
 	Suspects func() *suspect.View
@@ -104,7 +108,13 @@
 		p.reject(w, r, refusal{status: http.StatusRequestEntityTooLarge, reason: outcome.ReasonTooLarge})
 		return
 	}
+	organisation, refused := p.authorise(r, table, found)
+	if refused != nil {
+		p.reject(w, r, *refused)
+		return
+	}
 	x := newExchange(p, w, r, table, found, began)
+	x.organisation = organisation
 	defer x.cancel()
 	if refused := x.run(); refused != nil {
 		p.reject(w, r, *refused)
