--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -111,7 +111,7 @@
 type RevocationSettings struct {
 	// FailClosed says that requests with a key are refused where it isn't known whether
 	// the key still holds.
-	FailClosed bool `json:"failClosed"`
+	FailClosed bool `json:"refuseUnproved"`
 	// Millis is how long after it was taken away a key may still be used, in
 	// milliseconds.
 	Millis int `json:"millis"`
@@ -207,7 +207,7 @@
 		return &SettingsError{Field: "rollout.exposeShare", Reason: "must be from 0 to 1"}
 	}
 	if s.Revocation.FailClosed && s.Revocation.Millis <= 0 {
-		return &SettingsError{Field: "revocation.millis", Reason: "must be above 0 with failClosed"}
+		return &SettingsError{Field: "revocation.millis", Reason: "must be above 0 with refuseUnproved"}
 	}
 	if s.Quota.WindowSeconds < 0 || s.Quota.Over < 0 || s.Quota.Over > 1 || s.Quota.Slack < 0 {
 		return &SettingsError{Field: "quota", Reason: "windowSeconds and slack must not be negative, over from 0 to 1"}
--- a/transport/outbound/authorise.go
+++ b/transport/outbound/authorise.go
@@ -82,19 +82,24 @@
 	}
 	after, ok := x.p.cfg.Quotas.Take(x.ctx, x.organisation)
 	if ok {
-		x.leave = true
 		return nil
 	}
 	return &refusal{status: http.StatusTooManyRequests, reason: outcome.ReasonRateLimited, after: after}
 }
 
-// returnLeave gives back what a request has not used.
+// returnLeave gives the leave of a request back that no backend server has run.
 func (x *exchange) returnLeave() {
-	if x.leave && x.trail.Progress.Reached == 0 {
+	if worst, _ := x.trail.Worst(); worst == outcome.NotRun && x.failure == nil && x.limited() {
 		x.p.cfg.Quotas.Return(x.organisation)
 	}
 }
 
+// leaveAgain reports whether the quota lets the request run once more after an attempt
+// that may have run.
+func (x *exchange) leaveAgain() bool {
+	return x.trail.Progress.Last == outcome.NotRun || x.takeLeave() == nil
+}
+
 // limited reports whether a quota bounds the request.
 func (x *exchange) limited() bool {
 	return x.p.cfg.Quotas != nil && x.organisation != nil && x.organisation.Quota != nil
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -30,9 +30,7 @@
 	// configuration knows keys, so that none is passed on.
 	organisation *route.Organisation
 	keyed        bool
-	// leave says that the organisation's quota has been charged.
-	leave bool
-	began time.Time
+	began        time.Time
 	// first is when the caller's first attempt arrived: its answer is due as long after
 	// that as any.
 	first time.Time
@@ -99,13 +97,13 @@
 	if refused := x.takeLeave(); refused != nil {
 		return refused
 	}
-	defer x.returnLeave()
 	x.p.cfg.Budget.Request(x.began, x.service.Name)
 	for {
 		if x.attempt() {
 			return nil
 		}
 		if !x.again() {
+			x.returnLeave()
 			return x.conclude()
 		}
 	}
--- a/transport/outbound/exchange_test.go
+++ b/transport/outbound/exchange_test.go
@@ -56,7 +56,7 @@
 const target = 600 * time.Millisecond
 
 // newProxy returns a proxy in front of the gates of so many backend servers.
-func newProxy(t *testing.T, kind model.ClassKind, servers int, g *gates) *Proxy {
+func newProxy(t *testing.T, kind model.ClassKind, servers int, g http.RoundTripper) *Proxy {
 	t.Helper()
 	table, err := route.NewTable(route.Config{
 		Version:  1,
