Share slots that are short by organisation

Cause: an organisation that sends far more than the others within its quota fills the queues of all gates; the others are refused as often as it. Change: within a sort of work waiters go by start-time fair queueing over organisations, weighted by their quotas; a full queue sheds the last request of whoever is furthest over its share; a request that leaves the queue without a slot isn't charged. Requests of no organisation, and sites without any, are ordered as before.

--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -166,7 +166,7 @@
 		return false, reason
 	}
 	if g.queue.size >= g.limits.QueueLength && g.queue.size > 0 {
-		shed := g.queue.evict(w.Request.Work)
+		shed := g.queue.evict(w)
 		if shed == nil {
 			return false, outcome.ReasonQueueFull
 		}
@@ -194,7 +194,7 @@
 func (g *Gate) Cancel(w *Waiter) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	waited := g.queue.remove(w)
+	waited := g.queue.drop(w)
 	g.waiting.Store(int64(g.queue.size))
 	return waited
 }
--- a/coordination/gate/load_test.go
+++ b/coordination/gate/load_test.go
@@ -20,6 +20,9 @@
 	takes    time.Duration // mean, spread over half of it to one and a half
 	rate     float64       // requests a second
 	deadline time.Duration
+	// organisation and weight are whose requests these are; empty for nobody's.
+	organisation string
+	weight       float64
 
 	asked, inTime, late, refused atomic.Int64
 }
@@ -56,7 +59,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	s.asked.Add(1)
-	if reason := g.Enter(ctx, Request{Work: s.work, Deadline: deadline, Due: due}, time.Now); reason != "" {
+	if reason := g.Enter(ctx, Request{Work: s.work, Deadline: deadline, Due: due, Organisation: s.organisation, Weight: s.weight}, time.Now); reason != "" {
 		s.refused.Add(1)
 		return
 	}
--- a/coordination/gate/queue.go
+++ b/coordination/gate/queue.go
@@ -18,6 +18,11 @@
 	// request that can't start in time for that is refused, so that its caller
 	// can come back elsewhere and others are not late as well.
 	Due time.Time
+	// Organisation is whose request it is; empty for nobody's. Slots that are short are
+	// shared by organisation, in proportion to Weight.
+	Organisation string
+	// Weight is the organisation's, above 0.
+	Weight float64
 }
 
 // Waiter is a request that waits for a slot.
@@ -33,21 +38,32 @@
 	// without such a time.
 	latest time.Time
 	// until is when the request is better refused; zero is no bound.
-	until  time.Time
+	until time.Time
+	// start orders the waiters of organisations; see fairShares.
+	start  float64
 	line   *line
 	place  *list.Element
 	number uint64
 }
 
-// before reports whether w starts before o, which is of the same sort: whoever
-// has less time, then whoever came first.
+// before reports whether w starts before o, which is of the same sort: whose
+// organisation has had less of its share, then whoever has less time, then whoever came
+// first.
 func (w *Waiter) before(o *Waiter) bool {
+	if w.start != o.start {
+		return w.start < o.start
+	}
 	if w.latest.Equal(o.latest) {
 		return w.number < o.number
 	}
 	return w.latest.Before(o.latest)
 }
 
+// ahead reports whether w, which is new, goes before o, which waits.
+func (w *Waiter) ahead(o *Waiter) bool {
+	return w.start < o.start || w.start == o.start && w.latest.Before(o.latest)
+}
+
 // line is the waiters of one sort of work, in the order in which they start.
 type line struct {
 	work model.Work
@@ -70,6 +86,7 @@
 	size   int
 	next   uint64
 	pops   uint64
+	shares fairShares
 }
 
 // lineOf returns the line of a sort; nil where nobody waits in it.
@@ -87,6 +104,7 @@
 	w.number = q.next
 	q.size++
 	l := q.lineOf(w.Request.Work)
+	w.start = q.shares.start(w.Request.Organisation, w.Request.Weight)
 	if l == nil {
 		l = &line{work: w.Request.Work}
 		q.lines = append(q.lines, l)
@@ -101,6 +119,15 @@
 	w.place = l.list.PushFront(w)
 }
 
+// drop takes out a waiter that gets no slot, and reports whether it was waiting.
+func (q *queue) drop(w *Waiter) bool {
+	if w.line == nil {
+		return false
+	}
+	q.shares.dropped(w.Request.Organisation, w.Request.Weight)
+	return q.remove(w)
+}
+
 // remove reports whether w was waiting.
 func (q *queue) remove(w *Waiter) bool {
 	l := w.line
@@ -110,6 +137,9 @@
 	l.list.Remove(w.place)
 	w.line, w.place = nil, nil
 	q.size--
+	if q.size == 0 {
+		q.shares.reset()
+	}
 	if l.list.Len() > 0 {
 		return true
 	}
@@ -131,7 +161,11 @@
 	w := q.lightest().first()
 	if q.pops%fairEvery == 0 {
 		w = q.oldest()
+		if w.Request.Organisation != "" {
+			w = w.line.first() // its sort is due, but not before those of its sort
+		}
 	}
+	q.shares.granted(w.start)
 	q.remove(w)
 	return w
 }
@@ -160,26 +194,40 @@
 	return oldest
 }
 
-// evict takes the last waiter of the heaviest sort, if that is heavier than the
-// one given.
-func (q *queue) evict(work model.Work) *Waiter {
+// evict takes the last waiter of the heaviest sort, if that is heavier than the one of
+// the new waiter; otherwise the last one of the same sort whose organisation has had more
+// of its share than that of the new one.
+func (q *queue) evict(w *Waiter) *Waiter {
 	var heaviest *line
-	most := q.weight(work)
+	most := q.weight(w.Request.Work)
 	for _, l := range q.lines {
 		if weight := q.weight(l.work); weight > most {
 			heaviest, most = l, weight
 		}
 	}
 	if heaviest == nil {
+		return q.evictShare(w)
+	}
+	last := heaviest.last()
+	q.drop(last)
+	return last
+}
+
+// evictShare takes the last waiter of w's sort, if its organisation has had more of its
+// share than that of w.
+func (q *queue) evictShare(w *Waiter) *Waiter {
+	l := q.lineOf(w.Request.Work)
+	if l == nil || w.Request.Organisation == "" || l.last().start <= q.shares.next(w.Request.Organisation) {
 		return nil
 	}
-	w := heaviest.last()
-	q.remove(w)
-	return w
+	last := l.last()
+	q.drop(last)
+	return last
 }
 
 // ahead returns the number of waiters that go before w, which is new.
 func (q *queue) ahead(w *Waiter) int {
+	w.start = q.shares.next(w.Request.Organisation)
 	own, n := q.weight(w.Request.Work), 0
 	for _, l := range q.lines {
 		switch {
@@ -195,7 +243,7 @@
 // ahead returns the number of the line's waiters that go before w.
 func (l *line) ahead(w *Waiter) int {
 	n := 0
-	for e := l.list.Front(); e != nil && !w.latest.Before(e.Value.(*Waiter).latest); e = e.Next() {
+	for e := l.list.Front(); e != nil && !w.ahead(e.Value.(*Waiter)); e = e.Next() {
 		n++
 	}
 	return n
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -208,6 +208,7 @@
 	n.gate = inbound.New(inbound.Config{
 		Instance:    n.pub.instance.Load,
 		Connections: n.connections,
+		Weight:      n.weight,
 		Dialect:     speech,
 		Backend:     forward.NewClient(toBackend),
 		Lane:        pace.New(pace.DefaultConfig(n.set.linkBits())),
@@ -272,6 +273,14 @@
 	return 0
 }
 
+// weight returns the weight of an organisation.
+func (n *Node) weight(organisation string) float64 {
+	if t := n.pub.table.Load(); t != nil {
+		return t.Weight(organisation)
+	}
+	return 1
+}
+
 // callerService returns the service of the host's backend server.
 func (n *Node) callerService() string {
 	if i := n.pub.instance.Load(); i != nil {
--- a/state/route/organisation.go
+++ b/state/route/organisation.go
@@ -28,6 +28,16 @@
 // Organisations returns all organisations, by name. The map must not be changed.
 func (t *Table) Organisations() map[string]*Organisation { return t.organisations }
 
+// Weight returns the weight by which an organisation shares what is short: its quota, in
+// requests per second. One without a quota weighs as much as the largest that has one, and
+// all weigh the same where none has.
+func (t *Table) Weight(organisation string) float64 {
+	if o := t.organisations[organisation]; o != nil && o.Quota != nil {
+		return o.Quota.PerSecond
+	}
+	return max(1, t.largestQuota)
+}
+
 // addOrganisation indexes an organisation by its name and its keys.
 func (t *Table) addOrganisation(o *Organisation) error {
 	switch {
@@ -39,6 +49,9 @@
 		return &OrganisationError{Organisation: o.Name, Reason: "the quota must be above 0"}
 	}
 	t.organisations[o.Name] = o
+	if o.Quota != nil {
+		t.largestQuota = max(t.largestQuota, o.Quota.PerSecond)
+	}
 	for _, key := range o.Keys {
 		if key == "" {
 			return &OrganisationError{Organisation: o.Name, Reason: "a key is empty"}
--- a/state/route/organisation_test.go
+++ b/state/route/organisation_test.go
@@ -64,3 +64,16 @@
 		}
 	}
 }
+
+func TestOrganisationsWeighAsMuchAsTheirQuotas(t *testing.T) {
+	table, err := NewTable(keyed(
+		Organisation{Name: "a", Quota: &model.Rate{PerSecond: 20, Burst: 1}},
+		Organisation{Name: "b", Quota: &model.Rate{PerSecond: 60, Burst: 1}},
+		Organisation{Name: "c"},
+	), Policy{})
+	must.NoError(t, err)
+	must.Eq(t, []float64{20, 60, 60}, []float64{table.Weight("a"), table.Weight("b"), table.Weight("c")})
+	none, err := NewTable(keyed(Organisation{Name: "a"}), Policy{})
+	must.NoError(t, err)
+	must.Eq(t, 1.0, none.Weight("a"))
+}
--- a/state/route/table.go
+++ b/state/route/table.go
@@ -119,6 +119,8 @@
 	keyed         bool
 	keys          map[string]*Organisation
 	organisations map[string]*Organisation
+	// largestQuota is the largest quota of an organisation, in requests per second.
+	largestQuota float64
 }
 
 // NewTable indexes a configuration. The error is an *InvalidError or an
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -58,6 +58,9 @@
 	}
 	c.Work = model.Work{Kind: model.ClassKind(h.Get(outcome.HeaderKind)), Rank: u.Rank, Target: u.Target}
 	c.Due = now.Add(u.Left)
+	if c.Organisation = h.Get(outcome.HeaderOrganisation); c.Organisation != "" {
+		c.Weight = g.cfg.Weight(c.Organisation)
+	}
 	if c.fingerprint, err = crash.Fingerprint(req); err != nil {
 		return c, outcome.ReasonMalformed
 	}
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -35,6 +35,9 @@
 	// Connections returns how many connections a backend server of a service
 	// accepts; 0 when that isn't known.
 	Connections func(service string) int
+	// Weight returns the weight of an organisation, by which slots that are short are
+	// shared. It is asked only for requests that name one.
+	Weight func(organisation string) float64
 	// Dialect speaks with the backend server.
 	Dialect dialect.Dialect
 	// Backend sends to the backend server.
