Teach the soak keys that come and go, and an organisation that floods

Change: a kind of plan (-keys) in which each version brings a key and takes one away, callers now and then show one that was taken away, and one organisation floods. Checks: backend servers are told who holds the key and never the key; nothing runs under a key 5 s after it was taken away; a key that holds isn't turned away; no window has more runs than the quota.

--- a/cmd/jacinthgate-soak/main.go
+++ b/cmd/jacinthgate-soak/main.go
@@ -41,6 +41,8 @@
 	// planned leaves out all but planned work, crashes all but what is around backend
 	// servers that crash.
 	planned, crashes bool
+	// keys lets callers show keys, which come and go, and an organisation flood.
+	keys bool
 }
 
 func (c *planFlags) set(f *flag.FlagSet) {
@@ -48,6 +50,7 @@
 	f.IntVar(&c.nodes, "nodes", 6, "number of nodes")
 	f.DurationVar(&c.length, "length", 20*time.Second, "time in which disturbances begin")
 	f.BoolVar(&c.planned, "planned", false, "planned work only")
+	f.BoolVar(&c.keys, "keys", false, "callers show keys that come and go, and an organisation floods")
 	f.BoolVar(&c.crashes, "crashes", false, "backend servers that crash and return, and requests that end them")
 }
 
@@ -56,6 +59,8 @@
 	switch {
 	case c.planned:
 		return soak.NewPlannedPlan(seed, c.nodes, c.length)
+	case c.keys:
+		return soak.NewKeyPlan(seed, c.nodes, c.length)
 	case c.crashes:
 		return soak.NewCrashPlan(seed, c.nodes, c.length)
 	}
@@ -73,9 +78,11 @@
 // planCmd prints a plan.
 type planCmd struct{ planFlags }
 
-func (*planCmd) Name() string               { return "plan" }
-func (*planCmd) Synopsis() string           { return "print the disturbances of a seed" }
-func (*planCmd) Usage() string              { return "plan -seed N [-nodes N] [-length D] [-planned | -crashes]\n" }
+func (*planCmd) Name() string     { return "plan" }
+func (*planCmd) Synopsis() string { return "print the disturbances of a seed" }
+func (*planCmd) Usage() string {
+	return "plan -seed N [-nodes N] [-length D] [-planned | -crashes | -keys]\n"
+}
 func (c *planCmd) SetFlags(f *flag.FlagSet) { c.set(f) }
 
 func (c *planCmd) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
@@ -94,7 +101,7 @@
 func (*runCmd) Name() string     { return "run" }
 func (*runCmd) Synopsis() string { return "play seeds and check the promises" }
 func (*runCmd) Usage() string {
-	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -crashes] [-bin DIR] [-dir DIR]
+	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -crashes | -keys] [-bin DIR] [-dir DIR]
 Plays one seed after the other. A seed that breaks a promise is printed with what
 was seen, and its logs stay in DIR/SEED. Exit code 1 if any did.
 `
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -28,7 +28,8 @@
 
 // callers send requests and note what becomes of them.
 type callers struct {
-	site *site
+	site     *site
+	versions *versions
 
 	mu       sync.Mutex
 	requests []Request
@@ -92,6 +93,10 @@
 	r := Request{
 		ID: requestID(number), Method: method, Path: path, Node: n.number, Service: n.set.Service, Idempotent: idempotent,
 	}
+	if c.site.cfg.Plan.Keyed && !strings.HasPrefix(path, versionPrefix) {
+		newest, _ := c.versions.newest()
+		r.Key = keyFor(number, newest)
+	}
 	exchange(client, n.addr(portCallers), &r)
 	c.mu.Lock()
 	c.requests = append(c.requests, r)
@@ -118,6 +123,9 @@
 	}
 	req.Host = routeHost
 	req.Header.Set(platformtest.HeaderRequestID, r.ID)
+	if r.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+r.Key)
+	}
 	req.Header.Set(platformtest.HeaderWait, strconv.FormatInt(callerWait.Milliseconds(), 10))
 	r.Sent = time.Now()
 	resp, err := client.Do(req)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -36,6 +36,11 @@
 	// CheckQuarantine: a request under which three backend servers have ended reaches
 	// no more than three again.
 	CheckQuarantine Check = "quarantine"
+	// CheckKeys: backend servers are told who holds a caller's key and never the key, and
+	// run nothing under one that was taken away; a key that holds is not turned away.
+	CheckKeys Check = "keys"
+	// CheckQuota: an organisation gets no more than its quota over all nodes.
+	CheckQuota Check = "quota"
 	// CheckExplained: the logs tell of each refused or failed request by its id.
 	CheckExplained Check = "explained"
 )
@@ -58,6 +63,8 @@
 	Service string
 	// Idempotent says that it may run more than once.
 	Idempotent bool
+	// Key is what the caller showed; empty for none.
+	Key string
 	// Sent and Done are when it was sent and answered or given up.
 	Sent, Done time.Time
 	// Status is the answer's; 0 without a whole one.
@@ -79,8 +86,11 @@
 	Caller string
 	// Refused says that it was not run.
 	Refused bool
-	// At is when it arrived.
-	At time.Time
+	// Organisation is who is said to hold the caller's key, and Credentials what came of
+	// the key itself.
+	Organisation, Credentials string
+	// At is when it arrived, and Sent when its caller sent it, where a check asks for that.
+	At, Sent time.Time
 }
 
 // Span is a time in which something was disturbed.
@@ -103,6 +113,10 @@
 	Drained map[string]time.Time
 	// Spans are the disturbances.
 	Spans []Span
+	// Keyed says that callers show keys.
+	Keyed bool
+	// Accepted is when each version of the configuration was accepted, from the first.
+	Accepted []time.Time
 }
 
 const (
@@ -125,6 +139,7 @@
 		h.checkRequest(r, runs[r.ID], &found)
 	}
 	h.checkQuarantine(&found)
+	h.checkKeys(&found)
 	return found
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -74,6 +74,9 @@
 	FaultTerm, FaultKill, FaultFreeze, FaultStoreDown,
 }
 
+// keyed are the kinds of a plan with keys: versions follow each other quickly.
+var keyed = append([]Fault{FaultChange, FaultChange, FaultChange, FaultChange}, all...)
+
 // Step is one disturbance of a plan.
 type Step struct {
 	// At is when it begins, from the start of the plan.
@@ -102,6 +105,9 @@
 	Length time.Duration
 	// Steps are in order of time. They overlap.
 	Steps []Step
+	// Keyed says that callers show keys, which come and go with versions, and that an
+	// organisation floods.
+	Keyed bool
 }
 
 // Bounds of what a plan draws.
@@ -132,6 +138,13 @@
 	return draw(crashing, seed, nodes, length)
 }
 
+// NewKeyPlan draws a schedule of all kinds in which keys come and go.
+func NewKeyPlan(seed uint64, nodes int, length time.Duration) Plan {
+	p := draw(keyed, seed, nodes, length)
+	p.Keyed = true
+	return p
+}
+
 func draw(kinds []Fault, seed uint64, nodes int, length time.Duration) Plan {
 	rng := rand.New(rand.NewPCG(seed, seed))
 	p := Plan{Seed: seed, Nodes: nodes, Length: length}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -67,6 +67,7 @@
 	}
 	s := &soak{site: st, callers: &callers{site: st}, drained: make(map[string]time.Time), faults: make(map[Fault]int)}
 	s.versions = &versions{site: st, callers: s.callers}
+	s.callers.versions = s.versions
 	s.versions.change()
 	helpers, stop := context.WithCancel(ctx)
 	defer stop()
@@ -201,7 +202,7 @@
 
 // result gathers what callers and backend servers saw, and checks it.
 func (s *soak) result() Result {
-	h := History{Requests: s.callers.taken(), Drained: s.drained, Spans: s.spans}
+	h := History{Requests: s.callers.taken(), Drained: s.drained, Spans: s.spans, Keyed: s.site.cfg.Plan.Keyed, Accepted: s.versions.accepted}
 	for _, n := range s.site.nodes {
 		for _, b := range n.host.all {
 			h.Arrivals = append(h.Arrivals, arrivals(b)...)
@@ -225,6 +226,7 @@
 	for _, seen := range b.Seen() {
 		out = append(out, Arrival{
 			Server: b.ID, Born: b.Born, ID: seen.ID, Method: seen.Method, Path: seen.Path, Caller: seen.Caller, Refused: seen.Refused, At: seen.At,
+			Organisation: seen.Headers.Get(platformtest.HeaderOrganisation), Credentials: seen.Headers.Get("Authorization"),
 		})
 	}
 	return out
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -160,6 +160,9 @@
 		DrainMillis: int(drainTime.Milliseconds()), GraceSeconds: graceTime.Seconds(),
 		Retry: sidecar.RetrySettings{Ratio: 0.2, WindowSeconds: 10, Slack: 50},
 	}
+	if s.cfg.Plan.Keyed {
+		keySettings(&n.set)
+	}
 	n.host = &host{ip: n.ip, service: n.set.Service, control: n.addr(portBackend)}
 	s.nodes = append(s.nodes, n)
 	if err := n.host.replace(0); err != nil {
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -32,8 +32,11 @@
 	found    []Violation
 }
 
+// versionPrefix begins the paths that versions add. They need no key.
+const versionPrefix = "/v"
+
 // versionRoute returns the path that a version adds.
-func versionRoute(version int) string { return fmt.Sprintf("/v%d/", version) }
+func versionRoute(version int) string { return fmt.Sprintf("%s%d/", versionPrefix, version) }
 
 // change writes the next version.
 func (v *versions) change() {
@@ -48,9 +51,14 @@
 	for n := 1; n <= next; n++ {
 		routes = append(routes, platformtest.Route{
 			Host: routeHost, Prefix: versionRoute(n), Kind: platformtest.Idempotent, Service: services[0], Attempts: 2,
+			Anonymous: true,
 		})
 	}
-	v.site.store.Put("op", "config", platformtest.Config(fmt.Sprintf("r%d", next), services, routes...))
+	config := platformtest.Config(fmt.Sprintf("r%d", next), services, routes...)
+	if v.site.cfg.Plan.Keyed {
+		config = platformtest.KeyedConfig(fmt.Sprintf("r%d", next), services, organisations(next), routes...)
+	}
+	v.site.store.Put("op", "config", config)
 	v.accepted = append(v.accepted, time.Now())
 }
 
