Prove that the configuration in force is current, and pass proofs on

A key that was taken away must not be used long after, on any host. The new core keeps the newest proof that a version was the newest at some moment, from the own reads and from peers; a proof refers to the receiver's own stamp, so that a message held up in a cut link makes nothing younger. The boot clock goes on while a host is suspended. Not wired yet.

--- /dev/null
+++ b/internal/bootclock/bootclock_test.go
@@ -0,0 +1,33 @@
+package bootclock
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestMomentsRise(t *testing.T) {
+	last := Now()
+	must.True(t, last.After(time.Unix(0, 0)))
+	for range 1000 {
+		now := Now()
+		must.False(t, now.Before(last))
+		last = now
+	}
+}
+
+// A step of the wall clock must not show: the moments differ as monotonic time does.
+func TestMomentsDifferAsMonotonicTimeDoes(t *testing.T) {
+	before, monotonic := Now(), time.Now()
+	time.Sleep(5 * time.Millisecond)
+	inner := time.Since(monotonic)
+	took := Now().Sub(before)
+	must.GreaterEq(t, inner, took)
+}
+
+func BenchmarkNow(b *testing.B) {
+	for b.Loop() {
+		Now()
+	}
+}
--- a/protocol/message/fuzz_test.go
+++ b/protocol/message/fuzz_test.go
@@ -12,7 +12,7 @@
 )
 
 func FuzzDecode(f *testing.F) {
-	for k := Kind(0); k <= KindSuspectsDigest+1; k++ {
+	for k := Kind(0); k <= KindFreshness+1; k++ {
 		f.Add([]byte{byte(k), 0xa0})
 	}
 	for _, m := range []Message{
@@ -20,6 +20,7 @@
 		&Full{Count: 2, Body: []byte("body")},
 		&ZoneStatus{Zone: "csepel", Rejections: []Rejection{{Node: "a", Reason: "hash"}}},
 		&Suspects{Entries: []suspect.Entry{{Fingerprint: 7, Evidence: []suspect.Evidence{{Crash: suspect.Crash{ID: 9, At: 1}, Refuted: true}}}}},
+		&Freshness{Version: 7, Stamp: 1 << 40, Echo: 1 << 41, Offset: -1200},
 		&Demand{Items: []DemandItem{{Limit: "clinic/screens", PerSecond: 1.5}}},
 	} {
 		b, err := Encode(m)
@@ -52,6 +53,8 @@
 		"trailing":     {byte(KindAdvert), 0xa0, 0xa0},
 		"null element": {byte(KindRecords), 0xa1, 0x01, 0x81, 0xf6},
 		"same key":     {byte(KindDigest), 0xa2, 0x01, 0x80, 0x01, 0x80},
+		"wide offset":  {byte(KindFreshness), 0xa1, 0x04, 0x1b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"minus stamp":  {byte(KindFreshness), 0xa1, 0x02, 0x20},
 		"indefinite":   {byte(KindDigest), 0xbf, 0xff},
 		"long array":   {byte(KindDigest), 0xa1, 0x01, 0x9a, 0xff, 0xff, 0xff, 0xff},
 	}
--- a/protocol/message/kinds.go
+++ b/protocol/message/kinds.go
@@ -106,6 +106,8 @@
 		return new(Rollouts)
 	case KindRolloutsDigest:
 		return new(RolloutsDigest)
+	case KindFreshness:
+		return new(Freshness)
 	default:
 		return nil
 	}
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -42,6 +42,7 @@
 	KindSuspectsDigest
 	KindRollouts
 	KindRolloutsDigest
+	KindFreshness
 )
 
 // Message is any message between nodes.
--- a/transport/link/kinds.go
+++ b/transport/link/kinds.go
@@ -25,6 +25,7 @@
 	message.KindReaderBeacon:   "reader_beacon",
 	message.KindSuspects:       "suspects",
 	message.KindSuspectsDigest: "suspects_digest",
+	message.KindFreshness:      "freshness",
 }
 
 func kindName(k message.Kind) string {
@@ -54,6 +55,8 @@
 		return "digest"
 	case *message.SuspectsDigest:
 		return "suspects_digest"
+	case *message.Freshness:
+		return "freshness"
 	default:
 		return ""
 	}
