Carry the store's era with proofs, and test proofs in life-like runs

A node that starts anew while the store is an older copy believes what it reads; its peers must not. Messages now carry the highest known era: whoever meets a new one takes no proof that began within two seconds of it.

--- a/coordination/freshness/core.go
+++ b/coordination/freshness/core.go
@@ -35,6 +35,8 @@
 	held uint64
 	// newest is the highest version that is known to exist.
 	newest uint64
+	// era is the store's highest that is known; 0 for none.
+	era uint64
 	// settled is from when on reads prove something again.
 	settled time.Time
 	// counted is the latest proof for the version in force; its moment is zero for none.
@@ -79,15 +81,31 @@
 	case core.Received:
 		return c.received(ev.From, ev.Message)
 	case Read:
+		c.meet(ev.Era)
 		return c.take(proof{version: ev.Version, moment: ev.Began})
 	case InForce:
 		return c.inForce(ev.Version)
 	case Restored:
-		c.settled = c.now.Add(c.cfg.Settle)
+		c.restored()
 	}
 	return false
 }
 
+// meet takes that the store is in an era. A node that knows none yet can't tell whether
+// it is a new one.
+func (c *Core) meet(era uint64) {
+	if era <= c.era {
+		return
+	}
+	if c.era != 0 {
+		c.restored()
+	}
+	c.era = era
+}
+
+// restored lets reads prove nothing until operators' rows are back.
+func (c *Core) restored() { c.settled = c.now.Add(c.cfg.Settle) }
+
 func (c *Core) received(from model.NodeID, m message.Message) bool {
 	switch m := m.(type) {
 	case *message.DocumentAdvert:
--- /dev/null
+++ b/coordination/freshness/core_test.go
@@ -0,0 +1,319 @@
+package freshness
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// row is nodes in a row whose events come as they do in life: messages take 5 ms, ticks
+// come each 100 ms, and readers read one time after the other.
+type row struct {
+	now     time.Time
+	cores   []*Core
+	proofs  []*Proof
+	readers map[int]time.Time // when the read under way began
+	// wait is how long a reader's read takes without a change.
+	wait func(reader int) time.Duration
+	cut  map[[2]int]bool
+	way  []passing
+	// sent counts the messages over each link, and bytes all that was sent.
+	sent  map[[2]int]int
+	bytes int
+	// least is the least time left that each node has had.
+	least []time.Duration
+}
+
+type passing struct {
+	from, to int
+	due      time.Time
+	message  message.Message
+}
+
+func newRow(n int, readers ...int) *row {
+	r := &row{
+		now: time.Unix(1000, 0), readers: make(map[int]time.Time), cut: make(map[[2]int]bool), sent: make(map[[2]int]int),
+		wait: func(int) time.Duration { return bound / readsPerBound },
+	}
+	clock := func() time.Time { return r.now }
+	for i := range n {
+		r.cores = append(r.cores, New(DefaultConfig(bound), uint64(i)))
+		r.proofs = append(r.proofs, NewProof(DefaultConfig(bound), clock))
+		r.least = append(r.least, math.MaxInt64)
+		r.step(i, InForce{Version: 1})
+	}
+	for i := range n - 1 {
+		r.up(i, i+1)
+	}
+	for _, i := range readers {
+		r.step(i, Read{Began: r.now, Version: 1})
+		r.readers[i] = r.now
+	}
+	return r
+}
+
+func (r *row) up(i, j int) {
+	r.step(i, core.PeerUp{Record: endpoint.Record{Node: id(j)}})
+	r.step(j, core.PeerUp{Record: endpoint.Record{Node: id(i)}})
+}
+
+func (r *row) step(i int, ev core.Event) {
+	for _, a := range r.cores[i].Step(r.now, ev) {
+		switch a := a.(type) {
+		case Changed:
+			r.proofs[i].Publish(a)
+		case core.Send:
+			for j := range r.cores {
+				if id(j) != a.To {
+					continue
+				}
+				b, err := message.Encode(a.Message)
+				if err != nil {
+					panic(err)
+				}
+				r.sent[[2]int{i, j}]++
+				r.bytes += len(b)
+				r.way = append(r.way, passing{i, j, r.now.Add(5 * time.Millisecond), a.Message})
+			}
+		}
+	}
+}
+
+// run lets time pass and notes the least time left.
+func (r *row) run(d time.Duration) {
+	for ms := range int(d / time.Millisecond) {
+		r.now = r.now.Add(time.Millisecond)
+		r.arrive()
+		for i, began := range r.readers {
+			if r.now.Sub(began) >= r.wait(i) {
+				r.readers[i] = r.now
+				r.step(i, Read{Began: began, Version: 1})
+			}
+		}
+		for i := range r.cores {
+			if ms%100 == i*37%100 {
+				r.step(i, core.Tick{})
+			}
+			r.least[i] = min(r.least[i], r.proofs[i].Left())
+		}
+	}
+}
+
+func (r *row) arrive() {
+	way := r.way
+	r.way = nil
+	for _, p := range way {
+		switch {
+		case r.cut[[2]int{p.from, p.to}] || p.due.After(r.now):
+			r.way = append(r.way, p)
+		default:
+			r.step(p.to, core.Received{From: id(p.from), Message: p.message})
+		}
+	}
+}
+
+// settle runs until proofs are everywhere, and forgets what was noted.
+func (r *row) settle() {
+	r.run(3 * time.Second)
+	for i := range r.least {
+		r.least[i] = math.MaxInt64
+	}
+	clear(r.sent)
+	r.bytes = 0
+}
+
+// The reads of a single reader reach the end of a chain of five with two seconds left just
+// before the next one, at two messages a second and link at most.
+func TestChainKeepsItsProofWhileAllIsCalm(t *testing.T) {
+	r := newRow(5, 0)
+	r.settle()
+	const calm = 2 * time.Minute
+	r.run(calm)
+	must.Greater(t, 2*time.Second, slices.Min(r.least))
+	for link, n := range r.sent {
+		must.LessEq(t, 2*calm.Seconds(), float64(n), must.Sprint(link))
+	}
+	t.Log("least left", r.least, "messages", r.sent, "bytes", r.bytes)
+}
+
+// Readers that read at different times at all places: a link must not carry each read.
+func TestManyReadersCostNoMoreMessages(t *testing.T) {
+	r := newRow(5, 0, 1, 2, 3, 4)
+	r.wait = func(i int) time.Duration { return 900*time.Millisecond + time.Duration(i)*70*time.Millisecond }
+	r.settle()
+	const calm = 2 * time.Minute
+	r.run(calm)
+	must.Greater(t, 2*time.Second, slices.Min(r.least))
+	for i := range 4 {
+		both := r.sent[[2]int{i, i + 1}] + r.sent[[2]int{i + 1, i}]
+		must.LessEq(t, 2*calm.Seconds(), float64(both))
+	}
+	t.Log("least left", r.least, "messages", r.sent, "bytes", r.bytes)
+}
+
+func TestNodeThatTheStoreTurnsAwayStaysProvedByAPeer(t *testing.T) {
+	r := newRow(2, 0, 1)
+	r.settle()
+	delete(r.readers, 1)
+	r.run(time.Minute)
+	must.Greater(t, 2*time.Second, r.least[1])
+}
+
+func TestNodeThatIsCutOffStopsInTimeAndGoesOnAfterwards(t *testing.T) {
+	r := newRow(3, 0)
+	r.settle()
+	for _, link := range [][2]int{{0, 1}, {1, 0}} {
+		r.cut[link] = true
+	}
+	cutAt := r.now
+	for r.proofs[1].Left() > 0 {
+		r.run(time.Millisecond)
+	}
+	must.LessEq(t, bound, r.now.Sub(cutAt))
+	must.False(t, r.proofs[1].Recent())
+	r.run(10 * time.Second)
+	must.LessEq(t, 0, r.proofs[2].Left(), must.Sprint("the two that are left prove nothing to each other"))
+	clear(r.cut) // what lay in the link arrives first
+	r.run(2 * time.Second)
+	must.Positive(t, r.proofs[1].Left())
+	must.Positive(t, r.proofs[2].Left())
+}
+
+// A node that starts has a proof within two ways of its first link.
+func TestStartedNodeIsProvedAtOnce(t *testing.T) {
+	r := newRow(3, 0)
+	r.settle()
+	r.cores = append(r.cores, New(DefaultConfig(bound), 9))
+	r.proofs = append(r.proofs, NewProof(DefaultConfig(bound), func() time.Time { return r.now }))
+	r.least = append(r.least, math.MaxInt64)
+	must.LessEq(t, 0, r.proofs[3].Left())
+	must.False(t, r.proofs[3].Recent())
+	r.step(3, InForce{Version: 1})
+	r.up(2, 3)
+	r.run(20 * time.Millisecond)
+	must.Positive(t, r.proofs[3].Left())
+}
+
+// A process or host that stood still finds its proof aged, if its clock went on; by one
+// that stood still with it the proof would be as good as before.
+func TestFrozenNodeWakesUpWithoutProof(t *testing.T) {
+	r := newRow(2, 0)
+	r.settle()
+	stood := r.now
+	stopped := NewProof(DefaultConfig(bound), func() time.Time { return stood })
+	stopped.Publish(Changed{Moment: r.cores[1].counted.moment})
+	r.now = r.now.Add(bound)
+	must.LessEq(t, 0, r.proofs[1].Left())
+	must.Positive(t, stopped.Left(), must.Sprint("what a clock that stands still would say"))
+	r.arrive() // what was sent before
+	must.LessEq(t, 0, r.proofs[1].Left())
+}
+
+var at = time.Unix(1000, 0)
+
+// alone is a core that holds version 3 and has a peer, whose greeting has stamp 50.
+func alone(t *testing.T) (*Core, *message.Freshness) {
+	c := New(DefaultConfig(bound), 1)
+	c.Step(at, InForce{Version: 3})
+	out := c.Step(at, core.PeerUp{Record: endpoint.Record{Node: "p"}})
+	must.Len(t, 1, out)
+	greeting := out[0].(core.Send).Message.(*message.Freshness)
+	must.Eq(t, 0, greeting.Version)
+	c.Step(at, core.Received{From: "p", Message: &message.Freshness{Stamp: 50}})
+	return c, greeting
+}
+
+func TestOnlyProofsThatCanBeTrueAreTaken(t *testing.T) {
+	_, g := alone(t)
+	for name, m := range map[string]message.Freshness{
+		"no echo":           {Version: 3},
+		"stamp of before":   {Version: 3, Echo: g.Stamp - 1},
+		"stamp to come":     {Version: 3, Echo: g.Stamp + 1},
+		"any stamp":         {Version: 3, Echo: math.MaxUint64},
+		"in the future":     {Version: 3, Echo: g.Stamp, Offset: 1001},
+		"too far":           {Version: 3, Echo: g.Stamp, Offset: -30_001},
+		"wide offset":       {Version: 3, Echo: g.Stamp, Offset: math.MinInt64},
+		"wide offset ahead": {Version: 3, Echo: g.Stamp, Offset: math.MaxInt64},
+		"an older version":  {Version: 2, Echo: g.Stamp},
+		"a version to come": {Version: 4, Echo: g.Stamp},
+		"no version":        {Echo: g.Stamp},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, _ := alone(t)
+			c.Step(at, Read{Began: at.Add(-time.Minute), Version: 0, Era: 1})
+			now := at.Add(time.Second)
+			c.Step(now, core.Received{From: "p", Message: &m})
+			must.True(t, c.counted.moment.IsZero())
+		})
+	}
+	c, _ := alone(t)
+	m := message.Freshness{Version: 3, Echo: g.Stamp, Offset: 990}
+	must.Eq(t, nil, c.Step(at, core.Received{From: "stranger", Message: &m}))
+	c.Step(at.Add(time.Second), core.Received{From: "p", Message: &m})
+	must.Eq(t, at.Add(990*time.Millisecond), c.counted.moment)
+}
+
+func TestProofWaitsForItsVersion(t *testing.T) {
+	c := New(DefaultConfig(bound), 1)
+	p := NewProof(c.cfg, func() time.Time { return at.Add(2 * time.Second) })
+	step := func(ev core.Event) {
+		for _, a := range c.Step(at.Add(2*time.Second), ev) {
+			p.Publish(a.(Changed))
+		}
+	}
+	step(InForce{Version: 1})
+	step(Read{Began: at, Version: 1})
+	must.True(t, p.Recent())
+	left := p.Left()
+	for v := uint64(2); v < 20; v++ { // more than fit
+		step(Read{Began: at.Add(time.Duration(v) * time.Millisecond), Version: v})
+		must.Eq(t, left, p.Left())
+		must.False(t, p.Recent(), must.Sprint("a key may be one of the newer version"))
+	}
+	must.LessEq(t, maxWaiting, len(c.waiting))
+	step(InForce{Version: 3})
+	must.Eq(t, left+3*time.Millisecond, p.Left())
+	must.False(t, p.Recent())
+	step(InForce{Version: 19})
+	must.Greater(t, left+3*time.Millisecond, p.Left())
+	must.True(t, p.Recent())
+}
+
+func TestStoreThatCameBackProvesNothingUntilItIsSettled(t *testing.T) {
+	for name, told := range map[string]struct {
+		ev  core.Event
+		era uint64
+	}{
+		"event": {Restored{}, 1},
+		"read":  {Read{Began: at.Add(time.Second), Version: 3, Era: 2}, 2},
+		"peer":  {core.Received{From: "p", Message: &message.Freshness{Stamp: 60, Era: 2}}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, _ := alone(t)
+			c.Step(at, Read{Began: at, Version: 3, Era: 1})
+			must.Eq(t, at, c.counted.moment)
+			c.Step(at.Add(time.Second), told.ev)
+			c.Step(at.Add(4*time.Second), Read{Began: at.Add(2999 * time.Millisecond), Version: 3, Era: told.era})
+			must.Eq(t, at, c.counted.moment)
+			c.Step(at.Add(4*time.Second), Read{Began: at.Add(3 * time.Second), Version: 3, Era: told.era})
+			must.Eq(t, at.Add(3*time.Second), c.counted.moment)
+		})
+	}
+}
+
+// A second connection to the same process must not forget what the first one has brought.
+func TestSecondConnectionChangesNothing(t *testing.T) {
+	c, _ := alone(t)
+	must.Eq(t, nil, c.Step(at, core.PeerUp{Record: endpoint.Record{Node: "p"}}))
+	must.Len(t, 1, c.Step(at, core.PeerUp{Record: endpoint.Record{Node: "p", Incarnation: 1}}))
+	c.Step(at, core.PeerDown{Node: model.NodeID("p")})
+	must.MapEmpty(t, c.peers)
+}
