Refuse requests with a key where the configuration isn't proved to be current

The core of proofs is wired into the sidecar where the settings ask to fail closed: reads tell when they began, wait a quarter of the bound at most, spread by a quarter, a version is told to the core after its routes are published, and the path of a request asks the proof by the boot clock. A gauge tells its age, two lines when it runs out and when it returns. Without the setting no message and no wait differs.

--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -56,6 +56,7 @@
 		suspects:  quarantine.New(seed),
 		rollouts:  rollout.New(n.set.rollouts(), self.Node, self.Incarnation, seed),
 		meter:     new(rollout.Meter),
+		proving:   newProving(n.set, seed),
 		linksDone: make(chan struct{}),
 		flush:     time.NewTimer(time.Hour),
 
@@ -63,6 +64,9 @@
 		records:    make(chan rollout.Record, maxRecords),
 	}
 	n.loop = l
+	if l.proving != nil {
+		n.metrics.GetOrCreateGauge("jacinthgate_proof_age_seconds", l.proving.age)
+	}
 	n.backends = &backends{
 		pub:     n.pub,
 		log:     n.log,
--- /dev/null
+++ b/internal/sidecar/freshness.go
@@ -0,0 +1,106 @@
+package sidecar
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/coordination/freshness"
+	"github.com/jacinthgate/jacinthgate/internal/bootclock"
+	"github.com/jacinthgate/jacinthgate/transport/outbound"
+)
+
+// proving keeps the proof that the configuration in force is current. The loop owns it but
+// for proof, which requests read.
+type proving struct {
+	cfg   freshness.Config
+	core  *freshness.Core
+	proof *freshness.Proof
+	// proved is what was told last.
+	proved bool
+}
+
+// newProving returns nil where requests need no proof.
+func newProving(set *Settings, seed uint64) *proving {
+	if !set.Revocation.FailClosed {
+		return nil
+	}
+	cfg := freshness.DefaultConfig(time.Duration(set.Revocation.Millis) * time.Millisecond)
+	return &proving{cfg: cfg, core: freshness.New(cfg, seed), proof: freshness.NewProof(cfg, bootclock.Now)}
+}
+
+// currency returns the proof as requests see it; nil where they need none.
+func (p *proving) currency() outbound.Currency {
+	if p == nil {
+		return nil
+	}
+	return p.proof
+}
+
+// readWaitSpread is the part of a read's wait that differs from one to the next: readers
+// that a change has brought into step would else all read at the same moments, and the
+// youngest proof of the fleet be as old as that of one reader.
+const readWaitSpread = 0.25
+
+// readWait returns how long the next read of the store may wait for a change.
+func (p *proving) readWait() time.Duration {
+	if p == nil {
+		return feedWait
+	}
+	wait := min(p.cfg.ReadWait(), feedWait)
+	return wait - time.Duration(rand.Float64()*readWaitSpread*float64(wait))
+}
+
+// began returns the moment at which a read begins.
+func (p *proving) began() time.Time {
+	if p == nil {
+		return time.Time{}
+	}
+	return bootclock.Now()
+}
+
+// age is the proof's age in seconds; -1 without one.
+func (p *proving) age() float64 {
+	age, proved := p.proof.Age()
+	if !proved {
+		return -1
+	}
+	return age.Seconds()
+}
+
+// prove gives an event to the core of proofs.
+func (l *loop) prove(ev core.Event) {
+	if l.proving == nil {
+		return
+	}
+	l.carryOut(time.Now(), l.proving.core.Step(bootclock.Now(), ev))
+}
+
+// proofChanged publishes what is proved. The routes that it counts for have been published
+// before.
+func (l *loop) proofChanged(a freshness.Changed) {
+	l.proving.proof.Publish(a)
+	switch {
+	case a.Raised && a.From == "":
+		l.metrics.GetOrCreateCounter(`jacinthgate_proofs_total{from="store"}`).Inc()
+	case a.Raised:
+		l.metrics.GetOrCreateCounter(`jacinthgate_proofs_total{from="peer"}`).Inc()
+	}
+	l.watchProof()
+}
+
+// watchProof tells when requests with a key begin to be refused, and when that ends.
+func (l *loop) watchProof() {
+	p := l.proving
+	if p == nil || p.proved == (p.proof.Left() > 0) {
+		return
+	}
+	p.proved = !p.proved
+	if p.proved {
+		_ = level.Info(l.log).Log("event", "config_proved", "version", l.docs.Held(), "age_s", p.age())
+		return
+	}
+	_ = level.Warn(l.log).Log("event", "config_unproved", "version", l.docs.Held(), "age_s", p.age())
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -12,6 +12,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
 	"github.com/jacinthgate/jacinthgate/coordination/core"
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
+	"github.com/jacinthgate/jacinthgate/coordination/freshness"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
 	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
 	"github.com/jacinthgate/jacinthgate/coordination/rollout"
@@ -41,6 +42,7 @@
 	suspects  *quarantine.Core
 	rollouts  *rollout.Core
 	meter     *rollout.Meter
+	proving   *proving // nil where requests need no proof
 	links     *link.Manager
 	linksDone chan struct{}
 	reader    *reader
@@ -73,6 +75,7 @@
 	l.gate.Update()
 	l.carryOut(now, l.rollouts.Step(now, l.counted()))
 	l.step(core.Tick{})
+	l.watchProof()
 }
 
 // step gives one event to every core and carries out what follows.
@@ -87,6 +90,7 @@
 	l.carryOut(now, l.docs.Step(now, ev))
 	l.carryOut(now, l.suspects.Step(now, ev))
 	l.carryOut(now, l.rollouts.Step(now, ev))
+	l.prove(ev)
 	if due := l.member.FlushDue(); !due.IsZero() {
 		l.flush.Reset(due.Sub(now))
 	}
@@ -140,6 +144,8 @@
 		l.turned(a)
 	case rollout.Record:
 		l.record(now, a)
+	case freshness.Changed:
+		l.proofChanged(a)
 	}
 }
 
@@ -169,6 +175,7 @@
 		return
 	}
 	l.pub.table.Store(table)
+	l.prove(freshness.InForce{Version: a.Version})
 	_ = level.Info(l.log).Log("event", "config_applied", "version", a.Version, "from", a.From, "bytes", len(a.Body))
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -245,6 +245,7 @@
 		Balance:       n.loop.picker,
 		Policy:        attempt.DefaultPolicy(),
 		Budget:        n.budget,
+		Currency:      n.loop.proving.currency(),
 		Suspects:      n.pub.suspects.Load,
 		Dialect:       speech,
 		Local:         n.gate,
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -8,15 +8,16 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
+	"github.com/jacinthgate/jacinthgate/coordination/freshness"
 	"github.com/jacinthgate/jacinthgate/coordination/rollout"
 	"github.com/jacinthgate/jacinthgate/platform"
 	order "github.com/jacinthgate/jacinthgate/state/rollout"
 )
 
 const (
-	// feedWait is how long a read of the store waits for a change. A reader
-	// that the store no longer answers is found out after this time and
-	// feedMargin.
+	// feedWait is how long a read of the store waits for a change at the most. A
+	// reader that the store no longer answers is found out after this time and
+	// feedMargin. It is shorter where reads have to prove something.
 	feedWait = 2500 * time.Millisecond
 	// feedMargin is how much later than feedWait an answer may come.
 	feedMargin = 800 * time.Millisecond
@@ -33,6 +34,9 @@
 	log     log.Logger
 	// turn gets whether to read; only the newest word counts.
 	turn chan bool
+	// told is the newest version that the store has told since the last whole
+	// read; 0 for none.
+	told uint64
 }
 
 func newReader(c *platform.Configs, l *loop, logger log.Logger) *reader {
@@ -70,10 +74,11 @@
 // readWhileOn makes one read, which ends early when reading is turned off. It
 // reports whether reading is still on.
 func (r *reader) readWhileOn(ctx context.Context) bool {
-	readCtx, cancel := context.WithTimeout(ctx, feedWait+feedMargin)
+	wait := r.loop.proving.readWait()
+	readCtx, cancel := context.WithTimeout(ctx, wait+feedMargin)
 	defer cancel()
 	done := make(chan reading, 1)
-	go func() { done <- r.read(readCtx) }()
+	go func() { done <- r.read(readCtx, wait) }()
 	for {
 		select {
 		case result := <-done:
@@ -81,6 +86,9 @@
 				r.loop.queue.Post(ctx, rollout.Ordered{Order: o})
 			}
 			r.loop.queue.Post(ctx, result.StoreRead)
+			if result.Err == nil && r.loop.proving != nil {
+				r.loop.queue.Post(ctx, result.proof)
+			}
 			return r.pause(ctx, result.StoreRead)
 		case on := <-r.turn:
 			if !on {
@@ -96,13 +104,16 @@
 type reading struct {
 	docsync.StoreRead
 	orders []order.Order
+	proof  freshness.Read
 }
 
 // read makes one read of the store.
-func (r *reader) read(ctx context.Context) reading {
-	c, err := r.configs.Next(ctx, feedWait)
+func (r *reader) read(ctx context.Context, wait time.Duration) reading {
+	began := r.loop.proving.began()
+	c, err := r.configs.Next(ctx, wait)
 	if err != nil {
 		r.configs.Restart()
+		r.told = 0
 		_ = level.Warn(r.log).Log("event", "store_unread", "err", err)
 		return reading{StoreRead: docsync.StoreRead{Err: err}}
 	}
@@ -112,7 +123,9 @@
 	out := reading{orders: c.Orders}
 	if c.Config != nil {
 		out.Version, out.Body = uint64(c.Config.Version), pack(c.Config.Body)
+		r.told = out.Version
 	}
+	out.proof = freshness.Read{Began: began, Version: r.told}
 	return out
 }
 
