--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -27,6 +27,8 @@
 	t     testing.TB
 	store *platformtest.Store
 	nodes []*site
+	// adapt changes the settings of nodes that are started; nil changes none.
+	adapt func(*Settings)
 }
 
 // site is one node and the backend server beside it.
@@ -123,6 +125,9 @@
 		HeartbeatMillis: 60_000, MemoryMB: 100, LinkMbps: 1000, DrainMillis: 1000, GraceSeconds: 6,
 		Retry: RetrySettings{Ratio: 0.2, WindowSeconds: 10, Slack: 100},
 	}
+	if f.adapt != nil {
+		f.adapt(set)
+	}
 	must.NoError(f.t, set.check())
 	node, err := New(set, "no file", log.NewLogfmtLogger(log.NewSyncWriter(m.logs)), func() uint64 { return 0 })
 	must.NoError(f.t, err)
