--- a/coordination/freshness/config.go
+++ b/coordination/freshness/config.go
@@ -33,7 +33,7 @@
 	// passing it on.
 	readsPerBound = 4
 	// gainPart is the part of the bound by which a proof must be younger to be sent.
-	gainPart = 10
+	gainPart = 8
 	// recentPart is the part of the bound up to which a proof is recent: as long as two
 	// reads take.
 	recentPart = 2
--- a/coordination/freshness/core_test.go
+++ b/coordination/freshness/core_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -38,7 +41,41 @@
 	message  message.Message
 }
 
+// newRow returns nodes of which each is linked with the next.
 func newRow(n int, readers ...int) *row {
+	r := newUnlinked(n)
+	for i := range n - 1 {
+		r.up(i, i+1)
+	}
+	r.begin(readers)
+	return r
+}
+
+// newRing returns nodes on a ring of which each has two more links to any others.
+func newRing(n int, readers ...int) *row {
+	r := newUnlinked(n)
+	rng := rand.New(rand.NewPCG(1, uint64(n)))
+	for i := range n {
+		r.up(i, (i+1)%n)
+		for range 2 {
+			if j := rng.IntN(n); j != i {
+				r.up(i, j)
+			}
+		}
+	}
+	r.begin(readers)
+	return r
+}
+
+// begin lets the readers read for the first time.
+func (r *row) begin(readers []int) {
+	for _, i := range readers {
+		r.step(i, Read{Began: r.now, Version: 1})
+		r.readers[i] = r.now
+	}
+}
+
+func newUnlinked(n int) *row {
 	r := &row{
 		now: time.Unix(1000, 0), readers: make(map[int]time.Time), cut: make(map[[2]int]bool), sent: make(map[[2]int]int),
 		wait: func(int) time.Duration { return bound / readsPerBound },
@@ -50,13 +87,6 @@
 		r.least = append(r.least, math.MaxInt64)
 		r.step(i, InForce{Version: 1})
 	}
-	for i := range n - 1 {
-		r.up(i, i+1)
-	}
-	for _, i := range readers {
-		r.step(i, Read{Began: r.now, Version: 1})
-		r.readers[i] = r.now
-	}
 	return r
 }
 
@@ -71,18 +101,17 @@
 		case Changed:
 			r.proofs[i].Publish(a)
 		case core.Send:
-			for j := range r.cores {
-				if id(j) != a.To {
-					continue
-				}
-				b, err := message.Encode(a.Message)
-				if err != nil {
-					panic(err)
-				}
-				r.sent[[2]int{i, j}]++
-				r.bytes += len(b)
-				r.way = append(r.way, passing{i, j, r.now.Add(5 * time.Millisecond), a.Message})
+			j, err := strconv.Atoi(strings.TrimPrefix(string(a.To), "n"))
+			if err != nil {
+				panic(err)
 			}
+			b, err := message.Encode(a.Message)
+			if err != nil {
+				panic(err)
+			}
+			r.sent[[2]int{i, j}]++
+			r.bytes += len(b)
+			r.way = append(r.way, passing{i, j, r.now.Add(5 * time.Millisecond), a.Message})
 		}
 	}
 }
@@ -159,6 +188,25 @@
 	t.Log("least left", r.least, "messages", r.sent, "bytes", r.bytes)
 }
 
+// What a node sends doesn't grow with the fleet, and each has a young proof.
+func TestLargeFleetsPassProofsOnAtTheSameCost(t *testing.T) {
+	for _, n := range []int{62, 300} {
+		r := newRing(n, 0, n/6, n/3, n/2, 2*n/3, 5*n/6)
+		r.wait = func(i int) time.Duration { return 940*time.Millisecond + time.Duration(i%7)*50*time.Millisecond }
+		r.settle()
+		const calm = 30 * time.Second
+		r.run(calm)
+		total := 0
+		for _, sent := range r.sent {
+			total += sent
+		}
+		each := float64(total) / float64(n) / calm.Seconds()
+		must.Greater(t, 2*time.Second, slices.Min(r.least))
+		must.Less(t, 7, each)
+		t.Log(n, "nodes: least left", slices.Min(r.least), "messages a second and node", each, "bytes", float64(r.bytes)/float64(n)/calm.Seconds())
+	}
+}
+
 func TestNodeThatTheStoreTurnsAwayStaysProvedByAPeer(t *testing.T) {
 	r := newRow(2, 0, 1)
 	r.settle()
