Let reads of the store hurry while the proof is late

After the store has come back older reads prove nothing for two seconds; with waits of up to 1.25 s the proof then ran out before the next read in virtual time. Reads now wait 0.25 s while the proof is older than half of the bound, until twice the bound is over: something lasting, such as an unusable version, isn't read for more often.

--- a/coordination/freshness/config.go
+++ b/coordination/freshness/config.go
@@ -32,6 +32,11 @@
 	// old as two of them just before the next one, and half of the bound is left for
 	// passing it on.
 	readsPerBound = 4
+	// lateWaitPart is the part of the bound that a read may wait while the proof is late.
+	lateWaitPart = 20
+	// givenUp is after how many bounds without a proof reads are no longer hurried: there
+	// is a lasting reason.
+	givenUp = 2
 	// gainPart is the part of the bound by which a proof must be younger to be sent.
 	gainPart = 8
 	// recentPart is the part of the bound up to which a proof is recent: as long as two
@@ -52,7 +57,3 @@
 		Settle:        2 * time.Second,
 	}
 }
-
-// ReadWait is the longest time that a read of the store may wait for a change: a proof is
-// as old as the read that gave it.
-func (c *Config) ReadWait() time.Duration { return c.Bound / readsPerBound }
--- a/coordination/freshness/core_test.go
+++ b/coordination/freshness/core_test.go
@@ -357,6 +357,31 @@
 	}
 }
 
+// Reads hurry while the proof is late, but not for ever.
+func TestReadsHurryWhileTheProofIsLate(t *testing.T) {
+	now := at
+	p := NewProof(DefaultConfig(bound), func() time.Time { return now })
+	must.Eq(t, bound/4, p.ReadWait())
+	p.Publish(Changed{Moment: at})
+	for age, want := range map[time.Duration]time.Duration{
+		0: bound / 4, bound / 2: bound / 4, bound/2 + 1: bound / 20, bound: bound / 20, 2 * bound: bound / 4,
+	} {
+		now = at.Add(age)
+		must.Eq(t, want, p.ReadWait(), must.Sprint(age))
+	}
+}
+
+// The store comes back older: reads prove nothing for two seconds, and the next one does
+// before the proof has run out.
+func TestReaderStaysProvedWhileTheStoreSettles(t *testing.T) {
+	r := newRow(3, 0)
+	r.wait = func(i int) time.Duration { return r.proofs[i].ReadWait() }
+	r.settle()
+	r.step(0, Restored{})
+	r.run(10 * time.Second)
+	must.Positive(t, slices.Min(r.least))
+}
+
 // A second connection to the same process must not forget what the first one has brought.
 func TestSecondConnectionChangesNothing(t *testing.T) {
 	c, _ := alone(t)
--- a/coordination/freshness/proof.go
+++ b/coordination/freshness/proof.go
@@ -44,6 +44,17 @@
 	return p.cfg.Bound - p.cfg.Margin - age
 }
 
+// ReadWait returns how long the next read of the store may wait for a change: a proof is as
+// old as the read that gave it. Reads hurry while the proof is late, such as after the store
+// has come back older.
+func (p *Proof) ReadWait() time.Duration {
+	age, proved := p.Age()
+	if proved && age > p.cfg.Bound/recentPart && age < givenUp*p.cfg.Bound {
+		return p.cfg.Bound / lateWaitPart
+	}
+	return p.cfg.Bound / readsPerBound
+}
+
 // Recent reports whether a key that the version in force doesn't hold is unknown: no newer
 // version is known, and none can be older than RecentWithin.
 func (p *Proof) Recent() bool {
--- a/internal/sidecar/freshness.go
+++ b/internal/sidecar/freshness.go
@@ -15,7 +15,6 @@
 // proving keeps the proof that the configuration in force is current. The loop owns it but
 // for proof, which requests read.
 type proving struct {
-	cfg   freshness.Config
 	core  *freshness.Core
 	proof *freshness.Proof
 	// proved is what was told last.
@@ -28,7 +27,7 @@
 		return nil
 	}
 	cfg := freshness.DefaultConfig(time.Duration(set.Revocation.Millis) * time.Millisecond)
-	return &proving{cfg: cfg, core: freshness.New(cfg, seed), proof: freshness.NewProof(cfg, bootclock.Now)}
+	return &proving{core: freshness.New(cfg, seed), proof: freshness.NewProof(cfg, bootclock.Now)}
 }
 
 // currency returns the proof as requests see it; nil where they need none.
@@ -49,7 +48,7 @@
 	if p == nil {
 		return feedWait
 	}
-	wait := min(p.cfg.ReadWait(), feedWait)
+	wait := min(p.proof.ReadWait(), feedWait)
 	return wait - time.Duration(rand.Float64()*readWaitSpread*float64(wait))
 }
 
