Keep the quotas of organisations over the whole fleet with leases of tokens

The sidecar let every organisation send as much as it liked. Now each zone mints its even part of a quota; one member of the zone keeps the book of an organisation, and nodes ask it for a token where they hold none. Keepers that are short borrow from the other zones.

--- /dev/null
+++ b/coordination/quota/config.go
@@ -0,0 +1,58 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// Config tells how strictly quotas are kept.
+type Config struct {
+	// Zones is the number of availability zones, those that are away included.
+	Zones int
+	// Window is the time over which requests are counted.
+	Window time.Duration
+	// Over is the part of a quota that may be served beyond it in a window, and Slack how
+	// many more requests may be.
+	Over, Slack float64
+}
+
+// What may be served beyond a quota in a window is divided: most lets books hold more than
+// the burst, since callers that keep to their quota don't come evenly. The rest is for what
+// was let in before a book was lost, which still counts.
+const (
+	// heldPart is the part that books hold.
+	heldPart = 0.4
+	// startPart is the part that new books begin with: in one window the keeper may end,
+	// another one stand in for it and the first come back.
+	startPart = 0.15
+	// piecePart is the part that nodes begin with that find no keeper.
+	piecePart = 0.15
+)
+
+// allowance returns how many requests beyond its quota an organisation may run in a window.
+func (c Config) allowance(rate model.Rate) float64 {
+	return c.Over*(rate.PerSecond*c.Window.Seconds()+float64(rate.Burst)) + c.Slack
+}
+
+// start returns the tokens that a book begins with.
+func (c Config) start(rate model.Rate) float64 {
+	return min(c.part(rate).burst, startPart*c.allowance(rate)/float64(c.zones()))
+}
+
+func (c Config) zones() int { return max(1, c.Zones) }
+
+// size is how many tokens a book mints a second, and how many it holds at most.
+type size struct{ perSecond, burst float64 }
+
+// hold returns how many tokens the fleet may hold of an organisation.
+func (c Config) hold(rate model.Rate) float64 {
+	return float64(rate.Burst) + heldPart*c.allowance(rate)
+}
+
+// part returns the size of a zone's book. It holds a whole token at least: without one no
+// request could be let in where the other zones are cut off.
+func (c Config) part(rate model.Rate) size {
+	n := float64(c.zones())
+	return size{perSecond: rate.PerSecond / n, burst: max(1, c.hold(rate)/n)}
+}
--- /dev/null
+++ b/coordination/quota/members.go
@@ -0,0 +1,137 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/jacinthgate/jacinthgate/coordination/random"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// Member is a live node.
+type Member struct {
+	// Node is its name and Zone its availability zone.
+	Node model.NodeID
+	Zone model.Zone
+	// Addr is the address of its gate.
+	Addr string
+
+	key model.NodeKey
+}
+
+// Members are the live nodes as one node sees them. They are not changed once made.
+type Members struct {
+	// Zones are the live members of each availability zone.
+	Zones map[model.Zone][]Member
+	// Fleet is the number of nodes that are known, those that have failed included.
+	Fleet int
+	// mintFrom is when this node may keep books; the zero value is never.
+	mintFrom time.Time
+}
+
+// Minting reports whether this node may keep books: it knows its zone and sees at least
+// half of it.
+func (m *Members) Minting(now time.Time) bool {
+	return m != nil && !m.mintFrom.IsZero() && !now.Before(m.mintFrom)
+}
+
+// Keepers returns the member of a zone that keeps an organisation's book, and the one that
+// stands in for it. A name is empty where there is none.
+func (m *Members) Keepers(zone model.Zone, organisation string) (first, second Member) {
+	if m == nil {
+		return first, second
+	}
+	of := xxhash.Sum64String(organisation)
+	var best, next uint64
+	for _, member := range m.Zones[zone] {
+		switch score := random.Mix(of ^ uint64(member.key)); {
+		case first.Node == "" || score > best:
+			second, next = first, best
+			first, best = member, score
+		case second.Node == "" || score > next:
+			second, next = member, score
+		}
+	}
+	return first, second
+}
+
+// Times of a node that has just started.
+const (
+	// settleTime is how long the members that a node knows must have stayed the same
+	// after its start before it keeps books: until then it may believe that it comes first
+	// for organisations that others keep the books of.
+	settleTime = 300 * time.Millisecond
+	// aloneTime is the same for a node that has found nobody.
+	aloneTime = 3 * time.Second
+)
+
+// Roster makes Members of the records that a node holds. One goroutine uses it.
+type Roster struct {
+	self    model.NodeID
+	zone    model.Zone
+	started time.Time
+	settled bool
+	last    *Members
+	// seen is the number of live members when it last changed, and at when that was.
+	seen int
+	at   time.Time
+}
+
+// NewRoster returns the roster of a node that started at a moment.
+func NewRoster(self model.NodeID, zone model.Zone, started time.Time) *Roster {
+	return &Roster{self: self, zone: zone, started: started, at: started}
+}
+
+// Settled reports whether the node has seen its fleet: from then on its members change with
+// the records only.
+func (r *Roster) Settled() bool { return r.settled }
+
+// Update returns the members by the records that the node holds now.
+func (r *Roster) Update(now time.Time, t *endpoint.Table) *Members {
+	m := &Members{Zones: make(map[model.Zone][]Member)}
+	live, near, known := 0, 0, 0
+	t.Each(func(rec *endpoint.Record, key model.NodeKey) bool {
+		if rec.Status == endpoint.StatusLeft {
+			return true
+		}
+		m.Fleet++
+		own := rec.Zone == r.zone
+		if own {
+			known++
+		}
+		if !rec.Live() {
+			return true
+		}
+		live++
+		if own {
+			near++
+		}
+		m.Zones[rec.Zone] = append(m.Zones[rec.Zone], Member{Node: rec.Node, Zone: rec.Zone, Addr: rec.GateAddr, key: key})
+		return true
+	})
+	if 2*near >= known {
+		m.mintFrom = r.settle(now, live)
+	}
+	r.last = m
+	return m
+}
+
+// settle returns when the node may keep books by the members it sees.
+func (r *Roster) settle(now time.Time, live int) time.Time {
+	if r.settled {
+		return r.started
+	}
+	if r.last != nil && !r.last.mintFrom.IsZero() && !now.Before(r.last.mintFrom) {
+		r.settled = true
+		return r.started
+	}
+	if live != r.seen {
+		r.seen, r.at = live, now
+	}
+	if live <= 1 {
+		return r.started.Add(aloneTime)
+	}
+	return r.at.Add(settleTime)
+}
--- a/internal/rules/imports_test.go
+++ b/internal/rules/imports_test.go
@@ -35,6 +35,7 @@
 	"coordination/gate":       "sync",
 	"coordination/pace":       "sync",
 	"coordination/quarantine": "sync",
+	"coordination/quota":      "sync",
 	"coordination/retry":      "sync",
 	"coordination/share":      "sync",
 	"state/endpoint":          "net",
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -50,6 +50,7 @@
 	picker    *balance.Picker
 	gate      *inbound.Gate
 	budget    *attempt.Budget
+	quotas    *quotas // nil keeps none
 	flush     *time.Timer
 	// unrecorded are quarantines that the store has to keep.
 	unrecorded chan suspect.Entry
@@ -73,6 +74,7 @@
 		l.withdraw(now)
 	}
 	l.gate.Update()
+	l.settleQuotas(now)
 	l.carryOut(now, l.rollouts.Step(now, l.counted()))
 	l.step(core.Tick{})
 	l.watchProof()
@@ -163,6 +165,7 @@
 		return true
 	})
 	l.budget.SetNodes(live)
+	l.updateQuotas(now)
 }
 
 // apply puts a configuration in force. One that can't be used is left out whole
@@ -176,6 +179,7 @@
 	}
 	l.pub.table.Store(table)
 	l.prove(freshness.InForce{Version: a.Version})
+	l.applyQuotas()
 	_ = level.Info(l.log).Log("event", "config_applied", "version", a.Version, "from", a.From, "bytes", len(a.Body))
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -58,6 +58,7 @@
 	loop     *loop
 	backends *backends
 	budget   *attempt.Budget
+	quotas   *quotas
 	gate     *inbound.Gate
 	proxy    *outbound.Proxy
 	// listeners are the open addresses by the name of their setting.
@@ -235,6 +236,8 @@
 	toZones.PackHeads = true
 	seed := rand.Uint64()
 	n.loop.picker = balance.New(balance.DefaultConfig(), n.set.Zone, n.set.Region, seed)
+	near, far := forward.NewClient(toGates), forward.NewClient(toZones)
+	n.wireQuotas(near, far, seed)
 	n.proxy = outbound.New(outbound.Config{
 		Self:          n.set.Node,
 		Zone:          n.set.Zone,
@@ -246,11 +249,12 @@
 		Policy:        attempt.DefaultPolicy(),
 		Budget:        n.budget,
 		Currency:      n.loop.proving.currency(),
+		Quotas:        n.quotas.limits(),
 		Suspects:      n.pub.suspects.Load,
 		Dialect:       speech,
 		Local:         n.gate,
-		Near:          forward.NewClient(toGates),
-		Far:           forward.NewClient(toZones),
+		Near:          near,
+		Far:           far,
 		MaxKept:       maxKept,
 		Seed:          seed,
 		Metrics:       n.metrics,
--- /dev/null
+++ b/internal/sidecar/quota.go
@@ -0,0 +1,80 @@
+package sidecar
+
+import (
+	"net/http"
+	"time"
+
+	bounds "github.com/jacinthgate/jacinthgate/coordination/quota"
+	"github.com/jacinthgate/jacinthgate/transport/outbound"
+	"github.com/jacinthgate/jacinthgate/transport/quota"
+)
+
+// quotas are the parts that keep the quotas of organisations. Nil keeps none.
+type quotas struct {
+	desk   *quota.Desk
+	roster *bounds.Roster
+}
+
+// wireQuotas makes the parts that keep quotas, where the settings ask for it. near and far
+// send to gates of the own and of other zones.
+func (n *Node) wireQuotas(near, far http.RoundTripper, seed uint64) {
+	set := n.set.Quota
+	if set.WindowSeconds <= 0 {
+		return
+	}
+	n.quotas = &quotas{
+		roster: bounds.NewRoster(n.set.Node, n.set.Zone, time.Now()),
+		desk: quota.New(quota.Config{
+			Self: n.set.Node,
+			Zone: n.set.Zone,
+			Bounds: bounds.Config{
+				Zones: len(n.set.Zones), Window: seconds(set.WindowSeconds), Over: set.Over, Slack: set.Slack,
+			},
+			Caller:  &quota.Wire{Zone: n.set.Zone, Near: near, Far: far},
+			Seed:    seed,
+			Metrics: n.metrics,
+			Logger:  n.log,
+			Now:     time.Now,
+		}),
+	}
+	n.loop.quotas = n.quotas
+}
+
+// limits returns what bounds the requests of organisations; nil bounds none.
+func (q *quotas) limits() outbound.Quotas {
+	if q == nil {
+		return nil // not a nil *Desk in an interface
+	}
+	return q.desk
+}
+
+// gateHandler answers messages about quotas in front of the gate.
+func (n *Node) gateHandler() http.Handler {
+	if n.quotas == nil {
+		return n.gate
+	}
+	return quota.Handler(n.quotas.desk, n.gate, n.log)
+}
+
+// updateQuotas takes over what is known of the fleet and of the configuration.
+func (l *loop) updateQuotas(now time.Time) {
+	if l.quotas == nil {
+		return
+	}
+	l.quotas.desk.SetMembers(l.quotas.roster.Update(now, l.member.Table()))
+}
+
+// settleQuotas looks whether a node that has started knows its fleet.
+func (l *loop) settleQuotas(now time.Time) {
+	if l.quotas != nil && !l.quotas.roster.Settled() {
+		l.updateQuotas(now)
+	}
+}
+
+// applyQuotas takes over the organisations of the configuration in force.
+func (l *loop) applyQuotas() {
+	if l.quotas == nil {
+		return
+	}
+	l.quotas.desk.SetOrganisations(l.pub.table.Load().Organisations())
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -136,7 +136,7 @@
 func (n *Node) wireServers() error {
 	n.front = callers.New(callers.Config{Handler: n.proxy, Limits: n.callerLimits, Ahead: requestsAhead, Logger: n.log})
 	n.callers = n.add(listenCallers, n.front)
-	n.gates = n.addPlain(listenGate, n.gate)
+	n.gates = n.addPlain(listenGate, n.gateHandler())
 	n.gates.wrap = func(ln net.Listener) net.Listener { return headpack.Listener{Listener: ln} }
 	n.addPlain(listenReady, n.readyHandler())
 	n.addPlain(listenBackend, platform.BackendHandler(n.backends, func(err error) {
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -68,6 +68,8 @@
 	// HeaderStartWithin carries within how many milliseconds the request must be handed
 	// to the backend server: the proof that its caller's key holds ends then.
 	HeaderStartWithin = "Jacinthgate-Start-Within"
+	// HeaderQuota marks a message between nodes about the quotas of organisations.
+	HeaderQuota = "Jacinthgate-Quota"
 	// HeaderReached is "1" on a gate's response when the request was sent to
 	// the backend server, whatever came of it.
 	HeaderReached = "Jacinthgate-Reached"
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -27,6 +27,7 @@
 	outcome.HeaderReached,
 	outcome.HeaderFingerprint,
 	outcome.HeaderStartWithin,
+	outcome.HeaderQuota,
 }
 
 // StripNodeHeaders removes what only nodes may set, whoever sent it.
--- /dev/null
+++ b/transport/quota/wire.go
@@ -0,0 +1,107 @@
+package quota
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/jacinthgate/jacinthgate/coordination/quota"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+)
+
+// Caller sends a message to another node and returns its answer.
+type Caller interface {
+	Call(ctx context.Context, to quota.Member, m *Message) (*Answer, error)
+}
+
+// Wire is the Caller of a real node.
+type Wire struct {
+	// Zone is the node's own availability zone.
+	Zone model.Zone
+	// Near sends to gates of the own zone, Far to those of others.
+	Near, Far http.RoundTripper
+}
+
+// StatusError reports an answer that is none.
+type StatusError struct {
+	// Status is the HTTP status.
+	Status int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return "quota message answered with " + http.StatusText(e.Status)
+}
+
+// messagePath is the path of messages. Only the header tells them from requests.
+const messagePath = "/quota"
+
+// Call implements Caller. The error is a *forward.SendError, *StatusError or *MessageError.
+func (w *Wire) Call(ctx context.Context, to quota.Member, m *Message) (*Answer, error) {
+	body, err := encMode.Marshal(m)
+	if err != nil {
+		return nil, &MessageError{Reason: "not encoded", Err: err}
+	}
+	req := &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: to.Addr, Path: messagePath}, Host: to.Addr,
+		Header:        http.Header{outcome.HeaderQuota: {"1"}, "User-Agent": {""}},
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+	}
+	way := w.Near
+	if to.Zone != w.Zone {
+		way = w.Far
+	}
+	resp, err := way.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		forward.Drain(resp)
+		return nil, &StatusError{Status: resp.StatusCode}
+	}
+	a := new(Answer)
+	err = decode(resp.Body, a)
+	_ = resp.Body.Close() // it was read to its end
+	if err == nil {
+		err = a.check()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// Handler answers messages of other nodes and passes everything else on to the gate.
+func Handler(d *Desk, gate http.Handler, logger log.Logger) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header[outcome.HeaderQuota] == nil {
+			gate.ServeHTTP(w, r)
+			return
+		}
+		m := new(Message)
+		err := decode(r.Body, m)
+		if err == nil {
+			err = m.check()
+		}
+		if err != nil {
+			_ = level.Warn(logger).Log("event", "quota_message_refused", "from", r.RemoteAddr, "err", err)
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		body, err := encMode.Marshal(d.Answer(r.Context(), m))
+		if err != nil {
+			_ = level.Error(logger).Log("event", "quota_answer_not_sent", "err", err)
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write(body) // the asker has gone, and the tokens with it
+	})
+}
