--- /dev/null
+++ b/coordination/quota/quota_test.go
@@ -0,0 +1,226 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+var (
+	begin = time.Unix(1_000_000, 0)
+	cfg   = Config{Zones: 3, Window: 5 * time.Second, Over: 0.1, Slack: 20}
+	rate  = model.Rate{PerSecond: 30, Burst: 60}
+)
+
+func everything(string) bool { return true }
+
+func kept(now time.Time) *Book {
+	b := NewBook(cfg)
+	b.Keep(now, map[string]model.Rate{"o": rate}, everything)
+	return b
+}
+
+func ask(need int) Request { return Request{Organisation: "o", Rate: rate, Need: need} }
+
+// What was let in before a book was lost still counts: a new one begins with little.
+func TestNewBookBeginsWithLittle(t *testing.T) {
+	b := kept(begin)
+	must.LessEq(t, int(cfg.allowance(rate)*startPart), b.Ask(begin, ask(1000)).Tokens)
+}
+
+// Whatever is asked and given back, a zone lets in no more in a window than its part.
+func TestBookKeepsTheBoundInAnyWindow(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	b := kept(begin)
+	type taken struct {
+		at time.Time
+		n  int
+	}
+	var all []taken
+	now := begin
+	for range 20_000 {
+		now = now.Add(time.Duration(r.ExpFloat64() * float64(5*time.Millisecond)))
+		q := ask(r.IntN(4))
+		q.Reserve = r.IntN(8)
+		all = append(all, taken{now, b.Ask(now, q).Tokens})
+	}
+	part := cfg.part(rate)
+	most := part.perSecond*cfg.Window.Seconds() + part.burst
+	first, sum := 0, 0
+	for _, x := range all {
+		sum += x.n
+		for x.at.Sub(all[first].at) >= cfg.Window {
+			sum -= all[first].n
+			first++
+		}
+		must.LessEq(t, most+1, float64(sum))
+	}
+	must.LessEq(t, cfg.allowance(rate)+float64(rate.Burst)+rate.PerSecond*cfg.Window.Seconds(), 3*most)
+}
+
+func TestLoweredQuotaBindsAtOnce(t *testing.T) {
+	b := kept(begin)
+	now := begin.Add(time.Minute)
+	low := model.Rate{PerSecond: 3, Burst: 3}
+	b.Keep(now, map[string]model.Rate{"o": low}, everything)
+	q := ask(1000)
+	q.Rate = low
+	must.LessEq(t, int(cfg.part(low).burst), b.Ask(now, q).Tokens)
+}
+
+func TestRemovedQuotaLeavesNothing(t *testing.T) {
+	b := kept(begin)
+	b.Keep(begin, nil, everything)
+	must.MapEmpty(t, b.pages)
+}
+
+// A book that moves goes to its new keeper whole, and isn't used twice.
+func TestBookMovesOnce(t *testing.T) {
+	b := kept(begin)
+	now := begin.Add(time.Minute)
+	left := b.Keep(now, map[string]model.Rate{"o": rate}, func(string) bool { return false })
+	must.Eq(t, map[string]float64{"o": cfg.part(rate).burst}, left)
+	other := kept(now)
+	other.Receive(now, "o", rate, left["o"])
+	must.Eq(t, int(cfg.part(rate).burst+cfg.start(rate)), other.Ask(now, ask(1000)).Tokens)
+	must.MapEmpty(t, b.pages)
+}
+
+// What stands in for a keeper doesn't save up what the keeper mints too.
+func TestStandInSavesNothing(t *testing.T) {
+	b := NewBook(cfg)
+	b.Ask(begin, ask(1000))
+	later := begin.Add(time.Minute)
+	must.LessEq(t, int(cfg.start(rate)), b.Ask(later, ask(1000)).Tokens)
+}
+
+func TestLenderKeepsWhatItsZoneNeeds(t *testing.T) {
+	b := kept(begin)
+	now := begin.Add(time.Minute)
+	full := cfg.part(rate).burst
+	lent := b.Lend(now, "o", rate, 1000)
+	must.Eq(t, full/2, lent)
+	must.Eq(t, int(full-lent), b.Ask(now, ask(1000)).Tokens)
+	must.Less(t, 1, b.Lend(now, "o", rate, 1000))
+}
+
+func TestTokensThatNoNodeSendsAreNotTaken(t *testing.T) {
+	b := kept(begin)
+	for _, tokens := range []float64{-5, 0, math.Inf(1)} {
+		b.Receive(begin, "o", rate, tokens)
+	}
+	must.Eq(t, int(cfg.start(rate)), b.Ask(begin, ask(1000)).Tokens)
+}
+
+// Those that are refused come back one after the other.
+func TestPromisesFollowEachOther(t *testing.T) {
+	b := kept(begin)
+	b.Ask(begin, ask(1000))
+	b = kept(begin)
+	b.Ask(begin, ask(int(cfg.start(rate))))
+	first, second := b.Ask(begin, ask(1)), b.Ask(begin, ask(1))
+	must.Positive(t, first.After)
+	must.Eq(t, first.After+first.Spacing, second.After)
+	must.Eq(t, 100*time.Millisecond, first.Spacing)
+}
+
+func TestAccountForgetsOldTokensAndOldQuotas(t *testing.T) {
+	a := NewAccount(rate)
+	a.Put(begin, 2)
+	must.True(t, a.Take(begin))
+	must.False(t, a.Take(begin.Add(reserveTime)))
+	must.Eq(t, 1, a.Request(begin.Add(reserveTime), "o", 1).Return)
+	a.Put(begin, 2)
+	a.Follow(model.Rate{PerSecond: 3, Burst: 3})
+	must.False(t, a.Take(begin))
+}
+
+// Nodes that reach no keeper let in what they would get of an even split.
+func TestPiecesAdmitTheirSum(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	const nodes, seconds = 62, 20
+	admitted := 0
+	for range nodes {
+		a := NewAccount(rate)
+		for now := begin; now.Before(begin.Add(seconds * time.Second)); now = now.Add(time.Duration(r.ExpFloat64() * float64(time.Second) / 7)) {
+			if _, ok := a.Piece(now, cfg, nodes, r.Float64()); ok {
+				admitted++
+			}
+		}
+	}
+	must.Between(t, 0.9*seconds*rate.PerSecond, float64(admitted), seconds*rate.PerSecond+cfg.allowance(rate)*piecePart+nodes/4)
+}
+
+func table(live, failed int) *endpoint.Table {
+	t := endpoint.NewTable()
+	for i := range live + failed {
+		r := endpoint.Record{Node: model.NodeID(fmt.Sprintf("n%d", i)), Zone: "z", Incarnation: 1}
+		if i >= live {
+			r.Status = endpoint.StatusFailed
+		}
+		t.Put(r)
+	}
+	return t
+}
+
+// A node that has just started believes itself alone: it keeps no book before it has seen
+// its fleet.
+func TestStartedNodeKeepsNoBookBeforeItKnowsItsFleet(t *testing.T) {
+	r := NewRoster("n0", "z", begin)
+	must.False(t, r.Update(begin, table(1, 0)).Minting(begin.Add(time.Second)))
+	now := begin.Add(time.Second)
+	must.False(t, r.Update(now, table(10, 0)).Minting(now))
+	m := r.Update(now.Add(100*time.Millisecond), table(20, 0))
+	must.False(t, m.Minting(now.Add(350*time.Millisecond)))
+	must.True(t, m.Minting(now.Add(400*time.Millisecond)))
+	r.Update(now.Add(400*time.Millisecond), table(20, 0))
+	must.True(t, r.Settled())
+	must.True(t, r.Update(now.Add(time.Second), table(21, 0)).Minting(now.Add(time.Second)))
+}
+
+func TestNodeThatSeesLessThanHalfOfItsZoneKeepsNoBook(t *testing.T) {
+	r := NewRoster("n0", "z", begin)
+	r.Update(begin, table(5, 5))
+	now := begin.Add(time.Minute)
+	must.True(t, r.Update(now, table(5, 5)).Minting(now))
+	must.False(t, r.Update(now, table(4, 6)).Minting(now))
+}
+
+// The loss of a member moves its organisations only, to those that stood in for it.
+func TestKeepersMoveOnlyWithTheirMembers(t *testing.T) {
+	r := NewRoster("n0", "z", begin)
+	before, after := r.Update(begin, table(20, 0)), r.Update(begin, table(19, 1))
+	kept := make(map[model.NodeID]int)
+	for i := range 1000 {
+		name := fmt.Sprint("o", i)
+		first, second := before.Keepers("z", name)
+		must.NotEq(t, first.Node, second.Node)
+		kept[first.Node]++
+		now, _ := after.Keepers("z", name)
+		if first.Node == "n19" {
+			first = second
+		}
+		must.Eq(t, first.Node, now.Node)
+	}
+	for _, n := range kept {
+		must.Between(t, 20, n, 100)
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	a := NewAccount(rate)
+	a.Put(begin, 1<<40)
+	b.ReportAllocs()
+	for b.Loop() {
+		if !a.Take(begin) {
+			b.Fatal("no token")
+		}
+	}
+}
--- a/coordination/share/fleet_test.go
+++ b/coordination/share/fleet_test.go
@@ -236,6 +236,46 @@
 	}
 }
 
+// TestFleetSharesBelowTheLimit tells what shares refuse of a use of 0.6 of the limit over 63
+// nodes, to be compared with transport/quota.TestFleetKeepsQuotas. The use is even in time.
+func TestFleetSharesBelowTheLimit(t *testing.T) {
+	const use, nodes = 60.0, 63
+	everywhere := func(*member, int) float64 { return use / nodes }
+	inZone := func(zone int) func(*member, int) float64 {
+		return func(m *member, _ int) float64 {
+			if m.zone != zone {
+				return 0
+			}
+			return 3 * use / nodes
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		fault func(f *fleet)
+	}{
+		{"usual use everywhere", func(*fleet) {}},
+		{"moves to one node", func(f *fleet) {
+			f.demand = func(_ *member, i int) float64 { return map[int]float64{7: use}[i] }
+		}},
+		{"moves to one zone", func(f *fleet) { f.demand = inZone(1) }},
+		{"one zone, cut off", func(f *fleet) { f.demand, f.cut = inZone(1), 1 }},
+		{"all nodes restart", (*fleet).restartAll},
+		{"a tenth of the messages is lost", func(f *fleet) {
+			r := rand.New(rand.NewPCG(1, 0))
+			f.lost = func(mail) bool { return r.Float64() < 0.1 }
+		}},
+	} {
+		f := newFleet(3, nodes/3, everywhere)
+		f.run(30 * time.Second)
+		f.sums = sums{}
+		c.fault(f)
+		f.run(5 * time.Second)
+		t.Logf("%s: overshoot %.1f%%, refused in the first 5 s %.1f%%", c.name,
+			100*f.sums.overshoot, 100*f.sums.unused/f.sums.steps*limit/use)
+		must.LessEq(t, 1e-9, f.sums.overshoot)
+	}
+}
+
 // TestSharesStayWithinTheLimit changes demand, cuts zones off, restarts nodes
 // and loses a tenth of the messages, all at random.
 func TestSharesStayWithinTheLimit(t *testing.T) {
