--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,6 +32,7 @@
 		"all faults":   NewPlan(3, 4, 6*time.Second),
 		"planned work": NewPlannedPlan(1, 4, 6*time.Second),
 		"crashes":      NewCrashPlan(2, 4, 6*time.Second),
+		"keys":         NewKeyPlan(72, 4, 6*time.Second),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
