--- a/internal/sidecar/freshness.go
+++ b/internal/sidecar/freshness.go
@@ -97,9 +97,10 @@
 		return
 	}
 	p.proved = !p.proved
+	version := l.pub.table.Load().Version() // what was proved has been published
 	if p.proved {
-		_ = level.Info(l.log).Log("event", "config_proved", "version", l.docs.Held(), "age_s", p.age())
+		_ = level.Info(l.log).Log("event", "config_proved", "version", version, "age_s", p.age())
 		return
 	}
-	_ = level.Warn(l.log).Log("event", "config_unproved", "version", l.docs.Held(), "age_s", p.age())
+	_ = level.Warn(l.log).Log("event", "config_unproved", "version", version, "age_s", p.age())
 }
--- a/internal/sidecar/freshness_test.go
+++ b/internal/sidecar/freshness_test.go
@@ -106,6 +106,22 @@
 	f.everywhere("old", http.StatusUnauthorized)
 }
 
+// A version that can't be used may have taken keys away: the one in force isn't current.
+func TestVersionThatCantBeUsedEndsTheProof(t *testing.T) {
+	f := newProvedFleet(t, 2, 0)
+	f.everywhere("old", http.StatusOK)
+	f.store.Put("op", "config", []byte(`{"version":"r2","routes":{"columns":["name"],"rows":[["x"]]}}`))
+	time.Sleep(revocation)
+	for _, m := range f.nodes {
+		must.Eq(t, http.StatusServiceUnavailable, f.get(m, "old"))
+		resp, _ := f.do(m, "GET", "/firmware/x", "")
+		must.Eq(t, http.StatusOK, resp.StatusCode)
+	}
+	f.store.Put("op", "config", keyed("r3", "new"))
+	f.everywhere("new", http.StatusOK)
+	f.everywhere("old", http.StatusUnauthorized)
+}
+
 // A site that doesn't ask for proofs neither sends nor counts any, and reads no more often.
 func TestWithoutTheSettingNothingIsProved(t *testing.T) {
 	f := newFleet(t, 3)
