Hold what the fleet knows when the store comes back from an older copy

The store may come back as a copy some seconds old and give the same revisions out again. The feed went on from a revision that the store hadn't reached again and missed changes for ever, a condition could hold by accident, and what nodes had written stayed gone.

Revisions now count the store's lives, told by a header of its answers: an answer of a former life is dropped, a condition of one is not sent, and the feed starts anew. An order written again keeps its verdict, which is told to the store again, and nodes write their own rows again, one after the other. A store that doesn't tell changes nothing.

--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -31,6 +31,8 @@
 	from    model.NodeID
 	// read says that the store has answered since the start.
 	read bool
+	// life is the store's life that has answered last.
+	life uint64
 
 	peers map[model.NodeID]*peerState
 	fetch fetch
@@ -222,7 +224,7 @@
 		c.retryAt = c.now.Add(c.backoff())
 		return
 	}
-	c.read = true
+	c.read, c.life = true, ev.Life
 	c.failures = 0
 	if ev.Version > c.held && ev.Version > c.bad {
 		c.take(ev.Version, ev.Body, "")
--- a/coordination/docsync/event.go
+++ b/coordination/docsync/event.go
@@ -15,6 +15,8 @@
 	Version uint64
 	// Body is the encoded document.
 	Body []byte
+	// Life is the store's life that has answered; 0 is not told.
+	Life uint64
 	// Err says why the store gave no answer.
 	Err error
 }
--- a/coordination/docsync/reading.go
+++ b/coordination/docsync/reading.go
@@ -91,7 +91,7 @@
 	}
 	c.beaconAt = c.now.Add(c.cfg.BeaconInterval)
 	c.sequence++
-	c.relay("", &message.ReaderBeacon{Reader: c.self.Node, Incarnation: c.self.Incarnation, Sequence: c.sequence})
+	c.relay("", &message.ReaderBeacon{Reader: c.self.Node, Incarnation: c.self.Incarnation, Sequence: c.sequence, Life: c.life})
 }
 
 // takeBeacon notes a reader's beacon and relays it once.
--- a/coordination/quarantine/core.go
+++ b/coordination/quarantine/core.go
@@ -56,6 +56,11 @@
 // View returns what the path of a request needs.
 func (c *Core) View() *suspect.View { return c.table.View() }
 
+// Witnessed returns the quarantines whose evidence has a crash beside this node.
+func (c *Core) Witnessed() []suspect.Entry {
+	return slices.DeleteFunc(c.table.All(), func(e suspect.Entry) bool { return !e.Quarantined() || !c.witness(e) })
+}
+
 // Step takes one event and returns the actions it leads to.
 func (c *Core) Step(now time.Time, ev core.Event) []core.Action {
 	c.out, c.now, c.changed = nil, now, false
--- a/coordination/rollout/core.go
+++ b/coordination/rollout/core.go
@@ -7,6 +7,7 @@
 
 	"github.com/jacinthgate/jacinthgate/coordination/core"
 	"github.com/jacinthgate/jacinthgate/coordination/peerset"
+	"github.com/jacinthgate/jacinthgate/coordination/restore"
 	"github.com/jacinthgate/jacinthgate/protocol/message"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
@@ -14,8 +15,8 @@
 )
 
 // Core runs the roll-outs of all services at one node. It takes core.Tick, core.PeerUp,
-// core.PeerDown, core.Received, Ordered, Learned, Recorded, Counted and Servers. It is
-// not safe for concurrent use.
+// core.PeerDown, core.Received, restore.Restored, Ordered, Learned, Recorded, Counted and
+// Servers. It is not safe for concurrent use.
 type Core struct {
 	cfg         Config
 	self        model.NodeID
@@ -28,6 +29,10 @@
 	runs  map[string]*run
 	view  *endpoint.View
 	peers *peerset.Set
+	// life is the store's life since it came back from an older copy, at restoredAt: what it
+	// held of roll-outs may be gone. 0 before.
+	life       uint64
+	restoredAt time.Time
 	// pending are the services whose entries are to be passed on, and news the reports,
 	// which were last passed on at newsAt.
 	pending map[string]bool
@@ -103,6 +108,8 @@
 		c.peers.Down(ev.Node)
 	case core.Received:
 		c.received(ev.From, ev.Message)
+	case restore.Restored:
+		c.restored(ev.Life)
 	case Ordered:
 		c.merge(rollout.Entry{Order: ev.Order}, false)
 	case Learned:
@@ -139,13 +146,17 @@
 // this node has found the fault that stops it.
 func (c *Core) merge(e rollout.Entry, found bool) {
 	service := e.Order.Service
+	same := c.table.Same(c.now, e)
 	if !c.table.Merge(c.now, e) {
 		return
 	}
 	c.passOn(service)
 	after, _ := c.table.Get(c.now, service)
 	r := c.runs[service]
-	if r == nil || r.revision != after.Order.Revision {
+	switch {
+	case r != nil && same:
+		r.revision = after.Order.Revision
+	case r == nil || r.revision != after.Order.Revision:
 		r = c.begin(after)
 	}
 	if r.phase != after.Phase {
@@ -200,6 +211,7 @@
 		if !r.phase.Final() {
 			c.decide(service, r, judge)
 		}
+		c.keep(service, r)
 		if r.phase == rollout.Succeeded && !r.ended && c.now.Sub(r.phaseAt) >= endedTime {
 			r.ended, c.changed = true, true
 		}
--- a/coordination/rollout/core_test.go
+++ b/coordination/rollout/core_test.go
@@ -16,6 +16,7 @@
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/rollout"
+	"github.com/jacinthgate/jacinthgate/state/store"
 )
 
 // fleet is nodes in virtual time, each with a core, a backend server and callers, linked
@@ -62,6 +63,7 @@
 type storeRow struct {
 	held     *rollout.Entry
 	revision uint64
+	life     uint64
 	writes   int
 }
 
@@ -159,12 +161,17 @@
 		f.step(i, Recorded{Service: svc, Err: &noAnswer{}})
 		return
 	}
+	if a.Row != 0 && store.Life(a.Row) != f.store.life {
+		f.step(i, Recorded{Service: svc, Err: &noAnswer{}, Outdated: true})
+		return
+	}
 	if a.Row == f.store.revision {
 		if f.store.held != nil && f.store.held.Phase.Final() {
 			must.Eq(f.t, f.store.held.Phase, a.Entry.Phase, must.Sprint("a verdict is taken back"))
 		}
 		e := a.Entry
-		f.store.held, f.store.revision = &e, f.store.revision+1
+		e.Kept = f.store.life
+		f.store.held, f.store.revision = &e, store.InLife(f.store.life, store.Transaction(f.store.revision)+1)
 	}
 	held := *f.store.held
 	f.step(i, Recorded{Service: svc, Held: &held, Row: f.store.revision})
--- a/coordination/rollout/decide.go
+++ b/coordination/rollout/decide.go
@@ -122,7 +122,13 @@
 
 // record asks for the store to be told of a phase, where it is this node's turn.
 func (c *Core) record(r *run, e rollout.Entry, phase rollout.Phase) {
-	if r.writing || c.now.Before(r.retryAt) || !c.myTurn(r, c.now) {
+	if c.myTurn(r, c.now) {
+		c.write(r, e, phase)
+	}
+}
+
+func (c *Core) write(r *run, e rollout.Entry, phase rollout.Phase) {
+	if r.writing || c.now.Before(r.retryAt) {
 		return
 	}
 	r.writing = true
@@ -137,6 +143,10 @@
 		return
 	}
 	r.writing = false
+	if ev.Outdated {
+		r.row = 0 // the refused write tells what there is now
+		return
+	}
 	if ev.Err != nil {
 		r.retryAt = c.now.Add(retryDelay)
 		return
@@ -145,20 +155,28 @@
 	if ev.Held == nil {
 		return // there is no row yet: the next try expects none
 	}
-	if ev.Held.Order.Revision < r.revision { // the next try replaces it
-		if c.table.Replaced(*ev.Held) {
+	e, _ := c.table.Get(c.now, ev.Service)
+	// In an older copy, the order may have got on since.
+	if c.life == 0 && e.Order.After(&ev.Held.Order) && !e.Order.Again(&ev.Held.Order) {
+		if c.table.Replaced(*ev.Held) { // the next try replaces it
 			c.passOn(ev.Service)
 		}
 		return
 	}
 	c.merge(*ev.Held, false)
+	c.kept(ev.Held)
 }
 
 // myTurn reports whether it is this node's turn to act on what has been due since
 // eligibleAt. All nodes agree on the order, and each waits until those before it have
 // had time to.
 func (c *Core) myTurn(r *run, now time.Time) bool {
-	return now.Sub(r.eligibleAt) >= time.Duration(c.rank(r))*rankDelay
+	return c.turn(r, now.Sub(r.eligibleAt))
+}
+
+// turn reports whether it is this node's turn to act on what has been due for a while.
+func (c *Core) turn(r *run, due time.Duration) bool {
+	return due >= time.Duration(c.rank(r))*rankDelay
 }
 
 // rank returns how many nodes come before this one, up to maxRank.
--- a/coordination/rollout/event.go
+++ b/coordination/rollout/event.go
@@ -25,6 +25,9 @@
 	Row uint64
 	// Err says why the store gave no answer; what was asked for may still be done.
 	Err error
+	// Outdated says that the row's revision was of a life of the store that is over: the
+	// write wasn't made, or it isn't certain that its condition held.
+	Outdated bool
 }
 
 // Counted reports what the host's backend server has done since the node's start.
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -9,6 +9,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
 	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
+	"github.com/jacinthgate/jacinthgate/coordination/restore"
 	"github.com/jacinthgate/jacinthgate/coordination/rollout"
 	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/platform"
@@ -57,11 +58,14 @@
 		rollouts:  rollout.New(n.set.rollouts(), self.Node, self.Incarnation, seed),
 		meter:     new(rollout.Meter),
 		proving:   newProving(n.set, seed),
+		lives:     restore.New(restore.DefaultConfig(), seed),
 		linksDone: make(chan struct{}),
 		flush:     time.NewTimer(time.Hour),
 
 		unrecorded: make(chan suspect.Entry, maxUnrecorded),
 		records:    make(chan rollout.Record, maxRecords),
+		life:       n.store.Life,
+		again:      make(chan again, 1),
 	}
 	n.loop = l
 	if l.proving != nil {
@@ -72,7 +76,7 @@
 		log:     n.log,
 		node:    string(n.set.Node),
 		ttl:     missedHeartbeats*n.set.heartbeat() + heartbeatLag,
-		record:  n.store.RecordDrain,
+		record:  n.recordDrain,
 		changed: n.announce,
 		// The gate is wired after the control plane, before anything runs.
 		restarted: func(key string) { n.gate.Restarted(key) },
--- a/internal/sidecar/discover.go
+++ b/internal/sidecar/discover.go
@@ -117,6 +117,9 @@
 			d.registered = s == d.self()
 		}
 	}
+	if d.registered {
+		n.own.registered(d.self())
+	}
 	slices.Sort(seeds)
 	_ = level.Info(n.log).Log("event", "nodes_read", "nodes", len(seeds), "own_zone", d.listed, "registered", d.registered)
 	n.loop.queue.Post(ctx, member.SeedsLearned{Addrs: seeds})
@@ -132,6 +135,7 @@
 		return
 	}
 	d.registered, d.failures = true, 0
+	d.n.own.registered(d.self())
 	_ = level.Info(d.n.log).Log("event", "node_registered", "own_zone", d.listed)
 }
 
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -81,8 +81,12 @@
 }
 
 // newSilentFleet starts nodes whose backend servers have not said anything yet.
-func newSilentFleet(t testing.TB, n int) *fleet {
+func newSilentFleet(t testing.TB, n int) *fleet { return newSilentFleetOn(t, n, 1) }
+
+// newSilentFleetOn starts them with a store that tells an era; 0 doesn't tell.
+func newSilentFleetOn(t testing.TB, n int, era uint64) *fleet {
 	f := &fleet{t: t, store: platformtest.NewStore()}
+	f.store.TellEra(era)
 	f.store.Put("op", "config", routes("r1"))
 	store := httptest.NewServer(f.store)
 	t.Cleanup(store.Close)
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,6 +16,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/freshness"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
 	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
+	"github.com/jacinthgate/jacinthgate/coordination/restore"
 	"github.com/jacinthgate/jacinthgate/coordination/rollout"
 	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/platform"
@@ -41,6 +43,7 @@
 	docs      *docsync.Core
 	suspects  *quarantine.Core
 	rollouts  *rollout.Core
+	lives     *restore.Core
 	meter     *rollout.Meter
 	proving   *proving // nil where requests need no proof
 	links     *link.Manager
@@ -56,6 +59,10 @@
 	unrecorded chan suspect.Entry
 	// records are what the store is to be told of roll-outs.
 	records chan rollout.Record
+	// life returns the store's newest life known to its client, and again asks for the own
+	// rows to be written again.
+	life  func() uint64
+	again chan again
 }
 
 // run handles events until ctx ends.
@@ -76,6 +83,7 @@
 	l.gate.Update()
 	l.settleQuotas(now)
 	l.carryOut(now, l.rollouts.Step(now, l.counted()))
+	l.carryOut(now, l.lives.Step(now, restore.Told{Life: l.life()}))
 	l.step(core.Tick{})
 	l.watchProof()
 }
@@ -93,6 +101,7 @@
 	l.carryOut(now, l.suspects.Step(now, ev))
 	l.carryOut(now, l.rollouts.Step(now, ev))
 	l.prove(ev)
+	l.carryOut(now, l.lives.Step(now, ev))
 	if due := l.member.FlushDue(); !due.IsZero() {
 		l.flush.Reset(due.Sub(now))
 	}
@@ -126,6 +135,7 @@
 	case member.MembersChanged:
 		_ = level.Info(l.log).Log("event", "members_changed", "live", len(a.Live))
 		l.carryOut(now, l.docs.Step(now, docsync.Members{Live: a.Live}))
+		l.lives.Step(now, restore.Placed{Rank: max(0, slices.Index(a.Live, l.self.Node)), Live: len(a.Live)})
 	case member.IdentityConflict:
 		_ = level.Warn(l.log).Log("event", "identity_conflict", "incarnation", a.Incarnation)
 		l.carryOut(now, l.member.Step(now, member.Incarnate{Incarnation: a.Incarnation + 1}))
@@ -148,6 +158,10 @@
 		l.record(now, a)
 	case freshness.Changed:
 		l.proofChanged(a)
+	case restore.Restored:
+		l.restored(now, a)
+	case restore.WriteAgain:
+		l.writeAgain(a)
 	}
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -68,6 +68,8 @@
 	front     *callers.Server // what serves callers
 	gates     *server
 
+	// own are the rows that only this node writes.
+	own ownRows
 	// startDelay is when the node first looks for others after its start.
 	startDelay time.Duration
 
@@ -121,6 +123,7 @@
 	n.addActor(&g, n.discover)
 	n.addActor(&g, n.recordQuarantines)
 	n.addActor(&g, n.recordRollouts)
+	n.addActor(&g, n.recordOwn)
 	for _, s := range n.servers {
 		n.addServer(&g, s)
 	}
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -120,7 +120,10 @@
 	if c.Unreadable != nil {
 		_ = level.Warn(r.log).Log("event", "rollout_unreadable", "err", c.Unreadable)
 	}
-	out := reading{orders: c.Orders}
+	out := reading{StoreRead: docsync.StoreRead{Life: c.Life}, orders: c.Orders}
+	if c.Restored {
+		_ = level.Warn(r.log).Log("event", "store_read_anew", "life", c.Life, "orders", len(c.Orders))
+	}
 	if c.Config != nil {
 		out.Version, out.Body = uint64(c.Config.Version), pack(c.Config.Body)
 		r.told = out.Version
--- /dev/null
+++ b/internal/sidecar/restored.go
@@ -0,0 +1,111 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/jacinthgate/jacinthgate/coordination/backoff"
+	"github.com/jacinthgate/jacinthgate/coordination/restore"
+	"github.com/jacinthgate/jacinthgate/platform"
+	"github.com/jacinthgate/jacinthgate/state/suspect"
+)
+
+// ownRows is what the node has written of its own into the store, or tried to. It is safe
+// for concurrent use.
+type ownRows struct {
+	mu      sync.Mutex
+	seed    *platform.Seed
+	drained string
+}
+
+// registered notes that the node's address stands in the store.
+func (o *ownRows) registered(s platform.Seed) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.seed = &s
+}
+
+// leaving notes which instance beside the node is leaving.
+func (o *ownRows) leaving(key string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.drained = key
+}
+
+// again asks for the own rows to be written again in a life of the store.
+type again struct {
+	life        uint64
+	quarantined []suspect.Entry
+}
+
+// restored tells the other cores that the store has come back from an older copy.
+func (l *loop) restored(now time.Time, a restore.Restored) {
+	_ = level.Warn(l.log).Log("event", "store_restored", "life", a.Life)
+	l.metrics.GetOrCreateCounter("jacinthgate_store_restored_total").Inc()
+	l.carryOut(now, l.rollouts.Step(now, a))
+}
+
+// writeAgain hands on that the own rows are to be written; only the newest word counts.
+func (l *loop) writeAgain(a restore.WriteAgain) {
+	select {
+	case <-l.again:
+	default:
+	}
+	l.again <- again{life: a.Life, quarantined: l.suspects.Witnessed()}
+}
+
+// recordOwn writes the own rows again whenever the store has come back, until ctx ends.
+func (n *Node) recordOwn(ctx context.Context) error {
+	return each(ctx, n.loop.again, func(a again) { n.recordOwnIn(ctx, a) })
+}
+
+// recordOwnIn writes them, again and again while the store doesn't take them. It ends early
+// where the store has come back once more.
+func (n *Node) recordOwnIn(ctx context.Context, a again) {
+	for failures := 0; len(n.loop.again) == 0; failures++ {
+		own := n.ownRowsNow(a)
+		if own.Rows() == 0 {
+			return
+		}
+		err := n.putOwn(ctx, own)
+		if err == nil {
+			n.metrics.GetOrCreateCounter("jacinthgate_store_rows_written_again_total").Add(own.Rows())
+			_ = level.Info(n.log).Log("event", "own_rows_written_again", "life", a.life, "registered", own.Seed != nil,
+				"drained", own.Drained, "quarantined", len(own.Quarantined))
+			return
+		}
+		_ = level.Warn(n.log).Log("event", "own_rows_not_written", "life", a.life, "err", err)
+		select {
+		case <-time.After(backoff.Doubled(aloneRetry, aloneRetryMax, failures)):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ownRowsNow returns the own rows as they are to be.
+func (n *Node) ownRowsNow(a again) platform.Own {
+	own := platform.Own{Node: string(n.set.Node), Quarantined: make(map[string]time.Time, len(a.quarantined))}
+	for _, e := range a.quarantined {
+		own.Quarantined[e.Fingerprint.String()] = e.LastCrash()
+	}
+	n.own.mu.Lock()
+	defer n.own.mu.Unlock()
+	own.Seed, own.Drained = n.own.seed, n.own.drained
+	return own
+}
+
+func (n *Node) putOwn(ctx context.Context, own platform.Own) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return n.store.RecordOwn(ctx, own)
+}
+
+// recordDrain writes which instance beside the node is leaving.
+func (n *Node) recordDrain(ctx context.Context, node, instance string) error {
+	n.own.leaving(instance)
+	return n.store.RecordDrain(ctx, node, instance)
+}
--- a/internal/sidecar/rollout.go
+++ b/internal/sidecar/rollout.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/coordination/rollout"
 	"github.com/jacinthgate/jacinthgate/platform"
+	"github.com/jacinthgate/jacinthgate/state/store"
 )
 
 // maxRecords bounds what waits to be told to the store: one for each service in a
@@ -34,7 +36,7 @@
 func (l *loop) turned(a rollout.Turned) {
 	e := &a.Entry
 	_ = level.Info(l.log).Log("event", "rollout_turned", "service", e.Order.Service, "target", e.Order.Target,
-		"order", e.Order.Revision, "phase", e.Phase, "age", e.Age, "reason", e.Reason, "found_here", a.FoundHere)
+		"order", store.Transaction(e.Order.Revision), "phase", e.Phase, "age", e.Age, "reason", e.Reason, "found_here", a.FoundHere)
 	l.metrics.GetOrCreateCounter(`jacinthgate_rollout_turns_total{phase="` + e.Phase.String() + `"}`).Inc()
 }
 
@@ -81,13 +83,14 @@
 	if err != nil {
 		_ = level.Warn(n.log).Log("event", "rollout_not_recorded", "service", o.Service, "target", o.Target,
 			"phase", a.Entry.Phase, "err", err)
-		return rollout.Recorded{Service: o.Service, Err: err}
+		var over *platform.EraError
+		return rollout.Recorded{Service: o.Service, Err: err, Outdated: errors.As(err, &over)}
 	}
 	if held.Unreadable != nil {
 		_ = level.Warn(n.log).Log("event", "rollout_unreadable", "err", held.Unreadable)
 	}
 	_ = level.Info(n.log).Log("event", "rollout_recorded", "service", o.Service, "target", o.Target,
-		"phase", a.Entry.Phase, "row", held.Revision, "expected", a.Row)
+		"phase", a.Entry.Phase, "row", store.Transaction(held.Revision), "expected", store.Transaction(a.Row))
 	return rollout.Recorded{Service: o.Service, Held: held.Entry, Row: held.Revision}
 }
 
--- a/state/rollout/rollout.go
+++ b/state/rollout/rollout.go
@@ -23,10 +23,13 @@
 	Service string `cbor:"1,keyasint"`
 	// Target is the version that it is moved to.
 	Target string `cbor:"2,keyasint"`
-	// Revision is the order's revision in the store. A higher one replaces a lower one.
+	// Revision is the order's revision in the store, by store.InLife.
 	Revision uint64 `cbor:"3,keyasint"`
 	// Duration is the time from the order within which the roll-out has to end.
 	Duration time.Duration `cbor:"4,keyasint"`
+	// Copied says that the revision's life is the one in which the order was read. It may
+	// have been written in an earlier one, from which the store has a copy.
+	Copied bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Phase is how far a roll-out has got. It only moves down this list.
@@ -77,6 +80,8 @@
 	// replaced before they had succeeded: they get nothing, also while their backend
 	// servers still run.
 	Rejected []string `cbor:"5,keyasint,omitempty"`
+	// Kept is the newest life in which the store is known to hold the phase.
+	Kept uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // maxRejected bounds the versions that are remembered; their backend servers leave
@@ -95,6 +100,8 @@
 	// doubted are the targets of orders that this one has replaced before this node knew
 	// of an end. Others may know of one, so they are not told.
 	doubted []string
+	// crossed is when the order was last heard of in another life of the store.
+	crossed time.Time
 }
 
 // NewTable returns an empty table.
@@ -140,6 +147,12 @@
 	return all
 }
 
+// Same reports whether an entry is of the order that is held of its service.
+func (t *Table) Same(now time.Time, e Entry) bool {
+	h := t.entries[e.Order.Service]
+	return h != nil && h.same(now, &e)
+}
+
 // Merge takes what is known elsewhere and reports whether any of it is news but for its
 // age.
 func (t *Table) Merge(now time.Time, e Entry) bool {
@@ -152,7 +165,9 @@
 		return true
 	}
 	switch {
-	case e.Order.Revision > h.Order.Revision:
+	case h.same(now, &e):
+		return h.merge(now, &e)
+	case e.Order.After(&h.Order):
 		next := newHeld(now, e)
 		next.reject(earlier(&h.Entry)...)
 		if h.Phase == Pending || h.Phase == Canary || h.Phase == Stopped {
@@ -160,10 +175,9 @@
 		}
 		t.entries[e.Order.Service] = next
 		return true
-	case e.Order.Revision < h.Order.Revision:
+	default:
 		return h.reject(earlier(&e)...)
 	}
-	return h.merge(now, &e)
 }
 
 // Replaced takes what the store held when the present order replaced it, and reports
@@ -171,7 +185,7 @@
 // never will, and gets nothing.
 func (t *Table) Replaced(e Entry) bool {
 	h := t.entries[e.Order.Service]
-	if h == nil || e.Order.Revision >= h.Order.Revision {
+	if h == nil || e.Order.Again(&h.Order) || !h.Order.After(&e.Order) {
 		return false
 	}
 	news := h.reject(e.Rejected...)
@@ -184,11 +198,19 @@
 // merge takes another entry of the same order.
 func (h *held) merge(now time.Time, e *Entry) bool {
 	news := h.reject(e.Rejected...)
+	if e.Order.Again(&h.Order) {
+		h.crossed = now
+	}
+	news = h.Order.again(&e.Order) || news
 	if since := now.Add(-e.Age); since.Before(h.since) {
 		h.since = since
 	}
 	if e.Phase > h.Phase {
-		h.Phase, h.Reason = e.Phase, e.Reason
+		h.Phase, h.Reason, h.Kept = e.Phase, e.Reason, e.Kept
+		return true
+	}
+	if e.Phase == h.Phase && e.Kept > h.Kept {
+		h.Kept = e.Kept
 		news = true
 	}
 	return news
@@ -234,7 +256,7 @@
 func (t *Table) Digest() uint64 {
 	var sum uint64
 	for service, h := range t.entries {
-		sum += xxhash.Sum64String(fmt.Sprintf("%q %d %d %q", service, h.Order.Revision, h.Phase, h.Rejected))
+		sum += xxhash.Sum64String(fmt.Sprintf("%q %d %d %q", service, h.Order.Revision, h.Phase, h.Rejected)) + h.Kept
 	}
 	return sum
 }
