Play a store that comes back from older copies in the soak

The soak had no fault for a store that goes back to an older copy. The plan -restores draws it among changes, restarts, cuts and outages of the store; a check looks whether nodes' rows are in the store again and whether each node gets one more version after the last disturbance.

A fleet of twelve nodes in the test shows that those which don't read the store learn of it from beacons.

--- a/cmd/jacinthgate-soak/main.go
+++ b/cmd/jacinthgate-soak/main.go
@@ -39,8 +39,9 @@
 	nodes  int
 	length time.Duration
 	// planned leaves out all but planned work, crashes all but what is around backend
-	// servers that crash.
-	planned, crashes bool
+	// servers that crash, restores all but what is around a store that comes back from
+	// older copies.
+	planned, crashes, restores bool
 	// keys lets callers show keys, which come and go, and an organisation flood.
 	keys bool
 }
@@ -52,6 +53,7 @@
 	f.BoolVar(&c.planned, "planned", false, "planned work only")
 	f.BoolVar(&c.keys, "keys", false, "callers show keys that come and go, and an organisation floods")
 	f.BoolVar(&c.crashes, "crashes", false, "backend servers that crash and return, and requests that end them")
+	f.BoolVar(&c.restores, "restores", false, "a store that comes back from older copies")
 }
 
 // plan returns the plan of a seed.
@@ -63,6 +65,8 @@
 		return soak.NewKeyPlan(seed, c.nodes, c.length)
 	case c.crashes:
 		return soak.NewCrashPlan(seed, c.nodes, c.length)
+	case c.restores:
+		return soak.NewRestorePlan(seed, c.nodes, c.length)
 	}
 	return soak.NewPlan(seed, c.nodes, c.length)
 }
@@ -81,7 +85,7 @@
 func (*planCmd) Name() string     { return "plan" }
 func (*planCmd) Synopsis() string { return "print the disturbances of a seed" }
 func (*planCmd) Usage() string {
-	return "plan -seed N [-nodes N] [-length D] [-planned | -crashes | -keys]\n"
+	return "plan -seed N [-nodes N] [-length D] [-planned | -crashes | -restores | -keys]\n"
 }
 func (c *planCmd) SetFlags(f *flag.FlagSet) { c.set(f) }
 
@@ -101,7 +105,7 @@
 func (*runCmd) Name() string     { return "run" }
 func (*runCmd) Synopsis() string { return "play seeds and check the promises" }
 func (*runCmd) Usage() string {
-	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -crashes | -keys] [-bin DIR] [-dir DIR]
+	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -crashes | -restores | -keys] [-bin DIR] [-dir DIR]
 Plays one seed after the other. A seed that breaks a promise is printed with what
 was seen, and its logs stay in DIR/SEED. Exit code 1 if any did.
 `
--- a/coordination/docsync/core_test.go
+++ b/coordination/docsync/core_test.go
@@ -391,3 +391,23 @@
 	}
 	return on
 }
+
+// Those who don't read the store learn from beacons which of its lives the reader was told.
+func TestBeaconTellsTheStoresLife(t *testing.T) {
+	b := newBed(t)
+	b.up("near", "z1")
+	b.step(Members{Live: []model.NodeID{"self", "near"}})
+	told := func(actions []core.Action) (lives []uint64) {
+		for _, a := range actions {
+			if s, ok := a.(core.Send); ok {
+				if m, ok := s.Message.(*message.ReaderBeacon); ok {
+					lives = append(lives, m.Life)
+				}
+			}
+		}
+		return lives
+	}
+	must.Eq(t, []uint64{2}, told(b.step(StoreRead{Version: 5, Body: []byte("5"), Life: 2})))
+	b.step(StoreRead{Life: 3})
+	must.SliceContains(t, told(b.pass(time.Second)), 3)
+}
--- a/internal/sidecar/restored_test.go
+++ b/internal/sidecar/restored_test.go
@@ -45,7 +45,7 @@
 // After a restore the feed waited for a revision that the store hadn't reached again, and
 // what nodes had written stayed gone.
 func TestNodesGoOnAfterTheStoreCameBackFromACopy(t *testing.T) {
-	f := newSilentFleet(t, 6)
+	f := newSilentFleet(t, 12) // four of each zone read the store
 	old := f.store.Snapshot()
 	f.beat()
 	f.knowAll()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -41,6 +41,9 @@
 	CheckKeys Check = "keys"
 	// CheckQuota: an organisation gets no more than its quota over all nodes.
 	CheckQuota Check = "quota"
+	// CheckRows: what nodes have written of themselves is in the store again after it came
+	// back from an older copy.
+	CheckRows Check = "own-rows"
 	// CheckExplained: the logs tell of each refused or failed request by its id.
 	CheckExplained Check = "explained"
 )
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -62,6 +62,8 @@
 		s.crash(ctx, n, step.For, func() error { return n.host.replace(int(time.Now().UnixMilli() % 1000)) })
 	case FaultReturn:
 		s.crash(ctx, n, step.For, n.host.again)
+	case FaultRestore:
+		s.restore(ctx, step)
 	case FaultDeadly:
 		s.askDeadly(ctx, step)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -52,6 +52,8 @@
 	// FaultDeadly lets callers ask at all nodes in turn for what ends each backend server
 	// that runs it.
 	FaultDeadly Fault = "deadly"
+	// FaultRestore lets the store go back to the copy that was taken when it began.
+	FaultRestore Fault = "restore"
 )
 
 // planned are the disturbances that belong to daily work.
@@ -76,6 +78,11 @@
 
 // keyed are the kinds of a plan with keys: versions follow each other quickly.
 var keyed = append([]Fault{FaultChange, FaultChange, FaultChange, FaultChange}, all...)
+// restoring are the kinds around a store that comes back from older copies.
+var restoring = []Fault{
+	FaultRestore, FaultRestore, FaultRestore, FaultChange, FaultChange, FaultDrain, FaultTerm, FaultKill,
+	FaultCutStore, FaultStoreDown, FaultStoreSlow, FaultCompact,
+}
 
 // Step is one disturbance of a plan.
 type Step struct {
@@ -145,6 +152,11 @@
 	return p
 }
 
+// NewRestorePlan draws a schedule around a store that comes back from older copies.
+func NewRestorePlan(seed uint64, nodes int, length time.Duration) Plan {
+	return draw(restoring, seed, nodes, length)
+}
+
 func draw(kinds []Fault, seed uint64, nodes int, length time.Duration) Plan {
 	rng := rand.New(rand.NewPCG(seed, seed))
 	p := Plan{Seed: seed, Nodes: nodes, Length: length}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -43,6 +43,7 @@
 	drained map[string]time.Time
 	found   []Violation
 	faults  map[Fault]int // of the store, under way
+	lost    []string      // rows of nodes that a restore of the store may have taken
 }
 
 // NotServingError reports a site that didn't begin to serve.
@@ -177,6 +178,8 @@
 	if n := s.awaitServing(ctx, recoverTime); n != nil && ctx.Err() == nil {
 		s.add(CheckRecovery, "%s doesn't serve %v after the last disturbance", n.name, recoverTime)
 	}
+	s.checkRows(ctx, recoverTime)
+	s.checkLast(ctx, recoverTime)
 }
 
 // stopAll ends every node as planned work does.
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -84,6 +84,7 @@
 	cfg     Config
 	network *process.Network
 	store   *platformtest.Store
+	empty   *platformtest.Copy // of the store before the first node started
 	cuts    *relay.Cuts
 	nodes   []*node
 	close   []func()
@@ -99,6 +100,8 @@
 		return nil, err
 	}
 	s := &site{cfg: cfg, network: network, store: platformtest.NewStore(), cuts: relay.NewCuts()}
+	s.store.TellEra(1)
+	s.empty = s.store.Snapshot()
 	s.close = append(s.close, network.Release)
 	if err := s.startStore(); err != nil {
 		return s, err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,6 +33,7 @@
 		"planned work": NewPlannedPlan(1, 4, 6*time.Second),
 		"crashes":      NewCrashPlan(2, 4, 6*time.Second),
 		"keys":         NewKeyPlan(72, 4, 6*time.Second),
+		"restores":     NewRestorePlan(1, 4, 6*time.Second),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -137,6 +138,27 @@
 	must.Positive(t, len(watched(t, time.Now().Add(-inForce), never)))
 }
 
+func TestRowsThatStayLostAreFound(t *testing.T) {
+	s := &soak{site: &site{store: platformtest.NewStore()}, lost: []string{nodeRows + "node-0"}}
+	s.site.store.Put(nodeTable, nodeRows+"node-0", []byte("x"))
+	s.checkRows(t.Context(), 100*time.Millisecond)
+	must.SliceEmpty(t, s.found)
+	s.lost = append(s.lost, nodeRows+"node-1")
+	s.checkRows(t.Context(), 100*time.Millisecond)
+	must.Len(t, 1, s.found)
+	must.Eq(t, CheckRows, s.found[0].Check)
+}
+
+func TestNodeThatMissesTheLastVersionIsFound(t *testing.T) {
+	n := nodeThatAnswers(t, func(string) int { return http.StatusNotFound })
+	st := &site{nodes: []*node{n}, store: platformtest.NewStore()}
+	s := &soak{site: st, callers: &callers{site: st}}
+	s.versions = &versions{site: st, callers: s.callers}
+	s.checkLast(t.Context(), 200*time.Millisecond)
+	must.Len(t, 1, s.found)
+	must.Eq(t, CheckVersion, s.found[0].Check)
+}
+
 func TestNodeThatDoesNotServeAgainIsFound(t *testing.T) {
 	n := nodeThatAnswers(t, func(string) int { return http.StatusServiceUnavailable })
 	s := &soak{site: &site{nodes: []*node{n}}}
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -42,7 +42,21 @@
 func (v *versions) change() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	next := len(v.accepted) + 1
+	v.accepted = append(v.accepted, time.Now())
+	v.write()
+	v.accepted[len(v.accepted)-1] = time.Now()
+}
+
+// writeAgain writes the newest version again, which the store may have lost.
+func (v *versions) writeAgain() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.write()
+}
+
+// write writes the newest version. v.mu is held.
+func (v *versions) write() {
+	next := len(v.accepted)
 	routes := []platformtest.Route{
 		{Host: routeHost, Prefix: "/status/", Kind: platformtest.Idempotent, Service: services[0], Attempts: 2},
 		{Host: routeHost, Prefix: "/book/", Kind: platformtest.NonIdempotent, Service: services[0], Attempts: 2},
@@ -59,7 +73,6 @@
 		config = platformtest.KeyedConfig(fmt.Sprintf("r%d", next), services, organisations(next), routes...)
 	}
 	v.site.store.Put("op", "config", config)
-	v.accepted = append(v.accepted, time.Now())
 }
 
 // newest returns the newest version, and when it was accepted.
