Say what holds when the store comes back from an older copy

The reader's core tells whether the store was last read with an older configuration than the one in force, so that such a read is no proof of what is newest.

--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -120,7 +120,7 @@
 	if c.Unreadable != nil {
 		_ = level.Warn(r.log).Log("event", "rollout_unreadable", "err", c.Unreadable)
 	}
-	out := reading{StoreRead: docsync.StoreRead{Life: c.Life}, orders: c.Orders}
+	out := reading{StoreRead: docsync.StoreRead{Life: c.Life, Restored: c.Restored}, orders: c.Orders}
 	if c.Restored {
 		_ = level.Warn(r.log).Log("event", "store_read_anew", "life", c.Life, "orders", len(c.Orders))
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -78,6 +78,7 @@
 
 // keyed are the kinds of a plan with keys: versions follow each other quickly.
 var keyed = append([]Fault{FaultChange, FaultChange, FaultChange, FaultChange}, all...)
+
 // restoring are the kinds around a store that comes back from older copies.
 var restoring = []Fault{
 	FaultRestore, FaultRestore, FaultRestore, FaultChange, FaultChange, FaultDrain, FaultTerm, FaultKill,
