Let proofs of the configuration follow the lives of the store

Cause: proofs knew the store's era by a name of their own and nobody told it; a reader whose store came back without a configuration still knew a version of before. Change: one word, life, for what the store's answers tell; a read passes it on to the proofs, and a reader forgets what it was told in another one.

--- a/coordination/freshness/core.go
+++ b/coordination/freshness/core.go
@@ -35,8 +35,8 @@
 	held uint64
 	// newest is the highest version that is known to exist.
 	newest uint64
-	// era is the store's highest that is known; 0 for none.
-	era uint64
+	// life is the store's highest that is known; 0 for none.
+	life uint64
 	// settled is from when on reads prove something again.
 	settled time.Time
 	// counted is the latest proof for the version in force; its moment is zero for none.
@@ -81,7 +81,7 @@
 	case core.Received:
 		return c.received(ev.From, ev.Message)
 	case Read:
-		c.meet(ev.Era)
+		c.meet(ev.Life)
 		return c.take(proof{version: ev.Version, moment: ev.Began})
 	case InForce:
 		return c.inForce(ev.Version)
@@ -91,16 +91,16 @@
 	return false
 }
 
-// meet takes that the store is in an era. A node that knows none yet can't tell whether
+// meet takes that the store is in an life. A node that knows none yet can't tell whether
 // it is a new one.
-func (c *Core) meet(era uint64) {
-	if era <= c.era {
+func (c *Core) meet(life uint64) {
+	if life <= c.life {
 		return
 	}
-	if c.era != 0 {
+	if c.life != 0 {
 		c.restored()
 	}
-	c.era = era
+	c.life = life
 }
 
 // restored lets reads prove nothing until operators' rows are back.
--- a/coordination/freshness/core_test.go
+++ b/coordination/freshness/core_test.go
@@ -296,7 +296,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c, _ := alone(t)
-			c.Step(at, Read{Began: at.Add(-time.Minute), Version: 0, Era: 1})
+			c.Step(at, Read{Began: at.Add(-time.Minute), Version: 0, Life: 1})
 			now := at.Add(time.Second)
 			c.Step(now, core.Received{From: "p", Message: &m})
 			must.True(t, c.counted.moment.IsZero())
@@ -337,21 +337,21 @@
 
 func TestStoreThatCameBackProvesNothingUntilItIsSettled(t *testing.T) {
 	for name, told := range map[string]struct {
-		ev  core.Event
-		era uint64
+		ev   core.Event
+		life uint64
 	}{
 		"event": {Restored{}, 1},
-		"read":  {Read{Began: at.Add(time.Second), Version: 3, Era: 2}, 2},
-		"peer":  {core.Received{From: "p", Message: &message.Freshness{Stamp: 60, Era: 2}}, 2},
+		"read":  {Read{Began: at.Add(time.Second), Version: 3, Life: 2}, 2},
+		"peer":  {core.Received{From: "p", Message: &message.Freshness{Stamp: 60, Life: 2}}, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c, _ := alone(t)
-			c.Step(at, Read{Began: at, Version: 3, Era: 1})
+			c.Step(at, Read{Began: at, Version: 3, Life: 1})
 			must.Eq(t, at, c.counted.moment)
 			c.Step(at.Add(time.Second), told.ev)
-			c.Step(at.Add(4*time.Second), Read{Began: at.Add(2999 * time.Millisecond), Version: 3, Era: told.era})
+			c.Step(at.Add(4*time.Second), Read{Began: at.Add(2999 * time.Millisecond), Version: 3, Life: told.life})
 			must.Eq(t, at, c.counted.moment)
-			c.Step(at.Add(4*time.Second), Read{Began: at.Add(3 * time.Second), Version: 3, Era: told.era})
+			c.Step(at.Add(4*time.Second), Read{Began: at.Add(3 * time.Second), Version: 3, Life: told.life})
 			must.Eq(t, at.Add(3*time.Second), c.counted.moment)
 		})
 	}
--- a/coordination/freshness/doc.go
+++ b/coordination/freshness/doc.go
@@ -11,7 +11,7 @@
 // being passed on, held up or kept.
 //
 // Once a version is known to exist, a proof of an older one is wrong or of no use: the
-// store that was read may be an older copy. It is dropped. The store's era tells as well
+// store that was read may be an older copy. It is dropped. The store's life tells as well
 // that it came back older: nodes pass it on, and for Settle after they meet a new one no
 // read that began before counts, whoever made it.
 //
--- a/coordination/freshness/event.go
+++ b/coordination/freshness/event.go
@@ -13,9 +13,9 @@
 	// Version is the newest version that the store has told, by this read or, where it
 	// brought no change, by those before it that it goes on from; 0 where it told none.
 	Version uint64
-	// Era is the store's, which rises when it comes back as an older copy of itself; 0
+	// Life is the store's, which rises when it comes back as an older copy of itself; 0
 	// where the store has none.
-	Era uint64
+	Life uint64
 }
 
 // InForce reports that a version has been put in force, after it was published to the
@@ -26,7 +26,7 @@
 }
 
 // Restored reports that the store has come back as an older copy of itself, by another sign
-// than an era.
+// than an life.
 type Restored struct{}
 
 // Event implements core.Event.
--- a/coordination/freshness/orders_test.go
+++ b/coordination/freshness/orders_test.go
@@ -88,7 +88,7 @@
 	must.Greater(t, 3000, seen)
 }
 
-// Where the store tells no era, a node that holds a version doesn't believe a store that
+// Where the store tells no life, a node that holds a version doesn't believe a store that
 // shows an older one.
 func TestReadOfAnOlderVersionProvesNothing(t *testing.T) {
 	w := newWorld(0).after(t, event{write, 0}, event{begin, 0}, event{serve, 0}, event{finish, 0},
--- a/coordination/freshness/pass.go
+++ b/coordination/freshness/pass.go
@@ -53,7 +53,7 @@
 	if m.Stamp > p.stamp {
 		p.stamp, p.arrived = m.Stamp, c.now
 	}
-	c.meet(m.Era)
+	c.meet(m.Life)
 	span := c.cfg.MaxSpan.Milliseconds()
 	known := m.Echo >= p.first && m.Echo <= p.last
 	if m.Version == 0 || !known || m.Offset < -span || m.Offset > span {
@@ -103,7 +103,7 @@
 
 // send sends a stamp, and a proof where there is one.
 func (c *Core) send(to model.NodeID, p *peer, best proof) {
-	m := &message.Freshness{Stamp: c.stamp(), Era: c.era}
+	m := &message.Freshness{Stamp: c.stamp(), Life: c.life}
 	if best.version != 0 {
 		m.Version, m.Echo = best.version, p.stamp
 		m.Offset = floorMillis(best.moment.Sub(p.arrived))
--- a/coordination/freshness/world_test.go
+++ b/coordination/freshness/world_test.go
@@ -29,10 +29,10 @@
 	// acked is when each version was acknowledged; shown is what reads show.
 	acked []time.Duration
 	shown uint64
-	// era rises when the store comes back older, at restored.
-	era      uint64
+	// life rises when the store comes back older, at restored.
+	life     uint64
 	restored time.Duration
-	// blind nodes know no era of before: they can't tell that the store is older.
+	// blind nodes know no life of before: they can't tell that the store is older.
 	blind  [nodes]bool
 	reads  [nodes]read
 	queues [nodes][nodes][]*message.Freshness
@@ -47,15 +47,15 @@
 	state   int // 0 for none, 1 begun, 2 served
 	began   time.Time
 	version uint64
-	era     uint64
+	life    uint64
 }
 
 func id(i int) model.NodeID { return model.NodeID(fmt.Sprint("n", i)) }
 
-// newWorld returns a world whose nodes hold version 1 and a proof of it. An era of 0 is
+// newWorld returns a world whose nodes hold version 1 and a proof of it. An life of 0 is
 // that of a store that doesn't tell any.
-func newWorld(era uint64) *world {
-	w := &world{acked: []time.Duration{0, 0}, shown: 1, era: era}
+func newWorld(life uint64) *world {
+	w := &world{acked: []time.Duration{0, 0}, shown: 1, life: life}
 	for i := range nodes {
 		w.start(i)
 	}
@@ -206,7 +206,7 @@
 		if w.reads[i].state != 1 {
 			return false
 		}
-		w.reads[i].state, w.reads[i].version, w.reads[i].era = 2, w.shown, w.era
+		w.reads[i].state, w.reads[i].version, w.reads[i].life = 2, w.shown, w.life
 	case finish:
 		return w.finish(i)
 	case tick:
@@ -233,12 +233,12 @@
 			return false
 		}
 		w.shown = 1
-		if w.era > 0 {
-			w.era++
+		if w.life > 0 {
+			w.life++
 		}
 		w.restored = w.now
 		for i, c := range w.cores {
-			w.blind[i] = w.blind[i] || w.era > 0 && c.era == 0
+			w.blind[i] = w.blind[i] || w.life > 0 && c.life == 0
 		}
 	case back:
 		if !w.missing() {
@@ -256,7 +256,7 @@
 	}
 	w.reads[i] = read{}
 	w.hold(i, r.version)
-	w.step(i, Read{Began: r.began, Version: r.version, Era: r.era})
+	w.step(i, Read{Began: r.began, Version: r.version, Life: r.life})
 	return true
 }
 
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -122,13 +122,14 @@
 	}
 	out := reading{StoreRead: docsync.StoreRead{Life: c.Life, Restored: c.Restored}, orders: c.Orders}
 	if c.Restored {
+		r.told = 0 // of a life that is over; the copy may hold no configuration
 		_ = level.Warn(r.log).Log("event", "store_read_anew", "life", c.Life, "orders", len(c.Orders))
 	}
 	if c.Config != nil {
 		out.Version, out.Body = uint64(c.Config.Version), pack(c.Config.Body)
 		r.told = out.Version
 	}
-	out.proof = freshness.Read{Began: began, Version: r.told}
+	out.proof = freshness.Read{Began: began, Version: r.told, Life: c.Life}
 	return out
 }
 
