Let reads prove nothing for a moment after the store came back

Cause: a node that learns of the store's new life from a beacon, and not by a read or a proof, went on taking proofs. The core of proofs is told by the same event as the others; tests of both parts as they were. Nothing was measured.

--- a/internal/sidecar/restored.go
+++ b/internal/sidecar/restored.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/coordination/backoff"
+	"github.com/jacinthgate/jacinthgate/coordination/freshness"
 	"github.com/jacinthgate/jacinthgate/coordination/restore"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/state/suspect"
@@ -46,6 +47,7 @@
 	_ = level.Warn(l.log).Log("event", "store_restored", "life", a.Life)
 	l.metrics.GetOrCreateCounter("jacinthgate_store_restored_total").Inc()
 	l.carryOut(now, l.rollouts.Step(now, a))
+	l.prove(freshness.Restored{})
 }
 
 // writeAgain hands on that the own rows are to be written; only the newest word counts.
