Tell refused callers when a token comes, also where that is far ahead

A book that is asked for far more than it mints told all callers 4 s at most, which was not true. It now promises up to 30 s ahead, and forgets what it promised once it holds a quarter of what it may.

--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -93,7 +93,8 @@
 }
 
 // Refused reports whether a request is refused without asking, and when it should come back.
-// Only as many are as the book was asked slots for, or those that can't be promised any.
+// Only as many are as the book was asked slots for, or where these lie farther ahead than
+// callers wait.
 func (a *Account) Refused(now time.Time) (after time.Duration, refused bool) {
 	if now.UnixNano() >= a.refuseUntil.Load() {
 		return 0, false
@@ -101,7 +102,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	after = a.next.Sub(now)
-	if a.refused >= a.slots && after < promiseMax-refusalTime {
+	if a.refused >= a.slots && after < farAhead {
 		return 0, false
 	}
 	a.use.add(now, 1)
@@ -110,6 +111,9 @@
 	return min(max(after, time.Millisecond), promiseMax), true
 }
 
+// farAhead is how far ahead it no longer matters which request gets which slot.
+const farAhead = 5 * time.Second
+
 // maxSlots bounds for how many requests a node asks when they should come back.
 const maxSlots = 1 << 10
 
--- a/coordination/quota/book.go
+++ b/coordination/quota/book.go
@@ -154,6 +154,9 @@
 		g.After, g.Spacing = p.promise(b.cfg, now, r.Need-whole+r.Slots)
 		return g
 	}
+	if p.level >= b.cfg.part(p.rate).burst*plenty {
+		p.next = now // who was promised more has not come back
+	}
 	// Half of what there is stays for others, and half of what there may be is no reserve.
 	room := b.cfg.part(p.rate).burst/2 - p.reserved.sum(now)
 	if extra := min(r.Reserve, int(min(room, p.level/2))); extra > 0 {
@@ -164,9 +167,11 @@
 	return g
 }
 
-// promiseMax bounds how far ahead tokens are promised: callers that are told later seldom
-// come back at all.
-const promiseMax = 4 * time.Second
+// plenty is the part of what a book may hold from which on nothing is promised any more.
+const plenty = 0.25
+
+// promiseMax bounds how far ahead tokens are promised.
+const promiseMax = 30 * time.Second
 
 // promise returns when the next token comes that nobody was promised, and takes it and those
 // that follow.
