Leave scarce tokens of a quota to requests that can still be in time

Callers that a quota has refused come back when they can only be late, and took the tokens of those that come for the first time. A refusal by quota is remembered like any other now, and one that can only be late isn't let in within 0.3 s of the book's last refusal.

--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -21,10 +21,12 @@
 	use     use
 	next    time.Time // when the next refused request should come back
 	spacing time.Duration
-	refused int // since the last question
-	slots   int // asked for with it
-	piece   piece
-	reached time.Time // when a keeper last answered
+	// refusedAt is when a book last had too few tokens.
+	refusedAt time.Time
+	refused   int // since the last question
+	slots     int // asked for with it
+	piece     piece
+	reached   time.Time // when a keeper last answered
 }
 
 // NewAccount returns an empty account.
@@ -83,6 +85,7 @@
 func (a *Account) Refuse(now time.Time, g Grant, short int) []time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.refusedAt = now
 	after := make([]time.Duration, short)
 	for i := range after {
 		after[i] = min(g.After+time.Duration(i)*g.Spacing, promiseMax)
@@ -111,6 +114,20 @@
 	return min(max(after, time.Millisecond), promiseMax), true
 }
 
+// scarceTime is for how long after a refusal tokens are held to be scarce.
+const scarceTime = 300 * time.Millisecond
+
+// Scarce reports whether there were too few tokens a moment ago, and when to come back: what
+// there is then goes to requests that can still be in time.
+func (a *Account) Scarce(now time.Time) (after time.Duration, scarce bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now.Sub(a.refusedAt) >= scarceTime {
+		return 0, false
+	}
+	return min(max(a.next.Sub(now), scarceTime), promiseMax), true
+}
+
 // farAhead is how far ahead it no longer matters which request gets which slot.
 const farAhead = 5 * time.Second
 
--- a/transport/outbound/authorise.go
+++ b/transport/outbound/authorise.go
@@ -16,8 +16,9 @@
 type Quotas interface {
 	// Take takes leave for one request of an organisation that has a quota. It may wait
 	// for other nodes until ctx ends. Where the quota is used up it returns false and when
-	// to come back.
-	Take(ctx context.Context, o *route.Organisation) (after time.Duration, ok bool)
+	// to come back. late says that the request can only be answered late: it gets none
+	// that one which can be in time would miss.
+	Take(ctx context.Context, o *route.Organisation, late bool) (after time.Duration, ok bool)
 	// Return gives leave back that was not used: the request was not run.
 	Return(o *route.Organisation)
 }
@@ -80,10 +81,13 @@
 	if !x.limited() {
 		return nil
 	}
-	after, ok := x.p.cfg.Quotas.Take(x.ctx, x.organisation)
+	after, ok := x.p.cfg.Quotas.Take(x.ctx, x.organisation, !x.inTime(x.began))
 	if ok {
 		return nil
 	}
+	if x.first.Equal(x.began) {
+		x.p.returns.Refused(uint64(x.fingerprint), x.first, x.until())
+	}
 	return &refusal{status: http.StatusTooManyRequests, reason: outcome.ReasonRateLimited, after: after}
 }
 
--- a/transport/quota/bed_test.go
+++ b/transport/quota/bed_test.go
@@ -213,14 +213,14 @@
 }
 
 // send lets one request of an organisation come to a node.
-func (b *bed) send(h *host, name string) {
+func (b *bed) send(h *host, name string, late bool) {
 	b.mu.Lock()
 	up, desk, o := h.up, h.desk, b.limits[name]
 	b.mu.Unlock()
 	if !up || o == nil || o.Quota == nil {
 		return
 	}
-	after, ok := desk.Take(context.Background(), o)
+	after, ok := desk.Take(context.Background(), o, late)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.asked[name]++
@@ -245,7 +245,7 @@
 		if time.Now().After(end) {
 			return
 		}
-		go b.send(h, name)
+		go b.send(h, name, false)
 	}
 }
 
--- a/transport/quota/desk.go
+++ b/transport/quota/desk.go
@@ -139,8 +139,9 @@
 }
 
 // Take takes leave for one request of an organisation that has a quota. Where that is used
-// up it returns false and when to come back.
-func (d *Desk) Take(ctx context.Context, o *route.Organisation) (after time.Duration, ok bool) {
+// up it returns false and when to come back. One that can only be late gets none while there
+// are too few for those that aren't.
+func (d *Desk) Take(ctx context.Context, o *route.Organisation, late bool) (after time.Duration, ok bool) {
 	a := d.account(o)
 	now := d.cfg.Now()
 	if a.Account.Take(now) {
@@ -148,6 +149,9 @@
 		return 0, true
 	}
 	after, refused := a.Refused(now)
+	if !refused && late {
+		after, refused = a.Scarce(now)
+	}
 	if !refused {
 		after, ok = d.wait(ctx, a)
 	}
--- a/transport/quota/fleet_test.go
+++ b/transport/quota/fleet_test.go
@@ -199,7 +199,7 @@
 			}
 			again++
 			h := b.hosts[again%len(b.hosts)]
-			time.AfterFunc(after, func() { b.send(h, "o") })
+			time.AfterFunc(after, func() { b.send(h, "o", true) })
 		}
 		time.Sleep(lasts)
 		refused := 0
@@ -208,3 +208,28 @@
 		must.LessEq(t, again/4, refused)
 	})
 }
+
+// While an organisation sends more than its quota allows, requests that can only be late don't
+// take what those that can be in time would get.
+func TestLateRequestsTakeNoScarceTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(4, 12, organisation(30, 30))
+		time.Sleep(settle)
+		go b.demand("o", 300, 4*time.Second, b.hosts...)
+		time.Sleep(2 * time.Second)
+		let, refused := 0, 0
+		for range 200 {
+			time.Sleep(10 * time.Millisecond)
+			if _, ok := b.hosts[let%len(b.hosts)].desk.Take(t.Context(), b.limits["o"], true); ok {
+				let++
+			} else {
+				refused++
+			}
+		}
+		t.Logf("late: %d let in, %d refused", let, refused)
+		must.LessEq(t, 5, let)
+		time.Sleep(2 * time.Second)
+		_, ok := b.hosts[0].desk.Take(t.Context(), b.limits["o"], true)
+		must.True(t, ok)
+	})
+}
