Mint for the members of a zone that a node sees, so that both sides of a cut keep the bound

Nodes that saw half of their zone minted for all of it while the others let in their even pieces. A keeper now mints the part of its zone's members that it sees, and counts those that failed for a minute. Books hold 5% in place of 40% of what may be served over a quota.

--- a/coordination/quota/book.go
+++ b/coordination/quota/book.go
@@ -15,6 +15,8 @@
 
 	mu    sync.Mutex
 	pages map[string]*page
+	// share is the part of the zone's members that this node sees.
+	share float64
 }
 
 // page is the book of one organisation.
@@ -34,23 +36,25 @@
 }
 
 // NewBook returns an empty book.
-func NewBook(cfg Config) *Book { return &Book{cfg: cfg, pages: make(map[string]*page)} }
+func NewBook(cfg Config) *Book { return &Book{cfg: cfg, pages: make(map[string]*page), share: 1} }
 
 // standInTime is how long a stand-in that nobody asks goes on minting: it must not save up
 // what the keeper mints too.
 const standInTime = time.Second
 
-// Keep tells which organisations the node keeps the books of, with their quotas. It returns
-// what the books of others hold that it kept until now: they go to their new keepers.
-func (b *Book) Keep(now time.Time, quotas map[string]model.Rate, keeps func(organisation string) bool) map[string]float64 {
+// Keep tells which organisations the node keeps the books of, with their quotas, and which part
+// of the zone's members it sees: it mints no more than that part. It returns what the books of
+// others hold that it kept until now: they go to their new keepers.
+func (b *Book) Keep(now time.Time, share float64, quotas map[string]model.Rate, keeps func(organisation string) bool) map[string]float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.share = share
 	var left map[string]float64
 	for name, p := range b.pages {
 		if _, limited := quotas[name]; !limited {
 			delete(b.pages, name)
 		} else if p.kept && !keeps(name) {
-			p.bring(b.cfg, now)
+			p.bring(b.part(p.rate), now)
 			if left == nil {
 				left = make(map[string]float64)
 			}
@@ -71,23 +75,28 @@
 func (b *Book) page(now time.Time, name string, rate model.Rate) *page {
 	p := b.pages[name]
 	if p == nil {
-		p = &page{rate: rate, level: b.cfg.start(rate), at: now, asked: now}
+		p = &page{rate: rate, level: b.share * b.cfg.start(rate), at: now, asked: now}
 		b.pages[name] = p
 	}
 	if !p.kept && now.Sub(p.asked) > standInTime {
-		p.level, p.at = b.cfg.start(rate), now
+		p.level, p.at = b.share*b.cfg.start(rate), now
 	}
 	if p.rate != rate {
 		p.rate, p.next = rate, time.Time{}
-		p.level = min(p.level, b.cfg.part(rate).burst)
+		p.level = min(p.level, b.part(rate).burst)
 	}
-	p.bring(b.cfg, now)
+	p.bring(b.part(p.rate), now)
 	return p
 }
 
+// part returns the size of a page.
+func (b *Book) part(rate model.Rate) size {
+	of := b.cfg.part(rate)
+	return size{perSecond: of.perSecond * b.share, burst: max(1, of.burst*b.share)}
+}
+
 // bring mints what has come since the last time.
-func (p *page) bring(cfg Config, now time.Time) {
-	of := cfg.part(p.rate)
+func (p *page) bring(of size, now time.Time) {
 	room := of.burst - p.reserved.sum(now)
 	passed := now.Sub(p.at)
 	if passed <= 0 {
@@ -151,14 +160,14 @@
 	p.level -= float64(whole)
 	g := Grant{Tokens: whole}
 	if whole < r.Need {
-		g.After, g.Spacing = p.promise(b.cfg, now, r.Need-whole+r.Slots)
+		g.After, g.Spacing = p.promise(b.part(p.rate), now, r.Need-whole+r.Slots)
 		return g
 	}
-	if p.level >= b.cfg.part(p.rate).burst*plenty {
+	if p.level >= b.part(p.rate).burst*plenty {
 		p.next = now // who was promised more has not come back
 	}
 	// Half of what there is stays for others, and half of what there may be is no reserve.
-	room := b.cfg.part(p.rate).burst/2 - p.reserved.sum(now)
+	room := b.part(p.rate).burst/2 - p.reserved.sum(now)
 	if extra := min(r.Reserve, int(min(room, p.level/2))); extra > 0 {
 		p.level -= float64(extra)
 		p.reserved.add(now, float64(extra))
@@ -175,8 +184,8 @@
 
 // promise returns when the next token comes that nobody was promised, and takes it and those
 // that follow.
-func (p *page) promise(cfg Config, now time.Time, slots int) (after, spacing time.Duration) {
-	each := float64(time.Second) / cfg.part(p.rate).perSecond
+func (p *page) promise(of size, now time.Time, slots int) (after, spacing time.Duration) {
+	each := float64(time.Second) / of.perSecond
 	first := now.Add(time.Duration(max(0, 1-p.level) * each))
 	if p.next.Before(first) {
 		p.next = first
--- a/coordination/quota/config.go
+++ b/coordination/quota/config.go
@@ -17,12 +17,14 @@
 	Over, Slack float64
 }
 
-// What may be served beyond a quota in a window is divided: most lets books hold more than
-// the burst, since callers that keep to their quota don't come evenly. The rest is for what
-// was let in before a book was lost, which still counts.
+// What may be served beyond a quota in a window is divided: some lets books hold more than
+// the burst, since callers that keep to a small quota don't come evenly. The rest is for what
+// was let in before a book was lost, which still counts, and for what both sides of a cut let in
+// until they know of it.
 const (
-	// heldPart is the part that books hold.
-	heldPart = 0.4
+	// heldOver and heldSlack are the parts of Over and Slack that books hold.
+	heldOver  = 0.05
+	heldSlack = 0.4
 	// startPart is the part that new books begin with: in one window the keeper may end,
 	// another one stand in for it and the first come back.
 	startPart = 0.15
@@ -47,7 +49,7 @@
 
 // hold returns how many tokens the fleet may hold of an organisation.
 func (c Config) hold(rate model.Rate) float64 {
-	return float64(rate.Burst) + heldPart*c.allowance(rate)
+	return float64(rate.Burst) + heldSlack*c.Slack + heldOver*(c.allowance(rate)-c.Slack)
 }
 
 // part returns the size of a zone's book. It holds a whole token at least: without one no
--- a/coordination/quota/members.go
+++ b/coordination/quota/members.go
@@ -27,12 +27,14 @@
 	Zones map[model.Zone][]Member
 	// Fleet is the number of nodes that are known, those that have failed included.
 	Fleet int
+	// Share is the part of the own zone's members that this node sees live. Members that
+	// failed a short while ago may live on behind a cut, with the rest.
+	Share float64
 	// mintFrom is when this node may keep books; the zero value is never.
 	mintFrom time.Time
 }
 
-// Minting reports whether this node may keep books: it knows its zone and sees at least
-// half of it.
+// Minting reports whether this node may keep books: it knows its zone.
 func (m *Members) Minting(now time.Time) bool {
 	return m != nil && !m.mintFrom.IsZero() && !now.Before(m.mintFrom)
 }
@@ -65,6 +67,9 @@
 	settleTime = 300 * time.Millisecond
 	// aloneTime is the same for a node that has found nobody.
 	aloneTime = 3 * time.Second
+	// missingTime is for how long members that have failed are counted: behind a cut they
+	// would let in their part.
+	missingTime = time.Minute
 )
 
 // Roster makes Members of the records that a node holds. One goroutine uses it.
@@ -74,6 +79,7 @@
 	started time.Time
 	settled bool
 	last    *Members
+	missing bool // members have failed a short while ago
 	// seen is the number of live members when it last changed, and at when that was.
 	seen int
 	at   time.Time
@@ -84,9 +90,8 @@
 	return &Roster{self: self, zone: zone, started: started, at: started}
 }
 
-// Settled reports whether the node has seen its fleet: from then on its members change with
-// the records only.
-func (r *Roster) Settled() bool { return r.settled }
+// Changing reports whether the members change with time and not with the records only.
+func (r *Roster) Changing() bool { return !r.settled || r.missing }
 
 // Update returns the members by the records that the node holds now.
 func (r *Roster) Update(now time.Time, t *endpoint.Table) *Members {
@@ -96,6 +101,9 @@
 		if rec.Status == endpoint.StatusLeft {
 			return true
 		}
+		if !rec.Live() && now.Sub(time.Unix(rec.Died, 0)) > missingTime {
+			return true
+		}
 		m.Fleet++
 		own := rec.Zone == r.zone
 		if own {
@@ -111,9 +119,9 @@
 		m.Zones[rec.Zone] = append(m.Zones[rec.Zone], Member{Node: rec.Node, Zone: rec.Zone, Addr: rec.GateAddr, key: key})
 		return true
 	})
-	if 2*near >= known {
-		m.mintFrom = r.settle(now, live)
-	}
+	m.Share = float64(near) / float64(max(1, known))
+	m.mintFrom = r.settle(now, live)
+	r.missing = m.Fleet > live
 	r.last = m
 	return m
 }
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -23,7 +23,7 @@
 
 func kept(now time.Time) *Book {
 	b := NewBook(cfg)
-	b.Keep(now, map[string]model.Rate{"o": rate}, everything)
+	b.Keep(now, 1, map[string]model.Rate{"o": rate}, everything)
 	return b
 }
 
@@ -69,7 +69,7 @@
 	b := kept(begin)
 	now := begin.Add(time.Minute)
 	low := model.Rate{PerSecond: 3, Burst: 3}
-	b.Keep(now, map[string]model.Rate{"o": low}, everything)
+	b.Keep(now, 1, map[string]model.Rate{"o": low}, everything)
 	q := ask(1000)
 	q.Rate = low
 	must.LessEq(t, int(cfg.part(low).burst), b.Ask(now, q).Tokens)
@@ -77,7 +77,7 @@
 
 func TestRemovedQuotaLeavesNothing(t *testing.T) {
 	b := kept(begin)
-	b.Keep(begin, nil, everything)
+	b.Keep(begin, 1, nil, everything)
 	must.MapEmpty(t, b.pages)
 }
 
@@ -85,7 +85,7 @@
 func TestBookMovesOnce(t *testing.T) {
 	b := kept(begin)
 	now := begin.Add(time.Minute)
-	left := b.Keep(now, map[string]model.Rate{"o": rate}, func(string) bool { return false })
+	left := b.Keep(now, 1, map[string]model.Rate{"o": rate}, func(string) bool { return false })
 	must.Eq(t, map[string]float64{"o": cfg.part(rate).burst}, left)
 	other := kept(now)
 	other.Receive(now, "o", rate, left["o"])
@@ -163,7 +163,7 @@
 	for i := range live + failed {
 		r := endpoint.Record{Node: model.NodeID(fmt.Sprintf("n%d", i)), Zone: "z", Incarnation: 1}
 		if i >= live {
-			r.Status = endpoint.StatusFailed
+			r.Status, r.Died = endpoint.StatusFailed, begin.Unix()
 		}
 		t.Put(r)
 	}
@@ -181,16 +181,29 @@
 	must.False(t, m.Minting(now.Add(350*time.Millisecond)))
 	must.True(t, m.Minting(now.Add(400*time.Millisecond)))
 	r.Update(now.Add(400*time.Millisecond), table(20, 0))
-	must.True(t, r.Settled())
+	must.False(t, r.Changing())
 	must.True(t, r.Update(now.Add(time.Second), table(21, 0)).Minting(now.Add(time.Second)))
 }
 
-func TestNodeThatSeesLessThanHalfOfItsZoneKeepsNoBook(t *testing.T) {
+// Two halves of a zone that don't see each other mint no more than the zone together. Members
+// that have been gone for long are no longer counted: the others bear their loss.
+func TestNodeMintsForTheMembersItSees(t *testing.T) {
 	r := NewRoster("n0", "z", begin)
-	r.Update(begin, table(5, 5))
-	now := begin.Add(time.Minute)
-	must.True(t, r.Update(now, table(5, 5)).Minting(now))
-	must.False(t, r.Update(now, table(4, 6)).Minting(now))
+	r.Update(begin, table(5, 15))
+	now := begin.Add(30 * time.Second)
+	m := r.Update(now, table(5, 15))
+	must.True(t, m.Minting(now))
+	must.Eq(t, 0.25, m.Share)
+	must.Eq(t, 20, m.Fleet)
+	must.True(t, r.Changing())
+	b := kept(begin)
+	b.Keep(now, m.Share, map[string]model.Rate{"o": rate}, everything)
+	full := cfg.part(rate).burst
+	must.Eq(t, int(full/4), b.Ask(now.Add(time.Second), ask(1000)).Tokens)
+	must.Eq(t, 400*time.Millisecond, b.Ask(now.Add(time.Second), ask(1)).Spacing)
+	later := begin.Add(2 * time.Minute)
+	must.Eq(t, 1.0, r.Update(later, table(5, 15)).Share)
+	must.False(t, r.Changing())
 }
 
 // The loss of a member moves its organisations only, to those that stood in for it.
--- a/internal/sidecar/quota.go
+++ b/internal/sidecar/quota.go
@@ -64,9 +64,10 @@
 	l.quotas.desk.SetMembers(l.quotas.roster.Update(now, l.member.Table()))
 }
 
-// settleQuotas looks whether a node that has started knows its fleet.
+// settleQuotas takes over what changes with time: whether a node that has started knows its
+// fleet, and which members have been gone for long.
 func (l *loop) settleQuotas(now time.Time) {
-	if l.quotas != nil && !l.quotas.roster.Settled() {
+	if l.quotas != nil && l.quotas.roster.Changing() {
 		l.updateQuotas(now)
 	}
 }
--- a/transport/quota/bed_test.go
+++ b/transport/quota/bed_test.go
@@ -31,6 +31,7 @@
 	table *endpoint.Table
 	up    bool
 	runs  uint64 // its incarnation
+	side  bool   // of a split
 }
 
 // bed is a fleet in virtual time, to be used in a synctest bubble. Every node learns after
@@ -43,6 +44,7 @@
 	byID     map[model.NodeID]*host
 	cut      model.Zone // can't reach others
 	alone    model.NodeID
+	split    bool // nodes in a third of each zone see each other only
 	loss     float64
 	messages int
 	limits   map[string]*route.Organisation
@@ -70,7 +72,7 @@
 		b.limits[o.Name] = o
 	}
 	for i := range nodes {
-		h := &host{id: model.NodeID(fmt.Sprintf("n%02d", i)), zone: model.Zone(fmt.Sprintf("z%d", i%3))}
+		h := &host{id: model.NodeID(fmt.Sprintf("n%02d", i)), zone: model.Zone(fmt.Sprintf("z%d", i%3)), side: i%9 < 3}
 		b.hosts = append(b.hosts, h)
 		b.byID[h.id] = h
 	}
@@ -119,8 +121,9 @@
 func (b *bed) learn(h, of *host) {
 	b.mu.Lock()
 	r := endpoint.Record{Node: of.id, Zone: of.zone, GateAddr: string(of.id), Incarnation: of.runs}
-	if !of.up {
-		r.Status = endpoint.StatusFailed
+	if !of.up || b.split && of.side != h.side {
+		r.Sequence = 1
+		r.Status, r.Died = endpoint.StatusFailed, time.Now().Unix()
 	}
 	if h.up && of.runs > 0 {
 		h.table.Put(r)
@@ -163,6 +166,18 @@
 	})
 }
 
+// divide cuts a third of each zone off from the rest.
+func (b *bed) divide() {
+	b.locked(func() { b.split = true })
+	time.AfterFunc(noticed, func() {
+		for _, h := range b.hosts {
+			for _, of := range b.hosts {
+				b.learn(h, of)
+			}
+		}
+	})
+}
+
 // configure changes the quotas at all nodes, spread over half a second.
 func (b *bed) configure(all ...*route.Organisation) {
 	limits := make(map[string]*route.Organisation)
@@ -191,7 +206,8 @@
 	if h.zone != c.from.zone {
 		delay = zoneOneWay
 	}
-	cut := h.zone != c.from.zone && (h.zone == b.cut || c.from.zone == b.cut) || b.alone == h.id || b.alone == c.from.id
+	cut := h.zone != c.from.zone && (h.zone == b.cut || c.from.zone == b.cut) || b.alone == h.id || b.alone == c.from.id ||
+		b.split && h.side != c.from.side
 	there, back := b.rng.Float64() >= b.loss && !cut, b.rng.Float64() >= b.loss
 	up, desk := h.up, h.desk
 	b.mu.Unlock()
--- a/transport/quota/desk.go
+++ b/transport/quota/desk.go
@@ -93,7 +93,11 @@
 func (d *Desk) keep() {
 	now, m := d.cfg.Now(), d.members.Load()
 	minting := m.Minting(now)
-	left := d.book.Keep(now, *d.quotas.Load(), func(organisation string) bool {
+	share := 1.0
+	if m != nil {
+		share = m.Share
+	}
+	left := d.book.Keep(now, share, *d.quotas.Load(), func(organisation string) bool {
 		if !minting {
 			return false
 		}
--- a/transport/quota/fleet_test.go
+++ b/transport/quota/fleet_test.go
@@ -93,6 +93,18 @@
 		time.AfterFunc(lasts/2, func() { b.locked(func() { b.alone = b.keepers()[0].id }) })
 		b.demand("o", usual*limit, lasts, b.hosts...)
 	}},
+	{"flood, a third of each zone is cut off", 1, func(b *bed, limit float64) {
+		b.divide()
+		b.demand("o", flood*limit, lasts, b.hosts...)
+	}},
+	{"flood, a third of each zone is cut off later", 1, func(b *bed, limit float64) {
+		time.AfterFunc(lasts/3, b.divide)
+		b.demand("o", flood*limit, lasts, b.hosts...)
+	}},
+	{"usual use, a third of each zone is cut off", 0.03, func(b *bed, limit float64) {
+		time.AfterFunc(lasts/3, b.divide)
+		b.demand("o", usual*limit, lasts, b.hosts...)
+	}},
 	{"usual use, a tenth of the messages is lost", 0.03, func(b *bed, limit float64) {
 		b.loss = 0.1
 		b.demand("o", usual*limit, lasts, b.hosts...)
