--- a/coordination/quota/account.go
+++ b/coordination/quota/account.go
@@ -172,7 +172,7 @@
 	if a.reached.After(a.piece.at) {
 		a.piece.at = now // the keeper gave out the whole meanwhile
 	}
-	return a.piece.take(now, rate.PerSecond/n, max(1, float64(rate.Burst)/n), lot)
+	return a.piece.take(now, careful*rate.PerSecond/n, max(1, float64(rate.Burst)/n), lot)
 }
 
 // piece is a node's even piece of a quota.
--- a/coordination/quota/book.go
+++ b/coordination/quota/book.go
@@ -85,7 +85,11 @@
 		p.rate, p.next = rate, time.Time{}
 		p.level = min(p.level, b.part(rate).burst)
 	}
-	p.bring(b.part(p.rate), now)
+	of := b.part(p.rate)
+	if !p.kept {
+		of.perSecond *= careful
+	}
+	p.bring(of, now)
 	return p
 }
 
--- a/coordination/quota/config.go
+++ b/coordination/quota/config.go
@@ -32,6 +32,10 @@
 	piecePart = 0.15
 )
 
+// careful is the part of its rate that is minted by who doesn't know whether the keeper of a
+// book mints too: stand-ins and even pieces.
+const careful = 0.7
+
 // allowance returns how many requests beyond its quota an organisation may run in a window.
 func (c Config) allowance(rate model.Rate) float64 {
 	return c.Over*(rate.PerSecond*c.Window.Seconds()+float64(rate.Burst)) + c.Slack
