Charge a repeat without noting its caller as refused

Cause: a repeat that the quota didn't allow was noted like a refused request, although its caller is told what came of the first attempt. Tests as they were but for the fake's new argument; nothing was measured.

--- a/transport/outbound/authorise.go
+++ b/transport/outbound/authorise.go
@@ -81,7 +81,7 @@
 	if !x.limited() {
 		return nil
 	}
-	after, ok := x.p.cfg.Quotas.Take(x.ctx, x.organisation, !x.inTime(x.began))
+	after, ok := x.charge()
 	if ok {
 		return nil
 	}
@@ -91,6 +91,11 @@
 	return &refusal{status: http.StatusTooManyRequests, reason: outcome.ReasonRateLimited, after: after}
 }
 
+// charge charges one run to the organisation's quota.
+func (x *exchange) charge() (after time.Duration, ok bool) {
+	return x.p.cfg.Quotas.Take(x.ctx, x.organisation, !x.inTime(x.p.cfg.Now()))
+}
+
 // returnLeave gives the leave of a request back that no backend server has run.
 func (x *exchange) returnLeave() {
 	if worst, _ := x.trail.Worst(); worst == outcome.NotRun && x.failure == nil && x.limited() {
@@ -101,7 +106,11 @@
 // leaveAgain reports whether the quota lets the request run once more after an attempt
 // that may have run.
 func (x *exchange) leaveAgain() bool {
-	return x.trail.Progress.Last == outcome.NotRun || x.takeLeave() == nil
+	if x.trail.Progress.Last == outcome.NotRun || !x.limited() {
+		return true
+	}
+	_, ok := x.charge()
+	return ok
 }
 
 // limited reports whether a quota bounds the request.
--- a/transport/outbound/authorise_test.go
+++ b/transport/outbound/authorise_test.go
@@ -34,7 +34,7 @@
 // quota lets a number of requests in.
 type quota struct{ left int }
 
-func (q *quota) Take(context.Context, *route.Organisation) (time.Duration, bool) {
+func (q *quota) Take(context.Context, *route.Organisation, bool) (time.Duration, bool) {
 	if q.left == 0 {
 		return 250 * time.Millisecond, false
 	}
