Read how slow a backend server's host is, and pass it on

Backend servers share their hosts; the fourth figure of their load header says how long work takes there at this moment. It is decoded behind the dialect, kept with the gate, where it fades to the usual within 300 ms, told with each answer to other nodes while it isn't the usual, and weighs a server's load when one is chosen. A server that tells none is rated as before.

--- a/coordination/balance/config.go
+++ b/coordination/balance/config.go
@@ -8,6 +8,12 @@
 	// 0 over this time, because reports lag and a server that is not picked
 	// sends no new one.
 	LoadTTL time.Duration
+	// SlowdownTTL is how long a reported slowdown of a host counts. Its weight falls
+	// linearly to 0: hosts that share their processors change within some 100 ms.
+	SlowdownTTL time.Duration
+	// Completion rates servers by when the request would be answered in place of load
+	// times slowness, where servers report how slow their hosts are.
+	Completion bool
 	// LatencyTTL is how long the measured latency of a server counts. Its
 	// weight falls linearly to 0, so that a server that got well is tried
 	// again.
@@ -56,6 +62,7 @@
 func DefaultConfig() Config {
 	return Config{
 		LoadTTL:      time.Second,
+		SlowdownTTL:  300 * time.Millisecond,
 		LatencyTTL:   10 * time.Second,
 		LatencyGain:  0.1,
 		LatencyCap:   4,
--- a/coordination/balance/done.go
+++ b/coordination/balance/done.go
@@ -54,6 +54,9 @@
 	own := c.server.inFlight.Add(-1) + 1
 	if r.Load != nil {
 		c.server.report(*r.Load, own, at)
+		if r.Load.Slowdown > 0 && !c.group.stats.uneven.Load() {
+			c.group.stats.uneven.Store(true)
+		}
 		average(&c.group.stats.load, float64(r.Load.Used+r.Load.Queued)/float64(r.Load.Slots), groupGain)
 	}
 	c.noteWay(&r, at)
--- a/coordination/balance/group.go
+++ b/coordination/balance/group.go
@@ -37,6 +37,7 @@
 type stats struct {
 	latency perwork.Map[latency]
 	load    atomic.Uint64 // float64: moving average of reported load per slot
+	uneven  atomic.Bool   // a server has reported how slow its host is
 }
 
 // latency is a moving average of what requests of one sort take.
--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -8,6 +8,7 @@
 package balance
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -154,7 +155,7 @@
 	}
 	if b != nil {
 		loadB := b.server.loadPerSlot(&p.cfg, g, b, at)
-		if p.rate(g, b, loadB, at) < p.rate(g, a, loadA, at) {
+		if p.rate(g, b, loadB, want, at) < p.rate(g, a, loadA, want, at) {
 			a, loadA = b, loadB
 		}
 	}
@@ -162,11 +163,33 @@
 }
 
 // rate returns what a request would meet at the member: the load with the
-// request itself, times how slow the member is.
-func (p *Picker) rate(g *group, m *member, load float64, at int64) float64 {
-	return (load + 1/float64(m.slots)) * m.server.slowness(&p.cfg, at)
+// request itself, times how slow the member is and how slow its host is now.
+func (p *Picker) rate(g *group, m *member, load float64, want Want, at int64) float64 {
+	s := m.server
+	slow := s.slowness(&p.cfg, at) * s.slowdown(&p.cfg, at)
+	if p.cfg.Completion && g.stats.uneven.Load() {
+		return p.completion(g, m, load, want, slow)
+	}
+	return (load + 1/float64(m.slots)) * slow
+}
+
+// completion returns how long the request would take at the member: its wait for a slot
+// and its own time, in nanoseconds. What is reported is old by the time that the request
+// arrives, so that the wait begins before all slots are in use: a queue for as many
+// slots, each as likely in use as the load says, stands for it.
+func (p *Picker) completion(g *group, m *member, load float64, want Want, slow float64) float64 {
+	slots := m.server.slotsOr(m.slots)
+	own := float64(g.typical(want.Work)) * slow
+	work := float64(m.server.workOr(g.typical(want.Work)))
+	waiting := max(0, load*slots+1-slots)
+	crowd := math.Pow(min(load+1/slots, 1), completionPower)
+	return own*(1+crowd) + waiting/slots*work
 }
 
+// completionPower is how steeply the wait that is expected rises with the load before all
+// slots are in use.
+const completionPower = 2
+
 // delay returns how long a request would wait for a slot at the member. How slow
 // it seems doesn't count: sound servers differ by twice and more, and a really
 // slow one has a queue. Counting it beyond twice the average sent four times as
--- a/coordination/balance/server.go
+++ b/coordination/balance/server.go
@@ -25,6 +25,7 @@
 	slots      atomic.Int64  // reported slots; 0 when not known
 	work       atomic.Int64  // reported mean time that a request holds a slot; 0 when not known
 	reportedAt atomic.Int64
+	slowed     atomic.Uint64 // float64: reported slowdown of the host; 0 when not known
 
 	latency   atomic.Uint64 // float64: moving average of log2(latency / group's for such work)
 	latencyAt atomic.Int64
@@ -103,12 +104,24 @@
 	return math.Exp2(max(min(d, c.LatencyCap), -c.LatencyCap))
 }
 
+// slowdown returns how many times as long as usual work takes on the server's host at
+// this moment. It fades to the usual within the configured time.
+func (s *server) slowdown(c *Config, at int64) float64 {
+	factor := floatOf(&s.slowed)
+	age := at - s.reportedAt.Load()
+	if factor == 0 || age >= int64(c.SlowdownTTL) {
+		return 1
+	}
+	return 1 + (factor-1)*(1-float64(max(age, 0))/float64(c.SlowdownTTL))
+}
+
 // report notes a reported load. own is this node's requests in flight when it
 // arrived: the report counts them too.
 func (s *server) report(l Load, own int64, at int64) {
 	storeFloat(&s.others, max(0, float64(int64(l.Used+l.Queued)-own)))
 	s.slots.Store(int64(l.Slots))
 	s.work.Store(int64(l.Work))
+	storeFloat(&s.slowed, l.Slowdown)
 	s.reportedAt.Store(at)
 }
 
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -59,6 +59,8 @@
 	closed  atomic.Bool
 	times   estimates
 
+	slowdown slowdown
+
 	mu     sync.Mutex
 	limits Limits
 	queue  queue
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -26,6 +26,9 @@
 	Mark(h Header, m Marks)
 	// Foreign reports whether a response belongs to another request.
 	Foreign(request, response Header) bool
+	// Load reads the load that a backend server tells with a response. told is false where
+	// it tells none. The error is typed; the response is sound whatever its load says.
+	Load(response Header) (l Load, told bool, err error)
 	// Judge reads what a backend server's response says of the request.
 	Judge(status int, response Header) Verdict
 }
@@ -43,6 +46,16 @@
 	Organisation string
 }
 
+// Load is what a backend server tells of its load.
+type Load struct {
+	// Running and Waiting are the requests that run and that wait, and Slots is how many
+	// may run at one time.
+	Running, Waiting, Slots int
+	// Slowdown is how many times as long as usual work takes on the server's host at this
+	// moment; 0 where that isn't told.
+	Slowdown float64
+}
+
 // Verdict says what a response means for the request.
 type Verdict uint8
 
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -43,7 +43,9 @@
 	// gate refuses a request that stale routing sent to the wrong host.
 	HeaderService = "Jacinthgate-Service"
 	// HeaderLoad carries the gate's load on every response: slots in use,
-	// slots and queue length, as "used/slots/queued".
+	// slots, queue length, what a request takes on average in microseconds, and how slow
+	// the host is at this moment in percent, as "used/slots/queued/work/slowdown". The
+	// last two may be left out.
 	HeaderLoad = "Jacinthgate-Load"
 	// HeaderTypical carries what requests of the same kind take on average at the
 	// gate's backend server, in microseconds.
--- a/transport/inbound/answer.go
+++ b/transport/inbound/answer.go
@@ -50,6 +50,6 @@
 // stamp tells the load with every answer.
 func (g *Gate) stamp(h http.Header) {
 	l := g.core.Load()
-	told := balance.Load{Used: l.Used, Slots: max(1, l.Slots), Queued: l.Queued, Work: g.core.Work()}
+	told := balance.Load{Used: l.Used, Slots: max(1, l.Slots), Queued: l.Queued, Work: g.core.Work(), Slowdown: g.slowdown()}
 	h[outcome.HeaderLoad] = []string{told.String()}
 }
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -84,6 +84,8 @@
 	// sending bounds the large answers that are sent at one time.
 	sending chan struct{}
 	crashes *crash.Observer
+	// unreadable counts the loads of the backend server that can't be read.
+	unreadable *metrics.Counter
 }
 
 // New returns a gate. Update must be called for it to let requests in.
@@ -100,6 +102,8 @@
 		Logger:    cfg.Logger,
 		Now:       cfg.Now,
 	})
+	g.unreadable = cfg.Metrics.GetOrCreateCounter("jacinthgate_inbound_loads_unreadable_total")
+	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_host_slowdown", g.slowdown)
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots_used", func() float64 { return float64(g.core.Load().Used) })
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots", func() float64 { return float64(g.core.Load().Slots) })
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_queued", func() float64 { return float64(g.core.Load().Queued) })
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -38,6 +38,7 @@
 		done(0)
 		return g.failed(req, c, started, err)
 	}
+	g.noteLoad(resp.Header)
 	return g.judge(req, c, resp, started, done)
 }
 
