Send requests on from a host that is slow at this moment

The gate learns the usual figure, so that only what passes counts as a slowdown; what it learns of service times is kept free of it, and its estimates are scaled by it. A request that would be late only since the host is slow is refused once, and its entry node chooses again.

--- a/coordination/balance/tried.go
+++ b/coordination/balance/tried.go
@@ -22,6 +22,15 @@
 	t.count++
 }
 
+// Remove lets a node be picked again.
+func (t *Tried) Remove(id model.NodeID) {
+	for i := range t.nodes {
+		if t.nodes[i] == id {
+			t.nodes[i] = ""
+		}
+	}
+}
+
 // AvoidZone excludes all servers of a zone, in place of an earlier zone. Empty
 // excludes none.
 func (t *Tried) AvoidZone(z model.Zone) { t.zone = z }
--- a/coordination/gate/enter.go
+++ b/coordination/gate/enter.go
@@ -22,6 +22,9 @@
 // clock is read at the start and when a slot is given back unused.
 func (g *Gate) Enter(ctx context.Context, r Request, clock func() time.Time) outcome.Reason {
 	now := clock()
+	if g.elsewhere(r, now) {
+		return outcome.ReasonHostSlow
+	}
 	if g.Try(r, now) {
 		return ""
 	}
--- a/coordination/gate/estimate.go
+++ b/coordination/gate/estimate.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,9 @@
 	typical atomic.Int64
 	samples atomic.Int64
 	ticked  int64
+	// spared is the part of the time that doesn't grow with the host's slowdown, as calls
+	// of the request to others.
+	spared atomic.Uint64 // float64
 }
 
 func (e *estimate) get() time.Duration { return time.Duration(e.nanos.Load()) }
@@ -39,6 +43,35 @@
 // average returns the mean service time; 0 before the first.
 func (e *estimate) average() time.Duration { return time.Duration(e.mean.Load()) }
 
+// slowed returns what a request takes on a host that is slow, of which d is the usual.
+func (e *estimate) slowed(d time.Duration, slowdown float64) time.Duration {
+	if slowdown == 1 {
+		return d
+	}
+	grows := 1 - max(0, min(math.Float64frombits(e.spared.Load()), 1))
+	return time.Duration(float64(d) * (1 + (slowdown-1)*grows))
+}
+
+// addSlowed adds what a request took that began while the host was slow, and returns what
+// it would have taken otherwise.
+func (e *estimate) addSlowed(d time.Duration, slowdown float64) time.Duration {
+	if usual := e.typical.Load(); usual > 0 {
+		grew := (float64(d)/float64(usual) - 1) / (slowdown - 1)
+		spared := math.Float64frombits(e.spared.Load())
+		e.spared.Store(math.Float64bits(spared + sparedGain*(1-grew-spared)))
+	}
+	usual := time.Duration(float64(d) / (float64(e.slowed(scale, slowdown)) / float64(scale)))
+	e.add(usual)
+	return usual
+}
+
+// scale is a time that is long beside the rounding of a product.
+const scale = time.Hour
+
+// sparedGain is the weight of one request in what slow moments spare: one alone tells
+// little, as its own work isn't known.
+const sparedGain = 0.02
+
 func (e *estimate) add(d time.Duration) {
 	e.samples.Add(1)
 	addTo(&e.mean, d)
@@ -89,6 +122,11 @@
 	e.all.add(took)
 }
 
+// addSlowed notes what a request took that began while the host was slow.
+func (e *estimates) addSlowed(w model.Work, took time.Duration, slowdown float64) {
+	e.all.add(e.Of(w).addSlowed(took, slowdown))
+}
+
 // tick lets all estimates decay.
 func (e *estimates) tick() {
 	e.all.tick()
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -87,6 +87,12 @@
 	return time.Duration(g.times.Of(w).typical.Load())
 }
 
+// least returns a low estimate of what a request of a sort takes that begins now.
+func (g *Gate) least(w model.Work, now time.Time) time.Duration {
+	times := g.times.Of(w)
+	return times.slowed(times.get(), g.slowdown.get(now))
+}
+
 // Update sets the limits. Slots that were taken away are not refilled as they
 // become free; slots that were added go to those who wait.
 func (g *Gate) Update(l Limits, now time.Time) {
@@ -118,7 +124,7 @@
 // a slot and must call Release. On false it calls Acquire, which says why; Try
 // only spares a request that need not wait the making of a Waiter.
 func (g *Gate) Try(r Request, now time.Time) bool {
-	if g.closed.Load() || now.Add(g.times.Of(r.Work).get()).After(r.Deadline) {
+	if g.closed.Load() || now.Add(g.least(r.Work, now)).After(r.Deadline) {
 		return false
 	}
 	return g.waiting.Load() == 0 && g.take()
@@ -135,11 +141,11 @@
 		return false, outcome.ReasonDraining
 	}
 	times := g.times.Of(w.Request.Work)
-	if now.Add(times.get()).After(w.Request.Deadline) {
+	if now.Add(g.least(w.Request.Work, now)).After(w.Request.Deadline) {
 		return false, outcome.ReasonDeadline
 	}
 	if !w.Request.Due.IsZero() {
-		w.latest = w.Request.Due.Add(-times.average())
+		w.latest = w.Request.Due.Add(-times.slowed(times.average(), g.slowdown.get(now)))
 		w.until = g.waitBound(w, now)
 	}
 	return g.enqueue(w, now)
@@ -204,8 +210,18 @@
 // Release returns a slot. took is the time the request held it; 0 when the
 // backend server did not run it.
 func (g *Gate) Release(w model.Work, took time.Duration, now time.Time) {
-	if took > 0 {
+	g.ReleaseSlowed(w, took, 1, now)
+}
+
+// ReleaseSlowed is Release for a request that began while the host had the slowdown: work
+// takes as long as the host lets it when it begins.
+func (g *Gate) ReleaseSlowed(w model.Work, took time.Duration, slowdown float64, now time.Time) {
+	switch {
+	case took <= 0:
+	case slowdown == 1:
 		g.times.add(w, took)
+	default:
+		g.times.addSlowed(w, took, slowdown)
 	}
 	g.used.Add(-1)
 	if g.waiting.Load() == 0 {
@@ -233,7 +249,7 @@
 // those before it.
 func (g *Gate) nextInTime(now time.Time) *Waiter {
 	for w := g.queue.pop(); w != nil; w = g.queue.pop() {
-		if !now.Add(g.times.Of(w.Request.Work).get()).After(w.Request.Deadline) {
+		if !now.Add(g.least(w.Request.Work, now)).After(w.Request.Deadline) {
 			return w
 		}
 		w.Settle(outcome.ReasonDeadline)
--- a/coordination/gate/order.go
+++ b/coordination/gate/order.go
@@ -30,7 +30,7 @@
 // to run it before its deadline, or no slot in time for when it is due. It is
 // empty when w may wait.
 func (g *Gate) late(w *Waiter, now time.Time) outcome.Reason {
-	service := g.times.Of(w.Request.Work).get()
+	service := g.least(w.Request.Work, now)
 	ahead, slots := g.queue.ahead(w), max(1, int(g.slots.Load()))
 	wait := time.Duration(ahead/slots) * service
 	if now.Add(wait + service).After(w.Request.Deadline) {
@@ -39,16 +39,18 @@
 	if w.until.IsZero() {
 		return ""
 	}
-	if now.Add(time.Duration(ahead+1) * g.interval()).After(w.until) {
+	if now.Add(time.Duration(ahead+1) * g.interval(now)).After(w.until) {
 		return outcome.ReasonQueueFull
 	}
 	return ""
 }
 
 // interval returns the mean time until a slot becomes free while all are in use:
-// the slots-th part of the mean service time.
-func (g *Gate) interval() time.Duration {
-	return g.times.all.average() / time.Duration(max(1, g.slots.Load()))
+// the slots-th part of the mean service time. Requests that began before a slow moment
+// end as usual, and those that begin in it don't end soon: half of it counts.
+func (g *Gate) interval(now time.Time) time.Duration {
+	mean := float64(g.times.all.average()) * (1 + g.slowdown.get(now)) / 2
+	return time.Duration(mean) / time.Duration(max(1, g.slots.Load()))
 }
 
 // waitPart is the part of its target that a request of average work waits for a
@@ -74,7 +76,7 @@
 		return w.latest // nothing is known to bound it by
 	}
 	wait := float64(target/waitPart) * float64(g.times.all.average()) / float64(work)
-	wait = max(wait, float64(waitSlots*g.interval()))
+	wait = max(wait, float64(waitSlots*g.interval(now)))
 	if until := now.Add(time.Duration(wait)); until.Before(w.latest) {
 		return until
 	}
--- a/coordination/gate/queue.go
+++ b/coordination/gate/queue.go
@@ -23,6 +23,9 @@
 	Organisation string
 	// Weight is the organisation's, above 0.
 	Weight float64
+	// Elsewhere says that its entry node can send it to another backend server, at no
+	// cost but the way.
+	Elsewhere bool
 }
 
 // Waiter is a request that waits for a slot.
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -72,6 +72,9 @@
 	HeaderStartWithin = "Jacinthgate-Start-Within"
 	// HeaderQuota marks a message between nodes about the quotas of organisations.
 	HeaderQuota = "Jacinthgate-Quota"
+	// HeaderElsewhere is "1" on a request that the gate may refuse since its host is slow
+	// at this moment: the entry node then sends it to another backend server.
+	HeaderElsewhere = "Jacinthgate-Elsewhere"
 	// HeaderReached is "1" on a gate's response when the request was sent to
 	// the backend server, whatever came of it.
 	HeaderReached = "Jacinthgate-Reached"
@@ -98,6 +101,7 @@
 	ReasonConcurrency      Reason = "concurrency"       // the contract's concurrency is used up
 	ReasonShed             Reason = "shed"              // overload; the least important first
 	ReasonQueueFull        Reason = "queue-full"        // the gate's queue is full
+	ReasonHostSlow         Reason = "host-slow"         // the host is slow at this moment, and others may not be
 	ReasonLinkFull         Reason = "link-full"         // the host's link is full of large answers
 	ReasonDeadline         Reason = "deadline"          // the deadline has passed or can't be met
 	ReasonDraining         Reason = "draining"          // the backend server is leaving
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -25,6 +25,7 @@
 	outcome.HeaderCaller,
 	outcome.HeaderUrgency, outcome.HeaderLinkWait, outcome.HeaderLinkBacklog,
 	outcome.HeaderReached,
+	outcome.HeaderElsewhere,
 	outcome.HeaderFingerprint,
 	outcome.HeaderStartWithin,
 	outcome.HeaderQuota,
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -61,6 +61,7 @@
 	if c.Organisation = h.Get(outcome.HeaderOrganisation); c.Organisation != "" {
 		c.Weight = g.cfg.Weight(c.Organisation)
 	}
+	c.Elsewhere = h[outcome.HeaderElsewhere] != nil
 	if c.fingerprint, err = crash.Fingerprint(req); err != nil {
 		return c, outcome.ReasonMalformed
 	}
--- a/transport/inbound/load.go
+++ b/transport/inbound/load.go
@@ -19,6 +19,5 @@
 
 // slowdown returns how many times as long as usual work takes on the host at this moment.
 func (g *Gate) slowdown() float64 {
-	factor, _ := g.core.Slowdown(g.cfg.Now())
-	return factor
+	return g.core.Slowdown(g.cfg.Now())
 }
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -29,9 +29,10 @@
 		CallerService: caller,
 		Organisation:  organisation,
 	})
+	slowdown := g.slowdown()
 	done := func(took time.Duration) {
 		cancel()
-		g.core.Release(c.Work, took, g.cfg.Now())
+		g.core.ReleaseSlowed(c.Work, took, slowdown, g.cfg.Now())
 	}
 	resp, err := forward.Send(g.cfg.Backend, out, nil)
 	if err != nil {
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -49,6 +49,11 @@
 	// canaried says that an attempt has gone to a version that isn't trusted yet: one is
 	// enough.
 	canaried bool
+	// sentOn says that a gate has refused since its host is slow at this moment: the next
+	// one takes the request.
+	sentOn bool
+	// others says that there is more than one backend server.
+	others bool
 	// room says that the last refusal came from a backend server with free slots.
 	room bool
 	// failure is a backend server's own failure that is kept while another
@@ -150,6 +155,7 @@
 		return c, nil
 	}
 	servers := x.candidates(lane)
+	x.others = len(servers) > 1
 	if x.route.Kind == model.KindBulk {
 		return x.pickLink(now, servers, want)
 	}
@@ -204,6 +210,9 @@
 		h[outcome.HeaderFingerprint] = v[6:7:7]
 	}
 	x.nameOrganisation(h)
+	if x.mayGoElsewhere(to) {
+		h[outcome.HeaderElsewhere] = elsewhereValue
+	}
 	if x.route.Kind == model.KindBulk {
 		h[outcome.HeaderLinkWait] = []string{strconv.FormatInt(x.links.Wait(urgency.Left).Milliseconds(), 10)}
 	}
@@ -240,62 +249,3 @@
 	_ = x.p.cfg.Logger.Log("event", "gate_send_failed", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
 		"node", choice.Record.Node, "instance", choice.Record.Instance, "sent", sent, "err", err)
 }
-
-// take reads the gate's response and reports whether it answers the request.
-func (x *exchange) take(choice balance.Choice, resp *http.Response, took time.Duration) bool {
-	h := resp.Header
-	result := balance.Result{Latency: took, Work: x.work(), Typical: typical(h)}
-	if l, err := balance.ParseLoad(h.Get(outcome.HeaderLoad)); err == nil {
-		result.Load = &l
-	}
-	if h[outcome.HeaderReached] != nil {
-		x.trail.Reached()
-		x.earnCanary(choice)
-	}
-	if outcome.Outcome(h.Get(outcome.HeaderOutcome)) == outcome.Answered {
-		return x.relay(choice, resp, result)
-	}
-	reason := outcome.Reason(h.Get(outcome.HeaderReason))
-	out := outcome.Unknown
-	result.Outcome = balance.Failed
-	if outcome.Outcome(h.Get(outcome.HeaderOutcome)) == outcome.NotRun {
-		out = outcome.NotRun
-		result.Outcome = refusedAs(reason)
-	}
-	x.room = reason == outcome.ReasonBackendRefused && result.Load != nil && result.Load.Used < result.Load.Slots
-	if reason == outcome.ReasonLinkFull {
-		x.linkFull(choice, h)
-	}
-	forward.Drain(resp)
-	choice.Done(x.p.cfg.Now(), result)
-	x.trail.Note(out, reason)
-	if reason == outcome.ReasonQuarantined {
-		x.trail.Forbid(reason) // this node doesn't know it yet; another gate would say the same
-	}
-	_ = x.p.cfg.Logger.Log("event", "attempt_failed", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
-		"route", x.route.Name, "node", choice.Record.Node, "instance", choice.Record.Instance, "outcome", out,
-		"reason", reason, "load", h.Get(outcome.HeaderLoad), "sends", x.trail.Progress.Sends, "reached", x.trail.Progress.Reached,
-		"left", x.deadline.Sub(x.p.cfg.Now()))
-	return false
-}
-
-// typical returns what the gate says that such requests take; 0 where it doesn't.
-func typical(h http.Header) time.Duration {
-	micros, given, err := forward.HeaderInt(h, outcome.HeaderTypical)
-	if err != nil || !given {
-		return 0 // an older gate, or none: the request's own latency stands in
-	}
-	return time.Duration(micros) * time.Microsecond
-}
-
-// refusedAs says what a gate's refusal tells about its backend server: nothing,
-// where the reason lies with the request or with the host's link, and nothing
-// beyond the load that comes with it, where there are too many requests.
-func refusedAs(reason outcome.Reason) balance.Outcome {
-	switch reason {
-	case outcome.ReasonDeadline, outcome.ReasonCancelled, outcome.ReasonLinkFull, outcome.ReasonQueueFull,
-		outcome.ReasonQuarantined, outcome.ReasonWithdrawn:
-		return balance.Cancelled
-	}
-	return balance.NotRun
-}
