Rate servers by when a request would be answered, and send requests on once

The first gate that is asked may refuse a request while its host is slow; its entry node then chooses again.

--- a/coordination/balance/config.go
+++ b/coordination/balance/config.go
@@ -63,6 +63,7 @@
 	return Config{
 		LoadTTL:      time.Second,
 		SlowdownTTL:  300 * time.Millisecond,
+		Completion:   true,
 		LatencyTTL:   10 * time.Second,
 		LatencyGain:  0.1,
 		LatencyCap:   4,
--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -168,7 +168,7 @@
 	s := m.server
 	slow := s.slowness(&p.cfg, at) * s.slowdown(&p.cfg, at)
 	if p.cfg.Completion && g.stats.uneven.Load() {
-		return p.completion(g, m, load, want, slow)
+		return p.completion(g, m, load, want, slow, at)
 	}
 	return (load + 1/float64(m.slots)) * slow
 }
@@ -177,10 +177,10 @@
 // and its own time, in nanoseconds. What is reported is old by the time that the request
 // arrives, so that the wait begins before all slots are in use: a queue for as many
 // slots, each as likely in use as the load says, stands for it.
-func (p *Picker) completion(g *group, m *member, load float64, want Want, slow float64) float64 {
+func (p *Picker) completion(g *group, m *member, load float64, want Want, slow float64, at int64) float64 {
 	slots := m.server.slotsOr(m.slots)
 	own := float64(g.typical(want.Work)) * slow
-	work := float64(m.server.workOr(g.typical(want.Work)))
+	work := float64(m.server.workOr(g.typical(want.Work))) * m.server.slowdown(&p.cfg, at)
 	waiting := max(0, load*slots+1-slots)
 	crowd := math.Pow(min(load+1/slots, 1), completionPower)
 	return own*(1+crowd) + waiting/slots*work
@@ -199,7 +199,8 @@
 	s := m.server
 	slots := s.slotsOr(m.slots)
 	waiting := max(0, load*slots+1-slots)
-	return time.Duration(waiting / slots * float64(s.workOr(g.typical(want.Work))))
+	work := float64(s.workOr(g.typical(want.Work))) * s.slowdown(&p.cfg, at)
+	return time.Duration(waiting / slots * work)
 }
 
 // draw returns a random member that may be used, other than not.
--- a/coordination/gate/slowdown.go
+++ b/coordination/gate/slowdown.go
@@ -21,6 +21,9 @@
 	// believed.
 	leastSlowdown = 1.1
 	mostSlowdown  = 16
+	// elsewhereLeast is how much sooner a request must be served on a host that isn't slow
+	// to be sent on: the way there and back again takes a few milliseconds.
+	elsewhereLeast = 10 * time.Millisecond
 )
 
 // slowdown is how many times as long as usual work takes on the host at this moment, by
@@ -77,10 +80,10 @@
 func (g *Gate) Slowdown(now time.Time) float64 { return g.slowdown.get(now) }
 
 // elsewhere reports whether a request is better sent to another backend server: it would
-// be late here only since the host is slow at this moment, and its entry node can choose
-// again.
+// be served sooner there, as this host is slow at this moment, and its entry node can
+// choose again.
 func (g *Gate) elsewhere(r Request, now time.Time) bool {
-	if !r.Elsewhere || r.Due.IsZero() {
+	if !r.Elsewhere {
 		return false
 	}
 	slow := g.slowdown.get(now)
@@ -89,5 +92,5 @@
 	}
 	times := g.times.Of(r.Work)
 	usual := times.average()
-	return usual > 0 && !now.Add(usual).After(r.Due) && now.Add(times.slowed(usual, slow)).After(r.Due)
+	return times.slowed(usual, slow)-usual >= elsewhereLeast
 }
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -49,9 +49,6 @@
 	// canaried says that an attempt has gone to a version that isn't trusted yet: one is
 	// enough.
 	canaried bool
-	// sentOn says that a gate has refused since its host is slow at this moment: the next
-	// one takes the request.
-	sentOn bool
 	// others says that there is more than one backend server.
 	others bool
 	// room says that the last refusal came from a backend server with free slots.
@@ -210,7 +207,7 @@
 		h[outcome.HeaderFingerprint] = v[6:7:7]
 	}
 	x.nameOrganisation(h)
-	if x.mayGoElsewhere(to) {
+	if x.mayGoElsewhere(to, now) {
 		h[outcome.HeaderElsewhere] = elsewhereValue
 	}
 	if x.route.Kind == model.KindBulk {
--- a/transport/outbound/slow.go
+++ b/transport/outbound/slow.go
@@ -1,6 +1,8 @@
 package outbound
 
 import (
+	"time"
+
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
@@ -8,16 +10,15 @@
 
 var elsewhereValue = []string{"1"}
 
-// mayGoElsewhere reports whether a gate may refuse the request since its host is slow at
-// this moment: once, where another backend server can be asked, and only near, as another
-// zone's link isn't free. Large answers go where a link is.
-func (x *exchange) mayGoElsewhere(to *endpoint.Record) bool {
-	return !x.sentOn && x.others && to.Zone == x.p.cfg.Zone && x.route.Kind != model.KindBulk
+// mayGoElsewhere reports whether the gate may refuse the request since its host is slow at
+// this moment: the first that is asked, where another one can be, and only near, as the way
+// into another zone costs. Large answers go where a link is, and what can only be late
+// looks for any room.
+func (x *exchange) mayGoElsewhere(to *endpoint.Record, now time.Time) bool {
+	return x.trail.Progress.Sends == 1 && x.others && to.Zone == x.p.cfg.Zone &&
+		x.route.Kind != model.KindBulk && x.inTime(now)
 }
 
-// sendOn notes that a gate has refused since its host is slow. It isn't tried in vain: the
-// request may come back to it, and is then taken.
-func (x *exchange) sendOn(choice balance.Choice) {
-	x.sentOn = true
-	x.tried.Remove(choice.Record.Node)
-}
+// sendOn notes that the gate has refused since its host is slow. The server wasn't tried in
+// vain: the request may come back to it, and is then taken.
+func (x *exchange) sendOn(choice balance.Choice) { x.tried.Remove(choice.Record.Node) }
