--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -192,9 +192,7 @@
 
 // delay returns how long a request would wait for a slot at the member. How slow
 // it seems doesn't count: sound servers differ by twice and more, and a really
-// slow one has a queue. Counting it beyond twice the average sent four times as
-// many bytes between zones on a quiet day and made no caller sooner (worth 0.886
-// with it, 0.918 without; 0.625 and 0.631 over ten days with trouble).
+// slow one has a queue. How slow its host is at this moment does, for what waits.
 func (p *Picker) delay(g *group, m *member, load float64, want Want, at int64) time.Duration {
 	s := m.server
 	slots := s.slotsOr(m.slots)
