Tell callers to stay away where a service has had no room for seconds

Callers came back after a random 0.08 to 0.30 of the time left. Into an overload that lasts they come with their target nearly over, go first in their line and are served late in place of others that would be in time. What all the service's backend servers run and what waits, averaged over the last answers, now decides: above 1.15 of the slots callers come back after 0.25 to 0.33 of the time left.

--- a/coordination/attempt/comeback.go
+++ b/coordination/attempt/comeback.go
@@ -21,6 +21,19 @@
 	soonSpread = 0.15
 )
 
+// Bounds of that time where the service's backend servers have had no room for seconds, as
+// parts of the time that the caller has left: it comes back as late as it would. One that
+// comes back while there still is no room takes the place of another that would be served
+// in time, and is itself served late.
+const (
+	crowdedLeast  = 0.25
+	crowdedSpread = 0.08
+)
+
+// crowded is the load from which a service's backend servers have had no room for seconds:
+// a moment's line raises an average over seconds less.
+const crowded = 1.15
+
 // Refused is what is known of a request that is refused.
 type Refused struct {
 	// Left is the time that the caller still waits.
@@ -30,6 +43,9 @@
 	// Room says that the backend server that refused last has free slots: it is
 	// not load that keeps the request from being served.
 	Room bool
+	// Load is what the service's backend servers run and what waits in front of them,
+	// over the last seconds, as a part of their slots; 0 where it isn't known.
+	Load float64
 	// Lot is a random number below 1.
 	Lot float64
 }
@@ -37,8 +53,11 @@
 // ComeBack returns when the caller of a refused request should come back.
 func ComeBack(r Refused) time.Duration {
 	after := float64(r.Left) * (comeBackLeast + comeBackSpread*r.Lot)
-	if r.Room && r.Due > 0 {
+	switch {
+	case r.Room && r.Due > 0:
 		after = float64(r.Due) * (soonLeast + soonSpread*r.Lot)
+	case r.Load > crowded:
+		after = float64(r.Left) * (crowdedLeast + crowdedSpread*r.Lot)
 	}
 	return max(time.Duration(after), time.Millisecond)
 }
--- a/coordination/balance/group.go
+++ b/coordination/balance/group.go
@@ -68,6 +68,15 @@
 	return time.Duration(math.Exp2(floatOf(&l.mean)))
 }
 
+// Load returns what a service's backend servers run and what waits in front of them, as a
+// part of their slots, over the reports of the last seconds; 0 where nothing is known.
+func (p *Picker) Load(service string) float64 {
+	if g := (*p.groups.Load())[service]; g != nil {
+		return floatOf(&g.stats.load)
+	}
+	return 0
+}
+
 func (g *group) slowStart() time.Duration { return g.service.SlowStart.Std() }
 
 // group returns the group of the candidates. It is built once for each view;
--- a/transport/outbound/conclude.go
+++ b/transport/outbound/conclude.go
@@ -74,6 +74,7 @@
 		Left: x.until().Sub(now),
 		Due:  x.due().Sub(now),
 		Room: x.room,
+		Load: x.p.cfg.Balance.Load(x.service.Name),
 		Lot:  x.p.rand.Float64(),
 	})
 }
