--- a/transport/outbound/slow_test.go
+++ b/transport/outbound/slow_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,17 +46,19 @@
 	}
 }
 
-// What can only be late looks for any room, a large answer for a link, and the way into
-// another zone isn't gone twice.
+// What can only be late looks for any room, a large answer for a link, the way into another
+// zone isn't gone twice, and a body that comes as a stream can't be sent again.
 func TestRequestThatGainsNothingIsNotSentOn(t *testing.T) {
 	for name, c := range map[string]struct {
 		kind model.ClassKind
 		zone model.Zone
 		late bool
+		body bool
 	}{
-		"large answer": {model.KindBulk, "z", false},
-		"other zone":   {model.KindInteractive, "y", false},
-		"late":         {model.KindInteractive, "z", true},
+		"large answer": {model.KindBulk, "z", false, false},
+		"other zone":   {model.KindInteractive, "y", false, false},
+		"late":         {model.KindInteractive, "z", true, false},
+		"stream":       {model.KindInteractive, "z", false, true},
 	} {
 		s := &slowHosts{}
 		p := newProxy(t, c.kind, 9, &s.gates)
@@ -64,7 +67,14 @@
 			r, now := httptest.NewRequest(http.MethodGet, "http://h/x", nil), p.cfg.Now()
 			p.returns.Refused(uint64(forward.Fingerprint(r, nil)), now.Add(-target), now.Add(time.Second))
 		}
-		must.Eq(t, http.StatusOK, ask(p).Code)
+		r := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
+		if c.body {
+			r = httptest.NewRequest(http.MethodPut, "http://h/x", strings.NewReader("long"))
+			r.Header.Set("Expect", "100-continue")
+		}
+		w := httptest.NewRecorder()
+		p.ServeHTTP(w, r)
+		must.Eq(t, http.StatusOK, w.Code)
 		must.Eq(t, []bool{false}, s.may, must.Sprint(name))
 	}
 }
