Learn what slow moments spare from clear ones only

A slowdown that has nearly faded, such as 1.001, made the part of a request's time that doesn't grow jump by its division: the estimates in later slow moments were then off for long. Only slowdowns of 1.5 and more count for it now; the test of service times fails without that.

--- a/coordination/gate/estimate.go
+++ b/coordination/gate/estimate.go
@@ -55,7 +55,7 @@
 // addSlowed adds what a request took that began while the host was slow, and returns what
 // it would have taken otherwise.
 func (e *estimate) addSlowed(d time.Duration, slowdown float64) time.Duration {
-	if usual := e.typical.Load(); usual > 0 {
+	if usual := e.typical.Load(); usual > 0 && slowdown >= tellingSlowdown {
 		grew := (float64(d)/float64(usual) - 1) / (slowdown - 1)
 		spared := math.Float64frombits(e.spared.Load())
 		e.spared.Store(math.Float64bits(spared + sparedGain*(1-grew-spared)))
@@ -68,6 +68,10 @@
 // scale is a time that is long beside the rounding of a product.
 const scale = time.Hour
 
+// tellingSlowdown is the least slowdown of which it can be told what it spares: under a
+// smaller one the requests' own differences count for more.
+const tellingSlowdown = 1.5
+
 // sparedGain is the weight of one request in what slow moments spare: one alone tells
 // little, as its own work isn't known.
 const sparedGain = 0.02
--- a/coordination/gate/slowdown_test.go
+++ b/coordination/gate/slowdown_test.go
@@ -62,6 +62,10 @@
 		g.used.Add(1)
 		g.ReleaseSlowed(w, took, slow, start)
 	}
+	for range 100 { // a moment that has nearly passed tells nothing
+		g.used.Add(1)
+		g.ReleaseSlowed(w, own+calls, 1.001, start)
+	}
 	times := g.times.Of(w)
 	must.InDelta(t, float64(own+calls), float64(g.Typical(w)), float64(5*time.Millisecond))
 	must.InDelta(t, float64(own+calls), float64(g.Work()), float64(5*time.Millisecond))
