--- a/coordination/attempt/budget.go
+++ b/coordination/attempt/budget.go
@@ -19,6 +19,10 @@
 	// Safety is the part of the bound that is used, 0 to 1: nodes count by
 	// windows that are not aligned.
 	Safety float64
+	// Alone is the part that a service may use while hardly any other one's requests
+	// are repeated: there are no calls of repeated runs then that need the rest. It is
+	// not below Safety.
+	Alone float64
 }
 
 // DefaultSafety is the part of the bound that each service's own repeats may
@@ -28,8 +32,15 @@
 // rest is for windows that are not aligned.
 const DefaultSafety = 0.45
 
-// slices is the number of parts of a window that are counted apart.
-const slices = 10
+// DefaultAlone is the part of the bound that the repeats of a service may use while no
+// other service's requests are repeated. The rest is for windows that are not aligned.
+const DefaultAlone = 0.85
+
+// runCalls is how many calls to one service a repeated run is taken to make.
+const runCalls = 1
+
+// windowParts is the number of parts of a window that are counted apart.
+const windowParts = 10
 
 // Budget bounds the repeats that this node sends to each service. Each node
 // keeps its own part, so that the fleet keeps the whole without any message:
@@ -45,9 +56,10 @@
 
 // window counts one service's requests and repeats.
 type window struct {
-	requests, repeats [slices]float64
-	slice             int64     // number of the newest slice
-	short             time.Time // when a repeat was last denied
+	requests, repeats [windowParts]float64
+	called            [windowParts]float64 // calls of repeated runs, which are among the requests
+	slice             int64                // number of the newest slice
+	short             time.Time            // when a repeat was last denied
 }
 
 // NewBudget returns a budget for a fleet of one node.
@@ -77,33 +89,58 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.at(now, service)
-	w.requests[w.slice%slices]++
+	w.requests[w.slice%windowParts]++
+}
+
+// Called counts a call that a repeated run on this host makes. It counts as a repeat at
+// the service called.
+func (b *Budget) Called(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.at(now, service)
+	w.requests[w.slice%windowParts]++
+	w.called[w.slice%windowParts]++
 }
 
 // Repeat reports whether one more repeat may be sent, and counts it.
-func (b *Budget) Repeat(now time.Time, service string) bool {
+func (b *Budget) Repeat(now time.Time, service string, g Gain) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.repeat(now, service)
+	return b.repeat(now, service, g)
 }
 
 // repeat is Repeat with b.mu held.
-func (b *Budget) repeat(now time.Time, service string) bool {
+func (b *Budget) repeat(now time.Time, service string, g Gain) bool {
 	w := b.at(now, service)
-	requests, repeats := 0.0, 0.0
-	for i := range slices {
-		requests += w.requests[i]
-		repeats += w.repeats[i]
-	}
-	bound := b.cfg.Safety * (b.cfg.Ratio*requests + b.cfg.Slack/float64(b.nodes))
-	if repeats+1 > bound {
+	if sum(w.repeats)+1 > g.part()*b.bound(now, service, w) {
 		w.short = now
 		return false
 	}
-	w.repeats[w.slice%slices]++
+	w.repeats[w.slice%windowParts]++
 	return true
 }
 
+// bound returns how many repeats of a service's requests this node may send in a window.
+func (b *Budget) bound(now time.Time, service string, w *window) float64 {
+	whole := b.cfg.Ratio*sum(w.requests) + b.cfg.Slack/float64(b.nodes)
+	others := 0.0
+	for name := range b.services {
+		if name != service {
+			others += sum(b.at(now, name).repeats)
+		}
+	}
+	return max(b.cfg.Safety*whole, b.cfg.Alone*whole-runCalls*others-sum(w.called))
+}
+
+// sum adds up what a window counts.
+func sum(counts [windowParts]float64) float64 {
+	total := 0.0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
 // shortFor is how long after a repeat was denied a service counts as short of them:
 // where a service fails, a node that calls it twice a second is denied one in this time.
 const shortFor = 2 * time.Second
@@ -114,7 +151,7 @@
 // the service called; and as it is just the requests with calls that fail, a service
 // with a third of the caller's requests got 1.46 of its bound so
 // (TestFleetKeepsItsBoundWhereOnlyThoseThatCallAreRunAgain).
-func (b *Budget) RepeatFailed(now time.Time, service string) bool {
+func (b *Budget) RepeatFailed(now time.Time, service string, g Gain) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, w := range b.services {
@@ -122,20 +159,20 @@
 			return false
 		}
 	}
-	return b.repeat(now, service)
+	return b.repeat(now, service, g)
 }
 
-// at returns a service's window with the slices before now - Window cleared.
+// at returns a service's window with the windowParts before now - Window cleared.
 func (b *Budget) at(now time.Time, service string) *window {
 	w := b.services[service]
-	slice := now.UnixNano() / int64(b.cfg.Window/slices)
+	slice := now.UnixNano() / int64(b.cfg.Window/windowParts)
 	if w == nil {
 		w = &window{slice: slice}
 		b.services[service] = w
 	}
-	for passed := 0; w.slice < slice && passed < slices; passed++ {
+	for passed := 0; w.slice < slice && passed < windowParts; passed++ {
 		w.slice++
-		w.requests[w.slice%slices], w.repeats[w.slice%slices] = 0, 0
+		w.requests[w.slice%windowParts], w.repeats[w.slice%windowParts], w.called[w.slice%windowParts] = 0, 0, 0
 	}
 	w.slice = max(w.slice, slice)
 	return w
--- /dev/null
+++ b/coordination/attempt/gain.go
@@ -0,0 +1,49 @@
+package attempt
+
+import "time"
+
+// Gain says what a repeat is worth to its caller.
+type Gain uint8
+
+// The gains.
+const (
+	// GainWhole is that of a request that stands for itself, or of the only call of a
+	// run that fails: with it, all is answered.
+	GainWhole Gain = iota
+	// GainPart is that of a request which gains nothing unless others that have failed
+	// too are answered as well.
+	GainPart
+)
+
+// String returns the gain's name.
+func (g Gain) String() string {
+	if g == GainPart {
+		return "part"
+	}
+	return "whole"
+}
+
+// SettleTime is how long a refused request waits for what becomes of those that were sent
+// together with it, where there are any: a refusal is there in a few milliseconds.
+const SettleTime = 4 * time.Millisecond
+
+// partOfBound is how much of the bound repeats may use that gain something only together
+// with others: the rest is left to those that gain something alone.
+const partOfBound = 0.75
+
+// part returns how much of the bound repeats with the gain may use.
+func (g Gain) part() float64 {
+	if g == GainPart {
+		return partOfBound
+	}
+	return 1
+}
+
+// GainOf returns the gain of a repeat where so many of the requests that expire together
+// with it have failed.
+func GainOf(failing int) Gain {
+	if failing > 0 {
+		return GainPart
+	}
+	return GainWhole
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -201,6 +201,7 @@
 func (n *Node) wireRequests() error {
 	speech := platform.Dialect{}
 	n.budget = attempt.NewBudget(n.set.budget())
+	runs := attempt.NewRuns()
 	toBackend := forward.DefaultClientConfig()
 	toBackend.IdleTimeout = backendIdle
 	toBackend.IdlePerHost = idlePerHost
@@ -218,6 +219,7 @@
 		Lane:        pace.New(pace.DefaultConfig(n.set.linkBits())),
 		DrainGrace:  n.set.drain() / drainPart,
 		AnswerGrace: answerGrace,
+		Runs:        runs,
 		Suspects:    n.pub.suspects.Load,
 		Crashed:     n.crashed,
 		Succeeded:   n.succeeded,
@@ -253,6 +255,7 @@
 		Budget:        n.budget,
 		Currency:      n.loop.proving.currency(),
 		Quotas:        n.quotas.limits(),
+		Runs:          runs,
 		Suspects:      n.pub.suspects.Load,
 		Dialect:       speech,
 		Local:         n.gate,
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -240,6 +240,7 @@
 		Slack:  s.Retry.Slack,
 		Window: seconds(s.Retry.WindowSeconds),
 		Safety: attempt.DefaultSafety,
+		Alone:  attempt.DefaultAlone,
 	}
 }
 
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -78,6 +78,9 @@
 	// HeaderReached is "1" on a gate's response when the request was sent to
 	// the backend server, whatever came of it.
 	HeaderReached = "Jacinthgate-Reached"
+	// HeaderRepeat is "1" on a request that has reached a backend server before: the calls
+	// that this run makes count as repeats too.
+	HeaderRepeat = "Jacinthgate-Repeat"
 	// HeaderIdempotencyKey is the caller's key of a request that must run at
 	// most once.
 	HeaderIdempotencyKey = "Idempotency-Key"
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -29,6 +29,7 @@
 	outcome.HeaderFingerprint,
 	outcome.HeaderStartWithin,
 	outcome.HeaderQuota,
+	outcome.HeaderRepeat,
 }
 
 // StripNodeHeaders removes what only nodes may set, whoever sent it.
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 
+	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	core "github.com/jacinthgate/jacinthgate/coordination/gate"
 	"github.com/jacinthgate/jacinthgate/coordination/pace"
 	"github.com/jacinthgate/jacinthgate/coordination/rollout"
@@ -50,6 +51,8 @@
 	// AnswerGrace is how long past its deadline a request is left to the
 	// backend server, which answers a late request by itself.
 	AnswerGrace time.Duration
+	// Runs is told of the runs that are repeats.
+	Runs *attempt.Runs
 	// Suspects, Crashed and Succeeded are those of crash.Config.
 	Suspects  func() *suspect.View
 	Crashed   func(suspect.Crash, []suspect.Fingerprint)
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -21,6 +21,10 @@
 	url.Scheme, url.Host = "http", c.instance.Addr
 	out.URL = &url
 	caller, organisation := req.Header.Get(outcome.HeaderCaller), req.Header.Get(outcome.HeaderOrganisation)
+	repeat := out.Header[outcome.HeaderRepeat] != nil
+	if repeat {
+		g.cfg.Runs.Begin(c.Deadline)
+	}
 	forward.StripNodeHeaders(out.Header)
 	delete(out.Header, outcome.HeaderDeadline)
 	g.cfg.Dialect.Mark(out.Header, dialect.Marks{
@@ -33,6 +37,9 @@
 	done := func(took time.Duration) {
 		cancel()
 		g.core.ReleaseSlowed(c.Work, took, slowdown, g.cfg.Now())
+		if repeat {
+			g.cfg.Runs.End(c.Deadline)
+		}
 	}
 	resp, err := forward.Send(g.cfg.Backend, out, nil)
 	if err != nil {
--- a/transport/outbound/conclude.go
+++ b/transport/outbound/conclude.go
@@ -23,20 +23,12 @@
 	case attempt.Resend:
 		return x.room || x.inTime(now)
 	case attempt.Repeat:
-		return x.budgeted(now) && x.leaveAgain()
+		return x.repeat() && x.leaveAgain()
 	default:
 		return false
 	}
 }
 
-// budgeted reports whether the fleet's budget allows one more repeat, and counts it.
-func (x *exchange) budgeted(now time.Time) bool {
-	if x.failure != nil {
-		return x.p.cfg.Budget.RepeatFailed(now, x.service.Name)
-	}
-	return x.p.cfg.Budget.Repeat(now, x.service.Name)
-}
-
 // inTime reports whether the answer can still be in time. One that can't looks for room
 // at one backend server only and leaves what others have to requests that aren't late: two
 // days under overload were worth 0.754 and 0.691 so, and 0.745 and 0.678 where late ones ask all.
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -46,6 +46,13 @@
 	trail       attempt.Trail
 	tried       balance.Tried
 	links       pace.Search
+	// called says that a repeated run seems to have made the request: as a call, it is a
+	// repeat itself.
+	called bool
+	// answered says that an attempt was answered.
+	answered bool
+	// member stands for the request among those that expire together.
+	member *attempt.Member
 	// canaried says that an attempt has gone to a version that isn't trusted yet: one is
 	// enough.
 	canaried bool
@@ -99,9 +106,10 @@
 	if refused := x.takeLeave(); refused != nil {
 		return refused
 	}
-	x.p.cfg.Budget.Request(x.began, x.service.Name)
+	defer x.join()()
 	for {
 		if x.attempt() {
+			x.answered = true
 			return nil
 		}
 		if !x.again() {
@@ -206,6 +214,7 @@
 	if x.r.ContentLength != 0 { // the gate reads the rest from the head
 		h[outcome.HeaderFingerprint] = v[6:7:7]
 	}
+	x.markRepeat(h)
 	x.nameOrganisation(h)
 	if x.mayGoElsewhere(to, now) {
 		h[outcome.HeaderElsewhere] = elsewhereValue
--- a/transport/outbound/exchange_test.go
+++ b/transport/outbound/exchange_test.go
@@ -82,6 +82,7 @@
 		Balance:       balance.New(balance.DefaultConfig(), "z", "r", 1),
 		Policy:        attempt.DefaultPolicy(),
 		Budget:        attempt.NewBudget(attempt.BudgetConfig{Ratio: 1, Slack: 10, Window: time.Second, Safety: 1}),
+		Runs:          attempt.NewRuns(),
 		Suspects:      func() *suspect.View { return nil },
 		Dialect:       plain{},
 		Near:          g,
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -45,6 +45,8 @@
 	Policy attempt.Policy
 	// Budget bounds the repeats.
 	Budget *attempt.Budget
+	// Runs are the repeated runs under way at this host's backend server.
+	Runs *attempt.Runs
 	// Quotas bounds the requests of organisations; nil bounds none.
 	Quotas Quotas
 	// Currency proves the configuration in force; nil where requests need no proof.
@@ -79,13 +81,14 @@
 	outcomes sync.Map // label -> *metrics.Counter
 	times    sync.Map // class -> *metrics.Histogram
 	returns  *attempt.Returns
+	together *attempt.Together
 	returned *metrics.Counter
 }
 
 // New returns a proxy.
 func New(cfg Config) *Proxy {
 	return &Proxy{
-		cfg: cfg, rand: random.New(cfg.Seed), started: cfg.Now(), returns: attempt.NewReturns(),
+		cfg: cfg, rand: random.New(cfg.Seed), started: cfg.Now(), returns: attempt.NewReturns(), together: attempt.NewTogether(),
 		returned: cfg.Metrics.GetOrCreateCounter("jacinthgate_outbound_returned_total"),
 	}
 }
