--- a/coordination/attempt/budget.go
+++ b/coordination/attempt/budget.go
@@ -60,6 +60,8 @@
 	called            [windowParts]float64 // calls of repeated runs, which are among the requests
 	slice             int64                // number of the newest slice
 	short             time.Time            // when a repeat was last denied
+	strain            float64              // what the hosts of the service say, lately
+	strained          time.Time            // when that was much
 }
 
 // NewBudget returns a budget for a fleet of one node.
@@ -122,16 +124,27 @@
 
 // bound returns how many repeats of a service's requests this node may send in a window.
 func (b *Budget) bound(now time.Time, service string, w *window) float64 {
-	whole := b.cfg.Ratio*sum(w.requests) + b.cfg.Slack/float64(b.nodes)
+	whole := b.whole(w)
 	others := 0.0
 	for name := range b.services {
 		if name != service {
 			others += sum(b.at(now, name).repeats)
 		}
 	}
+	switch {
+	case w.strain >= strainMost:
+		return 0
+	case now.Sub(w.strained) < strainWindows*b.cfg.Window:
+		return b.cfg.Safety * whole
+	}
 	return max(b.cfg.Safety*whole, b.cfg.Alone*whole-runCalls*others-sum(w.called))
 }
 
+// whole returns this node's part of the fleet's bound.
+func (b *Budget) whole(w *window) float64 {
+	return b.cfg.Ratio*sum(w.requests) + b.cfg.Slack/float64(b.nodes)
+}
+
 // sum adds up what a window counts.
 func sum(counts [windowParts]float64) float64 {
 	total := 0.0
--- /dev/null
+++ b/coordination/attempt/strain.go
@@ -0,0 +1,57 @@
+package attempt
+
+import (
+	"math"
+	"time"
+)
+
+// Strain is the part of the bound on repeats at a service that the calls of repeated runs
+// take on one host. The hosts of a service tell it to the nodes that send to them: those
+// repeat no more than the services called can bear.
+type Strain float64
+
+const (
+	// strainMuch is the strain from which a service gets no more than the safe part of
+	// its bound.
+	strainMuch = 0.15
+	// strainWindows is for how many windows after that it gets no more: a pause would
+	// else end in a burst.
+	strainWindows = 6
+	// strainMost is the strain from which its requests aren't repeated: what remains of
+	// the bound is for the repeats of the service called itself.
+	strainMost = 0.4
+	// strainPart is the weight of the newest answer in what is known of a service: a
+	// host's count is a few calls, so that several are averaged.
+	strainPart = 0.1
+)
+
+// Percent returns the strain in whole percent, rounded up.
+func (s Strain) Percent() int { return int(math.Ceil(100 * float64(s))) }
+
+// StrainOf returns the strain of so many percent.
+func StrainOf(percent int) Strain { return Strain(float64(percent) / 100) }
+
+// Strain returns the largest strain on the services that this host calls.
+func (b *Budget) Strain(now time.Time) Strain {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	most := 0.0
+	for name := range b.services {
+		w := b.at(now, name)
+		if called := sum(w.called); called > 0 {
+			most = max(most, called/b.whole(w))
+		}
+	}
+	return Strain(most)
+}
+
+// Told takes the strain that a host of a service tells with an answer.
+func (b *Budget) Told(now time.Time, service string, s Strain) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.at(now, service)
+	w.strain += strainPart * (float64(s) - w.strain)
+	if w.strain >= strainMuch {
+		w.strained = now
+	}
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -220,6 +220,7 @@
 		DrainGrace:  n.set.drain() / drainPart,
 		AnswerGrace: answerGrace,
 		Runs:        runs,
+		Strain:      n.budget.Strain,
 		Suspects:    n.pub.suspects.Load,
 		Crashed:     n.crashed,
 		Succeeded:   n.succeeded,
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -30,6 +30,7 @@
 	outcome.HeaderStartWithin,
 	outcome.HeaderQuota,
 	outcome.HeaderRepeat,
+	outcome.HeaderStrain,
 }
 
 // StripNodeHeaders removes what only nodes may set, whoever sent it.
--- a/transport/inbound/answer.go
+++ b/transport/inbound/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -52,4 +53,7 @@
 	l := g.core.Load()
 	told := balance.Load{Used: l.Used, Slots: max(1, l.Slots), Queued: l.Queued, Work: g.core.Work(), Slowdown: g.slowdown()}
 	h[outcome.HeaderLoad] = []string{told.String()}
+	if s := g.cfg.Strain(g.cfg.Now()); s > 0 {
+		h[outcome.HeaderStrain] = []string{strconv.Itoa(s.Percent())}
+	}
 }
--- a/transport/outbound/repeat.go
+++ b/transport/outbound/repeat.go
@@ -9,6 +9,7 @@
 
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
 // join counts the request for the bound on repeats and among those that expire together
@@ -32,6 +33,15 @@
 	}
 }
 
+// noteStrain notes what a gate tells of the calls that repeated runs make on its host.
+func (x *exchange) noteStrain(h http.Header) {
+	percent, _, err := forward.HeaderInt(h, outcome.HeaderStrain)
+	if err != nil {
+		return // a gate that tells something else tells nothing
+	}
+	x.p.cfg.Budget.Told(x.p.cfg.Now(), x.service.Name, attempt.StrainOf(percent))
+}
+
 // repeat reports whether the request may be sent to one more backend server.
 func (x *exchange) repeat() bool {
 	gain, ok := x.gain()
--- a/transport/outbound/take.go
+++ b/transport/outbound/take.go
@@ -12,6 +12,7 @@
 // take reads the gate's response and reports whether it answers the request.
 func (x *exchange) take(choice balance.Choice, resp *http.Response, took time.Duration) bool {
 	h := resp.Header
+	x.noteStrain(h)
 	result := balance.Result{Latency: took, Work: x.work(), Typical: typical(h)}
 	if l, err := balance.ParseLoad(h.Get(outcome.HeaderLoad)); err == nil {
 		result.Load = &l
