Take the repeats of calls into the strain that hosts tell

Change: the strain is what is taken of the bound of the service called, by calls of repeated runs and by its own repeats; the bound is cut from 0.6 on and closed from 0.85 on.

--- a/coordination/attempt/strain.go
+++ b/coordination/attempt/strain.go
@@ -5,21 +5,22 @@
 	"time"
 )
 
-// Strain is the part of the bound on repeats at a service that the calls of repeated runs
-// take on one host. The hosts of a service tell it to the nodes that send to them: those
-// repeat no more than the services called can bear.
+// Strain is the part of the bound on repeats at a service called that is taken on one
+// host, by the calls of repeated runs and by the repeats of calls. The hosts of a service
+// tell it to the nodes that send to them: those repeat no more than the services called
+// can bear.
 type Strain float64
 
 const (
 	// strainMuch is the strain from which a service gets no more than the safe part of
 	// its bound.
-	strainMuch = 0.15
+	strainMuch = 0.6
 	// strainWindows is for how many windows after that it gets no more: a pause would
 	// else end in a burst.
 	strainWindows = 6
-	// strainMost is the strain from which its requests aren't repeated: what remains of
-	// the bound is for the repeats of the service called itself.
-	strainMost = 0.4
+	// strainMost is the strain from which its requests aren't repeated: the bound of the
+	// service called is used up.
+	strainMost = 0.85
 	// strainPart is the weight of the newest answer in what is known of a service: a
 	// host's count is a few calls, so that several are averaged.
 	strainPart = 0.1
@@ -31,7 +32,7 @@
 // StrainOf returns the strain of so many percent.
 func StrainOf(percent int) Strain { return Strain(float64(percent) / 100) }
 
-// Strain returns the largest strain on the services that this host calls.
+// Strain returns the largest strain on the services that repeated runs on this host call.
 func (b *Budget) Strain(now time.Time) Strain {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -39,7 +40,7 @@
 	for name := range b.services {
 		w := b.at(now, name)
 		if called := sum(w.called); called > 0 {
-			most = max(most, called/b.whole(w))
+			most = max(most, (called+sum(w.repeats))/b.whole(w))
 		}
 	}
 	return Strain(most)
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -81,8 +81,9 @@
 	// HeaderRepeat is "1" on a request that has reached a backend server before: the calls
 	// that this run makes count as repeats too.
 	HeaderRepeat = "Jacinthgate-Repeat"
-	// HeaderStrain carries on a gate's response which part of the bound on repeats the
-	// calls of repeated runs on its host take, in percent; without it there are none.
+	// HeaderStrain carries on a gate's response which part of the bound on repeats is taken
+	// at the service that repeated runs on its host call, in percent; without it they call
+	// none.
 	HeaderStrain = "Jacinthgate-Strain"
 	// HeaderIdempotencyKey is the caller's key of a request that must run at
 	// most once.
