Cut the bound on repeats for strain later and for one window only

Cause: the bound was cut where the service called had a third of it to spare. Change: it is cut from a strain of 0.7 on, for one window.

--- a/coordination/attempt/strain.go
+++ b/coordination/attempt/strain.go
@@ -14,10 +14,10 @@
 const (
 	// strainMuch is the strain from which a service gets no more than the safe part of
 	// its bound.
-	strainMuch = 0.6
+	strainMuch = 0.7
 	// strainWindows is for how many windows after that it gets no more: a pause would
 	// else end in a burst.
-	strainWindows = 6
+	strainWindows = 1
 	// strainMost is the strain from which its requests aren't repeated: the bound of the
 	// service called is used up.
 	strainMost = 0.85
