--- a/coordination/attempt/strain.go
+++ b/coordination/attempt/strain.go
@@ -21,6 +21,9 @@
 	// strainMost is the strain from which its requests aren't repeated: the bound of the
 	// service called is used up.
 	strainMost = 0.85
+	// strainLeast is the part of the bound below which such calls are no strain: a few
+	// requests are taken for them by chance.
+	strainLeast = 0.2
 	// strainPart is the weight of the newest answer in what is known of a service: a
 	// host's count is a few calls, so that several are averaged.
 	strainPart = 0.1
@@ -39,8 +42,9 @@
 	most := 0.0
 	for name := range b.services {
 		w := b.at(now, name)
-		if called := sum(w.called); called > 0 {
-			most = max(most, (called+sum(w.repeats))/b.whole(w))
+		called, whole := sum(w.called), b.whole(w)
+		if called >= strainLeast*whole {
+			most = max(most, (called+sum(w.repeats))/whole)
 		}
 	}
 	return Strain(most)
