Cancel the request of a caller that leaves a connection ending with it

Cause: once a request that ends its connection was read (Connection: close, HTTP/1.0, or at a leaving node), package callers read the connection no more until the answer was sent. So it never saw the caller's close, and the run went on at its backend server; callers that open a connection for each request say so on all of them. Change: the connection is read on meanwhile, what comes is thrown away, and its end cancels the request. Tests fail on the old code.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -151,7 +151,7 @@
 	}
 	go c.answer(x)
 	if x.last.Load() {
-		<-x.done
+		c.attend(x)
 		return false
 	}
 	if !x.hasBody() {
--- a/transport/callers/server_test.go
+++ b/transport/callers/server_test.go
@@ -115,8 +115,12 @@
 
 func TestCallerThatLeavesCancelsItsRequest(t *testing.T) {
 	for name, request := range map[string]string{
-		"with a request behind it": get("/1") + get("/2"),
-		"after a body":             "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+		"with a request behind it":             get("/1") + get("/2"),
+		"after a body":                         "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+		"on a connection that ends with it":    "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+		"on such a connection, after a body":   "POST /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc",
+		"on such a connection, with more sent": "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + get("/2"),
+		"with HTTP/1.0":                        "GET /1 HTTP/1.0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			begun, gone := make(chan struct{}, 2), make(chan struct{}, 2)
@@ -135,6 +139,55 @@
 	}
 }
 
+func TestCallerThatLeavesALeavingServerCancelsItsRequest(t *testing.T) {
+	begun, gone := make(chan struct{}), make(chan struct{})
+	s, addr := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		close(gone)
+	})
+	c, _ := dial(t, addr)
+	s.Leave()
+	send(t, c, get("/1"))
+	<-begun
+	must.NoError(t, c.Close())
+	<-gone
+}
+
+func TestCallerThatResetsItsConnectionCancelsItsRequest(t *testing.T) {
+	begun, gone := make(chan struct{}), make(chan struct{})
+	_, addr := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		close(gone)
+	})
+	c, _ := dial(t, addr)
+	send(t, c, "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	<-begun
+	must.NoError(t, c.(*net.TCPConn).SetLinger(0)) // closing resets it
+	must.NoError(t, c.Close())
+	<-gone
+}
+
+func TestBytesBehindTheLastRequestLeaveItsAnswerWhole(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	_, addr := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})
+	c, br := dial(t, addr)
+	send(t, c, "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+	<-begun
+	send(t, c, strings.Repeat(get("/2"), 1000))
+	close(release)
+	resp, body := answer(t, br)
+	must.True(t, resp.Close)
+	must.Eq(t, "whole", body)
+	_, err := br.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+}
+
 func TestFramingOfAnswers(t *testing.T) {
 	for name, tc := range map[string]struct {
 		handler http.HandlerFunc
