Join the strain of repeats with what gates tell of slow hosts

Cause: two parts that were built side by side meet in a gate's answers; a test's gate lacked the strain. No behaviour changes and nothing was measured.

--- a/transport/inbound/load_test.go
+++ b/transport/inbound/load_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 
+	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
 	core "github.com/jacinthgate/jacinthgate/coordination/gate"
 	"github.com/jacinthgate/jacinthgate/protocol/dialect"
@@ -36,6 +37,7 @@
 	g := New(Config{
 		Dialect: loads{load: func() (dialect.Load, bool, error) { return told, err == nil, err }},
 		Backend: forward.NewClient(forward.ClientConfig{}),
+		Strain:  func(time.Time) attempt.Strain { return 0 },
 		Metrics: metrics.NewSet(),
 		Logger:  log.NewNopLogger(),
 		Now:     func() time.Time { return now },
