Let a test's gate read no load

Cause: the joined gate reads a load from each answer; the fake of the test of repeated runs had none. Test's fake only, assertions as they were; nothing was measured.

--- a/transport/inbound/repeat_test.go
+++ b/transport/inbound/repeat_test.go
@@ -23,6 +23,9 @@
 // plain is a dialect in which every answer is the backend server's own.
 type plain struct{ dialect.Dialect }
 
+// Load implements dialect.Dialect: the backend server tells nothing.
+func (plain) Load(dialect.Header) (dialect.Load, bool, error) { return dialect.Load{}, false, nil }
+
 func (plain) RequestID(dialect.Header) string           { return "id" }
 func (plain) Mark(dialect.Header, dialect.Marks)        {}
 func (plain) Judge(int, dialect.Header) dialect.Verdict { return dialect.Ran }
