Tell callers to stay away only where hosts tell how they are

Cause: the longer time to come back reached every deployment, also those whose configuration and backend servers ask for nothing new; those are to be served as before. Tests of the decision as they were; no figure was measured for this.

--- a/coordination/balance/group.go
+++ b/coordination/balance/group.go
@@ -69,9 +69,10 @@
 }
 
 // Load returns what a service's backend servers run and what waits in front of them, as a
-// part of their slots, over the reports of the last seconds; 0 where nothing is known.
+// part of their slots, over the reports of the last seconds; 0 where nothing is known, or where
+// no backend server tells how its host is: callers are told when to come back as ever there.
 func (p *Picker) Load(service string) float64 {
-	if g := (*p.groups.Load())[service]; g != nil {
+	if g := (*p.groups.Load())[service]; g != nil && g.stats.uneven.Load() {
 		return floatOf(&g.stats.load)
 	}
 	return 0
