Take the figures of three thresholds out of comments

Cause: comments told the story of a tuning. The soak's bounds on its flooding organisation have names of their own. No behaviour changes, nothing was measured anew.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -192,8 +192,8 @@
 func servicePolicy() route.Policy {
 	// Half may be ejected: with three backend servers two remain. There is no slow
 	// start: cold ones are told apart by what they take, and giving them a tenth
-	// of their share sent more to other zones and left slots unused after a
-	// restart of all hosts (worth 0.616 with it, 0.622 without, ten played days).
+	// of their share sends more to other zones and leaves slots unused after a
+	// restart of all hosts.
 	return route.Policy{MaxEjected: 0.5}
 }
 
--- a/internal/soak/keys.go
+++ b/internal/soak/keys.go
@@ -32,15 +32,15 @@
 const (
 	floodRate   = 20
 	floodBurst  = 20
-	quotaWindow = 5 * time.Second
-	quotaOver   = 0.1
-	quotaSlack  = 20
+	floodWindow = 5 * time.Second
+	floodOver   = 0.1
+	floodSlack  = 20
 )
 
 // keySettings lets a node keep keys and quotas.
 func keySettings(set *sidecar.Settings) {
 	set.Revocation = sidecar.RevocationSettings{FailClosed: true, Millis: int(revokeTime.Milliseconds())}
-	set.Quota = sidecar.QuotaSettings{WindowSeconds: quotaWindow.Seconds(), Over: quotaOver, Slack: quotaSlack}
+	set.Quota = sidecar.QuotaSettings{WindowSeconds: floodWindow.Seconds(), Over: floodOver, Slack: floodSlack}
 }
 
 // rotatingKey returns the key that a version brings.
@@ -150,10 +150,10 @@
 // checkQuota checks that no window has more runs than the quota allows.
 func checkQuota(runs []Arrival, found *report) {
 	slices.SortFunc(runs, func(a, b Arrival) int { return a.At.Compare(b.At) })
-	most := (floodRate*quotaWindow.Seconds()+floodBurst)*(1+quotaOver) + quotaSlack
+	most := (floodRate*floodWindow.Seconds()+floodBurst)*(1+floodOver) + floodSlack
 	for i := range runs {
 		inside := 0
-		from := runs[i].At.Add(-quotaWindow)
+		from := runs[i].At.Add(-floodWindow)
 		for j := i; j >= 0 && runs[j].At.After(from); j-- {
 			if runs[j].Sent.After(from) {
 				inside++
--- a/internal/soak/keys_test.go
+++ b/internal/soak/keys_test.go
@@ -31,7 +31,7 @@
 
 func TestChecksOfKeysCanFail(t *testing.T) {
 	good := keyedHistory()
-	good.flood(150, quotaWindow)
+	good.flood(150, floodWindow)
 	must.SliceEmpty(t, good.Violations())
 	for name, c := range map[string]struct {
 		check Check
@@ -43,7 +43,7 @@
 		"a key that holds is turned away": {CheckKeys, func(h *History) {
 			h.Requests[0].Status, h.Requests[0].Stamped, h.Arrivals = http.StatusUnauthorized, false, nil
 		}},
-		"beyond the quota": {CheckQuota, func(h *History) { h.flood(160, quotaWindow) }},
+		"beyond the quota": {CheckQuota, func(h *History) { h.flood(160, floodWindow) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := keyedHistory()
--- a/transport/outbound/conclude.go
+++ b/transport/outbound/conclude.go
@@ -30,8 +30,7 @@
 }
 
 // inTime reports whether the answer can still be in time. One that can't looks for room
-// at one backend server only and leaves what others have to requests that aren't late: two
-// days under overload were worth 0.754 and 0.691 so, and 0.745 and 0.678 where late ones ask all.
+// at one backend server only and leaves what others have to requests that aren't late.
 func (x *exchange) inTime(now time.Time) bool { return now.Before(x.due()) }
 
 // conclude answers a request that no attempt has answered. Nil means that a
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -169,8 +169,7 @@
 
 // patiencePart is the part of the time until its answer is due that a request
 // may be delayed by the load of a near server before one in another zone is taken:
-// the other half is for the work itself. Ten played days gave a worth of 0.609
-// with an eighth, 0.616 with a quarter and 0.623 with a half.
+// the other half is for the work itself.
 const patiencePart = 2
 
 // candidates returns the backend servers that any request may be sent to.
