Tell in the log whose request was refused

Cause: from a request's id an operator found a 429, but not whose quota it was. The line of a refusal names the organisation where it is known; never a key. Log line only, nothing was measured.

--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -120,6 +120,7 @@
 	x.organisation = organisation
 	defer x.cancel()
 	if refused := x.run(); refused != nil {
+		refused.organisation = x.organisation
 		p.reject(w, r, *refused)
 	}
 	p.observe(found, p.cfg.Now().Sub(began))
@@ -147,6 +148,16 @@
 	reason outcome.Reason
 	// after is when to come back; 0 says nothing about it.
 	after time.Duration
+	// organisation is whose request it is; nil where that isn't known.
+	organisation *route.Organisation
+}
+
+// of returns the name of whose request it is; empty where that isn't known.
+func (f *refusal) of() string {
+	if f.organisation == nil {
+		return ""
+	}
+	return f.organisation.Name
 }
 
 // reject answers with a refusal.
@@ -154,7 +165,7 @@
 	p.count(f.status, f.reason)
 	_ = p.cfg.Logger.Log("event", "request_refused", "request", p.cfg.Dialect.RequestID(r.Header),
 		"host", r.Host, "path", r.URL.Path, "version", p.version(), "status", f.status, "reason", f.reason,
-		"retry_after", f.after)
+		"organisation", f.of(), "retry_after", f.after)
 	h := w.Header()
 	if f.after > 0 {
 		h["Retry-After"] = []string{strconv.FormatFloat(f.after.Seconds(), 'f', 3, 64)}
