Build configurations with keys in one place, and name the setting as its JSON does

KeyedConfig stays; the tests of proofs use it with their assertions as they were. RevocationSettings.FailClosed is RefuseUnproved now, as in the settings file. Behaviour is unchanged; the tests of internal/sidecar about keys and proofs pass.

--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -65,11 +65,20 @@
 const host = "rooms.example"
 
 func routes(version string) []byte {
-	return platformtest.Config(version, []string{"booking"},
-		platformtest.Route{Host: host, Prefix: "/status/", Kind: platformtest.Idempotent, Service: "booking", Attempts: 2},
-		platformtest.Route{Host: host, Prefix: "/book/", Kind: platformtest.NonIdempotent, Service: "booking", Attempts: 2},
-		platformtest.Route{Host: host, Prefix: "/firmware/", Kind: platformtest.Download, Service: "booking", Attempts: 2},
-	)
+	return platformtest.Config(version, []string{"booking"}, routesFree("")...)
+}
+
+// routesFree returns the routes of these tests, of which the one with a prefix needs no key.
+func routesFree(prefix string) []platformtest.Route {
+	all := []platformtest.Route{
+		{Host: host, Prefix: "/status/", Kind: platformtest.Idempotent, Service: "booking", Attempts: 2},
+		{Host: host, Prefix: "/book/", Kind: platformtest.NonIdempotent, Service: "booking", Attempts: 2},
+		{Host: host, Prefix: "/firmware/", Kind: platformtest.Download, Service: "booking", Attempts: 2},
+	}
+	for i := range all {
+		all[i].Anonymous = all[i].Prefix == prefix
+	}
+	return all
 }
 
 // newFleet starts nodes and waits until each knows every backend server.
--- a/internal/sidecar/freshness.go
+++ b/internal/sidecar/freshness.go
@@ -23,7 +23,7 @@
 
 // newProving returns nil where requests need no proof.
 func newProving(set *Settings, seed uint64) *proving {
-	if !set.Revocation.FailClosed {
+	if !set.Revocation.RefuseUnproved {
 		return nil
 	}
 	cfg := freshness.DefaultConfig(time.Duration(set.Revocation.Millis) * time.Millisecond)
--- a/internal/sidecar/freshness_test.go
+++ b/internal/sidecar/freshness_test.go
@@ -20,7 +20,8 @@
 
 // keyed returns a configuration in which the keys hold; downloads need none.
 func keyed(version string, keys ...string) []byte {
-	return platformtest.WithKeys(routes(version), map[string][]string{"acme": keys}, "/firmware/")
+	return platformtest.KeyedConfig(version, []string{"booking"},
+		[]platformtest.Organisation{{Name: "acme", Keys: keys}}, routesFree("/firmware/")...)
 }
 
 // newProvedFleet starts nodes that have to prove what they know; the store serves those at
@@ -28,7 +29,7 @@
 func newProvedFleet(t *testing.T, served, turnedAway int) *fleet {
 	f := &fleet{t: t, store: platformtest.NewStore()}
 	f.adapt = func(s *Settings) {
-		s.Revocation = RevocationSettings{FailClosed: true, Millis: revocationMillis}
+		s.Revocation = RevocationSettings{RefuseUnproved: true, Millis: revocationMillis}
 	}
 	f.store.Put("op", "config", keyed("r1", "old", "new"))
 	store := httptest.NewServer(f.store)
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -109,9 +109,9 @@
 
 // RevocationSettings bound the use of keys that were taken away.
 type RevocationSettings struct {
-	// FailClosed says that requests with a key are refused where it isn't known whether
+	// RefuseUnproved says that requests with a key are refused where it isn't known whether
 	// the key still holds.
-	FailClosed bool `json:"refuseUnproved"`
+	RefuseUnproved bool `json:"refuseUnproved"`
 	// Millis is how long after it was taken away a key may still be used, in
 	// milliseconds.
 	Millis int `json:"millis"`
@@ -206,7 +206,7 @@
 	if s.Rollout.ExposeShare < 0 || s.Rollout.ExposeShare > 1 {
 		return &SettingsError{Field: "rollout.exposeShare", Reason: "must be from 0 to 1"}
 	}
-	if s.Revocation.FailClosed && s.Revocation.Millis <= 0 {
+	if s.Revocation.RefuseUnproved && s.Revocation.Millis <= 0 {
 		return &SettingsError{Field: "revocation.millis", Reason: "must be above 0 with refuseUnproved"}
 	}
 	if s.Quota.WindowSeconds < 0 || s.Quota.Over < 0 || s.Quota.Over > 1 || s.Quota.Slack < 0 {
--- a/internal/soak/keys.go
+++ b/internal/soak/keys.go
@@ -39,7 +39,7 @@
 
 // keySettings lets a node keep keys and quotas.
 func keySettings(set *sidecar.Settings) {
-	set.Revocation = sidecar.RevocationSettings{FailClosed: true, Millis: int(revokeTime.Milliseconds())}
+	set.Revocation = sidecar.RevocationSettings{RefuseUnproved: true, Millis: int(revokeTime.Milliseconds())}
 	set.Quota = sidecar.QuotaSettings{WindowSeconds: floodWindow.Seconds(), Over: floodOver, Slack: floodSlack}
 }
 
