Don't lose a read that ends as reading is turned off, nor prove a version that is gone

A read that had succeeded just as reading was turned off was dropped, while the feed had gone on: its configuration and orders were never handed on by this reader. It is handed on now. And a whole read that found no configuration, after lost history or a store that went back without telling an era, left the version told before in place, so that the read proved a version that the store no longer held. Changes.Whole tells whole reads, and the reader forgets the version then. Both tests failed before (0 events for 1; version 1 for 0).

--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -79,27 +79,39 @@
 	defer cancel()
 	done := make(chan reading, 1)
 	go func() { done <- r.read(readCtx, wait) }()
+	return r.await(ctx, cancel, done)
+}
+
+// await hands on what a read brings. Where reading is turned off meanwhile it cancels the
+// read.
+func (r *reader) await(ctx context.Context, cancel func(), done <-chan reading) bool {
 	for {
 		select {
 		case result := <-done:
-			for _, o := range result.orders {
-				r.loop.queue.Post(ctx, rollout.Ordered{Order: o})
-			}
-			r.loop.queue.Post(ctx, result.StoreRead)
-			if result.Err == nil && r.loop.proving != nil {
-				r.loop.queue.Post(ctx, result.proof)
-			}
+			r.handOn(ctx, result)
 			return r.pause(ctx, result.StoreRead)
 		case on := <-r.turn:
 			if !on {
 				cancel()
-				<-done
+				if result := <-done; result.Err == nil { // the next read goes on after it
+					r.handOn(ctx, result)
+				}
 				return false
 			}
 		}
 	}
 }
 
+func (r *reader) handOn(ctx context.Context, result reading) {
+	for _, o := range result.orders {
+		r.loop.queue.Post(ctx, rollout.Ordered{Order: o})
+	}
+	r.loop.queue.Post(ctx, result.StoreRead)
+	if result.Err == nil && r.loop.proving != nil {
+		r.loop.queue.Post(ctx, result.proof)
+	}
+}
+
 // reading is what one read has brought.
 type reading struct {
 	docsync.StoreRead
@@ -121,8 +133,10 @@
 		_ = level.Warn(r.log).Log("event", "rollout_unreadable", "err", c.Unreadable)
 	}
 	out := reading{StoreRead: docsync.StoreRead{Life: c.Life, Restored: c.Restored}, orders: c.Orders}
+	if c.Whole {
+		r.told = 0 // the store may hold no configuration any more
+	}
 	if c.Restored {
-		r.told = 0 // of a life that is over; the copy may hold no configuration
 		_ = level.Warn(r.log).Log("event", "store_read_anew", "life", c.Life, "orders", len(c.Orders))
 	}
 	if c.Config != nil {
--- /dev/null
+++ b/internal/sidecar/reader_test.go
@@ -0,0 +1,52 @@
+package sidecar
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/coordination/docsync"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
+	"github.com/jacinthgate/jacinthgate/platform"
+	"github.com/jacinthgate/jacinthgate/platform/platformtest"
+)
+
+// newTestReader returns a reader of a store that tells no era.
+func newTestReader(t *testing.T) (*reader, *platformtest.Store) {
+	stand := platformtest.NewStore()
+	srv := httptest.NewServer(stand)
+	t.Cleanup(srv.Close)
+	store := platform.NewStore(platform.DefaultStoreConfig(srv.URL))
+	t.Cleanup(store.Close)
+	l := &loop{queue: eventqueue.New(maxEvents)}
+	return newReader(platform.NewConfigs(store), l, log.NewNopLogger()), stand
+}
+
+// A whole read that finds no configuration proves nothing about the one that was read
+// before.
+func TestWholeReadWithoutAConfigurationTellsNoVersion(t *testing.T) {
+	r, stand := newTestReader(t)
+	empty := stand.Snapshot()
+	stand.Put("op", "config", routes("r1"))
+	must.Eq(t, 1, r.read(t.Context(), feedWait).proof.Version)
+	stand.Restore(empty)
+	must.Eq(t, 0, r.read(t.Context(), feedWait).proof.Version)
+	stand.Put("op", "config", routes("r2"))
+	must.Eq(t, 2, r.read(t.Context(), feedWait).proof.Version)
+}
+
+// The feed goes on after what a read has brought, so a read that ends as reading is turned
+// off must not be lost.
+func TestReadThatEndsAsReadingIsTurnedOffIsHandedOn(t *testing.T) {
+	r, _ := newTestReader(t)
+	for version := uint64(1); version <= 50; version++ { // either may be seen first
+		done := make(chan reading, 1)
+		done <- reading{StoreRead: docsync.StoreRead{Version: version}}
+		r.set(false)
+		must.False(t, r.await(t.Context(), func() {}, done))
+		must.Eq(t, 1, len(r.loop.queue.Events))
+		must.Eq(t, version, (<-r.loop.queue.Events).(docsync.StoreRead).Version)
+	}
+}
