Let proofs learn of the store's life before the first read of the configuration

A node whose first read of the configuration came from a restored store took that life for the first one, though its other calls or a beacon had told the one before: the read counted as proof of the copy until up to 0.1 s later, and the proof stayed. And each source that told a known life again prolonged the wait of 2 s. The core takes Met, from the client's newest life, and beacons, in place of Restored, and compares by itself.

--- a/coordination/freshness/core.go
+++ b/coordination/freshness/core.go
@@ -22,7 +22,7 @@
 }
 
 // Core is the state machine of one node. It takes core.Tick, core.PeerUp, core.PeerDown,
-// core.Received, Read, InForce and Restored. It is not safe for concurrent use.
+// core.Received, Read, InForce and Met. It is not safe for concurrent use.
 type Core struct {
 	cfg Config
 	now time.Time
@@ -85,14 +85,14 @@
 		return c.take(proof{version: ev.Version, moment: ev.Began})
 	case InForce:
 		return c.inForce(ev.Version)
-	case Restored:
-		c.restored()
+	case Met:
+		c.meet(ev.Life)
 	}
 	return false
 }
 
-// meet takes that the store is in an life. A node that knows none yet can't tell whether
-// it is a new one.
+// meet takes that the store is in a life. A node that knows none yet can't tell whether it
+// is a new one.
 func (c *Core) meet(life uint64) {
 	if life <= c.life {
 		return
@@ -110,6 +110,8 @@
 	switch m := m.(type) {
 	case *message.DocumentAdvert:
 		c.exists(m.Version)
+	case *message.ReaderBeacon:
+		c.meet(m.Life)
 	case *message.Freshness:
 		if p, ok := c.decode(from, m); ok {
 			return c.take(p)
--- a/coordination/freshness/event.go
+++ b/coordination/freshness/event.go
@@ -25,9 +25,9 @@
 	Version uint64
 }
 
-// Restored reports that the store has come back as an older copy of itself, by another sign
-// than an life.
-type Restored struct{}
+// Met reports a life of the store that any call, or another core, has told; 0 is none. It
+// may be given often.
+type Met struct{ Life uint64 }
 
 // Event implements core.Event.
 func (Read) Event() {}
@@ -36,7 +36,7 @@
 func (InForce) Event() {}
 
 // Event implements core.Event.
-func (Restored) Event() {}
+func (Met) Event() {}
 
 // Changed reports what is proved of the version in force.
 type Changed struct {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -83,7 +83,7 @@
 	l.gate.Update()
 	l.settleQuotas(now)
 	l.carryOut(now, l.rollouts.Step(now, l.counted()))
-	l.carryOut(now, l.lives.Step(now, restore.Told{Life: l.life()}))
+	l.meet(now, l.life())
 	l.step(core.Tick{})
 	l.watchProof()
 }
--- a/internal/sidecar/restored.go
+++ b/internal/sidecar/restored.go
@@ -47,7 +47,12 @@
 	_ = level.Warn(l.log).Log("event", "store_restored", "life", a.Life)
 	l.metrics.GetOrCreateCounter("jacinthgate_store_restored_total").Inc()
 	l.carryOut(now, l.rollouts.Step(now, a))
-	l.prove(freshness.Restored{})
+}
+
+// meet tells a life of the store that its client knows.
+func (l *loop) meet(now time.Time, life uint64) {
+	l.prove(freshness.Met{Life: life})
+	l.carryOut(now, l.lives.Step(now, restore.Told{Life: life}))
 }
 
 // writeAgain hands on that the own rows are to be written; only the newest word counts.
