--- a/internal/sidecar/freshness_test.go
+++ b/internal/sidecar/freshness_test.go
@@ -27,9 +27,14 @@
 // newProvedFleet starts nodes that have to prove what they know; the store serves those at
 // the beginning only.
 func newProvedFleet(t *testing.T, served, turnedAway int) *fleet {
-	f := &fleet{t: t, store: platformtest.NewStore()}
+	return newProvedFleetOn(t, platformtest.NewStore(), revocationMillis, served, turnedAway)
+}
+
+// newProvedFleetOn starts them with a store and a bound in milliseconds.
+func newProvedFleetOn(t *testing.T, s *platformtest.Store, millis, served, turnedAway int) *fleet {
+	f := &fleet{t: t, store: s}
 	f.adapt = func(s *Settings) {
-		s.Revocation = RevocationSettings{RefuseUnproved: true, Millis: revocationMillis}
+		s.Revocation = RevocationSettings{RefuseUnproved: true, Millis: millis}
 	}
 	f.store.Put("op", "config", keyed("r1", "old", "new"))
 	store := httptest.NewServer(f.store)
