Refuse a version whose organisation has a name that no header can hold

The name goes into a header between nodes and towards backend servers. One with a control character made each send of that organisation's requests fail, which other nodes were blamed for. Such a version can't be used now, like one with other faulty organisations; the case added to the test failed before, and the error holds no key.

--- a/state/route/organisation.go
+++ b/state/route/organisation.go
@@ -1,13 +1,17 @@
 package route
 
 import (
+	"strconv"
+	"strings"
+	"unicode"
+
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // Organisation is a firm whose callers show a key with their requests.
 type Organisation struct {
 	// Name identifies the organisation towards backend servers, in logs and in
-	// metrics.
+	// metrics. It is passed on in a header, so that it holds no control character.
 	Name string
 	// Keys are the keys that its callers may show. They are secret: no log line and
 	// no error holds one.
@@ -43,6 +47,8 @@
 	switch {
 	case o.Name == "":
 		return &OrganisationError{Reason: "the name is missing"}
+	case strings.ContainsFunc(o.Name, unicode.IsControl):
+		return &OrganisationError{Organisation: strconv.Quote(o.Name), Reason: "the name holds a control character"}
 	case t.organisations[o.Name] != nil:
 		return &OrganisationError{Organisation: o.Name, Reason: "another organisation has this name"}
 	case o.Quota != nil && (o.Quota.PerSecond <= 0 || o.Quota.Burst < 1):
--- a/state/route/organisation_test.go
+++ b/state/route/organisation_test.go
@@ -41,11 +41,12 @@
 func TestFaultyOrganisationsAreRefusedWithoutTheirKeys(t *testing.T) {
 	const secret = "s3cr3t"
 	for name, faulty := range map[string][]Organisation{
-		"two with one key":  {{Name: "a", Keys: []string{secret}}, {Name: "b", Keys: []string{secret}}},
-		"two with one name": {{Name: "a"}, {Name: "a", Keys: []string{secret}}},
-		"no name":           {{Keys: []string{secret}}},
-		"an empty key":      {{Name: "a", Keys: []string{secret, ""}}},
-		"an empty quota":    {{Name: "a", Keys: []string{secret}, Quota: &model.Rate{}}},
+		"two with one key":               {{Name: "a", Keys: []string{secret}}, {Name: "b", Keys: []string{secret}}},
+		"two with one name":              {{Name: "a"}, {Name: "a", Keys: []string{secret}}},
+		"no name":                        {{Keys: []string{secret}}},
+		"a name that no header can hold": {{Name: "a\nb", Keys: []string{secret}}},
+		"an empty key":                   {{Name: "a", Keys: []string{secret, ""}}},
+		"an empty quota":                 {{Name: "a", Keys: []string{secret}, Quota: &model.Rate{}}},
 	} {
 		_, err := NewTable(keyed(faulty...), Policy{})
 		var typed *OrganisationError
