Answer a peer that has begun a link anew with a stamp at once

Where one side alone had begun a link anew, or a greeting was lost, that side had no stamp to tell proofs by until the next periodic one, up to 5 s later: as long as the bound. Stamps now always echo the newest one of the receiver, so that a stamp without echo shows that the peer has none; it is answered at once. The test got no message before.

--- a/coordination/freshness/core_test.go
+++ b/coordination/freshness/core_test.go
@@ -410,6 +410,18 @@
 	must.Positive(t, slices.Min(r.least))
 }
 
+// A peer may have lost what this side keeps of a link, and can send no proof before it has a
+// stamp again.
+func TestPeerThatHasNoStampGetsOneAtOnce(t *testing.T) {
+	c, g := alone(t)
+	must.SliceEmpty(t, c.Step(at.Add(time.Second), core.Received{From: "p", Message: &message.Freshness{Stamp: 1050, Echo: g.Stamp}}))
+	out := c.Step(at.Add(2*time.Second), core.Received{From: "p", Message: &message.Freshness{Stamp: 2050}})
+	must.Len(t, 1, out)
+	answer := out[0].(core.Send).Message.(*message.Freshness)
+	must.Eq(t, g.Stamp+2000, answer.Stamp)
+	must.Eq(t, 2050, answer.Echo, must.Sprint("it needs no stamp"))
+}
+
 // A second connection to the same process must not forget what the first one has brought.
 func TestSecondConnectionChangesNothing(t *testing.T) {
 	c, _ := alone(t)
--- a/coordination/freshness/pass.go
+++ b/coordination/freshness/pass.go
@@ -51,6 +51,9 @@
 		return proof{}, false
 	}
 	if m.Stamp > p.stamp {
+		if m.Echo == 0 && p.stamp != 0 { // it has begun the link anew
+			p.sent, p.has, p.answered = time.Time{}, time.Time{}, false
+		}
 		p.stamp, p.arrived = m.Stamp, c.now
 	}
 	c.meet(m.Life)
@@ -103,9 +106,9 @@
 
 // send sends a stamp, and a proof where there is one.
 func (c *Core) send(to model.NodeID, p *peer, best proof) {
-	m := &message.Freshness{Stamp: c.stamp(), Life: c.life}
+	m := &message.Freshness{Stamp: c.stamp(), Echo: p.stamp, Life: c.life}
 	if best.version != 0 {
-		m.Version, m.Echo = best.version, p.stamp
+		m.Version = best.version
 		m.Offset = floorMillis(best.moment.Sub(p.arrived))
 		p.has, p.answered = best.moment, true
 	}
