Take a proof for none where the clock has gone back since

Where the boot clock stops to be readable, the time since the process began takes its place, which is less: a proof's age was negative then, and the proof held for as long as the host had been up. The new test failed before; the others of the package pass as they did.

--- a/coordination/freshness/core_test.go
+++ b/coordination/freshness/core_test.go
@@ -398,6 +398,17 @@
 	}
 }
 
+// A clock that has gone back tells nothing of how old a proof is.
+func TestClockThatWentBackProvesNothing(t *testing.T) {
+	now := at
+	p := NewProof(DefaultConfig(bound), func() time.Time { return now })
+	p.Publish(Changed{Moment: at})
+	must.Positive(t, p.Left())
+	now = at.Add(-time.Nanosecond)
+	must.LessEq(t, 0, p.Left())
+	must.False(t, p.Recent())
+}
+
 // The store comes back older: reads prove nothing for two seconds, and the next one does
 // before the proof has run out.
 func TestReaderStaysProvedWhileTheStoreSettles(t *testing.T) {
--- a/coordination/freshness/proof.go
+++ b/coordination/freshness/proof.go
@@ -25,13 +25,15 @@
 	}
 }
 
-// Age returns how old the proof is, and false where there is none.
+// Age returns how old the proof is, and false where there is none or the clock has gone back
+// since, which tells that it can't be trusted.
 func (p *Proof) Age() (time.Duration, bool) {
 	m := p.moment.Load()
 	if m == 0 {
 		return 0, false
 	}
-	return p.now().Sub(time.Unix(0, m)), true
+	age := p.now().Sub(time.Unix(0, m))
+	return max(0, age), age >= 0
 }
 
 // Left returns for how long the version in force may still be acted on; 0 or less when it
