Name the parts of quotas by the field's terms

Cause: desk, book, page, keeper, piece and line are images that a newcomer must learn first. Change: Limiter, Ledger with entries, owner of a ledger, Lease, even share, loan, Tracker of the members and standby, in code, comments, tests, log events, metrics and pages; messages are Acquire, Forward, Borrow and Transfer with their numbers as before. Nothing is decided otherwise; no check was eased.

--- a/coordination/quota/config.go
+++ b/coordination/quota/config.go
@@ -17,38 +17,38 @@
 	Over, Slack float64
 }
 
-// What may be served beyond a quota in a window is divided: some lets books hold more than
+// What may be served beyond a quota in a window is divided: some lets ledgers hold more than
 // the burst, since callers that keep to a small quota don't come evenly. The rest is for what
-// was let in before a book was lost, which still counts, and for what both sides of a cut let in
+// was let in before a ledger was lost, which still counts, and for what both sides of a cut let in
 // until they know of it.
 const (
-	// heldOver and heldSlack are the parts of Over and Slack that books hold.
+	// heldOver and heldSlack are the parts of Over and Slack that ledgers hold.
 	heldOver  = 0.05
 	heldSlack = 0.4
-	// startPart is the part that new books begin with: in one window the keeper may end,
-	// another one stand in for it and the first come back.
+	// startPart is the part that new ledgers begin with: in one window the owner may end,
+	// its standby act and the owner come back.
 	startPart = 0.15
-	// piecePart is the part that nodes begin with that find no keeper.
-	piecePart = 0.15
+	// evenSharePart is the part that nodes begin with that find no owner.
+	evenSharePart = 0.15
 )
 
-// careful is the part of its rate that is minted by who doesn't know whether the keeper of a
-// book mints too: stand-ins and even pieces.
-const careful = 0.7
+// reducedPart is the part of its rate that is issued by who doesn't know whether the owner of a
+// ledger issues too: standbys and even shares.
+const reducedPart = 0.7
 
 // allowance returns how many requests beyond its quota an organisation may run in a window.
 func (c Config) allowance(rate model.Rate) float64 {
 	return c.Over*(rate.PerSecond*c.Window.Seconds()+float64(rate.Burst)) + c.Slack
 }
 
-// start returns the tokens that a book begins with.
+// start returns the tokens that a ledger begins with.
 func (c Config) start(rate model.Rate) float64 {
 	return min(c.part(rate).burst, startPart*c.allowance(rate)/float64(c.zones()))
 }
 
 func (c Config) zones() int { return max(1, c.Zones) }
 
-// size is how many tokens a book mints a second, and how many it holds at most.
+// size is how many tokens a ledger issues a second, and how many it holds at most.
 type size struct{ perSecond, burst float64 }
 
 // hold returns how many tokens the fleet may hold of an organisation.
@@ -56,7 +56,7 @@
 	return float64(rate.Burst) + heldSlack*c.Slack + heldOver*(c.allowance(rate)-c.Slack)
 }
 
-// part returns the size of a zone's book. It holds a whole token at least: without one no
+// part returns the size of a zone's ledger. It holds a whole token at least: without one no
 // request could be let in where the other zones are cut off.
 func (c Config) part(rate model.Rate) size {
 	n := float64(c.zones())
--- /dev/null
+++ b/coordination/quota/ledger.go
@@ -0,0 +1,245 @@
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// Ledger holds the tokens of the organisations whose ledgers a node owns. It is safe for concurrent
+// use.
+type Ledger struct {
+	cfg Config
+
+	mu      sync.Mutex
+	entries map[string]*entry
+	// share is the part of the zone's members that this node sees.
+	share float64
+}
+
+// entry is the part of a ledger for one organisation.
+type entry struct {
+	rate  model.Rate
+	level float64
+	at    time.Time // when level was last brought up to date
+	// owned says that the node comes first for the organisation; else it is the standby.
+	owned bool
+	asked time.Time
+	// next is when the first token comes that nobody was promised.
+	next time.Time
+	// use is the rate at which tokens were asked for lately, a second.
+	use use
+	// reserved is what nodes hold in reserve.
+	reserved reserved
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(cfg Config) *Ledger {
+	return &Ledger{cfg: cfg, entries: make(map[string]*entry), share: 1}
+}
+
+// standbyTime is how long a standby that nobody asks goes on issuing: it must not save up
+// what the owner issues too.
+const standbyTime = time.Second
+
+// Own tells which organisations the node owns the ledgers of, with their quotas, and which part
+// of the zone's members it sees: it issues no more than that part. It returns what the ledgers of
+// others hold that it owned until now: they go to their new owners.
+func (l *Ledger) Own(now time.Time, share float64, quotas map[string]model.Rate, owns func(organisation string) bool) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.share = share
+	var left map[string]float64
+	for name, e := range l.entries {
+		if _, limited := quotas[name]; !limited {
+			delete(l.entries, name)
+		} else if e.owned && !owns(name) {
+			e.bring(l.part(e.rate), now)
+			if left == nil {
+				left = make(map[string]float64)
+			}
+			left[name] = e.level
+			delete(l.entries, name)
+		}
+	}
+	for name, rate := range quotas {
+		if owns(name) {
+			l.entry(now, name, rate).owned = true
+		}
+	}
+	return left
+}
+
+// entry returns an organisation's entry, up to date. A new one begins with little, since
+// what was let in before still counts.
+func (l *Ledger) entry(now time.Time, name string, rate model.Rate) *entry {
+	e := l.entries[name]
+	if e == nil {
+		e = &entry{rate: rate, level: l.share * l.cfg.start(rate), at: now, asked: now}
+		l.entries[name] = e
+	}
+	if !e.owned && now.Sub(e.asked) > standbyTime {
+		e.level, e.at = l.share*l.cfg.start(rate), now
+	}
+	if e.rate != rate {
+		e.rate, e.next = rate, time.Time{}
+		e.level = min(e.level, l.part(rate).burst)
+	}
+	of := l.part(e.rate)
+	if !e.owned {
+		of.perSecond *= reducedPart
+	}
+	e.bring(of, now)
+	return e
+}
+
+// part returns the size of an entry.
+func (l *Ledger) part(rate model.Rate) size {
+	of := l.cfg.part(rate)
+	return size{perSecond: of.perSecond * l.share, burst: max(1, of.burst*l.share)}
+}
+
+// bring issues what has come since the last time.
+func (e *entry) bring(of size, now time.Time) {
+	room := of.burst - e.reserved.sum(now)
+	passed := now.Sub(e.at)
+	if passed <= 0 {
+		return
+	}
+	e.at = now
+	if passed > borrowTime {
+		e.level = min(e.level, room)
+	}
+	e.level = max(e.level, min(room, e.level+of.perSecond*passed.Seconds()))
+}
+
+// borrowTime is for how long tokens of other zones may lie beyond what a ledger holds of its
+// own: they are asked for when they are needed.
+const borrowTime = 50 * time.Millisecond
+
+// Request asks for tokens of an organisation.
+type Request struct {
+	// Organisation is its name and Rate its quota.
+	Organisation string
+	Rate         model.Rate
+	// Need is the number of requests that wait, and Reserve how many more tokens the
+	// asker would like.
+	Need, Reserve int
+	// Refused is the number of requests that the asker has told to come back without
+	// asking, and Slots for how many more it would like to know when to come back.
+	Refused, Slots int
+	// Return is what the asker gives back.
+	Return float64
+}
+
+// Grant answers a Request.
+type Grant struct {
+	// Tokens is what the asker gets.
+	Tokens int
+	// After is when the first token comes for what the asker didn't get, and Spacing the
+	// time between two: one for each request that waits and each slot.
+	After, Spacing time.Duration
+}
+
+// Preview returns how many tokens are missing for a request, and counts it as use.
+func (l *Ledger) Preview(now time.Time, r Request) (lack float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entry(now, r.Organisation, r.Rate)
+	e.asked = now
+	e.add(l.cfg, r.Return)
+	e.use.add(now, float64(r.Need+r.Refused))
+	return max(0, float64(r.Need)-e.level)
+}
+
+// Ask gives tokens out. Those that get none are told when to come back, one after the other.
+func (l *Ledger) Ask(now time.Time, r Request) Grant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entry(now, r.Organisation, r.Rate)
+	e.asked = now
+	whole := min(r.Need, int(e.level))
+	e.level -= float64(whole)
+	g := Grant{Tokens: whole}
+	if whole < r.Need {
+		g.After, g.Spacing = e.promise(l.part(e.rate), now, r.Need-whole+r.Slots)
+		return g
+	}
+	if e.level >= l.part(e.rate).burst*plenty {
+		e.next = now // who was promised more has not come back
+	}
+	// Half of what there is stays for others, and half of what there may be is no reserve.
+	room := l.part(e.rate).burst/2 - e.reserved.sum(now)
+	if extra := min(r.Reserve, int(min(room, e.level/2))); extra > 0 {
+		e.level -= float64(extra)
+		e.reserved.add(now, float64(extra))
+		g.Tokens += extra
+	}
+	return g
+}
+
+// plenty is the part of what a ledger may hold from which on nothing is promised any more.
+const plenty = 0.25
+
+// promiseMax bounds how far ahead tokens are promised.
+const promiseMax = 30 * time.Second
+
+// promise returns when the next token comes that nobody was promised, and takes it and those
+// that follow.
+func (e *entry) promise(of size, now time.Time, slots int) (after, spacing time.Duration) {
+	each := float64(time.Second) / of.perSecond
+	first := now.Add(time.Duration(max(0, 1-e.level) * each))
+	if e.next.Before(first) {
+		e.next = first
+	}
+	after = e.next.Sub(now)
+	if end := now.Add(promiseMax); e.next.Before(end) {
+		e.next = e.next.Add(time.Duration(min(float64(slots)*each, float64(promiseMax))))
+	}
+	return min(after, promiseMax), time.Duration(min(each, float64(promiseMax)))
+}
+
+// lendKeep is for how long a ledger keeps what its own zone asks for before it lends.
+const lendKeep = 200 * time.Millisecond
+
+// Lend gives tokens to the owner of another zone: up to half of what the own zone doesn't
+// need at once.
+func (l *Ledger) Lend(now time.Time, organisation string, rate model.Rate, want float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entry(now, organisation, rate)
+	e.asked = now
+	spare := e.level - e.use.perSecond(now)*lendKeep.Seconds()
+	lent := max(0, min(want, spare/2))
+	e.level -= lent
+	return lent
+}
+
+// Receive adds tokens that another owner has given.
+func (l *Ledger) Receive(now time.Time, organisation string, rate model.Rate, tokens float64) {
+	if !(tokens > 0) || math.IsInf(tokens, 0) {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entry(now, organisation, rate)
+	e.add(l.cfg, tokens)
+}
+
+// add adds tokens that were issued elsewhere. Several zones' may come together for one that
+// has a burst, so the bound is that of the whole quota; see borrowTime.
+func (e *entry) add(cfg Config, tokens float64) {
+	e.level = min(e.level+max(0, tokens), max(1, cfg.hold(e.rate)))
+}
+
+// Use returns the requests a second that the node's zone asked for lately.
+func (l *Ledger) Use(now time.Time, organisation string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.entries[organisation]; e != nil {
+		return e.use.perSecond(now)
+	}
+	return 0
+}
--- a/coordination/quota/members.go
+++ b/coordination/quota/members.go
@@ -28,20 +28,19 @@
 	// Fleet is the number of nodes that are known, those that have failed included.
 	Fleet int
 	// Share is the part of the own zone's members that this node sees live. Members that
-	// failed a short while ago may live on behind a cut, with the rest.
+	// failed shortly before may live on behind a cut, with the rest.
 	Share float64
-	// mintFrom is when this node may keep books; the zero value is never.
-	mintFrom time.Time
+	// ownFrom is when this node may own ledgers; the zero value is never.
+	ownFrom time.Time
 }
 
-// Minting reports whether this node may keep books: it knows its zone.
-func (m *Members) Minting(now time.Time) bool {
-	return m != nil && !m.mintFrom.IsZero() && !now.Before(m.mintFrom)
+// MayOwn reports whether this node may own ledgers: it knows its zone.
+func (m *Members) MayOwn(now time.Time) bool {
+	return m != nil && !m.ownFrom.IsZero() && !now.Before(m.ownFrom)
 }
 
-// Keepers returns the member of a zone that keeps an organisation's book, and the one that
-// stands in for it. A name is empty where there is none.
-func (m *Members) Keepers(zone model.Zone, organisation string) (first, second Member) {
+// Owners returns the member of a zone that owns an organisation's ledger, and the one that// is its standby. A name is empty where there is none.
+func (m *Members) Owners(zone model.Zone, organisation string) (first, second Member) {
 	if m == nil {
 		return first, second
 	}
@@ -62,8 +61,8 @@
 // Times of a node that has just started.
 const (
 	// settleTime is how long the members that a node knows must have stayed the same
-	// after its start before it keeps books: until then it may believe that it comes first
-	// for organisations that others keep the books of.
+	// after its start before it owns ledgers: until then it may believe that it comes first
+	// for organisations that others own the ledgers of.
 	settleTime = 300 * time.Millisecond
 	// aloneTime is the same for a node that has found nobody.
 	aloneTime = 3 * time.Second
@@ -72,29 +71,29 @@
 	missingTime = time.Minute
 )
 
-// Roster makes Members of the records that a node holds. One goroutine uses it.
-type Roster struct {
+// Tracker makes Members of the records that a node holds. One goroutine uses it.
+type Tracker struct {
 	self    model.NodeID
 	zone    model.Zone
 	started time.Time
 	settled bool
 	last    *Members
-	missing bool // members have failed a short while ago
+	missing bool // members have failed shortly before
 	// seen is the number of live members when it last changed, and at when that was.
 	seen int
 	at   time.Time
 }
 
-// NewRoster returns the roster of a node that started at a moment.
-func NewRoster(self model.NodeID, zone model.Zone, started time.Time) *Roster {
-	return &Roster{self: self, zone: zone, started: started, at: started}
+// NewTracker returns the tracker of a node that started at a moment.
+func NewTracker(self model.NodeID, zone model.Zone, started time.Time) *Tracker {
+	return &Tracker{self: self, zone: zone, started: started, at: started}
 }
 
 // Changing reports whether the members change with time and not with the records only.
-func (r *Roster) Changing() bool { return !r.settled || r.missing }
+func (k *Tracker) Changing() bool { return !k.settled || k.missing }
 
 // Update returns the members by the records that the node holds now.
-func (r *Roster) Update(now time.Time, t *endpoint.Table) *Members {
+func (k *Tracker) Update(now time.Time, t *endpoint.Table) *Members {
 	m := &Members{Zones: make(map[model.Zone][]Member)}
 	live, near, known := 0, 0, 0
 	t.Each(func(rec *endpoint.Record, key model.NodeKey) bool {
@@ -105,7 +104,7 @@
 			return true
 		}
 		m.Fleet++
-		own := rec.Zone == r.zone
+		own := rec.Zone == k.zone
 		if own {
 			known++
 		}
@@ -120,26 +119,26 @@
 		return true
 	})
 	m.Share = float64(near) / float64(max(1, known))
-	m.mintFrom = r.settle(now, live)
-	r.missing = m.Fleet > live
-	r.last = m
+	m.ownFrom = k.settle(now, live)
+	k.missing = m.Fleet > live
+	k.last = m
 	return m
 }
 
-// settle returns when the node may keep books by the members it sees.
-func (r *Roster) settle(now time.Time, live int) time.Time {
-	if r.settled {
-		return r.started
+// settle returns when the node may own ledgers by the members it sees.
+func (k *Tracker) settle(now time.Time, live int) time.Time {
+	if k.settled {
+		return k.started
 	}
-	if r.last != nil && !r.last.mintFrom.IsZero() && !now.Before(r.last.mintFrom) {
-		r.settled = true
-		return r.started
+	if k.last != nil && !k.last.ownFrom.IsZero() && !now.Before(k.last.ownFrom) {
+		k.settled = true
+		return k.started
 	}
-	if live != r.seen {
-		r.seen, r.at = live, now
+	if live != k.seen {
+		k.seen, k.at = live, now
 	}
 	if live <= 1 {
-		return r.started.Add(aloneTime)
+		return k.started.Add(aloneTime)
 	}
-	return r.at.Add(settleTime)
+	return k.at.Add(settleTime)
 }
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -21,24 +21,24 @@
 
 func everything(string) bool { return true }
 
-func kept(now time.Time) *Book {
-	b := NewBook(cfg)
-	b.Keep(now, 1, map[string]model.Rate{"o": rate}, everything)
+func owned(now time.Time) *Ledger {
+	b := NewLedger(cfg)
+	b.Own(now, 1, map[string]model.Rate{"o": rate}, everything)
 	return b
 }
 
 func ask(need int) Request { return Request{Organisation: "o", Rate: rate, Need: need} }
 
-// What was let in before a book was lost still counts: a new one begins with little.
-func TestNewBookBeginsWithLittle(t *testing.T) {
-	b := kept(begin)
+// What was let in before a ledger was lost still counts: a new one begins with little.
+func TestNewLedgerBeginsWithLittle(t *testing.T) {
+	b := owned(begin)
 	must.LessEq(t, int(cfg.allowance(rate)*startPart), b.Ask(begin, ask(1000)).Tokens)
 }
 
 // Whatever is asked and given back, a zone lets in no more in a window than its part.
-func TestBookKeepsTheBoundInAnyWindow(t *testing.T) {
+func TestLedgerKeepsTheBoundInAnyWindow(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 1))
-	b := kept(begin)
+	b := owned(begin)
 	type taken struct {
 		at time.Time
 		n  int
@@ -66,43 +66,43 @@
 }
 
 func TestLoweredQuotaBindsAtOnce(t *testing.T) {
-	b := kept(begin)
+	b := owned(begin)
 	now := begin.Add(time.Minute)
 	low := model.Rate{PerSecond: 3, Burst: 3}
-	b.Keep(now, 1, map[string]model.Rate{"o": low}, everything)
+	b.Own(now, 1, map[string]model.Rate{"o": low}, everything)
 	q := ask(1000)
 	q.Rate = low
 	must.LessEq(t, int(cfg.part(low).burst), b.Ask(now, q).Tokens)
 }
 
 func TestRemovedQuotaLeavesNothing(t *testing.T) {
-	b := kept(begin)
-	b.Keep(begin, 1, nil, everything)
-	must.MapEmpty(t, b.pages)
+	b := owned(begin)
+	b.Own(begin, 1, nil, everything)
+	must.MapEmpty(t, b.entries)
 }
 
-// A book that moves goes to its new keeper whole, and isn't used twice.
-func TestBookMovesOnce(t *testing.T) {
-	b := kept(begin)
+// A ledger that moves goes to its new owner whole, and isn't used twice.
+func TestLedgerMovesOnce(t *testing.T) {
+	b := owned(begin)
 	now := begin.Add(time.Minute)
-	left := b.Keep(now, 1, map[string]model.Rate{"o": rate}, func(string) bool { return false })
+	left := b.Own(now, 1, map[string]model.Rate{"o": rate}, func(string) bool { return false })
 	must.Eq(t, map[string]float64{"o": cfg.part(rate).burst}, left)
-	other := kept(now)
+	other := owned(now)
 	other.Receive(now, "o", rate, left["o"])
 	must.Eq(t, int(cfg.part(rate).burst+cfg.start(rate)), other.Ask(now, ask(1000)).Tokens)
-	must.MapEmpty(t, b.pages)
+	must.MapEmpty(t, b.entries)
 }
 
-// What stands in for a keeper doesn't save up what the keeper mints too.
-func TestStandInSavesNothing(t *testing.T) {
-	b := NewBook(cfg)
+// A standby of an owner doesn't save up what the owner issues too.
+func TestStandbySavesNothing(t *testing.T) {
+	b := NewLedger(cfg)
 	b.Ask(begin, ask(1000))
 	later := begin.Add(time.Minute)
 	must.LessEq(t, int(cfg.start(rate)), b.Ask(later, ask(1000)).Tokens)
 }
 
 func TestLenderKeepsWhatItsZoneNeeds(t *testing.T) {
-	b := kept(begin)
+	b := owned(begin)
 	now := begin.Add(time.Minute)
 	full := cfg.part(rate).burst
 	lent := b.Lend(now, "o", rate, 1000)
@@ -112,7 +112,7 @@
 }
 
 func TestTokensThatNoNodeSendsAreNotTaken(t *testing.T) {
-	b := kept(begin)
+	b := owned(begin)
 	for _, tokens := range []float64{-5, 0, math.Inf(1)} {
 		b.Receive(begin, "o", rate, tokens)
 	}
@@ -121,9 +121,9 @@
 
 // Those that are refused come back one after the other.
 func TestPromisesFollowEachOther(t *testing.T) {
-	b := kept(begin)
+	b := owned(begin)
 	b.Ask(begin, ask(1000))
-	b = kept(begin)
+	b = owned(begin)
 	b.Ask(begin, ask(int(cfg.start(rate))))
 	first, second := b.Ask(begin, ask(1)), b.Ask(begin, ask(1))
 	must.Positive(t, first.After)
@@ -131,8 +131,8 @@
 	must.Eq(t, 100*time.Millisecond, first.Spacing)
 }
 
-func TestAccountForgetsOldTokensAndOldQuotas(t *testing.T) {
-	a := NewAccount(rate)
+func TestLeaseForgetsOldTokensAndOldQuotas(t *testing.T) {
+	a := NewLease(rate)
 	a.Put(begin, 2)
 	must.True(t, a.Take(begin))
 	must.False(t, a.Take(begin.Add(reserveTime)))
@@ -142,20 +142,20 @@
 	must.False(t, a.Take(begin))
 }
 
-// Nodes that reach no keeper let in most of what they would get of an even split.
-func TestPiecesAdmitTheirSum(t *testing.T) {
+// Nodes that reach no owner let in most of what they would get of an even split.
+func TestEvenSharesAdmitTheirSum(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 1))
 	const nodes, seconds = 62, 20
 	admitted := 0
 	for range nodes {
-		a := NewAccount(rate)
+		a := NewLease(rate)
 		for now := begin; now.Before(begin.Add(seconds * time.Second)); now = now.Add(time.Duration(r.ExpFloat64() * float64(time.Second) / 7)) {
-			if _, ok := a.Piece(now, cfg, nodes, r.Float64()); ok {
+			if _, ok := a.TakeEvenShare(now, cfg, nodes, r.Float64()); ok {
 				admitted++
 			}
 		}
 	}
-	must.Between(t, 0.9*careful*seconds*rate.PerSecond, float64(admitted), careful*seconds*rate.PerSecond+cfg.allowance(rate)*piecePart+nodes/4)
+	must.Between(t, 0.9*reducedPart*seconds*rate.PerSecond, float64(admitted), reducedPart*seconds*rate.PerSecond+cfg.allowance(rate)*evenSharePart+nodes/4)
 }
 
 func table(live, failed int) *endpoint.Table {
@@ -170,34 +170,34 @@
 	return t
 }
 
-// A node that has just started believes itself alone: it keeps no book before it has seen
+// A node that has just started believes itself alone: it owns no ledger before it has seen
 // its fleet.
-func TestStartedNodeKeepsNoBookBeforeItKnowsItsFleet(t *testing.T) {
-	r := NewRoster("n0", "z", begin)
-	must.False(t, r.Update(begin, table(1, 0)).Minting(begin.Add(time.Second)))
+func TestStartedNodeOwnsNoLedgerBeforeItKnowsItsFleet(t *testing.T) {
+	r := NewTracker("n0", "z", begin)
+	must.False(t, r.Update(begin, table(1, 0)).MayOwn(begin.Add(time.Second)))
 	now := begin.Add(time.Second)
-	must.False(t, r.Update(now, table(10, 0)).Minting(now))
+	must.False(t, r.Update(now, table(10, 0)).MayOwn(now))
 	m := r.Update(now.Add(100*time.Millisecond), table(20, 0))
-	must.False(t, m.Minting(now.Add(350*time.Millisecond)))
-	must.True(t, m.Minting(now.Add(400*time.Millisecond)))
+	must.False(t, m.MayOwn(now.Add(350*time.Millisecond)))
+	must.True(t, m.MayOwn(now.Add(400*time.Millisecond)))
 	r.Update(now.Add(400*time.Millisecond), table(20, 0))
 	must.False(t, r.Changing())
-	must.True(t, r.Update(now.Add(time.Second), table(21, 0)).Minting(now.Add(time.Second)))
+	must.True(t, r.Update(now.Add(time.Second), table(21, 0)).MayOwn(now.Add(time.Second)))
 }
 
-// Two halves of a zone that don't see each other mint no more than the zone together. Members
+// Two halves of a zone that don't see each other issue no more than the zone together. Members
 // that have been gone for long are no longer counted: the others bear their loss.
-func TestNodeMintsForTheMembersItSees(t *testing.T) {
-	r := NewRoster("n0", "z", begin)
+func TestNodeIssuesForTheMembersItSees(t *testing.T) {
+	r := NewTracker("n0", "z", begin)
 	r.Update(begin, table(5, 15))
 	now := begin.Add(30 * time.Second)
 	m := r.Update(now, table(5, 15))
-	must.True(t, m.Minting(now))
+	must.True(t, m.MayOwn(now))
 	must.Eq(t, 0.25, m.Share)
 	must.Eq(t, 20, m.Fleet)
 	must.True(t, r.Changing())
-	b := kept(begin)
-	b.Keep(now, m.Share, map[string]model.Rate{"o": rate}, everything)
+	b := owned(begin)
+	b.Own(now, m.Share, map[string]model.Rate{"o": rate}, everything)
 	full := cfg.part(rate).burst
 	must.Eq(t, int(full/4), b.Ask(now.Add(time.Second), ask(1000)).Tokens)
 	must.Eq(t, 400*time.Millisecond, b.Ask(now.Add(time.Second), ask(1)).Spacing)
@@ -206,29 +206,29 @@
 	must.False(t, r.Changing())
 }
 
-// The loss of a member moves its organisations only, to those that stood in for it.
-func TestKeepersMoveOnlyWithTheirMembers(t *testing.T) {
-	r := NewRoster("n0", "z", begin)
+// The loss of a member moves its organisations only, to those that were their standbys.
+func TestOwnersMoveOnlyWithTheirMembers(t *testing.T) {
+	r := NewTracker("n0", "z", begin)
 	before, after := r.Update(begin, table(20, 0)), r.Update(begin, table(19, 1))
-	kept := make(map[model.NodeID]int)
+	owned := make(map[model.NodeID]int)
 	for i := range 1000 {
 		name := fmt.Sprint("o", i)
-		first, second := before.Keepers("z", name)
+		first, second := before.Owners("z", name)
 		must.NotEq(t, first.Node, second.Node)
-		kept[first.Node]++
-		now, _ := after.Keepers("z", name)
+		owned[first.Node]++
+		now, _ := after.Owners("z", name)
 		if first.Node == "n19" {
 			first = second
 		}
 		must.Eq(t, first.Node, now.Node)
 	}
-	for _, n := range kept {
+	for _, n := range owned {
 		must.Between(t, 20, n, 100)
 	}
 }
 
 func BenchmarkTake(b *testing.B) {
-	a := NewAccount(rate)
+	a := NewLease(rate)
 	a.Put(begin, 1<<40)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/sidecar/quota.go
+++ b/internal/sidecar/quota.go
@@ -11,8 +11,8 @@
 
 // quotas are the parts that keep the quotas of organisations. Nil keeps none.
 type quotas struct {
-	desk   *quota.Desk
-	roster *bounds.Roster
+	limiter *quota.Limiter
+	tracker *bounds.Tracker
 }
 
 // wireQuotas makes the parts that keep quotas, where the settings ask for it. near and far
@@ -23,8 +23,8 @@
 		return
 	}
 	n.quotas = &quotas{
-		roster: bounds.NewRoster(n.set.Node, n.set.Zone, time.Now()),
-		desk: quota.New(quota.Config{
+		tracker: bounds.NewTracker(n.set.Node, n.set.Zone, time.Now()),
+		limiter: quota.New(quota.Config{
 			Self: n.set.Node,
 			Zone: n.set.Zone,
 			Bounds: bounds.Config{
@@ -43,9 +43,9 @@
 // limits returns what bounds the requests of organisations; nil bounds none.
 func (q *quotas) limits() outbound.Quotas {
 	if q == nil {
-		return nil // not a nil *Desk in an interface
+		return nil // not a nil *Limiter in an interface
 	}
-	return q.desk
+	return q.limiter
 }
 
 // gateHandler answers messages about quotas in front of the gate.
@@ -53,7 +53,7 @@
 	if n.quotas == nil {
 		return n.gate
 	}
-	return quota.Handler(n.quotas.desk, n.gate, n.log)
+	return quota.Handler(n.quotas.limiter, n.gate, n.log)
 }
 
 // updateQuotas takes over what is known of the fleet and of the configuration.
@@ -61,13 +61,13 @@
 	if l.quotas == nil {
 		return
 	}
-	l.quotas.desk.SetMembers(l.quotas.roster.Update(now, l.member.Table()))
+	l.quotas.limiter.SetMembers(l.quotas.tracker.Update(now, l.member.Table()))
 }
 
 // settleQuotas takes over what changes with time: whether a node that has started knows its
 // fleet, and which members have been gone for long.
 func (l *loop) settleQuotas(now time.Time) {
-	if l.quotas != nil && l.quotas.roster.Changing() {
+	if l.quotas != nil && l.quotas.tracker.Changing() {
 		l.updateQuotas(now)
 	}
 }
@@ -77,5 +77,5 @@
 	if l.quotas == nil {
 		return
 	}
-	l.quotas.desk.SetOrganisations(l.pub.table.Load().Organisations())
+	l.quotas.limiter.SetOrganisations(l.pub.table.Load().Organisations())
 }
--- a/transport/quota/bed_test.go
+++ b/transport/quota/bed_test.go
@@ -24,14 +24,14 @@
 
 // host is one node of a bed.
 type host struct {
-	id    model.NodeID
-	zone  model.Zone
-	desk  *Desk
-	ros   *quota.Roster
-	table *endpoint.Table
-	up    bool
-	runs  uint64 // its incarnation
-	side  bool   // of a split
+	id      model.NodeID
+	zone    model.Zone
+	limiter *Limiter
+	tracker *quota.Tracker
+	table   *endpoint.Table
+	up      bool
+	runs    uint64 // its incarnation
+	side    bool   // of a split
 }
 
 // bed is a fleet in virtual time, to be used in a synctest bubble. Every node learns after
@@ -91,14 +91,14 @@
 	h.runs++
 	h.up = true
 	h.table = endpoint.NewTable()
-	h.ros = quota.NewRoster(h.id, h.zone, now)
-	h.desk = New(Config{
+	h.tracker = quota.NewTracker(h.id, h.zone, now)
+	h.limiter = New(Config{
 		Self: h.id, Zone: h.zone, Bounds: b.cfg, Caller: caller{b, h}, Seed: b.rng.Uint64(),
 		Metrics: metrics.NewSet(), Logger: log.NewNopLogger(), Now: time.Now,
 	})
 	limits := b.limits
 	b.mu.Unlock()
-	h.desk.SetOrganisations(limits)
+	h.limiter.SetOrganisations(limits)
 	b.learn(h, h)
 	go func() {
 		for part := range 2 {
@@ -138,9 +138,9 @@
 		b.mu.Unlock()
 		return
 	}
-	m, desk := h.ros.Update(time.Now(), h.table), h.desk
+	m, limiter := h.tracker.Update(time.Now(), h.table), h.limiter
 	b.mu.Unlock()
-	desk.SetMembers(m)
+	limiter.SetMembers(m)
 }
 
 // kill ends nodes and starts them again after a while; 0 is never.
@@ -186,7 +186,7 @@
 	}
 	b.locked(func() { b.limits = limits })
 	for i, h := range b.hosts {
-		time.AfterFunc(time.Duration(i)*8*time.Millisecond, func() { h.desk.SetOrganisations(limits) })
+		time.AfterFunc(time.Duration(i)*8*time.Millisecond, func() { h.limiter.SetOrganisations(limits) })
 	}
 }
 
@@ -209,7 +209,7 @@
 	cut := h.zone != c.from.zone && (h.zone == b.cut || c.from.zone == b.cut) || b.alone == h.id || b.alone == c.from.id ||
 		b.split && h.side != c.from.side
 	there, back := b.rng.Float64() >= b.loss && !cut, b.rng.Float64() >= b.loss
-	up, desk := h.up, h.desk
+	up, limiter := h.up, h.limiter
 	b.mu.Unlock()
 	if !there {
 		<-ctx.Done()
@@ -219,7 +219,7 @@
 	if !up {
 		return nil, syscall.ECONNREFUSED
 	}
-	a := desk.Answer(ctx, m)
+	a := limiter.Answer(ctx, m)
 	time.Sleep(delay)
 	if !back || ctx.Err() != nil {
 		<-ctx.Done()
@@ -231,12 +231,12 @@
 // send lets one request of an organisation come to a node.
 func (b *bed) send(h *host, name string, late bool) {
 	b.mu.Lock()
-	up, desk, o := h.up, h.desk, b.limits[name]
+	up, limiter, o := h.up, h.limiter, b.limits[name]
 	b.mu.Unlock()
 	if !up || o == nil || o.Quota == nil {
 		return
 	}
-	after, ok := desk.Take(context.Background(), o, late)
+	after, ok := limiter.Take(context.Background(), o, late)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.asked[name]++
--- a/transport/quota/counts.go
+++ b/transport/quota/counts.go
@@ -11,10 +11,10 @@
 // those of "other".
 const maxCounted = 200
 
-// counts are a desk's metrics.
+// counts are a limiter's metrics.
 type counts struct {
-	set                          *metrics.Set
-	asks, lent, borrowed, pieces *metrics.Counter
+	set                              *metrics.Set
+	asks, lent, borrowed, evenShares *metrics.Counter
 
 	mu   sync.Mutex
 	seen map[string]struct{}
@@ -25,12 +25,12 @@
 
 func newCounts(set *metrics.Set) *counts {
 	return &counts{
-		set:      set,
-		asks:     set.GetOrCreateCounter("jacinthgate_quota_messages_total"),
-		lent:     set.GetOrCreateCounter("jacinthgate_quota_lent_total"),
-		borrowed: set.GetOrCreateCounter("jacinthgate_quota_borrowed_total"),
-		pieces:   set.GetOrCreateCounter("jacinthgate_quota_pieces_total"),
-		seen:     make(map[string]struct{}),
+		set:        set,
+		asks:       set.GetOrCreateCounter("jacinthgate_quota_messages_total"),
+		lent:       set.GetOrCreateCounter("jacinthgate_quota_lent_total"),
+		borrowed:   set.GetOrCreateCounter("jacinthgate_quota_borrowed_total"),
+		evenShares: set.GetOrCreateCounter("jacinthgate_quota_even_share_total"),
+		seen:       make(map[string]struct{}),
 	}
 }
 
--- a/transport/quota/fleet_test.go
+++ b/transport/quota/fleet_test.go
@@ -26,7 +26,7 @@
 	flood  = 7 * usual
 	lasts  = 15 * time.Second
 	few    = 2               // requests that may be refused besides
-	settle = 6 * time.Second // books fill and what was let in before no longer counts
+	settle = 6 * time.Second // ledgers fill and what was let in before no longer counts
 )
 
 // The bound on all requests of a window, and what may be refused below the limit, in parts
@@ -80,20 +80,20 @@
 		time.AfterFunc(lasts/2, func() { b.kill(600*time.Millisecond, b.hosts[:fleet/2]...) })
 		b.demand("o", usual*limit, lasts, b.hosts...)
 	}},
-	{"usual use, keepers are killed", 0.01, func(b *bed, limit float64) {
-		time.AfterFunc(lasts/2, func() { b.kill(0, b.keepers()...) })
+	{"usual use, owners are killed", 0.01, func(b *bed, limit float64) {
+		time.AfterFunc(lasts/2, func() { b.kill(0, b.owners()...) })
 		b.demand("o", usual*limit, lasts, b.hosts...)
 	}},
-	{"flood, keepers are killed and come back", 1, func(b *bed, limit float64) {
-		time.AfterFunc(lasts/2, func() { b.kill(2*time.Second, b.keepers()...) })
+	{"flood, owners are killed and come back", 1, func(b *bed, limit float64) {
+		time.AfterFunc(lasts/2, func() { b.kill(2*time.Second, b.owners()...) })
 		b.demand("o", flood*limit, lasts, b.hosts...)
 	}},
-	{"flood, a keeper is cut off alone", 1, func(b *bed, limit float64) {
-		time.AfterFunc(lasts/2, func() { b.locked(func() { b.alone = b.keepers()[0].id }) })
+	{"flood, an owner is cut off alone", 1, func(b *bed, limit float64) {
+		time.AfterFunc(lasts/2, func() { b.locked(func() { b.alone = b.owners()[0].id }) })
 		b.demand("o", flood*limit, lasts, b.hosts...)
 	}},
-	{"usual use, a keeper is cut off alone", 0.02, func(b *bed, limit float64) {
-		time.AfterFunc(lasts/2, func() { b.locked(func() { b.alone = b.keepers()[0].id }) })
+	{"usual use, an owner is cut off alone", 0.02, func(b *bed, limit float64) {
+		time.AfterFunc(lasts/2, func() { b.locked(func() { b.alone = b.owners()[0].id }) })
 		b.demand("o", usual*limit, lasts, b.hosts...)
 	}},
 	{"flood, a third of each zone is cut off", 1, func(b *bed, limit float64) {
@@ -126,10 +126,10 @@
 	return n
 }
 
-func (b *bed) keepers() []*host {
+func (b *bed) owners() []*host {
 	var all []*host
 	for _, zone := range []model.Zone{"z0", "z1", "z2"} {
-		first, _ := b.hosts[0].desk.members.Load().Keepers(zone, "o")
+		first, _ := b.hosts[0].limiter.members.Load().Owners(zone, "o")
 		all = append(all, b.byID[first.Node])
 	}
 	return all
@@ -190,7 +190,7 @@
 			time.Sleep(spread)
 			for _, h := range b.hosts {
 				held := false
-				h.desk.accounts.Range(func(_, _ any) bool { held = true; return false })
+				h.limiter.queues.Range(func(_, _ any) bool { held = true; return false })
 				must.False(t, held)
 			}
 		})
@@ -201,7 +201,7 @@
 const spread = 600 * time.Millisecond
 
 // Callers that come back when they are told find a token: the times that are told are spread
-// over as long as it takes to mint for all.
+// over as long as it takes to issue for all.
 func TestRefusedAreToldWhenTokensCome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(3, 12, organisation(30, 30))
@@ -243,7 +243,7 @@
 		let, refused := 0, 0
 		for range 200 {
 			time.Sleep(10 * time.Millisecond)
-			if _, ok := b.hosts[let%len(b.hosts)].desk.Take(t.Context(), b.limits["o"], true); ok {
+			if _, ok := b.hosts[let%len(b.hosts)].limiter.Take(t.Context(), b.limits["o"], true); ok {
 				let++
 			} else {
 				refused++
@@ -252,7 +252,7 @@
 		t.Logf("late: %d let in, %d refused", let, refused)
 		must.LessEq(t, 5, let)
 		time.Sleep(2 * time.Second)
-		_, ok := b.hosts[0].desk.Take(t.Context(), b.limits["o"], true)
+		_, ok := b.hosts[0].limiter.Take(t.Context(), b.limits["o"], true)
 		must.True(t, ok)
 	})
 }
--- a/transport/quota/message.go
+++ b/transport/quota/message.go
@@ -13,14 +13,14 @@
 
 // The kinds.
 const (
-	// KindAsk asks the keeper of the zone's book for tokens.
-	KindAsk Kind = iota + 1
-	// KindRelay is KindAsk that a stand-in hands on; it isn't handed on again.
-	KindRelay
-	// KindLend asks the keeper of another zone's book.
-	KindLend
-	// KindGive hands tokens over to the new keeper of a book.
-	KindGive
+	// KindAcquire asks the owner of the zone's ledger for tokens.
+	KindAcquire Kind = iota + 1
+	// KindForward is KindAcquire that a standby hands on; it isn't handed on again.
+	KindForward
+	// KindBorrow asks the owner of another zone's ledger.
+	KindBorrow
+	// KindTransfer hands tokens over to the new owner of a ledger.
+	KindTransfer
 )
 
 // Message asks another node for tokens of an organisation, or gives some.
@@ -32,14 +32,14 @@
 	Refused      int     `cbor:"5,keyasint,omitempty"`
 	Return       float64 `cbor:"6,keyasint,omitempty"`
 	Slots        int     `cbor:"8,keyasint,omitempty"`
-	// Want is how many tokens KindLend asks for, or KindGive gives.
+	// Want is how many tokens KindBorrow asks for, or KindTransfer gives.
 	Want float64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Answer answers a Message.
 type Answer struct {
-	// Kept says that the node keeps the book; otherwise nothing was done.
-	Kept bool `cbor:"1,keyasint"`
+	// Owned says that the node owns the ledger; otherwise nothing was done.
+	Owned bool `cbor:"1,keyasint"`
 	// Tokens is what the asker gets.
 	Tokens float64 `cbor:"2,keyasint,omitempty"`
 	// AfterMillis and SpacingMillis tell when more tokens come.
@@ -102,7 +102,7 @@
 			return &MessageError{Reason: "a number is out of bounds"}
 		}
 	}
-	if m.Kind < KindAsk || m.Kind > KindGive || m.Organisation == "" {
+	if m.Kind < KindAcquire || m.Kind > KindTransfer || m.Organisation == "" {
 		return &MessageError{Reason: "no kind or no organisation"}
 	}
 	return nil
--- a/transport/quota/suspects.go
+++ b/transport/quota/suspects.go
@@ -18,8 +18,8 @@
 	// lostCalls is how often in a row it must not have answered: one message may be lost.
 	lostCalls = 2
 	// silentTime and silentCalls are for how long and how often in a row a node must not
-	// have answered before another one mints in its place: lost messages alone are no
-	// reason, since the node mints on.
+	// have answered before another one issues in its place: lost messages alone are no
+	// reason, since the node issues on.
 	silentTime  = 150 * time.Millisecond
 	silentCalls = 3
 )
@@ -80,8 +80,8 @@
 }
 
 // unreachable notes that a node didn't answer. There is one log line for each suspectTime.
-func (d *Desk) unreachable(to quota.Member, err error) {
-	if d.suspects.add(to.Node, d.cfg.Now(), err) {
-		_ = level.Warn(d.cfg.Logger).Log("event", "quota_keeper_unreachable", "node", to.Node, "zone", to.Zone, "err", err)
+func (l *Limiter) unreachable(to quota.Member, err error) {
+	if l.suspects.add(to.Node, l.cfg.Now(), err) {
+		_ = level.Warn(l.cfg.Logger).Log("event", "quota_owner_unreachable", "node", to.Node, "zone", to.Zone, "err", err)
 	}
 }
--- a/transport/quota/wait.go
+++ b/transport/quota/wait.go
@@ -12,10 +12,10 @@
 const (
 	// askTimeout bounds all that is done for a request that waits.
 	askTimeout = 300 * time.Millisecond
-	// callTimeout bounds a call to the keeper of a book in the own zone: some round trips,
+	// callTimeout bounds a call to the owner of a ledger in the own zone: some round trips,
 	// and its own calls.
 	callTimeout = 100 * time.Millisecond
-	// onwardTimeout bounds the calls of a keeper, and of who stands in for it.
+	// onwardTimeout bounds the calls of an owner, and of its standby.
 	onwardTimeout = 40 * time.Millisecond
 	// goneAfter is when a caller should come back whose request has left meanwhile.
 	goneAfter = 100 * time.Millisecond
@@ -33,17 +33,17 @@
 	after time.Duration
 }
 
-// wait waits for the answer of the keeper. Requests that come while it is asked are asked for
+// wait waits for the answer of the owner. Requests that come while it is asked are asked for
 // together afterwards.
-func (d *Desk) wait(ctx context.Context, a *account) (time.Duration, bool) {
+func (l *Limiter) wait(ctx context.Context, q *queue) (time.Duration, bool) {
 	w := &waiter{answer: make(chan verdict, 1)}
-	a.mu.Lock()
-	a.waiting = append(a.waiting, w)
-	lead := !a.asking
-	a.asking = true
-	a.mu.Unlock()
+	q.mu.Lock()
+	q.waiting = append(q.waiting, w)
+	lead := !q.asking
+	q.asking = true
+	q.mu.Unlock()
 	if lead {
-		d.askRound(ctx, a)
+		l.askRound(ctx, q)
 	}
 	select {
 	case v := <-w.answer:
@@ -59,36 +59,36 @@
 
 // askRound asks for those that wait now. Who has come meanwhile is asked for by a round of
 // its own, so that nobody's request waits for more than two.
-func (d *Desk) askRound(ctx context.Context, a *account) {
-	a.mu.Lock()
-	round := a.waiting
-	a.waiting = nil
-	a.asking = len(round) > 0
-	a.mu.Unlock()
+func (l *Limiter) askRound(ctx context.Context, q *queue) {
+	q.mu.Lock()
+	round := q.waiting
+	q.waiting = nil
+	q.asking = len(round) > 0
+	q.mu.Unlock()
 	if len(round) == 0 {
 		return
 	}
 	// The others' tokens don't depend on whether the first one's caller stays.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
 	defer cancel()
-	r := a.Request(d.cfg.Now(), a.name, len(round))
-	if g, ok := d.ask(ctx, r); ok {
-		a.Reached(d.cfg.Now())
-		a.settle(d.cfg.Now(), round, g)
+	r := q.Request(l.cfg.Now(), q.name, len(round))
+	if g, ok := l.ask(ctx, r); ok {
+		q.Reached(l.cfg.Now())
+		q.settle(l.cfg.Now(), round, g)
 	} else {
-		d.settleByPiece(a, round)
+		l.settleByEvenShare(q, round)
 	}
-	a.mu.Lock()
-	more := len(a.waiting) > 0
-	a.asking = more
-	a.mu.Unlock()
+	q.mu.Lock()
+	more := len(q.waiting) > 0
+	q.asking = more
+	q.mu.Unlock()
 	if more {
-		go d.askRound(context.Background(), a)
+		go l.askRound(context.Background(), q)
 	}
 }
 
 // settle shares out a grant.
-func (a *account) settle(now time.Time, round []*waiter, g quota.Grant) {
+func (q *queue) settle(now time.Time, round []*waiter, g quota.Grant) {
 	var short []*waiter
 	for _, w := range round {
 		switch {
@@ -98,21 +98,21 @@
 			g.Tokens--
 		}
 	}
-	a.Put(now, g.Tokens)
+	q.Put(now, g.Tokens)
 	if len(short) == 0 {
 		return
 	}
-	for i, after := range a.Refuse(now, g, len(short)) {
+	for i, after := range q.Refuse(now, g, len(short)) {
 		short[i].give(verdict{after: after})
 	}
 }
 
-// settleByPiece lets requests in by the node's even piece: no keeper was reached.
-func (d *Desk) settleByPiece(a *account, round []*waiter) {
-	now := d.cfg.Now()
+// settleByEvenShare lets requests in by the node's even share: no owner was reached.
+func (l *Limiter) settleByEvenShare(q *queue, round []*waiter) {
+	now := l.cfg.Now()
 	for _, w := range round {
-		d.counts.pieces.Inc()
-		after, ok := a.Piece(now, d.cfg.Bounds, d.fleet(now), d.rand.Float64())
+		l.counts.evenShares.Inc()
+		after, ok := q.TakeEvenShare(now, l.cfg.Bounds, l.fleet(now), l.rand.Float64())
 		w.give(verdict{ok: ok, after: after})
 	}
 }
@@ -120,9 +120,9 @@
 // assumedFleet is the number of nodes while the node knows too little to tell.
 const assumedFleet = 64
 
-func (d *Desk) fleet(now time.Time) int {
-	m := d.members.Load()
-	if !m.Minting(now) {
+func (l *Limiter) fleet(now time.Time) int {
+	m := l.members.Load()
+	if !m.MayOwn(now) {
 		if m != nil {
 			return max(m.Fleet, assumedFleet)
 		}
--- a/transport/quota/wire.go
+++ b/transport/quota/wire.go
@@ -80,7 +80,7 @@
 }
 
 // Handler answers messages of other nodes and passes everything else on to the gate.
-func Handler(d *Desk, gate http.Handler, logger log.Logger) http.Handler {
+func Handler(l *Limiter, gate http.Handler, logger log.Logger) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header[outcome.HeaderQuota] == nil {
 			gate.ServeHTTP(w, r)
@@ -96,7 +96,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		body, err := encMode.Marshal(d.Answer(r.Context(), m))
+		body, err := encMode.Marshal(l.Answer(r.Context(), m))
 		if err != nil {
 			_ = level.Error(logger).Log("event", "quota_answer_not_sent", "err", err)
 			w.WriteHeader(http.StatusInternalServerError)
--- a/transport/quota/wire_test.go
+++ b/transport/quota/wire_test.go
@@ -20,20 +20,20 @@
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
-// served returns a keeper behind a server, and how many requests passed it by.
+// served returns an owner behind a server, and how many requests passed it by.
 func served(t *testing.T) (to quota.Member, passed *int) {
 	t.Helper()
-	d := New(Config{
+	l := New(Config{
 		Self: "n0", Zone: "z", Bounds: quota.Config{Zones: 1, Window: 5 * time.Second, Slack: 20},
 		Metrics: metrics.NewSet(), Logger: log.NewNopLogger(), Now: time.Now,
 	})
 	records := endpoint.NewTable()
 	records.Put(endpoint.Record{Node: "n0", Zone: "z", Incarnation: 1})
-	d.SetMembers(quota.NewRoster("n0", "z", time.Now().Add(-time.Minute)).Update(time.Now(), records))
-	d.SetOrganisations(map[string]*route.Organisation{"o": organisation(10, 10)})
+	l.SetMembers(quota.NewTracker("n0", "z", time.Now().Add(-time.Minute)).Update(time.Now(), records))
+	l.SetOrganisations(map[string]*route.Organisation{"o": organisation(10, 10)})
 	passed = new(int)
 	gate := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { *passed++ })
-	s := httptest.NewServer(Handler(d, gate, log.NewNopLogger()))
+	s := httptest.NewServer(Handler(l, gate, log.NewNopLogger()))
 	t.Cleanup(s.Close)
 	return quota.Member{Node: "n0", Zone: "z", Addr: strings.TrimPrefix(s.URL, "http://")}, passed
 }
@@ -42,13 +42,13 @@
 	to, passed := served(t)
 	client := forward.NewClient(forward.DefaultClientConfig())
 	w := &Wire{Zone: "z", Near: client, Far: client}
-	a, err := w.Call(t.Context(), to, &Message{Kind: KindAsk, Organisation: "o", Need: 1})
+	a, err := w.Call(t.Context(), to, &Message{Kind: KindAcquire, Organisation: "o", Need: 1})
 	must.NoError(t, err)
-	must.True(t, a.Kept)
+	must.True(t, a.Owned)
 	must.Eq(t, 1, a.Tokens)
-	a, err = w.Call(t.Context(), to, &Message{Kind: KindAsk, Organisation: "nobody", Need: 1})
+	a, err = w.Call(t.Context(), to, &Message{Kind: KindAcquire, Organisation: "nobody", Need: 1})
 	must.NoError(t, err)
-	must.False(t, a.Kept)
+	must.False(t, a.Owned)
 	must.Eq(t, 0, *passed)
 }
 
@@ -67,9 +67,9 @@
 		"empty":      nil,
 		"too large":  make([]byte, maxBody+1),
 		"no CBOR":    []byte("hello"),
-		"negative":   must1(encMode.Marshal(&Message{Kind: KindGive, Organisation: "o", Want: -1})),
+		"negative":   must1(encMode.Marshal(&Message{Kind: KindTransfer, Organisation: "o", Want: -1})),
 		"no kind":    must1(encMode.Marshal(&Message{Organisation: "o"})),
-		"beyond all": must1(encMode.Marshal(&Message{Kind: KindGive, Organisation: "o", Want: 1e12})),
+		"beyond all": must1(encMode.Marshal(&Message{Kind: KindTransfer, Organisation: "o", Want: 1e12})),
 	} {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+to.Addr+messagePath, bytes.NewReader(body))
 		must.NoError(t, err)
@@ -88,7 +88,7 @@
 	return b
 }
 
-// Callers can't speak to the books: what only nodes may set is removed.
+// Callers can't speak to the ledgers: what only nodes may set is removed.
 func TestCallersCantSendMessages(t *testing.T) {
 	h := http.Header{outcome.HeaderQuota: {"1"}}
 	forward.StripNodeHeaders(h)
@@ -99,7 +99,7 @@
 	to, _ := served(t)
 	to.Addr = "127.0.0.1:1"
 	client := forward.NewClient(forward.DefaultClientConfig())
-	_, err := (&Wire{Zone: "z", Near: client, Far: client}).Call(context.Background(), to, &Message{Kind: KindAsk, Organisation: "o"})
+	_, err := (&Wire{Zone: "z", Near: client, Far: client}).Call(context.Background(), to, &Message{Kind: KindAcquire, Organisation: "o"})
 	must.Error(t, err)
 	var s suspects
 	must.True(t, s.add("n0", time.Now(), err))
