Make no quota tokens where a lease ends or gives back late

What a node gave back long after its reserve had ended came on top of a full entry, up to the whole fleet's quota. Rates below a token in 292 years overflowed the times that callers are told. Change: compare and swap, a lock in Put, returned tokens fill the entry of the zone only, times are bounded before they are converted.

--- a/coordination/quota/evenshare.go
+++ b/coordination/quota/evenshare.go
@@ -37,7 +37,7 @@
 	if lot < chance {
 		return 0, true
 	}
-	return min(time.Duration(float64(time.Second)/perSecond), evenShareAfterMax), false
+	return time.Duration(min(float64(time.Second)/perSecond, float64(evenShareAfterMax))), false
 }
 
 // evenShareAfterMax bounds when a caller comes back that an even share has refused: an owner is
--- a/coordination/quota/lease.go
+++ b/coordination/quota/lease.go
@@ -48,13 +48,16 @@
 
 // Take takes a token that the node holds.
 func (l *Lease) Take(now time.Time) bool {
-	if l.held.Load() <= 0 || now.UnixNano() >= l.ends.Load() {
-		return false
+	for now.UnixNano() < l.ends.Load() {
+		held := l.held.Load()
+		if held <= 0 {
+			return false
+		}
+		// Never below 0, not even for a moment: others may empty the lease meanwhile.
+		if l.held.CompareAndSwap(held, held-1) {
+			return true
+		}
 	}
-	if l.held.Add(-1) >= 0 {
-		return true
-	}
-	l.held.Add(1)
 	return false
 }
 
@@ -63,6 +66,8 @@
 	if tokens <= 0 {
 		return
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if now.UnixNano() >= l.ends.Load() {
 		l.held.Store(0)
 	}
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -149,7 +149,7 @@
 	defer l.mu.Unlock()
 	e := l.entry(now, r.Organisation, r.Rate)
 	e.asked = now
-	e.add(l.cfg, r.Return)
+	e.takeBack(l.part(e.rate), now, r.Return)
 	e.use.add(now, float64(r.Need+r.Refused))
 	return max(0, float64(r.Need)-e.level)
 }
@@ -189,7 +189,7 @@
 // promise returns when the next token comes that nobody was promised, and takes it and those
 // that follow.
 func (e *entry) promise(of size, now time.Time, slots int) (after, spacing time.Duration) {
-	each := float64(time.Second) / of.perSecond
+	each := min(float64(time.Second)/of.perSecond, float64(promiseMax))
 	first := now.Add(time.Duration(max(0, 1-e.level) * each))
 	if e.next.Before(first) {
 		e.next = first
@@ -198,7 +198,7 @@
 	if end := now.Add(promiseMax); e.next.Before(end) {
 		e.next = e.next.Add(time.Duration(min(float64(slots)*each, float64(promiseMax))))
 	}
-	return min(after, promiseMax), time.Duration(min(each, float64(promiseMax)))
+	return min(after, promiseMax), time.Duration(each)
 }
 
 // lendKeep is for how long a ledger keeps what its own zone asks for before it lends.
@@ -228,6 +228,13 @@
 	e.add(l.cfg, tokens)
 }
 
+// takeBack adds tokens that a node gives back. They may have been issued again since they were
+// given, so they add nothing to a full entry.
+func (e *entry) takeBack(of size, now time.Time, tokens float64) {
+	room := of.burst - e.reserved.sum(now)
+	e.level = max(e.level, min(room, e.level+max(0, tokens)))
+}
+
 // add adds tokens that were issued elsewhere. Several zones' may come together for one that
 // has a burst, so the bound is that of the whole quota; see borrowTime.
 func (e *entry) add(cfg Config, tokens float64) {
