Bound what a quota limiter believes of other nodes and holds of them

Cause: an asker that left made the owner that was asked for it suspect, and its standby might issue too; suspects and loans of nodes and organisations that are gone stayed for ever; an answer could give more tokens than were asked for; a name that fits into no message was refused by the owner, which was then held to be gone for all organisations; a request with an older configuration could bring its quota back. Change: a cancelled asker says nothing, members and quotas in force bound what is held, an answer gives what was asked for at most, names are bounded at 512 bytes (longer ones get even shares and the log line quota_name_too_long), and a new queue follows the quota in force.

--- a/transport/quota/limiter.go
+++ b/transport/quota/limiter.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/coordination/quota"
 	"github.com/jacinthgate/jacinthgate/coordination/random"
@@ -62,6 +63,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.members.Store(m)
+	l.suspects.retain(m)
 	l.own()
 }
 
@@ -72,9 +74,14 @@
 	defer l.mu.Unlock()
 	quotas := make(map[string]model.Rate)
 	for name, o := range all {
-		if o.Quota != nil {
-			quotas[name] = *o.Quota
+		if o.Quota == nil {
+			continue
 		}
+		if len(name) > maxName {
+			_ = level.Warn(l.cfg.Logger).Log("event", "quota_name_too_long", "organisation", name[:maxName], "bytes", len(name), "most", maxName)
+			continue
+		}
+		quotas[name] = *o.Quota
 	}
 	l.quotas.Store(&quotas)
 	l.queues.Range(func(key, value any) bool {
@@ -86,6 +93,13 @@
 		}
 		return true
 	})
+	l.loans.Range(func(key, _ any) bool {
+		name, _ := key.(string)
+		if _, limited := quotas[name]; !limited {
+			l.loans.Delete(name)
+		}
+		return true
+	})
 	l.own()
 }
 
@@ -133,13 +147,23 @@
 	counts  organisationCounts
 }
 
+// queue returns an organisation's queue, and makes it for its first request.
 func (l *Limiter) queue(o *route.Organisation) *queue {
-	if a, ok := l.queues.Load(o.Name); ok {
-		return a.(*queue)
+	if q, ok := l.queues.Load(o.Name); ok {
+		return q.(*queue)
+	}
+	fresh := &queue{Lease: quota.NewLease(*o.Quota), name: o.Name, counts: l.counts.of(o.Name)}
+	held, _ := l.queues.LoadOrStore(o.Name, fresh)
+	q := held.(*queue)
+	// The request may still hold an older configuration than the one in force, which may
+	// change once more meanwhile.
+	for quotas := (*map[string]model.Rate)(nil); quotas != l.quotas.Load(); {
+		quotas = l.quotas.Load()
+		if rate, limited := (*quotas)[o.Name]; limited {
+			q.Follow(rate)
+		}
 	}
-	a := &queue{Lease: quota.NewLease(*o.Quota), name: o.Name, counts: l.counts.of(o.Name)}
-	held, _ := l.queues.LoadOrStore(o.Name, a)
-	return held.(*queue)
+	return q
 }
 
 // Take takes a token for one request of an organisation that has a quota. Where that is used
--- a/transport/quota/message.go
+++ b/transport/quota/message.go
@@ -50,6 +50,8 @@
 const (
 	// maxBody bounds a message, in bytes: a name and a few numbers.
 	maxBody = 1 << 10
+	// maxName bounds the name of an organisation in a message, in bytes.
+	maxName = 512
 	// maxTokens bounds the tokens of one message.
 	maxTokens = 1 << 24
 	// maxWait bounds the times of an answer.
@@ -102,8 +104,8 @@
 			return &MessageError{Reason: "a number is out of bounds"}
 		}
 	}
-	if m.Kind < KindAcquire || m.Kind > KindTransfer || m.Organisation == "" {
-		return &MessageError{Reason: "no kind or no organisation"}
+	if m.Kind < KindAcquire || m.Kind > KindTransfer || m.Organisation == "" || len(m.Organisation) > maxName {
+		return &MessageError{Reason: "no kind, or no organisation's name"}
 	}
 	return nil
 }
--- a/transport/quota/owner.go
+++ b/transport/quota/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/quota"
@@ -10,6 +11,9 @@
 // ask asks the owner of the organisation's ledger, then the standby, then the
 // owner once more. It returns false where none answers.
 func (l *Limiter) ask(ctx context.Context, r quota.Request) (quota.Grant, bool) {
+	if len(r.Organisation) > maxName {
+		return quota.Grant{}, false
+	}
 	first, second := l.members.Load().Owners(l.cfg.Zone, r.Organisation)
 	for _, to := range []quota.Member{first, second, first} {
 		var a *Answer
@@ -26,7 +30,7 @@
 			a = l.call(ctx, to, askMessage(KindAcquire, r))
 		}
 		if a != nil && a.Owned {
-			return a.grant(), true
+			return a.grant(r), true
 		}
 	}
 	return quota.Grant{}, false
@@ -38,9 +42,11 @@
 	}
 }
 
-func (a *Answer) grant() quota.Grant {
+// grant returns what an answer gives, no more than was asked for.
+func (a *Answer) grant(r quota.Request) quota.Grant {
 	return quota.Grant{
-		Tokens: int(a.Tokens), After: time.Duration(a.AfterMillis) * time.Millisecond,
+		Tokens:  min(int(a.Tokens), r.Need+r.Reserve),
+		After:   time.Duration(a.AfterMillis) * time.Millisecond,
 		Spacing: time.Duration(a.SpacingMillis) * time.Millisecond,
 	}
 }
@@ -52,10 +58,13 @@
 	if m.Kind == KindAcquire {
 		timeout = callTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	a, err := l.cfg.Caller.Call(ctx, to, m)
-	if err != nil {
+	a, err := l.cfg.Caller.Call(bounded, to, m)
+	switch {
+	case err != nil && errors.Is(ctx.Err(), context.Canceled):
+		return nil // the asker has gone, which says nothing about the node that was called
+	case err != nil:
 		l.unreachable(to, err)
 		return nil
 	}
--- a/transport/quota/suspects.go
+++ b/transport/quota/suspects.go
@@ -79,6 +79,26 @@
 	return news
 }
 
+// retain forgets all nodes but the members. One that comes back begins anew.
+func (s *suspects) retain(m *quota.Members) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.nodes) == 0 {
+		return
+	}
+	members := make(map[model.NodeID]struct{}, m.Fleet)
+	for _, zone := range m.Zones {
+		for _, member := range zone {
+			members[member.Node] = struct{}{}
+		}
+	}
+	for node := range s.nodes {
+		if _, live := members[node]; !live {
+			delete(s.nodes, node)
+		}
+	}
+}
+
 // unreachable notes that a node didn't answer. There is one log line for each suspectTime.
 func (l *Limiter) unreachable(to quota.Member, err error) {
 	if l.suspects.add(to.Node, l.cfg.Now(), err) {
