Let the small side of a cut begin with one token

Cause: a ledger that begins anew holds its node's part of 15% of what is allowed beyond the quota. With 3 requests a second and a third of each zone cut off that was 0.36 tokens, and the other zones' new ledgers had no whole one to lend either, so the first requests after the cut were refused although next to nothing was asked. Besides, a standby that nobody had asked for a second began anew at each question, 55 tokens in a minute where 5.2 are due. Change: one token at least where the whole start has one; an idle standby's entry is cut to its start and never raised to it. Both tests failed before.

--- a/coordination/quota/faults_test.go
+++ b/coordination/quota/faults_test.go
@@ -61,3 +61,27 @@
 	must.False(t, ok)
 	must.Between(t, time.Millisecond, after, evenShareAfterMax)
 }
+
+// A standby that is asked now and then issues no more than its part of the rate.
+func TestStandbyBeginsOnce(t *testing.T) {
+	slow := model.Rate{PerSecond: 0.3, Burst: 1}
+	l := NewLedger(cfg)
+	tokens, now := 0, begin
+	for ; now.Before(begin.Add(time.Minute)); now = now.Add(standbyTime + 100*time.Millisecond) {
+		tokens += l.Ask(now, Request{Organisation: "o", Rate: slow, Need: 1}).Tokens
+	}
+	must.LessEq(t, cfg.start(slow)+reducedPart*cfg.part(slow).perSecond*now.Sub(begin).Seconds(), float64(tokens))
+}
+
+// A new ledger holds the first request's token where its zone's start does, however few of the
+// members its node sees.
+func TestNewLedgerOfASmallSideHoldsAToken(t *testing.T) {
+	slow := model.Rate{PerSecond: 3, Burst: 3}
+	l := NewLedger(cfg)
+	l.Own(begin, 0.25, map[string]model.Rate{"o": slow}, everything)
+	must.Eq(t, 1, l.Ask(begin, Request{Organisation: "o", Rate: slow, Need: 5}).Tokens)
+	small := Config{Zones: 3, Window: cfg.Window, Slack: 2}
+	l = NewLedger(small)
+	l.Own(begin, 0.25, map[string]model.Rate{"o": slow}, everything)
+	must.Eq(t, 0, l.Ask(begin, Request{Organisation: "o", Rate: slow, Need: 5}).Tokens)
+}
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -77,12 +77,9 @@
 func (l *Ledger) entry(now time.Time, name string, rate model.Rate) *entry {
 	e := l.entries[name]
 	if e == nil {
-		e = &entry{rate: rate, level: l.share * l.cfg.start(rate), at: now, asked: now}
+		e = &entry{rate: rate, level: l.start(rate), at: now, asked: now}
 		l.entries[name] = e
 	}
-	if !e.owned && now.Sub(e.asked) > standbyTime {
-		e.level, e.at = l.share*l.cfg.start(rate), now
-	}
 	if e.rate != rate {
 		e.rate, e.next = rate, time.Time{}
 		e.level = min(e.level, l.part(rate).burst)
@@ -92,9 +89,20 @@
 		of.perSecond *= reducedPart
 	}
 	e.bring(of, now)
+	if !e.owned && now.Sub(e.asked) > standbyTime {
+		e.level = min(e.level, l.start(rate))
+	}
 	return e
 }
 
+// start returns what a new entry holds: the part of the zone that the node sees, but one
+// token where the zone's start has it. Less would refuse the first request on the small side
+// of a cut, however little is asked there.
+func (l *Ledger) start(rate model.Rate) float64 {
+	whole := l.cfg.start(rate)
+	return max(l.share*whole, min(1, whole))
+}
+
 // part returns the size of an entry.
 func (l *Ledger) part(rate model.Rate) size {
 	of := l.cfg.part(rate)
