Let a request whose caller has left stop waiting for its quota

Change: rounds run one after the other in a goroutine of the queue that ends when nobody waits, and belong to no request. The test failed before.

--- a/coordination/quota/members.go
+++ b/coordination/quota/members.go
@@ -39,7 +39,8 @@
 	return m != nil && !m.ownFrom.IsZero() && !now.Before(m.ownFrom)
 }
 
-// Owners returns the member of a zone that owns an organisation's ledger, and the one that// is its standby. A name is empty where there is none.
+// Owners returns the member of a zone that owns an organisation's ledger, and the one that
+// is its standby. A name is empty where there is none.
 func (m *Members) Owners(zone model.Zone, organisation string) (first, second Member) {
 	if m == nil {
 		return first, second
--- a/transport/quota/limiter_test.go
+++ b/transport/quota/limiter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -119,3 +120,28 @@
 	q := l.queue(quotaOf(name, 300)[name])
 	must.Eq(t, 3, q.Request(time.Now(), name, 1).Rate.PerSecond)
 }
+
+// hangs is a Caller that answers nothing until it is given up.
+type hangs struct{}
+
+// Call implements Caller.
+func (hangs) Call(ctx context.Context, _ quota.Member, _ *Message) (*Answer, error) {
+	<-ctx.Done()
+	return nil, errLost
+}
+
+// A request whose caller has left doesn't wait for the answer that others wait for.
+func TestCallerThatLeavesWaitsNoLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, name := elsewhere(t, hangs{})
+		o := quotaOf(name, 10)
+		l.SetOrganisations(o)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		sent := time.Now()
+		_, ok := l.Take(ctx, o[name], false)
+		must.False(t, ok)
+		must.Eq(t, time.Millisecond, time.Since(sent))
+		time.Sleep(time.Second)
+	})
+}
--- a/transport/quota/wait.go
+++ b/transport/quota/wait.go
@@ -43,7 +43,7 @@
 	q.asking = true
 	q.mu.Unlock()
 	if lead {
-		l.askRound(ctx, q)
+		go l.askRounds(q)
 	}
 	select {
 	case v := <-w.answer:
@@ -57,34 +57,35 @@
 	return v.after, v.ok
 }
 
-// askRound asks for those that wait now. Who has come meanwhile is asked for by a round of
-// its own, so that nobody's request waits for more than two.
-func (l *Limiter) askRound(ctx context.Context, q *queue) {
-	q.mu.Lock()
-	round := q.waiting
-	q.waiting = nil
-	q.asking = len(round) > 0
-	q.mu.Unlock()
-	if len(round) == 0 {
-		return
+// askRounds asks for those that wait until nobody does. Who comes while a round is asked for
+// is asked for by the next one, so that nobody's request waits for more than two.
+func (l *Limiter) askRounds(q *queue) {
+	for {
+		q.mu.Lock()
+		round := q.waiting
+		q.waiting = nil
+		q.asking = len(round) > 0
+		q.mu.Unlock()
+		if len(round) == 0 {
+			return
+		}
+		l.askRound(q, round)
 	}
-	// The others' tokens don't depend on whether the first one's caller stays.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTimeout)
+}
+
+// askRound asks for a round. It belongs to no single request: the others' tokens don't depend
+// on whether the first one's caller stays.
+func (l *Limiter) askRound(q *queue, round []*waiter) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	r := q.Request(l.cfg.Now(), q.name, len(round))
-	if g, ok := l.ask(ctx, r); ok {
-		q.Reached(l.cfg.Now())
-		q.settle(l.cfg.Now(), round, g)
-	} else {
+	g, ok := l.ask(ctx, r)
+	if !ok {
 		l.settleByEvenShare(q, round)
+		return
 	}
-	q.mu.Lock()
-	more := len(q.waiting) > 0
-	q.asking = more
-	q.mu.Unlock()
-	if more {
-		go l.askRound(context.Background(), q)
-	}
+	q.Reached(l.cfg.Now())
+	q.settle(l.cfg.Now(), round, g)
 }
 
 // settle shares out a grant.
