Hash no members while requests wait for a ledger, and tell newcomers the parts of quotas

Cause: each change of members hashed all members of the zone for each organisation, twice, with the ledger locked against the requests that ask it. The package comment named its parts in prose only. Tests are changed for the new argument only. The time that this saves was not measured.

--- a/coordination/quota/doc.go
+++ b/coordination/quota/doc.go
@@ -1,12 +1,19 @@
-// Package quota keeps the quotas of organisations over a whole fleet with leases of
-// single tokens.
+// Package quota enforces the quotas of organisations over a whole fleet. A request needs
+// one token of its organisation.
 //
-// Each availability zone issues its even part of an organisation's rate, whatever other
-// zones do. In a zone one member owns the ledger of an organisation (Ledger): the one that
-// comes first for it by rendezvous hashing, so that the work is spread over all members
-// and the loss of one moves its organisations only. A request needs one token. Nodes hold
-// a few (Lease) where an organisation's requests come often to them, and ask the owner
-// of the ledger otherwise. An owner that is short asks those of the other zones.
+//   - Each availability zone issues tokens at its even part of an organisation's rate,
+//     whatever other zones do.
+//   - In a zone one member owns the ledger of an organisation, which holds the tokens that
+//     were issued and not used (Ledger). The owner is the member that comes first for the
+//     organisation by rendezvous hashing (Members.Owners): the work is spread over all
+//     members, and the loss of one moves its organisations only.
+//   - The member that comes second is the standby. It issues tokens, at a lower rate, while
+//     the owner is held to be gone.
+//   - A node asks the owner for tokens, and has a few in advance where an organisation's
+//     requests come often to it (Lease).
+//   - An owner that is short borrows tokens from the owners in other zones.
+//   - A node that reaches neither owner nor standby uses an even share of the quota
+//     (Lease.TakeEvenShare).
 //
 // A token is taken from whoever gives it before the message leaves, so that a message that
 // is lost loses tokens and makes none.
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -8,8 +8,8 @@
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
-// Ledger holds the tokens of the organisations whose ledgers a node owns. It is safe for concurrent
-// use.
+// Ledger holds the tokens of the organisations that a node owns or is asked for as the standby.
+// It is safe for concurrent use.
 type Ledger struct {
 	cfg Config
 
@@ -44,18 +44,21 @@
 // what the owner issues too.
 const standbyTime = time.Second
 
-// Own tells which organisations the node owns the ledgers of, with their quotas, and which part
-// of the zone's members it sees: it issues no more than that part. It returns what the ledgers of
-// others hold that it owned until now: they go to their new owners.
-func (l *Ledger) Own(now time.Time, share float64, quotas map[string]model.Rate, owns func(organisation string) bool) map[string]float64 {
+// Own tells the quotas of all organisations, which of these the node owns, and which part of the
+// zone's members it sees: it issues no more than that part. It returns the tokens of those that
+// it no longer owns: they go to the new owners.
+func (l *Ledger) Own(now time.Time, share float64, quotas map[string]model.Rate, owned map[string]struct{}) map[string]float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.share = share
 	var left map[string]float64
 	for name, e := range l.entries {
-		if _, limited := quotas[name]; !limited {
+		_, limited := quotas[name]
+		_, still := owned[name]
+		switch {
+		case !limited:
 			delete(l.entries, name)
-		} else if e.owned && !owns(name) {
+		case e.owned && !still:
 			e.bring(l.part(e.rate), now)
 			if left == nil {
 				left = make(map[string]float64)
@@ -65,7 +68,7 @@
 		}
 	}
 	for name, rate := range quotas {
-		if owns(name) {
+		if _, own := owned[name]; own {
 			l.entry(now, name, rate).owned = true
 		}
 	}
@@ -109,7 +112,7 @@
 	return size{perSecond: of.perSecond * l.share, burst: max(1, of.burst*l.share)}
 }
 
-// bring issues what has come since the last time.
+// bring issues the tokens of the time since it was last called.
 func (e *entry) bring(of size, now time.Time) {
 	room := of.burst - e.reserved.sum(now)
 	passed := now.Sub(e.at)
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -19,26 +19,27 @@
 	rate  = model.Rate{PerSecond: 30, Burst: 60}
 )
 
-func everything(string) bool { return true }
+// everything is what a node owns that comes first for all organisations.
+var everything = map[string]struct{}{"o": {}}
 
 func owned(now time.Time) *Ledger {
-	b := NewLedger(cfg)
-	b.Own(now, 1, map[string]model.Rate{"o": rate}, everything)
-	return b
+	l := NewLedger(cfg)
+	l.Own(now, 1, map[string]model.Rate{"o": rate}, everything)
+	return l
 }
 
 func ask(need int) Request { return Request{Organisation: "o", Rate: rate, Need: need} }
 
 // What was let in before a ledger was lost still counts: a new one begins with little.
 func TestNewLedgerBeginsWithLittle(t *testing.T) {
-	b := owned(begin)
-	must.LessEq(t, int(cfg.allowance(rate)*startPart), b.Ask(begin, ask(1000)).Tokens)
+	l := owned(begin)
+	must.LessEq(t, int(cfg.allowance(rate)*startPart), l.Ask(begin, ask(1000)).Tokens)
 }
 
 // Whatever is asked and given back, a zone lets in no more in a window than its part.
 func TestLedgerKeepsTheBoundInAnyWindow(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 1))
-	b := owned(begin)
+	l := owned(begin)
 	type taken struct {
 		at time.Time
 		n  int
@@ -49,7 +50,7 @@
 		now = now.Add(time.Duration(r.ExpFloat64() * float64(5*time.Millisecond)))
 		q := ask(r.IntN(4))
 		q.Reserve = r.IntN(8)
-		all = append(all, taken{now, b.Ask(now, q).Tokens})
+		all = append(all, taken{now, l.Ask(now, q).Tokens})
 	}
 	part := cfg.part(rate)
 	most := part.perSecond*cfg.Window.Seconds() + part.burst
@@ -66,66 +67,66 @@
 }
 
 func TestLoweredQuotaBindsAtOnce(t *testing.T) {
-	b := owned(begin)
+	l := owned(begin)
 	now := begin.Add(time.Minute)
 	low := model.Rate{PerSecond: 3, Burst: 3}
-	b.Own(now, 1, map[string]model.Rate{"o": low}, everything)
+	l.Own(now, 1, map[string]model.Rate{"o": low}, everything)
 	q := ask(1000)
 	q.Rate = low
-	must.LessEq(t, int(cfg.part(low).burst), b.Ask(now, q).Tokens)
+	must.LessEq(t, int(cfg.part(low).burst), l.Ask(now, q).Tokens)
 }
 
 func TestRemovedQuotaLeavesNothing(t *testing.T) {
-	b := owned(begin)
-	b.Own(begin, 1, nil, everything)
-	must.MapEmpty(t, b.entries)
+	l := owned(begin)
+	l.Own(begin, 1, nil, everything)
+	must.MapEmpty(t, l.entries)
 }
 
 // A ledger that moves goes to its new owner whole, and isn't used twice.
 func TestLedgerMovesOnce(t *testing.T) {
-	b := owned(begin)
+	l := owned(begin)
 	now := begin.Add(time.Minute)
-	left := b.Own(now, 1, map[string]model.Rate{"o": rate}, func(string) bool { return false })
+	left := l.Own(now, 1, map[string]model.Rate{"o": rate}, nil)
 	must.Eq(t, map[string]float64{"o": cfg.part(rate).burst}, left)
 	other := owned(now)
 	other.Receive(now, "o", rate, left["o"])
 	must.Eq(t, int(cfg.part(rate).burst+cfg.start(rate)), other.Ask(now, ask(1000)).Tokens)
-	must.MapEmpty(t, b.entries)
+	must.MapEmpty(t, l.entries)
 }
 
 // A standby of an owner doesn't save up what the owner issues too.
 func TestStandbySavesNothing(t *testing.T) {
-	b := NewLedger(cfg)
-	b.Ask(begin, ask(1000))
+	l := NewLedger(cfg)
+	l.Ask(begin, ask(1000))
 	later := begin.Add(time.Minute)
-	must.LessEq(t, int(cfg.start(rate)), b.Ask(later, ask(1000)).Tokens)
+	must.LessEq(t, int(cfg.start(rate)), l.Ask(later, ask(1000)).Tokens)
 }
 
 func TestLenderKeepsWhatItsZoneNeeds(t *testing.T) {
-	b := owned(begin)
+	l := owned(begin)
 	now := begin.Add(time.Minute)
 	full := cfg.part(rate).burst
-	lent := b.Lend(now, "o", rate, 1000)
+	lent := l.Lend(now, "o", rate, 1000)
 	must.Eq(t, full/2, lent)
-	must.Eq(t, int(full-lent), b.Ask(now, ask(1000)).Tokens)
-	must.Less(t, 1, b.Lend(now, "o", rate, 1000))
+	must.Eq(t, int(full-lent), l.Ask(now, ask(1000)).Tokens)
+	must.Less(t, 1, l.Lend(now, "o", rate, 1000))
 }
 
 func TestTokensThatNoNodeSendsAreNotTaken(t *testing.T) {
-	b := owned(begin)
+	l := owned(begin)
 	for _, tokens := range []float64{-5, 0, math.Inf(1)} {
-		b.Receive(begin, "o", rate, tokens)
+		l.Receive(begin, "o", rate, tokens)
 	}
-	must.Eq(t, int(cfg.start(rate)), b.Ask(begin, ask(1000)).Tokens)
+	must.Eq(t, int(cfg.start(rate)), l.Ask(begin, ask(1000)).Tokens)
 }
 
 // Those that are refused come back one after the other.
 func TestPromisesFollowEachOther(t *testing.T) {
-	b := owned(begin)
-	b.Ask(begin, ask(1000))
-	b = owned(begin)
-	b.Ask(begin, ask(int(cfg.start(rate))))
-	first, second := b.Ask(begin, ask(1)), b.Ask(begin, ask(1))
+	l := owned(begin)
+	l.Ask(begin, ask(1000))
+	l = owned(begin)
+	l.Ask(begin, ask(int(cfg.start(rate))))
+	first, second := l.Ask(begin, ask(1)), l.Ask(begin, ask(1))
 	must.Positive(t, first.After)
 	must.Eq(t, first.After+first.Spacing, second.After)
 	must.Eq(t, 100*time.Millisecond, first.Spacing)
@@ -196,11 +197,11 @@
 	must.Eq(t, 0.25, m.Share)
 	must.Eq(t, 20, m.Fleet)
 	must.True(t, r.Changing())
-	b := owned(begin)
-	b.Own(now, m.Share, map[string]model.Rate{"o": rate}, everything)
+	l := owned(begin)
+	l.Own(now, m.Share, map[string]model.Rate{"o": rate}, everything)
 	full := cfg.part(rate).burst
-	must.Eq(t, int(full/4), b.Ask(now.Add(time.Second), ask(1000)).Tokens)
-	must.Eq(t, 400*time.Millisecond, b.Ask(now.Add(time.Second), ask(1)).Spacing)
+	must.Eq(t, int(full/4), l.Ask(now.Add(time.Second), ask(1000)).Tokens)
+	must.Eq(t, 400*time.Millisecond, l.Ask(now.Add(time.Second), ask(1)).Spacing)
 	later := begin.Add(2 * time.Minute)
 	must.Eq(t, 1.0, r.Update(later, table(5, 15)).Share)
 	must.False(t, r.Changing())
--- a/transport/quota/bed_test.go
+++ b/transport/quota/bed_test.go
@@ -8,7 +8,6 @@
 	"slices"
 	"sync"
 	"syscall"
-	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -289,15 +288,3 @@
 	}
 	return most
 }
-
-func (b *bed) bound(rate model.Rate) float64 {
-	return (rate.PerSecond*b.cfg.Window.Seconds()+float64(rate.Burst))*(1+b.cfg.Over) + b.cfg.Slack
-}
-
-// result tells what came of a case. The bed must be locked.
-func (b *bed) result(t *testing.T, name string, rate model.Rate, took time.Duration) {
-	refusedPart := float64(b.refused[name]) / float64(max(1, b.asked[name]))
-	t.Logf("worst window %d of %.0f (%.0f%%), asked %d, refused %.2f%%, %.2f messages a request, %.0f admitted a second of %.0f",
-		b.worst(name, time.Time{}), b.bound(rate), 100*float64(b.worst(name, time.Time{}))/b.bound(rate), b.asked[name],
-		100*refusedPart, float64(b.messages)/float64(max(1, b.asked[name])), float64(len(b.admitted[name]))/took.Seconds(), rate.PerSecond)
-}
--- a/transport/quota/fleet_test.go
+++ b/transport/quota/fleet_test.go
@@ -135,6 +135,18 @@
 	return all
 }
 
+func (b *bed) bound(rate model.Rate) float64 {
+	return (rate.PerSecond*b.cfg.Window.Seconds()+float64(rate.Burst))*(1+b.cfg.Over) + b.cfg.Slack
+}
+
+// result tells what came of a case. The bed must be locked.
+func (b *bed) result(t *testing.T, name string, rate model.Rate, took time.Duration) {
+	refusedPart := float64(b.refused[name]) / float64(max(1, b.asked[name]))
+	t.Logf("worst window %d of %.0f (%.0f%%), asked %d, refused %.2f%%, %.2f messages a request, %.0f admitted a second of %.0f",
+		b.worst(name, time.Time{}), b.bound(rate), 100*float64(b.worst(name, time.Time{}))/b.bound(rate), b.asked[name],
+		100*refusedPart, float64(b.messages)/float64(max(1, b.asked[name])), float64(len(b.admitted[name]))/took.Seconds(), rate.PerSecond)
+}
+
 func TestFleetKeepsQuotas(t *testing.T) {
 	quotas := []model.Rate{{PerSecond: 3, Burst: 3}, {PerSecond: 30, Burst: 60}, {PerSecond: 300, Burst: 300}}
 	for _, rate := range quotas {
--- a/transport/quota/limiter.go
+++ b/transport/quota/limiter.go
@@ -35,16 +35,16 @@
 	Now func() time.Time
 }
 
-// Limiter lets requests in by the quotas of organisations, and owns the ledgers of some. It is
-// safe for concurrent use.
+// Limiter decides which requests the quotas of their organisations let in, and holds the ledgers
+// that this node owns. It is safe for concurrent use.
 type Limiter struct {
 	cfg      Config
 	rand     *random.Source
 	ledger   *quota.Ledger
 	members  atomic.Pointer[quota.Members]
-	quotas   atomic.Pointer[map[string]model.Rate]
-	queues   sync.Map // organisation -> *queue
-	loans    sync.Map // organisation -> *loan
+	quotas   atomic.Pointer[map[string]model.Rate] // of the configuration in force
+	queues   sync.Map                              // organisation -> *queue
+	loans    sync.Map                              // organisation -> *loan
 	counts   *counts
 	suspects suspects
 
@@ -103,7 +103,7 @@
 	l.own()
 }
 
-// own tells the ledger which organisations the node owns.
+// own tells the ledger which organisations the node owns, and hands over what it no longer does.
 func (l *Limiter) own() {
 	now, m := l.cfg.Now(), l.members.Load()
 	mayOwn := m.MayOwn(now)
@@ -111,13 +111,16 @@
 	if m != nil {
 		share = m.Share
 	}
-	left := l.ledger.Own(now, share, *l.quotas.Load(), func(organisation string) bool {
-		if !mayOwn {
-			return false
+	quotas := *l.quotas.Load()
+	// Hashing all members for all organisations takes long in a large fleet: not while
+	// requests wait for the ledger.
+	owned := make(map[string]struct{})
+	for organisation := range quotas {
+		if first, _ := m.Owners(l.cfg.Zone, organisation); mayOwn && first.Node == l.cfg.Self {
+			owned[organisation] = struct{}{}
 		}
-		first, _ := m.Owners(l.cfg.Zone, organisation)
-		return first.Node == l.cfg.Self
-	})
+	}
+	left := l.ledger.Own(now, share, quotas, owned)
 	for organisation, tokens := range left {
 		first, _ := m.Owners(l.cfg.Zone, organisation)
 		_ = l.cfg.Logger.Log("event", "quota_owner_changed", "organisation", organisation, "owner", first.Node)
@@ -136,7 +139,7 @@
 	}
 }
 
-// queue is what the node holds of an organisation, with the requests that wait.
+// queue holds the requests of an organisation that wait for tokens, and the node's lease.
 type queue struct {
 	*quota.Lease
 	name string
@@ -166,9 +169,9 @@
 	return q
 }
 
-// Take takes a token for one request of an organisation that has a quota. Where that is used
-// up it returns false and when to come back. One that can only be late gets none while there
-// are too few for those that aren't.
+// Take takes a token for one request of an organisation that has a quota. Where the quota is
+// used up it returns false and when to come back. A late request, which can no longer be
+// answered in time, gets none while there are too few for the others.
 func (l *Limiter) Take(ctx context.Context, o *route.Organisation, late bool) (after time.Duration, ok bool) {
 	q := l.queue(o)
 	now := l.cfg.Now()
--- a/transport/quota/owner.go
+++ b/transport/quota/owner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/quota"
+	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // ask asks the owner of the organisation's ledger, then the standby, then the
@@ -42,6 +43,13 @@
 	}
 }
 
+// request returns what a message asks for.
+func (m *Message) request(rate model.Rate) quota.Request {
+	return quota.Request{
+		Organisation: m.Organisation, Rate: rate, Need: m.Need, Reserve: m.Reserve, Refused: m.Refused, Slots: m.Slots, Return: m.Return,
+	}
+}
+
 // grant returns what an answer gives, no more than was asked for.
 func (a *Answer) grant(r quota.Request) quota.Grant {
 	return quota.Grant{
@@ -78,9 +86,7 @@
 	if !limited {
 		return &Answer{}
 	}
-	r := quota.Request{
-		Organisation: m.Organisation, Rate: rate, Need: m.Need, Reserve: m.Reserve, Refused: m.Refused, Slots: m.Slots, Return: m.Return,
-	}
+	r := m.request(rate)
 	now := l.cfg.Now()
 	members := l.members.Load()
 	first, second := members.Owners(l.cfg.Zone, m.Organisation)
@@ -110,7 +116,8 @@
 	return &Answer{}
 }
 
-// relay hands a question on to the owner, or answers as the standby of an owner that is gone.
+// relay forwards a request for tokens to the owner, or serves it as the standby of an owner that
+// is gone.
 func (l *Limiter) relay(ctx context.Context, r quota.Request, first, second quota.Member) *Answer {
 	if first.Node == "" || first.Node == l.cfg.Self {
 		return &Answer{}
