Split the wiring of a request's path off the node

The settings and the wiring of the path of a request stand in a file of their own; the code is as it was, and nothing was measured.

--- /dev/null
+++ b/internal/sidecar/requests.go
@@ -0,0 +1,133 @@
+package sidecar
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/coordination/attempt"
+	"github.com/jacinthgate/jacinthgate/coordination/balance"
+	"github.com/jacinthgate/jacinthgate/coordination/pace"
+	"github.com/jacinthgate/jacinthgate/platform"
+	"github.com/jacinthgate/jacinthgate/state/route"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
+	"github.com/jacinthgate/jacinthgate/transport/inbound"
+	"github.com/jacinthgate/jacinthgate/transport/outbound"
+)
+
+// Settings of the path of a request.
+const (
+	// answerGrace is how long past its deadline the backend server's own late
+	// answer is waited for: it is sent at the deadline.
+	answerGrace = 30 * time.Millisecond
+	// maxKept bounds the bodies that are kept, in bytes: both users' pages and
+	// bookings fit, downloads do not.
+	maxKept = 48 << 10
+	// backendIdle is how long a connection to a backend server is kept that
+	// doesn't say how long it keeps it.
+	backendIdle = 4 * time.Second
+	// gateIdle is how long a connection between nodes is kept idle.
+	gateIdle = 20 * time.Second
+	// gateDialTimeout bounds opening a connection to another node, which takes
+	// a few milliseconds where the way is open, 70 ms between regions.
+	gateDialTimeout = 150 * time.Millisecond
+	// unackedTimeout is how long what was sent to a gate or to the backend server
+	// may stay unacknowledged: twice the kernel's least time before it sends
+	// once more, so that one lost packet ends no connection.
+	unackedTimeout = 400 * time.Millisecond
+	// idlePerHost is the number of idle connections kept to one address: more
+	// than the slots of a backend server are not used.
+	idlePerHost = 32
+	// drainPart is the part of the time to drain in which requests that other
+	// nodes have sent meanwhile are still taken.
+	drainPart = 4
+)
+
+// servicePolicy is how backend servers are used where the configuration says
+// nothing.
+func servicePolicy() route.Policy {
+	// Half may be ejected: with three backend servers two remain. There is no slow
+	// start: cold ones are told apart by what they take, and giving them a tenth
+	// of their share sends more to other zones and leaves slots unused after a
+	// restart of all hosts.
+	return route.Policy{MaxEjected: 0.5}
+}
+
+// wireRequests wires the path of a request.
+func (n *Node) wireRequests() error {
+	speech := platform.Dialect{}
+	n.budget = attempt.NewBudget(n.set.budget())
+	runs := attempt.NewRuns()
+	toBackend := forward.DefaultClientConfig()
+	toBackend.IdleTimeout = backendIdle
+	toBackend.IdlePerHost = idlePerHost
+	toBackend.LocalIP = n.localIP()
+	toBackend.UnackedTimeout = unackedTimeout
+	toBackend.Foreign = func(req *http.Request, resp *http.Response) bool {
+		return speech.Foreign(req.Header, resp.Header)
+	}
+	n.gate = inbound.New(inbound.Config{
+		Instance:    n.pub.instance.Load,
+		Connections: n.connections,
+		Weight:      n.weight,
+		Dialect:     speech,
+		Backend:     forward.NewClient(toBackend),
+		Lane:        pace.New(pace.DefaultConfig(n.set.linkBits())),
+		DrainGrace:  n.set.drain() / drainPart,
+		AnswerGrace: answerGrace,
+		Runs:        runs,
+		Strain:      n.budget.Strain,
+		Suspects:    n.pub.suspects.Load,
+		Crashed:     n.crashed,
+		Succeeded:   n.succeeded,
+		Unreachable: n.backends.unreachable,
+		Replaced:    n.backends.replaced,
+		Meter:       n.loop.meter,
+		Lanes:       n.pub.lanes.Load,
+		Metrics:     n.metrics,
+		Logger:      n.log,
+		Now:         time.Now,
+	})
+	toGates := forward.DefaultClientConfig()
+	toGates.IdleTimeout = gateIdle
+	toGates.DialTimeout = gateDialTimeout
+	toGates.IdlePerHost = idlePerHost
+	toGates.LocalIP = n.localIP()
+	toGates.UnackedTimeout = unackedTimeout
+	toZones := toGates
+	toZones.PackHeads = true
+	seed := rand.Uint64()
+	n.loop.picker = balance.New(balance.DefaultConfig(), n.set.Zone, n.set.Region, seed)
+	near, far := forward.NewClient(toGates), forward.NewClient(toZones)
+	n.wireQuotas(near, far, seed)
+	n.proxy = outbound.New(outbound.Config{
+		Self:          n.set.Node,
+		Zone:          n.set.Zone,
+		Table:         n.pub.table.Load,
+		View:          n.pub.view.Load,
+		Lanes:         n.pub.lanes.Load,
+		CallerService: n.callerService,
+		Balance:       n.loop.picker,
+		Policy:        attempt.DefaultPolicy(),
+		Budget:        n.budget,
+		Currency:      n.loop.proving.currency(),
+		Quotas:        n.quotas.limits(),
+		Runs:          runs,
+		Suspects:      n.pub.suspects.Load,
+		Dialect:       speech,
+		Local:         n.gate,
+		Near:          near,
+		Far:           far,
+		MaxKept:       maxKept,
+		Seed:          seed,
+		Metrics:       n.metrics,
+		Logger:        n.log,
+		Now:           time.Now,
+	})
+	n.metrics.GetOrCreateGauge("jacinthgate_requests_quarantined", func() float64 { return float64(n.pub.suspects.Load().Quarantines()) })
+	n.metrics.GetOrCreateGauge("jacinthgate_requests_suspected", func() float64 { return float64(n.pub.suspects.Load().Len()) })
+	n.metrics.GetOrCreateGauge("jacinthgate_zones_unreachable", func() float64 { return float64(n.loop.picker.Unreachable()) })
+	n.loop.gate = n.gate
+	n.loop.budget = n.budget
+	return nil
+}
