Drop a state of docsync that only its test asked for

Core.Behind told whether the store was last read with an older document, but nothing called it: coordination/freshness judges such reads by itself (its TestReadOfAnOlderVersionProvesNothing). The method, its field and StoreRead.Restored, which fed it alone, are gone. The test of docsync asserted the dead method; it now checks after each read that the version in force stays. Behaviour is unchanged; nothing was measured.

--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -33,9 +33,6 @@
 	read bool
 	// life is the store's life that has answered last.
 	life uint64
-	// behind says that the store held an older document than this node when it was last
-	// read.
-	behind bool
 
 	peers map[model.NodeID]*peerState
 	fetch fetch
@@ -86,11 +83,6 @@
 // Held returns the version in force; 0 for none.
 func (c *Core) Held() uint64 { return c.held }
 
-// Behind reports whether the store, when this node last read it, held an older document
-// than the one in force: it has come back from an older copy, and the operators haven't
-// written theirs again. Such a read proves nothing of what is newest.
-func (c *Core) Behind() bool { return c.behind }
-
 // Reading reports whether this node reads the store.
 func (c *Core) Reading() bool { return c.reading }
 
@@ -233,9 +225,6 @@
 		return
 	}
 	c.read, c.life = true, ev.Life
-	if ev.Version > 0 || ev.Restored {
-		c.behind = ev.Version < c.held
-	}
 	c.failures = 0
 	if ev.Version > c.held && ev.Version > c.bad {
 		c.take(ev.Version, ev.Body, "")
--- a/coordination/docsync/core_test.go
+++ b/coordination/docsync/core_test.go
@@ -412,21 +412,18 @@
 	must.SliceContains(t, told(b.pass(time.Second)), 3)
 }
 
-// An older document in a store that came back from a copy is not put in force, and is told
-// apart from the newest one until the operators' is back.
+// An older document in a store that came back from a copy is not put in force, whatever the
+// store's life, nor is the one in force once more when the operators write it again.
 func TestOlderDocumentOfACopyIsNoNews(t *testing.T) {
 	b := newBed(t)
 	b.step(StoreRead{Version: 5, Body: []byte("5"), Life: 1})
 	b.step(StoreRead{Life: 1})
-	must.False(t, b.core.Behind())
-	must.Eq(t, nil, applied(b.step(StoreRead{Version: 4, Body: []byte("4"), Life: 2, Restored: true})))
-	must.True(t, b.core.Behind())
-	b.step(StoreRead{Life: 2})
-	must.True(t, b.core.Behind(), must.Sprint("a read without a change"))
-	must.Eq(t, nil, applied(b.step(StoreRead{Version: 5, Body: []byte("5"), Life: 2})))
-	must.False(t, b.core.Behind(), must.Sprint("written again"))
-	b.step(StoreRead{Life: 3, Restored: true})
-	must.True(t, b.core.Behind(), must.Sprint("the copy has none"))
+	must.Eq(t, nil, applied(b.step(StoreRead{Version: 4, Body: []byte("4"), Life: 2})))
+	must.Eq(t, 5, b.core.Held())
+	must.Eq(t, nil, applied(b.step(StoreRead{Life: 2})), must.Sprint("a read without a change"))
+	must.Eq(t, nil, applied(b.step(StoreRead{Version: 5, Body: []byte("5"), Life: 2})), must.Sprint("written again"))
+	must.Eq(t, nil, applied(b.step(StoreRead{Life: 3})), must.Sprint("the copy has none"))
+	must.Eq(t, 5, b.core.Held())
 	must.Eq(t, []uint64{6}, applied(b.step(StoreRead{Version: 6, Body: []byte("6"), Life: 3})))
-	must.False(t, b.core.Behind())
+	must.Eq(t, 6, b.core.Held())
 }
--- a/coordination/docsync/event.go
+++ b/coordination/docsync/event.go
@@ -17,9 +17,6 @@
 	Body []byte
 	// Life is the store's life that has answered; 0 is not told.
 	Life uint64
-	// Restored says that the store has come back from an older copy since the read before,
-	// and that it was read whole.
-	Restored bool
 	// Err says why the store gave no answer.
 	Err error
 }
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -132,7 +132,7 @@
 	if c.Unreadable != nil {
 		_ = level.Warn(r.log).Log("event", "rollout_unreadable", "err", c.Unreadable)
 	}
-	out := reading{StoreRead: docsync.StoreRead{Life: c.Life, Restored: c.Restored}, orders: c.Orders}
+	out := reading{StoreRead: docsync.StoreRead{Life: c.Life}, orders: c.Orders}
 	if c.Whole {
 		r.told = 0 // the store may hold no configuration any more
 	}
