Call a quota's token a token also on the request's path

The path of a request took, gave back and asked for 'leave', which also means that a caller goes or that a request ends; the limiter says token for the same thing. The names follow it, and those that hid what they are (suspects.is, waiter.gone and goneAfter beside suspects.gone, a loan called o) say it. No behaviour changes; nothing was measured.

--- a/transport/outbound/authorise.go
+++ b/transport/outbound/authorise.go
@@ -14,12 +14,12 @@
 // Quotas lets requests in by the quotas of organisations. Implementations are safe for
 // concurrent use.
 type Quotas interface {
-	// Take takes leave for one request of an organisation that has a quota. It may wait
+	// Take takes a token for one request of an organisation that has a quota. It may wait
 	// for other nodes until ctx ends. Where the quota is used up it returns false and when
 	// to come back. late says that the request can only be answered late: it gets none
 	// that one which can be in time would miss.
 	Take(ctx context.Context, o *route.Organisation, late bool) (after time.Duration, ok bool)
-	// Return gives leave back that was not used: the request was not run.
+	// Return gives a token back that was not used: the request was not run.
 	Return(o *route.Organisation)
 }
 
@@ -76,8 +76,8 @@
 	return t.Organisation(x.p.cfg.Dialect.Key(x.r.Header)) != nil
 }
 
-// takeLeave takes leave of the organisation's quota for one send.
-func (x *exchange) takeLeave() *refusal {
+// takeToken takes a token of the organisation's quota for the request.
+func (x *exchange) takeToken() *refusal {
 	if !x.limited() {
 		return nil
 	}
@@ -96,16 +96,16 @@
 	return x.p.cfg.Quotas.Take(x.ctx, x.organisation, !x.inTime(x.p.cfg.Now()))
 }
 
-// returnLeave gives the leave of a request back that no backend server has run.
-func (x *exchange) returnLeave() {
+// returnToken gives the token back of a request that no backend server has run.
+func (x *exchange) returnToken() {
 	if worst, _ := x.trail.Worst(); worst == outcome.NotRun && x.failure == nil && x.limited() {
 		x.p.cfg.Quotas.Return(x.organisation)
 	}
 }
 
-// leaveAgain reports whether the quota lets the request run once more after an attempt
+// tokenForRepeat reports whether the quota lets the request run once more after an attempt
 // that may have run.
-func (x *exchange) leaveAgain() bool {
+func (x *exchange) tokenForRepeat() bool {
 	if x.trail.Progress.Last == outcome.NotRun || !x.limited() {
 		return true
 	}
--- a/transport/outbound/conclude.go
+++ b/transport/outbound/conclude.go
@@ -23,7 +23,7 @@
 	case attempt.Resend:
 		return x.room || x.inTime(now)
 	case attempt.Repeat:
-		return x.repeat() && x.leaveAgain()
+		return x.repeat() && x.tokenForRepeat()
 	default:
 		return false
 	}
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -103,7 +103,7 @@
 		x.first = first
 		x.p.returned.Inc()
 	}
-	if refused := x.takeLeave(); refused != nil {
+	if refused := x.takeToken(); refused != nil {
 		return refused
 	}
 	defer x.join()()
@@ -113,7 +113,7 @@
 			return nil
 		}
 		if !x.again() {
-			x.returnLeave()
+			x.returnToken()
 			return x.conclude()
 		}
 	}
--- a/transport/quota/loan.go
+++ b/transport/quota/loan.go
@@ -15,7 +15,7 @@
 type loan struct {
 	mu    sync.Mutex
 	done  chan struct{} // of the call under way; nil without one
-	pause time.Time
+	pause time.Time     // until when other zones aren't asked
 }
 
 // borrow asks the owners of the other zones for tokens and waits for them, or for those
@@ -25,14 +25,14 @@
 	if !ok {
 		v, _ = l.loans.LoadOrStore(organisation, new(loan))
 	}
-	o := v.(*loan)
-	o.mu.Lock()
-	if l.cfg.Now().Before(o.pause) {
-		o.mu.Unlock()
+	b := v.(*loan)
+	b.mu.Lock()
+	if l.cfg.Now().Before(b.pause) {
+		b.mu.Unlock()
 		return
 	}
-	if done := o.done; done != nil {
-		o.mu.Unlock()
+	if done := b.done; done != nil {
+		b.mu.Unlock()
 		select {
 		case <-done:
 		case <-ctx.Done():
@@ -40,15 +40,15 @@
 		return
 	}
 	done := make(chan struct{})
-	o.done = done
-	o.mu.Unlock()
+	b.done = done
+	b.mu.Unlock()
 	got := l.askZones(ctx, organisation, rate, lack+l.ledger.Use(l.cfg.Now(), organisation)*loanAhead.Seconds())
-	o.mu.Lock()
-	o.done = nil
+	b.mu.Lock()
+	b.done = nil
 	if got < lack {
-		o.pause = l.cfg.Now().Add(loanPause)
+		b.pause = l.cfg.Now().Add(loanPause)
 	}
-	o.mu.Unlock()
+	b.mu.Unlock()
 	close(done)
 }
 
@@ -65,7 +65,7 @@
 	asked := 0
 	for zone := range members.Zones {
 		first, _ := members.Owners(zone, organisation)
-		if zone == l.cfg.Zone || l.suspects.is(first.Node, l.cfg.Now()) {
+		if zone == l.cfg.Zone || l.suspects.skipped(first.Node, l.cfg.Now()) {
 			continue
 		}
 		asked++
--- a/transport/quota/owner.go
+++ b/transport/quota/owner.go
@@ -25,7 +25,7 @@
 			a = l.serve(ctx, r)
 		case to.Node == l.cfg.Self:
 			a = l.relay(ctx, r, first, second)
-		case l.suspects.is(to.Node, l.cfg.Now()):
+		case l.suspects.skipped(to.Node, l.cfg.Now()):
 			continue
 		default:
 			a = l.call(ctx, to, askMessage(KindAcquire, r))
--- a/transport/quota/suspects.go
+++ b/transport/quota/suspects.go
@@ -38,8 +38,8 @@
 	refused bool
 }
 
-// is reports whether a node isn't asked now.
-func (s *suspects) is(node model.NodeID, now time.Time) bool {
+// skipped reports whether a node isn't asked now, since it didn't answer lately.
+func (s *suspects) skipped(node model.NodeID, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := s.nodes[node]
--- a/transport/quota/wait.go
+++ b/transport/quota/wait.go
@@ -17,14 +17,14 @@
 	callTimeout = 100 * time.Millisecond
 	// onwardTimeout bounds the calls of an owner, and of its standby.
 	onwardTimeout = 40 * time.Millisecond
-	// goneAfter is when a caller should come back whose request has left meanwhile.
-	goneAfter = 100 * time.Millisecond
+	// leftAfter is when a caller should come back that has left while its request waited.
+	leftAfter = 100 * time.Millisecond
 )
 
 // waiter is a request that waits for a token.
 type waiter struct {
 	answer chan verdict
-	gone   atomic.Bool // it has left, or has its verdict
+	done   atomic.Bool // its caller has left, or it has its verdict
 }
 
 // verdict is what becomes of a request.
@@ -50,8 +50,8 @@
 		return v.after, v.ok
 	case <-ctx.Done():
 	}
-	if w.gone.CompareAndSwap(false, true) {
-		return goneAfter, false
+	if w.done.CompareAndSwap(false, true) {
+		return leftAfter, false
 	}
 	v := <-w.answer
 	return v.after, v.ok
@@ -134,7 +134,7 @@
 
 // give tells a request its verdict, and reports whether it was still there.
 func (w *waiter) give(v verdict) bool {
-	if !w.gone.CompareAndSwap(false, true) {
+	if !w.done.CompareAndSwap(false, true) {
 		return false
 	}
 	w.answer <- v
