Take figures of runs out of three comments, and name what is done

Comments in attempt told of hosts, loads and figures of runs; the reason stays, and the figures of the virtual-time test stand in its test file. Order.again changed an order beside Order.Again, which only compares: it is renew now. In freshness worth is useful and givenUp is hurryBounds, and two fields of a quota's entry say what they hold.

--- a/coordination/attempt/budget.go
+++ b/coordination/attempt/budget.go
@@ -162,7 +162,7 @@
 // a failure of its own. That may be the failure of a call: while any other service is
 // short of repeats there is none. Its calls would be made once more, each a repeat at
 // the service called; and as it is just the requests with calls that fail, a service
-// with a third of the caller's requests got 1.46 of its bound so
+// that is called by some of them would get more than its bound
 // (TestFleetKeepsItsBoundWhereOnlyThoseThatCallAreRunAgain).
 func (b *Budget) RepeatFailed(now time.Time, service string, g Gain) bool {
 	b.mu.Lock()
--- a/coordination/attempt/comeback.go
+++ b/coordination/attempt/comeback.go
@@ -12,9 +12,7 @@
 
 // Bounds of that time where backend servers refuse although they have free slots,
 // as parts of the time until the answer is due: the next one that is asked is as
-// likely to take the request now as later, and only an early answer is in time.
-// With servers that refuse 0.55 of all, 0.837 of the answers are in time so, and
-// 0.533 where callers come back by the time that they have left
+// likely to take the request now as later, and only an early answer is in time
 // (TestCallersComeBackInTimeWhereServersHaveRoom).
 const (
 	soonLeast  = 0.05
@@ -77,10 +75,8 @@
 }
 
 // startLeast is the least time after which a caller comes back to a node that has
-// just started. On hosts with 0.16 of a core and links of 10 Mbit/s nodes hold the
-// configuration 0.05 to 0.23 s after their start and know backend servers some
-// 0.1 s later (21 nodes that returned together). 0.5 s made nearly all late that
-// came in between: their targets are 0.8 s and 1 s.
+// just started: about as long as one takes to get the configuration and to know
+// backend servers. Much longer makes late what could be in time.
 const startLeast = 200 * time.Millisecond
 
 // StartTime is how long after its start a node may still be getting to know the
--- a/coordination/attempt/comeback_test.go
+++ b/coordination/attempt/comeback_test.go
@@ -65,6 +65,8 @@
 	return float64(inTime) / requests
 }
 
+// Of the answers 0.837 are in time, and 0.533 where callers come back by the time that they
+// have left.
 func TestCallersComeBackInTimeWhereServersHaveRoom(t *testing.T) {
 	byLeft := shedding(func(r Refused) time.Duration {
 		r.Room = false
--- a/coordination/freshness/config.go
+++ b/coordination/freshness/config.go
@@ -34,9 +34,9 @@
 	readsPerBound = 4
 	// lateWaitPart is the part of the bound that a read may wait while the proof is late.
 	lateWaitPart = 20
-	// givenUp is after how many bounds without a proof reads are no longer hurried: there
+	// hurryBounds is for how many bounds without a proof reads are hurried: after that there
 	// is a lasting reason.
-	givenUp = 2
+	hurryBounds = 2
 	// gainPart is the part of the bound by which a proof must be younger to be sent.
 	gainPart = 8
 	// recentPart is the part of the bound up to which a proof is recent: as long as two
--- a/coordination/freshness/doc.go
+++ b/coordination/freshness/doc.go
@@ -36,7 +36,7 @@
 //
 // A request is let in where Left is above 0 after the request was read. It was sent
 // before that, so before the bound ended: whatever delays it after the judgement, a frozen
-// process or a line in front of a backend server, it was sent in time. The routes must be
+// process or a queue in front of a backend server, it was sent in time. The routes must be
 // loaded before Left is asked, once more before the request is sent, and a proof must be
 // published after the routes that it counts for: a proof of newer routes then can't let a
 // request in under older ones.
--- a/coordination/freshness/pass.go
+++ b/coordination/freshness/pass.go
@@ -87,7 +87,7 @@
 		p := c.peers[id]
 		quiet := c.now.Sub(p.sent)
 		switch {
-		case c.worth(p, best) && (!p.answered || quiet >= c.cfg.SendInterval):
+		case c.useful(p, best) && (!p.answered || quiet >= c.cfg.SendInterval):
 			c.send(id, p, best)
 		case quiet >= c.cfg.StampInterval:
 			c.send(id, p, proof{})
@@ -95,8 +95,8 @@
 	}
 }
 
-// worth reports whether a proof can be told to a peer and gains it something.
-func (c *Core) worth(p *peer, best proof) bool {
+// useful reports whether a proof can be told to a peer and is younger, by Gain, than what it has.
+func (c *Core) useful(p *peer, best proof) bool {
 	if best.version == 0 || p.stamp == 0 || best.moment.Sub(p.has) < c.cfg.Gain {
 		return false
 	}
--- a/coordination/freshness/proof.go
+++ b/coordination/freshness/proof.go
@@ -51,7 +51,7 @@
 // has come back older.
 func (p *Proof) ReadWait() time.Duration {
 	age, proved := p.Age()
-	if proved && age > p.cfg.Bound/recentPart && age < givenUp*p.cfg.Bound {
+	if proved && age > p.cfg.Bound/recentPart && age < hurryBounds*p.cfg.Bound {
 		return p.cfg.Bound / lateWaitPart
 	}
 	return p.cfg.Bound / readsPerBound
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -22,14 +22,14 @@
 // entry is the part of a ledger for one organisation.
 type entry struct {
 	rate  model.Rate
-	level float64
+	level float64   // tokens that were issued and not given out
 	at    time.Time // when level was last brought up to date
 	// owned says that the node comes first for the organisation; else it is the standby.
 	owned bool
-	asked time.Time
+	asked time.Time // when a node or another zone's owner last asked
 	// next is when the first token comes that nobody was promised.
 	next time.Time
-	// use is the rate at which tokens were asked for lately, a second.
+	// use estimates how many tokens are asked for a second.
 	use use
 	// reserved is what nodes hold in reserve.
 	reserved reserved
--- a/coordination/quota/use.go
+++ b/coordination/quota/use.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// useTime is the time constant of a use.
+// useTime is the time constant with which events fall out of a use.
 const useTime = 300 * time.Millisecond
 
 // use estimates how many events come a second, with an exponentially decaying sum.
--- a/state/rollout/order.go
+++ b/state/rollout/order.go
@@ -41,8 +41,9 @@
 	return o.Revision > other.Revision
 }
 
-// again takes the place of an order in the store's newest life.
-func (o *Order) again(other *Order) bool {
+// renew takes the revision of the same order where that is a later one, and reports whether it
+// was.
+func (o *Order) renew(other *Order) bool {
 	if other.Revision < o.Revision {
 		return false
 	}
--- a/state/rollout/rollout.go
+++ b/state/rollout/rollout.go
@@ -201,7 +201,7 @@
 	if e.Order.Again(&h.Order) {
 		h.crossed = now
 	}
-	news = h.Order.again(&e.Order) || news
+	news = h.Order.renew(&e.Order) || news
 	if since := now.Add(-e.Age); since.Before(h.since) {
 		h.since = since
 	}
