--- a/coordination/attempt/policy.go
+++ b/coordination/attempt/policy.go
@@ -46,7 +46,7 @@
 	// Resend asks another gate. No backend server was reached, so it is no
 	// repeat.
 	Resend
-	// Repeat reaches one more backend server, and needs the budget's leave.
+	// Repeat reaches one more backend server, and needs room in the budget.
 	Repeat
 )
 
