Split the check of a gate, and name the thresholds of strain by what they do

The gate's check read all headers and decided in one function of 43 lines; what reads them is a function of its own, with the same refusals in the same order. strainMuch, strainMost, strainLeast and strainPart said neither which was higher nor what for: they are strainHigh, strainFull, strainChance and strainGain. A waiter's start was a tag beside a line that starts; it is called tag. No behaviour changes; nothing was measured.

--- a/coordination/attempt/budget.go
+++ b/coordination/attempt/budget.go
@@ -60,8 +60,8 @@
 	called            [windowParts]float64 // calls of repeated runs, which are among the requests
 	slice             int64                // number of the newest slice
 	short             time.Time            // when a repeat was last denied
-	strain            float64              // what the hosts of the service say, lately
-	strained          time.Time            // when that was much
+	strain            float64              // what the hosts of the service told lately; see Strain
+	strained          time.Time            // when that was last strainHigh or more
 }
 
 // NewBudget returns a budget for a fleet of one node.
@@ -132,7 +132,7 @@
 		}
 	}
 	switch {
-	case w.strain >= strainMost:
+	case w.strain >= strainFull:
 		return 0
 	case now.Sub(w.strained) < strainWindows*b.cfg.Window:
 		return b.cfg.Safety * whole
--- a/coordination/attempt/strain.go
+++ b/coordination/attempt/strain.go
@@ -12,21 +12,21 @@
 type Strain float64
 
 const (
-	// strainMuch is the strain from which a service gets no more than the safe part of
+	// strainHigh is the strain from which a service gets no more than the safe part of
 	// its bound.
-	strainMuch = 0.7
+	strainHigh = 0.7
 	// strainWindows is for how many windows after that it gets no more: a pause would
 	// else end in a burst.
 	strainWindows = 1
-	// strainMost is the strain from which its requests aren't repeated: the bound of the
+	// strainFull is the strain from which its requests aren't repeated: the bound of the
 	// service called is used up.
-	strainMost = 0.85
-	// strainLeast is the part of the bound below which such calls are no strain: a few
+	strainFull = 0.85
+	// strainChance is the part of the bound below which such calls are no strain: a few
 	// requests are taken for them by chance.
-	strainLeast = 0.2
-	// strainPart is the weight of the newest answer in what is known of a service: a
+	strainChance = 0.2
+	// strainGain is the weight of the newest answer in what is known of a service: a
 	// host's count is a few calls, so that several are averaged.
-	strainPart = 0.1
+	strainGain = 0.1
 )
 
 // Percent returns the strain in whole percent, rounded up.
@@ -43,7 +43,7 @@
 	for name := range b.services {
 		w := b.at(now, name)
 		called, whole := sum(w.called), b.whole(w)
-		if called >= strainLeast*whole {
+		if called >= strainChance*whole {
 			most = max(most, (called+sum(w.repeats))/whole)
 		}
 	}
@@ -55,8 +55,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.at(now, service)
-	w.strain += strainPart * (float64(s) - w.strain)
-	if w.strain >= strainMuch {
+	w.strain += strainGain * (float64(s) - w.strain)
+	if w.strain >= strainHigh {
 		w.strained = now
 	}
 }
--- a/coordination/gate/queue.go
+++ b/coordination/gate/queue.go
@@ -42,8 +42,8 @@
 	latest time.Time
 	// until is when the request is better refused; zero is no bound.
 	until time.Time
-	// start orders the waiters of organisations; see fairShares.
-	start  float64
+	// tag orders the waiters of organisations; see fairShares.
+	tag    float64
 	line   *line
 	place  *list.Element
 	number uint64
@@ -53,8 +53,8 @@
 // organisation has had less of its share, then whoever has less time, then whoever came
 // first.
 func (w *Waiter) before(o *Waiter) bool {
-	if w.start != o.start {
-		return w.start < o.start
+	if w.tag != o.tag {
+		return w.tag < o.tag
 	}
 	if w.latest.Equal(o.latest) {
 		return w.number < o.number
@@ -64,7 +64,7 @@
 
 // ahead reports whether w, which is new, goes before o, which waits.
 func (w *Waiter) ahead(o *Waiter) bool {
-	return w.start < o.start || w.start == o.start && w.latest.Before(o.latest)
+	return w.tag < o.tag || w.tag == o.tag && w.latest.Before(o.latest)
 }
 
 // line is the waiters of one sort of work, in the order in which they start.
@@ -107,7 +107,7 @@
 	w.number = q.next
 	q.size++
 	l := q.lineOf(w.Request.Work)
-	w.start = q.shares.start(w.Request.Organisation, w.Request.Weight)
+	w.tag = q.shares.start(w.Request.Organisation, w.Request.Weight)
 	if l == nil {
 		l = &line{work: w.Request.Work}
 		q.lines = append(q.lines, l)
@@ -168,7 +168,7 @@
 			w = w.line.first() // its sort is due, but not before those of its sort
 		}
 	}
-	q.shares.granted(w.start)
+	q.shares.granted(w.tag)
 	q.remove(w)
 	return w
 }
@@ -220,7 +220,7 @@
 // share than that of w.
 func (q *queue) evictShare(w *Waiter) *Waiter {
 	l := q.lineOf(w.Request.Work)
-	if l == nil || w.Request.Organisation == "" || l.last().start <= q.shares.next(w.Request.Organisation) {
+	if l == nil || w.Request.Organisation == "" || l.last().tag <= q.shares.next(w.Request.Organisation) {
 		return nil
 	}
 	last := l.last()
@@ -230,7 +230,7 @@
 
 // ahead returns the number of waiters that go before w, which is new.
 func (q *queue) ahead(w *Waiter) int {
-	w.start = q.shares.next(w.Request.Organisation)
+	w.tag = q.shares.next(w.Request.Organisation)
 	own, n := q.weight(w.Request.Work), 0
 	for _, l := range q.lines {
 		switch {
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -27,26 +27,38 @@
 
 // check reads the node headers and refuses what can't be sent.
 func (g *Gate) check(req *http.Request, now time.Time) (call, outcome.Reason) {
-	h := req.Header
 	c := call{instance: g.cfg.Instance()}
 	i := c.instance
 	switch {
 	case i == nil:
 		return c, outcome.ReasonNoEndpoint
-	case i.Service != h.Get(outcome.HeaderService), i.Key() != h.Get(outcome.HeaderInstance):
+	case i.Service != req.Header.Get(outcome.HeaderService), i.Key() != req.Header.Get(outcome.HeaderInstance):
 		return c, outcome.ReasonWrongService
 	case g.left(i, now):
 		return c, outcome.ReasonDraining
 	case g.withdrawn(i):
 		return c, outcome.ReasonWithdrawn
 	}
+	if !g.read(&c, req, now) {
+		return c, outcome.ReasonMalformed
+	}
+	if g.crashes.Quarantined(c.fingerprint) {
+		return c, outcome.ReasonQuarantined
+	}
+	return c, ""
+}
+
+// read takes over what the node headers tell of a request, and reports false where one of them
+// can't be read.
+func (g *Gate) read(c *call, req *http.Request, now time.Time) bool {
+	h := req.Header
 	left, given, err := forward.HeaderInt(h, outcome.HeaderDeadline)
 	if err != nil || !given {
-		return c, outcome.ReasonMalformed
+		return false
 	}
 	within, bounded, err := forward.HeaderInt(h, outcome.HeaderStartWithin)
 	if err != nil {
-		return c, outcome.ReasonMalformed
+		return false
 	}
 	if bounded {
 		c.startBy = now.Add(time.Duration(within) * time.Millisecond)
@@ -54,7 +66,7 @@
 	c.Deadline = now.Add(time.Duration(left) * time.Millisecond)
 	u, err := outcome.ParseUrgency(h.Get(outcome.HeaderUrgency))
 	if err != nil {
-		return c, outcome.ReasonMalformed
+		return false
 	}
 	c.Work = model.Work{Kind: model.ClassKind(h.Get(outcome.HeaderKind)), Rank: u.Rank, Target: u.Target}
 	c.Due = now.Add(u.Left)
@@ -62,13 +74,8 @@
 		c.Weight = g.cfg.Weight(c.Organisation)
 	}
 	c.Elsewhere = h[outcome.HeaderElsewhere] != nil
-	if c.fingerprint, err = crash.Fingerprint(req); err != nil {
-		return c, outcome.ReasonMalformed
-	}
-	if g.crashes.Quarantined(c.fingerprint) {
-		return c, outcome.ReasonQuarantined
-	}
-	return c, ""
+	c.fingerprint, err = crash.Fingerprint(req)
+	return err == nil
 }
 
 // run returns the request as the backend server runs it.
