--- a/coordination/attempt/alone_test.go
+++ b/coordination/attempt/alone_test.go
@@ -62,11 +62,7 @@
 func (p play) worst(cfg BudgetConfig) float64 {
 	const nodes, hosts = 24, 8 // hosts of the calling service are the first ones
 	rng := rand.New(rand.NewPCG(1, 1))
-	budgets := make([]*Budget, nodes)
-	for i := range budgets {
-		budgets[i] = NewBudget(cfg)
-		budgets[i].SetNodes(nodes)
-	}
+	budgets := fleetOf(nodes, cfg)
 	var called arrivals
 	send := func(at time.Duration, b *Budget, ofRepeat bool) {
 		called.requests = append(called.requests, at)
--- a/coordination/attempt/budget_test.go
+++ b/coordination/attempt/budget_test.go
@@ -38,6 +38,16 @@
 	return worst
 }
 
+// fleetOf returns the budgets of so many nodes.
+func fleetOf(nodes int, cfg BudgetConfig) []*Budget {
+	budgets := make([]*Budget, nodes)
+	for i := range budgets {
+		budgets[i] = NewBudget(cfg)
+		budgets[i].SetNodes(nodes)
+	}
+	return budgets
+}
+
 // In kalo-kit, day unlisted-4 with seed 23, both services shed half of their
 // requests. The calls made by repeated requests of the first count as repeats
 // at the second, which got 871 of 850 allowed with a safety of 0.6.
@@ -45,11 +55,7 @@
 	const nodes = 12
 	cfg := config()
 	rng := rand.New(rand.NewPCG(1, 1))
-	budgets := make([]*Budget, nodes)
-	for i := range budgets {
-		budgets[i] = NewBudget(cfg)
-		budgets[i].SetNodes(nodes)
-	}
+	budgets := fleetOf(nodes, cfg)
 	var called arrivals
 	call := func(at time.Duration, repeated bool) {
 		b := budgets[rng.IntN(nodes)]
@@ -89,11 +95,7 @@
 	)
 	cfg := config()
 	rng := rand.New(rand.NewPCG(1, 1))
-	budgets := make([]*Budget, nodes)
-	for i := range budgets {
-		budgets[i] = NewBudget(cfg)
-		budgets[i].SetNodes(nodes)
-	}
+	budgets := fleetOf(nodes, cfg)
 	var called arrivals
 	call := func(at time.Duration, repeated bool) (served bool) {
 		b := budgets[rng.IntN(nodes)]
