Split the wiring of a request's path, and name what is written again a rewrite

wireRequests was 76 lines; the gate, the clients to other gates, the proxy and the gauges are made by a function each, in the same order. The type, the channel and two arguments that were all called again are rewrite, rewrites and w. No behaviour changes; nothing was measured.

--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -65,7 +65,7 @@
 		unrecorded: make(chan suspect.Entry, maxUnrecorded),
 		records:    make(chan rollout.Record, maxRecords),
 		life:       n.store.Life,
-		again:      make(chan again, 1),
+		rewrites:   make(chan rewrite, 1),
 	}
 	n.loop = l
 	if l.proving != nil {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -59,10 +59,10 @@
 	unrecorded chan suspect.Entry
 	// records are what the store is to be told of roll-outs.
 	records chan rollout.Record
-	// life returns the store's newest life known to its client, and again asks for the own
+	// life returns the store's newest life known to its client, and rewrites asks for the own
 	// rows to be written again.
-	life  func() uint64
-	again chan again
+	life     func() uint64
+	rewrites chan rewrite
 }
 
 // run handles events until ctx ends.
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -55,9 +55,23 @@
 
 // wireRequests wires the path of a request.
 func (n *Node) wireRequests() error {
-	speech := platform.Dialect{}
 	n.budget = attempt.NewBudget(n.set.budget())
 	runs := attempt.NewRuns()
+	n.gate = n.newGate(runs)
+	seed := rand.Uint64()
+	n.loop.picker = balance.New(balance.DefaultConfig(), n.set.Zone, n.set.Region, seed)
+	near, far := n.gateClients()
+	n.wireQuotas(near, far, seed)
+	n.proxy = n.newProxy(runs, near, far, seed)
+	n.showRequests()
+	n.loop.gate = n.gate
+	n.loop.budget = n.budget
+	return nil
+}
+
+// newGate returns the gate in front of the own backend server.
+func (n *Node) newGate(runs *attempt.Runs) *inbound.Gate {
+	speech := platform.Dialect{}
 	toBackend := forward.DefaultClientConfig()
 	toBackend.IdleTimeout = backendIdle
 	toBackend.IdlePerHost = idlePerHost
@@ -66,7 +80,7 @@
 	toBackend.Foreign = func(req *http.Request, resp *http.Response) bool {
 		return speech.Foreign(req.Header, resp.Header)
 	}
-	n.gate = inbound.New(inbound.Config{
+	return inbound.New(inbound.Config{
 		Instance:    n.pub.instance.Load,
 		Connections: n.connections,
 		Weight:      n.weight,
@@ -88,6 +102,10 @@
 		Logger:      n.log,
 		Now:         time.Now,
 	})
+}
+
+// gateClients returns what sends to gates of the own availability zone, and to those of others.
+func (n *Node) gateClients() (near, far *forward.Client) {
 	toGates := forward.DefaultClientConfig()
 	toGates.IdleTimeout = gateIdle
 	toGates.DialTimeout = gateDialTimeout
@@ -96,11 +114,12 @@
 	toGates.UnackedTimeout = unackedTimeout
 	toZones := toGates
 	toZones.PackHeads = true
-	seed := rand.Uint64()
-	n.loop.picker = balance.New(balance.DefaultConfig(), n.set.Zone, n.set.Region, seed)
-	near, far := forward.NewClient(toGates), forward.NewClient(toZones)
-	n.wireQuotas(near, far, seed)
-	n.proxy = outbound.New(outbound.Config{
+	return forward.NewClient(toGates), forward.NewClient(toZones)
+}
+
+// newProxy returns what takes the requests of callers.
+func (n *Node) newProxy(runs *attempt.Runs, near, far *forward.Client, seed uint64) *outbound.Proxy {
+	return outbound.New(outbound.Config{
 		Self:          n.set.Node,
 		Zone:          n.set.Zone,
 		Table:         n.pub.table.Load,
@@ -114,7 +133,7 @@
 		Quotas:        n.quotas.limits(),
 		Runs:          runs,
 		Suspects:      n.pub.suspects.Load,
-		Dialect:       speech,
+		Dialect:       platform.Dialect{},
 		Local:         n.gate,
 		Near:          near,
 		Far:           far,
@@ -124,10 +143,11 @@
 		Logger:        n.log,
 		Now:           time.Now,
 	})
+}
+
+// showRequests registers the gauges of the path of a request.
+func (n *Node) showRequests() {
 	n.metrics.GetOrCreateGauge("jacinthgate_requests_quarantined", func() float64 { return float64(n.pub.suspects.Load().Quarantines()) })
 	n.metrics.GetOrCreateGauge("jacinthgate_requests_suspected", func() float64 { return float64(n.pub.suspects.Load().Len()) })
 	n.metrics.GetOrCreateGauge("jacinthgate_zones_unreachable", func() float64 { return float64(n.loop.picker.Unreachable()) })
-	n.loop.gate = n.gate
-	n.loop.budget = n.budget
-	return nil
 }
--- a/internal/sidecar/restored.go
+++ b/internal/sidecar/restored.go
@@ -36,8 +36,8 @@
 	o.drained = key
 }
 
-// again asks for the own rows to be written again in a life of the store.
-type again struct {
+// rewrite asks for the own rows to be written again in a life of the store.
+type rewrite struct {
 	life        uint64
 	quarantined []suspect.Entry
 }
@@ -58,33 +58,33 @@
 // writeAgain hands on that the own rows are to be written; only the newest word counts.
 func (l *loop) writeAgain(a restore.WriteAgain) {
 	select {
-	case <-l.again:
+	case <-l.rewrites:
 	default:
 	}
-	l.again <- again{life: a.Life, quarantined: l.suspects.Witnessed()}
+	l.rewrites <- rewrite{life: a.Life, quarantined: l.suspects.Witnessed()}
 }
 
 // recordOwn writes the own rows again whenever the store has come back, until ctx ends.
 func (n *Node) recordOwn(ctx context.Context) error {
-	return each(ctx, n.loop.again, func(a again) { n.recordOwnIn(ctx, a) })
+	return each(ctx, n.loop.rewrites, func(w rewrite) { n.recordOwnIn(ctx, w) })
 }
 
 // recordOwnIn writes them, again and again while the store doesn't take them. It ends early
 // where the store has come back once more.
-func (n *Node) recordOwnIn(ctx context.Context, a again) {
-	for failures := 0; len(n.loop.again) == 0; failures++ {
-		own := n.ownRowsNow(a)
+func (n *Node) recordOwnIn(ctx context.Context, w rewrite) {
+	for failures := 0; len(n.loop.rewrites) == 0; failures++ {
+		own := n.ownRowsNow(w)
 		if own.Rows() == 0 {
 			return
 		}
 		err := n.putOwn(ctx, own)
 		if err == nil {
 			n.metrics.GetOrCreateCounter("jacinthgate_store_rows_written_again_total").Add(own.Rows())
-			_ = level.Info(n.log).Log("event", "own_rows_written_again", "life", a.life, "registered", own.Seed != nil,
+			_ = level.Info(n.log).Log("event", "own_rows_written_again", "life", w.life, "registered", own.Seed != nil,
 				"drained", own.Drained, "quarantined", len(own.Quarantined))
 			return
 		}
-		_ = level.Warn(n.log).Log("event", "own_rows_not_written", "life", a.life, "err", err)
+		_ = level.Warn(n.log).Log("event", "own_rows_not_written", "life", w.life, "err", err)
 		select {
 		case <-time.After(backoff.Doubled(aloneRetry, aloneRetryMax, failures)):
 		case <-ctx.Done():
@@ -94,9 +94,9 @@
 }
 
 // ownRowsNow returns the own rows as they are to be.
-func (n *Node) ownRowsNow(a again) platform.Own {
-	own := platform.Own{Node: string(n.set.Node), Quarantined: make(map[string]time.Time, len(a.quarantined))}
-	for _, e := range a.quarantined {
+func (n *Node) ownRowsNow(w rewrite) platform.Own {
+	own := platform.Own{Node: string(n.set.Node), Quarantined: make(map[string]time.Time, len(w.quarantined))}
+	for _, e := range w.quarantined {
 		own.Quarantined[e.Fingerprint.String()] = e.LastCrash()
 	}
 	n.own.mu.Lock()
