--- a/coordination/attempt/budget.go
+++ b/coordination/attempt/budget.go
@@ -32,10 +32,6 @@
 // rest is for windows that are not aligned.
 const DefaultSafety = 0.45
 
-// DefaultAlone is the part of the bound that the repeats of a service may use while no
-// other service's requests are repeated. The rest is for windows that are not aligned.
-const DefaultAlone = 0.85
-
 // runCalls is how many calls to one service a repeated run is taken to make.
 const runCalls = 1
 
@@ -114,7 +110,7 @@
 // repeat is Repeat with b.mu held.
 func (b *Budget) repeat(now time.Time, service string, g Gain) bool {
 	w := b.at(now, service)
-	if sum(w.repeats)+1 > g.part()*b.bound(now, service, w) {
+	if sum(w.repeats)+1 > b.part(g)*b.bound(now, service, w) {
 		w.short = now
 		return false
 	}
--- a/coordination/attempt/budget_test.go
+++ b/coordination/attempt/budget_test.go
@@ -11,7 +11,7 @@
 var begin = time.Unix(1_000_000, 0)
 
 func config() BudgetConfig {
-	return BudgetConfig{Ratio: 0.2, Slack: 56, Window: 10 * time.Second, Safety: DefaultSafety, Alone: DefaultAlone}
+	return BudgetConfig{Ratio: 0.2, Slack: 56, Window: 10 * time.Second, Safety: DefaultSafety, Alone: 0.85}
 }
 
 // arrivals are the times of what one service got.
--- a/coordination/attempt/gain.go
+++ b/coordination/attempt/gain.go
@@ -31,9 +31,10 @@
 // with others: the rest is left to those that gain something alone.
 const partOfBound = 0.75
 
-// part returns how much of the bound repeats with the gain may use.
-func (g Gain) part() float64 {
-	if g == GainPart {
+// part returns how much of the bound repeats with the gain may use. Where a service has no
+// more than what it would share with others, all repeats may use that.
+func (b *Budget) part(g Gain) float64 {
+	if g == GainPart && b.cfg.Alone > b.cfg.Safety {
 		return partOfBound
 	}
 	return 1
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -98,6 +98,9 @@
 	WindowSeconds float64 `json:"windowSeconds"`
 	// Slack is how many more are allowed in a window.
 	Slack float64 `json:"slack"`
+	// Alone is the part of the bound that a service may use while hardly any other one's
+	// requests are repeated, 0 to 1; 0 is no more than otherwise.
+	Alone float64 `json:"alone"`
 }
 
 // RolloutSettings bound roll-outs.
@@ -200,8 +203,8 @@
 	if s.HeartbeatMillis <= 0 || s.DrainMillis <= 0 || s.GraceSeconds <= 0 || s.MemoryMB <= 0 || s.LinkMbps <= 0 {
 		return &SettingsError{Field: "heartbeatMillis, drainMillis, graceSeconds, memoryMB, linkMbps", Reason: "must be above 0"}
 	}
-	if s.Retry.Ratio < 0 || s.Retry.WindowSeconds <= 0 || s.Retry.Slack < 0 {
-		return &SettingsError{Field: "retry", Reason: "ratio and slack must not be negative, windowSeconds above 0"}
+	if s.Retry.Ratio < 0 || s.Retry.WindowSeconds <= 0 || s.Retry.Slack < 0 || s.Retry.Alone < 0 || s.Retry.Alone > 1 {
+		return &SettingsError{Field: "retry", Reason: "ratio and slack must not be negative, windowSeconds above 0, alone from 0 to 1"}
 	}
 	if s.Rollout.ExposeShare < 0 || s.Rollout.ExposeShare > 1 {
 		return &SettingsError{Field: "rollout.exposeShare", Reason: "must be from 0 to 1"}
@@ -240,7 +243,7 @@
 		Slack:  s.Retry.Slack,
 		Window: seconds(s.Retry.WindowSeconds),
 		Safety: attempt.DefaultSafety,
-		Alone:  attempt.DefaultAlone,
+		Alone:  max(attempt.DefaultSafety, s.Retry.Alone),
 	}
 }
 
