Let no refused request wait for a gain that decides nothing

Where no setting gives a service alone more of the bound on repeats, as on all sites, the gain of a repeat decides nothing, but a refused request still waited up to 4 ms to learn it. Change: the budget says whether gains are told apart; where they aren't, nobody waits.

--- a/coordination/attempt/gain.go
+++ b/coordination/attempt/gain.go
@@ -34,12 +34,22 @@
 // part returns how much of the bound repeats with the gain may use. Where a service has no
 // more than what it would share with others, all repeats may use that.
 func (b *Budget) part(g Gain) float64 {
-	if g == GainPart && b.cfg.Alone > b.cfg.Safety {
+	if g == GainPart && b.ordersByGain() {
 		return partOfBound
 	}
 	return 1
 }
 
+// OrdersByGain reports whether the gain of a repeat decides anything.
+func (b *Budget) OrdersByGain() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ordersByGain()
+}
+
+// ordersByGain is OrdersByGain with b.mu held.
+func (b *Budget) ordersByGain() bool { return b.cfg.Alone > b.cfg.Safety }
+
 // GainOf returns the gain of a repeat where so many of the requests that expire together
 // with it have failed.
 func GainOf(failing int) Gain {
--- a/transport/outbound/repeat.go
+++ b/transport/outbound/repeat.go
@@ -62,6 +62,9 @@
 // this one it waits until those that were sent with it are refused too or run. It reports
 // false when the caller has left.
 func (x *exchange) gain() (attempt.Gain, bool) {
+	if !x.p.cfg.Budget.OrdersByGain() {
+		return attempt.GainWhole, true // callers wait for nothing that decides nothing
+	}
 	x.member.Failing()
 	if all, failing := x.member.Others(); all > 0 && failing == 0 {
 		t := time.NewTimer(attempt.SettleTime)
