Log requests that end without an answer, and the beginning of a start

A caller whose connection ended without an answer left no trace: the log couldn't tell a request that was cut at the end of the grace time from one that lay unread on a connection closed as idle, nor either from a process that ended in its start. What is decided hasn't changed. TestLogTellsOfRequestsWithoutAnAnswer plays the three causes.

--- a/cmd/jacinthgate-sidecar/main.go
+++ b/cmd/jacinthgate-sidecar/main.go
@@ -74,6 +74,7 @@
 	defer out.Close()
 	logger := logging.New(out, set.LogLevel)
 	logging.CatchLibraries(logger)
+	_ = logger.Log("event", "sidecar_starting", "node", set.Node, "version", version.String())
 	n, err := sidecar.New(set, c.settings, logger, out.Dropped)
 	if err != nil {
 		return cli.Fail(program, err)
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -134,7 +134,10 @@
 
 // wireServers makes the HTTP servers.
 func (n *Node) wireServers() error {
-	n.front = callers.New(callers.Config{Handler: n.proxy, Limits: n.callerLimits, Ahead: requestsAhead, Logger: n.log})
+	n.front = callers.New(callers.Config{
+		Handler: n.proxy, Limits: n.callerLimits, Ahead: requestsAhead,
+		RequestID: platform.Dialect{}.RequestID, Metrics: n.metrics, Logger: n.log,
+	})
 	n.callers = n.add(listenCallers, n.front)
 	n.gates = n.addPlain(listenGate, n.gateHandler())
 	n.gates.wrap = func(ln net.Listener) net.Listener { return headpack.Listener{Listener: ln} }
--- a/transport/callers/attend.go
+++ b/transport/callers/attend.go
@@ -16,7 +16,7 @@
 	}
 	// The answer's end sets a deadline that is past, and so ends the reading.
 	if _, err := io.CopyN(io.Discard, c.br, maxDiscard); err != nil && !x.answered() {
-		c.cancel()
+		c.callerLeft()
 	}
 	<-x.done
 }
--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -36,11 +37,12 @@
 	slots  chan struct{} // bounds the requests that are worked on
 
 	mu      sync.Mutex
-	pending int  // requests that were read and are not answered
-	ending  bool // no further request is to be read
-	closing bool // an answer that ends the connection has begun
-	ended   bool // an answer that ends the connection was sent
-	broken  bool // an answer was cut: nothing more may be written
+	open    []*exchange // requests that were read and are not answered, in order
+	ending  bool        // no further request is to be read
+	closing bool        // an answer that ends the connection has begun
+	ended   bool        // an answer that ends the connection was sent
+	broken  bool        // an answer was cut: nothing more may be written
+	left    bool        // the caller has closed the connection or gone silent
 	last    chan struct{}
 }
 
@@ -60,7 +62,7 @@
 func (c *conn) idle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.pending == 0
+	return len(c.open) == 0
 }
 
 // past is a deadline that ends a read at once.
@@ -124,7 +126,7 @@
 	var until time.Time
 	if c.ending {
 		until = past
-	} else if c.pending == 0 && limits.IdleTimeout > 0 {
+	} else if len(c.open) == 0 && limits.IdleTimeout > 0 {
 		until = time.Now().Add(limits.IdleTimeout)
 	}
 	_ = c.raw.SetReadDeadline(until) // the read reports a closed connection
@@ -145,7 +147,7 @@
 		<-x.before
 		return false
 	}
-	if !c.admit() {
+	if !c.admit(x) {
 		<-x.before
 		return false
 	}
@@ -166,13 +168,13 @@
 
 // admit counts a request that was read, unless the connection has ended before
 // it.
-func (c *conn) admit() bool {
+func (c *conn) admit(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.broken || c.closing {
 		return false
 	}
-	c.pending++
+	c.open = append(c.open, x)
 	return true
 }
 
@@ -220,6 +222,7 @@
 		c.breakOff()
 		return
 	}
+	x.whole = true
 	if x.hasBody() && !x.drainBody() {
 		c.close(x)
 	}
@@ -228,8 +231,9 @@
 // answered ends a request.
 func (c *conn) answered(x *exchange) {
 	x.cancel()
+	c.noteCut(x)
 	c.mu.Lock()
-	c.pending--
+	c.open = slices.DeleteFunc(c.open, func(o *exchange) bool { return o == x })
 	if x.last.Load() && !c.ended {
 		c.ended, c.ending = true, true
 		c.cancel() // what was sent behind it is not answered
@@ -267,7 +271,7 @@
 	} else if between {
 		// The caller has left or has been idle for too long. What it still
 		// waits for is cancelled.
-		c.cancel()
+		c.callerLeft()
 		<-last
 		_ = c.raw.Close() // there is nobody to tell
 		return
@@ -295,6 +299,7 @@
 	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime)) // the read reports a closed one
 	time.AfterFunc(lingerTime, func() { _ = c.raw.Close() })
-	_, _ = io.Copy(io.Discard, c.raw) // until the caller closes it too
-	_ = c.raw.Close()                 // twice does no harm
+	unread, _ := io.Copy(io.Discard, c.raw) // until the caller closes it too
+	c.noteUnread(unread)
+	_ = c.raw.Close() // twice does no harm
 }
--- /dev/null
+++ b/transport/callers/cut.go
@@ -0,0 +1,105 @@
+package callers
+
+import (
+	"strconv"
+	"time"
+)
+
+// cutCause says why a request that was read gets no whole answer.
+type cutCause string
+
+// The causes.
+const (
+	// cutCallerLeft: the caller has closed its connection.
+	cutCallerLeft cutCause = "caller-left"
+	// cutBroken: the handler has broken the answer off, or it couldn't be written.
+	cutBroken cutCause = "broken"
+	// cutShutdown: the time for a graceful shutdown is over.
+	cutShutdown cutCause = "shutdown"
+)
+
+// CutError reports requests that a shutdown has left without an answer.
+type CutError struct {
+	// Requests is their number.
+	Requests int
+}
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return strconv.Itoa(e.Requests) + " requests were under way at the end of the shutdown"
+}
+
+// count counts a request that gets no whole answer.
+func (s *Server) count(cause cutCause) {
+	s.cfg.Metrics.GetOrCreateCounter(`jacinthgate_callers_cut_total{cause="` + string(cause) + `"}`).Inc()
+}
+
+// cutOpen notes the requests that are still under way, whose connections are about to be
+// closed.
+func (s *Server) cutOpen() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for c := range s.conns {
+		n += c.cutOpen()
+	}
+	if n == 0 {
+		return nil
+	}
+	return &CutError{Requests: n}
+}
+
+// cutOpen notes a connection's requests that are under way, and returns their number.
+func (c *conn) cutOpen() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.open {
+		x.cut(cutShutdown)
+	}
+	return len(c.open)
+}
+
+// callerLeft cancels what a caller that has left still waits for.
+func (c *conn) callerLeft() {
+	c.mu.Lock()
+	c.left = true
+	c.mu.Unlock()
+	c.cancel()
+}
+
+// noteCut notes a request whose response isn't complete.
+func (c *conn) noteCut(x *exchange) {
+	if x.whole {
+		return
+	}
+	c.mu.Lock()
+	left := c.left
+	c.mu.Unlock()
+	if left {
+		x.cut(cutCallerLeft)
+		return
+	}
+	x.cut(cutBroken)
+}
+
+// noteUnread notes what has arrived on a connection after it was closed on this side.
+func (c *conn) noteUnread(bytes int64) {
+	if bytes == 0 {
+		return
+	}
+	_ = c.server.cfg.Logger.Log("event", "bytes_unread", "remote", c.raw.RemoteAddr().String(), "bytes", bytes)
+}
+
+// cut counts a response that is cut, and logs it unless the caller has asked for that.
+func (x *exchange) cut(cause cutCause) {
+	if x.noted.Swap(true) {
+		return
+	}
+	s := x.conn.server
+	s.count(cause)
+	if cause == cutCallerLeft {
+		return
+	}
+	_ = s.cfg.Logger.Log("event", "request_cut", "request", s.cfg.RequestID(x.req.Header), "path", x.req.URL.Path,
+		"cause", cause, "leaving", s.leaving.Load(), "took", time.Since(x.began))
+}
--- a/transport/callers/fuzz_test.go
+++ b/transport/callers/fuzz_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 )
@@ -71,7 +72,9 @@
 			Limits: func() Limits {
 				return Limits{HeaderBytes: 4 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Second}
 			},
-			Logger: log.NewNopLogger(),
+			RequestID: func(map[string][]string) string { return "" },
+			Metrics:   metrics.NewSet(),
+			Logger:    log.NewNopLogger(),
 		})
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		must.NoError(t, err)
--- a/transport/callers/response.go
+++ b/transport/callers/response.go
@@ -25,12 +25,18 @@
 	bodyEnd chan struct{}
 	// last says that the connection ends with this response.
 	last atomic.Bool
+	// began is when the request's head was read.
+	began time.Time
+	// whole says that the response is complete. The goroutine that answers sets it.
+	whole bool
+	// noted says that the log tells that the response was cut.
+	noted atomic.Bool
 }
 
 // newExchange queues a request behind the one before it.
 func (c *conn) newExchange(req *http.Request) *exchange {
 	ctx, cancel := context.WithCancel(c.ctx)
-	x := &exchange{conn: c, cancel: cancel, done: make(chan struct{})}
+	x := &exchange{conn: c, cancel: cancel, done: make(chan struct{}), began: time.Now()}
 	x.req = req.WithContext(ctx)
 	x.last.Store(req.Close || c.server.leaving.Load())
 	c.mu.Lock()
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 )
 
@@ -38,8 +39,12 @@
 	// Ahead is the number of requests of one connection that are worked on at
 	// the same time.
 	Ahead int
-	// Logger gets a line for each request that can't be read and for each
-	// handler that panics.
+	// RequestID returns the identifier that the caller gave its request.
+	RequestID func(headers map[string][]string) string
+	// Metrics is the set that metrics are registered in.
+	Metrics *metrics.Set
+	// Logger gets a line for each request that can't be read or whose answer is
+	// cut, and for each handler that panics.
 	Logger log.Logger
 }
 
@@ -117,7 +122,8 @@
 const shutdownCheck = 10 * time.Millisecond
 
 // Shutdown stops accepting connections, closes the idle ones and waits until
-// the requests that were read have been answered, or ctx ends.
+// the requests that were read have been answered, or ctx ends; the error is then a
+// *CutError.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Leave()
 	s.mu.Lock()
@@ -136,7 +142,7 @@
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			return ctx.Err()
+			return s.cutOpen()
 		}
 	}
 }
--- a/transport/callers/server_test.go
+++ b/transport/callers/server_test.go
@@ -3,17 +3,21 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 )
 
 // start serves a handler on loopback and returns its address.
@@ -25,7 +29,9 @@
 		Limits: func() Limits {
 			return Limits{HeaderBytes: 1 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 		},
-		Logger: log.NewNopLogger(),
+		RequestID: func(h map[string][]string) string { return http.Header(h).Get("X-Request-Id") },
+		Metrics:   metrics.NewSet(),
+		Logger:    log.NewNopLogger(),
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -377,3 +383,73 @@
 	must.Eq(t, "first rest", body)
 	must.Eq(t, 0, len(begun))
 }
+
+// lines collects log lines.
+type lines struct {
+	mu  sync.Mutex
+	all strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all.Write(p)
+}
+
+func (l *lines) contains(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.all.String(), text)
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(10*time.Second)), must.Sprint(what))
+}
+
+func TestLogTellsOfRequestsWithoutAnAnswer(t *testing.T) {
+	for name, test := range map[string]struct {
+		end   func(s *Server, caller net.Conn, release chan<- bool)
+		cause cutCause
+	}{
+		"handler that breaks off": {func(_ *Server, _ net.Conn, release chan<- bool) { release <- true }, cutBroken},
+		"caller that leaves":      {func(_ *Server, caller net.Conn, _ chan<- bool) { _ = caller.Close() }, cutCallerLeft},
+		"end of a shutdown": {func(s *Server, _ net.Conn, release chan<- bool) {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			var cut *CutError
+			must.True(t, errors.As(s.Shutdown(ctx), &cut))
+			must.Eq(t, 1, cut.Requests)
+			release <- false
+		}, cutShutdown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begun, release := make(chan struct{}), make(chan bool)
+			s, addr := start(t, func(_ http.ResponseWriter, r *http.Request) {
+				close(begun)
+				select {
+				case broken := <-release:
+					if broken {
+						panic(http.ErrAbortHandler)
+					}
+				case <-r.Context().Done():
+					panic(http.ErrAbortHandler)
+				}
+			})
+			out := new(lines)
+			s.cfg.Logger = log.NewLogfmtLogger(log.NewSyncWriter(out))
+			counted := s.cfg.Metrics.GetOrCreateCounter(`jacinthgate_callers_cut_total{cause="` + string(test.cause) + `"}`)
+			c, _ := dial(t, addr)
+			send(t, c, "GET /asked HTTP/1.1\r\nHost: h\r\nX-Request-Id: id-1\r\n\r\n")
+			<-begun
+			test.end(s, c, release)
+			eventually(t, "the cut is counted", func() bool { return counted.Get() == 1 })
+			if test.cause != cutCallerLeft {
+				line := "event=request_cut request=id-1 path=/asked cause=" + string(test.cause)
+				eventually(t, "the cut is logged", func() bool { return out.contains(line) })
+			}
+			must.False(t, out.contains("caller-left"))
+		})
+	}
+}
