Look for connections that wait before a draining listener is closed

Callers saw: a new connection to a leaving node reset, or ended without an answer, after the request was written whole.

Cause: a draining listener was closed once its deadline of 5 ms had passed without an accepted connection. A deadline that has passed doesn't say that nothing has arrived: where the process had no processor for those 5 ms, Accept returns without having asked the kernel, and closing resets what waits there.

Evidence: TestDrainingTakesConnectionsThatCameWhileTheProcessStoodStill failed before, with 0 of 3 connections taken; the three callers were reset.

The listener now asks the kernel (poll, without waiting) and goes on while a connection waits, at the latest until the end of the shutdown. What arrives between the look and the close, some microseconds, is still reset, and has not been read.

--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -9,12 +9,13 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
 // quiet is how long nothing must arrive before a draining listener is closed.
-// Connections that wait are accepted without any delay, so it only has to cover
-// the time until this process gets a processor.
 const quiet = 5 * time.Millisecond
 
 // Listener is a listener that can be drained. It is safe for concurrent use.
@@ -46,7 +47,7 @@
 			return nil, err
 		case !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
-		case !l.accepted.Swap(false):
+		case !l.accepted.Swap(false) && !l.waiting():
 			l.end()
 			return nil, net.ErrClosed
 		}
@@ -61,6 +62,22 @@
 	}
 }
 
+// waiting reports whether the kernel holds a connection that nobody has accepted. A deadline
+// that has passed doesn't say: this process may have had no processor meanwhile.
+func (l *Listener) waiting() bool {
+	s, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false // it is closed
+	}
+	found := false
+	err = raw.Control(func(fd uintptr) { found = sockopt.Readable(int(fd)) })
+	return err == nil && found
+}
+
 // end tells Drain that nothing will be accepted any more.
 func (l *Listener) end() {
 	if l.ended.CompareAndSwap(false, true) {
--- a/transport/listen/listen_test.go
+++ b/transport/listen/listen_test.go
@@ -73,6 +73,18 @@
 	must.Error(t, err)
 }
 
+// A process that gets no processor for a while finds its deadline passed and connections waiting.
+func TestDrainingTakesConnectionsThatCameWhileTheProcessStoodStill(t *testing.T) {
+	l, _ := waiting(t, 3)
+	drained := make(chan error, 1)
+	go func() { drained <- l.Drain(t.Context()) }()
+	time.Sleep(4 * quiet)
+	done := make(chan int, 1)
+	go serve(l, done)
+	must.Eq(t, 3, <-done)
+	must.NoError(t, <-drained)
+}
+
 func TestDrainingAClosedListenerEnds(t *testing.T) {
 	l, _ := waiting(t, 0)
 	done := make(chan int, 1)
--- a/transport/sockopt/sockopt.go
+++ b/transport/sockopt/sockopt.go
@@ -1,10 +1,13 @@
-// Package sockopt sets options of TCP sockets that package net doesn't offer.
+// Package sockopt does with TCP sockets what package net doesn't offer.
 package sockopt
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // tcpUserTimeout is TCP_USER_TIMEOUT on Linux, which package syscall lacks.
@@ -27,3 +30,15 @@
 		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
 	})
 }
+
+// Readable reports whether a socket has something to read or to accept, or has been closed
+// by the other side. It doesn't wait.
+func Readable(fd int) bool {
+	for {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(fds, 0)
+		if !errors.Is(err, unix.EINTR) {
+			return err == nil && n > 0
+		}
+	}
+}
