Answer requests that a leaving node holds and has not counted

Callers saw: connections to a leaving node ended without an answer, after the request was written whole; some of these requests had been passed on.

Cause: what counts as idle was told by what this process had seen. An idle connection was closed by a read deadline in the past, and such a read ends without asking the kernel, so a request that lay there was thrown away; the same at the idle timeout. And a request counted only once it was admitted, with nothing held between the look and the deadline: one that had just been read got the deadline on its connection, took it for a caller that had left, and was cancelled while its backend server ran it.

Evidence: TestRequestInTheKernelIsAnsweredByALeavingServer, TestRequestInTheKernelIsAnsweredAfterTheIdleTimeout and TestRequestThatWasReadIsNotCancelledByALeavingServer failed before, each with the end of the stream in place of an answer.

A connection is idle now only while no request has begun to arrive, decided in one step with its deadline; a read that ends at a deadline looks into the kernel before the connection is closed.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -38,6 +38,7 @@
 
 	mu      sync.Mutex
 	open    []*exchange // requests that were read and are not answered, in order
+	reading bool        // a request has begun to arrive and isn't among open yet
 	ending  bool        // no further request is to be read
 	closing bool        // an answer that ends the connection has begun
 	ended   bool        // an answer that ends the connection was sent
@@ -58,25 +59,6 @@
 	return c
 }
 
-// idle reports whether no request is under way. c.mu must not be held.
-func (c *conn) idle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.open) == 0
-}
-
-// past is a deadline that ends a read at once.
-var past = time.Unix(1, 0)
-
-// hangUp lets the connection end once no request is under way. c.mu must not
-// be held.
-func (c *conn) hangUp() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ending = true
-	_ = c.raw.SetReadDeadline(past) // the read reports a closed one
-}
-
 // serve reads requests until the connection ends.
 func (c *conn) serve() {
 	defer c.server.forget(c)
@@ -99,12 +81,10 @@
 	limits := c.server.cfg.Limits()
 	c.head.allow(limits.HeaderBytes)
 	c.armIdle(limits)
-	if _, err := c.br.Peek(1); err != nil {
+	if _, err := c.br.Peek(1); err != nil && !c.arrived(err) {
 		return nil, &readError{err: err, between: true}
 	}
-	if limits.HeaderTimeout > 0 {
-		_ = c.raw.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // the read reports a closed connection
-	}
+	c.begin(limits)
 	req, err := http.ReadRequest(c.br)
 	if err != nil {
 		return nil, &readError{err: err, tooLarge: c.head.exceeded}
@@ -118,20 +98,6 @@
 	return c.newExchange(req), nil
 }
 
-// armIdle sets the time at which an idle connection is closed. With requests
-// under way there is none.
-func (c *conn) armIdle(limits Limits) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var until time.Time
-	if c.ending {
-		until = past
-	} else if len(c.open) == 0 && limits.IdleTimeout > 0 {
-		until = time.Now().Add(limits.IdleTimeout)
-	}
-	_ = c.raw.SetReadDeadline(until) // the read reports a closed connection
-}
-
 // start answers a request on a goroutine of its own and returns when the next
 // request may be read. A request that may not run again waits for the answers
 // before it: if one of them ends the connection, the caller sends what came
@@ -175,6 +141,7 @@
 		return false
 	}
 	c.open = append(c.open, x)
+	c.reading = false
 	return true
 }
 
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -153,9 +153,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.idle() {
-			c.hangUp()
-		}
+		c.hangUpIfIdle()
 	}
 	return len(s.conns)
 }
--- a/transport/callers/server_test.go
+++ b/transport/callers/server_test.go
@@ -453,3 +453,61 @@
 		})
 	}
 }
+
+// accepted returns a connection of the server that nobody serves yet, and its caller.
+func accepted(t *testing.T, s *Server) (*conn, net.Conn, *bufio.Reader) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { must.NoError(t, l.Close()) }()
+	caller, br := dial(t, l.Addr().String())
+	raw, err := l.Accept()
+	must.NoError(t, err)
+	c := newConn(s, raw)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	return c, caller, br
+}
+
+func TestRequestInTheKernelIsAnsweredByALeavingServer(t *testing.T) {
+	s, _ := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	c, caller, br := accepted(t, s)
+	send(t, caller, get("/"))
+	s.Leave()
+	s.closeIdle()
+	go c.serve()
+	resp, body := answer(t, br)
+	must.Eq(t, "whole", body)
+	must.True(t, resp.Close)
+}
+
+func TestRequestInTheKernelIsAnsweredAfterTheIdleTimeout(t *testing.T) {
+	s, _ := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	c, caller, br := accepted(t, s)
+	send(t, caller, get("/"))
+	s.cfg.Limits = func() Limits { return Limits{HeaderTimeout: time.Minute, IdleTimeout: time.Nanosecond} }
+	go c.serve()
+	_, body := answer(t, br)
+	must.Eq(t, "whole", body)
+}
+
+func TestRequestThatWasReadIsNotCancelledByALeavingServer(t *testing.T) {
+	s, _ := start(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		case <-time.After(50 * time.Millisecond):
+		}
+		_, _ = io.WriteString(w, "whole")
+	})
+	s.Leave()
+	c, caller, br := accepted(t, s)
+	send(t, caller, get("/"))
+	x, err := c.next()
+	must.NoError(t, err)
+	s.closeIdle()
+	go c.start(x)
+	_, body := answer(t, br)
+	must.Eq(t, "whole", body)
+}
--- a/transport/sockopt/sockopt.go
+++ b/transport/sockopt/sockopt.go
@@ -31,6 +31,14 @@
 	})
 }
 
+// Pending reports whether a connection has received bytes that were not read. It doesn't wait
+// and leaves them where they are.
+func Pending(fd int) bool {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == nil && n > 0
+}
+
 // Readable reports whether a socket has something to read or to accept, or has been closed
 // by the other side. It doesn't wait.
 func Readable(fd int) bool {
