Let connections behind their last answer linger during a shutdown

Callers saw: possibly an answer that was cut, where they had sent more behind it; seen in a test only.

Cause: a connection that has sent its last answer is read on for up to 500 ms, since closing it with unread bytes would reset it and drop what is still unsent. Each look for idle connections in a shutdown, every 10 ms, put a deadline in the past on it and so ended that after 10 ms at most.

Evidence: TestShutdownDoesNotResetAConnectionBehindItsLastAnswer failed before with a broken pipe. A connection that is ending is left alone now.

--- a/transport/callers/idle.go
+++ b/transport/callers/idle.go
@@ -12,11 +12,12 @@
 // past is a deadline that ends a read at once.
 var past = time.Unix(1, 0)
 
-// hangUpIfIdle lets the connection end unless a request is under way.
+// hangUpIfIdle lets the connection end unless a request is under way. One that is ending
+// already is left alone: its last answer may still be on its way.
 func (c *conn) hangUpIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.reading || len(c.open) > 0 {
+	if c.ending || c.reading || len(c.open) > 0 {
 		return
 	}
 	c.ending = true
--- a/transport/callers/server_test.go
+++ b/transport/callers/server_test.go
@@ -511,3 +511,19 @@
 	_, body := answer(t, br)
 	must.Eq(t, "whole", body)
 }
+
+func TestShutdownDoesNotResetAConnectionBehindItsLastAnswer(t *testing.T) {
+	s, addr := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	s.Leave()
+	c, br := dial(t, addr)
+	send(t, c, get("/"))
+	_, _ = answer(t, br)
+	_, err := br.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+	s.closeIdle()
+	time.Sleep(20 * time.Millisecond) // a connection that was closed for reading would reset what comes
+	for range 3 {
+		send(t, c, get("/behind"))
+		time.Sleep(5 * time.Millisecond)
+	}
+}
