Catch signals from the first moment, and never give them back

Callers saw: a node that gets SIGHUP or SIGTERM in its start ends at once, and connections that the kernel had completed are reset; the same for signals that come at the end of a shutdown, which also loses the last log lines.

Cause: signals were caught after the addresses were open, and given back while the node was still ending, so that in between the default action ended the process. One channel of four held both kinds, so that a SIGTERM behind changes of the settings could be dropped and end as a SIGKILL after the grace time. And a write to a log that nobody reads ended the process by SIGPIPE.

internal/signals catches them as the first thing in main, until the process has ended, with a channel for each purpose: a signal that finds it full says nothing new. The first milliseconds of the runtime itself, before main, stay open; no address is open then.

--- a/cmd/jacinthgate-sidecar/main.go
+++ b/cmd/jacinthgate-sidecar/main.go
@@ -14,15 +14,17 @@
 	"github.com/jacinthgate/jacinthgate/internal/cli"
 	"github.com/jacinthgate/jacinthgate/internal/logging"
 	"github.com/jacinthgate/jacinthgate/internal/sidecar"
+	"github.com/jacinthgate/jacinthgate/internal/signals"
 	"github.com/jacinthgate/jacinthgate/internal/version"
 )
 
 const program = "jacinthgate-sidecar"
 
 func main() {
+	caught := signals.Catch()
 	cdr := subcommands.NewCommander(flag.CommandLine, program)
 	cdr.Register(cdr.HelpCommand(), "")
-	cdr.Register(&runCmd{}, "")
+	cdr.Register(&runCmd{signals: caught}, "")
 	cdr.Register(&cli.CheckCommand{Program: program, Load: func(path string) error {
 		_, err := sidecar.Load(path)
 		return err
@@ -35,6 +37,7 @@
 // runCmd runs the node.
 type runCmd struct {
 	settings string
+	signals  *signals.Signals
 }
 
 func (*runCmd) Name() string     { return "run" }
@@ -79,7 +82,7 @@
 	if err != nil {
 		return cli.Fail(program, err)
 	}
-	if err := n.Run(); err != nil {
+	if err := n.Run(c.signals); err != nil {
 		_ = logger.Log("event", "node_failed", "err", err)
 		return subcommands.ExitFailure
 	}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/internal/signals"
 	"github.com/jacinthgate/jacinthgate/platform/platformtest"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
@@ -145,7 +146,7 @@
 	node, err := New(set, "no file", log.NewLogfmtLogger(log.NewSyncWriter(m.logs)), func() uint64 { return 0 })
 	must.NoError(f.t, err)
 	m.node = node
-	go func() { m.ended <- node.Run() }()
+	go func() { m.ended <- node.Run(new(signals.Signals)) }()
 	f.t.Cleanup(func() {
 		node.close()
 	})
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	"github.com/jacinthgate/jacinthgate/coordination/registry"
 	"github.com/jacinthgate/jacinthgate/coordination/rollout"
+	"github.com/jacinthgate/jacinthgate/internal/signals"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/instance"
@@ -110,8 +111,8 @@
 	}
 }
 
-// Run serves until SIGTERM or until a part fails.
-func (n *Node) Run() error {
+// Run serves until a signal asks it to stop or until a part fails.
+func (n *Node) Run(caught *signals.Signals) error {
 	var g run.Group
 	n.addActor(&g, n.loop.run)
 	n.addActor(&g, n.runLinks)
@@ -123,7 +124,7 @@
 	for _, s := range n.servers {
 		n.addServer(&g, s)
 	}
-	n.addSignals(&g)
+	n.addSignals(&g, caught)
 	_ = n.log.Log("event", "sidecar_started", "node", n.set.Node, "zone", n.set.Zone,
 		"incarnation", n.loop.self.Incarnation, "callers", n.set.Listen.Callers, "gate", n.set.Listen.Gate)
 	err := g.Run()
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -4,14 +4,13 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/oklog/run"
 
 	"github.com/jacinthgate/jacinthgate/coordination/member"
+	"github.com/jacinthgate/jacinthgate/internal/signals"
 )
 
 const (
@@ -37,11 +36,9 @@
 	reloadCheck = 5 * time.Second
 )
 
-// addSignals adds the part that waits for signals: SIGTERM ends the node,
-// SIGHUP reads the settings again.
-func (n *Node) addSignals(g *run.Group) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+// addSignals adds the part that waits for signals: SIGTERM ends the node, SIGHUP reads the
+// settings again.
+func (n *Node) addSignals(g *run.Group, caught *signals.Signals) {
 	stop := make(chan struct{})
 	execute := func() error {
 		check := time.NewTicker(reloadCheck)
@@ -52,20 +49,15 @@
 				return nil
 			case <-check.C:
 				n.reload("file changed")
-			case s := <-signals:
-				if s != syscall.SIGHUP {
-					n.shutdown(s)
-					return nil
-				}
+			case <-caught.Reload():
 				n.reload("SIGHUP")
+			case s := <-caught.Stop():
+				n.shutdown(s)
+				return nil
 			}
 		}
 	}
-	interrupt := func(error) {
-		signal.Stop(signals)
-		close(stop)
-	}
-	g.Add(execute, interrupt)
+	g.Add(execute, func(error) { close(stop) })
 }
 
 // reload reads the settings again if the file's content has changed. Addresses
