Catch signals from the first moment also in jacinthgate-node

Callers would have seen all connections of a node end at once on SIGHUP, which jacinthgate-node didn't handle, or on a signal in its start.

--- a/cmd/jacinthgate-node/main.go
+++ b/cmd/jacinthgate-node/main.go
@@ -14,13 +14,15 @@
 	"github.com/jacinthgate/jacinthgate/internal/logging"
 	"github.com/jacinthgate/jacinthgate/internal/node"
 	"github.com/jacinthgate/jacinthgate/internal/settings"
+	"github.com/jacinthgate/jacinthgate/internal/signals"
 	"github.com/jacinthgate/jacinthgate/internal/version"
 )
 
 func main() {
+	caught := signals.Catch()
 	cdr := subcommands.NewCommander(flag.CommandLine, "jacinthgate-node")
 	cdr.Register(cdr.HelpCommand(), "")
-	cdr.Register(&runCmd{}, "")
+	cdr.Register(&runCmd{signals: caught}, "")
 	cdr.Register(&cli.CheckCommand{Program: "jacinthgate-node", Load: func(path string) error {
 		_, err := settings.LoadNode(path)
 		return err
@@ -33,6 +35,7 @@
 // runCmd runs the node.
 type runCmd struct {
 	settings string
+	signals  *signals.Signals
 }
 
 func (*runCmd) Name() string     { return "run" }
@@ -40,7 +43,8 @@
 func (*runCmd) Usage() string {
 	return `run -settings FILE
 Runs the node until SIGTERM or SIGINT. The first one lets requests in flight
-finish; the second one ends the node at once. Nothing starts on bad settings.
+finish; the second one ends the node at once. SIGHUP changes nothing. Nothing
+starts on bad settings.
 `
 }
 
@@ -63,7 +67,7 @@
 	if err != nil {
 		return cli.Fail("jacinthgate-node", err)
 	}
-	if err := n.Run(); err != nil {
+	if err := n.Run(c.signals); err != nil {
 		_ = logger.Log("event", "node_failed", "err", err)
 		return subcommands.ExitFailure
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthgate/jacinthgate/internal/collector"
 	"github.com/jacinthgate/jacinthgate/internal/control"
 	"github.com/jacinthgate/jacinthgate/internal/settings"
+	"github.com/jacinthgate/jacinthgate/internal/signals"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
 	"github.com/jacinthgate/jacinthgate/transport/entry"
@@ -97,7 +98,7 @@
 
 // Run serves until a signal arrives or a part fails. The first SIGTERM or
 // SIGINT lets requests in flight finish; the second ends the node at once.
-func (n *Node) Run() error {
+func (n *Node) Run(caught *signals.Signals) error {
 	var g run.Group
 	n.addActor(&g, n.loop.run)
 	n.addActor(&g, n.runLinks)
@@ -112,7 +113,7 @@
 			n.addServer(&g, s.serve, s.http.Close)
 		}
 	}
-	n.addSignals(&g)
+	n.addSignals(&g, caught)
 	n.logStart()
 	err := g.Run()
 	n.close()
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -4,14 +4,13 @@
 	"context"
 	"errors"
 	"os"
-	"os/signal"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
 
 	"github.com/jacinthgate/jacinthgate/coordination/member"
+	"github.com/jacinthgate/jacinthgate/internal/signals"
 )
 
 // leaveTime is how long the record that the node has left may take to reach the
@@ -28,35 +27,29 @@
 func (e *ForcedError) Error() string { return "ended at once by a second " + e.Signal.String() }
 
 // addSignals adds the part that waits for a signal and then shuts down.
-func (n *Node) addSignals(g *run.Group) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+func (n *Node) addSignals(g *run.Group, caught *signals.Signals) {
 	stop := make(chan struct{})
 	execute := func() error {
 		select {
 		case <-stop:
 			return nil
-		case s := <-signals:
+		case s := <-caught.Stop():
 			_ = n.log.Log("event", "shutdown_started", "signal", s)
 		}
-		return n.shutdownUnless(signals)
+		return n.shutdownUnless(caught.Stop())
 	}
-	interrupt := func(error) {
-		signal.Stop(signals)
-		close(stop)
-	}
-	g.Add(execute, interrupt)
+	g.Add(execute, func(error) { close(stop) })
 }
 
 // shutdownUnless shuts down gracefully, or returns at once on another signal.
-func (n *Node) shutdownUnless(signals <-chan os.Signal) error {
+func (n *Node) shutdownUnless(again <-chan os.Signal) error {
 	done := make(chan error, 1)
 	go func() { done <- n.shutdown() }()
 	select {
 	case err := <-done:
 		_ = n.log.Log("event", "shutdown_finished", "err", err)
 		return nil
-	case s := <-signals:
+	case s := <-again:
 		return &ForcedError{Signal: s}
 	}
 }
