Answer everything that a leaving node has taken

Callers saw: connections to a leaving node cut at the end of its grace time without an answer, also of requests that were sent three seconds and more after SIGTERM.

Cause: a draining listener closes once no connection has come for 5 ms. Each answer of a leaving node ends its connection, so callers that go on open a new one for each request, and with some hundred a second there is never such a gap: the node took requests until the end of its grace time, sent them on, and cut them there. What was under way at the end got no answer at all, though the node knew what became of it.

Once its callers have had their notice, a leaving node refuses at once, unsent, what has a deadline after its own end (503, reason leaving, to come back when the next process is there). At the end it cancels what is left, and the path of a request tells each caller what is known: 503 where nothing was sent, 502 else.

--- a/coordination/attempt/comeback.go
+++ b/coordination/attempt/comeback.go
@@ -91,3 +91,9 @@
 	wait := min(max(up, startLeast), StartTime)
 	return time.Duration(float64(wait) * (0.75 + lot/2))
 }
+
+// ComeBackAfterEnd returns when the caller of a node that ends so long from now should come
+// back: once the next process is there, spread over StartTime.
+func ComeBackAfterEnd(left time.Duration, lot float64) time.Duration {
+	return max(0, left) + time.Duration(lot*float64(StartTime))
+}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -27,7 +27,9 @@
 type fleet struct {
 	t     testing.TB
 	store *platformtest.Store
-	nodes []*site
+	// storeAddr is where the store serves.
+	storeAddr string
+	nodes     []*site
 	// adapt changes the settings of nodes that are started; nil changes none.
 	adapt func(*Settings)
 }
@@ -90,20 +92,42 @@
 	return f
 }
 
+// newAdaptedFleet is newFleet with changed settings.
+func newAdaptedFleet(t testing.TB, n int, adapt func(*Settings)) *fleet {
+	f := newEmptyFleet(t, 1)
+	f.adapt = adapt
+	f.startAll(n)
+	f.beat()
+	f.knowAll()
+	return f
+}
+
 // newSilentFleet starts nodes whose backend servers have not said anything yet.
 func newSilentFleet(t testing.TB, n int) *fleet { return newSilentFleetOn(t, n, 1) }
 
 // newSilentFleetOn starts them with a store that tells an era; 0 doesn't tell.
 func newSilentFleetOn(t testing.TB, n int, era uint64) *fleet {
+	f := newEmptyFleet(t, era)
+	f.startAll(n)
+	return f
+}
+
+// newEmptyFleet starts a store that tells an era.
+func newEmptyFleet(t testing.TB, era uint64) *fleet {
 	f := &fleet{t: t, store: platformtest.NewStore()}
 	f.store.TellEra(era)
 	f.store.Put("op", "config", routes("r1"))
-	store := httptest.NewServer(f.store)
-	t.Cleanup(store.Close)
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	f.storeAddr = server.Listener.Addr().String()
+	return f
+}
+
+// startAll starts nodes.
+func (f *fleet) startAll(n int) {
 	for i := range n {
-		f.nodes = append(f.nodes, f.start(i, store.Listener.Addr().String()))
+		f.nodes = append(f.nodes, f.start(i, f.storeAddr))
 	}
-	return f
 }
 
 // knowAll waits until each node knows every backend server.
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -26,7 +26,7 @@
 	// rest of the grace time.
 	withdrawLead = 800 * time.Millisecond
 	// exitPart is the last part of the grace time, in which the node ends in any
-	// case: what a backend server is still at work on by then may be cut.
+	// case: callers are told by then that what is still under way isn't known.
 	exitPart = 6
 	// farewellTime is how long the record that the node has left may take to
 	// reach the neighbours.
@@ -83,7 +83,8 @@
 }
 
 // shutdown lets the callers take notice first, then withdraws the node from the
-// fleet, and in the end lets the requests in flight finish.
+// fleet, and in the end lets the requests in flight finish. From then on it refuses those
+// that it may not have the time for.
 func (n *Node) shutdown(s os.Signal) {
 	began := time.Now()
 	_ = n.log.Log("event", "shutdown_started", "signal", s)
@@ -94,7 +95,9 @@
 	n.pub.withdrawn.Store(true)
 	n.announce(n.pub.instance.Load())
 	time.Sleep(min(withdrawLead, notice))
-	ctx, cancel := context.WithDeadline(n.ctx, began.Add(n.set.grace()-n.set.grace()/exitPart))
+	end := began.Add(n.set.grace() - n.set.grace()/exitPart)
+	n.proxy.Leave(end)
+	ctx, cancel := context.WithDeadline(n.ctx, end)
 	defer cancel()
 	err := n.callers.shutdown(ctx)
 	// The gate ends last: requests of this host's callers may be using it.
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -99,6 +99,7 @@
 // The reasons.
 const (
 	ReasonNotReady         Reason = "not-ready"         // the node holds no whole version yet
+	ReasonLeaving          Reason = "leaving"           // the node ends before the request's deadline
 	ReasonNoOrganisation   Reason = "no-organisation"   // no contract has this host
 	ReasonNoRoute          Reason = "no-route"          // the contract has no matching route
 	ReasonUnknownKey       Reason = "unknown-key"       // no organisation holds the caller's key
--- a/transport/callers/cut.go
+++ b/transport/callers/cut.go
@@ -34,6 +34,24 @@
 	s.cfg.Metrics.GetOrCreateCounter(`jacinthgate_callers_cut_total{cause="` + string(cause) + `"}`).Inc()
 }
 
+// cancelOpen cancels the requests that are under way.
+func (s *Server) cancelOpen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.cancelOpen()
+	}
+}
+
+// cancelOpen cancels a connection's requests that are under way.
+func (c *conn) cancelOpen() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.open {
+		x.cancel()
+	}
+}
+
 // cutOpen notes the requests that are still under way, whose connections are about to be
 // closed.
 func (s *Server) cutOpen() error {
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -118,12 +118,18 @@
 // Leave closes each connection after its next answer.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
-// shutdownCheck is the time between two looks whether connections have ended.
-const shutdownCheck = 10 * time.Millisecond
+const (
+	// shutdownCheck is the time between two looks whether connections have ended.
+	shutdownCheck = 10 * time.Millisecond
+	// lastAnswers is how long requests that are cancelled at the end of a shutdown have for
+	// their answers. The handler has them ready at once.
+	lastAnswers = 200 * time.Millisecond
+)
 
 // Shutdown stops accepting connections, closes the idle ones and waits until
-// the requests that were read have been answered, or ctx ends; the error is then a
-// *CutError.
+// the requests that were read have been answered, or ctx ends. It then cancels those that
+// are left, so that the handler answers them, and returns a *CutError for those that it
+// doesn't.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Leave()
 	s.mu.Lock()
@@ -133,18 +139,29 @@
 	if l != nil {
 		_ = l.Close() // Serve reports it
 	}
+	if s.awaitEnd(ctx) {
+		return nil
+	}
+	s.cancelOpen()
+	rest, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswers)
+	defer cancel()
+	s.awaitEnd(rest)
+	return s.cutOpen()
+}
+
+// awaitEnd closes idle connections until there are none, and reports false when ctx ends
+// before.
+func (s *Server) awaitEnd(ctx context.Context) bool {
 	t := time.NewTicker(shutdownCheck)
 	defer t.Stop()
-	for {
-		if s.closeIdle() == 0 {
-			return nil
-		}
+	for s.closeIdle() > 0 {
 		select {
 		case <-t.C:
 		case <-ctx.Done():
-			return s.cutOpen()
+			return false
 		}
 	}
+	return true
 }
 
 // closeIdle closes the connections that have no request, and returns the number
--- a/transport/callers/server_test.go
+++ b/transport/callers/server_test.go
@@ -309,6 +309,24 @@
 	must.NoError(t, <-ended)
 }
 
+func TestRequestAtTheEndOfAShutdownIsAnswered(t *testing.T) {
+	begun := make(chan struct{})
+	s, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusBadGateway)
+	})
+	c, br := dial(t, addr)
+	send(t, c, get("/"))
+	<-begun
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	must.NoError(t, s.Shutdown(ctx))
+	resp, _ := answer(t, br)
+	must.Eq(t, http.StatusBadGateway, resp.StatusCode)
+	must.True(t, resp.Close)
+}
+
 func TestExpectedBodyIsAskedFor(t *testing.T) {
 	_, addr := start(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
 	c, br := dial(t, addr)
@@ -428,12 +446,16 @@
 			begun, release := make(chan struct{}), make(chan bool)
 			s, addr := start(t, func(_ http.ResponseWriter, r *http.Request) {
 				close(begun)
+				left := r.Context().Done()
+				if test.cause == cutShutdown {
+					left = nil // the handler doesn't notice that it is cancelled
+				}
 				select {
 				case broken := <-release:
 					if broken {
 						panic(http.ErrAbortHandler)
 					}
-				case <-r.Context().Done():
+				case <-left:
 					panic(http.ErrAbortHandler)
 				}
 			})
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -94,6 +94,9 @@
 			x.deadline = d
 		}
 	}
+	if refused := x.refuseLate(); refused != nil {
+		return refused
+	}
 	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline.Add(callerGrace))
 	if x.body, err = readBody(x.w, x.r, x.p.cfg.MaxKept); err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: outcome.ReasonCancelled}
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -83,6 +84,7 @@
 	returns  *attempt.Returns
 	together *attempt.Together
 	returned *metrics.Counter
+	end      atomic.Pointer[time.Time] // nil while the node isn't ending
 }
 
 // New returns a proxy.
