Let the soak see the whole rule on requests without an answer

The soak dropped how an exchange ended and when a request was written whole, looked only at requests that had arrived at a backend server, and let any fault of the store excuse everything; signals of one plan seldom met on one node, none in its start.

Callers now read and write HTTP/1.1 themselves, on kept and on new connections, some with a second request behind the first, with bodies of 60 KB and requests that are under way when a node ends. New: the check ends-with-an-answer (written whole, sent nowhere, no answer for more than 200 ms), own answers in place of one under way, faults of the store excuse nothing, and plans of planned work in series (-series) with signals until a process has ended and from the moment on at which the next one takes connections.

--- a/cmd/jacinthgate-soak/main.go
+++ b/cmd/jacinthgate-soak/main.go
@@ -44,6 +44,8 @@
 	planned, crashes, restores bool
 	// keys lets callers show keys, which come and go, and an organisation flood.
 	keys bool
+	// series leaves out all but planned work in series and faults of the store.
+	series bool
 }
 
 func (c *planFlags) set(f *flag.FlagSet) {
@@ -52,6 +54,7 @@
 	f.DurationVar(&c.length, "length", 20*time.Second, "time in which disturbances begin")
 	f.BoolVar(&c.planned, "planned", false, "planned work only")
 	f.BoolVar(&c.keys, "keys", false, "callers show keys that come and go, and an organisation floods")
+	f.BoolVar(&c.series, "series", false, "planned work in series that overlap, beside faults of the store")
 	f.BoolVar(&c.crashes, "crashes", false, "backend servers that crash and return, and requests that end them")
 	f.BoolVar(&c.restores, "restores", false, "a store that comes back from older copies")
 }
@@ -61,6 +64,8 @@
 	switch {
 	case c.planned:
 		return soak.NewPlannedPlan(seed, c.nodes, c.length)
+	case c.series:
+		return soak.NewSeriesPlan(seed, c.nodes, c.length)
 	case c.keys:
 		return soak.NewKeyPlan(seed, c.nodes, c.length)
 	case c.crashes:
@@ -85,7 +90,7 @@
 func (*planCmd) Name() string     { return "plan" }
 func (*planCmd) Synopsis() string { return "print the disturbances of a seed" }
 func (*planCmd) Usage() string {
-	return "plan -seed N [-nodes N] [-length D] [-planned | -crashes | -restores | -keys]\n"
+	return "plan -seed N [-nodes N] [-length D] [-planned | -series | -crashes | -restores | -keys]\n"
 }
 func (c *planCmd) SetFlags(f *flag.FlagSet) { c.set(f) }
 
@@ -97,15 +102,16 @@
 // runCmd plays plans.
 type runCmd struct {
 	planFlags
-	seeds int
-	bin   string
-	dir   string
+	seeds   int
+	callers int
+	bin     string
+	dir     string
 }
 
 func (*runCmd) Name() string     { return "run" }
 func (*runCmd) Synopsis() string { return "play seeds and check the promises" }
 func (*runCmd) Usage() string {
-	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -crashes | -restores | -keys] [-bin DIR] [-dir DIR]
+	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -series | -crashes | -restores | -keys] [-bin DIR] [-dir DIR]
 Plays one seed after the other. A seed that breaks a promise is printed with what
 was seen, and its logs stay in DIR/SEED. Exit code 1 if any did.
 `
@@ -114,6 +120,7 @@
 func (c *runCmd) SetFlags(f *flag.FlagSet) {
 	c.set(f)
 	f.IntVar(&c.seeds, "seeds", 1, "number of seeds, counted up from the first")
+	f.IntVar(&c.callers, "callers", soak.CallersPerNode, "number of callers beside each node")
 	f.StringVar(&c.bin, "bin", "bin", "`folder` with the programs")
 	f.StringVar(&c.dir, "dir", "", "`folder` for settings and logs; empty takes one that is removed when nothing broke")
 }
@@ -145,7 +152,7 @@
 		return false, err
 	}
 	plan := c.plan(seed)
-	r, err := soak.Run(ctx, soak.Config{Bin: bin, Dir: dir, Plan: plan})
+	r, err := soak.Run(ctx, soak.Config{Bin: bin, Dir: dir, Plan: plan, Callers: c.callers})
 	if err != nil {
 		return false, err
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -59,6 +59,9 @@
 	}
 }
 
+// Failed reports whether the process has ended by a signal or with an error.
+func (p *Process) Failed() bool { return !p.Alive() && !p.cmd.ProcessState.Success() }
+
 // Signal sends a signal to this very process.
 func (p *Process) Signal(s os.Signal) error {
 	if !p.Alive() {
--- /dev/null
+++ b/internal/soak/caller.go
@@ -0,0 +1,128 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/platform/platformtest"
+)
+
+// dialWait is how long a caller waits for a connection.
+const dialWait = time.Second
+
+// caller sends requests over one connection, which it keeps until the node closes it. It
+// reads and writes HTTP/1.1 by itself: a client library would repeat requests, and hide when
+// one was written whole and how its connection ended.
+type caller struct {
+	addr string
+	// fresh closes the connection after each exchange.
+	fresh bool
+
+	conn net.Conn
+	br   *bufio.Reader
+}
+
+// exchange sends requests, each behind the one before it, and notes what becomes of them.
+func (c *caller) exchange(batch ...*Request) {
+	for i, r := range batch {
+		r.Sent, r.Behind = time.Now(), i > 0
+	}
+	defer func() {
+		now := time.Now()
+		for _, r := range batch {
+			if r.Done.IsZero() {
+				r.Done = now
+			}
+		}
+		if c.fresh {
+			c.close()
+		}
+	}()
+	if err := c.open(mostPatient(batch) * 3 / 2); err != nil {
+		batch[0].End = err.Error()
+		return
+	}
+	for _, r := range batch {
+		if err := c.write(r); err != nil {
+			r.End = err.Error()
+			break // what was written before may still be answered
+		}
+	}
+	for _, r := range batch {
+		if r.Written.IsZero() || !c.read(r) {
+			c.close()
+			return
+		}
+	}
+}
+
+// mostPatient returns how long the most patient caller of some requests waits.
+func mostPatient(batch []*Request) time.Duration {
+	most := time.Duration(0)
+	for _, r := range batch {
+		most = max(most, r.Wait)
+	}
+	return most
+}
+
+// open opens a connection unless there is one, and bounds the time of an exchange.
+func (c *caller) open(bound time.Duration) error {
+	if c.conn == nil {
+		conn, err := net.DialTimeout("tcp", c.addr, dialWait)
+		if err != nil {
+			return err
+		}
+		c.conn, c.br = conn, bufio.NewReader(conn)
+	}
+	return c.conn.SetDeadline(time.Now().Add(bound))
+}
+
+func (c *caller) close() {
+	if c.conn != nil {
+		_ = c.conn.Close() // nothing is expected of it any more
+		c.conn = nil
+	}
+}
+
+// write writes a request.
+func (c *caller) write(r *Request) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", r.Method, r.Path, routeHost,
+		platformtest.HeaderRequestID, r.ID, platformtest.HeaderWait, r.Wait.Milliseconds())
+	if r.Key != "" {
+		fmt.Fprintf(&b, "Authorization: Bearer %s\r\n", r.Key)
+	}
+	if r.BodyBytes > 0 {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", r.BodyBytes)
+	}
+	b.WriteString("\r\n")
+	b.WriteString(strings.Repeat("b", r.BodyBytes))
+	if _, err := io.WriteString(c.conn, b.String()); err != nil {
+		return err
+	}
+	r.Written = time.Now()
+	return nil
+}
+
+// read reads an answer, and reports whether the next one may follow.
+func (c *caller) read(r *Request) bool {
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		r.End = err.Error()
+		return false
+	}
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close() // it was read to its end
+	r.Done = time.Now()
+	if err != nil {
+		r.End = err.Error()
+		return false
+	}
+	r.Status, r.Stamped, r.Body = resp.StatusCode, platformtest.Stamped(resp.Header), string(body)
+	return !resp.Close
+}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -3,25 +3,33 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/jacinthgate/jacinthgate/platform/platformtest"
 )
 
 // Parameters of the callers.
 const (
-	// callersPerNode is the number of callers beside each node, each with a
-	// connection of its own that it uses until the node closes it.
-	callersPerNode = 3
+	// CallersPerNode is the usual number of callers beside each node, each with a
+	// connection of its own.
+	CallersPerNode = 3
 	// callerPause is the time between two requests of a caller.
 	callerPause = 15 * time.Millisecond
-	// callerWait is how long a caller waits for an answer.
+	// callerWait is how long a caller waits for an answer, and slowWait for one of a request
+	// that takes long: until after the end of a node that was asked to stop as it was sent.
 	callerWait = 2 * time.Second
+	slowWait   = 4 * time.Second
+	// aheadEvery, freshEvery and slowEvery are how many requests there are to one that is
+	// sent with another behind it, one on a connection of its own, and one that takes long.
+	aheadEvery = 7
+	freshEvery = 5
+	slowEvery  = 200
+	// smallBody and largeBody are the sizes of bodies, in bytes: one that a node keeps, and
+	// one that it passes on as it comes. Every largeEvery-th is large.
+	smallBody  = 9
+	largeBody  = 60_000
+	largeEvery = 4
 	// routeHost is the host that all routes are of.
 	routeHost = "soak.example"
 )
@@ -33,24 +41,41 @@
 
 	mu       sync.Mutex
 	requests []Request
-	next     int
+	count    int
 	wait     sync.WaitGroup
 }
 
 // start starts the callers beside a node until ctx ends.
-func (c *callers) start(ctx context.Context, n *node) {
-	for range callersPerNode {
+func (c *callers) start(ctx context.Context, n *node, count int) {
+	for range count {
 		c.wait.Go(func() {
-			client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
-			defer client.CloseIdleConnections()
+			from := n.caller(false)
+			defer from.close()
 			for ctx.Err() == nil {
-				c.send(client, n, "")
+				c.next(from, n)
 				time.Sleep(callerPause)
 			}
 		})
 	}
 }
 
+// next sends the next requests of a caller.
+func (c *callers) next(from *caller, n *node) {
+	number := c.number()
+	batch := []*Request{c.request(n, number, "")}
+	if number%aheadEvery == 0 {
+		batch = append(batch, c.request(n, c.number(), "/status/"))
+	}
+	if number%freshEvery == 0 {
+		from.close()
+	}
+	from.exchange(batch...)
+	c.keep(batch...)
+}
+
+// caller returns a caller beside the node.
+func (n *node) caller(fresh bool) *caller { return &caller{addr: n.addr(portCallers), fresh: fresh} }
+
 // kinds are the requests in turn.
 var kinds = []struct {
 	method, prefix string
@@ -63,81 +88,75 @@
 
 // send sends one request, to a path with the given beginning or to one of the
 // routes in turn, and returns it as its caller saw it.
-func (c *callers) send(client *http.Client, n *node, prefix string) Request {
-	number := c.number()
-	kind := kinds[number%len(kinds)]
-	if prefix == "" {
-		prefix = kind.prefix
-	} else {
-		kind = kinds[0]
-	}
-	return c.sendAs(client, n, number, kind.method, prefix+requestID(number), kind.idempotent)
+func (c *callers) send(from *caller, n *node, prefix string) Request {
+	r := c.request(n, c.number(), prefix)
+	from.exchange(r)
+	c.keep(r)
+	return *r
 }
 
-// ask sends one request for a path and returns it as its caller saw it.
-func (c *callers) ask(client *http.Client, n *node, method, path string, idempotent bool) Request {
-	return c.sendAs(client, n, c.number(), method, path, idempotent)
+// ask sends one request that may run more than once for a path and returns it as its caller
+// saw it.
+func (c *callers) ask(from *caller, n *node, path string) Request {
+	r := c.newRequest(n, c.number(), http.MethodGet, path, true)
+	from.exchange(r)
+	c.keep(r)
+	return *r
 }
 
 // number returns the number of the next request.
 func (c *callers) number() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.next++
-	return c.next
+	c.count++
+	return c.count
 }
 
 func requestID(number int) string { return fmt.Sprintf("soak-%d", number) }
 
-func (c *callers) sendAs(client *http.Client, n *node, number int, method, path string, idempotent bool) Request {
-	r := Request{
+// request returns the request of a number.
+func (c *callers) request(n *node, number int, prefix string) *Request {
+	kind := kinds[number%len(kinds)]
+	if prefix == "" {
+		prefix = kind.prefix
+	} else {
+		kind = kinds[0]
+	}
+	path := prefix + requestID(number)
+	if number%slowEvery == 0 && prefix == kind.prefix {
+		path += slowSuffix
+	}
+	return c.newRequest(n, number, kind.method, path, kind.idempotent)
+}
+
+func (c *callers) newRequest(n *node, number int, method, path string, idempotent bool) *Request {
+	r := &Request{
 		ID: requestID(number), Method: method, Path: path, Node: n.number, Service: n.set.Service, Idempotent: idempotent,
+		Wait: callerWait,
+	}
+	if isSlow(path) {
+		r.Wait = slowWait
+	}
+	if !idempotent {
+		r.BodyBytes = smallBody
+		if number%largeEvery == 0 {
+			r.BodyBytes = largeBody
+		}
 	}
 	if c.site.cfg.Plan.Keyed && !strings.HasPrefix(path, versionPrefix) {
 		newest, _ := c.versions.newest()
 		r.Key = keyFor(number, newest)
 	}
-	exchange(client, n.addr(portCallers), &r)
-	c.mu.Lock()
-	c.requests = append(c.requests, r)
-	c.mu.Unlock()
 	return r
 }
 
-// exchange sends a request and notes its answer.
-func exchange(client *http.Client, addr string, r *Request) {
-	ctx, cancel := context.WithTimeout(context.Background(), callerWait+callerWait/2)
-	defer cancel()
-	defer func() { r.Done = time.Now() }()
-	content := ""
-	if !r.Idempotent {
-		content = "a booking"
-	}
-	// A body that can't be read again, be it empty, keeps net/http from repeating
-	// the request on a connection that was closed: its caller would have given
-	// that attempt another id.
-	body := io.NopCloser(strings.NewReader(content))
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+addr+r.Path, body)
-	if err != nil {
-		return // the address is the site's own
-	}
-	req.Host = routeHost
-	req.Header.Set(platformtest.HeaderRequestID, r.ID)
-	if r.Key != "" {
-		req.Header.Set("Authorization", "Bearer "+r.Key)
-	}
-	req.Header.Set(platformtest.HeaderWait, strconv.FormatInt(callerWait.Milliseconds(), 10))
-	r.Sent = time.Now()
-	resp, err := client.Do(req)
-	if err != nil {
-		return
-	}
-	defer resp.Body.Close()
-	b, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return
+// keep notes requests whose exchange is over.
+func (c *callers) keep(batch ...*Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range batch {
+		c.requests = append(c.requests, *r)
 	}
-	r.Status, r.Stamped, r.Body = resp.StatusCode, platformtest.Stamped(resp.Header), string(b)
 }
 
 // taken returns the requests so far.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -24,8 +24,12 @@
 	CheckAsked Check = "only-what-was-asked"
 	// CheckDrain: a backend server gets nothing after its drain.
 	CheckDrain Check = "drained"
-	// CheckPlanned: planned work cuts no request that a backend server runs.
+	// CheckPlanned: planned work, also beside faults of the store, cuts no request that a
+	// backend server runs, nor puts an answer of the node in place of the one to come.
 	CheckPlanned Check = "planned-work-cuts-nothing"
+	// CheckEnds: likewise each request that was written whole is answered, or its
+	// connection ends at once.
+	CheckEnds Check = "ends-with-an-answer"
 	// CheckStop: a node that is asked to stop ends by itself in time.
 	CheckStop Check = "stops-in-time"
 	// CheckVersion: a node never goes back to an older configuration, and the
@@ -68,8 +72,17 @@
 	Idempotent bool
 	// Key is what the caller showed; empty for none.
 	Key string
-	// Sent and Done are when it was sent and answered or given up.
-	Sent, Done time.Time
+	// BodyBytes is the size of its body.
+	BodyBytes int
+	// Wait is how long its caller waits.
+	Wait time.Duration
+	// Behind says that it was sent behind another one that wasn't answered yet.
+	Behind bool
+	// Sent and Done are when it was sent and answered or given up, and Written when it was
+	// written whole; zero where it wasn't.
+	Sent, Written, Done time.Time
+	// End says how its connection ended without a whole answer.
+	End string
 	// Status is the answer's; 0 without a whole one.
 	Status int
 	// Stamped says that a backend server has signed the answer.
@@ -94,6 +107,15 @@
 	Organisation, Credentials string
 	// At is when it arrived, and Sent when its caller sent it, where a check asks for that.
 	At, Sent time.Time
+	// Work is how long it takes the backend server.
+	Work time.Duration
+}
+
+// Stop is a node that was asked to stop.
+type Stop struct {
+	// Node is the number of the node, and At when it got SIGTERM.
+	Node int
+	At   time.Time
 }
 
 // Span is a time in which something was disturbed.
@@ -114,8 +136,9 @@
 	Arrivals []Arrival
 	// Drained is when the drain of each start of a backend server was over, by startOf.
 	Drained map[string]time.Time
-	// Spans are the disturbances.
+	// Spans are the disturbances, and Stops the SIGTERMs among them.
 	Spans []Span
+	Stops []Stop
 	// Keyed says that callers show keys.
 	Keyed bool
 	// Accepted is when each version of the configuration was accepted, from the first.
@@ -188,8 +211,8 @@
 	if r.Status == http.StatusOK && !h.own(r, ran) {
 		found.add(CheckWhole, "%s got %q, signed %v", r.ID, r.Body, r.Stamped)
 	}
-	if r.Status == 0 && len(ran) > 0 && h.onlyPlanned(r) {
-		found.add(CheckPlanned, "%s to node %d ran at %s and got no answer", r.ID, r.Node, ran[0].Server)
+	if !h.disturbedAt(r) {
+		h.checkEnd(r, ran, found)
 	}
 }
 
@@ -203,19 +226,3 @@
 
 // Answer is the body with which a backend server answers.
 func Answer(server, path string) string { return server + " ran " + path }
-
-// onlyPlanned reports whether planned work, and nothing else, was under way
-// around the request.
-func (h *History) onlyPlanned(r *Request) bool {
-	planned := false
-	for _, s := range h.Spans {
-		if s.From.After(r.Done) || s.To.Before(r.Sent.Add(-calm)) {
-			continue
-		}
-		if !s.Fault.Planned() {
-			return false
-		}
-		planned = true
-	}
-	return planned
-}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -18,7 +18,7 @@
 func served() History {
 	return History{
 		Requests: []Request{{
-			ID: "a", Method: "POST", Path: "/book/a", Service: "rooms", Sent: at(0), Done: at(50),
+			ID: "a", Method: "POST", Path: "/book/a", Service: "rooms", Sent: at(0), Written: at(1), Done: at(50), Wait: callerWait,
 			Status: http.StatusOK, Stamped: true, Body: Answer("i-1", "/book/a"),
 		}},
 		Arrivals: []Arrival{{Server: "i-1", ID: "a", Method: "POST", Path: "/book/a", Caller: "rooms", At: at(10)}},
@@ -37,9 +37,13 @@
 		CheckNotRun: func(h *History) {
 			h.Requests[0].Status, h.Requests[0].Stamped = http.StatusServiceUnavailable, false
 		},
-		CheckAsked:      func(h *History) { h.Arrivals[0].Caller = "another" },
-		CheckDrain:      func(h *History) { h.Drained["i-1"] = at(10).Add(-drainMargin - time.Millisecond) },
-		CheckPlanned:    func(h *History) { h.Requests[0].Status = 0 },
+		CheckAsked:   func(h *History) { h.Arrivals[0].Caller = "another" },
+		CheckDrain:   func(h *History) { h.Drained["i-1"] = at(10).Add(-drainMargin - time.Millisecond) },
+		CheckPlanned: func(h *History) { h.Requests[0].Status = 0 },
+		CheckEnds: func(h *History) {
+			h.Arrivals = nil
+			h.Requests[0].Status, h.Requests[0].Done = 0, at(300)
+		},
 		CheckQuarantine: func(h *History) { h.askDeadly(0, 100, 200, 3300, 3400, 3500, 3600) },
 	} {
 		t.Run(string(want), func(t *testing.T) {
@@ -53,6 +57,37 @@
 	}
 }
 
+// asksToStop makes the history that of a node that got SIGTERM at a time, and of a request that
+// was answered with a status while its backend server was at work.
+func (h *History) asksToStop(stopped, sent, done, status int) {
+	h.Stops = []Stop{{At: at(stopped)}}
+	h.Arrivals[0].At, h.Arrivals[0].Work = at(sent), slowWork
+	r := &h.Requests[0]
+	r.Wait, r.Sent, r.Written, r.Done = slowWait, at(sent), at(sent), at(done)
+	r.Status, r.Stamped, r.Body = status, false, ""
+}
+
+func TestWhatPlannedWorkMayNotDo(t *testing.T) {
+	for name, spoil := range map[string]func(h *History){
+		"a cut beside faults of the store": func(h *History) {
+			h.Requests[0].Status = 0
+			h.Spans = append(h.Spans, Span{From: at(-100), To: at(100), Fault: FaultStoreDown})
+		},
+		"an own answer while a backend server is at work": func(h *History) { h.asksToStop(-1000, 0, 500, http.StatusBadGateway) },
+		"a cut before the end of the grace time":          func(h *History) { h.asksToStop(-1000, 0, 500, 0) },
+		"a cut of a request that was sent too late":       func(h *History) { h.asksToStop(0, 3100, 5100, 0) },
+		"a cut of a request that was sent behind another": func(h *History) { h.Requests[0].Status, h.Requests[0].Behind = 0, true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := served()
+			spoil(&h)
+			found := h.Violations()
+			must.Positive(t, len(found))
+			must.Eq(t, CheckPlanned, found[0].Check)
+		})
+	}
+}
+
 // askDeadly adds a request that reaches a new backend server at each of the times, in
 // milliseconds.
 func (h *History) askDeadly(times ...int) {
@@ -69,6 +104,19 @@
 			h.Requests[0].Status = 0
 			h.Spans = append(h.Spans, Span{From: at(-4000), To: at(-3000), Fault: FaultKill})
 		},
+		"a cut at the end of the grace time": func(h *History) { h.asksToStop(0, 2500, 5100, 0) },
+		"a node's answer then":               func(h *History) { h.asksToStop(0, 2500, 5100, http.StatusBadGateway) },
+		"a node's answer when the caller's time is over": func(h *History) {
+			h.asksToStop(-1000, 0, int(slowWait.Milliseconds()), http.StatusGatewayTimeout)
+		},
+		"a connection that ends as the request is written": func(h *History) {
+			h.Arrivals = nil
+			h.Requests[0].Status, h.Requests[0].Done = 0, at(150)
+		},
+		"a refused connection": func(h *History) {
+			h.Arrivals = nil
+			h.Requests[0].Status, h.Requests[0].Written, h.Requests[0].Done = 0, time.Time{}, at(900)
+		},
 		"an idempotent request that ran twice": func(h *History) {
 			h.Requests[0].Idempotent = true
 			h.Arrivals = append(h.Arrivals, h.Arrivals[0])
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -28,7 +27,7 @@
 	over := s.open(step.Fault, step.Node)
 	defer over()
 	switch step.Fault {
-	case FaultTerm, FaultKill, FaultFreeze:
+	case FaultTerm, FaultKill, FaultFreeze, FaultSignals:
 		s.strike(ctx, n, step)
 	case FaultHup:
 		s.hup(n)
@@ -74,11 +73,10 @@
 
 // askDeadly asks at all nodes in turn for one of two paths that end backend servers.
 func (s *soak) askDeadly(ctx context.Context, step Step) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	until := time.Now().Add(step.For)
 	for i := step.Node; time.Now().Before(until) && ctx.Err() == nil; i++ {
 		n := s.site.nodes[i%len(s.site.nodes)]
-		s.callers.ask(client, n, http.MethodGet, deadlyPath(step.Node%2), true)
+		s.callers.ask(n.caller(true), n, deadlyPath(step.Node%2))
 		wait(ctx, deadlyEvery)
 	}
 }
@@ -96,10 +94,19 @@
 		return
 	case FaultTerm:
 		s.terminate(n, graceTime+stopMargin)
+	case FaultSignals:
+		s.signals(ctx, n)
+		return
 	case FaultKill:
 		p.Kill()
 		wait(ctx, step.For)
 	}
+	s.startAgain(n)
+	wait(ctx, settled)
+}
+
+// startAgain starts a node's process anew.
+func (s *soak) startAgain(n *node) {
 	n.set.FirstStart = false
 	if err := n.write(); err != nil {
 		s.add(CheckRecovery, "%s: %v", n.name, err)
@@ -107,13 +114,17 @@
 	if err := s.site.start(n); err != nil {
 		s.add(CheckRecovery, "%s: %v", n.name, err)
 	}
-	wait(ctx, settled)
 }
 
 // hup changes the node's settings file and sends SIGHUP.
 func (s *soak) hup(n *node) {
 	n.busy.Lock()
 	defer n.busy.Unlock()
+	s.reload(n)
+}
+
+// reload is hup; n.busy is held.
+func (s *soak) reload(n *node) {
 	n.set.Retry.Slack++
 	if err := n.write(); err != nil {
 		s.add(CheckRecovery, "%s: %v", n.name, err)
--- a/internal/soak/keys.go
+++ b/internal/soak/keys.go
@@ -133,17 +133,28 @@
 // held reports whether a key was known to every node as the request was sent and answered.
 func (h *History) held(r *Request) bool {
 	n, rotates := brought(r.Key)
-	if rotates && (n > len(h.Accepted) || r.Sent.Sub(h.Accepted[n-1]) < inForce || h.disturbedAt(r)) {
+	if rotates && (n > len(h.Accepted) || r.Sent.Sub(h.Accepted[n-1]) < inForce || h.disturbedAt(r) || h.storeDisturbedAt(r)) {
 		return false
 	}
 	at, gone := h.takenAway(r.Key)
 	return !gone || r.Done.Before(at)
 }
 
-// disturbedAt reports whether anything but planned work was under way around a request.
+// storeDisturbedAt reports whether the store was disturbed around a request.
+func (h *History) storeDisturbedAt(r *Request) bool {
+	return h.during(r, func(f Fault) bool { return f.OfStore() })
+}
+
+// disturbedAt reports whether anything but planned work and faults of the store was under way
+// around a request.
 func (h *History) disturbedAt(r *Request) bool {
+	return h.during(r, func(f Fault) bool { return !f.Planned() && !f.OfStore() })
+}
+
+// during reports whether a fault was under way around a request.
+func (h *History) during(r *Request, is func(Fault) bool) bool {
 	return slices.ContainsFunc(h.Spans, func(s Span) bool {
-		return !s.Fault.Planned() && !s.From.After(r.Done) && !s.To.Before(r.Sent.Add(-calm))
+		return is(s.Fault) && !s.From.After(r.Done) && !s.To.Before(r.Sent.Add(-calm))
 	})
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -54,14 +54,23 @@
 	FaultDeadly Fault = "deadly"
 	// FaultRestore lets the store go back to the copy that was taken when it began.
 	FaultRestore Fault = "restore"
+	// FaultSignals sends a node signals in series: SIGHUPs, SIGTERMs among further signals
+	// until it has ended, and more of them while it starts.
+	FaultSignals Fault = "signals"
 )
 
 // planned are the disturbances that belong to daily work.
 var planned = []Fault{FaultTerm, FaultHup, FaultChange, FaultDrain}
 
+// ofStore are the faults of the store.
+var ofStore = []Fault{FaultStoreDown, FaultStoreSlow, FaultStoreLost, FaultCompact, FaultRestore}
+
 // Planned reports whether the disturbance belongs to daily work, beside which
 // nothing may be cut.
-func (f Fault) Planned() bool { return slices.Contains(planned, f) }
+func (f Fault) Planned() bool { return f == FaultSignals || slices.Contains(planned, f) }
+
+// OfStore reports whether only the store is struck, beside which nothing may be cut either.
+func (f Fault) OfStore() bool { return slices.Contains(ofStore, f) }
 
 // all are the kinds that a plan draws from; planned work comes twice as often.
 var all = append([]Fault{
@@ -79,6 +88,12 @@
 // keyed are the kinds of a plan with keys: versions follow each other quickly.
 var keyed = append([]Fault{FaultChange, FaultChange, FaultChange, FaultChange}, all...)
 
+// series are the kinds of planned work in series, beside faults of the store.
+var series = []Fault{
+	FaultSignals, FaultSignals, FaultTerm, FaultHup, FaultHup, FaultChange, FaultChange, FaultDrain,
+	FaultStoreDown, FaultStoreSlow, FaultStoreLost, FaultCompact,
+}
+
 // restoring are the kinds around a store that comes back from older copies.
 var restoring = []Fault{
 	FaultRestore, FaultRestore, FaultRestore, FaultChange, FaultChange, FaultDrain, FaultTerm, FaultKill,
@@ -123,6 +138,8 @@
 	// stepEvery is the mean time between two disturbances: they overlap, and
 	// most of them are over before the next two have begun.
 	stepEvery = 900 * time.Millisecond
+	// seriesEvery is that time in a series.
+	seriesEvery = 300 * time.Millisecond
 	// shortest and longest bound how long one lasts: from less than a heartbeat
 	// between nodes to more than the time after which a silent node is dropped.
 	shortest = 300 * time.Millisecond
@@ -131,38 +148,45 @@
 
 // NewPlan draws a schedule of all kinds. The same arguments give the same plan.
 func NewPlan(seed uint64, nodes int, length time.Duration) Plan {
-	return draw(all, seed, nodes, length)
+	return draw(all, stepEvery, seed, nodes, length)
 }
 
 // NewPlannedPlan draws a schedule of planned work alone: what that may not cut is
 // seldom seen beside other disturbances.
 func NewPlannedPlan(seed uint64, nodes int, length time.Duration) Plan {
-	return draw(planned, seed, nodes, length)
+	return draw(planned, stepEvery, seed, nodes, length)
 }
 
 // NewCrashPlan draws a schedule around backend servers that crash, return under their
 // identifier, and get requests that end them.
 func NewCrashPlan(seed uint64, nodes int, length time.Duration) Plan {
-	return draw(crashing, seed, nodes, length)
+	return draw(crashing, stepEvery, seed, nodes, length)
 }
 
 // NewKeyPlan draws a schedule of all kinds in which keys come and go.
 func NewKeyPlan(seed uint64, nodes int, length time.Duration) Plan {
-	p := draw(keyed, seed, nodes, length)
+	p := draw(keyed, stepEvery, seed, nodes, length)
 	p.Keyed = true
 	return p
 }
 
 // NewRestorePlan draws a schedule around a store that comes back from older copies.
 func NewRestorePlan(seed uint64, nodes int, length time.Duration) Plan {
-	return draw(restoring, seed, nodes, length)
+	return draw(restoring, stepEvery, seed, nodes, length)
+}
+
+// NewSeriesPlan draws a schedule of planned work in series that overlap, with signals at any
+// moment of a process, beside faults of the store.
+func NewSeriesPlan(seed uint64, nodes int, length time.Duration) Plan {
+	return draw(series, seriesEvery, seed, nodes, length)
 }
 
-func draw(kinds []Fault, seed uint64, nodes int, length time.Duration) Plan {
+// draw draws a schedule of some kinds, with a mean time between two disturbances.
+func draw(kinds []Fault, every time.Duration, seed uint64, nodes int, length time.Duration) Plan {
 	rng := rand.New(rand.NewPCG(seed, seed))
 	p := Plan{Seed: seed, Nodes: nodes, Length: length}
 	for at := time.Duration(0); ; {
-		at += time.Duration(rng.ExpFloat64() * float64(stepEvery))
+		at += time.Duration(rng.ExpFloat64() * float64(every))
 		if at >= length {
 			return p
 		}
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -51,9 +51,8 @@
 func (s *soak) checkLast(ctx context.Context, bound time.Duration) {
 	s.versions.change()
 	version, accepted := s.versions.newest()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, n := range s.site.nodes {
-		for s.callers.send(client, n, versionRoute(version)).Status != http.StatusOK {
+		for s.callers.send(n.caller(true), n, versionRoute(version)).Status != http.StatusOK {
 			if ctx.Err() != nil {
 				return
 			}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -40,6 +40,7 @@
 
 	mu      sync.Mutex
 	spans   []Span
+	stops   []Stop
 	drained map[string]time.Time
 	found   []Violation
 	faults  map[Fault]int // of the store, under way
@@ -101,7 +102,7 @@
 	defer stop()
 	var watches sync.WaitGroup
 	for _, n := range s.site.nodes {
-		s.callers.start(load, n)
+		s.callers.start(load, n, s.site.cfg.Callers)
 		watches.Go(func() {
 			s.versions.watch(load, n, func(accepted time.Time) bool { return !s.disturbed(accepted.Add(-calm)) })
 		})
@@ -163,8 +164,7 @@
 func (s *soak) awaitServing(ctx context.Context, bound time.Duration) *node {
 	deadline := time.Now().Add(bound)
 	for _, n := range s.site.nodes {
-		client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-		for s.callers.send(client, n, "/status/").Status != http.StatusOK {
+		for s.callers.send(n.caller(true), n, "/status/").Status != http.StatusOK {
 			if time.Now().After(deadline) || ctx.Err() != nil {
 				return n
 			}
@@ -198,14 +198,21 @@
 		s.add(CheckStop, "%s has ended by itself", n.name)
 		return
 	}
+	s.noteStop(n)
 	if !p.Terminate(bound) {
 		s.add(CheckStop, "%s still ran %v after SIGTERM", n.name, bound)
 	}
 }
 
+func (s *soak) noteStop(n *node) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stops = append(s.stops, Stop{Node: n.number, At: time.Now()})
+}
+
 // result gathers what callers and backend servers saw, and checks it.
 func (s *soak) result() Result {
-	h := History{Requests: s.callers.taken(), Drained: s.drained, Spans: s.spans, Keyed: s.site.cfg.Plan.Keyed, Accepted: s.versions.accepted}
+	h := History{Requests: s.callers.taken(), Drained: s.drained, Spans: s.spans, Stops: s.stops, Keyed: s.site.cfg.Plan.Keyed, Accepted: s.versions.accepted}
 	for _, n := range s.site.nodes {
 		for _, b := range n.host.all {
 			h.Arrivals = append(h.Arrivals, arrivals(b)...)
@@ -229,7 +236,7 @@
 	for _, seen := range b.Seen() {
 		out = append(out, Arrival{
 			Server: b.ID, Born: b.Born, ID: seen.ID, Method: seen.Method, Path: seen.Path, Caller: seen.Caller, Refused: seen.Refused, At: seen.At,
-			Organisation: seen.Headers.Get(platformtest.HeaderOrganisation), Credentials: seen.Headers.Get("Authorization"),
+			Work: b.workOf(seen.Path), Organisation: seen.Headers.Get(platformtest.HeaderOrganisation), Credentials: seen.Headers.Get("Authorization"),
 		})
 	}
 	return out
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +25,14 @@
 // when a node stops, whenever that is; short ones make many.
 var serverWork = map[string]time.Duration{services[0]: 30 * time.Millisecond, services[1]: 300 * time.Millisecond}
 
+// slowSuffix ends the paths of requests that take slowWork.
+const slowSuffix = "-slow"
+
+// slowWork is how long a request takes that is under way when its node ends.
+const slowWork = 3 * time.Second
+
+func isSlow(path string) bool { return strings.HasSuffix(path, slowSuffix) }
+
 // server is a backend server beside a node.
 type server struct {
 	*platformtest.Backend
@@ -50,12 +60,32 @@
 		}
 		return false
 	}
+	s.Answer = s.answer
 	s.addr = ln.Addr().String()
 	s.http = &http.Server{Handler: s.Backend}
 	go func() { _ = s.http.Serve(ln) }() // it ends with Close
 	return s, nil
 }
 
+// workOf returns how long a request for a path takes.
+func (s *server) workOf(path string) time.Duration {
+	if isSlow(path) {
+		return slowWork
+	}
+	return s.Work
+}
+
+// answer runs a request unless its caller leaves.
+func (s *server) answer(w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-time.After(s.workOf(r.URL.Path)):
+	case <-r.Context().Done():
+		return
+	}
+	platformtest.Stamp(w)
+	_, _ = io.WriteString(w, Answer(s.ID, r.URL.RequestURI())) // a caller that has left misses it
+}
+
 // host is what stands beside a node: the backend server of the moment.
 type host struct {
 	ip      string
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -27,6 +27,8 @@
 	Dir string
 	// Plan is the schedule of disturbances.
 	Plan Plan
+	// Callers is the number of callers beside each node.
+	Callers int
 }
 
 // Bounds that the nodes are given and held to.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,10 +34,11 @@
 		"crashes":      NewCrashPlan(2, 4, 6*time.Second),
 		"keys":         NewKeyPlan(72, 4, 6*time.Second),
 		"restores":     NewRestorePlan(1, 4, 6*time.Second),
+		"series":       NewSeriesPlan(5, 4, 6*time.Second),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r, err := Run(t.Context(), Config{Bin: bin, Dir: t.TempDir(), Plan: plan})
+			r, err := Run(t.Context(), Config{Bin: bin, Dir: t.TempDir(), Plan: plan, Callers: CallersPerNode})
 			must.NoError(t, err)
 			must.SliceEmpty(t, r.Violations, must.Sprint(r.Violations, "\n", plan))
 			must.Positive(t, r.Served)
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -68,6 +68,9 @@
 			Anonymous: true,
 		})
 	}
+	for i := range routes {
+		routes[i].TimeoutMillis = int(2 * slowWait.Milliseconds()) // callers give up before
+	}
 	config := platformtest.Config(fmt.Sprintf("r%d", next), services, routes...)
 	if v.site.cfg.Plan.Keyed {
 		config = platformtest.KeyedConfig(fmt.Sprintf("r%d", next), services, organisations(next), routes...)
@@ -92,14 +95,14 @@
 // watch looks until ctx ends which version a node has. late reports whether a
 // request that was sent at the given time had to find the newest version.
 func (v *versions) watch(ctx context.Context, n *node, late func(accepted time.Time) bool) {
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
-	defer client.CloseIdleConnections()
+	from := n.caller(false)
+	defer from.close()
 	shown, shownAt, shownLife := 0, time.Time{}, 0
 	for ctx.Err() == nil {
 		time.Sleep(askEvery)
 		version, accepted := v.newest()
 		_, before := n.running()
-		r := v.callers.send(client, n, versionRoute(version))
+		r := v.callers.send(from, n, versionRoute(version))
 		_, after := n.running()
 		if before != after || r.Status == 0 {
 			continue // which of the two lives has answered isn't known
