Let log lines on attempts give way to those on refusals

Cause: a process writes 100 lines a second and a burst of 400; a refused request leaves up to four lines on its attempts before the one on its refusal, so that the former used up what the latter needed.

--- a/cmd/jacinthgate-sidecar/main.go
+++ b/cmd/jacinthgate-sidecar/main.go
@@ -78,7 +78,8 @@
 	logger := logging.New(out, set.LogLevel)
 	logging.CatchLibraries(logger)
 	_ = logger.Log("event", "sidecar_starting", "node", set.Node, "version", version.String())
-	n, err := sidecar.New(set, c.settings, logger, out.Dropped)
+	details := logging.New(out.Details(), set.LogLevel)
+	n, err := sidecar.New(set, c.settings, logger, details, out.Dropped)
 	if err != nil {
 		return cli.Fail(program, err)
 	}
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -16,6 +16,9 @@
 	// overload that refuses every request costs no more in logs than this.
 	asyncPerSecond = 100
 	asyncBurst     = 400
+	// detailReserve is the part of the burst that details leave to other lines: one request
+	// may have several, and one line that tells of its end.
+	detailReserve = asyncBurst / 2
 )
 
 // Async is a writer that never blocks: lines wait in a bounded queue, and those
@@ -55,6 +58,20 @@
 	return len(line), nil
 }
 
+// Details returns a writer to the same output for lines that others go before.
+func (a *Async) Details() io.Writer { return detailWriter{a} }
+
+type detailWriter struct{ to *Async }
+
+// Write implements io.Writer.
+func (d detailWriter) Write(line []byte) (int, error) {
+	if d.to.limit.Tokens() < detailReserve {
+		d.to.dropped.Add(1)
+		return len(line), nil
+	}
+	return d.to.Write(line)
+}
+
 // Dropped returns the number of lines that were not written so far.
 func (a *Async) Dropped() uint64 { return a.dropped.Load() }
 
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,3 +53,23 @@
 		a.Close()
 	})
 }
+
+func TestDetailsLeaveRoomForOtherLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		a := NewAsync(&out)
+		const seconds, refusals, attempts = 10, 60, 240 // of each second
+		for range seconds {
+			for i := range refusals {
+				for range attempts / refusals {
+					_, _ = a.Details().Write([]byte("attempt\n"))
+				}
+				_, _ = a.Write([]byte("refusal " + strconv.Itoa(i) + "\n"))
+				time.Sleep(time.Second / refusals)
+			}
+		}
+		a.Close()
+		must.Eq(t, seconds*refusals, bytes.Count(out.Bytes(), []byte("refusal")))
+		must.Positive(t, bytes.Count(out.Bytes(), []byte("attempt")))
+	})
+}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -167,7 +167,8 @@
 		f.adapt(set)
 	}
 	must.NoError(f.t, set.check())
-	node, err := New(set, "no file", log.NewLogfmtLogger(log.NewSyncWriter(m.logs)), func() uint64 { return 0 })
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(m.logs))
+	node, err := New(set, "no file", logger, logger, func() uint64 { return 0 })
 	must.NoError(f.t, err)
 	m.node = node
 	go func() { m.ended <- node.Run(new(signals.Signals)) }()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -46,6 +46,7 @@
 	set     *Settings
 	path    string // of the settings file
 	log     log.Logger
+	details log.Logger // of lines that give way to those of log
 	metrics *metrics.Set
 	pub     *published
 
@@ -75,10 +76,11 @@
 }
 
 // New opens the node's addresses and wires its parts. Nothing runs before Run.
-// path is the settings file, read again when it changes; dropped counts the log
-// lines that were not written. The error is a *listen.Error.
-func New(set *Settings, path string, logger log.Logger, dropped func() uint64) (*Node, error) {
-	n := &Node{set: set, path: path, log: logger, metrics: metrics.NewSet(), pub: new(published)}
+// path is the settings file, read again when it changes. details gets the lines on attempts that
+// are part of a request. dropped counts the log lines that were not written. The error is a
+// *listen.Error.
+func New(set *Settings, path string, logger, details log.Logger, dropped func() uint64) (*Node, error) {
+	n := &Node{set: set, path: path, log: logger, details: details, metrics: metrics.NewSet(), pub: new(published)}
 	n.metrics.GetOrCreateGauge("jacinthgate_log_lines_dropped", func() float64 { return float64(dropped()) })
 	n.startDelay = registry.DefaultConfig().StartDelay(set.FirstStart, rand.Float64())
 	n.ctx, n.cancel = context.WithCancel(context.Background())
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -100,6 +100,7 @@
 		Lanes:       n.pub.lanes.Load,
 		Metrics:     n.metrics,
 		Logger:      n.log,
+		Details:     n.details,
 		Now:         time.Now,
 	})
 }
@@ -141,6 +142,7 @@
 		Seed:          seed,
 		Metrics:       n.metrics,
 		Logger:        n.log,
+		Details:       n.details,
 		Now:           time.Now,
 	})
 }
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -72,8 +72,9 @@
 	Lanes func() *rollout.Lanes
 	// Metrics is the set that metrics are registered in.
 	Metrics *metrics.Set
-	// Logger gets one line for each event.
-	Logger log.Logger
+	// Logger gets one line for each event, and Details those on attempts that are part of a
+	// request; nil is Logger.
+	Logger, Details log.Logger
 	// Now is the clock.
 	Now func() time.Time
 }
@@ -95,6 +96,9 @@
 
 // New returns a gate. Update must be called for it to let requests in.
 func New(cfg Config) *Gate {
+	if cfg.Details == nil {
+		cfg.Details = cfg.Logger
+	}
 	g := &Gate{cfg: cfg, core: core.New(), sending: make(chan struct{}, maxSending)}
 	g.crashes = crash.New(crash.Config{
 		Suspects:  cfg.Suspects,
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -102,7 +102,7 @@
 	case !g.cfg.Now().Before(c.Deadline):
 		reason = outcome.ReasonDeadline
 	}
-	_ = g.cfg.Logger.Log("event", "backend_send_failed", "request", g.cfg.Dialect.RequestID(req.Header),
+	_ = g.cfg.Details.Log("event", "backend_send_failed", "request", g.cfg.Dialect.RequestID(req.Header),
 		"fingerprint", c.fingerprint, "path", req.URL.Path, "instance", c.instance.Key(), "sent", sent, "reason", reason, "err", err)
 	switch {
 	case !sent:
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -254,6 +254,6 @@
 	}
 	choice.Done(x.p.cfg.Now(), balance.Result{Outcome: verdict})
 	x.trail.Note(out, reason)
-	_ = x.p.cfg.Logger.Log("event", "gate_send_failed", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
+	_ = x.p.cfg.Details.Log("event", "gate_send_failed", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
 		"node", choice.Record.Node, "instance", choice.Record.Instance, "sent", sent, "err", err)
 }
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -68,8 +68,9 @@
 	Seed uint64
 	// Metrics is the set that metrics are registered in.
 	Metrics *metrics.Set
-	// Logger gets one line for each event.
-	Logger log.Logger
+	// Logger gets one line for each event, and Details those on attempts that are part of a
+	// request; nil is Logger.
+	Logger, Details log.Logger
 	// Now is the clock.
 	Now func() time.Time
 }
@@ -89,6 +90,9 @@
 
 // New returns a proxy.
 func New(cfg Config) *Proxy {
+	if cfg.Details == nil {
+		cfg.Details = cfg.Logger
+	}
 	return &Proxy{
 		cfg: cfg, rand: random.New(cfg.Seed), started: cfg.Now(), returns: attempt.NewReturns(), together: attempt.NewTogether(),
 		returned: cfg.Metrics.GetOrCreateCounter("jacinthgate_outbound_returned_total"),
--- a/transport/outbound/take.go
+++ b/transport/outbound/take.go
@@ -44,7 +44,7 @@
 	if reason == outcome.ReasonQuarantined {
 		x.trail.Forbid(reason) // this node doesn't know it yet; another gate would say the same
 	}
-	_ = x.p.cfg.Logger.Log("event", "attempt_failed", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
+	_ = x.p.cfg.Details.Log("event", "attempt_failed", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
 		"route", x.route.Name, "node", choice.Record.Node, "instance", choice.Record.Instance, "outcome", out,
 		"reason", reason, "load", h.Get(outcome.HeaderLoad), "sends", x.trail.Progress.Sends, "reached", x.trail.Progress.Reached,
 		"left", x.deadline.Sub(x.p.cfg.Now()))
