Let the soak's callers come back when they are told to

The platform's clients wait for Retry-After, up to a third of their time, and only some don't. One caller in eight doesn't here.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -123,6 +124,9 @@
 		r.End = err.Error()
 		return false
 	}
+	if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		r.After = time.Duration(after * float64(time.Second))
+	}
 	r.Status, r.Stamped, r.Body = resp.StatusCode, platformtest.Stamped(resp.Header), string(body)
 	return !resp.Close
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -20,6 +20,9 @@
 	// that takes long: until after the end of a node that was asked to stop as it was sent.
 	callerWait = 2 * time.Second
 	slowWait   = 4 * time.Second
+	// impatientEvery is how many callers there are to one that comes back at once where it was
+	// told to wait. Others wait for up to a third of their time.
+	impatientEvery = 8
 	// aheadEvery, freshEvery and slowEvery are how many requests there are to one that is
 	// sent with another behind it, one on a connection of its own, and one that takes long.
 	aheadEvery = 7
@@ -47,20 +50,23 @@
 
 // start starts the callers beside a node until ctx ends.
 func (c *callers) start(ctx context.Context, n *node, count int) {
-	for range count {
+	for i := range count {
 		c.wait.Go(func() {
 			from := n.caller(false)
 			defer from.close()
 			for ctx.Err() == nil {
-				c.next(from, n)
-				time.Sleep(callerPause)
+				pause := c.next(from, n)
+				if i%impatientEvery == impatientEvery-1 {
+					pause = callerPause
+				}
+				wait(ctx, pause)
 			}
 		})
 	}
 }
 
-// next sends the next requests of a caller.
-func (c *callers) next(from *caller, n *node) {
+// next sends the next requests of a caller, and returns how long it pauses then.
+func (c *callers) next(from *caller, n *node) time.Duration {
 	number := c.number()
 	batch := []*Request{c.request(n, number, "")}
 	if number%aheadEvery == 0 {
@@ -71,6 +77,7 @@
 	}
 	from.exchange(batch...)
 	c.keep(batch...)
+	return max(callerPause, min(batch[0].After, batch[0].Wait/3))
 }
 
 // caller returns a caller beside the node.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -81,6 +81,8 @@
 	// Sent and Done are when it was sent and answered or given up, and Written when it was
 	// written whole; zero where it wasn't.
 	Sent, Written, Done time.Time
+	// After is when its caller was told to come back.
+	After time.Duration
 	// End says how its connection ended without a whole answer.
 	End string
 	// Status is the answer's; 0 without a whole one.
