Let a standby find out that an owner is gone within the first request's wait

Cause: the standby issues in an owner's place after three calls without an answer over 150 ms, and made one call for each request that reached it. At three requests a second over 62 nodes that took three of them, each refused after its wait.

The standby goes on calling the owner while the request waits; what it must have seen before it issues is unchanged.

--- a/transport/quota/owner.go
+++ b/transport/quota/owner.go
@@ -122,12 +122,16 @@
 	if first.Node == "" || first.Node == l.cfg.Self {
 		return &Answer{}
 	}
-	if !l.suspects.gone(first.Node, l.cfg.Now()) {
+	standby := second.Node == l.cfg.Self
+	for ctx.Err() == nil && !l.suspects.gone(first.Node, l.cfg.Now()) {
 		if a := l.call(ctx, first, askMessage(KindForward, r)); a != nil {
 			return a
 		}
+		if !standby {
+			return &Answer{}
+		}
 	}
-	if second.Node == l.cfg.Self && l.suspects.gone(first.Node, l.cfg.Now()) {
+	if standby && l.suspects.gone(first.Node, l.cfg.Now()) {
 		return l.serve(ctx, r)
 	}
 	return &Answer{}
