--- a/transport/quota/owner.go
+++ b/transport/quota/owner.go
@@ -122,16 +122,18 @@
 	if first.Node == "" || first.Node == l.cfg.Self {
 		return &Answer{}
 	}
-	standby := second.Node == l.cfg.Self
-	for ctx.Err() == nil && !l.suspects.gone(first.Node, l.cfg.Now()) {
+	for range callsUntilGone {
+		if l.suspects.gone(first.Node, l.cfg.Now()) {
+			break
+		}
 		if a := l.call(ctx, first, askMessage(KindForward, r)); a != nil {
 			return a
 		}
-		if !standby {
+		if second.Node != l.cfg.Self || ctx.Err() != nil {
 			return &Answer{}
 		}
 	}
-	if standby && l.suspects.gone(first.Node, l.cfg.Now()) {
+	if second.Node == l.cfg.Self && l.suspects.gone(first.Node, l.cfg.Now()) {
 		return l.serve(ctx, r)
 	}
 	return &Answer{}
--- a/transport/quota/suspects.go
+++ b/transport/quota/suspects.go
@@ -22,6 +22,8 @@
 	// reason, since the node issues on.
 	silentTime  = 150 * time.Millisecond
 	silentCalls = 3
+	// callsUntilGone is how many calls that take all of their time tell that a node is gone.
+	callsUntilGone = int(silentTime/onwardTimeout) + 1
 )
 
 // suspects are the nodes that didn't answer lately.
