--- a/transport/callers/idle.go
+++ b/transport/callers/idle.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/transport/sockopt"
@@ -27,20 +26,7 @@
 // arrived reports whether a read that ended at its deadline has left bytes behind. The
 // deadline may have passed before this process got to read them.
 func (c *conn) arrived(err error) bool {
-	if !errors.Is(err, os.ErrDeadlineExceeded) || c.hasEnded() {
-		return false
-	}
-	s, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false // it is closed
-	}
-	found := false
-	err = raw.Control(func(fd uintptr) { found = sockopt.Pending(int(fd)) })
-	return err == nil && found
+	return errors.Is(err, os.ErrDeadlineExceeded) && !c.hasEnded() && sockopt.Pending(c.raw)
 }
 
 // hasEnded reports whether an answer that ends the connection was sent.
--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -9,7 +9,6 @@
 	"net"
 	"os"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/transport/sockopt"
@@ -47,7 +46,9 @@
 			return nil, err
 		case !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
-		case !l.accepted.Swap(false) && !l.waiting():
+		case !l.accepted.Swap(false) && !sockopt.Waiting(l.Listener):
+			// The deadline alone doesn't say that nothing came: this process may have had no
+			// processor meanwhile.
 			l.end()
 			return nil, net.ErrClosed
 		}
@@ -62,22 +63,6 @@
 	}
 }
 
-// waiting reports whether the kernel holds a connection that nobody has accepted. A deadline
-// that has passed doesn't say: this process may have had no processor meanwhile.
-func (l *Listener) waiting() bool {
-	s, ok := l.Listener.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false // it is closed
-	}
-	found := false
-	err = raw.Control(func(fd uintptr) { found = sockopt.Readable(int(fd)) })
-	return err == nil && found
-}
-
 // end tells Drain that nothing will be accepted any more.
 func (l *Listener) end() {
 	if l.ended.CompareAndSwap(false, true) {
--- a/transport/sockopt/sockopt.go
+++ b/transport/sockopt/sockopt.go
@@ -32,21 +32,41 @@
 }
 
 // Pending reports whether a connection has received bytes that were not read. It doesn't wait
-// and leaves them where they are.
-func Pending(fd int) bool {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == nil && n > 0
+// and leaves them where they are. False also where it has no socket.
+func Pending(conn net.Conn) bool {
+	return look(conn, func(fd int) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err == nil && n > 0
+	})
 }
 
-// Readable reports whether a socket has something to read or to accept, or has been closed
-// by the other side. It doesn't wait.
-func Readable(fd int) bool {
-	for {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(fds, 0)
-		if !errors.Is(err, unix.EINTR) {
-			return err == nil && n > 0
+// Waiting reports whether the kernel holds a connection that nobody has accepted. It doesn't
+// wait. False also where the listener has no socket.
+func Waiting(l net.Listener) bool {
+	return look(l, func(fd int) bool {
+		for {
+			fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+			n, err := unix.Poll(fds, 0)
+			if !errors.Is(err, unix.EINTR) {
+				return err == nil && n > 0
+			}
 		}
+	})
+}
+
+// look calls f with the descriptor of a socket. Unlike reading and accepting it heeds no
+// deadline.
+func look(socket any, f func(fd int) bool) bool {
+	s, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false // it is closed
 	}
+	found := false
+	err = raw.Control(func(fd uintptr) { found = f(int(fd)) })
+	return err == nil && found
 }
--- a/transport/sockopt/sockopt_test.go
+++ b/transport/sockopt/sockopt_test.go
@@ -27,3 +27,28 @@
 		must.NoError(t, c.Close())
 	}
 }
+
+func TestBytesAndConnectionsThatWaitAreSeen(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	must.False(t, Waiting(ln))
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	must.NoError(t, err)
+	defer func() { _ = caller.Close() }()
+	must.True(t, Waiting(ln))
+	conn, err := ln.Accept()
+	must.NoError(t, err)
+	must.False(t, Waiting(ln))
+	must.False(t, Pending(conn))
+	_, err = caller.Write([]byte("x"))
+	must.NoError(t, err)
+	must.NoError(t, conn.SetReadDeadline(time.Unix(1, 0))) // the look heeds no deadline
+	must.True(t, Pending(conn))
+	must.NoError(t, conn.Close())
+	must.False(t, Pending(conn))
+	a, b := net.Pipe()
+	must.False(t, Pending(a))
+	must.NoError(t, a.Close())
+	must.NoError(t, b.Close())
+}
