Let a full log hold up no process's end

Whoever stops a node saw: where nobody reads its log and the pipe is full, the process doesn't end within its grace time and has to be killed.

Cause: at its end a process waited without bound for its log to take the lines that were left. While it runs, lines that find no room are dropped.

Evidence: TestFullLogDoesNotHoldUpTheEndOfTheProcess failed before (still there 20 s after SIGTERM with a grace time of 1 s). The wait is 200 ms at most now. Found by looking for what else ends a node otherwise than its shutdown does.

--- a/cmd/jacinthgate-sidecar/main_test.go
+++ b/cmd/jacinthgate-sidecar/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -10,6 +11,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -114,6 +116,40 @@
 	}
 }
 
+func TestFullLogDoesNotHoldUpTheEndOfTheProcess(t *testing.T) {
+	p := start(t, build(t))
+	p.await(t, "sidecar_started")
+	full(t, p.cmd.Process.Pid)
+	p.signal(t, syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { // Wait would take what is in the pipe
+		state, err := p.cmd.Process.Wait()
+		must.True(t, err != nil || state.Success())
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		must.NoError(t, err)
+	case <-time.After(20 * time.Second):
+		t.Fatal("the process waits for its log")
+	}
+}
+
+// full fills the pipe that a process writes its log to.
+func full(t *testing.T, pid int) {
+	t.Helper()
+	pipe, err := os.OpenFile(fmt.Sprintf("/proc/%d/fd/1", pid), os.O_WRONLY|syscall.O_NONBLOCK, 0)
+	must.NoError(t, err)
+	defer func() { must.NoError(t, pipe.Close()) }()
+	raw, err := pipe.SyscallConn()
+	must.NoError(t, err)
+	must.NoError(t, raw.Control(func(fd uintptr) {
+		for n := 1; n > 0; {
+			n, _ = syscall.Write(int(fd), make([]byte, 4096))
+		}
+	}))
+}
+
 func TestLogThatNobodyReadsDoesNotEndTheProcess(t *testing.T) {
 	p := start(t, build(t))
 	p.await(t, "sidecar_started")
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -19,6 +19,8 @@
 	// detailReserve is the part of the burst that details leave to other lines: one request
 	// may have several, and one line that tells of its end.
 	detailReserve = asyncBurst / 2
+	// flushTime bounds the wait for an output that takes nothing when the process ends.
+	flushTime = 200 * time.Millisecond
 )
 
 // Async is a writer that never blocks: lines wait in a bounded queue, and those
@@ -101,9 +103,12 @@
 	}
 }
 
-// Close writes the lines that wait and ends the writer. Lines that come later
-// are dropped.
+// Close writes the lines that wait, as far as the output takes them in flushTime, and ends
+// the writer. Lines that come later are dropped.
 func (a *Async) Close() {
 	close(a.done)
-	<-a.writing
+	select {
+	case <-a.writing:
+	case <-time.After(flushTime):
+	}
 }
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -73,3 +73,16 @@
 		must.Positive(t, bytes.Count(out.Bytes(), []byte("attempt")))
 	})
 }
+
+func TestOutputThatTakesNothingDoesNotHoldUpTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &stuck{release: make(chan struct{})}
+		a := NewAsync(out)
+		_, err := a.Write([]byte("line\n"))
+		must.NoError(t, err)
+		began := time.Now()
+		a.Close()
+		must.LessEq(t, flushTime, time.Since(began))
+		close(out.release)
+	})
+}
