--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -59,3 +59,21 @@
 		return s.Node == r.Node && r.Sent.Before(s.At.Add(noticeEnd)) && !r.Done.Before(s.At.Add(cutAfter))
 	})
 }
+
+// storeDisturbedAt reports whether the store was disturbed around a request.
+func (h *History) storeDisturbedAt(r *Request) bool {
+	return h.during(r, func(f Fault) bool { return f.OfStore() })
+}
+
+// disturbedAt reports whether anything but planned work and faults of the store was under way
+// around a request.
+func (h *History) disturbedAt(r *Request) bool {
+	return h.during(r, func(f Fault) bool { return !f.Planned() && !f.OfStore() })
+}
+
+// during reports whether a fault was under way around a request.
+func (h *History) during(r *Request, is func(Fault) bool) bool {
+	return slices.ContainsFunc(h.Spans, func(s Span) bool {
+		return is(s.Fault) && !s.From.After(r.Done) && !s.To.Before(r.Sent.Add(-calm))
+	})
+}
--- a/internal/soak/keys.go
+++ b/internal/soak/keys.go
@@ -140,24 +140,6 @@
 	return !gone || r.Done.Before(at)
 }
 
-// storeDisturbedAt reports whether the store was disturbed around a request.
-func (h *History) storeDisturbedAt(r *Request) bool {
-	return h.during(r, func(f Fault) bool { return f.OfStore() })
-}
-
-// disturbedAt reports whether anything but planned work and faults of the store was under way
-// around a request.
-func (h *History) disturbedAt(r *Request) bool {
-	return h.during(r, func(f Fault) bool { return !f.Planned() && !f.OfStore() })
-}
-
-// during reports whether a fault was under way around a request.
-func (h *History) during(r *Request, is func(Fault) bool) bool {
-	return slices.ContainsFunc(h.Spans, func(s Span) bool {
-		return is(s.Fault) && !s.From.After(r.Done) && !s.To.Before(r.Sent.Add(-calm))
-	})
-}
-
 // checkQuota checks that no window has more runs than the quota allows.
 func checkQuota(runs []Arrival, found *report) {
 	slices.SortFunc(runs, func(a, b Arrival) int { return a.At.Compare(b.At) })
