Serve uploads, confine requests to regions, and isolate faulty routes

A route of kind upload made all hosts refuse the whole configuration, so that no request was served. The regions to which routes and organisations are confined were not read at all.

- A route or service that can't be read or used is refused alone, with a log line and a gauge.
Requests of such a route get 503 and don't fall through to a route with a shorter prefix.
A configuration without any usable route is still refused whole.
- Uploads are never repeated.
The entry node sends a streamed body with Expect: 100-continue, and the gate asks for the body once it has a slot.
A refused upload has thus cost no bytes and can be sent elsewhere.
- Requests confined to regions are sent to no server elsewhere, not even as a last resort.
Without a server in their regions they are refused at once ("no-region").
- A server in another region is chosen only if it is expected to answer 70 ms sooner.
- Two kinds of messages that had no name in metrics get one.

--- a/coordination/attempt/comeback.go
+++ b/coordination/attempt/comeback.go
@@ -74,6 +74,19 @@
 	return proofLeast + time.Duration(lot*float64(proofSpread))
 }
 
+// Callers of a faulty route retry after a time in which operators may have corrected the
+// configuration.
+const (
+	faultLeast  = time.Second
+	faultSpread = time.Second
+)
+
+// ComeBackToFault returns when the caller of a faulty route should come back. lot is a random
+// number below 1.
+func ComeBackToFault(lot float64) time.Duration {
+	return faultLeast + time.Duration(lot*float64(faultSpread))
+}
+
 // startLeast is the least time after which a caller comes back to a node that has
 // just started: about as long as one takes to get the configuration and to know
 // backend servers. Much longer makes late what could be in time.
--- a/coordination/balance/config.go
+++ b/coordination/balance/config.go
@@ -27,6 +27,9 @@
 	// SpillMargin is how much sooner a server further away must answer than a
 	// nearer one to be taken, beyond what the request bears.
 	SpillMargin time.Duration
+	// RegionMargin replaces SpillMargin for a server in another region, where the round
+	// trip takes tens of milliseconds over links that all hosts share.
+	RegionMargin time.Duration
 	// ColdFloor is the smallest part of its share that a cold server gets,
 	// above 0.
 	ColdFloor float64
@@ -68,6 +71,7 @@
 		LatencyGain:  0.1,
 		LatencyCap:   4,
 		SpillMargin:  10 * time.Millisecond,
+		RegionMargin: 70 * time.Millisecond,
 		ColdFloor:    0.1,
 		Failures:     3,
 		FailureRate:  0.5,
--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -128,7 +128,7 @@
 		if trial {
 			return m, true
 		}
-		if best == nil || delay+p.cfg.SpillMargin+want.Patience < least {
+		if best == nil || delay+p.margin(tier(t))+want.Patience < least {
 			best, least = m, delay
 		}
 		if delay <= want.Patience || want.Near {
@@ -138,6 +138,14 @@
 	return best, false
 }
 
+// margin returns how much sooner a server of a tier must answer to be preferred to a nearer one.
+func (p *Picker) margin(t tier) time.Duration {
+	if t == tierFar {
+		return p.cfg.RegionMargin
+	}
+	return p.cfg.SpillMargin
+}
+
 // chooseIn returns the better of two random members and the delay there, or a
 // member that is due for its trial.
 func (p *Picker) chooseIn(g *group, members []member, tried *Tried, want Want, at int64) (*member, time.Duration, bool) {
--- a/coordination/balance/tried.go
+++ b/coordination/balance/tried.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"slices"
+
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
@@ -14,6 +16,9 @@
 	nodes [maxTried]model.NodeID
 	count int
 	zone  model.Zone
+	// regions are lists of allowed regions. A server's region must be in each list that isn't
+	// empty.
+	regions [2][]model.Region
 }
 
 // Add excludes a node. Beyond four nodes the oldest is forgotten.
@@ -35,6 +40,13 @@
 // excludes none.
 func (t *Tried) AvoidZone(z model.Zone) { t.zone = z }
 
+// Confine excludes the servers whose region isn't in both lists. An empty list allows all
+// regions.
+func (t *Tried) Confine(a, b []model.Region) { t.regions = [2][]model.Region{a, b} }
+
+// Confined reports whether servers are excluded by region.
+func (t *Tried) Confined() bool { return len(t.regions[0]) > 0 || len(t.regions[1]) > 0 }
+
 // Len returns the number of nodes added.
 func (t *Tried) Len() int {
 	if t == nil {
@@ -50,6 +62,11 @@
 	if t.zone != "" && t.zone == r.Zone {
 		return true
 	}
+	for _, allowed := range t.regions {
+		if len(allowed) > 0 && !slices.Contains(allowed, r.Region) {
+			return true
+		}
+	}
 	for i := range min(t.count, maxTried) {
 		if t.nodes[i] == r.Node {
 			return true
--- a/coordination/perwork/perwork.go
+++ b/coordination/perwork/perwork.go
@@ -58,7 +58,7 @@
 // known bounds the kinds that share a value.
 func known(kind model.ClassKind) model.ClassKind {
 	switch kind {
-	case model.KindInteractive, model.KindNonRepeatable, model.KindBulk:
+	case model.KindInteractive, model.KindNonRepeatable, model.KindUpload, model.KindBulk:
 		return kind
 	}
 	return model.KindEventual
--- a/coordination/rollout/evidence.go
+++ b/coordination/rollout/evidence.go
@@ -138,7 +138,7 @@
 		}
 		p.answers += tried
 		p.base += c.Base.Answers
-		if w.Kind != model.KindNonRepeatable {
+		if w.Kind.Repeatable() {
 			p.repeatable += tried
 			p.baseRepeatable += c.Base.Answers
 		}
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -144,6 +144,33 @@
 	})
 }
 
+// waitForServers waits until each node is ready and can send to the given number of backend
+// servers.
+func (f *fleet) waitForServers(servers int) {
+	f.t.Helper()
+	f.eventually(fmt.Sprintf("%d backend servers are used", servers), func() bool {
+		for _, m := range f.nodes {
+			v := m.node.pub.view.Load()
+			if !m.node.ready() || v == nil || len(v.Service("booking")) != servers {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// requestsInZone returns how many requests the backend servers of a zone got. Even nodes are in
+// z0, odd ones in z1.
+func (f *fleet) requestsInZone(zone int) int {
+	n := 0
+	for i, m := range f.nodes {
+		if i%2 == zone {
+			n += len(m.backend.Seen())
+		}
+	}
+	return n
+}
+
 func (f *fleet) start(i int, store string) *site {
 	m := &site{
 		backend: &platformtest.Backend{ID: fmt.Sprintf("i-%d", i), Service: "booking", Slots: 4},
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -192,6 +192,7 @@
 		return
 	}
 	l.pub.table.Store(table)
+	l.reportFaults(table)
 	l.prove(freshness.InForce{Version: a.Version})
 	l.applyQuotas()
 	_ = level.Info(l.log).Log("event", "config_applied", "version", a.Version, "from", a.From, "bytes", len(a.Body))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -158,13 +158,12 @@
 	g.Add(execute, interrupt)
 }
 
-// connections returns how many connections a backend server of a service
-// accepts; 0 when that isn't known.
-func (n *Node) connections(service string) int {
-	if t := n.pub.table.Load(); t != nil {
-		return t.Connections(service)
+// serviceConfig returns the configuration of a service; zero when it isn't known.
+func (p *published) serviceConfig(service string) route.Service {
+	if t := p.table.Load(); t != nil {
+		return t.ServiceConfig(service)
 	}
-	return 0
+	return route.Service{}
 }
 
 // weight returns the weight of an organisation.
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -82,7 +82,7 @@
 	}
 	return inbound.New(inbound.Config{
 		Instance:    n.pub.instance.Load,
-		Connections: n.connections,
+		Service:     n.pub.serviceConfig,
 		Weight:      n.weight,
 		Dialect:     speech,
 		Backend:     forward.NewClient(toBackend),
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -85,6 +85,9 @@
 	// at the service that repeated runs on its host call, in percent; without it they call
 	// none.
 	HeaderStrain = "Jacinthgate-Strain"
+	// HeaderAsked is "1" on a request whose Expect header was added by the entry node: the
+	// body follows once the gate has a slot for it.
+	HeaderAsked = "Jacinthgate-Asked"
 	// HeaderIdempotencyKey is the caller's key of a request that must run at
 	// most once.
 	HeaderIdempotencyKey = "Idempotency-Key"
@@ -124,6 +127,9 @@
 	ReasonBackendRefused   Reason = "backend-refused"   // the backend server refused before running
 	ReasonQuarantined      Reason = "quarantined"       // backend servers have crashed under such requests
 	ReasonWithdrawn        Reason = "withdrawn"         // the backend server is of a version that gets nothing
+	ReasonEvacuated        Reason = "evacuated"         // the backend server's availability zone is evacuated
+	ReasonNoRegion         Reason = "no-region"         // no backend server in the regions to which the request is confined
+	ReasonRouteFault       Reason = "route-fault"       // the route's configuration can't be used
 	ReasonMalformed        Reason = "malformed"         // the request can't be understood
 	ReasonTooLarge         Reason = "too-large"         // headers exceed the limit
 	ReasonOlderUnreachable Reason = "older-unreachable" // the older system did not accept the connection
--- a/state/model/contract.go
+++ b/state/model/contract.go
@@ -55,6 +55,8 @@
 	// KindNonRepeatable is work that must run at most once (a booking, a paid
 	// order).
 	KindNonRepeatable ClassKind = "non-repeatable"
+	// KindUpload is non-repeatable work with a large request body.
+	KindUpload ClassKind = "upload"
 	// KindInteractive is work a person waits for (a screen, an order status).
 	KindInteractive ClassKind = "interactive"
 	// KindBulk is slow transfer (firmware, artwork proofs).
@@ -70,7 +72,7 @@
 // NumKinds-1. A kind that is not known is the least important.
 func (k ClassKind) Rank() int {
 	switch k {
-	case KindNonRepeatable:
+	case KindNonRepeatable, KindUpload:
 		return 0
 	case KindInteractive:
 		return 1
@@ -81,6 +83,9 @@
 	}
 }
 
+// Repeatable reports whether a request of the kind may run more than once.
+func (k ClassKind) Repeatable() bool { return k != KindNonRepeatable && k != KindUpload }
+
 // Class is a class of request of one organisation.
 type Class struct {
 	// Name is unique within the contract.
--- a/state/route/organisation.go
+++ b/state/route/organisation.go
@@ -21,6 +21,8 @@
 	Priority *int
 	// Quota bounds the organisation's requests over the whole fleet; nil is no bound.
 	Quota *model.Rate
+	// Regions are the regions in which its requests may be served; empty allows all.
+	Regions []model.Region
 }
 
 // Keyed reports whether callers have to show a key on routes that aren't anonymous.
--- a/state/route/table.go
+++ b/state/route/table.go
@@ -36,6 +36,11 @@
 	Attempts int
 	// Splits are the services that share the requests. There is at least one.
 	Splits []Split
+	// Regions are the regions in which requests may be served; empty allows all.
+	Regions []model.Region
+	// Fault is why the route can't be used; nil for a usable one. Requests of a faulty route
+	// are refused and don't fall through to a route with a shorter prefix.
+	Fault error
 	// weight is the sum of the weights of Splits.
 	weight int
 }
@@ -49,7 +54,7 @@
 }
 
 // Repeatable reports whether a request may run more than once.
-func (r *Route) Repeatable() bool { return r.Kind != model.KindNonRepeatable }
+func (r *Route) Repeatable() bool { return r.Kind.Repeatable() }
 
 // Pick returns the service for one request. chance is in [0, 1).
 func (r *Route) Pick(chance float64) string {
@@ -85,6 +90,11 @@
 	// Connections is the number of connections that a backend server accepts;
 	// 0 when that isn't known.
 	Connections int
+	// ColdPerSecond is how many requests per second a backend server can handle while it is
+	// cold after a start; 0 is no bound.
+	ColdPerSecond float64
+	// ColdTime is how long a backend server is cold after a start.
+	ColdTime time.Duration
 }
 
 // Config is what a Table is made of.
@@ -93,6 +103,8 @@
 	Limits   CallerLimits
 	Routes   []Route
 	Services []Service
+	// Faults are the errors of parts that were left out or read as stricter than written.
+	Faults []error
 	// Organisations are the firms whose callers show a key. Nil is a site without
 	// keys; an empty list is one where nobody holds a key.
 	Organisations []Organisation
@@ -110,11 +122,11 @@
 
 // Table is one version of the routes. It is immutable.
 type Table struct {
-	version     Version
-	limits      CallerLimits
-	hosts       map[string]map[string]*Route
-	services    map[string]*model.Service
-	connections map[string]int
+	version  Version
+	limits   CallerLimits
+	hosts    map[string]map[string]*Route
+	services map[string]*service
+	faults   []error
 	// keyed says that callers show keys; keys and organisations index who holds them.
 	keyed         bool
 	keys          map[string]*Organisation
@@ -123,15 +135,23 @@
 	largestQuota float64
 }
 
-// NewTable indexes a configuration. The error is an *InvalidError or an
-// *OrganisationError, and nothing of the configuration is used.
+// service is a configured service with its policy.
+type service struct {
+	Service
+	policy *model.Service
+}
+
+// NewTable indexes a configuration. A route that can't be used leaves the others in force and is
+// reported by Faults. If there are routes and none can be used, the error is the fault of the
+// first one. It may also be an *OrganisationError. On an error nothing of the configuration is
+// used.
 func NewTable(c Config, p Policy) (*Table, error) {
 	t := &Table{
-		version:     c.Version,
-		limits:      c.Limits,
-		hosts:       make(map[string]map[string]*Route),
-		services:    make(map[string]*model.Service, len(c.Services)),
-		connections: make(map[string]int, len(c.Services)),
+		version:  c.Version,
+		limits:   c.Limits,
+		hosts:    make(map[string]map[string]*Route),
+		services: make(map[string]*service, len(c.Services)),
+		faults:   c.Faults,
 
 		keyed:         c.Organisations != nil,
 		keys:          make(map[string]*Organisation, len(c.Organisations)),
@@ -143,21 +163,50 @@
 		}
 	}
 	for _, s := range c.Services {
-		t.connections[s.Name] = s.Connections
-		t.services[s.Name] = &model.Service{
+		t.services[s.Name] = &service{Service: s, policy: &model.Service{
 			Name: s.Name, MaxEjected: p.MaxEjected, SlowStart: model.Duration(p.SlowStart),
-		}
+		}}
 	}
+	usable := 0
 	for i := range c.Routes {
-		if err := t.add(&c.Routes[i]); err != nil {
-			return nil, err
+		if t.add(&c.Routes[i]) {
+			usable++
 		}
 	}
+	if usable == 0 && len(c.Routes) > 0 {
+		return nil, t.faults[len(c.Faults)]
+	}
 	return t, nil
 }
 
-func (t *Table) add(r *Route) error {
-	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+// add indexes a route and reports whether it can be used.
+func (t *Table) add(r *Route) bool {
+	if r.Fault == nil {
+		r.Fault = t.check(r)
+	}
+	if r.Fault != nil {
+		t.faults = append(t.faults, r.Fault)
+	}
+	if !validPrefix(r.Prefix) {
+		return false
+	}
+	host := strings.ToLower(r.Host)
+	prefixes := t.hosts[host]
+	if prefixes == nil {
+		prefixes = make(map[string]*Route)
+		t.hosts[host] = prefixes
+	}
+	if prefixes[r.Prefix] != nil {
+		t.faults = append(t.faults, &InvalidError{Route: r.Name, Reason: "another route has this host and prefix"})
+		return false
+	}
+	prefixes[r.Prefix] = r
+	return r.Fault == nil
+}
+
+// check returns why a route can't be used, or nil, and sums its weights.
+func (t *Table) check(r *Route) error {
+	if !validPrefix(r.Prefix) {
 		return &InvalidError{Route: r.Name, Reason: "the prefix must begin and end with a slash"}
 	}
 	if r.Attempts < 1 {
@@ -173,19 +222,18 @@
 	if r.weight < 1 {
 		return &InvalidError{Route: r.Name, Reason: "no service has a weight"}
 	}
-	host := strings.ToLower(r.Host)
-	prefixes := t.hosts[host]
-	if prefixes == nil {
-		prefixes = make(map[string]*Route)
-		t.hosts[host] = prefixes
-	}
-	if prefixes[r.Prefix] != nil {
-		return &InvalidError{Route: r.Name, Reason: "another route has this host and prefix"}
-	}
-	prefixes[r.Prefix] = r
 	return nil
 }
 
+func validPrefix(prefix string) bool {
+	return strings.HasPrefix(prefix, "/") && strings.HasSuffix(prefix, "/")
+}
+
+// Faults returns the errors of parts of the configuration that can't be used or are read as
+// stricter than written: those of Config.Faults and one for each refused route. It must not be
+// changed.
+func (t *Table) Faults() []error { return t.faults }
+
 // Version returns the table's version.
 func (t *Table) Version() Version { return t.version }
 
@@ -194,11 +242,20 @@
 
 // Service returns a service's policy, or nil when the table has none of the
 // name. It must not be changed.
-func (t *Table) Service(name string) *model.Service { return t.services[name] }
+func (t *Table) Service(name string) *model.Service {
+	if s := t.services[name]; s != nil {
+		return s.policy
+	}
+	return nil
+}
 
-// Connections returns how many connections a backend server of the service
-// accepts; 0 when that isn't known.
-func (t *Table) Connections(service string) int { return t.connections[service] }
+// ServiceConfig returns the configuration of a service; zero when the table has none of the name.
+func (t *Table) ServiceConfig(name string) Service {
+	if s := t.services[name]; s != nil {
+		return s.Service
+	}
+	return Service{}
+}
 
 // Lookup returns the route with the longest prefix that begins the path, or nil
 // when none does. host may carry a port.
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -6,6 +6,7 @@
 package inbound
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -23,6 +24,7 @@
 	"github.com/jacinthgate/jacinthgate/protocol/dialect"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/instance"
+	"github.com/jacinthgate/jacinthgate/state/route"
 	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/crash"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
@@ -33,9 +35,8 @@
 	// Instance returns the backend server on this host, or nil. It is one
 	// atomic load.
 	Instance func() *instance.Instance
-	// Connections returns how many connections a backend server of a service
-	// accepts; 0 when that isn't known.
-	Connections func(service string) int
+	// Service returns the configuration of a service; zero when it isn't known.
+	Service func(name string) route.Service
 	// Weight returns the weight of an organisation, by which slots that are short are
 	// shared. It is asked only for requests that name one.
 	Weight func(organisation string) float64
@@ -133,11 +134,9 @@
 	l := core.Limits{Draining: true}
 	now := g.cfg.Now()
 	if i := g.cfg.Instance(); i != nil {
+		service := g.cfg.Service(i.Service)
 		l.Slots = i.Slots
-		l.Connections = i.Slots
-		if n := g.cfg.Connections(i.Service); n > 0 {
-			l.Connections = n
-		}
+		l.Connections = cmp.Or(service.Connections, i.Slots)
 		l.QueueLength = queuePerSlot * i.Slots
 		l.Draining = g.left(i, now)
 	}
@@ -176,6 +175,9 @@
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, stream := g.body(w, r)
 	in := forward.NewRequest(r.Context(), r, "http", "", body, r.ContentLength)
+	if in.Header[outcome.HeaderAsked] != nil {
+		delete(in.Header, "Expect") // reading the body sends 100 Continue
+	}
 	serve := g.serveSmall
 	if isBulk(in.Header) {
 		serve = g.serveBulk
@@ -194,7 +196,7 @@
 	switch {
 	case r.ContentLength == 0:
 		return r.Body, nil
-	case r.ContentLength < 0 || r.ContentLength > maxKept:
+	case r.ContentLength < 0 || r.ContentLength > maxKept || r.Header[outcome.HeaderAsked] != nil:
 		stream := forward.NewStreamBody(w, r)
 		return stream, stream
 	}
--- a/transport/link/kinds.go
+++ b/transport/link/kinds.go
@@ -25,6 +25,8 @@
 	message.KindReaderBeacon:   "reader_beacon",
 	message.KindSuspects:       "suspects",
 	message.KindSuspectsDigest: "suspects_digest",
+	message.KindRollouts:       "rollouts",
+	message.KindRolloutsDigest: "rollouts_digest",
 	message.KindFreshness:      "freshness",
 }
 
--- a/transport/outbound/body.go
+++ b/transport/outbound/body.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
@@ -80,6 +81,21 @@
 	return nil, r.ContentLength
 }
 
+var (
+	expectValue = []string{"100-continue"}
+	askedValue  = []string{"1"}
+)
+
+// expectContinue makes the body wait until the gate has a slot. A request that the gate refuses
+// has then cost no bytes and can be sent elsewhere, since none of its body is consumed.
+func (x *exchange) expectContinue(h http.Header) {
+	if h["Expect"] != nil {
+		return // set by the caller
+	}
+	h["Expect"] = expectValue
+	h[outcome.HeaderAsked] = askedValue
+}
+
 // reclaim makes the body ready to be sent again, and reports false where a part
 // of a stream is gone.
 func (b *requestBody) reclaim() bool {
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -109,6 +109,7 @@
 	if refused := x.takeToken(); refused != nil {
 		return refused
 	}
+	x.confine()
 	defer x.join()()
 	for {
 		if x.attempt() {
@@ -141,7 +142,7 @@
 	now := x.p.cfg.Now()
 	choice, err := x.pick(now)
 	if err != nil {
-		x.trail.NobodyLeft()
+		x.nobodyLeft()
 		return false
 	}
 	x.trail.Sent()
@@ -155,6 +156,24 @@
 	return x.take(choice, resp, took)
 }
 
+// confine restricts the request to the regions of its route and organisation.
+func (x *exchange) confine() {
+	var own []model.Region
+	if x.organisation != nil {
+		own = x.organisation.Regions
+	}
+	x.tried.Confine(x.route.Regions, own)
+}
+
+// nobodyLeft notes that there is no further backend server to try.
+func (x *exchange) nobodyLeft() {
+	if x.tried.Confined() && x.trail.Progress.Sends == 0 {
+		x.trail.Forbid(outcome.ReasonNoRegion)
+		return
+	}
+	x.trail.NobodyLeft()
+}
+
 // pick chooses the backend server for the next send.
 func (x *exchange) pick(now time.Time) (balance.Choice, error) {
 	want := balance.Want{Work: x.work(), Patience: max(0, x.due().Sub(now)/patiencePart)}
@@ -221,6 +240,9 @@
 	if x.mayGoElsewhere(to, now) {
 		h[outcome.HeaderElsewhere] = elsewhereValue
 	}
+	if x.route.Kind == model.KindUpload && !x.body.kept() && to.Node != x.p.cfg.Self {
+		x.expectContinue(h)
+	}
 	if x.route.Kind == model.KindBulk {
 		h[outcome.HeaderLinkWait] = []string{strconv.FormatInt(x.links.Wait(urgency.Left).Milliseconds(), 10)}
 	}
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -113,6 +113,10 @@
 		p.reject(w, r, refusal{status: http.StatusNotFound, reason: outcome.ReasonNoRoute})
 		return
 	}
+	if found.Fault != nil {
+		p.reject(w, r, refusal{status: http.StatusServiceUnavailable, reason: outcome.ReasonRouteFault, after: attempt.ComeBackToFault(p.rand.Float64())})
+		return
+	}
 	if n := table.Limits().BodyBytes; n > 0 && r.ContentLength > n {
 		p.reject(w, r, refusal{status: http.StatusRequestEntityTooLarge, reason: outcome.ReasonTooLarge})
 		return
