Limit cold backend servers at their gates, and evacuate zones on order

Backend servers can handle only a few requests per second after a start and fail beyond that; nothing limited what they got. Operators' orders to evacuate an availability zone were not read. The two belong together: the backend servers of a zone may be cold as its evacuation ends.

- While its backend server is cold, the gate applies a token bucket with the rate given by the configuration and half of the settings' tolerance as burst.
It reports fewer slots, and restores them over one second once the backend server is warm.
- Records say that a server is cold, so that entry nodes send it few requests.
- A server that refused connections, or whose zone's evacuation has ended, counts as cold until its next heartbeat.
- When connections were refused, the gate reported the wrong key for an instance that tells its start.
It now reports the instance's key.
- The nodes that read the store read the op/evacuate rows and their removal.
Orders are flooded, sent to peers as they connect, and compared periodically with a random peer.
- A whole read of the store cancels the evacuations that it no longer holds.
If the store was restored from an older copy, they are cancelled after ten seconds.
- Evacuated zones are left out of the view from which servers are chosen.
The gates in them refuse requests after a quarter of the time allowed.

--- a/coordination/balance/group.go
+++ b/coordination/balance/group.go
@@ -120,6 +120,9 @@
 			}
 			p.servers[k] = known
 		}
+		if known.cold.Swap(r.Cold) != r.Cold {
+			known.slots.Store(0) // reported for the previous state
+		}
 		t := p.tierOf(r)
 		g.tiers[t] = append(g.tiers[t], member{record: r, server: known, way: p.zones.of(r.Zone), slots: p.slotsOf(s, r)})
 	}
@@ -138,7 +141,10 @@
 }
 
 func (p *Picker) slotsOf(s *model.Service, r *endpoint.Record) int {
-	if r.Slots <= 0 {
+	switch {
+	case r.Cold:
+		return 1 // until its gate reports its slots
+	case r.Slots <= 0:
 		return p.cfg.DefaultSlots
 	}
 	return max(1, r.Slots-s.OlderSlots)
--- a/coordination/balance/server.go
+++ b/coordination/balance/server.go
@@ -20,6 +20,7 @@
 type server struct {
 	inFlight atomic.Int64
 	warmFrom atomic.Int64 // start of the slow start; 0 when warm
+	cold     atomic.Bool  // Cold of the latest record
 
 	others     atomic.Uint64 // float64: reported load that is not this node's own
 	slots      atomic.Int64  // reported slots; 0 when not known
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -26,6 +26,8 @@
 	Since time.Time
 	// Draining refuses all new requests.
 	Draining bool
+	// Cold bounds the requests while the backend server is cold.
+	Cold ColdLimits
 }
 
 // usable returns the number of slots that may be used at now. At least one
@@ -60,6 +62,7 @@
 	times   estimates
 
 	slowdown slowdown
+	cold     coldBucket
 
 	mu     sync.Mutex
 	limits Limits
@@ -100,7 +103,8 @@
 	defer g.mu.Unlock()
 	g.limits = l
 	g.closed.Store(l.Draining)
-	g.slots.Store(int64(l.usable(now)))
+	g.cold.set(l.Cold, now)
+	g.setSlots(now)
 	if l.Draining {
 		g.refuseAll(outcome.ReasonDraining)
 		return
@@ -115,11 +119,17 @@
 	defer g.mu.Unlock()
 	g.times.tick()
 	if !g.closed.Load() {
-		g.slots.Store(int64(g.limits.usable(now)))
+		g.setSlots(now)
 		g.grant(now)
 	}
 }
 
+// setSlots sets the number of slots that may be used now; g.mu is held.
+func (g *Gate) setSlots(now time.Time) {
+	full := g.limits.usable(now)
+	g.slots.Store(int64(g.limits.Cold.slots(full, g.times.all.average(), now)))
+}
+
 // Try takes a slot where one is free and nobody waits. On true the caller holds
 // a slot and must call Release. On false it calls Acquire, which says why; Try
 // only spares a request that need not wait the making of a Waiter.
@@ -127,7 +137,7 @@
 	if g.closed.Load() || now.Add(g.least(r.Work, now)).After(r.Deadline) {
 		return false
 	}
-	return g.waiting.Load() == 0 && g.take()
+	return g.waiting.Load() == 0 && g.take(now)
 }
 
 // Acquire takes a slot for a request. On true the caller holds a slot and must
@@ -151,17 +161,22 @@
 	return g.enqueue(w, now)
 }
 
-// take takes a slot if one is free.
-func (g *Gate) take() bool {
+// take takes a slot if one is free and the limits of a cold backend server allow the request.
+func (g *Gate) take(now time.Time) bool {
 	for {
 		used := g.used.Load()
 		if used >= g.slots.Load() {
 			return false
 		}
 		if g.used.CompareAndSwap(used, used+1) {
-			return true
+			break
 		}
 	}
+	if !g.cold.admit(now) {
+		g.used.Add(-1)
+		return false
+	}
+	return true
 }
 
 func (g *Gate) enqueue(w *Waiter, now time.Time) (bool, outcome.Reason) {
@@ -184,7 +199,7 @@
 	// one after that look sees the count and grants it.
 	g.queue.push(w)
 	g.waiting.Store(int64(g.queue.size))
-	if g.queue.size == 1 && g.take() {
+	if g.queue.size == 1 && g.take(now) {
 		g.queue.remove(w)
 		g.waiting.Store(0)
 		return true, ""
@@ -234,7 +249,7 @@
 
 // grant gives free slots to those who wait; g.mu is held.
 func (g *Gate) grant(now time.Time) {
-	for g.queue.size > 0 && g.take() {
+	for g.queue.size > 0 && g.take(now) {
 		w := g.nextInTime(now)
 		if w == nil {
 			g.used.Add(-1)
--- a/coordination/gate/order.go
+++ b/coordination/gate/order.go
@@ -50,7 +50,7 @@
 // end as usual, and those that begin in it don't end soon: half of it counts.
 func (g *Gate) interval(now time.Time) time.Duration {
 	mean := float64(g.times.all.average()) * (1 + g.slowdown.get(now)) / 2
-	return time.Duration(mean) / time.Duration(max(1, g.slots.Load()))
+	return max(time.Duration(mean)/time.Duration(max(1, g.slots.Load())), g.cold.spacing(now))
 }
 
 // waitPart is the part of its target that a request of average work waits for a
--- a/coordination/member/event.go
+++ b/coordination/member/event.go
@@ -24,6 +24,8 @@
 	Instance string
 	// Version is the version of the backend server's software; it may be empty.
 	Version string
+	// Cold says that the backend server is cold and can handle few requests per second.
+	Cold bool
 }
 
 // Leave reports that the node shuts down gracefully. The core floods its
--- a/coordination/member/own.go
+++ b/coordination/member/own.go
@@ -15,6 +15,7 @@
 	r.Unready = a.Unready
 	r.Instance = a.Instance
 	r.Version = a.Version
+	r.Cold = a.Cold
 	if c.left || r == c.self {
 		return
 	}
--- a/internal/sidecar/backends.go
+++ b/internal/sidecar/backends.go
@@ -153,6 +153,8 @@
 	was := c != nil && c.Key() == key && !b.down
 	if was {
 		b.down = true
+		b.local.AssumeCold(time.Now()) // the next connection may reach a restarted backend server
+		b.publish()
 	}
 	b.mu.Unlock()
 	if !was {
@@ -162,6 +164,24 @@
 	b.changed(nil)
 }
 
+// reachable returns the current backend server; nil if there is none or it refuses connections.
+func (b *backends) reachable() *instance.Instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.down {
+		return nil
+	}
+	return b.local.Current()
+}
+
+// assumeCold treats the backend server as cold until its next heartbeat.
+func (b *backends) assumeCold(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.local.AssumeCold(now)
+	b.publish()
+}
+
 // expire drops a backend server that wasn't heard for too long. It reports
 // whether there was one, which is then withdrawn by the caller.
 func (b *backends) expire(now time.Time) bool {
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/jacinthgate/jacinthgate/coordination/budget"
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
+	"github.com/jacinthgate/jacinthgate/coordination/evacuation"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
 	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
 	"github.com/jacinthgate/jacinthgate/coordination/restore"
@@ -56,6 +57,7 @@
 		docs:      docsync.New(n.docsConfig(), self, seed),
 		suspects:  quarantine.New(seed),
 		rollouts:  rollout.New(n.set.rollouts(), self.Node, self.Incarnation, seed),
+		evacuated: evacuation.New(seed),
 		meter:     new(rollout.Meter),
 		proving:   newProving(n.set, seed),
 		lives:     restore.New(restore.DefaultConfig(), seed),
@@ -177,12 +179,18 @@
 // announce tells the fleet what the host's backend server said. Nil withdraws
 // it.
 func (n *Node) announce(i *instance.Instance) {
-	a := member.Announce{Unready: n.pub.withdrawn.Load()}
+	n.gate.Update()
+	n.loop.queue.Post(n.ctx, n.pub.announcement(i, time.Now()))
+}
+
+// announcement returns the announcement of the host's backend server; nil withdraws it.
+func (p *published) announcement(i *instance.Instance, now time.Time) member.Announce {
+	a := member.Announce{Unready: p.withdrawn.Load()}
 	if i != nil {
 		a.Service, a.Version, a.Slots, a.Instance = i.Service, i.Version, i.Slots, i.Key()
 		a.Connections = i.Slots
 		a.Draining = i.State != instance.Ready
+		a.Cold = p.cold(i, now)
 	}
-	n.gate.Update()
-	n.loop.queue.Post(n.ctx, a)
+	return a
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
 	"github.com/jacinthgate/jacinthgate/coordination/core"
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
+	"github.com/jacinthgate/jacinthgate/coordination/evacuation"
 	"github.com/jacinthgate/jacinthgate/coordination/freshness"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
 	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
@@ -43,6 +44,7 @@
 	docs      *docsync.Core
 	suspects  *quarantine.Core
 	rollouts  *rollout.Core
+	evacuated *evacuation.Core
 	lives     *restore.Core
 	meter     *rollout.Meter
 	proving   *proving // nil where requests need no proof
@@ -80,6 +82,7 @@
 	if l.backends.expire(now) {
 		l.withdraw(now)
 	}
+	l.announceCold(now)
 	l.gate.Update()
 	l.settleQuotas(now)
 	l.carryOut(now, l.rollouts.Step(now, l.counted()))
@@ -100,6 +103,7 @@
 	l.carryOut(now, l.docs.Step(now, ev))
 	l.carryOut(now, l.suspects.Step(now, ev))
 	l.carryOut(now, l.rollouts.Step(now, ev))
+	l.carryOut(now, l.evacuated.Step(now, ev))
 	l.prove(ev)
 	l.carryOut(now, l.lives.Step(now, ev))
 	if due := l.member.FlushDue(); !due.IsZero() {
@@ -150,6 +154,8 @@
 		l.pub.suspects.Store(l.suspects.View())
 	case quarantine.Quarantined:
 		l.quarantined(a)
+	case evacuation.Changed:
+		l.evacuationChanged(now, a)
 	case rollout.Changed:
 		l.pub.lanes.Store(l.rollouts.Lanes())
 	case rollout.Turned:
@@ -167,7 +173,7 @@
 
 // publishView makes the backend servers visible to the path of a request.
 func (l *loop) publishView(now time.Time) {
-	v := l.member.Table().View()
+	v := l.member.Table().View().WithoutZones(l.pub.evacuatedZones())
 	l.carryOut(now, l.rollouts.Step(now, rollout.Servers{View: v}))
 	l.pub.view.Store(v)
 	l.picker.Prune(v)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -36,6 +36,8 @@
 	instance atomic.Pointer[instance.Instance]
 	suspects atomic.Pointer[suspect.View]
 	lanes    atomic.Pointer[rollout.Lanes]
+	// evacuations are the evacuated zones; nil before the first evacuation.
+	evacuations atomic.Pointer[evacuations]
 	// leaving is set when the node takes no more callers, withdrawn when it also
 	// offers the backend server no more.
 	leaving, withdrawn atomic.Bool
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
+	"github.com/jacinthgate/jacinthgate/coordination/evacuation"
 	"github.com/jacinthgate/jacinthgate/coordination/freshness"
 	"github.com/jacinthgate/jacinthgate/coordination/rollout"
 	"github.com/jacinthgate/jacinthgate/platform"
@@ -106,6 +107,9 @@
 	for _, o := range result.orders {
 		r.loop.queue.Post(ctx, rollout.Ordered{Order: o})
 	}
+	if len(result.evacuations.Orders) > 0 || result.evacuations.WholeRevision > 0 {
+		r.loop.queue.Post(ctx, result.evacuations)
+	}
 	r.loop.queue.Post(ctx, result.StoreRead)
 	if result.Err == nil && r.loop.proving != nil {
 		r.loop.queue.Post(ctx, result.proof)
@@ -115,8 +119,9 @@
 // reading is what one read has brought.
 type reading struct {
 	docsync.StoreRead
-	orders []order.Order
-	proof  freshness.Read
+	orders      []order.Order
+	evacuations evacuation.Read
+	proof       freshness.Read
 }
 
 // read makes one read of the store.
@@ -133,7 +138,9 @@
 		_ = level.Warn(r.log).Log("event", "rollout_unreadable", "err", c.Unreadable)
 	}
 	out := reading{StoreRead: docsync.StoreRead{Life: c.Life}, orders: c.Orders}
+	out.evacuations.Orders = c.Evacuations
 	if c.Whole {
+		out.evacuations.WholeRevision = c.Revision
 		r.told = 0 // the store may hold no configuration any more
 	}
 	if c.Restored {
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -83,6 +83,8 @@
 	return inbound.New(inbound.Config{
 		Instance:    n.pub.instance.Load,
 		Service:     n.pub.serviceConfig,
+		Cold:        n.set.Cold.limits,
+		Evacuated:   n.ownZoneEvacuated,
 		Weight:      n.weight,
 		Dialect:     speech,
 		Backend:     forward.NewClient(toBackend),
@@ -105,6 +107,11 @@
 	})
 }
 
+// ownZoneEvacuated reports whether the gate refuses requests because its zone is evacuated.
+func (n *Node) ownZoneEvacuated() bool {
+	return n.pub.ownZoneEvacuated(time.Now(), n.set.evacuate()/drainPart)
+}
+
 // gateClients returns what sends to gates of the own availability zone, and to those of others.
 func (n *Node) gateClients() (near, far *forward.Client) {
 	toGates := forward.DefaultClientConfig()
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -58,6 +58,11 @@
 	Revocation RevocationSettings `json:"revocation"`
 	// Quota tells how strictly the quotas of organisations are kept.
 	Quota QuotaSettings `json:"quota"`
+	// Cold bounds the requests to cold backend servers beyond their configured rate.
+	Cold ColdSettings `json:"cold"`
+	// EvacuateMillis is how long after the order to evacuate its zone a backend server may
+	// still get requests, in milliseconds; DrainMillis if it is 0.
+	EvacuateMillis int `json:"evacuateMillis"`
 	// LogLevel is debug, info, warn or error; info without it.
 	LogLevel string `json:"logLevel"`
 
@@ -131,6 +136,15 @@
 	Slack float64 `json:"slack"`
 }
 
+// ColdSettings are the tolerance for the rate of requests that the configuration gives for cold
+// backend servers.
+type ColdSettings struct {
+	// In any second a cold backend server may get Over times its rate, plus Slack requests.
+	// Over is at least 1; 0 leaves it out.
+	Over  float64 `json:"over"`
+	Slack float64 `json:"slack"`
+}
+
 // SettingsError reports settings that can't be used.
 type SettingsError struct {
 	// Field names the faulty field; empty where the file as a whole is.
@@ -215,6 +229,12 @@
 	if s.Quota.WindowSeconds < 0 || s.Quota.Over < 0 || s.Quota.Over > 1 || s.Quota.Slack < 0 {
 		return &SettingsError{Field: "quota", Reason: "windowSeconds and slack must not be negative, over from 0 to 1"}
 	}
+	if s.Cold.Over != 0 && s.Cold.Over < 1 || s.Cold.Slack < 0 {
+		return &SettingsError{Field: "cold", Reason: "over must be at least 1, slack not negative"}
+	}
+	if s.EvacuateMillis < 0 {
+		return &SettingsError{Field: "evacuateMillis", Reason: "must not be negative"}
+	}
 	return nil
 }
 
@@ -231,6 +251,12 @@
 
 func (s *Settings) drain() time.Duration { return time.Duration(s.DrainMillis) * time.Millisecond }
 
+// evacuate is how long after the order to evacuate its zone a backend server may still get
+// requests.
+func (s *Settings) evacuate() time.Duration {
+	return time.Duration(cmp.Or(s.EvacuateMillis, s.DrainMillis)) * time.Millisecond
+}
+
 // linkBits is the rate of the host's link, in bits per second.
 func (s *Settings) linkBits() float64 { return s.LinkMbps * 1e6 }
 
--- a/protocol/message/fuzz_test.go
+++ b/protocol/message/fuzz_test.go
@@ -12,7 +12,7 @@
 )
 
 func FuzzDecode(f *testing.F) {
-	for k := Kind(0); k <= KindFreshness+1; k++ {
+	for k := Kind(0); k <= KindEvacuations+1; k++ {
 		f.Add([]byte{byte(k), 0xa0})
 	}
 	for _, m := range []Message{
--- a/protocol/message/kinds.go
+++ b/protocol/message/kinds.go
@@ -108,6 +108,8 @@
 		return new(RolloutsDigest)
 	case KindFreshness:
 		return new(Freshness)
+	case KindEvacuations:
+		return new(Evacuations)
 	default:
 		return nil
 	}
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -43,6 +43,7 @@
 	KindRollouts
 	KindRolloutsDigest
 	KindFreshness
+	KindEvacuations
 )
 
 // Message is any message between nodes.
--- a/state/endpoint/digest.go
+++ b/state/endpoint/digest.go
@@ -103,6 +103,9 @@
 	b = binary.AppendVarint(b, int64(r.Slots))
 	b = binary.AppendVarint(b, int64(r.Connections))
 	b = append(b, byte(r.Status), flag(r.Draining), flag(r.Unready))
+	if r.Cold {
+		b = append(b, 1) // appended only if set, so that the hash matches that of older nodes otherwise
+	}
 	return xxhash.Sum64(b)
 }
 
--- a/state/endpoint/record.go
+++ b/state/endpoint/record.go
@@ -56,6 +56,9 @@
 	Instance string `json:"instance,omitempty" cbor:"15,keyasint,omitempty"`
 	// Version is the version of the backend server's software, where it tells one.
 	Version string `json:"version,omitempty" cbor:"16,keyasint,omitempty"`
+	// Cold says that the backend server has just started and can handle few requests per
+	// second.
+	Cold bool `json:"cold,omitempty" cbor:"17,keyasint,omitempty"`
 	// Died is when the owner was found failed or left, in seconds of Unix
 	// time; 0 while it lives. Tombstones expire by it, so that passing one on
 	// doesn't prolong it. It takes no part in the order of records.
--- a/state/endpoint/table_test.go
+++ b/state/endpoint/table_test.go
@@ -81,3 +81,22 @@
 	_, held := table.Get("n01")
 	must.False(t, held)
 }
+
+func TestViewWithoutZonesSharesUnchangedServices(t *testing.T) {
+	table := NewTable()
+	for _, r := range []Record{
+		{Node: "a", Zone: "z1", Service: "s"}, {Node: "b", Zone: "z2", Service: "s"},
+		{Node: "c", Zone: "z2", Service: "u"}, {Node: "d", Zone: "z1", Service: "v"},
+	} {
+		r.Incarnation = 1
+		table.Put(r)
+	}
+	v := table.View()
+	must.True(t, v == v.WithoutZones(nil))
+	rest := v.WithoutZones([]model.Zone{"z2"})
+	must.Eq(t, []string{"s", "v"}, rest.Services())
+	must.Eq(t, "a", rest.Service("s")[0].Node)
+	must.Len(t, 1, rest.Service("s"))
+	must.True(t, &v.Service("v")[0] == &rest.Service("v")[0])
+	must.Len(t, 2, v.Service("s"))
+}
--- a/state/endpoint/view.go
+++ b/state/endpoint/view.go
@@ -63,6 +63,27 @@
 	return all[from:to:to]
 }
 
+// WithoutZones returns the view without the records of the given zones. It shares the records of
+// services that have none there.
+func (v *View) WithoutZones(zones []model.Zone) *View {
+	if len(zones) == 0 {
+		return v
+	}
+	filtered := &View{services: make(map[string][]Record, len(v.services))}
+	inZones := func(r Record) bool { return slices.Contains(zones, r.Zone) }
+	for name, all := range v.services {
+		switch {
+		case !slices.ContainsFunc(all, inZones):
+			filtered.services[name] = all
+		default:
+			if rest := slices.DeleteFunc(slices.Clone(all), inZones); len(rest) > 0 {
+				filtered.services[name] = rest
+			}
+		}
+	}
+	return filtered
+}
+
 func compareZone(r Record, z model.Zone) int { return cmp.Compare(r.Zone, z) }
 
 // Services returns the names of the services with a serving record, sorted.
--- a/state/instance/instance_test.go
+++ b/state/instance/instance_test.go
@@ -98,3 +98,20 @@
 	must.Nil(t, l.Current())
 	must.False(t, l.Hear(begin, beat("a", 6, false)))
 }
+
+func TestInstanceIsAssumedColdUntilTheNextHeartbeat(t *testing.T) {
+	var l Local
+	l.AssumeCold(begin) // without an instance
+	l.Hear(begin, beat("a", 1, false))
+	must.False(t, begin.Before(l.Current().WarmAt))
+	before := l.Current()
+	l.AssumeCold(begin)
+	must.True(t, begin.Add(time.Minute).Before(l.Current().WarmAt))
+	must.Eq(t, begin, before.WarmAt, must.Sprint("a returned instance must not change"))
+	must.False(t, l.Hear(begin, beat("a", 1, false)))
+	must.True(t, begin.Before(l.Current().WarmAt), must.Sprint("an outdated heartbeat changes nothing"))
+	h := beat("a", 2, false)
+	h.Cold = 2 * time.Second
+	l.Hear(begin.Add(time.Second), h)
+	must.Eq(t, begin.Add(3*time.Second), l.Current().WarmAt)
+}
--- a/state/instance/local.go
+++ b/state/instance/local.go
@@ -146,6 +146,21 @@
 	return true
 }
 
+// assumedColdTime is how long an instance is assumed to be cold without a heartbeat. It is longer
+// than any start takes.
+const assumedColdTime = time.Hour
+
+// AssumeCold treats the current instance as cold until its next heartbeat. It may have restarted,
+// or become cold for lack of requests, since the last one.
+func (l *Local) AssumeCold(now time.Time) {
+	if l.current == nil {
+		return
+	}
+	next := *l.current
+	next.WarmAt = now.Add(assumedColdTime)
+	l.current = &next
+}
+
 // isGone reports whether a start has left, or is earlier than one that has.
 func (l *Local) isGone(now time.Time, s Start) bool {
 	return slices.ContainsFunc(l.gone, func(d departed) bool {
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -36,6 +36,8 @@
 		return c, outcome.ReasonWrongService
 	case g.left(i, now):
 		return c, outcome.ReasonDraining
+	case g.cfg.Evacuated():
+		return c, outcome.ReasonEvacuated
 	case g.withdrawn(i):
 		return c, outcome.ReasonWithdrawn
 	}
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -37,6 +37,12 @@
 	Instance func() *instance.Instance
 	// Service returns the configuration of a service; zero when it isn't known.
 	Service func(name string) route.Service
+	// Cold returns the limits of a backend server that is cold until a time and can handle
+	// perSecond requests per second meanwhile.
+	Cold func(perSecond float64, until time.Time) core.ColdLimits
+	// Evacuated reports whether requests are refused because the availability zone is
+	// evacuated.
+	Evacuated func() bool
 	// Weight returns the weight of an organisation, by which slots that are short are
 	// shared. It is asked only for requests that name one.
 	Weight func(organisation string) float64
@@ -138,7 +144,8 @@
 		l.Slots = i.Slots
 		l.Connections = cmp.Or(service.Connections, i.Slots)
 		l.QueueLength = queuePerSlot * i.Slots
-		l.Draining = g.left(i, now)
+		l.Cold = g.cfg.Cold(service.ColdPerSecond, i.WarmAt)
+		l.Draining = g.left(i, now) || g.cfg.Evacuated()
 	}
 	g.core.Update(l, now)
 	g.core.Tick(now)
@@ -240,6 +247,10 @@
 		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonDraining, false), nil
 	}
+	if g.cfg.Evacuated() {
+		g.core.Release(c.Work, 0, g.cfg.Now())
+		return g.refuse(req, outcome.ReasonEvacuated, false), nil
+	}
 	if g.withdrawn(c.instance) {
 		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonWithdrawn, false), nil
--- a/transport/inbound/repeat_test.go
+++ b/transport/inbound/repeat_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
+	core "github.com/jacinthgate/jacinthgate/coordination/gate"
 	"github.com/jacinthgate/jacinthgate/coordination/pace"
 	"github.com/jacinthgate/jacinthgate/coordination/rollout"
 	"github.com/jacinthgate/jacinthgate/protocol/dialect"
@@ -44,6 +45,8 @@
 	g := New(Config{
 		Instance:  func() *instance.Instance { return i },
 		Service:   func(string) route.Service { return route.Service{} },
+		Cold:      func(float64, time.Time) core.ColdLimits { return core.ColdLimits{} },
+		Evacuated: func() bool { return false },
 		Dialect:   plain{},
 		Backend:   forward.NewClient(forward.DefaultClientConfig()),
 		Lane:      pace.New(pace.DefaultConfig(1e6)),
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -93,7 +93,7 @@
 func (g *Gate) failed(req *http.Request, c call, started time.Time, err error) *http.Response {
 	sent := wasSent(err)
 	if !sent && req.Context().Err() == nil {
-		g.cfg.Unreachable(c.instance.ID)
+		g.cfg.Unreachable(c.instance.Key())
 	}
 	reason := outcome.ReasonBackendFailed
 	switch {
--- a/transport/link/kinds.go
+++ b/transport/link/kinds.go
@@ -28,6 +28,7 @@
 	message.KindRollouts:       "rollouts",
 	message.KindRolloutsDigest: "rollouts_digest",
 	message.KindFreshness:      "freshness",
+	message.KindEvacuations:    "evacuations",
 }
 
 func kindName(k message.Kind) string {
--- a/transport/outbound/take.go
+++ b/transport/outbound/take.go
@@ -66,7 +66,7 @@
 func refusedAs(reason outcome.Reason) balance.Outcome {
 	switch reason {
 	case outcome.ReasonDeadline, outcome.ReasonCancelled, outcome.ReasonLinkFull, outcome.ReasonHostSlow,
-		outcome.ReasonQueueFull, outcome.ReasonQuarantined, outcome.ReasonWithdrawn:
+		outcome.ReasonQueueFull, outcome.ReasonQuarantined, outcome.ReasonWithdrawn, outcome.ReasonEvacuated:
 		return balance.Cancelled
 	}
 	return balance.NotRun
