Count calls of the store and bytes between zones

Nothing told how many calls of the store a node makes and for what, or how many bytes of requests cross zones. Add two counters for these.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -88,6 +89,7 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	store := platform.DefaultStoreConfig("http://" + set.Store)
 	store.LocalIP = n.localIP()
+	store.OnCall = n.countStoreCall
 	n.store = platform.NewStore(store)
 	steps := []func() error{n.openListeners, n.openPeers, n.wireControl, n.wireRequests, n.wireServers}
 	for _, step := range steps {
@@ -99,6 +101,11 @@
 	return n, nil
 }
 
+// countStoreCall counts a call of the store by its name and table.
+func (n *Node) countStoreCall(call, table string) {
+	n.metrics.GetOrCreateCounter(fmt.Sprintf("jacinthgate_store_calls_total{call=%q,table=%q}", call, table)).Inc()
+}
+
 // localIP is the address that connections leave from.
 func (n *Node) localIP() net.IP { return n.set.ip().AsSlice() }
 
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -1,10 +1,13 @@
 package sidecar
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
 	"github.com/jacinthgate/jacinthgate/coordination/pace"
@@ -122,9 +125,20 @@
 	toGates.UnackedTimeout = unackedTimeout
 	toZones := toGates
 	toZones.PackHeads = true
+	n.countBytes(&toGates, "own")
+	n.countBytes(&toZones, "other")
 	return forward.NewClient(toGates), forward.NewClient(toZones)
 }
 
+// countBytes sets the counters of bytes sent to gates and received from them. zone is "own" or
+// "other".
+func (n *Node) countBytes(cfg *forward.ClientConfig, zone string) {
+	counter := func(direction string) *metrics.Counter {
+		return n.metrics.GetOrCreateCounter(fmt.Sprintf("jacinthgate_gate_bytes_total{zone=%q,direction=%q}", zone, direction))
+	}
+	cfg.Sent, cfg.Received = counter("sent"), counter("received")
+}
+
 // newProxy returns what takes the requests of callers.
 func (n *Node) newProxy(runs *attempt.Runs, near, far *forward.Client, seed uint64) *outbound.Proxy {
 	return outbound.New(outbound.Config{
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/jacinthgate/jacinthgate/transport/headpack"
 	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
@@ -39,6 +41,8 @@
 	// a late second answer to an earlier one. It is read to its end and
 	// skipped. Nil holds every response to be the request's own.
 	Foreign func(req *http.Request, resp *http.Response) bool
+	// Sent and Received, unless nil, count the bytes on the wire of all connections.
+	Sent, Received *metrics.Counter
 	// TLS is used for requests with the scheme "https". It needs a ServerName
 	// or a check of its own unless certificates name the IP address.
 	TLS *tls.Config
@@ -152,7 +156,7 @@
 		return nil, err
 	}
 	sockopt.SetUnackedTimeout(raw, c.cfg.UnackedTimeout)
-	tracked := &trackedConn{Conn: raw}
+	tracked := &trackedConn{Conn: raw, sent: c.cfg.Sent, received: c.cfg.Received}
 	switch {
 	case key.scheme == "https":
 	case c.cfg.PackHeads:
--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -3,12 +3,15 @@
 import (
 	"net"
 	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 // trackedConn counts the bytes written, so that a failed request can be told
 // apart from one that was never sent.
 type trackedConn struct {
 	net.Conn
+	sent, received *metrics.Counter // nil to not count
 
 	mu      sync.Mutex
 	written int64
@@ -24,7 +27,20 @@
 	}
 	c.written += int64(len(p))
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if c.sent != nil {
+		c.sent.Add(n)
+	}
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.received != nil {
+		c.received.Add(n)
+	}
+	return n, err
 }
 
 func (c *trackedConn) count() int64 {
