Let started nodes take the configuration of peers whose reader is heard

Each node that started read the store for its configuration, and began a second read that was then cancelled.

A beacon of the zone's reader, which peers now pass on as they connect, shows that the peers' configuration is as new as the store's answer would be. A node reads the store only if it hears no beacon, and then once.

Nodes that restart in a zone that serves read nothing. The tests' network now delivers messages in their order; a node was told to stop reading before it was told to begin.

--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -40,6 +40,7 @@
 	rank     int
 	live     int // members of the own zone that are alive
 	reading  bool
+	once     bool // the driver was asked for one read only
 	leading  bool // reads for the zone, not only for its own start
 	failures int
 	retryAt  time.Time
@@ -63,9 +64,10 @@
 	until time.Time
 }
 
-// beacon orders the beacons of one reader.
+// beacon is the newest beacon of one reader.
 type beacon struct {
 	incarnation, sequence uint64
+	life                  uint64
 	at                    time.Time
 }
 
@@ -91,7 +93,7 @@
 	c.out = nil
 	c.now = now
 	if c.started.IsZero() {
-		c.started, c.quiet = now, now
+		c.started, c.quiet = now, now.Add(c.cfg.ReadDelay) // no beacon is expected before ReadDelay is over
 	}
 	c.handle(ev)
 	c.decideReading()
@@ -103,8 +105,7 @@
 	case core.Tick:
 		c.tick()
 	case core.PeerUp:
-		c.peers[ev.Record.Node] = &peerState{near: ev.Record.Zone == c.self.Zone}
-		c.send(ev.Record.Node, &message.DocumentAdvert{Version: c.held})
+		c.peerUp(ev.Record)
 	case core.PeerDown:
 		delete(c.peers, ev.Node)
 	case core.Received:
@@ -133,6 +134,21 @@
 	}
 }
 
+// peerUp sends a new peer the held version, and a peer of the own zone also the recent beacons
+// of readers, so that a node that has just started needs no read of its own.
+func (c *Core) peerUp(r endpoint.Record) {
+	p := &peerState{near: r.Zone == c.self.Zone}
+	c.peers[r.Node] = p
+	if p.near {
+		for _, id := range slices.Sorted(maps.Keys(c.heard)) {
+			if b := c.heard[id]; c.now.Sub(b.at) < c.cfg.BeaconInterval && id != r.Node {
+				c.send(r.Node, &message.ReaderBeacon{Reader: id, Incarnation: b.incarnation, Sequence: b.sequence, Life: b.life})
+			}
+		}
+	}
+	c.send(r.Node, &message.DocumentAdvert{Version: c.held})
+}
+
 func (c *Core) tick() {
 	if c.waiting != nil && c.now.Sub(c.started) >= c.cfg.StartWait {
 		c.take(c.waiting.Version, c.waiting.Body, c.from)
@@ -199,8 +215,9 @@
 	return best
 }
 
-// document takes a peer's document. A node that has just started holds it back
-// until the store has answered: the peer may be cut off from newer ones.
+// document takes a peer's document. A node that has just started holds it back until the
+// store has answered this node or a reader of the zone: the peer may be cut off from newer
+// ones.
 func (c *Core) document(from model.NodeID, d *message.Document) {
 	if c.fetch.from == from {
 		c.fetch = fetch{}
@@ -211,7 +228,7 @@
 	if d.Version <= c.wanted() {
 		return
 	}
-	if !c.read && !c.cfg.Fresh && c.held == 0 && c.now.Sub(c.started) < c.cfg.StartWait {
+	if !c.read && !c.cfg.Fresh && c.held == 0 && !c.readerHeard() && c.now.Sub(c.started) < c.cfg.StartWait {
 		c.waiting, c.from = d, from
 		return
 	}
--- a/coordination/docsync/core_test.go
+++ b/coordination/docsync/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -290,6 +291,8 @@
 	reading map[model.NodeID]bool
 	refused map[model.NodeID]bool
 	reads   int
+	empty   bool // the store holds no configuration
+	starts  int  // number of times that nodes turned reading on
 }
 
 func newZone(t *testing.T, names ...string) *zone {
@@ -352,13 +355,24 @@
 	}
 }
 
+// step handles an event at a node and delivers the resulting messages in the order sent.
 func (z *zone) step(id model.NodeID, ev core.Event) {
-	for _, a := range z.cores[id].Step(z.now, ev) {
-		switch a := a.(type) {
-		case SetReading:
-			z.reading[id] = a.On
-		case core.Send:
-			z.step(a.To, core.Received{From: id, Message: a.Message})
+	type delivery struct {
+		to model.NodeID
+		ev core.Event
+	}
+	for queue := []delivery{{id, ev}}; len(queue) > 0; queue = queue[1:] {
+		at := queue[0].to
+		for _, a := range z.cores[at].Step(z.now, queue[0].ev) {
+			switch a := a.(type) {
+			case SetReading:
+				if a.On && !z.reading[at] {
+					z.starts++
+				}
+				z.reading[at] = a.On
+			case core.Send:
+				queue = append(queue, delivery{a.To, core.Received{From: at, Message: a.Message}})
+			}
 		}
 	}
 }
@@ -374,6 +388,9 @@
 			}
 			z.reads++
 			read := StoreRead{Version: 1, Body: []byte("1")}
+			if z.empty {
+				read = StoreRead{}
+			}
 			if z.refused[id] {
 				read = StoreRead{Err: fmt.Errorf("refused")}
 			}
@@ -427,3 +444,158 @@
 	must.Eq(t, []uint64{6}, applied(b.step(StoreRead{Version: 6, Body: []byte("6"), Life: 3})))
 	must.Eq(t, 6, b.core.Held())
 }
+
+// A document from a peer must not wait for the store once a reader's beacon was received.
+func TestStartedNodeTakesAPeersDocumentWhereAReaderIsHeard(t *testing.T) {
+	b := newBed(t)
+	b.step(Members{Live: []model.NodeID{"a", "b", "c", "self"}})
+	b.up("near", "z1")
+	must.Eq(t, nil, applied(b.receive("near", &message.Document{Version: 3, Body: []byte("3")})))
+	must.Eq(t, []uint64{3}, applied(b.receive("near", &message.ReaderBeacon{Reader: "a", Incarnation: 1, Sequence: 1})))
+	b.pass(500 * time.Millisecond)
+	must.False(t, b.core.Reading())
+	must.Eq(t, []uint64{4}, applied(b.receive("near", &message.Document{Version: 4, Body: []byte("4")})))
+}
+
+// An expired beacon must not keep a starting node from reading the store.
+func TestStartedNodeReadsWhereTheReaderIsSilent(t *testing.T) {
+	b := newBed(t)
+	b.up("near", "z1")
+	b.step(Members{Live: []model.NodeID{"a", "b", "c", "self"}})
+	b.receive("near", &message.ReaderBeacon{Reader: "a", Incarnation: 1, Sequence: 1})
+	b.pass(3 * time.Second)
+	must.True(t, b.core.Reading())
+}
+
+// A connecting peer must get recent beacons at once and not wait for the next one.
+func TestPeerIsToldOfTheReaderAsItConnects(t *testing.T) {
+	beaconsSent := func(after time.Duration, zone model.Zone) (readers []model.NodeID) {
+		b := newBed(t)
+		b.up("near", "z1")
+		b.receive("near", &message.ReaderBeacon{Reader: "a", Incarnation: 1, Sequence: 7, Life: 2})
+		b.pass(after)
+		for _, a := range b.step(core.PeerUp{Record: record("new", zone)}) {
+			if s, ok := a.(core.Send); ok {
+				if m, ok := s.Message.(*message.ReaderBeacon); ok {
+					must.Eq(t, message.ReaderBeacon{Reader: "a", Incarnation: 1, Sequence: 7, Life: 2}, *m)
+					readers = append(readers, s.To)
+				}
+			}
+		}
+		return readers
+	}
+	must.Eq(t, []model.NodeID{"new"}, beaconsSent(200*time.Millisecond, "z1"))
+	must.Eq(t, nil, beaconsSent(200*time.Millisecond, "z2"))
+	must.Eq(t, nil, beaconsSent(800*time.Millisecond, "z1"))
+}
+
+// Guards against a second read, soon cancelled, by a node that reads only for its own start.
+func TestStartedNodeReadsOnce(t *testing.T) {
+	readings := func(actions []core.Action) (all []SetReading) {
+		for _, a := range actions {
+			if s, ok := a.(SetReading); ok {
+				all = append(all, s)
+			}
+		}
+		return all
+	}
+	cfg := DefaultConfig()
+	cfg.ReadDelay = 300 * time.Millisecond
+	for _, leads := range []bool{false, true} {
+		b := &bed{t: t, core: New(cfg, record("self", "z1"), 1), now: begin}
+		b.step(core.Tick{})
+		b.step(Members{Live: []model.NodeID{"a", "b", "c", "self"}})
+		must.Eq(t, []SetReading{{On: true, Once: true}}, readings(b.pass(300*time.Millisecond)))
+		want := []SetReading{{}}
+		if leads {
+			must.Eq(t, []SetReading{{On: true}}, readings(b.step(Members{Live: []model.NodeID{"self"}})), must.Sprint("a leader keeps reading"))
+			want = nil
+		}
+		must.Eq(t, want, readings(b.step(StoreRead{Version: 1, Body: []byte("1")})))
+	}
+}
+
+// Guards against reads by each node that restarts in a zone that has readers: the calls of the
+// store would grow with the number of nodes.
+func TestRestartedNodesDontReadTheStore(t *testing.T) {
+	for _, members := range []int{20, 80} {
+		z, _ := newLargeZone(t, members)
+		z.pass(3 * time.Second)
+		readers := z.readers()
+		before := z.reads
+		ticks := 0
+		for _, id := range slices.Clone(z.ids) {
+			if slices.Contains(readers, id) {
+				continue
+			}
+			z.restart(id)
+			z.pass(200 * time.Millisecond)
+			ticks += 2
+			must.Eq(t, 1, z.cores[id].Held())
+		}
+		must.Eq(t, readers, z.readers())
+		must.Eq(t, before+ticks*len(readers), z.reads, must.Sprint("only the zone's readers read"))
+	}
+}
+
+// restart replaces a node by a new one that is connected to all others.
+func (z *zone) restart(id model.NodeID) {
+	cfg := z.cores[id].cfg
+	cfg.ReadDelay = 300 * time.Millisecond
+	z.cores[id], z.reading[id] = New(cfg, record(string(id), "z1"), 9), false
+	z.step(id, core.Tick{})
+	z.step(id, Members{Live: slices.SortedFunc(slices.Values(z.ids), compareNodes)})
+	for _, other := range z.ids {
+		if other != id {
+			z.step(id, core.PeerUp{Record: record(string(other), "z1")})
+			z.step(other, core.PeerUp{Record: record(string(id), "z1")})
+		}
+	}
+}
+
+// All nodes of a new site start at once, find each other within a second, and the store holds
+// no configuration yet. The number of nodes that read must not grow with the site.
+func TestStartOfAWholeSiteTakesFewReads(t *testing.T) {
+	reads := func(members int) int {
+		z := &zone{
+			now: begin, cores: make(map[model.NodeID]*Core), reading: make(map[model.NodeID]bool), refused: make(map[model.NodeID]bool),
+			empty: true,
+		}
+		rnd := rand.New(rand.NewPCG(1, uint64(members)))
+		joins := make(map[model.NodeID]time.Time)
+		for i := range members {
+			cfg := DefaultConfig()
+			delay := time.Duration(rnd.Float64() * float64(time.Second))
+			cfg.Leaders, cfg.Fresh, cfg.ReadDelay = 2, true, delay+300*time.Millisecond
+			id := model.NodeID(fmt.Sprintf("node-%03d", i))
+			z.ids = append(z.ids, id)
+			z.cores[id] = New(cfg, record(string(id), "z1"), uint64(i))
+			z.step(id, Members{Live: []model.NodeID{id}})
+			joins[id] = begin.Add(delay)
+		}
+		var joined []model.NodeID
+		for range 40 {
+			z.pass(100 * time.Millisecond)
+			for _, id := range z.ids {
+				if joins[id].After(z.now) || slices.Contains(joined, id) {
+					continue
+				}
+				joined = append(joined, id)
+				for _, other := range joined[:len(joined)-1] {
+					z.step(id, core.PeerUp{Record: record(string(other), "z1")})
+					z.step(other, core.PeerUp{Record: record(string(id), "z1")})
+				}
+			}
+			live := slices.SortedFunc(slices.Values(joined), compareNodes)
+			for _, id := range joined {
+				z.step(id, Members{Live: live})
+			}
+		}
+		must.Len(t, 2, z.readers())
+		return z.starts
+	}
+	small, large := reads(20), reads(120)
+	t.Log("nodes that turned reading on:", small, large)
+	must.LessEq(t, 20, small)
+	must.LessEq(t, 20, large)
+}
--- a/coordination/docsync/event.go
+++ b/coordination/docsync/event.go
@@ -37,10 +37,13 @@
 func (Rejected) Event() {}
 
 // SetReading turns the driver's reads of the store on and off. While they are
-// on, the driver reads again after each StoreRead.
+// on, the driver reads again after each StoreRead. A later one replaces an earlier
+// one.
 type SetReading struct {
 	// On says whether to read.
 	On bool
+	// Once says to read only until the next StoreRead.
+	Once bool
 }
 
 // Apply asks for a document to be put in force.
--- a/coordination/docsync/reading.go
+++ b/coordination/docsync/reading.go
@@ -23,11 +23,12 @@
 // decideReading turns reading on and off.
 func (c *Core) decideReading() {
 	on := c.shouldRead()
-	if on == c.reading {
+	once := on && !c.leading
+	if on == c.reading && once == c.once {
 		return
 	}
-	c.reading = on
-	c.act(SetReading{On: on})
+	c.reading, c.once = on, once
+	c.act(SetReading{On: on, Once: once})
 }
 
 func (c *Core) shouldRead() bool {
@@ -36,10 +37,21 @@
 		return false
 	}
 	c.leading = c.shouldLead()
-	starting := !c.read && c.held == 0 && age < c.cfg.ReadDelay+c.cfg.StartWait
+	starting := !c.read && c.held == 0 && !c.readerHeard() && age < c.cfg.ReadDelay+c.cfg.StartWait
 	return c.leading || starting
 }
 
+// readerHeard reports whether a reader of the zone was heard lately. Peers' documents are then
+// as new as the store's answer would be.
+func (c *Core) readerHeard() bool {
+	for _, b := range c.heard {
+		if c.now.Sub(b.at) < c.cfg.SilenceAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // shouldLead reports whether this node reads the store for its zone.
 func (c *Core) shouldLead() bool {
 	if c.rank < c.cfg.Leaders {
@@ -105,7 +117,10 @@
 	if older {
 		return
 	}
-	c.heard[m.Reader] = beacon{incarnation: m.Incarnation, sequence: m.Sequence, at: c.now}
+	c.heard[m.Reader] = beacon{incarnation: m.Incarnation, sequence: m.Sequence, life: m.Life, at: c.now}
+	if w := c.waiting; w != nil {
+		c.take(w.Version, w.Body, c.from)
+	}
 	c.storeIsBack()
 	c.relay(from, m)
 }
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -100,9 +100,8 @@
 	maxReaders = 4
 )
 
-// joinTime is how long a node that starts with its whole site takes to find a peer
-// that has the configuration: some milliseconds for the store and the handshake,
-// six times as long where it has a sixth of a core.
+// joinTime is the time allowed for a starting node to find a peer that has the configuration:
+// some milliseconds for the store and the handshake, six times as long on a sixth of a core.
 const joinTime = 300 * time.Millisecond
 
 // docsConfig returns the parameters of how the configuration is read.
@@ -110,10 +109,8 @@
 	cfg := docsync.DefaultConfig()
 	zones := max(1, len(n.set.Zones))
 	cfg.Leaders = min(max((siteReaders+zones-1)/zones, minReaders), maxReaders)
-	if n.set.FirstStart {
-		cfg.Fresh = true
-		cfg.ReadDelay = n.startDelay + joinTime
-	}
+	cfg.Fresh = n.set.FirstStart
+	cfg.ReadDelay = n.startDelay + joinTime
 	return cfg
 }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -146,8 +146,8 @@
 	case member.Refused:
 		_ = level.Warn(l.log).Log("event", "record_refused", "from", a.From, "err", a.Err)
 	case docsync.SetReading:
-		_ = level.Info(l.log).Log("event", "store_reading", "on", a.On)
-		l.reader.set(a.On)
+		_ = level.Info(l.log).Log("event", "store_reading", "on", a.On, "once", a.Once)
+		l.reader.setMode(readMode{on: a.On, once: a.Once})
 	case docsync.Apply:
 		l.apply(now, a)
 	case quarantine.Changed:
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -34,38 +34,46 @@
 	loop    *loop
 	log     log.Logger
 	// turn gets whether to read; only the newest word counts.
-	turn chan bool
+	turn chan readMode
+	// mode is the one last received from turn.
+	mode readMode
 	// told is the newest version that the store has told since the last whole
 	// read; 0 for none.
 	told uint64
 }
 
 func newReader(c *platform.Configs, l *loop, logger log.Logger) *reader {
-	return &reader{configs: c, loop: l, log: logger, turn: make(chan bool, 1)}
+	return &reader{configs: c, loop: l, log: logger, turn: make(chan readMode, 1)}
 }
 
+// readMode says whether to read the store, and whether only once.
+type readMode struct{ on, once bool }
+
 // set turns reading on or off.
-func (r *reader) set(on bool) {
+func (r *reader) set(on bool) { r.setMode(readMode{on: on}) }
+
+// setMode replaces the mode; reading goes on or stops accordingly.
+func (r *reader) setMode(m readMode) {
 	select {
 	case <-r.turn:
 	default:
 	}
-	r.turn <- on
+	r.turn <- m
 }
 
 // run reads until ctx ends.
 func (r *reader) run(ctx context.Context) error {
-	on := false
 	for {
-		if !on {
+		if !r.mode.on {
 			select {
-			case on = <-r.turn:
+			case r.mode = <-r.turn:
 			case <-ctx.Done():
 				return nil
 			}
 			continue
 		}
-		on = r.readWhileOn(ctx)
+		on := r.readWhileOn(ctx)
+		r.mode.on = on && !r.mode.once
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -91,8 +99,8 @@
 		case result := <-done:
 			r.handOn(ctx, result)
 			return r.pause(ctx, result.StoreRead)
-		case on := <-r.turn:
-			if !on {
+		case r.mode = <-r.turn:
+			if !r.mode.on {
 				cancel()
 				if result := <-done; result.Err == nil { // the next read goes on after it
 					r.handOn(ctx, result)
@@ -169,8 +177,8 @@
 	}
 	for {
 		select {
-		case on := <-r.turn:
-			if !on {
+		case r.mode = <-r.turn:
+			if !r.mode.on {
 				return false
 			}
 			if result.Err != nil {
