Look for peers in the own zone first

A node that started dialled any seed, four of five of them in other zones, and copied all records over that link.

Seeds of the own zone now come first, and only gateways look for lost seeds of other zones.

--- a/coordination/member/core.go
+++ b/coordination/member/core.go
@@ -60,7 +60,7 @@
 	c.overlay.gateways = make(map[model.Zone][]candidate)
 	c.overlay.dirty = map[model.Zone]bool{self.Zone: true}
 	c.table.Put(self)
-	c.setSeeds(seeds)
+	c.setSeeds(seeds, nil)
 	return c
 }
 
@@ -94,7 +94,7 @@
 	case Leave:
 		c.leave()
 	case SeedsLearned:
-		c.setSeeds(ev.Addrs)
+		c.setSeeds(ev.Addrs, ev.Far)
 	case Incarnate:
 		c.incarnate(ev.Incarnation)
 	}
--- a/coordination/member/event.go
+++ b/coordination/member/event.go
@@ -32,10 +32,12 @@
 // record as left and opens no further links.
 type Leave struct{}
 
-// SeedsLearned replaces the addresses at which other members may be found.
+// SeedsLearned replaces the addresses at which other members may be found, each IP:port.
 type SeedsLearned struct {
-	// Addrs are control addresses, IP:port.
+	// Addrs are those of the own zone, and of members whose zone isn't known.
 	Addrs []string
+	// Far are those of other zones.
+	Far []string
 }
 
 // Incarnate answers an IdentityConflict by a higher incarnation.
--- a/coordination/member/joining.go
+++ b/coordination/member/joining.go
@@ -11,7 +11,8 @@
 
 // joining finds the fleet at the start, and parts of it that were lost.
 type joining struct {
-	seeds    []string
+	seeds    []string // near ones first; see setSeeds
+	near     int      // number of near seeds
 	pos      int
 	failures int
 	next     time.Time // next attempt without a link
@@ -26,17 +27,26 @@
 // parts of a zone that found each other failed meet again by it.
 const failedRetry = time.Hour
 
-// setSeeds replaces the seeds, in random order.
-func (c *Core) setSeeds(addrs []string) {
-	seeds := slices.Clone(addrs)
-	slices.Sort(seeds)
-	seeds = slices.Compact(seeds)
-	seeds = slices.DeleteFunc(seeds, func(a string) bool { return a == c.self.PeerAddr })
-	c.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	c.joining.seeds = seeds
+// setSeeds replaces the seeds. Near ones, which include those whose zone isn't known, come
+// before far ones, those of other zones; both are in random order.
+func (c *Core) setSeeds(near, far []string) {
+	near = c.shuffled(near)
+	far = slices.DeleteFunc(c.shuffled(far), func(a string) bool { return slices.Contains(near, a) })
+	c.joining.seeds = slices.Concat(near, far)
+	c.joining.near = len(near)
 	c.joining.pos = 0
 }
 
+// shuffled returns addrs without duplicates and the own address, in random order.
+func (c *Core) shuffled(addrs []string) []string {
+	addrs = slices.Clone(addrs)
+	slices.Sort(addrs)
+	addrs = slices.Compact(addrs)
+	addrs = slices.DeleteFunc(addrs, func(a string) bool { return a == c.self.PeerAddr })
+	c.rng.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	return addrs
+}
+
 // dialOthers dials beyond the overlay: seeds while there is no link, and now
 // and then an address that may lead to a part of the fleet without a link.
 func (c *Core) dialOthers() {
@@ -104,7 +114,8 @@
 }
 
 // lostAddrs returns the seeds at which no live member is known, and the
-// addresses of the own zone's members that failed lately.
+// addresses of the own zone's members that failed lately. Seeds of other zones are left to
+// the gateways: each link to another zone carries a copy of all records.
 func (c *Core) lostAddrs() (seeds, failed []string) {
 	known := make(map[string]bool)
 	oldest := c.now.Add(-failedRetry).Unix()
@@ -118,7 +129,11 @@
 		return true
 	})
 	isKnown := func(addr string) bool { return known[addr] }
-	seeds = slices.DeleteFunc(slices.Clone(c.joining.seeds), isKnown)
+	seeds = c.joining.seeds
+	if !c.overlay.gateway {
+		seeds = seeds[:c.joining.near]
+	}
+	seeds = slices.DeleteFunc(slices.Clone(seeds), isKnown)
 	failed = slices.DeleteFunc(failed, isKnown)
 	slices.Sort(failed)
 	return seeds, failed
--- a/coordination/member/member_test.go
+++ b/coordination/member/member_test.go
@@ -127,6 +127,40 @@
 	must.GreaterEq(t, 0.97*all, few)
 }
 
+// Guards against every starting node copying all records from a seed in another zone. Gateways
+// need only some copies of each record to each zone.
+func TestStartOfALargeSiteCostsFewBytesBetweenZones(t *testing.T) {
+	t.Parallel()
+	const zones, registered, copies = 5, 8, 16
+	for _, per := range []int{20, 50} {
+		n := newNetwork(t, zones, per, 3)
+		n.seedsByZone = true
+		for i, id := range n.ids {
+			if i%per < registered {
+				n.seeds = append(n.seeds, n.nodes[id].rec.PeerAddr)
+			}
+		}
+		n.runFor(time.Second)
+		n.until("all found", 10*time.Second, n.agreed)
+		r := record(0, 0)
+		need := len(n.ids) * (zones - 1) * sizeOf(&r)
+		t.Logf("%d nodes: %d KB between zones, %.1f copies of each record to each zone", len(n.ids), n.crossZoneBytes/1000, float64(n.crossZoneBytes)/float64(need))
+		must.LessEq(t, copies*need, n.crossZoneBytes)
+	}
+}
+
+// A zone without live seeds of its own must join by seeds of other zones.
+func TestZoneWithoutSeedsOfItsOwnIsFound(t *testing.T) {
+	t.Parallel()
+	n := newNetwork(t, 3, 6, 4)
+	n.seedsByZone = true
+	for _, id := range n.ids[:6] {
+		n.seeds = append(n.seeds, n.nodes[id].rec.PeerAddr) // of the first zone
+	}
+	n.runFor(time.Second)
+	n.until("all found", 5*time.Second, n.agreed)
+}
+
 func TestOverlayStaysConnectedWithoutAnyNode(t *testing.T) {
 	t.Parallel()
 	n := started(t, 2, 25)
--- a/coordination/member/network_test.go
+++ b/coordination/member/network_test.go
@@ -28,8 +28,10 @@
 	ids               []model.NodeID
 	cut               func(a, b *node) bool
 	seeds             []string // of every node; nil for those of newNetwork
+	seedsByZone       bool     // nodes know which seeds are of their own zone
 	drop, dup, jumble float64
 	bytes, messages   int
+	crossZoneBytes    int             // sent to other zones
 	wired             message.Message // sent last
 	size              int             // of it when encoded, in bytes
 	decoded           message.Message // what is received of it
@@ -108,6 +110,9 @@
 		seeds = n.seeds
 	}
 	x.core = New(DefaultConfig(), x.rec, seeds, n.rng.Uint64())
+	if n.seedsByZone {
+		n.step(x, n.splitSeeds(x, seeds))
+	}
 	run := x.run
 	var tick func()
 	tick = func() {
@@ -119,6 +124,21 @@
 	tick()
 }
 
+// splitSeeds divides the seeds into those of x's zone and those of other zones.
+func (n *network) splitSeeds(x *node, seeds []string) SeedsLearned {
+	var learned SeedsLearned
+	for _, id := range n.ids {
+		switch r := n.nodes[id].rec; {
+		case !slices.Contains(seeds, r.PeerAddr):
+		case r.Zone == x.rec.Zone:
+			learned.Addrs = append(learned.Addrs, r.PeerAddr)
+		default:
+			learned.Far = append(learned.Far, r.PeerAddr)
+		}
+	}
+	return learned
+}
+
 func (n *network) crash(id model.NodeID) { n.nodes[id].up = false }
 
 func (n *network) thaw(id model.NodeID) {
@@ -165,6 +185,9 @@
 	x.out += size
 	n.bytes += size
 	n.messages++
+	if n.nodes[a.To].rec.Zone != x.rec.Zone {
+		n.crossZoneBytes += size
+	}
 	if !x.conns[a.To] || n.rng.Float64() < n.drop {
 		return
 	}
@@ -308,7 +331,7 @@
 }
 
 func (n *network) resetCounts() {
-	n.bytes, n.messages = 0, 0
+	n.bytes, n.messages, n.crossZoneBytes = 0, 0, 0
 	for x := range maps.Values(n.nodes) {
 		x.in, x.out = 0, 0
 	}
--- a/internal/sidecar/discover.go
+++ b/internal/sidecar/discover.go
@@ -106,12 +106,12 @@
 	}
 	n.learnQuarantines(ctx, nodes)
 	n.learnRollouts(ctx, nodes)
-	d.listed = 0
-	seeds := make([]string, 0, len(nodes.Seeds))
+	var near, far []string
 	for id, s := range nodes.Seeds {
-		seeds = append(seeds, s.Addr)
 		if s.Zone == string(n.set.Zone) {
-			d.listed++
+			near = append(near, s.Addr)
+		} else {
+			far = append(far, s.Addr)
 		}
 		if id == string(n.set.Node) {
 			d.registered = s == d.self()
@@ -120,9 +120,11 @@
 	if d.registered {
 		n.own.registered(d.self())
 	}
-	slices.Sort(seeds)
-	_ = level.Info(n.log).Log("event", "nodes_read", "nodes", len(seeds), "own_zone", d.listed, "registered", d.registered)
-	n.loop.queue.Post(ctx, member.SeedsLearned{Addrs: seeds})
+	d.listed = len(near)
+	slices.Sort(near)
+	slices.Sort(far)
+	_ = level.Info(n.log).Log("event", "nodes_read", "nodes", len(nodes.Seeds), "own_zone", d.listed, "registered", d.registered)
+	n.loop.queue.Post(ctx, member.SeedsLearned{Addrs: near, Far: far})
 }
 
 // register writes the node's address into the store.
