Find fast servers among many

The first value of a service's average time dominated until some fifty more had come in. Also, a node that sends 3 requests per second to 160 servers of a zone has no data on most of them, so that a slow third got its full share.

- The first values of the average have equal weight.
- In zones with 64 servers or more, three quarters of the second draws are among eight servers that have recently been faster than the average.

--- a/coordination/balance/config.go
+++ b/coordination/balance/config.go
@@ -57,6 +57,9 @@
 	ZoneMisses int32
 	// ZoneRetry is the time between two trials of a zone that is cut off.
 	ZoneRetry time.Duration
+	// FastMinTier is the number of servers of a tier from which second draws prefer
+	// recently fast servers: one node's requests are too few to measure all of them.
+	FastMinTier int
 	// DefaultSlots stands in where neither record nor report gives slots.
 	DefaultSlots int
 }
@@ -82,6 +85,7 @@
 		TrialTimeout: 5 * time.Second,
 		ZoneMisses:   4,
 		ZoneRetry:    300 * time.Millisecond,
+		FastMinTier:  fastMinTier,
 		DefaultSlots: 10,
 	}
 }
--- a/coordination/balance/done.go
+++ b/coordination/balance/done.go
@@ -127,10 +127,25 @@
 	if g.seen.CompareAndSwap(false, true) {
 		storeFloat(&g.mean, v)
 	}
-	average(&g.mean, v, groupGain)
+	average(&g.mean, v, max(groupGain, 1/float64(g.count.Load()+1))) // plain mean of the first values
+	countUpTo(&g.count, maxLatencies)
 	average(&s.latency, v-floatOf(&g.mean), gain)
 	countUpTo(&s.latencies, maxLatencies)
 	s.latencyAt.Store(at)
+	c.updateFastSet()
+}
+
+// updateFastSet adds the server to the recently fast ones if its latency is below the
+// average, and removes it otherwise.
+func (c Choice) updateFastSet() {
+	members, fast := c.group.tiers[c.member.tier], &c.group.fastSet[c.member.tier]
+	switch {
+	case len(members) < c.picker.cfg.FastMinTier:
+	case floatOf(&c.server.latency) < 0:
+		fast.add(c.member, members, c.picker.rand.IntN(fastSetSize))
+	default:
+		fast.remove(c.member)
+	}
 }
 
 func (c Choice) failed(at int64) {
--- a/coordination/balance/group.go
+++ b/coordination/balance/group.go
@@ -29,6 +29,7 @@
 	source  *endpoint.Record // first element of the view's slice
 	size    int
 	tiers   [numTiers][]member
+	fastSet [numTiers]fastSet
 
 	stats *stats
 }
@@ -42,8 +43,9 @@
 
 // latency is a moving average of what requests of one sort take.
 type latency struct {
-	mean atomic.Uint64 // float64: of log2(nanoseconds)
-	seen atomic.Bool   // false before the first
+	mean  atomic.Uint64 // float64: of log2(nanoseconds)
+	seen  atomic.Bool   // false before the first
+	count atomic.Int32  // number of values, up to maxLatencies
 }
 
 // holds reports whether the group was made of this service and this slice.
@@ -124,11 +126,25 @@
 			known.slots.Store(0) // reported for the previous state
 		}
 		t := p.tierOf(r)
-		g.tiers[t] = append(g.tiers[t], member{record: r, server: known, way: p.zones.of(r.Zone), slots: p.slotsOf(s, r)})
+		g.tiers[t] = append(g.tiers[t], member{
+			record: r, server: known, way: p.zones.of(r.Zone), slots: p.slotsOf(s, r), tier: t, index: int32(len(g.tiers[t])),
+		})
+	}
+	for t := range g.tiers {
+		g.carryFastSet(tier(t))
 	}
 	return g
 }
 
+// carryFastSet carries over a tier's recently fast members from the previous group.
+func (g *group) carryFastSet(t tier) {
+	for i := range g.tiers[t] {
+		if m := &g.tiers[t][i]; m.server.fast.Swap(false) {
+			g.fastSet[t].add(m, g.tiers[t], i)
+		}
+	}
+}
+
 func (p *Picker) tierOf(r *endpoint.Record) tier {
 	switch {
 	case r.Zone == p.zone:
--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -49,6 +49,7 @@
 
 	picker *Picker
 	group  *group
+	member *member
 	server *server
 	trial  bool
 }
@@ -85,7 +86,7 @@
 		return Choice{}, &NoEndpointError{Service: s.Name, Candidates: len(candidates), Tried: tried.Len()}
 	}
 	m.server.inFlight.Add(1)
-	return Choice{Record: m.record, picker: p, group: g, server: m.server, trial: trial}, nil
+	return Choice{Record: m.record, picker: p, group: g, member: m, server: m.server, trial: trial}, nil
 }
 
 // PickNode chooses the given node's server among the candidates, and reports false
@@ -105,7 +106,7 @@
 				return Choice{}, false
 			}
 			m.server.inFlight.Add(1)
-			return Choice{Record: m.record, picker: p, group: g, server: m.server, trial: trial}, true
+			return Choice{Record: m.record, picker: p, group: g, member: m, server: m.server, trial: trial}, true
 		}
 	}
 	return Choice{}, false
@@ -157,7 +158,10 @@
 	if trial {
 		return a, 0, true
 	}
-	b, trial := p.draw(members, a, tried, at)
+	b := p.drawFast(g, a, members, tried, at)
+	if b == nil {
+		b, trial = p.draw(members, a, tried, at)
+	}
 	if trial {
 		return b, 0, true
 	}
@@ -209,6 +213,22 @@
 	return time.Duration(waiting / slots * work)
 }
 
+// drawFast returns a recently fast member other than a for fastSetDraws of totalDraws
+// draws in a large tier; nil if there is none, and for other draws.
+func (p *Picker) drawFast(g *group, a *member, members []member, tried *Tried, at int64) *member {
+	if len(members) < p.cfg.FastMinTier || p.rand.IntN(totalDraws) >= fastSetDraws {
+		return nil
+	}
+	m := g.fastSet[a.tier].draw(members, p.rand.IntN(fastSetSize))
+	if m == nil || m.server.ejected() {
+		return nil // only random draws make trials
+	}
+	if ok, _ := p.usable(m, a, tried, at); !ok {
+		return nil
+	}
+	return m
+}
+
 // draw returns a random member that may be used, other than not.
 func (p *Picker) draw(members []member, not *member, tried *Tried, at int64) (*member, bool) {
 	n := len(members)
--- a/coordination/balance/server.go
+++ b/coordination/balance/server.go
@@ -21,6 +21,7 @@
 	inFlight atomic.Int64
 	warmFrom atomic.Int64 // start of the slow start; 0 when warm
 	cold     atomic.Bool  // Cold of the latest record
+	fast     atomic.Bool  // whether it is in its tier's fastSet
 
 	others     atomic.Uint64 // float64: reported load that is not this node's own
 	slots      atomic.Int64  // reported slots; 0 when not known
@@ -161,6 +162,8 @@
 	server *server
 	way    *zoneWay
 	slots  int
+	tier   tier
+	index  int32 // in the tier
 }
 
 func floatOf(a *atomic.Uint64) float64 { return math.Float64frombits(a.Load()) }
