Round each node's part of the bound on repeats at random

At 985 hosts a node's part of the bound is 2.5 repeats in a window, rounded down to 2. A fifth of the bound was unused, and more at smaller services. Each node now rounds by a random number of its own.

Test with 1,000 and 2,000 nodes: the repeats granted are within a twentieth of the bound.

--- a/coordination/attempt/budget.go
+++ b/coordination/attempt/budget.go
@@ -23,6 +23,10 @@
 	// are repeated: there are no calls of repeated runs then that need the rest. It is
 	// not below Safety.
 	Alone float64
+	// Lot is a random number below 1 that decides how the node's part is rounded. Parts in a
+	// large fleet are a few repeats each; rounding all of them down would leave much of the
+	// bound unused.
+	Lot float64
 }
 
 // DefaultSafety is the part of the bound that each service's own repeats may
@@ -110,7 +114,7 @@
 // repeat is Repeat with b.mu held.
 func (b *Budget) repeat(now time.Time, service string, g Gain) bool {
 	w := b.at(now, service)
-	if sum(w.repeats)+1 > b.part(g)*b.bound(now, service, w) {
+	if sum(w.repeats)+1 > b.part(g)*b.bound(now, service, w)+b.cfg.Lot {
 		w.short = now
 		return false
 	}
--- a/coordination/attempt/budget_test.go
+++ b/coordination/attempt/budget_test.go
@@ -158,3 +158,28 @@
 	b.Request(begin.Add(-time.Hour), "s")
 	must.True(t, b.Repeat(begin, "s", GainWhole))
 }
+
+// Guards against rounding every node's part down, which leaves up to one repeat per node unused.
+func TestPartsOfALargeFleetAddUpToTheBound(t *testing.T) {
+	for _, nodes := range []int{1000, 2000} {
+		rnd := rand.New(rand.NewPCG(7, uint64(nodes)))
+		requests, granted := 0, 0
+		for range nodes {
+			cfg := BudgetConfig{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second, Safety: DefaultSafety, Lot: rnd.Float64()}
+			b := NewBudget(cfg)
+			b.SetNodes(nodes)
+			for i := range 200 {
+				now := time.Unix(1000, 0).Add(time.Duration(i) * 50 * time.Millisecond)
+				if rnd.Float64() < 0.1 {
+					b.Request(now, "s")
+					requests++
+				}
+				if i%10 == 0 && b.Repeat(now, "s", GainWhole) {
+					granted++
+				}
+			}
+		}
+		bound := DefaultSafety * (0.2*float64(requests) + 1000)
+		must.Between(t, 0.95*bound, float64(granted), 1.05*bound)
+	}
+}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
 	"os"
 	"time"
@@ -68,6 +69,8 @@
 
 	// content is the file as it was read.
 	content []byte
+	// lot is a random number below 1; see attempt.BudgetConfig.
+	lot float64
 }
 
 // Listen are a node's addresses.
@@ -184,7 +187,7 @@
 
 // parse decodes and checks settings.
 func parse(b []byte) (*Settings, error) {
-	s := &Settings{content: b}
+	s := &Settings{content: b, lot: rand.Float64()}
 	if err := json.Unmarshal(b, s); err != nil {
 		return nil, &SettingsError{Err: err}
 	}
@@ -270,6 +273,7 @@
 		Window: seconds(s.Retry.WindowSeconds),
 		Safety: attempt.DefaultSafety,
 		Alone:  max(attempt.DefaultSafety, s.Retry.Alone),
+		Lot:    s.lot,
 	}
 }
 
