Add cold backend servers and zone evacuations to the soak

The soak did not cover cold backend servers or evacuated zones. The -places flag plays plans with both: backend servers are cold for two seconds after a start and when the evacuation of their zone ends, and operators order and end evacuations of zones, alongside crashes, drains, restarts and lost history.

New checks: - cold: a cold backend server gets no more requests in any second than its limit. - evacuated: an evacuated zone gets no requests from three seconds after the order on, unless a node, link or the store was disturbed.

--- a/cmd/jacinthgate-soak/main.go
+++ b/cmd/jacinthgate-soak/main.go
@@ -44,6 +44,8 @@
 	planned, crashes, restores bool
 	// keys lets callers show keys, which come and go, and an organisation flood.
 	keys bool
+	// places plays evacuations of zones, and backend servers that are cold after a start.
+	places bool
 	// series leaves out all but planned work in series and faults of the store.
 	series bool
 }
@@ -54,6 +56,7 @@
 	f.DurationVar(&c.length, "length", 20*time.Second, "time in which disturbances begin")
 	f.BoolVar(&c.planned, "planned", false, "planned work only")
 	f.BoolVar(&c.keys, "keys", false, "callers show keys that come and go, and an organisation floods")
+	f.BoolVar(&c.places, "places", false, "backend servers that are cold after a start, and evacuations of zones")
 	f.BoolVar(&c.series, "series", false, "planned work in series that overlap, beside faults of the store")
 	f.BoolVar(&c.crashes, "crashes", false, "backend servers that crash and return, and requests that end them")
 	f.BoolVar(&c.restores, "restores", false, "a store that comes back from older copies")
@@ -68,6 +71,8 @@
 		return soak.NewSeriesPlan(seed, c.nodes, c.length)
 	case c.keys:
 		return soak.NewKeyPlan(seed, c.nodes, c.length)
+	case c.places:
+		return soak.NewEvacuationPlan(seed, c.nodes, c.length)
 	case c.crashes:
 		return soak.NewCrashPlan(seed, c.nodes, c.length)
 	case c.restores:
@@ -90,7 +95,7 @@
 func (*planCmd) Name() string     { return "plan" }
 func (*planCmd) Synopsis() string { return "print the disturbances of a seed" }
 func (*planCmd) Usage() string {
-	return "plan -seed N [-nodes N] [-length D] [-planned | -series | -crashes | -restores | -keys]\n"
+	return "plan -seed N [-nodes N] [-length D] [-planned | -series | -crashes | -restores | -keys | -places]\n"
 }
 func (c *planCmd) SetFlags(f *flag.FlagSet) { c.set(f) }
 
@@ -111,7 +116,7 @@
 func (*runCmd) Name() string     { return "run" }
 func (*runCmd) Synopsis() string { return "play seeds and check the promises" }
 func (*runCmd) Usage() string {
-	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -series | -crashes | -restores | -keys] [-bin DIR] [-dir DIR]
+	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -series | -crashes | -restores | -keys | -places] [-bin DIR] [-dir DIR]
 Plays one seed after the other. A seed that breaks a promise is printed with what
 was seen, and its logs stay in DIR/SEED. Exit code 1 if any did.
 `
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // Check is one promise that a soak looks at.
@@ -45,6 +47,10 @@
 	CheckKeys Check = "keys"
 	// CheckQuota: an organisation gets no more than its quota over all nodes.
 	CheckQuota Check = "quota"
+	// CheckCold: a cold backend server gets no more requests in any second than its limit.
+	CheckCold Check = "cold"
+	// CheckEvacuated: the backend servers of an evacuated zone get no requests.
+	CheckEvacuated Check = "evacuated"
 	// CheckRows: what nodes have written of themselves is in the store again after it came
 	// back from an older copy.
 	CheckRows Check = "own-rows"
@@ -107,6 +113,8 @@
 	// Organisation is who is said to hold the caller's key, and Credentials what came of
 	// the key itself.
 	Organisation, Credentials string
+	// Zone is the backend server's availability zone.
+	Zone model.Zone
 	// At is when it arrived, and Sent when its caller sent it, where a check asks for that.
 	At, Sent time.Time
 	// Work is how long it takes the backend server.
@@ -143,6 +151,10 @@
 	Stops []Stop
 	// Keyed says that callers show keys.
 	Keyed bool
+	// Evacuations are the evacuations of zones that have ended.
+	Evacuations []Evacuation
+	// ColdSpans are the times in which each start of a backend server was cold, by startOf.
+	ColdSpans map[string][]Span
 	// Accepted is when each version of the configuration was accepted, from the first.
 	Accepted []time.Time
 }
@@ -168,6 +180,7 @@
 	}
 	h.checkQuarantine(&found)
 	h.checkKeys(&found)
+	h.checkColdAndEvacuated(&found)
 	return found
 }
 
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -65,6 +65,8 @@
 		s.restore(ctx, step)
 	case FaultDeadly:
 		s.askDeadly(ctx, step)
+	case FaultEvacuate:
+		s.evacuate(ctx, step)
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -57,6 +57,8 @@
 	// FaultSignals sends a node signals in series: SIGHUPs, SIGTERMs among further signals
 	// until it has ended, and more of them while it starts.
 	FaultSignals Fault = "signals"
+	// FaultEvacuate evacuates a node's availability zone and ends the evacuation again.
+	FaultEvacuate Fault = "evacuate"
 )
 
 // planned are the disturbances that belong to daily work.
@@ -67,7 +69,9 @@
 
 // Planned reports whether the disturbance belongs to daily work, beside which
 // nothing may be cut.
-func (f Fault) Planned() bool { return f == FaultSignals || slices.Contains(planned, f) }
+func (f Fault) Planned() bool {
+	return f == FaultSignals || f == FaultEvacuate || slices.Contains(planned, f)
+}
 
 // OfStore reports whether only the store is struck, beside which nothing may be cut either.
 func (f Fault) OfStore() bool { return slices.Contains(ofStore, f) }
@@ -100,6 +104,12 @@
 	FaultCutStore, FaultStoreDown, FaultStoreSlow, FaultCompact,
 }
 
+// evacuating are the kinds of a plan with cold backend servers and evacuations.
+var evacuating = []Fault{
+	FaultEvacuate, FaultEvacuate, FaultCrash, FaultCrash, FaultReturn, FaultReturn, FaultDrain, FaultChange,
+	FaultTerm, FaultKill, FaultCompact,
+}
+
 // Step is one disturbance of a plan.
 type Step struct {
 	// At is when it begins, from the start of the plan.
@@ -131,6 +141,9 @@
 	// Keyed says that callers show keys, which come and go with versions, and that an
 	// organisation floods.
 	Keyed bool
+	// Evacuating says that zones are evacuated, and that backend servers are cold after a start
+	// and when the evacuation of their zone ends.
+	Evacuating bool
 }
 
 // Bounds of what a plan draws.
@@ -181,6 +194,13 @@
 	return draw(series, seriesEvery, seed, nodes, length)
 }
 
+// NewEvacuationPlan draws a schedule around cold backend servers and evacuations of zones.
+func NewEvacuationPlan(seed uint64, nodes int, length time.Duration) Plan {
+	p := draw(evacuating, 2*stepEvery, seed, nodes, length)
+	p.Evacuating = true
+	return p
+}
+
 // draw draws a schedule of some kinds, with a mean time between two disturbances.
 func draw(kinds []Fault, every time.Duration, seed uint64, nodes int, length time.Duration) Plan {
 	rng := rand.New(rand.NewPCG(seed, seed))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthgate/jacinthgate/internal/process"
 	"github.com/jacinthgate/jacinthgate/platform/platformtest"
+	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // Result is what a soak has seen and found.
@@ -44,7 +45,10 @@
 	drained map[string]time.Time
 	found   []Violation
 	faults  map[Fault]int // of the store, under way
-	lost    []string      // rows of nodes that a restore of the store may have taken
+	// evacuated are the zones under evacuation, and evacuations those that have ended.
+	evacuated   map[model.Zone]bool
+	evacuations []Evacuation
+	lost        []string // rows of nodes that a restore of the store may have taken
 }
 
 // NotServingError reports a site that didn't begin to serve.
@@ -67,7 +71,8 @@
 	if err != nil {
 		return Result{}, err
 	}
-	s := &soak{site: st, callers: &callers{site: st}, drained: make(map[string]time.Time), faults: make(map[Fault]int)}
+	s := &soak{site: st, callers: &callers{site: st}, drained: make(map[string]time.Time), faults: make(map[Fault]int),
+		evacuated: make(map[model.Zone]bool)}
 	s.versions = &versions{site: st, callers: s.callers}
 	s.callers.versions = s.versions
 	s.versions.change()
@@ -213,9 +218,11 @@
 // result gathers what callers and backend servers saw, and checks it.
 func (s *soak) result() Result {
 	h := History{Requests: s.callers.taken(), Drained: s.drained, Spans: s.spans, Stops: s.stops, Keyed: s.site.cfg.Plan.Keyed, Accepted: s.versions.accepted}
+	h.Evacuations, h.ColdSpans = s.evacuations, make(map[string][]Span)
 	for _, n := range s.site.nodes {
 		for _, b := range n.host.all {
-			h.Arrivals = append(h.Arrivals, arrivals(b)...)
+			h.Arrivals = append(h.Arrivals, arrivals(b, n.set.Zone)...)
+			h.ColdSpans[startOf(b.ID, b.Born)] = b.coldSpans
 		}
 	}
 	r := Result{Requests: len(h.Requests), Arrivals: len(h.Arrivals)}
@@ -231,11 +238,11 @@
 	return r
 }
 
-func arrivals(b *server) []Arrival {
+func arrivals(b *server, zone model.Zone) []Arrival {
 	var out []Arrival
 	for _, seen := range b.Seen() {
 		out = append(out, Arrival{
-			Server: b.ID, Born: b.Born, ID: seen.ID, Method: seen.Method, Path: seen.Path, Caller: seen.Caller, Refused: seen.Refused, At: seen.At,
+			Server: b.ID, Born: b.Born, ID: seen.ID, Method: seen.Method, Path: seen.Path, Caller: seen.Caller, Refused: seen.Refused, At: seen.At, Zone: zone,
 			Work: b.workOf(seen.Path), Organisation: seen.Headers.Get(platformtest.HeaderOrganisation), Credentials: seen.Headers.Get("Authorization"),
 		})
 	}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -38,6 +38,9 @@
 	*platformtest.Backend
 	addr string
 	http *http.Server
+	// coldUntil is when the last of coldSpans ends. Both are guarded by the host's mu.
+	coldUntil time.Time
+	coldSpans []Span
 }
 
 // downTime is how long a backend server is away after a request has ended it.
@@ -88,9 +91,10 @@
 
 // host is what stands beside a node: the backend server of the moment.
 type host struct {
-	ip      string
-	service string
-	control string // the node's address for backend servers
+	ip         string
+	service    string
+	control    string // the node's address for backend servers
+	coldStarts bool   // backend servers are cold after a start, except the first
 
 	mu       sync.Mutex
 	current  *server
@@ -123,6 +127,9 @@
 	if err != nil {
 		return err
 	}
+	if h.coldStarts && len(h.all) > 0 {
+		s.markCold()
+	}
 	h.current, h.draining, h.acked = s, false, nil
 	h.all = append(h.all, s)
 	return nil
@@ -132,6 +139,9 @@
 func (h *host) beat() {
 	h.mu.Lock()
 	s, draining, acked := h.current, h.draining, h.acked
+	if s != nil {
+		s.Cold = max(0, time.Until(s.coldUntil))
+	}
 	h.mu.Unlock()
 	if s == nil {
 		return
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -168,7 +168,10 @@
 	if s.cfg.Plan.Keyed {
 		keySettings(&n.set)
 	}
-	n.host = &host{ip: n.ip, service: n.set.Service, control: n.addr(portBackend)}
+	if s.cfg.Plan.Evacuating {
+		evacuationSettings(&n.set)
+	}
+	n.host = &host{ip: n.ip, service: n.set.Service, control: n.addr(portBackend), coldStarts: s.cfg.Plan.Evacuating}
 	s.nodes = append(s.nodes, n)
 	if err := n.host.replace(0); err != nil {
 		return err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,6 +35,7 @@
 		"keys":         NewKeyPlan(72, 4, 6*time.Second),
 		"restores":     NewRestorePlan(1, 4, 6*time.Second),
 		"series":       NewSeriesPlan(5, 4, 6*time.Second),
+		"places":       NewEvacuationPlan(4, 6, 6*time.Second),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -72,6 +72,9 @@
 		routes[i].TimeoutMillis = int(2 * slowWait.Milliseconds()) // callers give up before
 	}
 	config := platformtest.Config(fmt.Sprintf("r%d", next), services, routes...)
+	if v.site.cfg.Plan.Evacuating {
+		config = platformtest.ColdConfig(fmt.Sprintf("r%d", next), services, coldRate, routes...)
+	}
 	if v.site.cfg.Plan.Keyed {
 		config = platformtest.KeyedConfig(fmt.Sprintf("r%d", next), services, organisations(next), routes...)
 	}
