Send only a zone's own records between zones in a large fleet

With more than 128 records, links between zones now carry records of the sender's zone only. Where records of third zones have changed, the tables are compared after 0.3 s, so that a zone without a link to another one learns of its changes through a third.

The sidecar closes links that neither side wants any more after 3 s instead of 15 s, because they carry each record once more.

--- a/coordination/member/antientropy.go
+++ b/coordination/member/antientropy.go
@@ -246,6 +246,14 @@
 	})
 }
 
+// compareSoon schedules a comparison with a peer of another zone after changed records of third
+// zones were not passed on to it: its zone may have no link to theirs.
+func (c *Core) compareSoon(l *link) {
+	if l.compare.IsZero() {
+		l.compare = c.now.Add(c.cfg.RelayCompareDelay)
+	}
+}
+
 // jitter returns a random duration below d.
 func (c *Core) jitter(d time.Duration) time.Duration {
 	if d <= 0 {
--- a/coordination/member/config.go
+++ b/coordination/member/config.go
@@ -46,6 +46,13 @@
 	// DigestInterval is the time between two comparisons with a random
 	// neighbour.
 	DigestInterval time.Duration
+	// MaxRelayTableSize is the number of records in the table up to which links between zones
+	// also carry records of third zones. This spreads them sooner than the links of their own
+	// zones alone, but costs more bytes between zones.
+	MaxRelayTableSize int
+	// RelayCompareDelay is the time between a change of third zones' records that isn't passed
+	// on over a link between zones and the comparison of the tables over that link.
+	RelayCompareDelay time.Duration
 	// RequestTimeout is how long an answer to a RecordsRequest is waited for
 	// before the zone is asked for again, and the quiet time after which the
 	// first copy of a zone counts as whole.
@@ -105,6 +112,8 @@
 		BatchDelay:           20 * time.Millisecond,
 		MaxMessageBytes:      24 << 10,
 		DigestInterval:       10 * time.Second,
+		MaxRelayTableSize:    128,
+		RelayCompareDelay:    300 * time.Millisecond,
 		RequestTimeout:       2 * time.Second,
 		AnswerBytesPerSecond: 256 << 10,
 		AnswerBurstBytes:     1 << 20,
--- a/coordination/member/flood.go
+++ b/coordination/member/flood.go
@@ -166,6 +166,10 @@
 		if !held || ownsNews(l, &r) || slices.Contains(ch.from, l.node) {
 			continue
 		}
+		if c.skipsRelay(l, &r) {
+			c.compareSoon(l)
+			continue
+		}
 		if ch.urgent {
 			urgent = append(urgent, r)
 		} else {
@@ -176,6 +180,14 @@
 	c.sendRecords(l, message.Normal, normal)
 }
 
+// skipsRelay reports whether a record is not passed on to a peer of another zone because the
+// gateways of the record's own zone send it there. In a large fleet links between zones carry
+// records of the sender's zone only: otherwise every gateway would pass on each record over all
+// of its links to other zones when the fleet starts.
+func (c *Core) skipsRelay(l *link, r *endpoint.Record) bool {
+	return l.zone != c.self.Zone && r.Zone != c.self.Zone && c.table.Len() > c.cfg.MaxRelayTableSize
+}
+
 // ownsNews reports whether the peer made this version of the record itself. A
 // suspicion of the peer is news to it: it has to refute.
 func ownsNews(l *link, r *endpoint.Record) bool {
--- a/coordination/member/member_test.go
+++ b/coordination/member/member_test.go
@@ -149,6 +149,35 @@
 	}
 }
 
+// Guards against gateways of third zones passing on changes in a large fleet. Only the changed
+// node's own zone sends them to each other zone, from two gateways to two peers each.
+func TestChangeCrossesToEachZoneFewTimes(t *testing.T) {
+	t.Parallel()
+	const zones = 5
+	n := started(t, zones, 30)
+	x := n.nodes[record(2, 7).Node]
+	r := x.core.Self()
+	n.resetCounts()
+	n.step(x, Announce{Service: x.rec.Service, Slots: 10, Connections: 110, Draining: true})
+	n.runFor(200 * time.Millisecond)
+	must.True(t, n.all(n.agreed))
+	must.LessEq(t, 4*(zones-1)*sizeOf(&r), n.crossZoneBytes)
+}
+
+// Guards against zones of a large fleet that have no links to each other missing a drain, which
+// must reach them through a third zone within the time allowed for drains.
+func TestChangeReachesAZoneWithoutALink(t *testing.T) {
+	t.Parallel()
+	n := started(t, 3, 50)
+	n.cut = func(a, b *node) bool {
+		return a.rec.Zone != b.rec.Zone && a.rec.Zone != "zone-b" && b.rec.Zone != "zone-b"
+	}
+	n.runFor(5 * time.Second)
+	x := n.nodes[record(0, 5).Node]
+	n.step(x, Announce{Service: x.rec.Service, Slots: 10, Connections: 110, Draining: true})
+	n.until("the drain is known everywhere", 2500*time.Millisecond, n.agreed)
+}
+
 // A zone without live seeds of its own must join by seeds of other zones.
 func TestZoneWithoutSeedsOfItsOwnIsFound(t *testing.T) {
 	t.Parallel()
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -129,6 +129,8 @@
 	cfg.ConnectBurst = 20
 	cfg.DigestInterval = 3 * time.Second
 	cfg.RequestTimeout = time.Second
+	// Links no longer wanted while the fleet grows carry each record once more: close them early.
+	cfg.LinkLinger = 3 * time.Second
 	return cfg
 }
 
