Register the first members of a zone by rank

Writes to one part of the table run one after the other and are slow when many nodes write at once, so nodes found few registered for seconds and took themselves for alone. 333 nodes took themselves for readers of their zone after 0.3 s (357 reads of the configuration).

A node now registers at once only if no node of its zone is listed, or if it is alone after 2 s. Some eight nodes of a zone register by their rank among its live members, after 2 s. A node counts as alone only from one second after it has read the list.

Where the whole site starts for the first time, nodes read the store's configuration 2 s after their first look, unless no node of their zone was registered.

TestFewRegisterWhereAllStartAtOnce now simulates registration by rank too. The case "few are registered" in TestRegister expected a node of any rank to register. It now expects nodes of the first ranks to register after 2 s, and new cases expect other nodes not to. A node that is alone registers after 2 s, no longer at its second look; cases for both moments.

--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -13,8 +13,8 @@
 )
 
 // Core is the state machine of one node. It takes core.Tick, core.PeerUp,
-// core.PeerDown, core.Received, Members, StoreRead and Rejected. It is not safe
-// for concurrent use.
+// core.PeerDown, core.Received, Members, StoreRead, FirstInZone and Rejected. It
+// is not safe for concurrent use.
 type Core struct {
 	cfg  Config
 	rng  *rand.Rand
@@ -114,6 +114,9 @@
 		c.setRank(max(0, slices.Index(ev.Live, c.self.Node)), len(ev.Live))
 	case StoreRead:
 		c.storeRead(ev)
+	case FirstInZone:
+		c.cfg.ReadDelay = min(c.cfg.ReadDelay, c.now.Sub(c.started))
+		c.quiet = c.now
 	case Rejected:
 		c.bad = max(c.bad, ev.Version)
 	}
--- a/coordination/docsync/core_test.go
+++ b/coordination/docsync/core_test.go
@@ -599,3 +599,17 @@
 	must.LessEq(t, 20, small)
 	must.LessEq(t, 20, large)
 }
+
+// Guards against the first nodes of a zone, which have no peer to get the document from, waiting
+// for ReadDelay.
+func TestFirstNodeOfAZoneReadsAtOnce(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Fresh, cfg.ReadDelay = true, 2*time.Second
+	b := &bed{t: t, core: New(cfg, record("self", "z1"), 1), now: begin}
+	b.step(core.Tick{})
+	b.pass(100 * time.Millisecond)
+	must.False(t, b.core.Reading())
+	b.step(FirstInZone{})
+	must.True(t, b.core.Reading())
+	must.Eq(t, []uint64{3}, applied(b.step(StoreRead{Version: 3, Body: []byte("3")})))
+}
--- a/coordination/docsync/event.go
+++ b/coordination/docsync/event.go
@@ -21,6 +21,10 @@
 	Err error
 }
 
+// FirstInZone reports that the node found no registered node of its zone. It has no peer there to
+// get the document from and reads the store without waiting for ReadDelay.
+type FirstInZone struct{}
+
 // Rejected reports that an applied document could not be used.
 type Rejected struct {
 	// Version is the document's version.
@@ -33,6 +37,9 @@
 // Event implements core.Event.
 func (StoreRead) Event() {}
 
+// Event implements core.Event.
+func (FirstInZone) Event() {}
+
 // Event implements core.Event.
 func (Rejected) Event() {}
 
--- a/coordination/registry/registry.go
+++ b/coordination/registry/registry.go
@@ -13,6 +13,12 @@
 	// PerZone is the number of registered nodes from which further ones of the
 	// zone don't register.
 	PerZone int
+	// MinPerZone is the number of registered nodes of the zone below which any node registers
+	// at once, so that others can find it. From there up to PerZone, nodes register by rank.
+	MinPerZone int
+	// RankAfter is how long a node waits before it registers by rank or as alone:
+	// until then it may not know the members of its zone.
+	RankAfter time.Duration
 	// Keepers is the number of live members of a zone, first in the order of keys,
 	// that register in any case: the registered ones may all be gone.
 	Keepers int
@@ -25,15 +31,15 @@
 	Spread time.Duration
 }
 
-// DefaultConfig returns parameters for sites of ten to some thousand hosts. Where
-// 295 hosts in five zones start at once, 40 to 50 register over the spread, in
-// place of 295 (TestFewRegisterWhereAllStartAtOnce).
+// DefaultConfig returns parameters for sites of ten to some thousand hosts.
 func DefaultConfig() Config {
 	return Config{
-		PerZone:   8,
-		Keepers:   2,
-		KeepAfter: 5 * time.Second,
-		Spread:    time.Second,
+		PerZone:    8,
+		MinPerZone: 1,
+		RankAfter:  2 * time.Second,
+		Keepers:    2,
+		KeepAfter:  5 * time.Second,
+		Spread:     time.Second,
 	}
 }
 
@@ -61,8 +67,10 @@
 // Register reports whether the node writes its address.
 func (c Config) Register(v View) bool {
 	switch {
-	case v.Listed < c.PerZone, v.Alone:
+	case v.Listed < c.MinPerZone, v.Alone && v.Age >= c.RankAfter:
 		return true
+	case v.Listed < c.PerZone:
+		return v.Rank < c.PerZone-c.MinPerZone && v.Age >= c.RankAfter
 	default:
 		return v.Rank < c.Keepers && v.Age >= c.KeepAfter
 	}
--- a/coordination/registry/registry_test.go
+++ b/coordination/registry/registry_test.go
@@ -21,6 +21,7 @@
 		for zone := range uint64(zones) {
 			rng := rand.New(rand.NewPCG(zone, 1))
 			var looks, seen []time.Duration
+			var waiting []int // number of nodes listed, by node that didn't register at once
 			for range perZone {
 				started := time.Duration(rng.Int64N(int64(300 * time.Millisecond)))
 				looks = append(looks, started+cfg.StartDelay(true, rng.Float64()))
@@ -35,6 +36,14 @@
 				}
 				if cfg.Register(View{Listed: listed, Rank: perZone}) {
 					seen = append(seen, at+write)
+				} else {
+					waiting = append(waiting, listed)
+				}
+			}
+			rng.Shuffle(len(waiting), func(i, j int) { waiting[i], waiting[j] = waiting[j], waiting[i] })
+			for rank, listed := range waiting { // by rank, once the members are known
+				if cfg.Register(View{Listed: listed, Rank: rank, Age: cfg.RankAfter}) {
+					seen = append(seen, cfg.RankAfter)
 				}
 			}
 			writes += len(seen)
@@ -64,12 +73,16 @@
 		view View
 		want bool
 	}{
-		"few are registered":               {View{Listed: cfg.PerZone - 1, Rank: 50}, true},
-		"enough are registered":            {View{Listed: cfg.PerZone, Rank: 50, Age: time.Hour}, false},
-		"nobody of those listed is there":  {View{Listed: cfg.PerZone, Rank: 50, Alone: true}, true},
-		"first of the zone":                {View{Listed: cfg.PerZone, Age: cfg.KeepAfter}, true},
-		"seems the first while it starts":  {View{Listed: cfg.PerZone, Age: cfg.KeepAfter / 2}, false},
-		"a later node has found the fleet": {View{Listed: cfg.PerZone, Rank: cfg.Keepers, Age: time.Hour}, false},
+		"fewer than the minimum are registered":  {View{Listed: cfg.MinPerZone - 1, Rank: 50}, true},
+		"few are registered":                     {View{Listed: cfg.PerZone - 1, Rank: cfg.PerZone - cfg.MinPerZone - 1, Age: cfg.RankAfter}, true},
+		"few are registered, rank too high":      {View{Listed: cfg.PerZone - 1, Rank: cfg.PerZone - cfg.MinPerZone, Age: time.Hour}, false},
+		"few are registered, rank not known yet": {View{Listed: cfg.PerZone - 1}, false},
+		"enough are registered":                  {View{Listed: cfg.PerZone, Rank: 50, Age: time.Hour}, false},
+		"nobody of those listed is there":        {View{Listed: cfg.PerZone, Rank: 50, Alone: true, Age: cfg.RankAfter}, true},
+		"alone for a moment":                     {View{Listed: cfg.PerZone, Rank: 50, Alone: true, Age: cfg.RankAfter / 2}, false},
+		"first of the zone":                      {View{Listed: cfg.PerZone, Age: cfg.KeepAfter}, true},
+		"seems the first while it starts":        {View{Listed: cfg.PerZone, Age: cfg.KeepAfter / 2}, false},
+		"a later node has found the fleet":       {View{Listed: cfg.PerZone, Rank: cfg.Keepers, Age: time.Hour}, false},
 	} {
 		t.Run(name, func(t *testing.T) { must.Eq(t, tc.want, cfg.Register(tc.view)) })
 	}
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -104,13 +104,20 @@
 // some milliseconds for the store and the handshake, six times as long on a sixth of a core.
 const joinTime = 300 * time.Millisecond
 
+// firstStartJoinTime is the time allowed where the whole site starts for the first time: all nodes
+// look for each other at once, and no caller needs the configuration yet.
+const firstStartJoinTime = 2 * time.Second
+
 // docsConfig returns the parameters of how the configuration is read.
 func (n *Node) docsConfig() docsync.Config {
 	cfg := docsync.DefaultConfig()
 	zones := max(1, len(n.set.Zones))
 	cfg.Leaders = min(max((siteReaders+zones-1)/zones, minReaders), maxReaders)
 	cfg.Fresh = n.set.FirstStart
-	cfg.ReadDelay = n.startDelay + joinTime
+	cfg.ReadDelay = joinTime
+	if n.set.FirstStart {
+		cfg.ReadDelay = n.startDelay + firstStartJoinTime
+	}
 	return cfg
 }
 
--- a/internal/sidecar/discover.go
+++ b/internal/sidecar/discover.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/coordination/backoff"
+	"github.com/jacinthgate/jacinthgate/coordination/docsync"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
 	"github.com/jacinthgate/jacinthgate/coordination/registry"
 	"github.com/jacinthgate/jacinthgate/platform"
@@ -20,6 +21,9 @@
 	// discoverCheck is the time between two looks whether the node is alone or has
 	// to register.
 	discoverCheck = 500 * time.Millisecond
+	// aloneAfter is how long a node tries the addresses of the list, after reading it,
+	// before it counts as alone.
+	aloneAfter = time.Second
 	// aloneRetry is the time between two looks for peers of a node that has none,
 	// or hasn't read the list yet; spread by half. It doubles up to aloneRetryMax
 	// while the store doesn't answer and the node has peers, and so needs nothing
@@ -33,6 +37,8 @@
 	n       *Node
 	policy  registry.Config
 	started time.Time
+	// readAt is when the list was last read.
+	readAt time.Time
 	// known is set once the list was read.
 	known, registered bool
 	// listed is the number of registered nodes of the own zone.
@@ -61,7 +67,7 @@
 // and returns when to do so again.
 func (d *discovery) round(ctx context.Context, first bool) time.Duration {
 	rank, alone := d.place(ctx)
-	alone = alone && !first // nobody was looked for before
+	alone = alone && !first && time.Since(d.readAt) >= aloneAfter
 	if !d.known || alone {
 		d.read(ctx)
 	}
@@ -100,7 +106,7 @@
 		_ = level.Warn(n.log).Log("event", "nodes_unread", "err", err)
 		return
 	}
-	d.known, d.failures = true, 0
+	d.known, d.failures, d.readAt = true, 0, time.Now()
 	if n.backends.drained(nodes.Drained[string(n.set.Node)]) {
 		n.announce(nil)
 	}
@@ -125,6 +131,9 @@
 	slices.Sort(far)
 	_ = level.Info(n.log).Log("event", "nodes_read", "nodes", len(nodes.Seeds), "own_zone", d.listed, "registered", d.registered)
 	n.loop.queue.Post(ctx, member.SeedsLearned{Addrs: near, Far: far})
+	if len(near) == 0 {
+		n.loop.queue.Post(ctx, docsync.FirstInZone{})
+	}
 }
 
 // register writes the node's address into the store.
