--- a/coordination/balance/fastset.go
+++ b/coordination/balance/fastset.go
@@ -20,22 +20,22 @@
 }
 
 // draw returns the member at pos; nil for none.
-func (r *fastSet) draw(members []member, pos int) *member {
-	if i := int(r.index[pos%fastSetSize].Load()); i > 0 && i <= len(members) {
+func (f *fastSet) draw(members []member, pos int) *member {
+	if i := int(f.index[pos%fastSetSize].Load()); i > 0 && i <= len(members) {
 		return &members[i-1]
 	}
 	return nil
 }
 
 // add adds a member in a free place, or in place of the one at pos.
-func (r *fastSet) add(m *member, members []member, pos int) {
+func (f *fastSet) add(m *member, members []member, pos int) {
 	if m.server.fast.Swap(true) {
 		return
 	}
-	place := &r.index[pos%fastSetSize]
-	for i := range r.index {
-		if r.index[i].Load() == 0 {
-			place = &r.index[i]
+	place := &f.index[pos%fastSetSize]
+	for i := range f.index {
+		if f.index[i].Load() == 0 {
+			place = &f.index[i]
 			break
 		}
 	}
@@ -45,11 +45,11 @@
 }
 
 // remove removes a member.
-func (r *fastSet) remove(m *member) {
+func (f *fastSet) remove(m *member) {
 	if !m.server.fast.Swap(false) {
 		return
 	}
-	for i := range r.index {
-		r.index[i].CompareAndSwap(m.index+1, 0)
+	for i := range f.index {
+		f.index[i].CompareAndSwap(m.index+1, 0)
 	}
 }
--- a/coordination/member/network_test.go
+++ b/coordination/member/network_test.go
@@ -29,6 +29,7 @@
 	cut               func(a, b *node) bool
 	seeds             []string // of every node; nil for those of newNetwork
 	seedsByZone       bool     // nodes know which seeds are of their own zone
+	cfg               Config   // of nodes started after it is set
 	drop, dup, jumble float64
 	bytes, messages   int
 	crossZoneBytes    int             // sent to other zones
@@ -62,6 +63,7 @@
 	n := &network{
 		t: t, now: time.Unix(1_800_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
 		nodes: map[model.NodeID]*node{}, cut: func(_, _ *node) bool { return false },
+		cfg: DefaultConfig(),
 	}
 	for z := range zones {
 		for i := range per {
@@ -109,7 +111,7 @@
 	if n.seeds != nil {
 		seeds = n.seeds
 	}
-	x.core = New(DefaultConfig(), x.rec, seeds, n.rng.Uint64())
+	x.core = New(n.cfg, x.rec, seeds, n.rng.Uint64())
 	if n.seedsByZone {
 		n.step(x, n.splitSeeds(x, seeds))
 	}
