Tell in the log which answer broke a connection off

Operators could not tell how a request lost its connection: request_cut said "broken" for the request whose own answer broke off and for those behind it alike, and answer_cut didn't say whether the answer had stopped half-way or had only waited for its turn. request_cut now has the cause "behind", the connection, how many requests stood before, whether the own answer was ready or begun, and which request broke the connection; answer_cut has the answer's length, what was received, and for how long its body wasn't read. No decision changes. TestLogTellsWhichAnswerTookAnotherAlong shows the new lines.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -42,9 +42,10 @@
 	ending  bool        // no further request is to be read
 	closing bool        // an answer that ends the connection has begun
 	ended   bool        // an answer that ends the connection was sent
-	broken  bool        // an answer was cut: nothing more may be written
 	left    bool        // the caller has closed the connection or gone silent
-	last    chan struct{}
+	// brokenBy is the request whose answer was cut first; nothing more may be written then.
+	brokenBy *exchange
+	last     chan struct{}
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -137,9 +138,10 @@
 func (c *conn) admit(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.broken || c.closing {
+	if c.brokenBy != nil || c.closing {
 		return false
 	}
+	x.ahead = len(c.open)
 	c.open = append(c.open, x)
 	c.reading = false
 	return true
@@ -168,7 +170,7 @@
 func (c *conn) writable() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.broken && !c.ended
+	return c.brokenBy == nil && !c.ended
 }
 
 // answer runs the handler and completes its response.
@@ -182,11 +184,12 @@
 		if err != http.ErrAbortHandler {
 			_ = c.server.cfg.Logger.Log("event", "handler_panicked", "path", x.req.URL.Path, "err", err)
 		}
-		c.breakOff()
+		c.breakOff(x)
 	}()
 	c.server.cfg.Handler.ServeHTTP(x.w, x.req)
+	x.ready.Store(true)
 	if err := x.w.complete(); err != nil {
-		c.breakOff()
+		c.breakOff(x)
 		return
 	}
 	x.whole = true
@@ -211,14 +214,17 @@
 	c.armIdle(c.server.cfg.Limits())
 }
 
-// breakOff ends the connection without completing an answer.
-func (c *conn) breakOff() {
+// breakOff ends the connection without completing a request's answer.
+func (c *conn) breakOff(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.ended {
 		return // the answer that ended the connection is left to arrive
 	}
-	c.broken, c.ending = true, true
+	if c.brokenBy == nil {
+		c.brokenBy = x
+	}
+	c.ending = true
 	c.cancel()
 	_ = c.raw.Close() // the caller must not take a part for the whole
 }
--- a/transport/callers/cut.go
+++ b/transport/callers/cut.go
@@ -14,6 +14,8 @@
 	cutCallerLeft cutCause = "caller-left"
 	// cutBroken: the handler has broken the answer off, or it couldn't be written.
 	cutBroken cutCause = "broken"
+	// cutBehind: another request's answer has broken off and ended the connection.
+	cutBehind cutCause = "behind"
 	// cutShutdown: the time for a graceful shutdown is over.
 	cutShutdown cutCause = "shutdown"
 )
@@ -72,7 +74,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, x := range c.open {
-		x.cut(cutShutdown)
+		x.cut(cutShutdown, c.brokenBy)
 	}
 	return len(c.open)
 }
@@ -91,13 +93,16 @@
 		return
 	}
 	c.mu.Lock()
-	left := c.left
+	left, by := c.left, c.brokenBy
 	c.mu.Unlock()
-	if left {
-		x.cut(cutCallerLeft)
-		return
+	switch {
+	case left:
+		x.cut(cutCallerLeft, by)
+	case by != nil && by != x:
+		x.cut(cutBehind, by)
+	default:
+		x.cut(cutBroken, by)
 	}
-	x.cut(cutBroken)
 }
 
 // noteUnread notes what has arrived on a connection after it was closed on this side.
@@ -109,7 +114,8 @@
 }
 
 // cut counts a response that is cut, and logs it unless the caller has asked for that.
-func (x *exchange) cut(cause cutCause) {
+// by is the request whose answer broke the connection off; nil where none did.
+func (x *exchange) cut(cause cutCause, by *exchange) {
 	if x.noted.Swap(true) {
 		return
 	}
@@ -118,6 +124,15 @@
 	if cause == cutCallerLeft {
 		return
 	}
-	_ = s.cfg.Logger.Log("event", "request_cut", "request", s.cfg.RequestID(x.req.Header), "path", x.req.URL.Path,
-		"cause", cause, "leaving", s.leaving.Load(), "took", time.Since(x.began))
+	_ = s.cfg.Logger.Log("event", "request_cut", "request", s.idOf(x), "path", x.req.URL.Path,
+		"cause", cause, "leaving", s.leaving.Load(), "took", time.Since(x.began),
+		"remote", x.conn.raw.RemoteAddr(), "ahead", x.ahead, "ready", x.ready.Load(), "begun", x.w.begun.Load(), "broken_by", s.idOf(by))
+}
+
+// idOf returns the identifier that the caller gave a request; empty for none.
+func (s *Server) idOf(x *exchange) string {
+	if x == nil {
+		return ""
+	}
+	return s.cfg.RequestID(x.req.Header)
 }
--- /dev/null
+++ b/transport/callers/cut_test.go
@@ -0,0 +1,57 @@
+package callers
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+)
+
+// getAs is get with an identifier.
+func getAs(id, path string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\n\r\n"
+}
+
+func TestLogTellsWhichAnswerTookAnotherAlong(t *testing.T) {
+	begun, broken := make(chan struct{}), make(chan struct{})
+	s, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/ahead" {
+			must.NoError(t, http.NewResponseController(w).Flush())
+			close(begun)
+			<-broken
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Content-Length", "0")
+	})
+	out := new(lines)
+	s.cfg.Logger = log.NewLogfmtLogger(log.NewSyncWriter(out))
+	behind := s.cfg.Metrics.GetOrCreateCounter(`jacinthgate_callers_cut_total{cause="behind"}`)
+	c, _ := dial(t, addr)
+	send(t, c, getAs("id-1", "/ahead")+getAs("id-2", "/ready"))
+	<-begun
+	eventually(t, "the second answer is ready", func() bool { return ready(s, 1) })
+	close(broken)
+	eventually(t, "both are logged", func() bool {
+		return out.contains("request=id-1 path=/ahead cause=broken") && out.contains("ahead=0 ready=false begun=true broken_by=id-1") &&
+			out.contains("request=id-2 path=/ready cause=behind") && out.contains("ahead=1 ready=true begun=false broken_by=id-1")
+	})
+	must.Eq(t, 1, behind.Get())
+}
+
+// ready reports whether so many answers wait for their turn.
+func ready(s *Server, n int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := 0
+	for c := range s.conns {
+		c.mu.Lock()
+		for _, x := range c.open {
+			if x.ready.Load() {
+				found++
+			}
+		}
+		c.mu.Unlock()
+	}
+	return found == n
+}
--- a/transport/callers/exchange.go
+++ b/transport/callers/exchange.go
@@ -23,8 +23,12 @@
 	bodyEnd chan struct{}
 	// last says that the connection ends with this response.
 	last atomic.Bool
-	// began is when the request's head was read.
+	// began is when the request's head was read, and ahead the number of requests before it
+	// that were not answered then.
 	began time.Time
+	ahead int
+	// ready says that the handler has given its answer, which may wait for its turn.
+	ready atomic.Bool
 	// whole says that the response is complete. The goroutine that answers sets it.
 	whole bool
 	// noted says that the log tells that the response was cut.
--- a/transport/callers/response.go
+++ b/transport/callers/response.go
@@ -6,6 +6,7 @@
 	"net/http/httputil"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,7 +24,7 @@
 	kept    []byte
 	length  int64 // by Content-Length; -1 when chunked
 	written int64
-	begun   bool // the head was written
+	begun   atomic.Bool // the head was written
 	chunks  io.WriteCloser
 }
 
@@ -44,7 +45,7 @@
 	<-w.x.before
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.begun {
+	if w.begun.Load() {
 		return
 	}
 	bw := w.x.conn.bw
@@ -67,7 +68,7 @@
 	if w.bodyless() {
 		return 0, http.ErrBodyNotAllowed
 	}
-	if !w.begun && w.mayKeep(len(w.kept)+len(p)) {
+	if !w.begun.Load() && w.mayKeep(len(w.kept)+len(p)) {
 		w.kept = append(w.kept, p...)
 		return len(p), nil
 	}
@@ -99,14 +100,14 @@
 // begin waits for the response's turn and writes its head. whole says that
 // kept is all of the body. w.mu is held.
 func (w *response) begin(whole bool) error {
-	if w.begun {
+	if w.begun.Load() {
 		return nil
 	}
 	<-w.x.before
 	if !w.x.conn.writable() {
 		return io.ErrClosedPipe
 	}
-	w.begun = true
+	w.begun.Store(true)
 	w.frame(whole)
 	bw := w.x.conn.bw
 	_, _ = io.WriteString(bw, "HTTP/1.1 "+statusLine(w.status)+"\r\n")
--- a/transport/outbound/relay.go
+++ b/transport/outbound/relay.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
+	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
@@ -77,6 +79,9 @@
 // passOn passes a large answer on as it comes. Where it breaks off, so does
 // the caller's.
 func (x *exchange) passOn(choice balance.Choice, resp *http.Response, result balance.Result) {
+	body := &progress{ReadCloser: resp.Body, now: x.p.cfg.Now}
+	resp.Body = body
+	began := x.p.cfg.Now()
 	err := forward.Relay(x.w, resp)
 	var cut *forward.TruncatedError
 	if errors.As(err, &cut) {
@@ -87,6 +92,34 @@
 		return
 	}
 	_ = x.p.cfg.Logger.Log("event", "answer_cut", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
-		"node", choice.Record.Node, "instance", choice.Record.Instance, "err", err)
+		"node", choice.Record.Node, "instance", choice.Record.Instance, "err", err, "length", resp.ContentLength, "received", body.received,
+		"waited", body.waited(began))
 	panic(http.ErrAbortHandler)
 }
+
+// progress tells how far the passing on of an answer's body has come.
+type progress struct {
+	io.ReadCloser
+	now      func() time.Time
+	received int64     // in bytes
+	first    time.Time // of the first read; zero before it
+}
+
+// Read implements io.Reader.
+func (p *progress) Read(b []byte) (int, error) {
+	if p.first.IsZero() {
+		p.first = p.now()
+	}
+	n, err := p.ReadCloser.Read(b)
+	p.received += int64(n)
+	return n, err
+}
+
+// waited returns how long after a time the body was first read: the time for which the head
+// couldn't be written.
+func (p *progress) waited(since time.Time) time.Duration {
+	if p.first.IsZero() {
+		return p.now().Sub(since)
+	}
+	return p.first.Sub(since)
+}
