Show by failing tests how ready answers are lost with their connection

TestReadyAnswersAreDeliveredWhenTheirTurnComesLate sends three requests on one connection; the second one's answer has no length and is whole at once, the first comes later than the second's deadline.

--- /dev/null
+++ b/transport/outbound/turn_test.go
@@ -0,0 +1,119 @@
+package outbound
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/model"
+	"github.com/jacinthgate/jacinthgate/transport/callers"
+)
+
+// answerOf returns a backend server's answer, as a gate passes it on.
+func answerOf(length int64, body io.Reader) *http.Response {
+	h := http.Header{outcome.HeaderOutcome: {string(outcome.Answered)}, outcome.HeaderReached: {"1"}}
+	return &http.Response{
+		StatusCode: http.StatusOK, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: h, Body: io.NopCloser(body), ContentLength: length,
+	}
+}
+
+// untilDone reads until a context ends, as a connection with a deadline does.
+type untilDone struct {
+	ctx context.Context
+	io.Reader
+}
+
+func (r untilDone) Read(p []byte) (int, error) {
+	if err := r.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return r.Reader.Read(p)
+}
+
+// gate is a http.RoundTripper.
+type gate func(*http.Request) (*http.Response, error)
+
+func (g gate) RoundTrip(r *http.Request) (*http.Response, error) { return g(r) }
+
+// maxKept is the size up to which the proxies under test keep answers, in bytes.
+const maxKept = 1 << 10
+
+// proxyOf returns a proxy in front of such a gate.
+func proxyOf(t *testing.T, g gate) *Proxy {
+	p := newProxy(t, model.KindInteractive, 9, nil)
+	p.cfg.Near, p.cfg.Far, p.cfg.MaxKept = g, g, maxKept
+	return p
+}
+
+// askInTurn sends GET requests one behind another on a connection and returns the answers'
+// bodies, up to the first one that isn't whole.
+func askInTurn(t *testing.T, p *Proxy, paths ...string) []string {
+	t.Helper()
+	s := callers.New(callers.Config{
+		Handler:   p,
+		Ahead:     len(paths),
+		Limits:    func() callers.Limits { return callers.Limits{HeaderBytes: 1 << 10} },
+		RequestID: func(map[string][]string) string { return "id" },
+		Metrics:   metrics.NewSet(),
+		Logger:    log.NewNopLogger(),
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	defer func() { must.NoError(t, c.Close()) }()
+	must.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	var all strings.Builder
+	for _, path := range paths {
+		all.WriteString("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	_, err = io.WriteString(c, all.String())
+	must.NoError(t, err)
+	return bodies(bufio.NewReader(c), len(paths))
+}
+
+// bodies reads so many answers.
+func bodies(br *bufio.Reader, n int) []string {
+	var got []string
+	for range n {
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return got
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return got
+		}
+		got = append(got, string(body))
+	}
+	return got
+}
+
+func TestReadyAnswersAreDeliveredWhenTheirTurnComesLate(t *testing.T) {
+	late := make(chan struct{}) // the deadline of the second request is over, or it was handled
+	p := proxyOf(t, func(r *http.Request) (*http.Response, error) {
+		switch r.URL.Path {
+		case "/slow":
+			<-late
+		case "/no-length":
+			context.AfterFunc(r.Context(), func() { close(late) })
+			return answerOf(-1, untilDone{r.Context(), strings.NewReader(r.URL.Path)}), nil
+		}
+		return answerOf(int64(len(r.URL.Path)), strings.NewReader(r.URL.Path)), nil
+	})
+	want := []string{"/slow", "/no-length", "/behind"}
+	must.Eq(t, want, askInTurn(t, p, want...))
+}
