Read answers without a length before their turn

Callers that send several requests on a connection lost answers that were ready: the connection was closed without them. An answer without a length was passed on as it came, which began with sending its head, and that waits until the answers before it are complete. Nothing of its body was read meanwhile; where the turn came later than its deadline, the reading failed at once, its connection was broken off, and the ready answers behind it went along.

Answers without a length are now read whole up to the size that is kept, like those with one, unless they are made of events or have trailers. So they are ready before their turn, the backend server's slot is free at once, and one that breaks off is tried again or answered by 502 in place of a cut connection.

--- a/transport/forward/relay.go
+++ b/transport/forward/relay.go
@@ -65,9 +65,12 @@
 
 // streams reports whether parts of the body must be passed on as they come.
 func streams(resp *http.Response) bool {
-	if resp.ContentLength < 0 {
-		return true
-	}
+	return resp.ContentLength < 0 || IsEventStream(resp)
+}
+
+// IsEventStream reports whether the body is a sequence of server-sent events, each of which its
+// receiver waits for.
+func IsEventStream(resp *http.Response) bool {
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
--- a/transport/outbound/relay.go
+++ b/transport/outbound/relay.go
@@ -1,9 +1,11 @@
 package outbound
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
@@ -16,35 +18,67 @@
 // broke off or tells of a failure and another attempt may still be made.
 func (x *exchange) relay(choice balance.Choice, resp *http.Response, result balance.Result) bool {
 	forward.StripNodeHeaders(resp.Header)
-	if resp.ContentLength < 0 || resp.ContentLength > x.p.cfg.MaxKept {
-		x.passOn(choice, resp, result)
-		return true
-	}
-	var body []byte
-	if x.r.Method != http.MethodHead {
-		body = make([]byte, resp.ContentLength)
-	}
-	if err := forward.ReadWhole(resp.Body, body); err != nil {
+	body, whole, err := x.keep(resp)
+	if err != nil {
 		result.Outcome = x.cutAs()
 		choice.Done(x.p.cfg.Now(), result)
 		x.trail.Note(outcome.Unknown, outcome.ReasonBackendFailed)
 		return false
 	}
+	if !whole {
+		x.passOn(choice, resp, result)
+		return true
+	}
 	failed := forward.FailedStatus(resp.StatusCode)
 	if failed {
 		result.Outcome = balance.Failed
 	}
 	choice.Done(x.p.cfg.Now(), result)
-	whole := &answer{resp: resp, body: body}
+	kept := &answer{resp: resp, body: body}
 	if failed && x.mayRepeat() {
-		x.failure = whole
+		x.failure = kept
 		x.trail.Note(outcome.Unknown, outcome.ReasonBackendFailed)
 		return false
 	}
-	x.deliver(whole)
+	x.deliver(kept)
 	return true
 }
 
+// keep reads an answer's body whole, unless it is larger than is kept or made of events. An
+// answer without a length is read, too: it is ready before its turn has come among the caller's
+// requests, and one that breaks off can be replaced. Where whole is false the body is left to be
+// passed on.
+func (x *exchange) keep(resp *http.Response) (body []byte, whole bool, err error) {
+	most := x.p.cfg.MaxKept
+	switch {
+	case resp.ContentLength > most, forward.IsEventStream(resp):
+		return nil, false, nil
+	case x.r.Method == http.MethodHead:
+		return nil, true, forward.ReadWhole(resp.Body, nil)
+	case resp.ContentLength >= 0:
+		body = make([]byte, resp.ContentLength)
+		return body, true, forward.ReadWhole(resp.Body, body)
+	}
+	body, err = io.ReadAll(io.LimitReader(resp.Body, most+1))
+	if err != nil {
+		_ = resp.Body.Close() // it has failed
+		return nil, true, err
+	}
+	if int64(len(body)) > most || len(resp.Trailer) > 0 {
+		resp.Body = resumed{io.MultiReader(bytes.NewReader(body), resp.Body), resp.Body}
+		return nil, false, nil
+	}
+	_ = resp.Body.Close() // it was read to its end
+	resp.Header["Content-Length"] = []string{strconv.Itoa(len(body))}
+	return body, true, nil
+}
+
+// resumed is a body whose beginning was read before.
+type resumed struct {
+	io.Reader
+	io.Closer
+}
+
 // mayRepeat reports whether a failed answer may be replaced by another one.
 func (x *exchange) mayRepeat() bool {
 	g := x.trail.Progress
--- a/transport/outbound/turn_test.go
+++ b/transport/outbound/turn_test.go
@@ -117,3 +117,49 @@
 	want := []string{"/slow", "/no-length", "/behind"}
 	must.Eq(t, want, askInTurn(t, p, want...))
 }
+
+// broken is a body that breaks off.
+type broken struct{ io.Reader }
+
+func (b broken) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func TestAnswerWithoutALengthThatBreaksOffIsReplaced(t *testing.T) {
+	sends := 0
+	p := proxyOf(t, func(*http.Request) (*http.Response, error) {
+		if sends++; sends == 1 {
+			return answerOf(-1, broken{strings.NewReader("part")}), nil
+		}
+		return answerOf(-1, strings.NewReader("whole")), nil
+	})
+	w := ask(p)
+	must.Eq(t, "whole", w.Body.String())
+	must.Eq(t, "5", w.Header().Get("Content-Length"))
+}
+
+func TestAnswersThatAreNotKeptArePassedOnAsTheyCome(t *testing.T) {
+	events := answerOf(-1, strings.NewReader("data: 1\n\n"))
+	events.Header.Set("Content-Type", "text/event-stream")
+	trailed := answerOf(-1, strings.NewReader("body"))
+	trailed.Trailer = http.Header{"Checksum": {"1"}}
+	large := strings.Repeat("x", maxKept+1)
+	for name, test := range map[string]struct {
+		resp *http.Response
+		want string
+	}{
+		"events":                          {events, "data: 1\n\n"},
+		"an answer with trailers":         {trailed, "body"},
+		"a large answer without a length": {answerOf(-1, strings.NewReader(large)), large},
+		"a large answer":                  {answerOf(maxKept+1, strings.NewReader(large)), large},
+	} {
+		p := proxyOf(t, func(*http.Request) (*http.Response, error) { return test.resp, nil })
+		w := ask(p)
+		must.Eq(t, test.want, w.Body.String(), must.Sprint(name))
+		must.Eq(t, test.resp.ContentLength < 0, w.Flushed, must.Sprint(name))
+	}
+}
