Replace an answer that fails before a part of it was sent

Callers lost answers that had nothing to do with the failure: a handler that broke off or panicked, or gave fewer bytes than announced, ended its connection at once, also while requests before it were under way and others behind it had their answers ready. An answer of which nothing was sent is now replaced by 502 (500 after a panic) in its turn, and the connection goes on; where the request's body may still be read, it ends with that answer. One that was begun still ends its connection: its caller must not take the part for the whole. Event: answer_replaced.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -173,31 +173,54 @@
 	return c.brokenBy == nil && !c.ended
 }
 
-// answer runs the handler and completes its response.
+// answer answers a request and reads what is left of it.
 func (c *conn) answer(x *exchange) {
 	defer c.answered(x)
-	defer func() {
-		err := recover()
-		if err == nil {
-			return
-		}
-		if err != http.ErrAbortHandler {
-			_ = c.server.cfg.Logger.Log("event", "handler_panicked", "path", x.req.URL.Path, "err", err)
-		}
-		c.breakOff(x)
-	}()
-	c.server.cfg.Handler.ServeHTTP(x.w, x.req)
-	x.ready.Store(true)
-	if err := x.w.complete(); err != nil {
+	if x.whole = c.respond(x); !x.whole {
 		c.breakOff(x)
 		return
 	}
-	x.whole = true
 	if x.hasBody() && !x.drainBody() {
 		c.close(x)
 	}
 }
 
+// respond runs the handler and completes its response. One that fails before a part of it was
+// sent is replaced, so that the other responses on the connection don't fail with it. It reports
+// false where the response isn't complete.
+func (c *conn) respond(x *exchange) bool {
+	status := c.handle(x)
+	if status == 0 {
+		x.ready.Store(true)
+		if x.w.complete() == nil {
+			return true
+		}
+		status = http.StatusBadGateway
+	}
+	if !x.w.replace(status) {
+		return false
+	}
+	_ = c.server.cfg.Logger.Log("event", "answer_replaced", "request", c.server.idOf(x), "path", x.req.URL.Path, "status", status)
+	return x.w.complete() == nil
+}
+
+// handle runs the handler. It returns the status that says what went wrong where the handler
+// didn't finish; 0 where it did.
+func (c *conn) handle(x *exchange) (status int) {
+	defer func() {
+		switch err := recover(); err {
+		case nil:
+		case http.ErrAbortHandler:
+			status = http.StatusBadGateway
+		default:
+			_ = c.server.cfg.Logger.Log("event", "handler_panicked", "path", x.req.URL.Path, "err", err)
+			status = http.StatusInternalServerError
+		}
+	}()
+	c.server.cfg.Handler.ServeHTTP(x.w, x.req)
+	return 0
+}
+
 // answered ends a request.
 func (c *conn) answered(x *exchange) {
 	x.cancel()
--- a/transport/callers/cut.go
+++ b/transport/callers/cut.go
@@ -87,6 +87,13 @@
 	c.cancel()
 }
 
+// callerHasLeft reports whether the caller has closed the connection or gone silent.
+func (c *conn) callerHasLeft() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.left
+}
+
 // noteCut notes a request whose response isn't complete.
 func (c *conn) noteCut(x *exchange) {
 	if x.whole {
--- a/transport/callers/exchange.go
+++ b/transport/callers/exchange.go
@@ -56,6 +56,16 @@
 
 func (x *exchange) hasBody() bool { return x.req.Body != nil && x.req.Body != http.NoBody }
 
+// bodyEnded reports whether the body was read to its end.
+func (x *exchange) bodyEnded() bool {
+	select {
+	case <-x.bodyEnd:
+		return true
+	default:
+		return false
+	}
+}
+
 // drainBody reads what the handler has left of the body and reports whether the
 // next request may follow.
 func (x *exchange) drainBody() bool {
--- a/transport/callers/response.go
+++ b/transport/callers/response.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httputil"
@@ -170,6 +171,16 @@
 	return w.x.conn.bw.Write(p)
 }
 
+// errWrongLength reports a response with another length than it has announced, nothing of which
+// was sent.
+var errWrongLength = errors.New("response of another length than announced")
+
+// wrongLength reports whether what is kept isn't as long as was announced.
+func (w *response) wrongLength() bool {
+	n, err := strconv.Atoi(w.header.Get("Content-Length"))
+	return err == nil && n >= 0 && n != len(w.kept)
+}
+
 // complete ends the response.
 func (w *response) complete() error {
 	w.mu.Lock()
@@ -177,6 +188,9 @@
 	if w.status == 0 {
 		w.status = http.StatusOK
 	}
+	if !w.begun.Load() && !w.bodyless() && w.wrongLength() {
+		return errWrongLength
+	}
 	if err := w.begin(true); err != nil {
 		return err
 	}
@@ -194,6 +208,23 @@
 	return w.x.conn.bw.Flush()
 }
 
+// replace makes a response that has failed tell a status and nothing else. It reports false
+// where a part of it was sent, or where there is nobody to tell.
+func (w *response) replace(status int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.begun.Load() || w.x.conn.callerHasLeft() {
+		return false
+	}
+	clear(w.header)
+	w.header["Content-Length"] = []string{"0"}
+	if w.x.hasBody() && !w.x.bodyEnded() {
+		w.header["Connection"] = []string{"close"} // the handler may still be reading
+	}
+	w.status, w.kept = status, nil
+	return true
+}
+
 // FlushError implements what http.ResponseController looks for.
 func (w *response) FlushError() error {
 	w.mu.Lock()
--- a/transport/callers/turn_test.go
+++ b/transport/callers/turn_test.go
@@ -50,3 +50,14 @@
 }
 
 func status(resp *http.Response) string { return resp.Status[:3] }
+
+func TestRequestWhoseBodyIsStillReadEndsItsConnectionWithAReplacedAnswer(t *testing.T) {
+	_, addr := start(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	c, br := dial(t, addr)
+	send(t, c, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na")
+	resp, _ := answer(t, br)
+	must.Eq(t, http.StatusBadGateway, resp.StatusCode)
+	must.True(t, resp.Close)
+	_, err := br.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+}
