Let a flush before its turn not hold up the handler

An answer that is passed on as it comes, such as one made of events, began with a flush that waited until the answers before it on the connection were complete. Nothing of it was read meanwhile, its backend server's slot stayed in use, and past its deadline it was cut though it had been ready. A flush before the turn returns at once now; what is kept, up to the same bound as before, is sent in its turn while the handler goes on.

--- a/transport/callers/response.go
+++ b/transport/callers/response.go
@@ -27,6 +27,9 @@
 	written int64
 	begun   atomic.Bool // the head was written
 	chunks  io.WriteCloser
+	// flushing says that the response is flushed once its turn comes, ended that nothing more
+	// is written.
+	flushing, ended bool
 }
 
 // Header implements http.ResponseWriter.
@@ -185,6 +188,7 @@
 func (w *response) complete() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.ended = true
 	if w.status == 0 {
 		w.status = http.StatusOK
 	}
@@ -225,19 +229,45 @@
 	return true
 }
 
-// FlushError implements what http.ResponseController looks for.
+// FlushError implements what http.ResponseController looks for. Before the response's turn it
+// doesn't wait: what is kept then is sent in its turn.
 func (w *response) FlushError() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.status == 0 {
 		w.status = http.StatusOK
 	}
+	if !w.myTurn() {
+		w.flushInTurn()
+		return nil
+	}
+	return w.flush()
+}
+
+// flush sends what was written so far. w.mu is held.
+func (w *response) flush() error {
 	if err := w.begin(false); err != nil {
 		return err
 	}
 	return w.x.conn.bw.Flush()
 }
 
+// flushInTurn flushes once the responses before this one are complete. w.mu is held.
+func (w *response) flushInTurn() {
+	if w.flushing {
+		return
+	}
+	w.flushing = true
+	go func() {
+		<-w.x.before
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.ended {
+			_ = w.flush() // writing on reports it
+		}
+	}()
+}
+
 // EnableFullDuplex implements what http.ResponseController looks for: responses
 // never wait for the request's body here.
 func (w *response) EnableFullDuplex() error { return nil }
--- a/transport/callers/turn_test.go
+++ b/transport/callers/turn_test.go
@@ -49,6 +49,33 @@
 	}
 }
 
+func TestFlushBeforeItsTurnDoesNotHoldUpTheHandler(t *testing.T) {
+	flushed, read := make(chan struct{}), make(chan struct{})
+	_, addr := start(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			<-flushed
+			return
+		}
+		_, _ = io.WriteString(w, "first,")
+		must.NoError(t, http.NewResponseController(w).Flush())
+		close(flushed)
+		<-read // the caller gets the first part while the handler goes on
+		_, _ = io.WriteString(w, "second")
+	})
+	c, br := dial(t, addr)
+	send(t, c, get("/1")+get("/2"))
+	_, _ = answer(t, br)
+	resp, err := http.ReadResponse(br, nil)
+	must.NoError(t, err)
+	part := make([]byte, len("first,"))
+	_, err = io.ReadFull(resp.Body, part)
+	must.NoError(t, err)
+	close(read)
+	rest, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.Eq(t, "first,second", string(part)+string(rest))
+}
+
 func status(resp *http.Response) string { return resp.Status[:3] }
 
 func TestRequestWhoseBodyIsStillReadEndsItsConnectionWithAReplacedAnswer(t *testing.T) {
