Replace a large answer that misses its turn

An answer that is larger than is kept waits for its turn with its first part kept. Where the turn came later than the request's deadline, the head and that part were sent all the same, the next read failed at once, and the connection broke off with the ready answers behind it. Such an answer is not begun any more once its deadline is over: it is replaced in its turn, and the connection goes on. What was read whole is sent, however late its turn comes. A flushed response stays chunked also where its turn comes after its end.

--- a/transport/callers/response.go
+++ b/transport/callers/response.go
@@ -30,6 +30,8 @@
 	// flushing says that the response is flushed once its turn comes, ended that nothing more
 	// is written.
 	flushing, ended bool
+	// expired ends the wait for the response's turn; nil doesn't.
+	expired <-chan struct{}
 }
 
 // Header implements http.ResponseWriter.
@@ -91,23 +93,15 @@
 	return n <= maxAhead && !w.myTurn()
 }
 
-// myTurn reports whether the responses before this one are complete.
-func (w *response) myTurn() bool {
-	select {
-	case <-w.x.before:
-		return true
-	default:
-		return false
-	}
-}
-
 // begin waits for the response's turn and writes its head. whole says that
 // kept is all of the body. w.mu is held.
 func (w *response) begin(whole bool) error {
 	if w.begun.Load() {
 		return nil
 	}
-	<-w.x.before
+	if !w.awaitTurn() {
+		return errTurnMissed
+	}
 	if !w.x.conn.writable() {
 		return io.ErrClosedPipe
 	}
@@ -188,14 +182,14 @@
 func (w *response) complete() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.ended = true
+	w.ended, w.expired = true, nil // a whole response is sent, however late its turn comes
 	if w.status == 0 {
 		w.status = http.StatusOK
 	}
 	if !w.begun.Load() && !w.bodyless() && w.wrongLength() {
 		return errWrongLength
 	}
-	if err := w.begin(true); err != nil {
+	if err := w.begin(!w.flushing); err != nil {
 		return err
 	}
 	if w.length >= 0 && w.written != w.length && !w.bodyless() {
@@ -212,62 +206,6 @@
 	return w.x.conn.bw.Flush()
 }
 
-// replace makes a response that has failed tell a status and nothing else. It reports false
-// where a part of it was sent, or where there is nobody to tell.
-func (w *response) replace(status int) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.begun.Load() || w.x.conn.callerHasLeft() {
-		return false
-	}
-	clear(w.header)
-	w.header["Content-Length"] = []string{"0"}
-	if w.x.hasBody() && !w.x.bodyEnded() {
-		w.header["Connection"] = []string{"close"} // the handler may still be reading
-	}
-	w.status, w.kept = status, nil
-	return true
-}
-
-// FlushError implements what http.ResponseController looks for. Before the response's turn it
-// doesn't wait: what is kept then is sent in its turn.
-func (w *response) FlushError() error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.status == 0 {
-		w.status = http.StatusOK
-	}
-	if !w.myTurn() {
-		w.flushInTurn()
-		return nil
-	}
-	return w.flush()
-}
-
-// flush sends what was written so far. w.mu is held.
-func (w *response) flush() error {
-	if err := w.begin(false); err != nil {
-		return err
-	}
-	return w.x.conn.bw.Flush()
-}
-
-// flushInTurn flushes once the responses before this one are complete. w.mu is held.
-func (w *response) flushInTurn() {
-	if w.flushing {
-		return
-	}
-	w.flushing = true
-	go func() {
-		<-w.x.before
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if !w.ended {
-			_ = w.flush() // writing on reports it
-		}
-	}()
-}
-
 // EnableFullDuplex implements what http.ResponseController looks for: responses
 // never wait for the request's body here.
 func (w *response) EnableFullDuplex() error { return nil }
--- a/transport/outbound/relay.go
+++ b/transport/outbound/relay.go
@@ -115,6 +115,9 @@
 func (x *exchange) passOn(choice balance.Choice, resp *http.Response, result balance.Result) {
 	body := &progress{ReadCloser: resp.Body, now: x.p.cfg.Now}
 	resp.Body = body
+	if w, ok := x.w.(interface{ WaitUntil(done <-chan struct{}) }); ok {
+		w.WaitUntil(x.ctx.Done()) // nothing can be read after it
+	}
 	began := x.p.cfg.Now()
 	err := forward.Relay(x.w, resp)
 	var cut *forward.TruncatedError
--- a/transport/outbound/turn_test.go
+++ b/transport/outbound/turn_test.go
@@ -118,6 +118,22 @@
 	must.Eq(t, want, askInTurn(t, p, want...))
 }
 
+func TestLargeAnswerThatMissesItsTurnTakesNoOtherAlong(t *testing.T) {
+	late := make(chan struct{})
+	large := strings.Repeat("x", 1<<20)
+	p := proxyOf(t, func(r *http.Request) (*http.Response, error) {
+		switch r.URL.Path {
+		case "/slow":
+			<-late
+		case "/large":
+			context.AfterFunc(r.Context(), func() { close(late) })
+			return answerOf(int64(len(large)), untilDone{r.Context(), strings.NewReader(large)}), nil
+		}
+		return answerOf(int64(len(r.URL.Path)), strings.NewReader(r.URL.Path)), nil
+	})
+	must.Eq(t, []string{"/slow", "", "/behind"}, askInTurn(t, p, "/slow", "/large", "/behind"))
+}
+
 // broken is a body that breaks off.
 type broken struct{ io.Reader }
 
