Let a node leave again where its test's callers paused

TestLeavingNodeCutsNothingWhileCallersKeepConnecting failed in about a third of its runs beside load, also on: 9 of 24 with 12 at a time. Traced: in each of the nine no request at all was refused as leaving, by the metric as by the log, and none was cut. The listener closes once nothing was accepted for 5 ms, and callers without a processor pause for longer, so the case that the test is for didn't arise. The test lets a node leave up to ten times until it does, checks each time that nothing is cut, and still fails where no node ever refused. 36 of 36 runs pass with the race detector, 12 at a time.

--- a/internal/sidecar/leaving_test.go
+++ b/internal/sidecar/leaving_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -48,6 +49,20 @@
 }
 
 func TestLeavingNodeCutsNothingWhileCallersKeepConnecting(t *testing.T) {
+	// Where the callers have no processor for a few milliseconds, the listener closes before
+	// the node refuses what may last for too long, and the node is let leave once more.
+	const leaves = 10
+	for range leaves {
+		if leaveWhileCallersConnect(t) {
+			return
+		}
+	}
+	t.Errorf("in none of %d leaves callers kept connecting until the node refused them", leaves)
+}
+
+// leaveWhileCallersConnect lets a node leave while callers connect to it all the time, and checks
+// that it cuts none of their requests. It reports whether the node had to refuse any.
+func leaveWhileCallersConnect(t *testing.T) bool {
 	f, m := newLeavingFleet(t)
 	for _, n := range f.nodes {
 		n.backend.Work = 250 * time.Millisecond
@@ -70,7 +85,7 @@
 				}
 			}
 		})
-		all.Go(func() { // there is never a moment without a new connection
+		all.Go(func() { // there is hardly a moment without a new connection
 			for !ended.Load() {
 				ask(m, "/unknown/x", "none")
 			}
@@ -82,10 +97,10 @@
 	must.NoError(t, <-m.ended)
 	ended.Store(true)
 	all.Wait()
-	must.StrContains(t, m.logs.String(), "status=503 reason=leaving")
 	for _, s := range f.seen() {
 		must.False(t, cut[s.ID], must.Sprint(s.ID, " was sent to the backend server and got no answer"))
 	}
+	return strings.Contains(m.logs.String(), "status=503 reason=leaving")
 }
 
 func TestRequestAtTheEndOfTheGraceTimeIsAnswered(t *testing.T) {
