Let the soak's callers read answers while they write

A caller of the soak wrote all requests of an exchange before it read the first answer, so that requests could only be sent at once, and the time at which an answer came was that of the last write. Callers now read while they write, with an optional gap before each request, and note the first request of those sent behind one another and whether the head of an answer came: what broke off after its head and what never began could not be told apart. Plans and their requests are as before.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -31,33 +31,52 @@
 // exchange sends requests, each behind the one before it, and notes what becomes of them.
 func (c *caller) exchange(batch ...*Request) {
 	for i, r := range batch {
-		r.Sent, r.Behind = time.Now(), i > 0
+		r.Sent, r.Behind, r.First = time.Now(), i > 0, batch[0].ID
 	}
-	defer func() {
-		now := time.Now()
-		for _, r := range batch {
-			if r.Done.IsZero() {
-				r.Done = now
-			}
-		}
-		if c.fresh {
-			c.close()
-		}
-	}()
 	if err := c.open(mostPatient(batch) * 3 / 2); err != nil {
 		batch[0].End = err.Error()
-		return
+	} else {
+		c.pipeline(batch)
 	}
+	now := time.Now()
 	for _, r := range batch {
-		if err := c.write(r); err != nil {
-			r.End = err.Error()
-			break // what was written before may still be answered
+		if r.Done.IsZero() {
+			r.Done = now
+		}
+	}
+	if c.fresh {
+		c.close()
+	}
+}
+
+// pipeline writes requests, and reads their answers meanwhile.
+func (c *caller) pipeline(batch []*Request) {
+	written := make(chan *Request, len(batch))
+	go writeAll(c.conn, batch, written)
+	goesOn := true
+	for r := range written {
+		if goesOn && (r.Written.IsZero() || !c.read(r)) {
+			goesOn = false
+			c.close() // the writing ends as well
 		}
 	}
+}
+
+// writeAll writes requests until one can't be written, and passes each on then.
+func writeAll(conn net.Conn, batch []*Request, written chan<- *Request) {
+	defer close(written)
 	for _, r := range batch {
-		if r.Written.IsZero() || !c.read(r) {
-			c.close()
-			return
+		if r.Gap > 0 {
+			time.Sleep(r.Gap)
+			r.Sent = time.Now()
+		}
+		err := write(conn, r)
+		if err != nil {
+			r.End = err.Error()
+		}
+		written <- r
+		if err != nil {
+			return // what was written before may still be answered
 		}
 	}
 }
@@ -91,7 +110,7 @@
 }
 
 // write writes a request.
-func (c *caller) write(r *Request) error {
+func write(conn net.Conn, r *Request) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", r.Method, r.Path, routeHost,
 		platformtest.HeaderRequestID, r.ID, platformtest.HeaderWait, r.Wait.Milliseconds())
@@ -103,7 +122,7 @@
 	}
 	b.WriteString("\r\n")
 	b.WriteString(strings.Repeat("b", r.BodyBytes))
-	if _, err := io.WriteString(c.conn, b.String()); err != nil {
+	if _, err := io.WriteString(conn, b.String()); err != nil {
 		return err
 	}
 	r.Written = time.Now()
@@ -117,6 +136,7 @@
 		r.End = err.Error()
 		return false
 	}
+	r.Headed = true
 	body, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close() // it was read to its end
 	r.Done = time.Now()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -82,8 +82,12 @@
 	BodyBytes int
 	// Wait is how long its caller waits.
 	Wait time.Duration
-	// Behind says that it was sent behind another one that wasn't answered yet.
+	// Gap is the time before it is written, after the one before it was.
+	Gap time.Duration
+	// Behind says that it was sent behind another one that wasn't answered yet, and First is
+	// the first of those sent behind one another.
 	Behind bool
+	First  string
 	// Sent and Done are when it was sent and answered or given up, and Written when it was
 	// written whole; zero where it wasn't.
 	Sent, Written, Done time.Time
@@ -91,6 +95,8 @@
 	After time.Duration
 	// End says how its connection ended without a whole answer.
 	End string
+	// Headed says that the head of an answer came.
+	Headed bool
 	// Status is the answer's; 0 without a whole one.
 	Status int
 	// Stamped says that a backend server has signed the answer.
