Let the soak's backend servers leave out lengths, be slow and break off

Each backend server of the soak answered at once with a length, so that no answer came in parts, and none stopped or broke off half-way. Backend servers note which runs ended with a whole answer, which the checks need to tell a lost answer from a request under way. Answers of paths that end with `-large` have 60 KB, more than a node keeps.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/state/model"
@@ -125,6 +126,10 @@
 	At, Sent time.Time
 	// Work is how long it takes the backend server.
 	Work time.Duration
+	// Whole is when the backend server had written a whole answer; zero where it hadn't.
+	Whole time.Time
+	// Breaks says that the backend server broke its answer off.
+	Breaks bool
 }
 
 // Stop is a node that was asked to stop.
@@ -173,6 +178,12 @@
 	calm = 5 * time.Second
 )
 
+// largeSuffix ends the paths of requests for an answer of about largeAnswer bytes.
+const (
+	largeSuffix = "-large"
+	largeAnswer = 60_000
+)
+
 // notRun are the statuses that promise that the request was not run.
 var notRun = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
@@ -246,4 +257,10 @@
 }
 
 // Answer is the body with which a backend server answers.
-func Answer(server, path string) string { return server + " ran " + path }
+func Answer(server, path string) string {
+	said := server + " ran " + path
+	if !strings.HasSuffix(path, largeSuffix) {
+		return said
+	}
+	return strings.Repeat(said+"\n", largeAnswer/len(said))
+}
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -67,6 +67,10 @@
 		s.askDeadly(ctx, step)
 	case FaultEvacuate:
 		s.evacuate(ctx, step)
+	case FaultBreakOff:
+		n.host.behaviours.breaking.Add(1)
+		wait(ctx, step.For)
+		n.host.behaviours.breaking.Add(-1)
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -59,6 +59,8 @@
 	FaultSignals Fault = "signals"
 	// FaultEvacuate evacuates a node's availability zone and ends the evacuation again.
 	FaultEvacuate Fault = "evacuate"
+	// FaultBreakOff lets the answers of a node's backend servers stop or break off half-way.
+	FaultBreakOff Fault = "break-off"
 )
 
 // planned are the disturbances that belong to daily work.
@@ -144,6 +146,9 @@
 	// Evacuating says that zones are evacuated, and that backend servers are cold after a start
 	// and when the evacuation of their zone ends.
 	Evacuating bool
+	// Ahead says that backend servers are slow with some answers and leave out the length of
+	// others.
+	Ahead bool
 }
 
 // Bounds of what a plan draws.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -238,17 +238,6 @@
 	return r
 }
 
-func arrivals(b *server, zone model.Zone) []Arrival {
-	var out []Arrival
-	for _, seen := range b.Seen() {
-		out = append(out, Arrival{
-			Server: b.ID, Born: b.Born, ID: seen.ID, Method: seen.Method, Path: seen.Path, Caller: seen.Caller, Refused: seen.Refused, At: seen.At, Zone: zone,
-			Work: b.workOf(seen.Path), Organisation: seen.Headers.Get(platformtest.HeaderOrganisation), Credentials: seen.Headers.Get("Authorization"),
-		})
-	}
-	return out
-}
-
 // logged matches the id of a request in a log line.
 var logged = regexp.MustCompile(`request=(soak-[0-9]+)`)
 
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -36,8 +35,10 @@
 // server is a backend server beside a node.
 type server struct {
 	*platformtest.Backend
-	addr string
-	http *http.Server
+	addr       string
+	http       *http.Server
+	behaviours behaviours
+	runs       runs
 	// coldUntil is when the last of coldSpans ends. Both are guarded by the host's mu.
 	coldUntil time.Time
 	coldSpans []Span
@@ -48,12 +49,12 @@
 
 // startServer starts a backend server on an address that the kernel completes. ended is
 // told when a request has ended it.
-func startServer(ip, id, service string, ended func(*server)) (*server, error) {
+func startServer(ip, id, service string, behaviours behaviours, ended func(*server)) (*server, error) {
 	ln, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
-	s := &server{Backend: &platformtest.Backend{
+	s := &server{behaviours: behaviours, Backend: &platformtest.Backend{
 		ID: id, Service: service, Slots: serverSlots, Work: serverWork[service], Born: time.Now().UnixMilli(),
 	}}
 	s.Crash = func(r *http.Request) bool {
@@ -70,31 +71,13 @@
 	return s, nil
 }
 
-// workOf returns how long a request for a path takes.
-func (s *server) workOf(path string) time.Duration {
-	if isSlow(path) {
-		return slowWork
-	}
-	return s.Work
-}
-
-// answer runs a request unless its caller leaves.
-func (s *server) answer(w http.ResponseWriter, r *http.Request) {
-	select {
-	case <-time.After(s.workOf(r.URL.Path)):
-	case <-r.Context().Done():
-		return
-	}
-	platformtest.Stamp(w)
-	_, _ = io.WriteString(w, Answer(s.ID, r.URL.RequestURI())) // a caller that has left misses it
-}
-
 // host is what stands beside a node: the backend server of the moment.
 type host struct {
 	ip         string
 	service    string
 	control    string // the node's address for backend servers
 	coldStarts bool   // backend servers are cold after a start, except the first
+	behaviours behaviours
 
 	mu       sync.Mutex
 	current  *server
@@ -123,7 +106,7 @@
 	if h.closed {
 		return nil
 	}
-	s, err := startServer(h.ip, id, h.service, h.ended)
+	s, err := startServer(h.ip, id, h.service, h.behaviours, h.ended)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -171,7 +171,8 @@
 	if s.cfg.Plan.Evacuating {
 		evacuationSettings(&n.set)
 	}
-	n.host = &host{ip: n.ip, service: n.set.Service, control: n.addr(portBackend), coldStarts: s.cfg.Plan.Evacuating}
+	n.host = &host{ip: n.ip, service: n.set.Service, control: n.addr(portBackend), coldStarts: s.cfg.Plan.Evacuating,
+		behaviours: newBehaviours(s.cfg.Plan)}
 	s.nodes = append(s.nodes, n)
 	if err := n.host.replace(0); err != nil {
 		return err
