Let the soak's callers send requests of several routes behind one another

Callers of the soak sent at most one request behind another, of one route; all routes had one timeout, and no version changed a timeout or the limits. With `-planned` nothing breaks off. A node that stops may answer a request at its route's timeout as at the caller's own time.

--- a/cmd/jacinthgate-soak/main.go
+++ b/cmd/jacinthgate-soak/main.go
@@ -48,6 +48,9 @@
 	places bool
 	// series leaves out all but planned work in series and faults of the store.
 	series bool
+	// ahead lets callers send several requests behind one another, beside answers that break
+	// off; with planned beside planned work only.
+	ahead bool
 }
 
 func (c *planFlags) set(f *flag.FlagSet) {
@@ -58,6 +61,7 @@
 	f.BoolVar(&c.keys, "keys", false, "callers show keys that come and go, and an organisation floods")
 	f.BoolVar(&c.places, "places", false, "backend servers that are cold after a start, and evacuations of zones")
 	f.BoolVar(&c.series, "series", false, "planned work in series that overlap, beside faults of the store")
+	f.BoolVar(&c.ahead, "ahead", false, "several requests behind one another, slow answers, versions in series, and answers that break off (not with -planned)")
 	f.BoolVar(&c.crashes, "crashes", false, "backend servers that crash and return, and requests that end them")
 	f.BoolVar(&c.restores, "restores", false, "a store that comes back from older copies")
 }
@@ -65,6 +69,8 @@
 // plan returns the plan of a seed.
 func (c *planFlags) plan(seed uint64) soak.Plan {
 	switch {
+	case c.ahead:
+		return soak.NewAheadPlan(seed, c.nodes, c.length, !c.planned)
 	case c.planned:
 		return soak.NewPlannedPlan(seed, c.nodes, c.length)
 	case c.series:
@@ -95,7 +101,7 @@
 func (*planCmd) Name() string     { return "plan" }
 func (*planCmd) Synopsis() string { return "print the disturbances of a seed" }
 func (*planCmd) Usage() string {
-	return "plan -seed N [-nodes N] [-length D] [-planned | -series | -crashes | -restores | -keys | -places]\n"
+	return "plan -seed N [-nodes N] [-length D] [-planned | -ahead | -series | -crashes | -restores | -keys | -places]\n"
 }
 func (c *planCmd) SetFlags(f *flag.FlagSet) { c.set(f) }
 
@@ -116,7 +122,7 @@
 func (*runCmd) Name() string     { return "run" }
 func (*runCmd) Synopsis() string { return "play seeds and check the promises" }
 func (*runCmd) Usage() string {
-	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -series | -crashes | -restores | -keys | -places] [-bin DIR] [-dir DIR]
+	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -ahead | -series | -crashes | -restores | -keys | -places] [-bin DIR] [-dir DIR]
 Plays one seed after the other. A seed that breaks a promise is printed with what
 was seen, and its logs stay in DIR/SEED. Exit code 1 if any did.
 `
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -67,6 +67,9 @@
 
 // next sends the next requests of a caller, and returns how long it pauses then.
 func (c *callers) next(from *caller, n *node) time.Duration {
+	if c.site.cfg.Plan.Ahead {
+		return c.nextAhead(from, n)
+	}
 	number := c.number()
 	batch := []*Request{c.request(n, number, "")}
 	if number%aheadEvery == 0 {
@@ -130,7 +133,7 @@
 		kind = kinds[0]
 	}
 	path := prefix + requestID(number)
-	if number%slowEvery == 0 && prefix == kind.prefix {
+	if number%slowEvery == 0 && prefix == kind.prefix && !c.site.cfg.Plan.Ahead {
 		path += slowSuffix
 	}
 	return c.newRequest(n, number, kind.method, path, kind.idempotent)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -83,6 +83,8 @@
 	BodyBytes int
 	// Wait is how long its caller waits.
 	Wait time.Duration
+	// Due is the shortest time after which a node may give up on it.
+	Due time.Duration
 	// Gap is the time before it is written, after the one before it was.
 	Gap time.Duration
 	// Behind says that it was sent behind another one that wasn't answered yet, and First is
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -67,6 +67,8 @@
 		s.askDeadly(ctx, step)
 	case FaultEvacuate:
 		s.evacuate(ctx, step)
+	case FaultChanges:
+		s.changes(ctx, step)
 	case FaultBreakOff:
 		n.host.behaviours.breaking.Add(1)
 		wait(ctx, step.For)
--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -51,7 +51,7 @@
 // was over, or the node was at the end of its grace time and the request was sent before
 // callers had to take notice.
 func (h *History) mayReplace(r *Request) bool {
-	if r.Done.Sub(r.Sent) >= r.Wait {
+	if r.Done.Sub(r.Sent) >= r.due() {
 		return true
 	}
 	return slices.ContainsFunc(h.Stops, func(s Stop) bool {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -59,6 +59,9 @@
 	FaultSignals Fault = "signals"
 	// FaultEvacuate evacuates a node's availability zone and ends the evacuation again.
 	FaultEvacuate Fault = "evacuate"
+	// FaultChanges writes versions in series that change timeouts of routes and the idle
+	// timeout of callers' connections.
+	FaultChanges Fault = "changes"
 	// FaultBreakOff lets the answers of a node's backend servers stop or break off half-way.
 	FaultBreakOff Fault = "break-off"
 )
@@ -72,7 +75,7 @@
 // Planned reports whether the disturbance belongs to daily work, beside which
 // nothing may be cut.
 func (f Fault) Planned() bool {
-	return f == FaultSignals || f == FaultEvacuate || slices.Contains(planned, f)
+	return f == FaultSignals || f == FaultEvacuate || f == FaultChanges || slices.Contains(planned, f)
 }
 
 // OfStore reports whether only the store is struck, beside which nothing may be cut either.
@@ -112,6 +115,13 @@
 	FaultTerm, FaultKill, FaultCompact,
 }
 
+// pipelined are the kinds of planned work around connections in use, pipelinedBreaking those
+// beside answers that break off.
+var (
+	pipelined         = []Fault{FaultChanges, FaultChanges, FaultChanges, FaultDrain, FaultDrain, FaultTerm, FaultHup}
+	pipelinedBreaking = append([]Fault{FaultBreakOff, FaultBreakOff, FaultBreakOff}, pipelined...)
+)
+
 // Step is one disturbance of a plan.
 type Step struct {
 	// At is when it begins, from the start of the plan.
@@ -146,8 +156,8 @@
 	// Evacuating says that zones are evacuated, and that backend servers are cold after a start
 	// and when the evacuation of their zone ends.
 	Evacuating bool
-	// Ahead says that backend servers are slow with some answers and leave out the length of
-	// others.
+	// Ahead says that callers send several requests of different routes behind one another,
+	// and that backend servers are slow with some answers and leave out the length of others.
 	Ahead bool
 }
 
@@ -206,6 +216,18 @@
 	return p
 }
 
+// NewAheadPlan draws a schedule around connections that are in use: planned work, with
+// versions in series, and with breaks also answers that break off.
+func NewAheadPlan(seed uint64, nodes int, length time.Duration, breaks bool) Plan {
+	kinds := pipelined
+	if breaks {
+		kinds = pipelinedBreaking
+	}
+	p := draw(kinds, stepEvery, seed, nodes, length)
+	p.Ahead = true
+	return p
+}
+
 // draw draws a schedule of some kinds, with a mean time between two disturbances.
 func draw(kinds []Fault, every time.Duration, seed uint64, nodes int, length time.Duration) Plan {
 	rng := rand.New(rand.NewPCG(seed, seed))
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -71,6 +71,10 @@
 	for i := range routes {
 		routes[i].TimeoutMillis = int(2 * slowWait.Milliseconds()) // callers give up before
 	}
+	if v.site.cfg.Plan.Ahead {
+		v.site.store.Put("op", "config", aheadConfig(next, routes))
+		return
+	}
 	config := platformtest.Config(fmt.Sprintf("r%d", next), services, routes...)
 	if v.site.cfg.Plan.Evacuating {
 		config = platformtest.ColdConfig(fmt.Sprintf("r%d", next), services, coldRate, routes...)
