Check in the soak that ready answers arrive

The soak could not see the incident: nothing said which answers were ready when a connection ended. `ready-answers-arrive`: beside nothing but planned work, faults of the store and answers that break off, a request whose backend server has written a whole answer gets an answer. `breaks-off-alone`: beside answers that break off, nothing that reached a backend server is lost but a request whose own backend server broke its answer off after the head had come.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -55,6 +55,11 @@
 	// CheckRows: what nodes have written of themselves is in the store again after it came
 	// back from an older copy.
 	CheckRows Check = "own-rows"
+	// CheckReady: a request whose backend server has written a whole answer gets an answer.
+	CheckReady Check = "ready-answers-arrive"
+	// CheckBreaks: an answer that breaks off takes no other request with it that was passed
+	// on to a backend server.
+	CheckBreaks Check = "breaks-off-alone"
 	// CheckExplained: the logs tell of each refused or failed request by its id.
 	CheckExplained Check = "explained"
 )
@@ -245,8 +250,11 @@
 	if r.Status == http.StatusOK && !h.own(r, ran) {
 		found.add(CheckWhole, "%s got %q, signed %v", r.ID, r.Body, r.Stamped)
 	}
-	if !h.disturbedAt(r) {
+	switch {
+	case !h.disturbedAt(r):
 		h.checkEnd(r, ran, found)
+	case h.onlyBreaksAt(r):
+		h.checkBreaks(r, ran, found)
 	}
 }
 
--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -20,8 +20,10 @@
 // is at work on it.
 func (h *History) checkEnd(r *Request, ran []Arrival, found *report) {
 	switch {
+	case r.Status == 0 && answeredWhole(ran):
+		found.add(CheckReady, "%s", describeLost(r, ran))
 	case r.Status == 0 && len(ran) > 0:
-		found.add(CheckPlanned, "%s to node %d ran at %s and got no answer: %s", r.ID, r.Node, ran[0].Server, r.End)
+		found.add(CheckPlanned, "%s", describeLost(r, ran))
 	case r.Status == 0 && !r.Written.IsZero() && !r.Behind && r.Done.Sub(r.Written) > lostTime:
 		found.add(CheckEnds, "%s to node %d got no answer for %v: %s", r.ID, r.Node, r.Done.Sub(r.Written), r.End)
 	case replaces(r) && h.stopping(r) && underWay(r, ran) && !h.mayReplace(r):
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -29,13 +29,15 @@
 func TestShortSoak(t *testing.T) {
 	bin := build(t)
 	for name, plan := range map[string]Plan{
-		"all faults":   NewPlan(3, 4, 6*time.Second),
-		"planned work": NewPlannedPlan(1, 4, 6*time.Second),
-		"crashes":      NewCrashPlan(2, 4, 6*time.Second),
-		"keys":         NewKeyPlan(72, 4, 6*time.Second),
-		"restores":     NewRestorePlan(1, 4, 6*time.Second),
-		"series":       NewSeriesPlan(5, 4, 6*time.Second),
-		"places":       NewEvacuationPlan(4, 6, 6*time.Second),
+		"all faults":    NewPlan(3, 4, 6*time.Second),
+		"planned work":  NewPlannedPlan(1, 4, 6*time.Second),
+		"crashes":       NewCrashPlan(2, 4, 6*time.Second),
+		"keys":          NewKeyPlan(72, 4, 6*time.Second),
+		"restores":      NewRestorePlan(1, 4, 6*time.Second),
+		"series":        NewSeriesPlan(5, 4, 6*time.Second),
+		"places":        NewEvacuationPlan(4, 6, 6*time.Second),
+		"ahead":         NewAheadPlan(10, 4, 6*time.Second, true),
+		"ahead planned": NewAheadPlan(26, 4, 6*time.Second, false),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
