--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/state/model"
@@ -54,6 +55,11 @@
 	// CheckRows: what nodes have written of themselves is in the store again after it came
 	// back from an older copy.
 	CheckRows Check = "own-rows"
+	// CheckReady: a request whose backend server has written a whole answer gets an answer.
+	CheckReady Check = "ready-answers-arrive"
+	// CheckBreaks: an answer that breaks off takes no other request with it that was passed
+	// on to a backend server.
+	CheckBreaks Check = "breaks-off-alone"
 	// CheckExplained: the logs tell of each refused or failed request by its id.
 	CheckExplained Check = "explained"
 )
@@ -82,8 +88,14 @@
 	BodyBytes int
 	// Wait is how long its caller waits.
 	Wait time.Duration
-	// Behind says that it was sent behind another one that wasn't answered yet.
+	// Due is the shortest time after which a node may give up on it.
+	Due time.Duration
+	// Gap is the time before it is written, after the one before it was.
+	Gap time.Duration
+	// Behind says that it was sent behind another one that wasn't answered yet, and First is
+	// the first of those sent behind one another.
 	Behind bool
+	First  string
 	// Sent and Done are when it was sent and answered or given up, and Written when it was
 	// written whole; zero where it wasn't.
 	Sent, Written, Done time.Time
@@ -91,6 +103,8 @@
 	After time.Duration
 	// End says how its connection ended without a whole answer.
 	End string
+	// Headed says that the head of an answer came.
+	Headed bool
 	// Status is the answer's; 0 without a whole one.
 	Status int
 	// Stamped says that a backend server has signed the answer.
@@ -119,6 +133,10 @@
 	At, Sent time.Time
 	// Work is how long it takes the backend server.
 	Work time.Duration
+	// Whole is when the backend server had written a whole answer; zero where it hadn't.
+	Whole time.Time
+	// Breaks says that the backend server broke its answer off.
+	Breaks bool
 }
 
 // Stop is a node that was asked to stop.
@@ -167,6 +185,12 @@
 	calm = 5 * time.Second
 )
 
+// largeSuffix ends the paths of requests for an answer of about largeAnswer bytes.
+const (
+	largeSuffix = "-large"
+	largeAnswer = 60_000
+)
+
 // notRun are the statuses that promise that the request was not run.
 var notRun = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
@@ -226,8 +250,11 @@
 	if r.Status == http.StatusOK && !h.own(r, ran) {
 		found.add(CheckWhole, "%s got %q, signed %v", r.ID, r.Body, r.Stamped)
 	}
-	if !h.disturbedAt(r) {
+	switch {
+	case !h.disturbedAt(r):
 		h.checkEnd(r, ran, found)
+	case h.onlyBreaksAt(r):
+		h.checkBreaks(r, ran, found)
 	}
 }
 
@@ -240,4 +267,10 @@
 }
 
 // Answer is the body with which a backend server answers.
-func Answer(server, path string) string { return server + " ran " + path }
+func Answer(server, path string) string {
+	said := server + " ran " + path
+	if !strings.HasSuffix(path, largeSuffix) {
+		return said
+	}
+	return strings.Repeat(said+"\n", largeAnswer/len(said))
+}
--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -20,8 +20,10 @@
 // is at work on it.
 func (h *History) checkEnd(r *Request, ran []Arrival, found *report) {
 	switch {
+	case r.Status == 0 && answeredWhole(ran):
+		found.add(CheckReady, "%s", describeLost(r, ran))
 	case r.Status == 0 && len(ran) > 0:
-		found.add(CheckPlanned, "%s to node %d ran at %s and got no answer: %s", r.ID, r.Node, ran[0].Server, r.End)
+		found.add(CheckPlanned, "%s", describeLost(r, ran))
 	case r.Status == 0 && !r.Written.IsZero() && !r.Behind && r.Done.Sub(r.Written) > lostTime:
 		found.add(CheckEnds, "%s to node %d got no answer for %v: %s", r.ID, r.Node, r.Done.Sub(r.Written), r.End)
 	case replaces(r) && h.stopping(r) && underWay(r, ran) && !h.mayReplace(r):
@@ -51,7 +53,7 @@
 // was over, or the node was at the end of its grace time and the request was sent before
 // callers had to take notice.
 func (h *History) mayReplace(r *Request) bool {
-	if r.Done.Sub(r.Sent) >= r.Wait {
+	if r.Done.Sub(r.Sent) >= r.due() {
 		return true
 	}
 	return slices.ContainsFunc(h.Stops, func(s Stop) bool {
