Read a request by the limits in force, and say where a connection ends

A version that raises the header limits didn't hold for the next request on a kept connection: it got 431 and what was sent behind it wasn't read. Limits are now read again once a request begins to arrive (TestRequestOnAnIdleConnectionIsReadByTheHeaderLimitInForce). An answer behind which nothing is read, since too much of the request's body is left or its caller waits for leave to send it, didn't say that its connection ends; it now has Connection: close (TestAnswerBehindWhichNothingIsReadSaysSo).

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -15,10 +13,6 @@
 const (
 	// connBuffer is the size of a connection's buffers, in bytes.
 	connBuffer = 4 << 10
-	// lingerTime is how long a connection that was closed on this side is read
-	// on: closing one with unread bytes would reset it, and the caller might
-	// lose the last answer.
-	lingerTime = 500 * time.Millisecond
 	// maxDiscard bounds what is read of a body that the handler has left, in
 	// bytes; a longer rest ends the connection.
 	maxDiscard = 256 << 10
@@ -79,12 +73,12 @@
 
 // next reads one request.
 func (c *conn) next() (*exchange, error) {
-	limits := c.server.cfg.Limits()
-	c.head.allow(limits.HeaderBytes)
-	c.armIdle(limits)
+	c.armIdle(c.server.cfg.Limits())
 	if _, err := c.br.Peek(1); err != nil && !c.arrived(err) {
 		return nil, &readError{err: err, between: true}
 	}
+	limits := c.server.cfg.Limits() // they may have changed while the connection was idle
+	c.head.allow(limits.HeaderBytes)
 	c.begin(limits)
 	req, err := http.ReadRequest(c.br)
 	if err != nil {
@@ -251,51 +245,3 @@
 	c.cancel()
 	_ = c.raw.Close() // the caller must not take a part for the whole
 }
-
-// failed ends the connection when no further request can be read.
-func (c *conn) failed(err error) {
-	c.mu.Lock()
-	asked := c.ending
-	c.ending = true
-	last := c.last
-	c.mu.Unlock()
-	var read *readError
-	if between := errors.As(err, &read) && read.between; between && asked {
-		<-last
-		c.finish()
-		return
-	} else if between {
-		// The caller has left or has been idle for too long. What it still
-		// waits for is cancelled.
-		c.callerLeft()
-		<-last
-		_ = c.raw.Close() // there is nobody to tell
-		return
-	}
-	_ = c.server.cfg.Logger.Log("event", "request_unreadable", "remote", c.raw.RemoteAddr().String(), "err", err)
-	<-last
-	if c.writable() {
-		c.refuse(read.status())
-	}
-	c.finish()
-}
-
-// refuse answers a request that can't be read.
-func (c *conn) refuse(status int) {
-	_, _ = io.WriteString(c.bw, "HTTP/1.1 "+statusLine(status)+"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-	_ = c.bw.Flush() // the connection ends in any case
-}
-
-// finish ends the connection after the last answer.
-func (c *conn) finish() {
-	half, ok := c.raw.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		_ = c.raw.Close() // there is nothing more to say
-		return
-	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime)) // the read reports a closed one
-	time.AfterFunc(lingerTime, func() { _ = c.raw.Close() })
-	unread, _ := io.Copy(io.Discard, c.raw) // until the caller closes it too
-	c.noteUnread(unread)
-	_ = c.raw.Close() // twice does no harm
-}
--- a/transport/callers/exchange.go
+++ b/transport/callers/exchange.go
@@ -73,30 +73,45 @@
 		return true
 	}
 	b := x.req.Body.(*requestBody)
-	if b.expected && !b.asked {
-		return false // the caller may send the body or leave it out
+	if b.undecided() {
+		return false
 	}
 	n, err := io.CopyN(io.Discard, b, maxDiscard)
 	return err == io.EOF || err == nil && n < maxDiscard
 }
 
+// leavesBody reports whether it is known that too much of the body is left for another request to
+// follow.
+func (x *exchange) leavesBody() bool {
+	b, ok := x.req.Body.(*requestBody)
+	if !ok || x.bodyEnded() {
+		return false
+	}
+	return b.undecided() || x.req.ContentLength-b.read.Load() > maxDiscard
+}
+
 // requestBody is a request's body. It asks for the body when it is first read,
 // where the caller waits for that, and tells when it was read to its end.
 type requestBody struct {
 	io.ReadCloser
 	x        *exchange
 	expected bool
-	asked    bool
+	asked    atomic.Bool
+	read     atomic.Int64 // in bytes
 	once     sync.Once
 }
 
+// undecided reports whether the caller may send the body or leave it out.
+func (b *requestBody) undecided() bool { return b.expected && !b.asked.Load() }
+
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
-	if b.expected && !b.asked {
-		b.asked = true
+	if b.undecided() {
+		b.asked.Store(true)
 		b.x.w.proceed()
 	}
 	n, err := b.ReadCloser.Read(p)
+	b.read.Add(int64(n))
 	if err == io.EOF {
 		b.once.Do(func() { close(b.x.bodyEnd) })
 	}
--- a/transport/callers/response.go
+++ b/transport/callers/response.go
@@ -129,7 +129,7 @@
 	h := w.header
 	delete(h, "Transfer-Encoding")
 	c := w.x.conn
-	if closes(h) || w.x.last.Load() {
+	if closes(h) || w.x.last.Load() || whole && w.x.leavesBody() {
 		c.close(w.x)
 	} else if c.server.leaving.Load() {
 		c.closeIfNewest(w.x)
