--- /dev/null
+++ b/transport/outbound/passed_turn_test.go
@@ -0,0 +1,42 @@
+package outbound
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestAnswersThatArePassedOnAreDeliveredWhenTheirTurnComesLate(t *testing.T) {
+	events := "data: 1\n\n"
+	large := strings.Repeat("x", 60<<10) // more than the proxy keeps, less than waits for its turn
+	for name, test := range map[string]struct {
+		length int64
+		sort   string
+		body   string
+	}{
+		"events":                        {-1, "text/event-stream", events},
+		"large, with a length":          {int64(len(large)), "text/plain", large},
+		"large, without a length":       {-1, "text/plain", large},
+		"large, events with their size": {int64(len(large)), "text/event-stream", large},
+	} {
+		t.Run(name, func(t *testing.T) {
+			late := make(chan struct{})
+			p := proxyOf(t, func(r *http.Request) (*http.Response, error) {
+				switch r.URL.Path {
+				case "/slow":
+					<-late
+				case "/passed-on":
+					context.AfterFunc(r.Context(), func() { close(late) })
+					resp := answerOf(test.length, untilDone{r.Context(), strings.NewReader(test.body)})
+					resp.Header.Set("Content-Type", test.sort)
+					return resp, nil
+				}
+				return answerOf(int64(len(r.URL.Path)), strings.NewReader(r.URL.Path)), nil
+			})
+			must.Eq(t, []string{"/slow", test.body, "/behind"}, askInTurn(t, p, "/slow", "/passed-on", "/behind"))
+		})
+	}
+}
