Keep the headers of a response that is flushed before its turn

The flush now keeps a copy of the headers, and a replaced answer has headers of its own. TestHeadersThatAreSetAfterAFlushAreNotSent failed before (header "Late: 1" arrived) and passes now.

--- a/transport/callers/response.go
+++ b/transport/callers/response.go
@@ -18,7 +18,7 @@
 // its turn is kept, up to maxAhead.
 type response struct {
 	x      *exchange
-	header http.Header
+	header http.Header // belongs to the handler
 
 	mu      sync.Mutex
 	status  int
@@ -30,6 +30,8 @@
 	// flushing says that the response is flushed once its turn comes, ended that nothing more
 	// is written.
 	flushing, ended bool
+	// frozen are the headers to send where the handler may still change its own.
+	frozen http.Header
 	// expired ends the wait for the response's turn; nil doesn't.
 	expired <-chan struct{}
 }
@@ -37,6 +39,14 @@
 // Header implements http.ResponseWriter.
 func (w *response) Header() http.Header { return w.header }
 
+// headers returns the headers to send. w.mu is held.
+func (w *response) headers() http.Header {
+	if w.frozen != nil {
+		return w.frozen
+	}
+	return w.header
+}
+
 // WriteHeader implements http.ResponseWriter. Interim responses are left out.
 func (w *response) WriteHeader(status int) {
 	w.mu.Lock()
@@ -87,7 +97,7 @@
 // mayKeep reports whether so many bytes are kept: while it is not the response's
 // turn, and of a short one whose length isn't known yet.
 func (w *response) mayKeep(n int) bool {
-	if w.header["Content-Length"] == nil && n <= connBuffer {
+	if w.headers()["Content-Length"] == nil && n <= connBuffer {
 		return true
 	}
 	return n <= maxAhead && !w.myTurn()
@@ -109,7 +119,7 @@
 	w.frame(whole)
 	bw := w.x.conn.bw
 	_, _ = io.WriteString(bw, "HTTP/1.1 "+statusLine(w.status)+"\r\n")
-	if err := w.header.WriteSubset(bw, nil); err != nil {
+	if err := w.headers().WriteSubset(bw, nil); err != nil {
 		return err
 	}
 	if _, err := io.WriteString(bw, "\r\n"); err != nil {
@@ -126,7 +136,7 @@
 
 // frame sets the headers that say where the body ends.
 func (w *response) frame(whole bool) {
-	h := w.header
+	h := w.headers()
 	delete(h, "Transfer-Encoding")
 	c := w.x.conn
 	if closes(h) || w.x.last.Load() || whole && w.x.leavesBody() {
@@ -174,7 +184,7 @@
 
 // wrongLength reports whether what is kept isn't as long as was announced.
 func (w *response) wrongLength() bool {
-	n, err := strconv.Atoi(w.header.Get("Content-Length"))
+	n, err := strconv.Atoi(w.headers().Get("Content-Length"))
 	return err == nil && n >= 0 && n != len(w.kept)
 }
 
--- a/transport/callers/turn.go
+++ b/transport/callers/turn.go
@@ -74,6 +74,7 @@
 		return
 	}
 	w.flushing = true
+	w.frozen = w.header.Clone()
 	go func() {
 		<-w.x.before
 		w.mu.Lock()
@@ -92,10 +93,9 @@
 	if w.begun.Load() || w.x.conn.callerHasLeft() {
 		return false
 	}
-	clear(w.header)
-	w.header["Content-Length"] = []string{"0"}
+	w.frozen = http.Header{"Content-Length": {"0"}}
 	if w.x.hasBody() && !w.x.bodyEnded() {
-		w.header["Connection"] = []string{"close"} // the handler may still be reading
+		w.frozen["Connection"] = []string{"close"} // the handler may still be reading
 	}
 	w.status, w.kept = status, nil
 	return true
