Log a replaced answer once it was sent

answer_replaced was logged before the replacement was written, so also for answers behind one that had broken the connection off: they were logged as replaced and as cut. TestLogTellsNoReplacementOfAnAnswerBehindABrokenOne failed before and passes now.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -191,11 +191,11 @@
 		}
 		status = http.StatusBadGateway
 	}
-	if !x.w.replace(status) {
+	if !x.w.replace(status) || x.w.complete() != nil {
 		return false
 	}
 	_ = c.server.cfg.Logger.Log("event", "answer_replaced", "request", c.server.idOf(x), "path", x.req.URL.Path, "status", status)
-	return x.w.complete() == nil
+	return true
 }
 
 // handle runs the handler. It returns the status that says what went wrong where the handler
