Read no further request while a body is still read

Where a request's answer ended the connection before its body was read to the end, the next request was looked for in the same buffer, while what sends the body on could still read it: a data race, after which a part of the body could be taken for a request. The connection now ends without a further look. TestNoRequestIsReadWhileABodyStillIs failed in 10 of 10 processes with the race detector before and passes now.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -123,6 +123,8 @@
 	select {
 	case <-x.bodyEnd: // the next request begins after the body
 	case <-x.done:
+		// Where the answer isn't whole or ends the connection, the handler may still read the body.
+		return x.whole && !x.last.Load()
 	}
 	return true
 }
