Count a request's wait behind others towards its deadline

A request that waits for others on its connection before it is worked on, such as a POST behind a GET, was given the whole time again: backend servers were told of more time than its caller had (1,000 ms in place of 400 after a wait of 600), and it was sent although its time was over. The proxy now counts from when the request's head was read, and refuses at once what has no time left.

answer_cut loses its field on the wait for the turn: since a flush doesn't wait any more it was always near zero, and an answer that misses its turn says so in err.

--- a/transport/callers/turn.go
+++ b/transport/callers/turn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 )
 
 // Responses go out in the order of their requests. One whose turn has not come is kept, and may
@@ -11,6 +12,9 @@
 // errTurnMissed reports a response that was to begin and whose turn hasn't come.
 var errTurnMissed = errors.New("the turn of the response has not come in time")
 
+// Arrived returns when the request's head was read: it may have waited for others since.
+func (w *response) Arrived() time.Time { return w.x.began }
+
 // WaitUntil bounds the time to begin the response while the handler writes it: once done is
 // closed, what would have to be sent before the response is whole is not sent.
 func (w *response) WaitUntil(done <-chan struct{}) {
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -106,6 +106,10 @@
 		x.first = first
 		x.p.returned.Inc()
 	}
+	if !x.p.cfg.Now().Before(x.deadline) { // it has waited behind others on its connection
+		x.trail.Forbid(outcome.ReasonDeadline)
+		return x.conclude()
+	}
 	if refused := x.takeToken(); refused != nil {
 		return refused
 	}
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -103,6 +103,9 @@
 // with http.ErrAbortHandler.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := p.cfg.Now()
+	if a, ok := w.(interface{ Arrived() time.Time }); ok {
+		began = a.Arrived()
+	}
 	table := p.cfg.Table()
 	if table == nil {
 		p.reject(w, r, refusal{status: http.StatusServiceUnavailable, reason: outcome.ReasonNotReady, after: p.comeBackToStart(began)})
--- a/transport/outbound/relay.go
+++ b/transport/outbound/relay.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
@@ -44,10 +43,9 @@
 	return true
 }
 
-// keep reads an answer's body whole, unless it is larger than is kept or made of events. An
-// answer without a length is read, too: it is ready before its turn has come among the caller's
-// requests, and one that breaks off can be replaced. Where whole is false the body is left to be
-// passed on.
+// keep reads an answer's body whole where it is small enough and no event stream, so that it is
+// ready before its turn among the caller's requests and can be replaced if it breaks off.
+// Otherwise whole is false, and resp.Body is still to be passed on.
 func (x *exchange) keep(resp *http.Response) (body []byte, whole bool, err error) {
 	most := x.p.cfg.MaxKept
 	switch {
@@ -65,7 +63,7 @@
 		return nil, true, err
 	}
 	if int64(len(body)) > most || len(resp.Trailer) > 0 {
-		resp.Body = resumed{io.MultiReader(bytes.NewReader(body), resp.Body), resp.Body}
+		resp.Body = rejoinedBody{io.MultiReader(bytes.NewReader(body), resp.Body), resp.Body}
 		return nil, false, nil
 	}
 	_ = resp.Body.Close() // it was read to its end
@@ -73,8 +71,8 @@
 	return body, true, nil
 }
 
-// resumed is a body whose beginning was read before.
-type resumed struct {
+// rejoinedBody is a body whose beginning was read before.
+type rejoinedBody struct {
 	io.Reader
 	io.Closer
 }
@@ -110,15 +108,14 @@
 	}
 }
 
-// passOn passes a large answer on as it comes. Where it breaks off, so does
-// the caller's.
+// passOn passes an answer that isn't kept on as it comes. Where it breaks off after its first
+// byte was sent, so does the caller's.
 func (x *exchange) passOn(choice balance.Choice, resp *http.Response, result balance.Result) {
-	body := &progress{ReadCloser: resp.Body, now: x.p.cfg.Now}
+	body := &countedBody{ReadCloser: resp.Body}
 	resp.Body = body
 	if w, ok := x.w.(interface{ WaitUntil(done <-chan struct{}) }); ok {
 		w.WaitUntil(x.ctx.Done()) // nothing can be read after it
 	}
-	began := x.p.cfg.Now()
 	err := forward.Relay(x.w, resp)
 	var cut *forward.TruncatedError
 	if errors.As(err, &cut) {
@@ -129,34 +126,19 @@
 		return
 	}
 	_ = x.p.cfg.Logger.Log("event", "answer_cut", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
-		"node", choice.Record.Node, "instance", choice.Record.Instance, "err", err, "length", resp.ContentLength, "received", body.received,
-		"waited", body.waited(began))
+		"node", choice.Record.Node, "instance", choice.Record.Instance, "err", err, "length", resp.ContentLength, "received", body.received)
 	panic(http.ErrAbortHandler)
 }
 
-// progress tells how far the passing on of an answer's body has come.
-type progress struct {
+// countedBody counts what is read of a body, in bytes.
+type countedBody struct {
 	io.ReadCloser
-	now      func() time.Time
-	received int64     // in bytes
-	first    time.Time // of the first read; zero before it
+	received int64
 }
 
 // Read implements io.Reader.
-func (p *progress) Read(b []byte) (int, error) {
-	if p.first.IsZero() {
-		p.first = p.now()
-	}
-	n, err := p.ReadCloser.Read(b)
-	p.received += int64(n)
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.received += int64(n)
 	return n, err
 }
-
-// waited returns how long after a time the body was first read: the time for which the head
-// couldn't be written.
-func (p *progress) waited(since time.Time) time.Duration {
-	if p.first.IsZero() {
-		return p.now().Sub(since)
-	}
-	return p.first.Sub(since)
-}
