Let a large answer that breaks off take no other along

Behind one that is sent before it is whole no request is passed on until it is complete. Answers with nothing behind them are passed on as before.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -96,10 +96,11 @@
 // start answers a request on a goroutine of its own and returns when the next
 // request may be read. A request that may not run again waits for the answers
 // before it: if one of them ends the connection, the caller sends what came
-// after it once more. It reports false when no request is to be read any more.
+// after it once more. So does one behind an answer that may break off. It reports
+// false when no request is to be read any more.
 func (c *conn) start(x *exchange) bool {
 	ahead := x.req.Method == http.MethodGet || x.req.Method == http.MethodHead
-	if !ahead || x.hasBody() {
+	if !ahead || x.hasBody() || c.mayBreakOff() {
 		<-x.before
 	}
 	select {
@@ -129,6 +130,13 @@
 	return true
 }
 
+// mayBreakOff reports whether an answer that isn't complete is sent before it is whole.
+func (c *conn) mayBreakOff() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.open, func(x *exchange) bool { return x.partial.Load() })
+}
+
 // admit counts a request that was read, unless the connection has ended before
 // it.
 func (c *conn) admit(x *exchange) bool {
--- a/transport/callers/exchange.go
+++ b/transport/callers/exchange.go
@@ -29,6 +29,8 @@
 	ahead int
 	// ready says that the handler has given its answer, which may wait for its turn.
 	ready atomic.Bool
+	// partial says that the response is sent before it is whole, so that it may break off.
+	partial atomic.Bool
 	// whole says that the response is complete. The goroutine that answers sets it.
 	whole bool
 	// noted says that the log tells that the response was cut.
--- a/transport/callers/turn.go
+++ b/transport/callers/turn.go
@@ -16,13 +16,23 @@
 func (w *response) Arrived() time.Time { return w.x.began }
 
 // WaitUntil bounds the time to begin the response while the handler writes it: once done is
-// closed, what would have to be sent before the response is whole is not sent.
+// closed, what would have to be sent before the response is whole is not sent. Requests behind one
+// that is sent before it is whole wait: it may break off and end the connection.
 func (w *response) WaitUntil(done <-chan struct{}) {
+	w.x.partial.Store(true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.expired = done
 }
 
+// Followed reports whether other requests stand behind this one.
+func (w *response) Followed() bool {
+	c := w.x.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last != w.x.done
+}
+
 // myTurn reports whether the responses before this one are complete.
 func (w *response) myTurn() bool {
 	select {
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -85,6 +85,7 @@
 	returns  *attempt.Returns
 	together *attempt.Together
 	returned *metrics.Counter
+	held     atomic.Int64              // bytes of large answers that are read whole
 	end      atomic.Pointer[time.Time] // nil while the node isn't ending
 }
 
--- a/transport/outbound/relay.go
+++ b/transport/outbound/relay.go
@@ -1,11 +1,9 @@
 package outbound
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
@@ -17,7 +15,9 @@
 // broke off or tells of a failure and another attempt may still be made.
 func (x *exchange) relay(choice balance.Choice, resp *http.Response, result balance.Result) bool {
 	forward.StripNodeHeaders(resp.Header)
-	body, whole, err := x.keep(resp)
+	held := x.hold(resp)
+	defer x.p.held.Add(-held)
+	body, whole, err := x.keep(resp, max(x.p.cfg.MaxKept, held))
 	if err != nil {
 		result.Outcome = x.cutAs()
 		choice.Done(x.p.cfg.Now(), result)
@@ -43,40 +43,6 @@
 	return true
 }
 
-// keep reads an answer's body whole where it is small enough and no event stream, so that it is
-// ready before its turn among the caller's requests and can be replaced if it breaks off.
-// Otherwise whole is false, and resp.Body is still to be passed on.
-func (x *exchange) keep(resp *http.Response) (body []byte, whole bool, err error) {
-	most := x.p.cfg.MaxKept
-	switch {
-	case resp.ContentLength > most, forward.IsEventStream(resp):
-		return nil, false, nil
-	case x.r.Method == http.MethodHead:
-		return nil, true, forward.ReadWhole(resp.Body, nil)
-	case resp.ContentLength >= 0:
-		body = make([]byte, resp.ContentLength)
-		return body, true, forward.ReadWhole(resp.Body, body)
-	}
-	body, err = io.ReadAll(io.LimitReader(resp.Body, most+1))
-	if err != nil {
-		_ = resp.Body.Close() // it has failed
-		return nil, true, err
-	}
-	if int64(len(body)) > most || len(resp.Trailer) > 0 {
-		resp.Body = rejoinedBody{io.MultiReader(bytes.NewReader(body), resp.Body), resp.Body}
-		return nil, false, nil
-	}
-	_ = resp.Body.Close() // it was read to its end
-	resp.Header["Content-Length"] = []string{strconv.Itoa(len(body))}
-	return body, true, nil
-}
-
-// rejoinedBody is a body whose beginning was read before.
-type rejoinedBody struct {
-	io.Reader
-	io.Closer
-}
-
 // mayRepeat reports whether a failed answer may be replaced by another one.
 func (x *exchange) mayRepeat() bool {
 	g := x.trail.Progress
--- a/transport/outbound/turn_test.go
+++ b/transport/outbound/turn_test.go
@@ -4,24 +4,24 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/model"
-	"github.com/jacinthgate/jacinthgate/transport/callers"
 )
 
 // answerOf returns a backend server's answer, as a gate passes it on.
 func answerOf(length int64, body io.Reader) *http.Response {
 	h := http.Header{outcome.HeaderOutcome: {string(outcome.Answered)}, outcome.HeaderReached: {"1"}}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	return &http.Response{
 		StatusCode: http.StatusOK, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: h, Body: io.NopCloser(body), ContentLength: length,
@@ -60,29 +60,14 @@
 // bodies, up to the first one that isn't whole.
 func askInTurn(t *testing.T, p *Proxy, paths ...string) []string {
 	t.Helper()
-	s := callers.New(callers.Config{
-		Handler:   p,
-		Ahead:     len(paths),
-		Limits:    func() callers.Limits { return callers.Limits{HeaderBytes: 1 << 10} },
-		RequestID: func(map[string][]string) string { return "id" },
-		Metrics:   metrics.NewSet(),
-		Logger:    log.NewNopLogger(),
-	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	go func() { _ = s.Serve(l) }()
-	t.Cleanup(func() { _ = s.Close() })
-	c, err := net.Dial("tcp", l.Addr().String())
-	must.NoError(t, err)
-	defer func() { must.NoError(t, c.Close()) }()
-	must.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	c, br := connect(t, p)
 	var all strings.Builder
 	for _, path := range paths {
 		all.WriteString("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n")
 	}
-	_, err = io.WriteString(c, all.String())
+	_, err := io.WriteString(c, all.String())
 	must.NoError(t, err)
-	return bodies(bufio.NewReader(c), len(paths))
+	return bodies(br, len(paths))
 }
 
 // bodies reads so many answers.
@@ -134,6 +119,54 @@
 	must.Eq(t, []string{"/slow", "", "/behind"}, askInTurn(t, p, "/slow", "/large", "/behind"))
 }
 
+func TestLargeAnswerThatBreaksOffTakesNoneBehindItAlong(t *testing.T) {
+	behind := make(chan struct{})
+	p := proxyOf(t, func(r *http.Request) (*http.Response, error) {
+		if r.URL.Path != "/large" {
+			close(behind)
+			return answerOf(int64(len(r.URL.Path)), strings.NewReader(r.URL.Path)), nil
+		}
+		<-behind
+		return answerOf(4*maxKept, broken{strings.NewReader("part")}), nil
+	})
+	p.cfg.Policy.MaxSends = 1
+	must.Eq(t, []string{"", "/behind"}, askInTurn(t, p, "/large", "/behind"))
+}
+
+func TestNoRequestIsPassedOnBehindAnAnswerThatMayBreakOff(t *testing.T) {
+	sent, passedOn := make(chan struct{}), make(chan struct{})
+	p := proxyOf(t, func(r *http.Request) (*http.Response, error) {
+		if r.URL.Path == "/behind" {
+			close(passedOn)
+		}
+		body, feed := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(feed, strings.Repeat("x", 6*maxKept))
+			<-sent
+			select {
+			case <-passedOn:
+			case <-time.After(50 * time.Millisecond):
+			}
+			_ = feed.CloseWithError(io.ErrUnexpectedEOF)
+		}()
+		return answerOf(8*maxKept, body), nil
+	})
+	c, br := connect(t, p)
+	_, err := io.WriteString(c, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	_, err = br.Peek(1)
+	must.NoError(t, err)
+	_, err = io.WriteString(c, "GET /behind HTTP/1.1\r\nHost: h\r\n\r\n")
+	must.NoError(t, err)
+	close(sent)
+	must.Len(t, 0, bodies(br, 2))
+	select {
+	case <-passedOn:
+		t.Error("a request was passed on and lost with the answer before it")
+	default:
+	}
+}
+
 // broken is a body that breaks off.
 type broken struct{ io.Reader }
 
