Tell of answers that break off at the gate

Cause: a gate whose answer broke off logged nothing, so a cut that an entry node tells of (answer_cut) could not be laid at the backend server, at the gate's own deadline or at the way to the entry node.

Change: event gate_answer_cut (request, instance, received, length, err), on the logger of details. inbound.CutError carries the count; holdWhole returns the error of a large answer that broke off, which was dropped before. An entry node that has left is told apart from a backend server that broke off. No decision depends on any of it. Answers to the own host's requests are told of by answer_cut, as before.

--- a/transport/inbound/bulk.go
+++ b/transport/inbound/bulk.go
@@ -55,7 +55,7 @@
 	size := resp.ContentLength
 	if size >= 0 && size <= forward.PieceBytes {
 		g.cfg.Lane.Small(g.cfg.Now(), size)
-		return forward.Relay(w, resp)
+		return relay(w, req, resp, nil)
 	}
 	if size > 0 {
 		t.Size(float64(size))
@@ -65,31 +65,30 @@
 		defer func() { <-g.sending }()
 	case <-req.Context().Done():
 		_ = resp.Body.Close() // its caller has left
-		return &forward.CallerError{Err: req.Context().Err()}
+		return &CutError{Length: size, Err: &forward.CallerError{Err: req.Context().Err()}}
 	}
-	resp.Body = forward.Paced(req.Context(), resp.Body, t)
-	return forward.Relay(w, resp)
+	return relay(w, req, resp, t)
 }
 
 // holdWhole takes a large answer whole from the backend server, so that its
-// slot is free at once. Where there is no room the answer stays as it is. It
-// reports false when the answer broke off.
-func (g *Gate) holdWhole(resp *http.Response) bool {
+// slot is free at once. Where there is no room the answer stays as it is. The
+// error is that of an answer that broke off.
+func (g *Gate) holdWhole(resp *http.Response) error {
 	size := resp.ContentLength
 	if size <= 0 || size > maxHeld {
-		return true
+		return nil
 	}
 	if g.held.Add(size) > maxHeldAll {
 		g.held.Add(-size)
-		return true
+		return nil
 	}
 	body := make([]byte, size)
 	if err := forward.ReadWhole(resp.Body, body); err != nil {
 		g.held.Add(-size)
-		return false
+		return err
 	}
 	resp.Body = &heldBody{KeptBody: forward.NewKeptBody(body), release: func() { g.held.Add(-size) }}
-	return true
+	return nil
 }
 
 // heldBody is a body that counts as held until it is closed.
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -190,6 +190,7 @@
 		serve = g.serveBulk
 	}
 	if err := serve(w, in); err != nil {
+		g.noteCut(r.Header, r.Header.Get(outcome.HeaderInstance), err)
 		if stream != nil {
 			stream.Detach(w)
 		}
@@ -221,7 +222,7 @@
 		return err
 	}
 	g.cfg.Lane.Small(g.cfg.Now(), headBytes+max(0, resp.ContentLength))
-	return forward.Relay(w, resp)
+	return relay(w, req, resp, nil)
 }
 
 // headBytes stands for the head of an answer, in bytes: the platform's and the
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -60,12 +60,17 @@
 		h[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
 		h[outcome.HeaderReached] = reachedValue
 		bodyless := resp.Body == http.NoBody
-		resp.Body = &slotBody{ReadCloser: resp.Body, left: resp.ContentLength, done: func(how bodyEnd) {
+		body := &slotBody{ReadCloser: resp.Body, left: resp.ContentLength, done: func(how bodyEnd) {
 			done(g.cfg.Now().Sub(started))
 			g.bodyEnded(req, c, started, resp.StatusCode, how)
 		}}
-		if c.Work.Kind == model.KindBulk && !bodyless && !g.holdWhole(resp) {
-			return g.unknown(req, outcome.ReasonBackendFailed)
+		resp.Body = body
+		if c.Work.Kind == model.KindBulk && !bodyless {
+			if err := g.holdWhole(resp); err != nil {
+				cut := &CutError{Received: resp.ContentLength - body.left, Length: resp.ContentLength, Err: &forward.TruncatedError{Err: err}}
+				g.noteCut(req.Header, c.instance.Key(), cut)
+				return g.unknown(req, outcome.ReasonBackendFailed)
+			}
 		}
 		g.stamp(h)
 		if typical := g.core.Typical(c.Work); typical > 0 {
