Free a backend server's slot when its request's time is over

What callers saw: requests that were refused or had to wait at a gate whose backend server had nothing to do. An answer that nobody reads, since it waits for its turn on its caller's connection or its entry node takes nothing, kept its slot and the connection to the backend server for as long as the reader stood still, also after the run's deadline.

Cause: the gate's context for the backend server ends 30 ms after the deadline, but that only makes the next read fail.

Change: the context ends the body itself (context.AfterFunc): it closes the connection to the backend server, then gives the slot back. A mutex keeps that apart from a read under way, which fails by the closing and tells of the end first. Reads after it fail with the context's error.

Cost: three allocations and one entry in the context for answers without a length or over 8 KB (forward.PieceBytes), none for smaller ones, which are read at once; an uncontended lock for each read. No goroutine unless the time runs out.

--- a/transport/inbound/body.go
+++ b/transport/inbound/body.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -10,14 +11,42 @@
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
-// slotBody is a backend server's response body. Its end gives the slot back.
+// slotBody is a backend server's response body. Its end gives the slot back, as does the end of the
+// time that its backend server has, whether or not it is read.
 type slotBody struct {
 	io.ReadCloser
-	once sync.Once
+	ctx  context.Context
+	stop func() bool // ends the watch over ctx; nil without one
 	// left is how much of the body is to come, in bytes; below 0 where it has no
 	// length.
 	left int64
 	done func(bodyEnd)
+	// using is held while the body is read or ended.
+	using sync.Mutex
+	ended bool
+	late  error // that of ctx, where the body ended with it
+}
+
+// unwatchedBytes is the largest body of known length that isn't watched, in bytes: such a body is
+// read at once, not as its receiver takes it.
+const unwatchedBytes = forward.PieceBytes
+
+// watch ends the body with its context.
+func (b *slotBody) watch() {
+	if b.left >= 0 && b.left <= unwatchedBytes {
+		return
+	}
+	b.using.Lock()
+	defer b.using.Unlock()
+	b.stop = context.AfterFunc(b.ctx, b.expire)
+}
+
+// expire ends the body, and with it the connection to a backend server that still sends.
+func (b *slotBody) expire() {
+	_ = b.ReadCloser.Close() // a read under way fails, and tells how the body ended
+	b.using.Lock()
+	defer b.using.Unlock()
+	b.end(bodyLeft)
 }
 
 // bodyEnd says how a response body ended.
@@ -35,6 +64,8 @@
 
 // Read implements io.Reader.
 func (b *slotBody) Read(p []byte) (int, error) {
+	b.using.Lock()
+	defer b.using.Unlock()
 	n, err := b.ReadCloser.Read(p)
 	b.left -= int64(n)
 	switch {
@@ -42,6 +73,9 @@
 		b.end(bodyWhole)
 	case err != nil:
 		b.end(bodyBroken)
+		if b.late != nil {
+			err = b.late
+		}
 	}
 	return n, err
 }
@@ -49,6 +83,8 @@
 // Close implements io.Closer.
 func (b *slotBody) Close() error {
 	err := b.ReadCloser.Close()
+	b.using.Lock()
+	defer b.using.Unlock()
 	if b.left == 0 {
 		b.end(bodyWhole)
 	}
@@ -56,8 +92,20 @@
 	return err
 }
 
-// end tells the first end of the body.
-func (b *slotBody) end(how bodyEnd) { b.once.Do(func() { b.done(how) }) }
+// end tells the first end of the body. Its caller holds using.
+func (b *slotBody) end(how bodyEnd) {
+	if b.ended {
+		return
+	}
+	b.ended = true
+	if how != bodyWhole {
+		b.late = b.ctx.Err()
+	}
+	if b.stop != nil {
+		b.stop()
+	}
+	b.done(how)
+}
 
 // wasSent reports whether a failed request may have reached its receiver.
 func wasSent(err error) bool {
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -47,12 +47,12 @@
 		return g.failed(req, c, started, err)
 	}
 	g.noteLoad(resp.Header)
-	return g.judge(req, c, resp, started, done)
+	return g.judge(ctx, req, c, resp, started, done)
 }
 
-// judge reads the backend server's response. It holds the slot until the body
+// judge reads the backend server's response. It holds the slot until the body, or ctx,
 // has ended.
-func (g *Gate) judge(req *http.Request, c call, resp *http.Response, started time.Time, done func(time.Duration)) *http.Response {
+func (g *Gate) judge(ctx context.Context, req *http.Request, c call, resp *http.Response, started time.Time, done func(time.Duration)) *http.Response {
 	switch g.cfg.Dialect.Judge(resp.StatusCode, resp.Header) {
 	case dialect.Ran:
 		h := resp.Header
@@ -60,10 +60,13 @@
 		h[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
 		h[outcome.HeaderReached] = reachedValue
 		bodyless := resp.Body == http.NoBody
-		body := &slotBody{ReadCloser: resp.Body, left: resp.ContentLength, done: func(how bodyEnd) {
+		body := &slotBody{ReadCloser: resp.Body, ctx: ctx, left: resp.ContentLength, done: func(how bodyEnd) {
 			done(g.cfg.Now().Sub(started))
 			g.bodyEnded(req, c, started, resp.StatusCode, how)
 		}}
+		if !bodyless {
+			body.watch()
+		}
 		resp.Body = body
 		if c.Work.Kind == model.KindBulk && !bodyless {
 			if err := g.holdWhole(resp); err != nil {
