Learn what the backend server took, not its reader

What callers saw: requests that went to another host or were refused beside backend servers that were quick. The gate learns what a sort of work takes from the time until the answer's body has ended, tells it to all entry nodes, and roll-outs compare it. Where nobody reads the body meanwhile, or the answer is paced on the link, that wait was counted as the backend server's work.

Change: the body counts the time to its head and that spent in reads of it. A backend server that still works while nobody reads counts as done for that time: what it took then can't be told from outside.

Cost: two more readings of the clock for each read of a body; no allocation.

--- a/transport/inbound/body.go
+++ b/transport/inbound/body.go
@@ -20,7 +20,11 @@
 	// left is how much of the body is to come, in bytes; below 0 where it has no
 	// length.
 	left int64
-	done func(bodyEnd)
+	// took is how long the backend server was waited for: for its head, and in reads of the body.
+	// The time in which nobody reads is its reader's.
+	took time.Duration
+	now  func() time.Time
+	done func(took time.Duration, how bodyEnd)
 	// using is held while the body is read or ended.
 	using sync.Mutex
 	ended bool
@@ -66,7 +70,9 @@
 func (b *slotBody) Read(p []byte) (int, error) {
 	b.using.Lock()
 	defer b.using.Unlock()
+	began := b.now()
 	n, err := b.ReadCloser.Read(p)
+	b.took += b.now().Sub(began)
 	b.left -= int64(n)
 	switch {
 	case errors.Is(err, io.EOF):
@@ -104,7 +110,7 @@
 	if b.stop != nil {
 		b.stop()
 	}
-	b.done(how)
+	b.done(b.took, how)
 }
 
 // wasSent reports whether a failed request may have reached its receiver.
@@ -114,14 +120,14 @@
 }
 
 // bodyEnded tells how a run ended that the backend server has answered.
-func (g *Gate) bodyEnded(req *http.Request, c call, sent time.Time, status int, how bodyEnd) {
+func (g *Gate) bodyEnded(req *http.Request, c call, sent time.Time, took time.Duration, status int, how bodyEnd) {
 	now := g.cfg.Now()
 	broken := how == bodyBroken && req.Context().Err() == nil && now.Before(c.Deadline)
 	switch {
 	case broken, how == bodyWhole && forward.FailedStatus(status):
 		g.cfg.Meter.Failed(c.Work)
 	case how == bodyWhole:
-		g.cfg.Meter.Answered(c.Work, now.Sub(sent), now.Before(c.instance.WarmAt))
+		g.cfg.Meter.Answered(c.Work, took, now.Before(c.instance.WarmAt))
 	}
 	switch {
 	case how == bodyWhole:
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -60,10 +60,11 @@
 		h[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
 		h[outcome.HeaderReached] = reachedValue
 		bodyless := resp.Body == http.NoBody
-		body := &slotBody{ReadCloser: resp.Body, ctx: ctx, left: resp.ContentLength, done: func(how bodyEnd) {
-			done(g.cfg.Now().Sub(started))
-			g.bodyEnded(req, c, started, resp.StatusCode, how)
-		}}
+		body := &slotBody{ReadCloser: resp.Body, ctx: ctx, left: resp.ContentLength, took: g.cfg.Now().Sub(started), now: g.cfg.Now}
+		body.done = func(took time.Duration, how bodyEnd) {
+			done(took)
+			g.bodyEnded(req, c, started, took, resp.StatusCode, how)
+		}
 		if !bodyless {
 			body.watch()
 		}
