Bound how long a caller that takes nothing holds up large answers

What callers saw: large answers that came late or not at all from a host whose link was free. A gate sends two of them side by side. Who waited for one of the two places, and who wrote to an entry node that takes nothing, did so without a bound, and an entry node takes nothing while the answer waits for its turn on its caller's connection. So two such answers kept all other large ones of the gate from being sent.

The deadline for writing is cleared behind an answer that was sent whole, since net/http keeps it for the connection's next requests; one that broke off ends its connection.

Cost: one context and one copy of the request for each large answer, two calls that set its connection's deadline; nothing for all others.

Evidence: TestCallersThatTakeNothingHoldUpNoOtherLargeAnswer failed before, three of three runs: bytes sent to the third caller 65536 wanted, have 0.

--- a/transport/inbound/bulk.go
+++ b/transport/inbound/bulk.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,6 +22,9 @@
 	// maxSending is the number of large answers that are sent side by side: more
 	// than one, so that a receiver that has stopped holds up no other.
 	maxSending = 2
+	// sendGrace is how long past the request's deadline a large answer is still sent: its entry
+	// node takes no more of it then.
+	sendGrace = 100 * time.Millisecond
 )
 
 // serveBulk serves a request for a large answer of another node.
@@ -29,6 +33,11 @@
 	if err != nil || !given {
 		return forward.Relay(w, g.refuse(req, outcome.ReasonMalformed, false))
 	}
+	left, given, err := forward.HeaderInt(req.Header, outcome.HeaderDeadline)
+	if err != nil || !given {
+		return forward.Relay(w, g.refuse(req, outcome.ReasonMalformed, false))
+	}
+	sendBy := g.cfg.Now().Add(time.Duration(left)*time.Millisecond + sendGrace)
 	ticket, backlog, ok := g.cfg.Lane.Ask(g.cfg.Now(), time.Duration(wait)*time.Millisecond)
 	if !ok {
 		return forward.Relay(w, g.refuseLink(req, backlog))
@@ -38,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	return g.relayPaced(w, req, resp, ticket)
+	return g.relayPaced(w, req, resp, ticket, sendBy)
 }
 
 // refuseLink refuses a large answer for the link's backlog, and tells it, so that
@@ -50,8 +59,9 @@
 }
 
 // relayPaced sends an answer at the lane's rate, few at a time: answers that are
-// sent side by side all end late. Small ones go at once.
-func (g *Gate) relayPaced(w http.ResponseWriter, req *http.Request, resp *http.Response, t *pace.Ticket) error {
+// sent side by side all end late. Small ones go at once. A caller that takes nothing keeps its place
+// until sendBy.
+func (g *Gate) relayPaced(w http.ResponseWriter, req *http.Request, resp *http.Response, t *pace.Ticket, sendBy time.Time) error {
 	size := resp.ContentLength
 	if size >= 0 && size <= forward.PieceBytes {
 		g.cfg.Lane.Small(g.cfg.Now(), size)
@@ -60,14 +70,22 @@
 	if size > 0 {
 		t.Size(float64(size))
 	}
+	ctx, cancel := context.WithDeadline(req.Context(), sendBy)
+	defer cancel()
 	select {
 	case g.sending <- struct{}{}:
 		defer func() { <-g.sending }()
-	case <-req.Context().Done():
-		_ = resp.Body.Close() // its caller has left
-		return &CutError{Length: size, Err: &forward.CallerError{Err: req.Context().Err()}}
+	case <-ctx.Done():
+		_ = resp.Body.Close() // its caller has left, or takes it no longer
+		return &CutError{Length: size, Err: &forward.CallerError{Err: ctx.Err()}}
 	}
-	return relay(w, req, resp, t)
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(sendBy) // a writer that can't do it has no connection
+	if err := relay(w, req.WithContext(ctx), resp, t); err != nil {
+		return err
+	}
+	_ = rc.SetWriteDeadline(time.Time{}) // net/http keeps it for the connection's next requests
+	return nil
 }
 
 // holdWhole takes a large answer whole from the backend server, so that its
--- a/transport/inbound/stuck_test.go
+++ b/transport/inbound/stuck_test.go
@@ -78,3 +78,34 @@
 		must.Eq(t, 0, g.Load().Used)
 	})
 }
+
+// Callers that take nothing must not keep large answers from others after their deadline.
+func TestCallersThatTakeNothingHoldUpNoOtherLargeAnswer(t *testing.T) {
+	g, i := newGate(t, attempt.NewRuns(), 0, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "65536")
+		_, _ = w.Write(make([]byte, 64<<10))
+	})
+	synctest.Test(t, func(t *testing.T) {
+		g.Update()
+		g.sending = make(chan struct{}, maxSending)
+		gone := make(chan struct{})
+		defer close(gone)
+		for range maxSending {
+			go func() {
+				defer func() { _ = recover() }() // the handler aborts
+				g.ServeHTTP(newStopped(gone), requestTo(i, model.KindBulk))
+			}()
+		}
+		time.Sleep(6 * time.Second)
+		w, sent := httptest.NewRecorder(), 0
+		go func() {
+			defer func() { _ = recover() }() // the handler aborts
+			r := requestTo(i, model.KindBulk)
+			g.ServeHTTP(w, r.WithContext(t.Context()))
+			sent = w.Body.Len()
+		}()
+		time.Sleep(6 * time.Second)
+		synctest.Wait()
+		must.Eq(t, 64<<10, sent)
+	})
+}
