Keep the connection of a request whose streamed body nobody read

What callers saw: a connection that closed under a request, behind a refusal or an early answer that hadn't said so. net/http logged "invalid concurrent Body.Read call". Concerned all handlers that make a StreamBody: the gates of both programs and the entry of jacinthgate-node.

Cause: a StreamBody let answers begin before the body's end (EnableFullDuplex) as soon as it was made. Where nothing read it, net/http took the rest after it had stopped watching the connection; the body's end started the watch again, and reading the next request panicked.

Change: the answer may begin early from when the body is handed to a connection, in the handler's goroutine. A request that is refused before is then as any other of net/http: it takes up to 256 KB of the body before the answer, or says "Connection: close".

Cost: nothing for requests without a streamed body. A refusal of one that was not begun comes when its body has come, as all refusals before the StreamBody was made did already.

Not mended: a body that was read in part, where the answer comes while it is being passed on.

Evidence: both tests failed before, three of three runs with -race: "http: panic serving pipe: invalid concurrent Body.Read call".

--- a/transport/forward/send.go
+++ b/transport/forward/send.go
@@ -22,6 +22,9 @@
 	if c, ok := rt.(*Client); ok {
 		return c.send(req, w)
 	}
+	if body, ok := req.Body.(*StreamBody); ok {
+		body.open()
+	}
 	resp, err := rt.RoundTrip(req)
 	if err != nil {
 		return nil, 0, &SendError{Sent: true, Err: err}
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -13,6 +13,7 @@
 // be sent elsewhere.
 type StreamBody struct {
 	body  io.Reader
+	w     http.ResponseWriter
 	state atomic.Int32
 	// reading is held while the body is read.
 	reading sync.Mutex
@@ -25,8 +26,7 @@
 	streamReclaimed
 )
 
-// NewStreamBody returns the body of r. It lets the response begin before the
-// body has ended; net/http would otherwise take the rest of the body away.
+// NewStreamBody returns the body of r, whose response goes to w.
 func NewStreamBody(w http.ResponseWriter, r *http.Request) *StreamBody {
 	return ResumeStreamBody(w, r, nil)
 }
@@ -34,12 +34,17 @@
 // ResumeStreamBody returns the body of r where its beginning has been read. r stays as
 // it is: its server looks at the body while it is handled.
 func ResumeStreamBody(w http.ResponseWriter, r *http.Request, begin []byte) *StreamBody {
-	// A writer that can't do it has no connection to lose.
-	_ = http.NewResponseController(w).EnableFullDuplex()
 	if len(begin) == 0 {
-		return &StreamBody{body: r.Body}
+		return &StreamBody{body: r.Body, w: w}
 	}
-	return &StreamBody{body: io.MultiReader(bytes.NewReader(begin), r.Body)}
+	return &StreamBody{body: io.MultiReader(bytes.NewReader(begin), r.Body), w: w}
+}
+
+// open lets the response begin before the body has ended; net/http would otherwise take the rest of
+// the body away. It is called by the handler's goroutine, and only before the body is read: of a body
+// that nobody reads net/http must take the rest before the response.
+func (s *StreamBody) open() {
+	_ = http.NewResponseController(s.w).EnableFullDuplex() // a writer that can't do it has no connection to lose
 }
 
 // Read implements io.Reader.
@@ -72,5 +77,5 @@
 	if !s.state.CompareAndSwap(streamUntouched, streamReclaimed) {
 		return nil
 	}
-	return &StreamBody{body: s.body}
+	return &StreamBody{body: s.body, w: s.w}
 }
--- /dev/null
+++ b/transport/forward/unread_test.go
@@ -0,0 +1,56 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/shoenig/test/must"
+)
+
+// single is a listener with one connection.
+type single struct{ conn net.Conn }
+
+func (l *single) Accept() (net.Conn, error) {
+	c := l.conn
+	l.conn = nil
+	if c == nil {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *single) Close() error   { return nil }
+func (l *single) Addr() net.Addr { return &net.TCPAddr{} }
+
+// The next request on a connection must not be lost for one that was answered before its body was
+// read, unless the answer says that the connection ends.
+func TestConnectionServesOnBehindABodyThatNobodyRead(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			caller, accepted := net.Pipe()
+			defer caller.Close()
+			refuse := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				NewStreamBody(w, r)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			_ = (&http.Server{Handler: refuse}).Serve(&single{accepted})
+			answers := bufio.NewReader(caller)
+			for _, request := range []string{"POST / HTTP/1.1\r\nHost: h\r\n" + framing, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"} {
+				_, err := io.WriteString(caller, request)
+				must.NoError(t, err)
+				resp, err := http.ReadResponse(answers, nil)
+				must.NoError(t, err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				must.NoError(t, err)
+				synctest.Wait()
+				if resp.Close {
+					return
+				}
+			}
+		})
+	}
+}
--- a/transport/forward/write.go
+++ b/transport/forward/write.go
@@ -53,6 +53,9 @@
 			return err
 		}
 	default:
+		if body, ok := req.Body.(*StreamBody); ok {
+			body.open()
+		}
 		x.upload = newUpload(x, expects)
 	}
 	if err := x.conn.bw.Flush(); err != nil {
--- /dev/null
+++ b/transport/inbound/unread_test.go
@@ -0,0 +1,61 @@
+package inbound
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/coordination/attempt"
+)
+
+// single is a listener with one connection.
+type single struct{ conn net.Conn }
+
+func (l *single) Accept() (net.Conn, error) {
+	c := l.conn
+	l.conn = nil
+	if c == nil {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *single) Close() error   { return nil }
+func (l *single) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A refused request whose body was not read must not end the connection under the next one.
+func TestRefusedBodyDoesNotEndTheConnectionOfTheNextRequest(t *testing.T) {
+	g, _ := newGate(t, attempt.NewRuns(), 0, nil)
+	synctest.Test(t, func(t *testing.T) {
+		entry, accepted := net.Pipe()
+		defer entry.Close()
+		_ = (&http.Server{Handler: g}).Serve(&single{accepted})
+		answers := bufio.NewReader(entry)
+		body := strings.Repeat("x", maxKept+1)
+		for _, request := range []string{
+			"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + body + "\r\n0\r\n\r\n",
+			"GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+		} {
+			sent := make(chan error, 1)
+			go func() {
+				_, err := io.WriteString(entry, request)
+				sent <- err
+			}()
+			resp, err := http.ReadResponse(answers, nil)
+			must.NoError(t, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			must.NoError(t, err)
+			synctest.Wait()
+			if resp.Close {
+				return
+			}
+			must.NoError(t, <-sent)
+		}
+	})
+}
