Detach a body before an answer of jacinthgate-node is broken off

What callers saw: an answer that broke off was not told of until the caller had sent all of its body; one that waits for the answer's rest waited for ever.

Change: they detach the body before, as jacinthgate-sidecar's gate does (forward.StreamBody.Detach). A nil body is none, so that no handler asks.

Cost: nothing but on answers that break off.

The abort to the older system has no test of its own.

--- a/transport/entry/cut_test.go
+++ b/transport/entry/cut_test.go
@@ -5,11 +5,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
 // breakAfter answers in place of a gate: it reads a part of the body and breaks its answer off.
@@ -21,6 +24,32 @@
 	}
 }
 
+// A caller that still sends its body must be told that its answer broke off.
+func TestBrokenAnswerEndsItsConnectionWhileTheBodyIsBeingSent(t *testing.T) {
+	begin := strings.Repeat("x", forward.FingerprintBytes+1)
+	b := newBed()
+	b.cfg.MaxReplayBody = 1 // larger bodies are passed on as they come
+	b.start(t)
+	gate := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { breakAfter(w, r, len(begin)) }))
+	defer gate.Close()
+	b.gateURL = gate.URL
+	b.serveBy("host-1")
+	synctest.Test(t, func(t *testing.T) {
+		caller, accepted := net.Pipe()
+		defer caller.Close()
+		_ = newServer(b.proxy).Serve(newOneListener(&callerConn{Conn: accepted}))
+		ended := false
+		go func() {
+			_, _ = io.Copy(io.Discard, caller)
+			ended = true
+		}()
+		_, err := io.WriteString(caller, "POST /x HTTP/1.1\r\nHost: "+testHost+"\r\nContent-Length: 200000\r\n\r\n"+begin)
+		must.NoError(t, err)
+		synctest.Wait()
+		must.True(t, ended)
+	})
+}
+
 // What a caller has sent behind an answer that broke off is lost with its connection, but no
 // backend server has run it.
 func TestRequestsBehindABrokenAnswerAreNotPassedOn(t *testing.T) {
--- a/transport/entry/older.go
+++ b/transport/entry/older.go
@@ -187,8 +187,10 @@
 // order and spelling are lost; its content and the body are kept.
 func (o *olderServer) rebuild(w http.ResponseWriter, r *http.Request) {
 	var body io.ReadCloser
+	var stream *forward.StreamBody
 	if r.ContentLength != 0 {
-		body = forward.NewStreamBody(w, r)
+		stream = forward.NewStreamBody(w, r)
+		body = stream
 	}
 	out := forward.NewRequest(r.Context(), r, "http", o.p.cfg.OlderAddr, body, r.ContentLength)
 	resp, err := forward.Send(o.transport, out, w)
@@ -202,6 +204,7 @@
 		return
 	}
 	if err := forward.Relay(w, resp); err != nil {
+		stream.Detach(w)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/transport/entry/proxy.go
+++ b/transport/entry/proxy.go
@@ -69,20 +69,21 @@
 	p.lastOnConnection(w)
 	err := x.relay()
 	p.metrics.record(&pl.match, outcome.Answered, "", p.cfg.Now().Sub(start))
-	p.abortIfCut(err, pl)
+	x.abortIfCut(err)
 	return nil
 }
 
 // abortIfCut aborts the caller's connection when its answer is not whole.
-func (p *Proxy) abortIfCut(err error, pl *plan) {
+func (x *exchange) abortIfCut(err error) {
 	if err == nil {
 		return
 	}
 	var cut *forward.TruncatedError
 	if errors.As(err, &cut) {
-		p.metrics.truncated.Inc()
-		_ = level.Warn(p.cfg.Logger).Log("event", "response_truncated",
-			"organisation", pl.match.Contract.Organisation, "route", pl.match.Route.Name, "err", err)
+		x.p.metrics.truncated.Inc()
+		_ = level.Warn(x.p.cfg.Logger).Log("event", "response_truncated",
+			"organisation", x.plan.match.Contract.Organisation, "route", x.plan.match.Route.Name, "err", err)
 	}
+	x.stream.Detach(x.w)
 	panic(http.ErrAbortHandler)
 }
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -62,8 +62,11 @@
 
 // Detach ends the reading of the body and waits until nobody reads it. A handler
 // that aborts its connection calls it before: net/http gives the connection's
-// buffer back then, also while the goroutine that sends the body still reads.
+// buffer back then, also while the goroutine that sends the body still reads. A nil body is none.
 func (s *StreamBody) Detach(w http.ResponseWriter) {
+	if s == nil {
+		return
+	}
 	s.state.Store(streamReclaimed)
 	_ = http.NewResponseController(w).SetReadDeadline(past) // a writer that can't do it has no connection
 	s.reading.Lock()
--- /dev/null
+++ b/transport/gate/cut_test.go
@@ -0,0 +1,52 @@
+package gate
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/shoenig/test/must"
+)
+
+// single is a listener with one connection.
+type single struct{ conn net.Conn }
+
+func (l *single) Accept() (net.Conn, error) {
+	c := l.conn
+	l.conn = nil
+	if c == nil {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *single) Close() error   { return nil }
+func (l *single) Addr() net.Addr { return &net.TCPAddr{} }
+
+// An entry node that waits for the rest of a caller's body must be told that the answer broke off.
+func TestBrokenAnswerEndsItsConnectionWhileTheBodyIsBeingSent(t *testing.T) {
+	g := newGate(t, 0, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadFull(r.Body, make([]byte, len("begin")))
+		if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart")
+			_ = c.Close()
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		entry, accepted := net.Pipe()
+		defer entry.Close()
+		_ = (&http.Server{Handler: g}).Serve(&single{accepted})
+		ended := false
+		go func() {
+			_, _ = io.Copy(io.Discard, entry)
+			ended = true
+		}()
+		_, err := io.WriteString(entry, "POST /x HTTP/1.1\r\nHost: h\r\nJacinthgate-Service: rooms\r\n"+
+			"Jacinthgate-Kind: interactive\r\nJacinthgate-Deadline: 5000\r\nContent-Length: 100000\r\n\r\nbegin")
+		must.NoError(t, err)
+		synctest.Wait()
+		must.True(t, ended)
+	})
+}
--- a/transport/gate/forward.go
+++ b/transport/gate/forward.go
@@ -21,7 +21,11 @@
 		g.refuse(w, g.notRun(outcome.ReasonDeadline, "the deadline passed before the request was sent"))
 		return false
 	}
-	resp, err := forward.Send(g.cfg.Backend, backendRequest(ctx, w, r, c.run.Addr, remaining), w)
+	var stream *forward.StreamBody
+	if r.ContentLength != 0 {
+		stream = forward.NewStreamBody(w, r)
+	}
+	resp, err := forward.Send(g.cfg.Backend, backendRequest(ctx, r, stream, c.run.Addr, remaining), w)
 	if err != nil {
 		g.refuse(w, g.failed(ctx, r, c, err))
 		return false
@@ -34,14 +38,14 @@
 		g.refuse(w, refusal)
 		return false
 	}
-	g.relay(ctx, w, resp, c)
+	g.relay(ctx, w, resp, c, stream)
 	return true
 }
 
-func backendRequest(ctx context.Context, w http.ResponseWriter, r *http.Request, addr string, remaining int64) *http.Request {
+func backendRequest(ctx context.Context, r *http.Request, stream *forward.StreamBody, addr string, remaining int64) *http.Request {
 	var body io.ReadCloser
-	if r.ContentLength != 0 {
-		body = forward.NewStreamBody(w, r)
+	if stream != nil {
+		body = stream
 	}
 	out := forward.NewRequest(ctx, r, "http", addr, body, r.ContentLength)
 	delete(out.Header, outcome.HeaderKind)
@@ -84,7 +88,7 @@
 }
 
 // relay passes the answer on and aborts the connection when it is not whole.
-func (g *Gate) relay(ctx context.Context, w http.ResponseWriter, resp *http.Response, c call) {
+func (g *Gate) relay(ctx context.Context, w http.ResponseWriter, resp *http.Response, c call, stream *forward.StreamBody) {
 	forward.StripNodeHeaders(resp.Header)
 	g.stamp(resp.Header)
 	resp.Header[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
@@ -103,5 +107,6 @@
 		g.truncated.Inc()
 		_ = level.Warn(g.cfg.Logger).Log("event", "backend_response_truncated", "err", err)
 	}
+	stream.Detach(w)
 	panic(http.ErrAbortHandler)
 }
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -191,9 +191,7 @@
 	}
 	if err := serve(w, in); err != nil {
 		g.noteCut(r.Header, r.Header.Get(outcome.HeaderInstance), err)
-		if stream != nil {
-			stream.Detach(w)
-		}
+		stream.Detach(w)
 		panic(http.ErrAbortHandler)
 	}
 }
