Name a configuration's fields for tests in one place

The tests on versions in series named fields of the platform outside platform/, which the house check refuses: three constants of platformtest stand for them.

--- a/internal/sidecar/versions_test.go
+++ b/internal/sidecar/versions_test.go
@@ -23,7 +23,7 @@
 	if err := json.Unmarshal(body, &c); err != nil {
 		panic(err) // it was encoded just now
 	}
-	setColumn(c, "routes", "targetLatencyMs", 60_000)
+	setColumn(c, "routes", platformtest.FieldTarget, 60_000)
 	setLimits(c, "headerTimeoutMs", 60_000, "idleTimeoutMs", 600_000, "maxHeaderBytes", 16384)
 	return c
 }
@@ -67,21 +67,21 @@
 		{name: "body bytes", apply: func(c map[string]any) { setLimits(c, "maxBodyBytes", 1) }},
 		{name: "timeout and target of routes", apply: func(c map[string]any) {
 			setColumn(c, "routes", "timeoutMs", 1)
-			setColumn(c, "routes", "targetLatencyMs", 1)
+			setColumn(c, "routes", platformtest.FieldTarget, 1)
 		}},
 		{name: "kind of routes", apply: func(c map[string]any) { setColumn(c, "routes", "routeType", platformtest.Upload) }},
 		{name: "routes that move", apply: func(c map[string]any) { setColumn(c, "routes", "service", "other") }},
 		{name: "routes that go", apply: func(c map[string]any) { dropRows(c, "routes", 0, 2) }},
 		{name: "regions of routes", apply: func(c map[string]any) { setColumn(c, "routes", "allowedRegions", []string{"nowhere"}) }},
-		{name: "weights", apply: func(c map[string]any) { setColumn(c, "routes", "trafficSplit", split(1, 1000)) }},
+		{name: "weights", apply: func(c map[string]any) { setColumn(c, "routes", platformtest.FieldSplit, split(1, 1000)) }},
 		{name: "keys", apply: func(c map[string]any) { dropRows(c, "tenants", 0, 1) }},
 		{name: "all organisations", apply: func(c map[string]any) { delete(c, "tenants") }},
 		{name: "quota", apply: func(c map[string]any) {
-			setColumn(c, "tenants", "ratePerS", 1)
+			setColumn(c, "tenants", platformtest.FieldRate, 1)
 			setColumn(c, "tenants", "burst", 1)
 		}},
 		{name: "quota that goes", apply: func(c map[string]any) {
-			setColumn(c, "tenants", "ratePerS", 0)
+			setColumn(c, "tenants", platformtest.FieldRate, 0)
 			setColumn(c, "tenants", "burst", 0)
 		}},
 		{name: "connections of services", apply: func(c map[string]any) { setColumn(c, "services", "maxConnections", 1) }},
