Leave tokens with a standby, for while the owner of a quota can't be reached

Callers saw: requests below a small quota refused while an owner was gone and membership hadn't noticed: 4 of 28 with 3 requests a second and a third of each zone cut off (2.84 allowed), 6 of 272 with 30 and all owners killed (4.72 allowed). Found on the way: with owners and standbys on two sides of a cut 102% of the bound were let in (300 a second).

Cause: whoever acts for an owner began with a credit too small for one or two requests, had to see 150 ms of silence first, and nodes that reached neither used even shares, 0.05 of a token each. A standby issued 0.7 of the rate after silence for as long as the owner issued on, which no part of the bound covered.

Change: an owner leaves a deposit with its standby, tokens it has issued and no longer has. They are given out at the first call without an answer. A node that reaches neither asks the other zones' owners and standbys; zones lend from deposits too. A standby with a deposit begins with that only. It issues all of its part after refused connections, and after silence within what the bound leaves (Config.doubled). What even shares begin with is 12% of the allowance in place of 15%. What a node gives back is sent with its first message only.

Why it works: a deposit is in one place at a time and the owner counts it for longer than the standby uses it, so it needs no knowledge of the owner. The parts of the allowance sum up to the whole (TestPartsOfTheAllowanceAreOneWhole).

TestLateRequestsTakeNoScarceTokens waits a second at its end for the messages under way; its checks are as before.

--- a/coordination/quota/config.go
+++ b/coordination/quota/config.go
@@ -18,18 +18,19 @@
 }
 
 // What may be served beyond a quota in a window is divided: some lets ledgers hold more than
-// the burst, since callers that keep to a small quota don't come evenly. The rest is for what
-// was let in before a ledger was lost, which still counts, and for what both sides of a cut let in
-// until they know of it.
+// the burst, since callers that keep to a small quota don't come evenly, and standbys hold some for
+// while an owner is gone. The rest is for what was let in before a ledger was lost, which still
+// counts, and for what both sides of a cut let in until they know of it (Config.doubled).
 const (
 	// heldOver and heldSlack are the parts of Over and Slack that ledgers hold.
 	heldOver  = 0.05
 	heldSlack = 0.4
-	// startPart is the part that new ledgers begin with: in one window the owner may end,
-	// its standby act and the owner come back.
+	// startPart is the part that new ledgers begin with, which no deposit was left for.
 	startPart = 0.15
 	// evenSharePart is the part that nodes begin with that find no owner.
-	evenSharePart = 0.15
+	evenSharePart = 0.12
+	// besidePart is the part that is issued ahead for standbys, beside what the ledgers hold.
+	besidePart = 0.2
 )
 
 // reducedPart is the part of its rate that is issued by who doesn't know whether the owner of a
@@ -46,10 +47,24 @@
 	return min(c.part(rate).burst, startPart*c.allowance(rate)/float64(c.zones()))
 }
 
+// deposit returns the tokens that a zone issues ahead for its standby.
+func (c Config) deposit(rate model.Rate) float64 {
+	return min(c.part(rate).burst, besidePart*c.allowance(rate)/float64(c.zones()))
+}
+
+// doubled returns the tokens that a zone's standby issues in a window while the owner may issue as
+// well: its part of what all else leaves of the allowance.
+func (c Config) doubled(rate model.Rate) float64 {
+	allowed := c.allowance(rate)
+	left := allowed*(1-startPart-evenSharePart-besidePart) - (c.hold(rate) - float64(rate.Burst))
+	return max(0, left) / float64(c.zones())
+}
+
 func (c Config) zones() int { return max(1, c.Zones) }
 
-// size is how many tokens a ledger issues a second, and how many it holds at most.
-type size struct{ perSecond, burst float64 }
+// size is how many tokens a ledger issues a second, how many it holds at most, and how many
+// its standby may hold beside that.
+type size struct{ perSecond, burst, beside float64 }
 
 // hold returns how many tokens the fleet may hold of an organisation.
 func (c Config) hold(rate model.Rate) float64 {
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -32,7 +31,18 @@
 	// use estimates how many tokens are asked for a second.
 	use use
 	// reserved is what nodes hold in reserve.
-	reserved reserved
+	reserved recent
+	// aside is what an owner has issued for its standby only.
+	aside float64
+	// given is what an owner's standby holds, and kept what a standby holds for the owner.
+	given given
+	kept  kept
+	// acts says that the standby issues, since it was last told of the owner.
+	acts bool
+	// sole says that the standby knows the owner to have ended.
+	sole bool
+	// doubled is what the standby has issued in a window and the owner may have issued too.
+	doubled recent
 }
 
 // NewLedger returns an empty ledger.
@@ -53,7 +63,7 @@
 	l.share = share
 	var left map[string]float64
 	for name, e := range l.entries {
-		_, limited := quotas[name]
+		rate, limited := quotas[name]
 		_, still := owned[name]
 		switch {
 		case !limited:
@@ -65,11 +75,17 @@
 			}
 			left[name] = e.level
 			delete(l.entries, name)
+		case e.rate != rate:
+			l.entry(now, name, rate)
 		}
 	}
 	for name, rate := range quotas {
 		if _, own := owned[name]; own {
-			l.entry(now, name, rate).owned = true
+			e := l.entry(now, name, rate)
+			if !e.owned {
+				e.act(now)
+			}
+			e.owned = true
 		}
 	}
 	return left
@@ -86,12 +102,16 @@
 	if e.rate != rate {
 		e.rate, e.next = rate, time.Time{}
 		e.level = min(e.level, l.part(rate).burst)
+		e.kept.tokens = min(e.kept.tokens, l.deposit(rate))
 	}
-	of := l.part(e.rate)
-	if !e.owned {
-		of.perSecond *= reducedPart
+	switch {
+	case e.owned || e.sole:
+		e.bring(l.part(e.rate), now)
+	case !e.acts && e.kept.valid(now):
+		e.level, e.at = 0, now // the owner has issued all until now
+	default:
+		l.issueDoubled(e, now)
 	}
-	e.bring(of, now)
 	if !e.owned && now.Sub(e.asked) > standbyTime {
 		e.level = min(e.level, l.start(rate))
 	}
@@ -109,12 +129,18 @@
 // part returns the size of an entry.
 func (l *Ledger) part(rate model.Rate) size {
 	of := l.cfg.part(rate)
-	return size{perSecond: of.perSecond * l.share, burst: max(1, of.burst*l.share)}
+	return size{perSecond: of.perSecond * l.share, burst: max(1, of.burst*l.share), beside: l.share * l.cfg.deposit(rate)}
+}
+
+// room returns how many tokens an entry may hold beside what was given out in advance. A deposit
+// counts as far as it is more than what may be held beside the ledger.
+func (e *entry) room(of size, now time.Time) float64 {
+	return of.burst - e.reserved.sum(now, reserveTime) - max(0, e.given.sum(now)-of.beside)
 }
 
 // bring issues the tokens of the time since it was last called.
 func (e *entry) bring(of size, now time.Time) {
-	room := of.burst - e.reserved.sum(now)
+	room := e.room(of, now)
 	passed := now.Sub(e.at)
 	if passed <= 0 {
 		return
@@ -123,7 +149,11 @@
 	if passed > borrowTime {
 		e.level = min(e.level, room)
 	}
-	e.level = max(e.level, min(room, e.level+of.perSecond*passed.Seconds()))
+	all := e.level + of.perSecond*passed.Seconds()
+	e.level = max(e.level, min(room, all))
+	if e.owned {
+		e.aside = max(0, min(of.beside-e.given.sum(now), e.aside+all-e.level))
+	}
 }
 
 // borrowTime is for how long tokens of other zones may lie beyond what a ledger holds of its
@@ -143,6 +173,8 @@
 	Refused, Slots int
 	// Return is what the asker gives back.
 	Return float64
+	// Ended says that the owner has ended, to a standby that is asked.
+	Ended bool
 }
 
 // Grant answers a Request.
@@ -160,6 +192,8 @@
 	defer l.mu.Unlock()
 	e := l.entry(now, r.Organisation, r.Rate)
 	e.asked = now
+	e.sole = r.Ended
+	e.act(now)
 	e.takeBack(l.part(e.rate), now, r.Return)
 	e.use.add(now, float64(r.Need+r.Refused))
 	return max(0, float64(r.Need)-e.level)
@@ -182,10 +216,10 @@
 		e.next = now // who was promised more has not come back
 	}
 	// Half of what there is stays for others, and half of what there may be is no reserve.
-	room := l.part(e.rate).burst/2 - e.reserved.sum(now)
+	room := l.part(e.rate).burst/2 - e.reserved.sum(now, reserveTime)
 	if extra := min(r.Reserve, int(min(room, e.level/2))); extra > 0 {
 		e.level -= float64(extra)
-		e.reserved.add(now, float64(extra))
+		e.reserved.add(now, reserveTime, float64(extra))
 		g.Tokens += extra
 	}
 	return g
@@ -212,46 +246,13 @@
 	return min(after, promiseMax), time.Duration(each)
 }
 
-// lendKeep is for how long a ledger keeps what its own zone asks for before it lends.
-const lendKeep = 200 * time.Millisecond
-
-// Lend gives tokens to the owner of another zone: up to half of what the own zone doesn't
-// need at once.
-func (l *Ledger) Lend(now time.Time, organisation string, rate model.Rate, want float64) float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	e := l.entry(now, organisation, rate)
-	e.asked = now
-	spare := e.level - e.use.perSecond(now)*lendKeep.Seconds()
-	lent := max(0, min(want, spare/2))
-	e.level -= lent
-	return lent
-}
-
-// Receive adds tokens that another owner has given.
-func (l *Ledger) Receive(now time.Time, organisation string, rate model.Rate, tokens float64) {
-	if !(tokens > 0) || math.IsInf(tokens, 0) {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	e := l.entry(now, organisation, rate)
-	e.add(l.cfg, tokens)
-}
-
 // takeBack adds tokens that a node gives back. They may have been issued again since they were
 // given, so they add nothing to a full entry.
 func (e *entry) takeBack(of size, now time.Time, tokens float64) {
-	room := of.burst - e.reserved.sum(now)
+	room := e.room(of, now)
 	e.level = max(e.level, min(room, e.level+max(0, tokens)))
 }
 
-// add adds tokens that were issued elsewhere. Several zones' may come together for one that
-// has a burst, so the bound is that of the whole quota; see borrowTime.
-func (e *entry) add(cfg Config, tokens float64) {
-	e.level = min(e.level+max(0, tokens), max(1, cfg.hold(e.rate)))
-}
-
 // Use returns the requests a second that the node's zone asked for lately.
 func (l *Ledger) Use(now time.Time, organisation string) float64 {
 	l.mu.Lock()
--- a/coordination/quota/use.go
+++ b/coordination/quota/use.go
@@ -34,28 +34,28 @@
 // reserveTime is how long a node may use a token that it holds in reserve.
 const reserveTime = 500 * time.Millisecond
 
-// reserved sums what was given in reserve and may still be held: between one and two times
-// reserveTime.
-type reserved struct {
+// recent sums what was counted in the last period, and of the one before as well at times: between
+// one and two of them.
+type recent struct {
 	current, before float64
 	since           time.Time
 }
 
-func (r *reserved) add(now time.Time, n float64) {
-	r.turn(now)
+func (r *recent) add(now time.Time, period time.Duration, n float64) {
+	r.turn(now, period)
 	r.current += n
 }
 
-func (r *reserved) sum(now time.Time) float64 {
-	r.turn(now)
+func (r *recent) sum(now time.Time, period time.Duration) float64 {
+	r.turn(now, period)
 	return r.current + r.before
 }
 
-func (r *reserved) turn(now time.Time) {
+func (r *recent) turn(now time.Time, period time.Duration) {
 	switch passed := now.Sub(r.since); {
-	case passed >= 2*reserveTime:
+	case passed >= 2*period:
 		r.current, r.before, r.since = 0, 0, now
-	case passed >= reserveTime:
+	case passed >= period:
 		r.current, r.before, r.since = 0, r.current, now
 	}
 }
--- a/transport/quota/bed_test.go
+++ b/transport/quota/bed_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -38,6 +39,7 @@
 type bed struct {
 	mu       sync.Mutex
 	rng      *rand.Rand
+	arrivals *rand.Rand // of requests, where messages must not change them
 	cfg      quota.Config
 	hosts    []*host
 	byID     map[model.NodeID]*host
@@ -251,10 +253,11 @@
 // process.
 func (b *bed) demand(name string, perSecond float64, d time.Duration, hosts ...*host) {
 	end := time.Now().Add(d)
+	rng := cmp.Or(b.arrivals, b.rng)
 	for {
 		b.mu.Lock()
-		wait := time.Duration(b.rng.ExpFloat64() / perSecond * float64(time.Second))
-		h := hosts[b.rng.IntN(len(hosts))]
+		wait := time.Duration(rng.ExpFloat64() / perSecond * float64(time.Second))
+		h := hosts[rng.IntN(len(hosts))]
 		b.mu.Unlock()
 		time.Sleep(wait)
 		if time.Now().After(end) {
--- a/transport/quota/fleet_test.go
+++ b/transport/quota/fleet_test.go
@@ -291,5 +291,6 @@
 		time.Sleep(2 * time.Second)
 		_, ok := b.hosts[0].limiter.Take(t.Context(), b.limits["o"], true)
 		must.True(t, ok)
+		time.Sleep(time.Second) // messages that are under way arrive
 	})
 }
--- a/transport/quota/loan.go
+++ b/transport/quota/loan.go
@@ -64,16 +64,15 @@
 	answers := make(chan *Answer)
 	asked := 0
 	for zone := range members.Zones {
-		first, _ := members.Owners(zone, organisation)
-		if zone == l.cfg.Zone || l.suspects.skipped(first.Node, l.cfg.Now()) {
+		if zone == l.cfg.Zone {
 			continue
 		}
 		asked++
 		go func() {
-			answers <- l.call(ctx, first, &Message{Kind: KindBorrow, Organisation: organisation, Want: want})
+			answers <- l.askZone(ctx, zone, organisation, &Message{Kind: KindBorrow, Organisation: organisation, Want: want})
 		}()
 	}
-	got := 0.0
+	got := l.takeBack(ctx, organisation, rate, want)
 	for range asked {
 		if a := <-answers; a != nil && a.Owned {
 			got += a.Tokens
--- a/transport/quota/message.go
+++ b/transport/quota/message.go
@@ -17,10 +17,13 @@
 	KindAcquire Kind = iota + 1
 	// KindForward is KindAcquire that a standby hands on; it isn't handed on again.
 	KindForward
-	// KindBorrow asks the owner of another zone's ledger.
+	// KindBorrow asks the owner of another zone's ledger, or a standby for what it holds of the
+	// owner's tokens.
 	KindBorrow
 	// KindTransfer hands tokens over to the new owner of a ledger.
 	KindTransfer
+	// KindDeposit leaves tokens with the standby; it answers how many it holds now.
+	KindDeposit
 )
 
 // Message asks another node for tokens of an organisation, or gives some.
@@ -32,7 +35,7 @@
 	Refused      int     `cbor:"5,keyasint,omitempty"`
 	Return       float64 `cbor:"6,keyasint,omitempty"`
 	Slots        int     `cbor:"8,keyasint,omitempty"`
-	// Want is how many tokens KindBorrow asks for, or KindTransfer gives.
+	// Want is how many tokens KindBorrow asks for, or KindTransfer and KindDeposit give.
 	Want float64 `cbor:"7,keyasint,omitempty"`
 }
 
@@ -104,7 +107,7 @@
 			return &MessageError{Reason: "a number is out of bounds"}
 		}
 	}
-	if m.Kind < KindAcquire || m.Kind > KindTransfer || m.Organisation == "" || len(m.Organisation) > maxName {
+	if m.Kind < KindAcquire || m.Kind > KindDeposit || m.Organisation == "" || len(m.Organisation) > maxName {
 		return &MessageError{Reason: "no kind, or no organisation's name"}
 	}
 	return nil
--- a/transport/quota/owner.go
+++ b/transport/quota/owner.go
@@ -9,14 +9,14 @@
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
-// ask asks the owner of the organisation's ledger, then the standby, then the
-// owner once more. It returns false where none answers.
+// ask asks the owner of the organisation's ledger, then the standby, then those of the other
+// zones. It returns false where none answers.
 func (l *Limiter) ask(ctx context.Context, r quota.Request) (quota.Grant, bool) {
 	if len(r.Organisation) > maxName {
 		return quota.Grant{}, false
 	}
 	first, second := l.members.Load().Owners(l.cfg.Zone, r.Organisation)
-	for _, to := range []quota.Member{first, second, first} {
+	for _, to := range []quota.Member{first, second} {
 		var a *Answer
 		switch {
 		case to.Node == "":
@@ -33,8 +33,9 @@
 		if a != nil && a.Owned {
 			return a.grant(r), true
 		}
+		r.Return = 0 // it may have been taken
 	}
-	return quota.Grant{}, false
+	return l.askElsewhere(ctx, r)
 }
 
 func askMessage(kind Kind, r quota.Request) *Message {
@@ -107,11 +108,18 @@
 			l.counts.lent.Add(int(lent))
 			return &Answer{Owned: true, Tokens: lent}
 		}
+		if second.Node == l.cfg.Self {
+			return &Answer{Owned: true, Tokens: l.ledger.LendKept(now, r.Organisation, m.Want)}
+		}
 	case KindTransfer:
 		if mine {
 			l.ledger.Receive(now, r.Organisation, rate, m.Want)
 			return &Answer{Owned: true}
 		}
+	case KindDeposit:
+		if second.Node == l.cfg.Self {
+			return &Answer{Owned: true, Tokens: l.ledger.Keep(now, r.Organisation, rate, m.Want)}
+		}
 	}
 	return &Answer{}
 }
@@ -132,8 +140,12 @@
 		if second.Node != l.cfg.Self || ctx.Err() != nil {
 			return &Answer{}
 		}
+		if l.ledger.TakeKept(l.cfg.Now(), r.Organisation, r.Need) {
+			return &Answer{Owned: true, Tokens: float64(r.Need)}
+		}
 	}
 	if second.Node == l.cfg.Self && l.suspects.gone(first.Node, l.cfg.Now()) {
+		r.Ended = l.suspects.ended(first.Node, l.cfg.Now())
 		return l.serve(ctx, r)
 	}
 	return &Answer{}
@@ -152,6 +164,7 @@
 		l.borrow(ctx, r.Organisation, r.Rate, lack)
 	}
 	g := l.ledger.Ask(l.cfg.Now(), r)
+	l.deposit(r.Organisation)
 	return &Answer{
 		Owned: true, Tokens: float64(g.Tokens), AfterMillis: millis(g.After), SpacingMillis: millis(g.Spacing),
 	}
--- a/transport/quota/suspects.go
+++ b/transport/quota/suspects.go
@@ -56,6 +56,14 @@
 	return now.Before(n.until) && (n.refused || n.calls >= silentCalls && now.Sub(n.since) >= silentTime)
 }
 
+// ended reports whether nobody listened at a node's address lately: what ran there has ended.
+func (s *suspects) ended(node model.NodeID, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.nodes[node]
+	return now.Before(n.until) && n.refused
+}
+
 func (s *suspects) clear(node model.NodeID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
