Count replaced answers, and share the counting of a body

Operators had a log line for an answer that failed alone, but no counter beside it: jacinthgate_callers_replaced_total. The gate's and the entry's path each had their own copy of a body that counts what is read; forward.CountedBody serves both. Comments on a response's turn say what a reader needs; the package's doc tells of replaced answers.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -130,7 +130,7 @@
 	return true
 }
 
-// mayBreakOff reports whether an answer that isn't complete is sent before it is whole.
+// mayBreakOff reports whether one of the answers under way is sent before it is whole.
 func (c *conn) mayBreakOff() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -204,12 +204,13 @@
 	if !x.w.replace(status) || x.w.complete() != nil {
 		return false
 	}
+	c.server.cfg.Metrics.GetOrCreateCounter("jacinthgate_callers_replaced_total").Inc()
 	_ = c.server.cfg.Logger.Log("event", "answer_replaced", "request", c.server.idOf(x), "path", x.req.URL.Path, "status", status)
 	return true
 }
 
-// handle runs the handler. It returns the status that says what went wrong where the handler
-// didn't finish; 0 where it did.
+// handle runs the handler. It returns the status to answer with where the handler failed, or
+// else 0.
 func (c *conn) handle(x *exchange) (status int) {
 	defer func() {
 		switch err := recover(); err {
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -2,8 +2,10 @@
 // serves the requests of one connection one after the other; this one works on
 // requests that a caller has sent ahead at the same time and answers them in
 // order, takes its limits from the configuration in force, and notices a caller
-// that has left also while requests wait behind the present one. Requests and
-// their bodies are read by net/http.
+// that has left also while requests wait behind the present one. A handler that
+// fails before a part of its response was sent ends no connection: the response
+// is replaced by 502, or by 500 after a panic. Requests and their bodies are
+// read by net/http.
 package callers
 
 import (
@@ -44,7 +46,7 @@
 	// Metrics is the set that metrics are registered in.
 	Metrics *metrics.Set
 	// Logger gets a line for each request that can't be read or whose answer is
-	// cut, and for each handler that panics.
+	// cut or replaced, and for each handler that panics.
 	Logger log.Logger
 }
 
--- a/transport/callers/turn.go
+++ b/transport/callers/turn.go
@@ -6,18 +6,15 @@
 	"time"
 )
 
-// Responses go out in the order of their requests. One whose turn has not come is kept, and may
-// still be replaced.
-
-// errTurnMissed reports a response that was to begin and whose turn hasn't come.
+// errTurnMissed reports a response that can't be kept any longer and whose turn hasn't come.
 var errTurnMissed = errors.New("the turn of the response has not come in time")
 
 // Arrived returns when the request's head was read: it may have waited for others since.
 func (w *response) Arrived() time.Time { return w.x.began }
 
-// WaitUntil bounds the time to begin the response while the handler writes it: once done is
-// closed, what would have to be sent before the response is whole is not sent. Requests behind one
-// that is sent before it is whole wait: it may break off and end the connection.
+// WaitUntil is called for a response that is sent before it is whole. Once done is closed, it isn't
+// begun any more unless it is whole by then. Requests that are read after it wait for its end: if it
+// breaks off, it ends the connection.
 func (w *response) WaitUntil(done <-chan struct{}) {
 	w.x.partial.Store(true)
 	w.mu.Lock()
@@ -99,8 +96,8 @@
 	}()
 }
 
-// replace makes a response that has failed tell a status and nothing else. It reports false
-// where a part of it was sent, or where there is nobody to tell.
+// replace turns a response that has failed into an empty one with a status. It reports false where
+// a part of it was sent, or where the caller has left.
 func (w *response) replace(status int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/transport/forward/relay.go
+++ b/transport/forward/relay.go
@@ -118,3 +118,17 @@
 	_ = body.Close() // it was read to its end, or has failed
 	return err
 }
+
+// CountedBody counts what is read of a body.
+type CountedBody struct {
+	io.ReadCloser
+	// Received is what was read so far, in bytes.
+	Received int64
+}
+
+// Read implements io.Reader.
+func (b *CountedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.Received += int64(n)
+	return n, err
+}
--- a/transport/inbound/cut.go
+++ b/transport/inbound/cut.go
@@ -1,7 +1,6 @@
 package inbound
 
 import (
-	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
@@ -26,24 +25,11 @@
 // Unwrap returns the cause.
 func (e *CutError) Unwrap() error { return e.Err }
 
-// countedBody is a body that counts what is read of it, in bytes.
-type countedBody struct {
-	io.ReadCloser
-	received int64
-}
-
-// Read implements io.Reader.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.received += int64(n)
-	return n, err
-}
-
 // relay passes an answer on. The error is a *CutError. ticket paces the answer; nil sends it at
 // once.
 func relay(w http.ResponseWriter, req *http.Request, resp *http.Response, ticket forward.Pacer) error {
 	length := resp.ContentLength
-	counted := &countedBody{ReadCloser: resp.Body}
+	counted := &forward.CountedBody{ReadCloser: resp.Body}
 	resp.Body = counted
 	if ticket != nil {
 		resp.Body = forward.Paced(req.Context(), counted, ticket)
@@ -55,7 +41,7 @@
 	if left := req.Context().Err(); left != nil {
 		err = &forward.CallerError{Err: left} // it has ended the reading too
 	}
-	return &CutError{Received: counted.received, Length: length, Err: err}
+	return &CutError{Received: counted.Received, Length: length, Err: err}
 }
 
 // noteCut tells of an answer that broke off. h are the request's headers as they arrived.
--- a/transport/outbound/relay.go
+++ b/transport/outbound/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
@@ -77,7 +76,7 @@
 // passOn passes an answer that isn't kept on as it comes. Where it breaks off after its first
 // byte was sent, so does the caller's.
 func (x *exchange) passOn(choice balance.Choice, resp *http.Response, result balance.Result) {
-	body := &countedBody{ReadCloser: resp.Body}
+	body := &forward.CountedBody{ReadCloser: resp.Body}
 	resp.Body = body
 	if w, ok := x.w.(interface{ WaitUntil(done <-chan struct{}) }); ok {
 		w.WaitUntil(x.ctx.Done()) // nothing can be read after it
@@ -92,19 +91,6 @@
 		return
 	}
 	_ = x.p.cfg.Logger.Log("event", "answer_cut", "request", x.p.cfg.Dialect.RequestID(x.r.Header),
-		"node", choice.Record.Node, "instance", choice.Record.Instance, "err", err, "length", resp.ContentLength, "received", body.received)
+		"node", choice.Record.Node, "instance", choice.Record.Instance, "err", err, "length", resp.ContentLength, "received", body.Received)
 	panic(http.ErrAbortHandler)
 }
-
-// countedBody counts what is read of a body, in bytes.
-type countedBody struct {
-	io.ReadCloser
-	received int64
-}
-
-// Read implements io.Reader.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.received += int64(n)
-	return n, err
-}
