Log what a node resets or leaves unsent as it closes connections

Three hypotheses on requests that are lost on real processes could not be told apart by logs: connections reset by the close of a listener left no line, nor did connections that are closed while their caller hasn't acknowledged the last answer, nor requests of other nodes that a leaving gate cuts.

listener_closed tells how long after the last look a listener was closed and how many connections were waiting then, bytes_unsent what a caller hadn't acknowledged, and gate_requests_cut how many requests of other nodes were under way at the end of the grace time. No decision changes.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/platform"
@@ -46,6 +47,7 @@
 
 // server is one HTTP server with its listener.
 type server struct {
+	name string // of the setting of its address
 	http httpServer
 	ln   *listen.Listener
 	// wrap is put around ln; nil is nothing.
@@ -64,7 +66,7 @@
 
 // add adds a server on the address that was opened for it.
 func (n *Node) add(name string, h httpServer) *server {
-	s := &server{ln: n.listeners[name], http: h}
+	s := &server{name: name, ln: n.listeners[name], http: h}
 	n.servers = append(n.servers, s)
 	return s
 }
@@ -127,8 +129,11 @@
 
 // shutdown stops accepting once no connection waits, and lets the requests in
 // flight finish until ctx ends.
-func (s *server) shutdown(ctx context.Context) error {
+func (s *server) shutdown(ctx context.Context, logger log.Logger) error {
 	_ = s.ln.Drain(ctx) // Shutdown closes what is still open
+	if e := s.ln.Ending(); e != nil {
+		_ = logger.Log("event", "listener_closed", "name", s.name, "since_look", e.SinceLook, "waiting", e.Waiting)
+	}
 	return s.http.Shutdown(ctx)
 }
 
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"os"
 	"time"
@@ -99,10 +100,11 @@
 	n.proxy.Leave(end)
 	ctx, cancel := context.WithDeadline(n.ctx, end)
 	defer cancel()
-	err := n.callers.shutdown(ctx)
+	err := n.callers.shutdown(ctx, n.log)
 	// The gate ends last: requests of this host's callers may be using it.
-	if gateErr := n.gates.shutdown(ctx); err == nil {
-		err = gateErr
+	if gateErr := n.gates.shutdown(ctx, n.log); gateErr != nil {
+		_ = n.log.Log("event", "gate_requests_cut", "requests", n.gate.Serving(), "err", gateErr)
+		err = cmp.Or(err, gateErr)
 	}
 	n.loop.queue.Post(n.ctx, member.Leave{})
 	time.Sleep(farewellTime)
--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -40,6 +40,7 @@
 	// brokenBy is the request whose answer was cut first; nothing more may be written then.
 	brokenBy *exchange
 	last     chan struct{}
+	noted    sync.Once // what was left at the end
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
--- a/transport/callers/cut.go
+++ b/transport/callers/cut.go
@@ -3,6 +3,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
 // cutCause says why a request that was read gets no whole answer.
@@ -120,6 +122,13 @@
 	_ = c.server.cfg.Logger.Log("event", "bytes_unread", "remote", c.raw.RemoteAddr().String(), "bytes", bytes)
 }
 
+// noteUnsent notes what the caller hasn't taken of the last answers.
+func (c *conn) noteUnsent() {
+	if unsent, ok := sockopt.Unsent(c.raw); ok && unsent > 0 {
+		_ = c.server.cfg.Logger.Log("event", "bytes_unsent", "remote", c.raw.RemoteAddr().String(), "bytes", unsent)
+	}
+}
+
 // cut counts a response that is cut, and logs it unless the caller has asked for that.
 // by is the request whose answer broke the connection off; nil where none did.
 func (x *exchange) cut(cause cutCause, by *exchange) {
--- a/transport/callers/end.go
+++ b/transport/callers/end.go
@@ -54,8 +54,14 @@
 		return
 	}
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime)) // the read reports a closed one
-	time.AfterFunc(lingerTime, func() { _ = c.raw.Close() })
+	time.AfterFunc(lingerTime, c.closeNoting)
 	unread, _ := io.Copy(io.Discard, c.raw) // until the caller closes it too
 	c.noteUnread(unread)
-	_ = c.raw.Close() // twice does no harm
+	c.closeNoting()
+}
+
+// closeNoting closes the connection and notes what its caller hasn't taken. Twice does no harm.
+func (c *conn) closeNoting() {
+	c.noted.Do(c.noteUnsent)
+	_ = c.raw.Close() // it was read and written for the last time
 }
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -92,6 +92,7 @@
 	cfg      Config
 	core     *core.Gate
 	refusals sync.Map // outcome.Reason -> *metrics.Counter
+	serving  atomic.Int64 // requests of other nodes
 	// held are the bytes of large answers that are being sent.
 	held atomic.Int64
 	// sending bounds the large answers that are sent at one time.
@@ -127,6 +128,9 @@
 	return g
 }
 
+// Serving returns the number of requests of other nodes that are under way.
+func (g *Gate) Serving() int { return int(g.serving.Load()) }
+
 // Load returns the gate's load.
 func (g *Gate) Load() core.Load { return g.core.Load() }
 
@@ -180,6 +184,8 @@
 // ServeHTTP implements http.Handler, for requests of other nodes. A response
 // that breaks off makes it panic with http.ErrAbortHandler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.serving.Add(1)
+	defer g.serving.Add(-1)
 	body, stream := g.body(w, r)
 	in := forward.NewRequest(r.Context(), r, "http", "", body, r.ContentLength)
 	if in.Header[outcome.HeaderAsked] != nil {
--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -24,8 +24,22 @@
 	accepted atomic.Bool // since the deadline was set
 	drained  chan struct{}
 	ended    atomic.Bool
+	looked   atomic.Pointer[time.Time] // when the kernel last held no connection
+	closing  atomic.Pointer[Ending]
 }
 
+// Ending tells how a drained listener was closed.
+type Ending struct {
+	// SinceLook is the time between the last look that found no connection waiting and the
+	// close; 0 where no look did.
+	SinceLook time.Duration
+	// Waiting is the number of connections that waited at the close, which resets them.
+	Waiting int
+}
+
+// Ending returns how the listener was closed; nil before.
+func (l *Listener) Ending() *Ending { return l.closing.Load() }
+
 // New wraps a listener.
 func New(l net.Listener) *Listener { return &Listener{Listener: l, drained: make(chan struct{})} }
 
@@ -49,6 +63,8 @@
 		case !l.accepted.Swap(false) && !sockopt.Waiting(l.Listener):
 			// The deadline alone doesn't say that nothing came: this process may have had no
 			// processor meanwhile.
+			now := time.Now()
+			l.looked.Store(&now)
 			l.end()
 			return nil, net.ErrClosed
 		}
@@ -81,9 +97,20 @@
 		case <-ctx.Done():
 		}
 	}
+	l.noteEnding()
 	return l.Listener.Close()
 }
 
+// noteEnding notes what a close is about to reset.
+func (l *Listener) noteEnding() {
+	e := new(Ending)
+	if looked := l.looked.Load(); looked != nil {
+		e.SinceLook = time.Since(*looked)
+	}
+	e.Waiting, _ = sockopt.Backlog(l.Listener) // 0 where it isn't known
+	l.closing.CompareAndSwap(nil, e)
+}
+
 // Error reports an address that can't be listened on.
 type Error struct {
 	// Name is the name of the setting.
--- a/transport/sockopt/sockopt.go
+++ b/transport/sockopt/sockopt.go
@@ -55,6 +55,31 @@
 	})
 }
 
+// Backlog returns how many connections the kernel holds that nobody has accepted. ok is false where
+// that isn't known.
+func Backlog(l net.Listener) (n int, ok bool) {
+	look(l, func(fd int) bool {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			n, ok = int(info.Unacked), true // a listener's queue stands in this field
+		}
+		return ok
+	})
+	return n, ok
+}
+
+// Unsent returns how many bytes were written to a connection that its other end hasn't
+// acknowledged. ok is false where that isn't known.
+func Unsent(conn net.Conn) (n int, ok bool) {
+	look(conn, func(fd int) bool {
+		var err error
+		n, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		ok = err == nil
+		return ok
+	})
+	return n, ok
+}
+
 // look calls f with the descriptor of a socket. Unlike reading and accepting it heeds no
 // deadline.
 func look(socket any, f func(fd int) bool) bool {
--- a/transport/sockopt/sockopt_test.go
+++ b/transport/sockopt/sockopt_test.go
@@ -52,3 +52,33 @@
 	must.NoError(t, a.Close())
 	must.NoError(t, b.Close())
 }
+
+func TestQueuesOfTheKernelAreCounted(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	for range 2 {
+		caller, err := net.Dial("tcp", ln.Addr().String())
+		must.NoError(t, err)
+		defer func() { _ = caller.Close() }()
+	}
+	n, ok := Backlog(ln)
+	must.True(t, ok)
+	must.Eq(t, 2, n)
+	conn, err := ln.Accept()
+	must.NoError(t, err)
+	n, ok = Unsent(conn)
+	must.True(t, ok)
+	must.Eq(t, 0, n)
+	must.NoError(t, conn.SetWriteDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = conn.Write(make([]byte, 64<<20)) // more than the kernel takes from a caller that reads nothing
+	must.Error(t, err)
+	n, ok = Unsent(conn)
+	must.True(t, ok)
+	must.Positive(t, n)
+	a, b := net.Pipe()
+	_, ok = Unsent(a)
+	must.False(t, ok)
+	must.NoError(t, a.Close())
+	must.NoError(t, b.Close())
+}
