Play callers of all habits and bounded processor time in the soak

The soak's callers all used their connections alike, and its checks looked at lost requests only where nothing but planned work, faults of the store and answers that break off went on anywhere on the site.

-habits plays pipelines, a connection for each request, requests that take long or have bodies of up to 24 KB, callers that take their answers slowly and callers that leave, beside planned work in series and, without -planned, backend servers that crash, break off or forget connections. Nodes reach each other without a relay. -share bounds each node to a part of a core in each 100 ms. Beside any fault a request that was passed on must now get an answer, unless its own node is killed, its caller leaves or waits no longer: the case that allowed a loss beside a cut of another node became one of a node that is killed itself. A request that is sent after the answers before it no longer counts as sent behind them.

--- a/cmd/jacinthgate-soak/main.go
+++ b/cmd/jacinthgate-soak/main.go
@@ -51,6 +51,9 @@
 	// ahead lets callers send several requests behind one another, beside answers that break
 	// off; with planned beside planned work only.
 	ahead bool
+	// habits plays callers that use their connections in different ways; with planned beside
+	// planned work only.
+	habits bool
 }
 
 func (c *planFlags) set(f *flag.FlagSet) {
@@ -62,6 +65,7 @@
 	f.BoolVar(&c.places, "places", false, "backend servers that are cold after a start, and evacuations of zones")
 	f.BoolVar(&c.series, "series", false, "planned work in series that overlap, beside faults of the store")
 	f.BoolVar(&c.ahead, "ahead", false, "several requests behind one another, slow answers, versions in series, and answers that break off (not with -planned)")
+	f.BoolVar(&c.habits, "habits", false, "callers that use their connections in different ways, planned work in series, and faults of backend servers (not with -planned)")
 	f.BoolVar(&c.crashes, "crashes", false, "backend servers that crash and return, and requests that end them")
 	f.BoolVar(&c.restores, "restores", false, "a store that comes back from older copies")
 }
@@ -69,6 +73,8 @@
 // plan returns the plan of a seed.
 func (c *planFlags) plan(seed uint64) soak.Plan {
 	switch {
+	case c.habits:
+		return soak.NewHabitPlan(seed, c.nodes, c.length, !c.planned)
 	case c.ahead:
 		return soak.NewAheadPlan(seed, c.nodes, c.length, !c.planned)
 	case c.planned:
@@ -101,7 +107,7 @@
 func (*planCmd) Name() string     { return "plan" }
 func (*planCmd) Synopsis() string { return "print the disturbances of a seed" }
 func (*planCmd) Usage() string {
-	return "plan -seed N [-nodes N] [-length D] [-planned | -ahead | -series | -crashes | -restores | -keys | -places]\n"
+	return "plan -seed N [-nodes N] [-length D] [-planned | -ahead | -habits | -series | -crashes | -restores | -keys | -places]\n"
 }
 func (c *planCmd) SetFlags(f *flag.FlagSet) { c.set(f) }
 
@@ -115,6 +121,7 @@
 	planFlags
 	seeds   int
 	callers int
+	share   float64
 	bin     string
 	dir     string
 }
@@ -122,7 +129,7 @@
 func (*runCmd) Name() string     { return "run" }
 func (*runCmd) Synopsis() string { return "play seeds and check the promises" }
 func (*runCmd) Usage() string {
-	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -ahead | -series | -crashes | -restores | -keys | -places] [-bin DIR] [-dir DIR]
+	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -ahead | -habits | -series | -crashes | -restores | -keys | -places] [-bin DIR] [-dir DIR]
 Plays one seed after the other. A seed that breaks a promise is printed with what
 was seen, and its logs stay in DIR/SEED. Exit code 1 if any did.
 `
@@ -132,6 +139,7 @@
 	c.set(f)
 	f.IntVar(&c.seeds, "seeds", 1, "number of seeds, counted up from the first")
 	f.IntVar(&c.callers, "callers", soak.CallersPerNode, "number of callers beside each node")
+	f.Float64Var(&c.share, "share", 0, "part of a core that each node may use in each tenth of a second; 0 is no bound")
 	f.StringVar(&c.bin, "bin", "bin", "`folder` with the programs")
 	f.StringVar(&c.dir, "dir", "", "`folder` for settings and logs; empty takes one that is removed when nothing broke")
 }
@@ -163,11 +171,14 @@
 		return false, err
 	}
 	plan := c.plan(seed)
-	r, err := soak.Run(ctx, soak.Config{Bin: bin, Dir: dir, Plan: plan, Callers: c.callers})
+	r, err := soak.Run(ctx, soak.Config{Bin: bin, Dir: dir, Plan: plan, Callers: c.callers, Share: c.share})
 	if err != nil {
 		return false, err
 	}
 	fmt.Printf("seed %d: %d requests, %d served, %d arrivals, %d violations\n", seed, r.Requests, r.Served, r.Arrivals, len(r.Violations))
+	if r.Periods > 0 {
+		fmt.Printf("  %d of %d periods were cut short\n", r.Throttled, r.Periods)
+	}
 	if len(r.Violations) == 0 {
 		return false, os.RemoveAll(dir)
 	}
--- a/internal/soak/behaviour.go
+++ b/internal/soak/behaviour.go
@@ -64,10 +64,12 @@
 	seed   uint64
 	// breaking is the number of faults that let answers break off.
 	breaking *atomic.Int32
+	// forgetting is the number of faults that let connections that were idle be forgotten.
+	forgetting *atomic.Int32
 }
 
 func newBehaviours(p Plan) behaviours {
-	return behaviours{varied: p.Ahead, seed: p.Seed, breaking: new(atomic.Int32)}
+	return behaviours{varied: p.Ahead, seed: p.Seed, breaking: new(atomic.Int32), forgetting: new(atomic.Int32)}
 }
 
 // of returns the behaviour for a path, which is always the same but for faults. work is how long
--- a/internal/soak/breaks.go
+++ b/internal/soak/breaks.go
@@ -41,3 +41,22 @@
 		found.add(CheckBreaks, "%s", describeLost(r, ran))
 	}
 }
+
+// checkKept checks that a request that was passed on got an answer, beside whatever disturbs
+// other nodes.
+func (h *History) checkKept(r *Request, ran []Arrival, found *report) {
+	switch {
+	case r.Status != 0 || len(ran) == 0 || r.GaveUp:
+	case r.Headed && slices.ContainsFunc(ran, func(a Arrival) bool { return a.Breaks }):
+	case h.killed(r):
+	default:
+		found.add(CheckKept, "%s", describeLost(r, ran))
+	}
+}
+
+// killed reports whether a request's node was killed around it.
+func (h *History) killed(r *Request) bool {
+	return slices.ContainsFunc(h.Spans, func(s Span) bool {
+		return s.Fault == FaultKill && s.Node == r.Node && !s.From.After(r.Done) && !s.To.Before(r.Sent.Add(-calm))
+	})
+}
--- a/internal/soak/breaks_test.go
+++ b/internal/soak/breaks_test.go
@@ -55,9 +55,18 @@
 	for name, change := range map[string]func(h *History){
 		"the own answer broke off after its head": func(h *History) { h.Requests[0].Headed, h.Arrivals[0].Breaks = true, true },
 		"no backend server got it":                func(h *History) { h.Arrivals = nil },
-		"another fault beside it": func(h *History) {
+		"its node was killed": func(h *History) {
 			h.Arrivals[0].Whole = at(20)
-			h.Spans = append(h.Spans, Span{From: at(-100), To: at(100), Fault: FaultCutNode})
+			h.Spans = append(h.Spans, Span{From: at(-100), To: at(100), Fault: FaultKill})
+		},
+		"its caller has left beside another fault": func(h *History) {
+			h.Arrivals[0].Whole = at(20)
+			h.Requests[0].Left = true
+		},
+		"its caller waited no longer beside another fault": func(h *History) {
+			h.Arrivals[0].Whole = at(20)
+			h.Requests[0].GaveUp = true
+			h.Spans = append(h.Spans, Span{From: at(-100), To: at(100), Fault: FaultFreeze})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -67,3 +76,22 @@
 		})
 	}
 }
+
+// Guards against connections that end beside faults of other nodes and that no check looks at.
+func TestRequestThatWasPassedOnIsLookedForBesideOtherFaults(t *testing.T) {
+	for name, other := range map[string]Span{
+		"a cut of another node":         {Fault: FaultCutNode, Node: 1},
+		"another node that is killed":   {Fault: FaultKill, Node: 1},
+		"a backend server that crashes": {Fault: FaultCrash},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := served()
+			other.From, other.To = at(-100), at(100)
+			h.Spans = append(h.Spans, other)
+			h.Requests[0].Status = 0
+			found := h.Violations()
+			must.Len(t, 1, found)
+			must.Eq(t, CheckKept, found[0].Check)
+		})
+	}
+}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -23,6 +25,9 @@
 	addr string
 	// fresh closes the connection after each exchange.
 	fresh bool
+	habit habit
+	// leaveAfter is how long after it has begun to send a caller leaves; 0 is never.
+	leaveAfter time.Duration
 
 	conn net.Conn
 	br   *bufio.Reader
@@ -39,10 +44,12 @@
 		c.pipeline(batch)
 	}
 	now := time.Now()
-	for _, r := range batch {
+	for i, r := range batch {
 		if r.Done.IsZero() {
 			r.Done = now
 		}
+		// One that was sent after the answers before it stands behind nothing.
+		r.Behind = i > 0 && (batch[i-1].Status == 0 || !batch[i-1].Done.Before(r.Sent))
 	}
 	if c.fresh {
 		c.close()
@@ -53,6 +60,7 @@
 func (c *caller) pipeline(batch []*Request) {
 	written := make(chan *Request, len(batch))
 	go writeAll(c.conn, batch, written)
+	leave, left := c.leave()
 	goesOn := true
 	for r := range written {
 		if goesOn && (r.Written.IsZero() || !c.read(r)) {
@@ -60,6 +68,30 @@
 			c.close() // the writing ends as well
 		}
 	}
+	if leave.Stop() {
+		return
+	}
+	<-left
+	c.close()
+	for _, r := range batch {
+		r.Left = r.Status == 0
+	}
+}
+
+// leave closes the connection in a while, every second time by a reset. left is closed then.
+func (c *caller) leave() (leave *time.Timer, left chan struct{}) {
+	left = make(chan struct{})
+	after, conn := c.leaveAfter, c.conn
+	if after == 0 {
+		after = time.Hour
+	}
+	return time.AfterFunc(after, func() {
+		if after%2 == 0 {
+			reset(conn)
+		}
+		_ = conn.Close() // the reading reports it
+		close(left)
+	}), left
 }
 
 // writeAll writes requests until one can't be written, and passes each on then.
@@ -97,6 +129,9 @@
 		if err != nil {
 			return err
 		}
+		if c.habit == habitSlow {
+			conn = newSlowConn(conn)
+		}
 		c.conn, c.br = conn, bufio.NewReader(conn)
 	}
 	return c.conn.SetDeadline(time.Now().Add(bound))
@@ -117,6 +152,9 @@
 	if r.Key != "" {
 		fmt.Fprintf(&b, "Authorization: Bearer %s\r\n", r.Key)
 	}
+	if r.Closes {
+		b.WriteString("Connection: close\r\n")
+	}
 	if r.BodyBytes > 0 {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", r.BodyBytes)
 	}
@@ -133,20 +171,25 @@
 func (c *caller) read(r *Request) bool {
 	resp, err := http.ReadResponse(c.br, nil)
 	if err != nil {
-		r.End = err.Error()
+		r.fail(err)
 		return false
 	}
 	r.Headed = true
 	body, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close() // it was read to its end
-	r.Done = time.Now()
 	if err != nil {
-		r.End = err.Error()
+		r.fail(err)
 		return false
 	}
+	r.Done = time.Now()
 	if after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 		r.After = time.Duration(after * float64(time.Second))
 	}
 	r.Status, r.Stamped, r.Body = resp.StatusCode, platformtest.Stamped(resp.Header), string(body)
 	return !resp.Close
 }
+
+// fail notes that a request's connection ended before its answer was whole.
+func (r *Request) fail(err error) {
+	r.Done, r.End, r.GaveUp = time.Now(), err.Error(), errors.Is(err, os.ErrDeadlineExceeded)
+}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -53,6 +53,9 @@
 	for i := range count {
 		c.wait.Go(func() {
 			from := n.caller(false)
+			if c.site.cfg.Plan.Habits {
+				from.habit = habit(i % int(habitCount))
+			}
 			defer from.close()
 			for ctx.Err() == nil {
 				pause := c.next(from, n)
@@ -67,7 +70,10 @@
 
 // next sends the next requests of a caller, and returns how long it pauses then.
 func (c *callers) next(from *caller, n *node) time.Duration {
-	if c.site.cfg.Plan.Ahead {
+	switch {
+	case c.site.cfg.Plan.Habits:
+		return c.nextHabit(from, n)
+	case c.site.cfg.Plan.Ahead:
 		return c.nextAhead(from, n)
 	}
 	number := c.number()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -60,6 +60,9 @@
 	// CheckBreaks: an answer that breaks off takes no other request with it that was passed
 	// on to a backend server.
 	CheckBreaks Check = "breaks-off-alone"
+	// CheckKept: a node that isn't killed itself ends no connection on which a request was passed
+	// on, but with its answer, whatever else goes on.
+	CheckKept Check = "passed-on-gets-an-answer"
 	// CheckExplained: the logs tell of each refused or failed request by its id.
 	CheckExplained Check = "explained"
 )
@@ -92,6 +95,10 @@
 	Due time.Duration
 	// Gap is the time before it is written, after the one before it was.
 	Gap time.Duration
+	// Closes says that its caller has asked for the end of the connection behind it.
+	Closes bool
+	// Left says that its caller left before an answer.
+	Left bool
 	// Behind says that it was sent behind another one that wasn't answered yet, and First is
 	// the first of those sent behind one another.
 	Behind bool
@@ -101,6 +108,8 @@
 	Sent, Written, Done time.Time
 	// After is when its caller was told to come back.
 	After time.Duration
+	// GaveUp says that its caller waited no longer.
+	GaveUp bool
 	// End says how its connection ended without a whole answer.
 	End string
 	// Headed says that the head of an answer came.
@@ -251,10 +260,13 @@
 		found.add(CheckWhole, "%s got %q, signed %v", r.ID, r.Body, r.Stamped)
 	}
 	switch {
+	case r.Left:
 	case !h.disturbedAt(r):
 		h.checkEnd(r, ran, found)
 	case h.onlyBreaksAt(r):
 		h.checkBreaks(r, ran, found)
+	default:
+		h.checkKept(r, ran, found)
 	}
 }
 
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -73,6 +73,10 @@
 		n.host.behaviours.breaking.Add(1)
 		wait(ctx, step.For)
 		n.host.behaviours.breaking.Add(-1)
+	case FaultForget:
+		n.host.behaviours.forgetting.Add(1)
+		wait(ctx, step.For)
+		n.host.behaviours.forgetting.Add(-1)
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -64,6 +64,9 @@
 	FaultChanges Fault = "changes"
 	// FaultBreakOff lets the answers of a node's backend servers stop or break off half-way.
 	FaultBreakOff Fault = "break-off"
+	// FaultForget lets a node's backend servers forget connections that have been idle: what is
+	// sent on one is reset.
+	FaultForget Fault = "forget"
 )
 
 // planned are the disturbances that belong to daily work.
@@ -73,9 +76,9 @@
 var ofStore = []Fault{FaultStoreDown, FaultStoreSlow, FaultStoreLost, FaultCompact, FaultRestore}
 
 // Planned reports whether the disturbance belongs to daily work, beside which
-// nothing may be cut.
+// nothing may be cut. So does one of idle connections only.
 func (f Fault) Planned() bool {
-	return f == FaultSignals || f == FaultEvacuate || f == FaultChanges || slices.Contains(planned, f)
+	return f == FaultSignals || f == FaultEvacuate || f == FaultChanges || f == FaultForget || slices.Contains(planned, f)
 }
 
 // OfStore reports whether only the store is struck, beside which nothing may be cut either.
@@ -122,6 +125,16 @@
 	pipelinedBreaking = append([]Fault{FaultBreakOff, FaultBreakOff, FaultBreakOff}, pipelined...)
 )
 
+// habitualPlanned are the kinds of planned work in series around callers of all habits, habitual
+// those beside faults of backend servers.
+var (
+	habitualPlanned = []Fault{
+		FaultChanges, FaultChanges, FaultDrain, FaultTerm, FaultTerm, FaultTerm, FaultSignals, FaultHup, FaultForget,
+		FaultStoreDown, FaultStoreSlow, FaultStoreLost, FaultCompact,
+	}
+	habitual = append([]Fault{FaultBreakOff, FaultBreakOff, FaultBreakOff, FaultCrash, FaultCrash, FaultForget, FaultForget, FaultKill}, habitualPlanned...)
+)
+
 // Step is one disturbance of a plan.
 type Step struct {
 	// At is when it begins, from the start of the plan.
@@ -159,6 +172,9 @@
 	// Ahead says that callers send several requests of different routes behind one another,
 	// and that backend servers are slow with some answers and leave out the length of others.
 	Ahead bool
+	// Habits says that callers use their connections in different ways: some send several
+	// requests behind one another, open a connection for each, take answers slowly or leave.
+	Habits bool
 }
 
 // Bounds of what a plan draws.
@@ -228,6 +244,18 @@
 	return p
 }
 
+// NewHabitPlan draws a schedule of planned work in series around callers of all habits, with
+// faults also beside those of backend servers.
+func NewHabitPlan(seed uint64, nodes int, length time.Duration, faults bool) Plan {
+	kinds := habitualPlanned
+	if faults {
+		kinds = habitual
+	}
+	p := draw(kinds, seriesEvery, seed, nodes, length)
+	p.Ahead, p.Habits = true, true
+	return p
+}
+
 // draw draws a schedule of some kinds, with a mean time between two disturbances.
 func draw(kinds []Fault, every time.Duration, seed uint64, nodes int, length time.Duration) Plan {
 	rng := rand.New(rand.NewPCG(seed, seed))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,6 +20,9 @@
 type Result struct {
 	// Requests, Served and Arrivals are counts.
 	Requests, Served, Arrivals int
+	// Periods are those in which processes had a share of a core, and Throttled those in which
+	// they used it up.
+	Periods, Throttled int
 	// Violations are the broken promises.
 	Violations []Violation
 }
@@ -49,6 +52,7 @@
 	evacuated   map[model.Zone]bool
 	evacuations []Evacuation
 	lost        []string // rows of nodes that a restore of the store may have taken
+	throttled   throttled
 }
 
 // NotServingError reports a site that didn't begin to serve.
@@ -85,6 +89,9 @@
 	if n := s.awaitServing(ctx, startTime); n != nil {
 		return Result{}, &NotServingError{Node: n.name}
 	}
+	if cfg.Share > 0 {
+		beats.Go(func() { s.bound(helpers, cfg.Share) })
+	}
 	s.play(ctx)
 	s.recovery(ctx)
 	s.stopAll()
@@ -225,7 +232,7 @@
 			h.ColdSpans[startOf(b.ID, b.Born)] = b.coldSpans
 		}
 	}
-	r := Result{Requests: len(h.Requests), Arrivals: len(h.Arrivals)}
+	r := Result{Requests: len(h.Requests), Arrivals: len(h.Arrivals), Periods: s.throttled.periods, Throttled: s.throttled.cut}
 	for i := range h.Requests {
 		if h.Requests[i].Status == http.StatusOK {
 			r.Served++
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -42,6 +43,9 @@
 	// coldUntil is when the last of coldSpans ends. Both are guarded by the host's mu.
 	coldUntil time.Time
 	coldSpans []Span
+
+	connsMu sync.Mutex
+	conns   map[net.Conn]*tracked
 }
 
 // downTime is how long a backend server is away after a request has ended it.
@@ -54,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{behaviours: behaviours, Backend: &platformtest.Backend{
+	s := &server{behaviours: behaviours, conns: make(map[net.Conn]*tracked), Backend: &platformtest.Backend{
 		ID: id, Service: service, Slots: serverSlots, Work: serverWork[service], Born: time.Now().UnixMilli(),
 	}}
 	s.Crash = func(r *http.Request) bool {
@@ -66,11 +70,81 @@
 	}
 	s.Answer = s.answer
 	s.addr = ln.Addr().String()
-	s.http = &http.Server{Handler: s.Backend}
+	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ConnState: s.track, ConnContext: withConn}
 	go func() { _ = s.http.Serve(ln) }() // it ends with Close
 	return s, nil
 }
 
+// forgetAfter is how long a connection is idle before a backend server forgets it.
+const forgetAfter = 100 * time.Millisecond
+
+// tracked is what a backend server knows of a connection.
+type tracked struct {
+	idleSince time.Time // zero while it is in use
+	forgotten bool
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// track notes what becomes of a connection. One on which something comes after it was idle is
+// forgotten while a fault lets it.
+func (s *server) track(conn net.Conn, state http.ConnState) {
+	s.connsMu.Lock()
+	defer s.connsMu.Unlock()
+	t := s.conns[conn]
+	switch state {
+	case http.StateNew:
+		s.conns[conn] = new(tracked)
+	case http.StateIdle:
+		t.idleSince = time.Now()
+	case http.StateActive:
+		idle := !t.idleSince.IsZero() && time.Since(t.idleSince) >= forgetAfter
+		t.idleSince = time.Time{}
+		if t.forgotten = idle && s.behaviours.forgetting.Load() > 0; t.forgotten {
+			reset(conn)
+		}
+	default:
+		delete(s.conns, conn)
+	}
+}
+
+// serve serves a request unless its connection was forgotten: it was not read then.
+func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	s.connsMu.Lock()
+	t := s.conns[conn]
+	forgotten := t != nil && t.forgotten
+	s.connsMu.Unlock()
+	if forgotten {
+		panic(http.ErrAbortHandler)
+	}
+	s.ServeHTTP(w, r)
+}
+
+// die ends a backend server and resets its connections: nobody may take a part of an answer
+// that ends with its connection for the whole.
+func (s *server) die() {
+	s.connsMu.Lock()
+	for conn := range s.conns {
+		reset(conn)
+	}
+	s.connsMu.Unlock()
+	_ = s.http.Close() // all its requests break off
+}
+
+// reset closes a connection by a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // it may be closed already
+	}
+	_ = conn.Close() // likewise
+}
+
 // host is what stands beside a node: the backend server of the moment.
 type host struct {
 	ip         string
@@ -173,7 +247,7 @@
 	h.current = nil
 	h.mu.Unlock()
 	if s != nil {
-		_ = s.http.Close() // all its requests break off
+		s.die()
 	}
 }
 
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -29,6 +29,8 @@
 	Plan Plan
 	// Callers is the number of callers beside each node.
 	Callers int
+	// Share is the part of a core that each node may use in each tenth of a second; 0 is no bound.
+	Share float64
 }
 
 // Bounds that the nodes are given and held to.
@@ -165,6 +167,9 @@
 		DrainMillis: int(drainTime.Milliseconds()), GraceSeconds: graceTime.Seconds(),
 		Retry: sidecar.RetrySettings{Ratio: 0.2, WindowSeconds: 10, Slack: 50},
 	}
+	if s.cfg.Plan.Habits {
+		n.set.Advertise = sidecar.Advertise{} // nothing is cut: connections between nodes end as they are ended
+	}
 	if s.cfg.Plan.Keyed {
 		keySettings(&n.set)
 	}
