Let the end of an answer leave a lingering connection alone

What callers saw: behind the last answer on a connection a reset in place of its end, and with it the loss of what was still on its way, where they had sent further requests.

Cause: the goroutine of an answer arms the connection's read deadline as the last thing it does. Where the connection has ended that deadline lies in the past, so that the reading ends. The goroutine that serves the connection may have come to its lingering by then, and the deadline ends this as well: the connection is closed with bytes unread, which the kernel answers by a reset. Two threads are needed, or a process that stands still between two steps.

A connection that lingers keeps its own deadline.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -37,6 +37,7 @@
 	closing bool        // an answer that ends the connection has begun
 	ended   bool        // an answer that ends the connection was sent
 	left    bool        // the caller has closed the connection or gone silent
+	lingers bool        // the connection is only kept until the caller has what was sent
 	// brokenBy is the request whose answer was cut first; nothing more may be written then.
 	brokenBy *exchange
 	last     chan struct{}
--- a/transport/callers/end.go
+++ b/transport/callers/end.go
@@ -53,13 +53,22 @@
 		_ = c.raw.Close() // there is nothing more to say
 		return
 	}
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime)) // the read reports a closed one
+	c.beginLingering()
 	time.AfterFunc(lingerTime, c.closeNoting)
 	unread, _ := io.Copy(io.Discard, c.raw) // until the caller closes it too
 	c.noteUnread(unread)
 	c.closeNoting()
 }
 
+// beginLingering bounds the time in which the connection is read on. The end of an answer doesn't
+// change it any more.
+func (c *conn) beginLingering() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingers = true
+	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime)) // the read reports a closed one
+}
+
 // closeNoting closes the connection and notes what its caller hasn't taken. Twice does no harm.
 func (c *conn) closeNoting() {
 	c.noted.Do(c.noteUnsent)
--- a/transport/callers/idle.go
+++ b/transport/callers/idle.go
@@ -58,10 +58,10 @@
 	defer c.mu.Unlock()
 	var until time.Time
 	switch {
+	case c.lingers, c.reading && !c.ended:
+		return
 	case c.ended:
 		until = past
-	case c.reading:
-		return
 	case c.ending && len(c.open) == 0:
 		until = past
 	case len(c.open) == 0 && limits.IdleTimeout > 0:
