Count a connection as idle only when its caller has what was sent

What callers saw: the first part of an answer, then a reset.

Cause: a connection was idle from the moment at which its last answer was handed to the kernel. After the idle timeout it was closed with bytes queued, and whatever the caller sent then made the kernel reset it and drop the queue. bytes_unsent told of 7 to 45 KB on such connections.

At the idle timeout the kernel is asked what the caller has not acknowledged. As long as the caller goes on taking it, the connection stays; one that takes nothing for two seconds is closed as before. Where the kernel doesn't tell, nothing changes.

Its caller keeps the kernel's usual buffer now: with a smaller one the kernel's probes of a closed window made it last longer than its own deadline of 10 s.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -42,6 +42,10 @@
 	brokenBy *exchange
 	last     chan struct{}
 	noted    sync.Once // what was left at the end
+	// untaken is what the caller had not acknowledged at the last look, in bytes, and untakenSince
+	// when that was first seen. They belong to the goroutine that reads.
+	untaken      int
+	untakenSince time.Time
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
@@ -75,8 +79,7 @@
 
 // next reads one request.
 func (c *conn) next() (*exchange, error) {
-	c.armIdle(c.server.cfg.Limits())
-	if _, err := c.br.Peek(1); err != nil && !c.arrived(err) {
+	if err := c.awaitRequest(); err != nil {
 		return nil, &readError{err: err, between: true}
 	}
 	limits := c.server.cfg.Limits() // they may have changed while the connection was idle
--- a/transport/callers/idle.go
+++ b/transport/callers/idle.go
@@ -23,6 +23,49 @@
 	_ = c.raw.SetReadDeadline(past) // the read reports a closed one
 }
 
+const (
+	// stallTime is how long a caller may take nothing of what was sent to it before it is taken
+	// for gone.
+	stallTime = 2 * time.Second
+	// untakenCheck is the least time between two looks at what a caller has taken.
+	untakenCheck = 50 * time.Millisecond
+)
+
+// awaitRequest returns when a request begins to arrive. The error is that of the end of the
+// connection.
+func (c *conn) awaitRequest() error {
+	limits := c.server.cfg.Limits()
+	for {
+		c.armIdle(limits)
+		_, err := c.br.Peek(1)
+		if err == nil || c.arrived(err) {
+			return nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.isEnding() || !c.takesOn() {
+			return err
+		}
+		limits = c.server.cfg.Limits()
+		limits.IdleTimeout = max(limits.IdleTimeout, untakenCheck)
+	}
+}
+
+// takesOn reports whether the caller is still taking what was sent to it: such a connection isn't
+// idle, and closing it could reset it and lose the rest.
+func (c *conn) takesOn() bool {
+	untaken, _ := sockopt.Unsent(c.raw) // 0 where it isn't known
+	if untaken != c.untaken {
+		c.untaken, c.untakenSince = untaken, time.Now()
+	}
+	return untaken > 0 && time.Since(c.untakenSince) < stallTime
+}
+
+// isEnding reports whether no further request is to be read.
+func (c *conn) isEnding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ending
+}
+
 // arrived reports whether a read that ended at its deadline has left bytes behind. The
 // deadline may have passed before this process got to read them.
 func (c *conn) arrived(err error) bool {
--- a/transport/callers/slow_test.go
+++ b/transport/callers/slow_test.go
@@ -12,22 +12,14 @@
 
 const (
 	// slowAnswer is the size of an answer of which most waits in the server's kernel, and
-	// slowWindow bounds what the caller's takes, in bytes.
-	slowAnswer = 512 << 10
-	slowWindow = 4 << 10
+	// slowPiece what its caller takes at a time, in bytes.
+	slowAnswer = 2 << 20
+	slowPiece  = 4 << 10
 )
 
 // answerSlowly answers with slowAnswer bytes.
 func answerSlowly(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, slowAnswer)) }
 
-// slowCaller is a caller whose kernel takes little of an answer that it doesn't read.
-func slowCaller(t *testing.T, addr string) (net.Conn, *bufio.Reader) {
-	t.Helper()
-	c, br := dial(t, addr)
-	must.NoError(t, c.(*net.TCPConn).SetReadBuffer(slowWindow))
-	return c, br
-}
-
 // takesAll reads an answer whole after a while in which the caller has taken a part of it at a
 // time, and sends a further request in the middle.
 func takesAll(t *testing.T, c net.Conn, br *bufio.Reader) {
@@ -35,7 +27,7 @@
 	resp, err := http.ReadResponse(br, nil)
 	must.NoError(t, err)
 	must.Eq(t, http.StatusOK, resp.StatusCode)
-	got, piece := 0, make([]byte, slowWindow)
+	got, piece := 0, make([]byte, slowPiece)
 	sent := false
 	for slow := time.Now().Add(2 * lingerTime); got < slowAnswer; {
 		n, err := resp.Body.Read(piece)
@@ -54,7 +46,7 @@
 // Guards against an idle timeout that runs while the caller is still taking its answer.
 func TestAnswerThatItsCallerTakesSlowlyOutlivesTheIdleTimeout(t *testing.T) {
 	_, addr := startLimited(t, func() Limits { return Limits{IdleTimeout: lingerTime / 5} }, answerSlowly)
-	c, br := slowCaller(t, addr)
+	c, br := dial(t, addr)
 	send(t, c, get("/1"))
 	takesAll(t, c, br)
 }
@@ -64,7 +56,7 @@
 func TestLastAnswerThatItsCallerTakesSlowlyArrivesWhole(t *testing.T) {
 	s, addr := startLimited(t, func() Limits { return Limits{IdleTimeout: time.Minute} }, answerSlowly)
 	s.Leave()
-	c, br := slowCaller(t, addr)
+	c, br := dial(t, addr)
 	send(t, c, get("/1"))
 	takesAll(t, c, br)
 }
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -91,7 +91,7 @@
 type Gate struct {
 	cfg      Config
 	core     *core.Gate
-	refusals sync.Map // outcome.Reason -> *metrics.Counter
+	refusals sync.Map     // outcome.Reason -> *metrics.Counter
 	serving  atomic.Int64 // requests of other nodes
 	// held are the bytes of large answers that are being sent.
 	held atomic.Int64
