Linger behind the last answer until its caller has taken it

What callers saw: of the last answer on a connection, as of each answer of a leaving node, the first part and then a reset.

Cause: a connection was read on for half a second after its last answer had been handed to the kernel, and then closed, whether or not the caller had taken it. A caller that was half a second behind and sent anything more, such as requests behind the last one, got a reset, and the kernel dropped what was queued.

The half second now runs from when the caller has acknowledged all; a caller that takes nothing for two seconds is given up, and a leaving node still ends at the end of its grace time.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -41,7 +41,6 @@
 	// brokenBy is the request whose answer was cut first; nothing more may be written then.
 	brokenBy *exchange
 	last     chan struct{}
-	noted    sync.Once // what was left at the end
 	// untaken is what the caller had not acknowledged at the last look, in bytes, and untakenSince
 	// when that was first seen. They belong to the goroutine that reads.
 	untaken      int
--- a/transport/callers/end.go
+++ b/transport/callers/end.go
@@ -8,8 +8,8 @@
 )
 
 // lingerTime is how long a connection that was closed on this side is read
-// on: closing one with unread bytes would reset it, and the caller might
-// lose the last answer.
+// on behind what its caller has taken: closing one with unread bytes would reset
+// it, and the caller might lose the last answer.
 const lingerTime = 500 * time.Millisecond
 
 // failed ends the connection when no further request can be read.
@@ -53,24 +53,32 @@
 		_ = c.raw.Close() // there is nothing more to say
 		return
 	}
-	c.beginLingering()
-	time.AfterFunc(lingerTime, c.closeNoting)
-	unread, _ := io.Copy(io.Discard, c.raw) // until the caller closes it too
+	c.linger()
+	c.noteUnsent()
+	_ = c.raw.Close() // nothing is left to do with it
+}
+
+// linger reads on until the caller closes the connection, or has had lingerTime since it has taken
+// all that was sent, or takes nothing any more.
+func (c *conn) linger() {
+	unread := int64(0)
+	for {
+		untaken := c.untaken
+		c.lingerOn()
+		n, err := io.Copy(io.Discard, c.raw)
+		unread += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.takesOn() && c.untaken == untaken {
+			break
+		}
+	}
 	c.noteUnread(unread)
-	c.closeNoting()
 }
 
-// beginLingering bounds the time in which the connection is read on. The end of an answer doesn't
-// change it any more.
-func (c *conn) beginLingering() {
+// lingerOn bounds the time in which the connection is read on. The end of an answer doesn't change it
+// any more.
+func (c *conn) lingerOn() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lingers = true
 	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime)) // the read reports a closed one
 }
-
-// closeNoting closes the connection and notes what its caller hasn't taken. Twice does no harm.
-func (c *conn) closeNoting() {
-	c.noted.Do(c.noteUnsent)
-	_ = c.raw.Close() // it was read and written for the last time
-}
