Close a drained listener in the step that finds nothing waiting

What callers saw: a connection to a leaving node that was reset before its request was read.

Cause: the goroutine that accepts looked whether the kernel held a connection, and another one closed the listener after it. Whatever came until that goroutine had a processor was reset with its request, and a host that had used its share, or a busy runtime, could make that as long as it liked. Besides, five milliseconds without a connection were taken for the end of all callers.

The accepting goroutine closes the listener right behind its look, and takes 50 ms without a connection for the end. What remains is a process that is stopped between the two system calls.

--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -8,14 +8,16 @@
 	"errors"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
-// quiet is how long nothing must arrive before a draining listener is closed.
-const quiet = 5 * time.Millisecond
+// quiet is how long nothing must arrive before a draining listener is closed: callers that
+// still come do so more often, and one that comes as it is closed is reset.
+const quiet = 50 * time.Millisecond
 
 // Listener is a listener that can be drained. It is safe for concurrent use.
 type Listener struct {
@@ -24,8 +26,10 @@
 	accepted atomic.Bool // since the deadline was set
 	drained  chan struct{}
 	ended    atomic.Bool
-	looked   atomic.Pointer[time.Time] // when the kernel last held no connection
-	closing  atomic.Pointer[Ending]
+
+	closing  sync.Once
+	closeErr error
+	ending   atomic.Pointer[Ending]
 }
 
 // Ending tells how a drained listener was closed.
@@ -38,7 +42,7 @@
 }
 
 // Ending returns how the listener was closed; nil before.
-func (l *Listener) Ending() *Ending { return l.closing.Load() }
+func (l *Listener) Ending() *Ending { return l.ending.Load() }
 
 // New wraps a listener.
 func New(l net.Listener) *Listener { return &Listener{Listener: l, drained: make(chan struct{})} }
@@ -62,9 +66,9 @@
 			return nil, err
 		case !l.accepted.Swap(false) && !sockopt.Waiting(l.Listener):
 			// The deadline alone doesn't say that nothing came: this process may have had no
-			// processor meanwhile.
-			now := time.Now()
-			l.looked.Store(&now)
+			// processor meanwhile. What comes between the look and the close is reset, so that
+			// nothing stands between them.
+			l.close(time.Now())
 			l.end()
 			return nil, net.ErrClosed
 		}
@@ -72,6 +76,20 @@
 	}
 }
 
+// close closes the listener, once, and notes what that resets. looked is when no connection was
+// waiting; zero where nobody has looked.
+func (l *Listener) close(looked time.Time) {
+	l.closing.Do(func() {
+		e := new(Ending)
+		if !looked.IsZero() {
+			e.SinceLook = time.Since(looked)
+		}
+		e.Waiting, _ = sockopt.Backlog(l.Listener) // 0 where it isn't known
+		l.closeErr = l.Listener.Close()
+		l.ending.Store(e)
+	})
+}
+
 // arm gives Accept its next deadline.
 func (l *Listener) arm() {
 	if d, ok := l.Listener.(deadliner); ok {
@@ -97,18 +115,8 @@
 		case <-ctx.Done():
 		}
 	}
-	l.noteEnding()
-	return l.Listener.Close()
-}
-
-// noteEnding notes what a close is about to reset.
-func (l *Listener) noteEnding() {
-	e := new(Ending)
-	if looked := l.looked.Load(); looked != nil {
-		e.SinceLook = time.Since(*looked)
-	}
-	e.Waiting, _ = sockopt.Backlog(l.Listener) // 0 where it isn't known
-	l.closing.CompareAndSwap(nil, e)
+	l.close(time.Time{})
+	return l.closeErr
 }
 
 // Error reports an address that can't be listened on.
