Take what waits at the end of a listener's time to drain

What callers saw: connections to a leaving node that were reset at the end of its grace time although they, and their requests, had waited before it: a node whose callers never stop connecting, and that has little processor time, has such a queue at any moment.

Cause: at the end of its time a drained listener was closed without a look. The test fails before: none of 50 waiting connections is taken.

--- a/transport/listen/ending_test.go
+++ b/transport/listen/ending_test.go
@@ -28,3 +28,16 @@
 	must.Eq(t, 0, l.Ending().Waiting)
 	must.Positive(t, l.Ending().SinceLook)
 }
+
+// Guards against connections that are reset at the end of the time to drain although they have waited
+// before it.
+func TestConnectionsThatWaitAtTheEndOfADrainAreTaken(t *testing.T) {
+	l, _ := waiting(t, 50)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	done := make(chan int, 1)
+	go serve(l, done)
+	must.NoError(t, l.Drain(ctx))
+	must.Eq(t, 50, <-done)
+	must.Eq(t, 0, l.Ending().Waiting)
+}
--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -15,14 +15,21 @@
 	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
-// quiet is how long nothing must arrive before a draining listener is closed: callers that
-// still come do so more often, and one that comes as it is closed is reset.
-const quiet = 50 * time.Millisecond
+const (
+	// quiet is how long nothing must arrive before a draining listener is closed: callers that
+	// still come do so more often, and one that comes as it is closed is reset.
+	quiet = 50 * time.Millisecond
+	// lastLook is the time between two looks whether connections still wait at the end of a
+	// drain's time, and lastWait bounds how long those are taken.
+	lastLook = time.Millisecond
+	lastWait = 200 * time.Millisecond
+)
 
 // Listener is a listener that can be drained. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
 	draining atomic.Bool
+	last     atomic.Bool // the time to drain is over
 	accepted atomic.Bool // since the deadline was set
 	drained  chan struct{}
 	ended    atomic.Bool
@@ -64,7 +71,7 @@
 			return nil, err
 		case !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
-		case !l.accepted.Swap(false) && !sockopt.Waiting(l.Listener):
+		case (l.last.Load() || !l.accepted.Swap(false)) && !sockopt.Waiting(l.Listener):
 			// The deadline alone doesn't say that nothing came: this process may have had no
 			// processor meanwhile. What comes between the look and the close is reset, so that
 			// nothing stands between them.
@@ -92,8 +99,12 @@
 
 // arm gives Accept its next deadline.
 func (l *Listener) arm() {
+	wait := quiet
+	if l.last.Load() {
+		wait = lastLook
+	}
 	if d, ok := l.Listener.(deadliner); ok {
-		_ = d.SetDeadline(time.Now().Add(quiet)) // Accept reports a closed listener
+		_ = d.SetDeadline(time.Now().Add(wait)) // Accept reports a closed listener
 	}
 }
 
@@ -105,7 +116,7 @@
 }
 
 // Drain lets Accept take every connection that waits and then closes the
-// listener, at the latest when ctx ends: callers may go on connecting for ever.
+// listener. When ctx ends it takes those that wait then: callers may go on connecting for ever.
 // Somebody must go on calling Accept until it fails.
 func (l *Listener) Drain(ctx context.Context) error {
 	if _, ok := l.Listener.(deadliner); ok && l.draining.CompareAndSwap(false, true) {
@@ -113,12 +124,25 @@
 		select {
 		case <-l.drained:
 		case <-ctx.Done():
+			l.drainLast()
 		}
 	}
 	l.close(time.Time{})
 	return l.closeErr
 }
 
+// drainLast waits until no connection waits, for lastWait at most.
+func (l *Listener) drainLast() {
+	l.last.Store(true)
+	l.arm()
+	t := time.NewTimer(lastWait)
+	defer t.Stop()
+	select {
+	case <-l.drained:
+	case <-t.C:
+	}
+}
+
 // Error reports an address that can't be listened on.
 type Error struct {
 	// Name is the name of the setting.
