--- a/cmd/jacinthgate-soak/main.go
+++ b/cmd/jacinthgate-soak/main.go
@@ -122,6 +122,7 @@
 	seeds   int
 	callers int
 	share   float64
+	keep    bool
 	bin     string
 	dir     string
 }
@@ -140,6 +141,7 @@
 	f.IntVar(&c.seeds, "seeds", 1, "number of seeds, counted up from the first")
 	f.IntVar(&c.callers, "callers", soak.CallersPerNode, "number of callers beside each node")
 	f.Float64Var(&c.share, "share", 0, "part of a core that each node may use in each tenth of a second; 0 is no bound")
+	f.BoolVar(&c.keep, "keep", false, "keep the logs of seeds that broke no promise too")
 	f.StringVar(&c.bin, "bin", "bin", "`folder` with the programs")
 	f.StringVar(&c.dir, "dir", "", "`folder` for settings and logs; empty takes one that is removed when nothing broke")
 }
@@ -179,7 +181,11 @@
 	if r.Periods > 0 {
 		fmt.Printf("  %d of %d periods were cut short\n", r.Throttled, r.Periods)
 	}
-	if len(r.Violations) == 0 {
+	switch {
+	case len(r.Violations) == 0 && c.keep:
+		fmt.Printf("  logs: %s\n", dir)
+		return false, nil
+	case len(r.Violations) == 0:
 		return false, os.RemoveAll(dir)
 	}
 	for _, v := range r.Violations {
--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	// quiet is how long nothing must arrive before a draining listener is closed: callers that
-	// still come do so more often, and one that comes as it is closed is reset.
-	quiet = 50 * time.Millisecond
+	// quiet is how long nothing must arrive before a draining listener is closed.
+	quiet = 5 * time.Millisecond
 	// lastLook is the time between two looks whether connections still wait at the end of a
 	// drain's time, and lastWait bounds how long those are taken.
 	lastLook = time.Millisecond
