--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// Close implements net.Listener. Closing it again does nothing: the server that accepts from it does
+// so as well.
+func (l *Listener) Close() error {
+	l.close(time.Time{})
+	return l.closeErr
+}
+
 // close closes the listener, once, and notes what that resets. looked is when no connection was
 // waiting; zero where nobody has looked.
 func (l *Listener) close(looked time.Time) {
@@ -118,6 +125,9 @@
 // listener. When ctx ends it takes those that wait then: callers may go on connecting for ever.
 // Somebody must go on calling Accept until it fails.
 func (l *Listener) Drain(ctx context.Context) error {
+	if l.Ending() != nil {
+		return net.ErrClosed
+	}
 	if _, ok := l.Listener.(deadliner); ok && l.draining.CompareAndSwap(false, true) {
 		l.arm()
 		select {
@@ -126,8 +136,7 @@
 			l.drainLast()
 		}
 	}
-	l.close(time.Time{})
-	return l.closeErr
+	return l.Close()
 }
 
 // drainLast waits until no connection waits, for lastWait at most.
--- a/transport/listen/look_test.go
+++ b/transport/listen/look_test.go
@@ -36,3 +36,13 @@
 		must.NoError(t, <-drained)
 	}
 }
+
+// Guards against a shutdown that reports a failure since the listener was closed twice.
+func TestClosingADrainedListenerAgainIsNoFailure(t *testing.T) {
+	l, _ := waiting(t, 0)
+	done := make(chan int, 1)
+	go serve(l, done)
+	must.NoError(t, l.Drain(t.Context()))
+	must.NoError(t, l.Close())
+	<-done
+}
