Tell callers that left from answers that were cut, in the log

A write that fails since the caller is gone now counts as that, and cancels what else the caller waited for. bytes_unsent no longer counts the end of the connection as a byte. The test fails before.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -185,6 +185,9 @@
 func (c *conn) answer(x *exchange) {
 	defer c.answered(x)
 	if x.whole = c.respond(x); !x.whole {
+		if x.w.callerGone() {
+			c.callerLeft()
+		}
 		c.breakOff(x)
 		return
 	}
--- a/transport/callers/cut.go
+++ b/transport/callers/cut.go
@@ -122,9 +122,14 @@
 	_ = c.server.cfg.Logger.Log("event", "bytes_unread", "remote", c.raw.RemoteAddr().String(), "bytes", bytes)
 }
 
-// noteUnsent notes what the caller hasn't taken of the last answers.
+// endBytes is what the end of a connection counts as in the kernel's queue.
+const endBytes = 1
+
+// noteUnsent notes what the caller hasn't taken of the last answers, behind which the end of the
+// connection was sent.
 func (c *conn) noteUnsent() {
-	if unsent, ok := sockopt.Unsent(c.raw); ok && unsent > 0 {
+	untaken, _ := sockopt.Unsent(c.raw) // 0 where it isn't known
+	if unsent := untaken - endBytes; unsent > 0 {
 		_ = c.server.cfg.Logger.Log("event", "bytes_unsent", "remote", c.raw.RemoteAddr().String(), "bytes", unsent)
 	}
 }
--- a/transport/callers/cut_test.go
+++ b/transport/callers/cut_test.go
@@ -1,7 +1,11 @@
 package callers
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
+	"syscall"
 	"testing"
 
 	"github.com/go-kit/log"
@@ -55,3 +59,22 @@
 	}
 	return found == n
 }
+
+// resetConn is a connection whose caller has closed it.
+type resetConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (resetConn) Write([]byte) (int, error) { return 0, &net.OpError{Op: "write", Err: syscall.ECONNRESET} }
+
+// Guards against callers that have left and are logged as answers that a node cut.
+func TestAnswerThatItsCallerHasLeftIsNotLoggedAsCut(t *testing.T) {
+	s, _ := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	out := new(lines)
+	s.cfg.Logger = log.NewLogfmtLogger(log.NewSyncWriter(out))
+	c, caller, _ := accepted(t, s)
+	c.bw = bufio.NewWriter(resetConn{c.raw})
+	send(t, caller, get("/"))
+	c.serve()
+	must.Eq(t, 1, s.cfg.Metrics.GetOrCreateCounter(`jacinthgate_callers_cut_total{cause="caller-left"}`).Get())
+	must.False(t, out.contains("event=request_cut"))
+}
--- a/transport/callers/response.go
+++ b/transport/callers/response.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -216,6 +217,18 @@
 	return w.x.conn.bw.Flush()
 }
 
+// callerGone reports whether writing the response has failed since its caller had closed the
+// connection.
+func (w *response) callerGone() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.begun.Load() {
+		return false // nothing was written
+	}
+	_, err := w.x.conn.bw.Write(nil) // the first error of the writer
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // EnableFullDuplex implements what http.ResponseController looks for: responses
 // never wait for the request's body here.
 func (w *response) EnableFullDuplex() error { return nil }
