Notice a caller that leaves while its requests wait

What callers and backend servers saw: a caller that closed its connection while a request on it waited for those before it, or for a place, was not noticed, and what was under way went on for nothing, for up to the time of its answers.

Cause: a connection's end shows only where it is read, and the goroutine that reads it waits with the request.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -105,15 +105,9 @@
 func (c *conn) start(x *exchange) bool {
 	ahead := x.req.Method == http.MethodGet || x.req.Method == http.MethodHead
 	if !ahead || x.hasBody() || c.mayBreakOff() {
-		<-x.before
-	}
-	select {
-	case c.slots <- struct{}{}:
-	case <-c.ctx.Done():
-		<-x.before
-		return false
+		c.awaitTurn(x)
 	}
-	if !c.admit(x) {
+	if !c.takeSlot() || !c.admit(x) {
 		<-x.before
 		return false
 	}
--- a/transport/callers/cut_test.go
+++ b/transport/callers/cut_test.go
@@ -64,7 +64,9 @@
 type resetConn struct{ net.Conn }
 
 // Write implements net.Conn.
-func (resetConn) Write([]byte) (int, error) { return 0, &net.OpError{Op: "write", Err: syscall.ECONNRESET} }
+func (resetConn) Write([]byte) (int, error) {
+	return 0, &net.OpError{Op: "write", Err: syscall.ECONNRESET}
+}
 
 // Guards against callers that have left and are logged as answers that a node cut.
 func TestAnswerThatItsCallerHasLeftIsNotLoggedAsCut(t *testing.T) {
