--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -38,10 +38,17 @@
 		"places":        NewEvacuationPlan(4, 6, 6*time.Second),
 		"ahead":         NewAheadPlan(10, 4, 6*time.Second, true),
 		"ahead planned": NewAheadPlan(26, 4, 6*time.Second, false),
+		// Seeds 3 and 4 lost answers to callers that take them slowly.
+		"habits planned": NewHabitPlan(3, 4, 6*time.Second, false),
+		"habits":         NewHabitPlan(4, 4, 6*time.Second, true),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			r, err := Run(t.Context(), Config{Bin: bin, Dir: t.TempDir(), Plan: plan, Callers: CallersPerNode})
+			callers := CallersPerNode
+			if plan.Habits {
+				callers = int(habitCount)
+			}
+			r, err := Run(t.Context(), Config{Bin: bin, Dir: t.TempDir(), Plan: plan, Callers: callers})
 			must.NoError(t, err)
 			must.SliceEmpty(t, r.Violations, must.Sprint(r.Violations, "\n", plan))
 			must.Positive(t, r.Served)
