--- a/internal/rules/imports_test.go
+++ b/internal/rules/imports_test.go
@@ -68,7 +68,7 @@
 
 // tools are the folders that serve tests, trials and measurements only.
 var tools = []string{"internal/standin", "platform/platformtest", "internal/fleet", "internal/measure", "internal/load", "internal/demo",
-	"internal/process", "internal/soak",
+	"internal/process", "internal/soak", "transport/transporttest",
 }
 
 func TestProductImportsNoTools(t *testing.T) {
--- a/internal/soak/ahead_test.go
+++ b/internal/soak/ahead_test.go
@@ -21,17 +21,27 @@
 	must.SliceEmpty(t, h.Violations())
 }
 
+// drawn returns the faults that plans of twenty seeds have. The same seed gives the same plan.
+func drawn(t *testing.T, plan func(seed uint64) Plan) map[Fault]bool {
+	t.Helper()
+	seen := make(map[Fault]bool)
+	for seed := range uint64(20) {
+		p := plan(seed)
+		must.Eq(t, p.String(), plan(seed).String())
+		for _, s := range p.Steps {
+			seen[s.Fault] = true
+		}
+	}
+	return seen
+}
+
 func TestAheadPlansBreakOffOnlyWhereAsked(t *testing.T) {
 	for _, breaks := range []bool{true, false} {
-		seen := make(map[Fault]bool)
-		for seed := range uint64(20) {
+		seen := drawn(t, func(seed uint64) Plan {
 			p := NewAheadPlan(seed, 4, time.Minute, breaks)
 			must.True(t, p.Ahead)
-			must.Eq(t, p.String(), NewAheadPlan(seed, 4, time.Minute, breaks).String())
-			for _, s := range p.Steps {
-				seen[s.Fault] = true
-			}
-		}
+			return p
+		})
 		must.Eq(t, breaks, seen[FaultBreakOff])
 		for _, f := range pipelined {
 			must.True(t, seen[f], must.Sprint(f, "is never drawn"))
--- a/internal/soak/habits_test.go
+++ b/internal/soak/habits_test.go
@@ -13,15 +13,11 @@
 
 func TestHabitPlansHaveFaultsOfBackendServersOnlyWhereAsked(t *testing.T) {
 	for _, faults := range []bool{true, false} {
-		seen := make(map[Fault]bool)
-		for seed := range uint64(20) {
+		seen := drawn(t, func(seed uint64) Plan {
 			p := NewHabitPlan(seed, 4, time.Minute, faults)
 			must.True(t, p.Habits)
-			must.Eq(t, p.String(), NewHabitPlan(seed, 4, time.Minute, faults).String())
-			for _, s := range p.Steps {
-				seen[s.Fault] = true
-			}
-		}
+			return p
+		})
 		must.Eq(t, faults, seen[FaultBreakOff])
 		for _, f := range habitualPlanned {
 			must.True(t, seen[f], must.Sprint(f, "is never drawn"))
--- a/transport/forward/unread_test.go
+++ b/transport/forward/unread_test.go
@@ -9,22 +9,9 @@
 	"testing/synctest"
 
 	"github.com/shoenig/test/must"
-)
-
-// single is a listener with one connection.
-type single struct{ conn net.Conn }
-
-func (l *single) Accept() (net.Conn, error) {
-	c := l.conn
-	l.conn = nil
-	if c == nil {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
 
-func (l *single) Close() error   { return nil }
-func (l *single) Addr() net.Addr { return &net.TCPAddr{} }
+	"github.com/jacinthgate/jacinthgate/transport/transporttest"
+)
 
 // The next request on a connection must not be lost for one that was answered before its body was
 // read, unless the answer says that the connection ends.
@@ -37,7 +24,7 @@
 				NewStreamBody(w, r)
 				w.WriteHeader(http.StatusServiceUnavailable)
 			})
-			_ = (&http.Server{Handler: refuse}).Serve(&single{accepted})
+			_ = (&http.Server{Handler: refuse}).Serve(transporttest.SingleListener(accepted))
 			answers := bufio.NewReader(caller)
 			for _, request := range []string{"POST / HTTP/1.1\r\nHost: h\r\n" + framing, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"} {
 				_, err := io.WriteString(caller, request)
--- a/transport/gate/cut_test.go
+++ b/transport/gate/cut_test.go
@@ -8,22 +8,9 @@
 	"testing/synctest"
 
 	"github.com/shoenig/test/must"
-)
-
-// single is a listener with one connection.
-type single struct{ conn net.Conn }
 
-func (l *single) Accept() (net.Conn, error) {
-	c := l.conn
-	l.conn = nil
-	if c == nil {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
-
-func (l *single) Close() error   { return nil }
-func (l *single) Addr() net.Addr { return &net.TCPAddr{} }
+	"github.com/jacinthgate/jacinthgate/transport/transporttest"
+)
 
 // An entry node that waits for the rest of a caller's body must be told that the answer broke off.
 func TestBrokenAnswerEndsItsConnectionWhileTheBodyIsBeingSent(t *testing.T) {
@@ -37,7 +24,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		entry, accepted := net.Pipe()
 		defer entry.Close()
-		_ = (&http.Server{Handler: g}).Serve(&single{accepted})
+		_ = (&http.Server{Handler: g}).Serve(transporttest.SingleListener(accepted))
 		ended := false
 		go func() {
 			_, _ = io.Copy(io.Discard, entry)
--- a/transport/inbound/unread_test.go
+++ b/transport/inbound/unread_test.go
@@ -12,30 +12,16 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
+	"github.com/jacinthgate/jacinthgate/transport/transporttest"
 )
 
-// single is a listener with one connection.
-type single struct{ conn net.Conn }
-
-func (l *single) Accept() (net.Conn, error) {
-	c := l.conn
-	l.conn = nil
-	if c == nil {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
-
-func (l *single) Close() error   { return nil }
-func (l *single) Addr() net.Addr { return &net.TCPAddr{} }
-
 // A refused request whose body was not read must not end the connection under the next one.
 func TestRefusedBodyDoesNotEndTheConnectionOfTheNextRequest(t *testing.T) {
 	g, _ := newGate(t, attempt.NewRuns(), 0, nil)
 	synctest.Test(t, func(t *testing.T) {
 		entry, accepted := net.Pipe()
 		defer entry.Close()
-		_ = (&http.Server{Handler: g}).Serve(&single{accepted})
+		_ = (&http.Server{Handler: g}).Serve(transporttest.SingleListener(accepted))
 		answers := bufio.NewReader(entry)
 		body := strings.Repeat("x", maxKept+1)
 		for _, request := range []string{
