Receive the bodies of uploads one after the other, and ask before each

Cause: up to six bodies at a time came to a host over a link of 10 Mbit/s, each with a window of bytes on its way, and every small request waits behind all of them. Bodies of up to 48 KB were sent with the head, and to each further gate where one refused.

An entry node asks before any body over 8 KB. A gate gives one upload after the other a turn, before its slot, and refuses at once what can't be received in time by the link's rate. A turn ends with the body, or after 0.3 s where a sender has stopped. Only routes of kind upload are touched.

--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -92,6 +92,7 @@
 		Dialect:     speech,
 		Backend:     forward.NewClient(toBackend),
 		Lane:        pace.New(pace.DefaultConfig(n.set.linkBits())),
+		Uploads:     pace.New(pace.DefaultConfig(n.set.linkBits())),
 		DrainGrace:  n.set.drain() / drainPart,
 		AnswerGrace: answerGrace,
 		Runs:        runs,
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -17,8 +17,13 @@
 	state atomic.Int32
 	// reading is held while the body is read.
 	reading sync.Mutex
+	onRead  func(bytes int, ended bool) // nil for nothing
 }
 
+// OnRead lets f be told of each piece of the body that is read, in bytes, and whether it was the last
+// or the body can't be read on. It is set before the body is read.
+func (s *StreamBody) OnRead(f func(bytes int, ended bool)) { s.onRead = f }
+
 // States of a StreamBody.
 const (
 	streamUntouched = iota
@@ -54,7 +59,11 @@
 	if !s.state.CompareAndSwap(streamUntouched, streamRead) && s.state.Load() == streamReclaimed {
 		return 0, http.ErrBodyReadAfterClose
 	}
-	return s.body.Read(p)
+	n, err := s.body.Read(p)
+	if s.onRead != nil {
+		s.onRead(n, err != nil)
+	}
+	return n, err
 }
 
 // Close implements io.Closer.
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -50,8 +50,8 @@
 	Dialect dialect.Dialect
 	// Backend sends to the backend server.
 	Backend *forward.Client
-	// Lane paces large answers to other nodes.
-	Lane *pace.Lane
+	// Lane paces large answers to other nodes, and Uploads admits the bodies of uploads from them.
+	Lane, Uploads *pace.Lane
 	// DrainGrace is how long a leaving backend server still takes requests that
 	// other nodes have sent before they knew.
 	DrainGrace time.Duration
@@ -97,7 +97,9 @@
 	held atomic.Int64
 	// sending bounds the large answers that are sent at one time.
 	sending chan struct{}
-	crashes *crash.Observer
+	// receiving holds the upload whose body is received.
+	receiving chan struct{}
+	crashes   *crash.Observer
 	// unreadable counts the loads of the backend server that can't be read.
 	unreadable *metrics.Counter
 }
@@ -107,7 +109,7 @@
 	if cfg.Details == nil {
 		cfg.Details = cfg.Logger
 	}
-	g := &Gate{cfg: cfg, core: core.New(), sending: make(chan struct{}, maxSending)}
+	g := &Gate{cfg: cfg, core: core.New(), sending: make(chan struct{}, maxSending), receiving: make(chan struct{}, 1)}
 	g.crashes = crash.New(crash.Config{
 		Suspects:  cfg.Suspects,
 		Crashed:   cfg.Crashed,
@@ -190,6 +192,13 @@
 	in := forward.NewRequest(r.Context(), r, "http", "", body, r.ContentLength)
 	if in.Header[outcome.HeaderAsked] != nil {
 		delete(in.Header, "Expect") // reading the body sends 100 Continue
+		t := g.awaitTurn(r)
+		if t == nil {
+			_ = forward.Relay(w, g.refuse(in, outcome.ReasonQueueFull, false)) // the entry node has left
+			return
+		}
+		defer t.done()
+		t.follow(stream, g.cfg.Now)
 	}
 	serve := g.serveSmall
 	if isBulk(in.Header) {
--- a/transport/inbound/repeat_test.go
+++ b/transport/inbound/repeat_test.go
@@ -50,6 +50,7 @@
 		Dialect:     plain{},
 		Backend:     forward.NewClient(forward.DefaultClientConfig()),
 		Lane:        pace.New(pace.DefaultConfig(1e6)),
+		Uploads:     pace.New(pace.DefaultConfig(1e6)),
 		Runs:        runs,
 		Strain:      func(time.Time) attempt.Strain { return strain },
 		Suspects:    func() *suspect.View { return nil },
--- a/transport/outbound/body.go
+++ b/transport/outbound/body.go
@@ -86,6 +86,10 @@
 	askedValue  = []string{"1"}
 )
 
+// asksFirst reports whether a gate is asked before the body is sent to it: what a gate refuses
+// would else have taken its host's link. A short one costs less than the asking.
+func (b *requestBody) asksFirst() bool { return !b.kept() || len(b.whole) > forward.PieceBytes }
+
 // expectContinue makes the body wait until the gate has a slot. A request that the gate refuses
 // has then cost no bytes and can be sent elsewhere, since none of its body is consumed.
 func (x *exchange) expectContinue(h http.Header) {
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -244,7 +244,7 @@
 	if x.mayGoElsewhere(to, now) {
 		h[outcome.HeaderElsewhere] = elsewhereValue
 	}
-	if x.route.Kind == model.KindUpload && !x.body.kept() && to.Node != x.p.cfg.Self {
+	if x.route.Kind == model.KindUpload && x.body.asksFirst() && to.Node != x.p.cfg.Self {
 		x.expectContinue(h)
 	}
 	if x.route.Kind == model.KindBulk {
