Let nothing into a cold backend server before its rate is known

A gate without a configuration set no bound, and other nodes sent as before.

Where the settings bound cold backend servers, a gate without a configuration refuses what is for a cold one, as not run.

--- a/internal/sidecar/cold.go
+++ b/internal/sidecar/cold.go
@@ -29,6 +29,10 @@
 	return now.Before(i.WarmAt) && p.serviceConfig(i.Service).ColdPerSecond > 0
 }
 
+// coldUnknown reports whether the settings bound the requests to cold backend servers, and no
+// configuration is held yet that tells their rate.
+func (n *Node) coldUnknown() bool { return n.set.Cold.Over > 0 && n.pub.table.Load() == nil }
+
 // announceCold tells the fleet when the backend server has become cold or warm.
 func (l *loop) announceCold(now time.Time) {
 	i := l.backends.reachable()
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -87,6 +87,7 @@
 		Instance:    n.pub.instance.Load,
 		Service:     n.pub.serviceConfig,
 		Cold:        n.set.Cold.limits,
+		ColdUnknown: n.coldUnknown,
 		Evacuated:   n.ownZoneEvacuated,
 		Weight:      n.weight,
 		Dialect:     speech,
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -40,6 +40,8 @@
 		return c, outcome.ReasonEvacuated
 	case g.withdrawn(i):
 		return c, outcome.ReasonWithdrawn
+	case now.Before(i.WarmAt) && g.cfg.ColdUnknown():
+		return c, outcome.ReasonNotReady // any request may be one too many
 	}
 	if !g.read(&c, req, now) {
 		return c, outcome.ReasonMalformed
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -40,6 +40,8 @@
 	// Cold returns the limits of a backend server that is cold until a time and can handle
 	// perSecond requests per second meanwhile.
 	Cold func(perSecond float64, until time.Time) core.ColdLimits
+	// ColdUnknown reports whether it isn't known yet how much a cold backend server can handle.
+	ColdUnknown func() bool
 	// Evacuated reports whether requests are refused because the availability zone is
 	// evacuated.
 	Evacuated func() bool
--- a/transport/inbound/repeat_test.go
+++ b/transport/inbound/repeat_test.go
@@ -46,6 +46,7 @@
 		Instance:    func() *instance.Instance { return i },
 		Service:     func(string) route.Service { return route.Service{} },
 		Cold:        func(float64, time.Time) core.ColdLimits { return core.ColdLimits{} },
+		ColdUnknown: func() bool { return false },
 		Evacuated:   func() bool { return false },
 		Dialect:     plain{},
 		Backend:     forward.NewClient(forward.DefaultClientConfig()),
