--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -50,6 +50,8 @@
 		}
 		// One that was sent after the answers before it stands behind nothing.
 		r.Behind = i > 0 && (batch[i-1].Status == 0 || !batch[i-1].Done.Before(r.Sent))
+		// A caller that waits no longer for an answer looks for none behind it.
+		r.GaveUp = r.GaveUp || i > 0 && batch[i-1].GaveUp
 	}
 	if c.fresh {
 		c.close()
--- a/internal/soak/habits_test.go
+++ b/internal/soak/habits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -38,6 +39,27 @@
 	must.False(t, batch[1].Behind)
 }
 
+// Guards against a check that blames a node for answers which its caller never looked for.
+func TestCallerThatWaitsNoLongerLooksForNoAnswerBehind(t *testing.T) {
+	from := &caller{addr: silentNode(t)}
+	batch := []*Request{
+		{ID: "a", Method: http.MethodGet, Path: "/status/a", Wait: 20 * time.Millisecond},
+		{ID: "b", Method: http.MethodGet, Path: "/status/b", Wait: 20 * time.Millisecond},
+	}
+	from.exchange(batch...)
+	must.True(t, batch[0].GaveUp)
+	must.True(t, batch[1].GaveUp)
+}
+
+// silentNode returns the address of a node that takes connections and says nothing.
+func silentNode(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, ln.Close()) })
+	return ln.Addr().String()
+}
+
 func TestCallerThatLeavesIsNoted(t *testing.T) {
 	from := nodeThatWrites(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
 	from.leaveAfter = 30 * time.Millisecond
