--- a/transport/inbound/receive.go
+++ b/transport/inbound/receive.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	defer cancel()
 	select {
-	case g.receiving <- struct{}{}:
+	case g.receiving <- struct{}{}: // also where there is no time to wait
 	default:
 		select {
 		case g.receiving <- struct{}{}:
