--- a/internal/soak/habits.go
+++ b/internal/soak/habits.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -68,43 +67,54 @@
 
 // habitBatch draws the requests that a caller sends behind one another.
 func (c *callers) habitBatch(rng *rand.Rand, from *caller, n *node, number int) []*Request {
-	request := func(number int, method, prefix, suffix string) *Request {
-		r := c.newRequest(n, number, method, fmt.Sprintf("%s%s%s", prefix, requestID(number), suffix), method == http.MethodGet)
-		r.Due = dueFor(r.Path)
-		if from.habit == habitSlow {
-			r.Wait = slowWait
-		}
-		if r.BodyBytes > 0 {
-			r.BodyBytes = 1 + rng.IntN(bookBody)
-		}
-		return r
-	}
 	switch from.habit {
+	case habitPipeline:
+		return c.pipelineBatch(rng, n, number, "", mostGap, callerWait)
+	case habitSlow:
+		return c.pipelineBatch(rng, n, number, largeSuffix, slowestGap, slowWait)
 	case habitFresh:
-		r := request(number, http.MethodPost, "/book/", "")
+		r := c.bookRequest(rng, n, number)
 		r.Closes = number%2 == 0
 		return []*Request{r}
 	case habitPool, habitLeave:
 		if rng.IntN(2) == 0 {
-			return []*Request{request(number, http.MethodPost, "/book/", "")}
+			return []*Request{c.bookRequest(rng, n, number)}
 		}
-		r := request(number, http.MethodGet, slowPrefix, "")
+		r := c.habitRequest(n, number, http.MethodGet, slowPrefix, "")
 		r.Wait = slowWait
 		return []*Request{r}
 	}
-	suffix, gap := "", mostGap
-	if from.habit == habitSlow {
-		suffix, gap = largeSuffix, slowestGap
-	}
-	batch := []*Request{request(number, http.MethodGet, "/status/", suffix)}
+	return nil // there is no other habit
+}
+
+// pipelineBatch draws requests of one route, the first for a path with a suffix, up to gap apart.
+func (c *callers) pipelineBatch(rng *rand.Rand, n *node, number int, suffix string, gap, patience time.Duration) []*Request {
+	batch := []*Request{c.habitRequest(n, number, http.MethodGet, "/status/", suffix)}
 	for range rng.IntN(pipelineMost + 1) {
-		r := request(c.number(), http.MethodGet, "/status/", "")
+		r := c.habitRequest(n, c.number(), http.MethodGet, "/status/", "")
 		r.Gap = time.Duration(rng.Float64() * float64(gap))
 		batch = append(batch, r)
 	}
+	for _, r := range batch {
+		r.Wait = patience
+	}
 	return batch
 }
 
+// bookRequest draws a request with a body.
+func (c *callers) bookRequest(rng *rand.Rand, n *node, number int) *Request {
+	r := c.habitRequest(n, number, http.MethodPost, "/book/", "")
+	r.BodyBytes = 1 + rng.IntN(bookBody)
+	return r
+}
+
+// habitRequest returns the request of a number.
+func (c *callers) habitRequest(n *node, number int, method, prefix, suffix string) *Request {
+	r := c.newRequest(n, number, method, prefix+requestID(number)+suffix, method == http.MethodGet)
+	r.Due = dueFor(r.Path)
+	return r
+}
+
 // slowConn is a connection whose caller takes what comes slowly.
 type slowConn struct{ net.Conn }
 
