Let one piece of the soak serve where it was written again

Callers of all habits closed their connection where caller.fresh does so, drew their pause and a request's due time as those that send ahead do, and a killed node was looked for by the time window that History.during has. The two faults that are counted while they last share the counting. The draws, checks and tests stay as they were.

--- a/internal/soak/ahead.go
+++ b/internal/soak/ahead.go
@@ -90,10 +90,22 @@
 	}
 	from.exchange(batch...)
 	c.keep(batch...)
+	return pauseBehind(rng, batch[0])
+}
+
+// pauseBehind draws how long a caller pauses behind requests of which first is the first.
+func pauseBehind(rng *rand.Rand, first *Request) time.Duration {
 	if rng.Float64() < idleShare {
 		return idlePause
 	}
-	return max(callerPause, min(batch[0].After, batch[0].Wait/3))
+	return first.pause()
+}
+
+// dueRequest returns the request of a number for a path, with the time in which its route answers.
+func (c *callers) dueRequest(n *node, number int, method, path string) *Request {
+	r := c.newRequest(n, number, method, path, method == http.MethodGet)
+	r.Due = dueFor(path)
+	return r
 }
 
 // drawRequest draws a request: every second is slow among the first of those behind one another,
@@ -115,8 +127,7 @@
 	if rng.Float64() < largeShare {
 		path += largeSuffix
 	}
-	r := c.newRequest(n, number, method, path, method == http.MethodGet)
-	r.Due = dueFor(path)
+	r := c.dueRequest(n, number, method, path)
 	if prefix == slowPrefix {
 		r.Wait = slowWait
 	}
--- a/internal/soak/breaks.go
+++ b/internal/soak/breaks.go
@@ -56,7 +56,5 @@
 
 // killed reports whether a request's node was killed around it.
 func (h *History) killed(r *Request) bool {
-	return slices.ContainsFunc(h.Spans, func(s Span) bool {
-		return s.Fault == FaultKill && s.Node == r.Node && !s.From.After(r.Done) && !s.To.Before(r.Sent.Add(-calm))
-	})
+	return slices.ContainsFunc(h.Spans, func(s Span) bool { return s.Fault == FaultKill && s.Node == r.Node && s.around(r) })
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -55,6 +55,7 @@
 			from := n.caller(false)
 			if c.site.cfg.Plan.Habits {
 				from.habit = habit(i % int(habitCount))
+				from.fresh = from.habit == habitFresh
 			}
 			defer from.close()
 			for ctx.Err() == nil {
@@ -86,9 +87,12 @@
 	}
 	from.exchange(batch...)
 	c.keep(batch...)
-	return max(callerPause, min(batch[0].After, batch[0].Wait/3))
+	return batch[0].pause()
 }
 
+// pause returns how long its caller pauses behind a request.
+func (r *Request) pause() time.Duration { return max(callerPause, min(r.After, r.Wait/3)) }
+
 // caller returns a caller beside the node.
 func (n *node) caller(fresh bool) *caller { return &caller{addr: n.addr(portCallers), fresh: fresh} }
 
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -70,16 +71,19 @@
 	case FaultChanges:
 		s.changes(ctx, step)
 	case FaultBreakOff:
-		n.host.behaviours.breaking.Add(1)
-		wait(ctx, step.For)
-		n.host.behaviours.breaking.Add(-1)
+		countFor(ctx, step, n.host.behaviours.breaking)
 	case FaultForget:
-		n.host.behaviours.forgetting.Add(1)
-		wait(ctx, step.For)
-		n.host.behaviours.forgetting.Add(-1)
+		countFor(ctx, step, n.host.behaviours.forgetting)
 	}
 }
 
+// countFor counts a step among the faults of its kind while it lasts.
+func countFor(ctx context.Context, step Step, underWay *atomic.Int32) {
+	underWay.Add(1)
+	wait(ctx, step.For)
+	underWay.Add(-1)
+}
+
 // deadlyEvery is the time between two attempts of callers for what ends backend servers.
 const deadlyEvery = 100 * time.Millisecond
 
--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -74,7 +74,10 @@
 
 // during reports whether a fault was under way around a request.
 func (h *History) during(r *Request, is func(Fault) bool) bool {
-	return slices.ContainsFunc(h.Spans, func(s Span) bool {
-		return is(s.Fault) && !s.From.After(r.Done) && !s.To.Before(r.Sent.Add(-calm))
-	})
+	return slices.ContainsFunc(h.Spans, func(s Span) bool { return is(s.Fault) && s.around(r) })
+}
+
+// around reports whether a disturbance was under way around a request.
+func (s *Span) around(r *Request) bool {
+	return !s.From.After(r.Done) && !s.To.Before(r.Sent.Add(-calm))
 }
--- a/internal/soak/habits.go
+++ b/internal/soak/habits.go
@@ -55,14 +55,8 @@
 	}
 	from.exchange(batch...)
 	from.leaveAfter = 0
-	if from.habit == habitFresh {
-		from.close()
-	}
 	c.keep(batch...)
-	if rng.Float64() < idleShare {
-		return idlePause
-	}
-	return max(callerPause, min(batch[0].After, batch[0].Wait/3))
+	return pauseBehind(rng, batch[0])
 }
 
 // habitBatch draws the requests that a caller sends behind one another.
@@ -110,9 +104,7 @@
 
 // habitRequest returns the request of a number.
 func (c *callers) habitRequest(n *node, number int, method, prefix, suffix string) *Request {
-	r := c.newRequest(n, number, method, prefix+requestID(number)+suffix, method == http.MethodGet)
-	r.Due = dueFor(r.Path)
-	return r
+	return c.dueRequest(n, number, method, prefix+requestID(number)+suffix)
 }
 
 // slowConn is a connection whose caller takes what comes slowly.
