Keep the end of a listener in one place

listen.Listener noted its end three times: by a flag with its channel, by the Once of the close, and by what the close found. The close is the end of both, and tells Drain. A one-line wrapper of a turn's ticket is gone.

--- a/transport/inbound/receive.go
+++ b/transport/inbound/receive.go
@@ -63,9 +63,6 @@
 	return t
 }
 
-// received notes a piece of the body.
-func (t *turn) received(now time.Time, bytes int) { t.ticket.Piece(now, bytes) }
-
 // done ends the turn, and gives back what was not received.
 func (t *turn) done() {
 	t.ticket.Done()
@@ -75,7 +72,7 @@
 // follow ends the turn with the body.
 func (t *turn) follow(body *forward.StreamBody, now func() time.Time) {
 	body.OnRead(func(bytes int, ended bool) {
-		t.received(now(), bytes)
+		t.ticket.Piece(now(), bytes)
 		if ended {
 			t.end()
 		}
--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -28,10 +28,9 @@
 type Listener struct {
 	net.Listener
 	draining atomic.Bool
-	last     atomic.Bool // the time to drain is over
-	accepted atomic.Bool // since the deadline was set
-	drained  chan struct{}
-	ended    atomic.Bool
+	last     atomic.Bool   // the time to drain is over
+	accepted atomic.Bool   // since the deadline was set
+	drained  chan struct{} // closed with the listener
 
 	closing  sync.Once
 	closeErr error
@@ -66,7 +65,7 @@
 			l.accepted.Store(true)
 			return c, nil
 		case errors.Is(err, net.ErrClosed):
-			l.end()
+			l.close(time.Time{})
 			return nil, err
 		case !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
@@ -75,7 +74,6 @@
 			// processor meanwhile. What comes between the look and the close is reset, so that
 			// nothing stands between them.
 			l.close(time.Now())
-			l.end()
 			return nil, net.ErrClosed
 		}
 		l.arm()
@@ -100,6 +98,7 @@
 		e.Waiting, _ = sockopt.Backlog(l.Listener) // 0 where it isn't known
 		l.closeErr = l.Listener.Close()
 		l.ending.Store(e)
+		close(l.drained)
 	})
 }
 
@@ -114,13 +113,6 @@
 	}
 }
 
-// end tells Drain that nothing will be accepted any more.
-func (l *Listener) end() {
-	if l.ended.CompareAndSwap(false, true) {
-		close(l.drained)
-	}
-}
-
 // Drain lets Accept take every connection that waits and then closes the
 // listener. When ctx ends it takes those that wait then: callers may go on connecting for ever.
 // Somebody must go on calling Accept until it fails.
