Log and count what backend servers state about themselves in responses

Nothing told whether a response that states a rate limit, or that its server is shutting down, had passed a gate, nor how many requests a gate had sent to its server, so that the hypotheses about the stated limit that nobody keeps could not be told apart. The platform folder parses both statements strictly (text, signs, exponents, NaN, infinities, more than 1e9, several values and empty ones are errors without effect). The gate follows the limit with coordination/serverlimit, which orders responses that arrive on several connections: a stricter statement applies at once, a looser one only if its request was sent after the limit was last confirmed. One log line a second at most for each kind. No decision depends on any of it yet.

--- a/internal/rules/imports_test.go
+++ b/internal/rules/imports_test.go
@@ -29,18 +29,19 @@
 // mayImpure are the packages of the pure layers that run on the path of a
 // request and share state between threads.
 var mayImpure = map[string]string{
-	"coordination/admit":      "sync",
-	"coordination/attempt":    "sync",
-	"coordination/balance":    "sync",
-	"coordination/gate":       "sync",
-	"coordination/pace":       "sync",
-	"coordination/quarantine": "sync",
-	"coordination/quota":      "sync",
-	"coordination/retry":      "sync",
-	"coordination/share":      "sync",
-	"state/endpoint":          "net",
-	"state/snapshot":          "net",
-	"state/model":             "net",
+	"coordination/admit":       "sync",
+	"coordination/attempt":     "sync",
+	"coordination/balance":     "sync",
+	"coordination/gate":        "sync",
+	"coordination/pace":        "sync",
+	"coordination/quarantine":  "sync",
+	"coordination/quota":       "sync",
+	"coordination/retry":       "sync",
+	"coordination/serverlimit": "sync",
+	"coordination/share":       "sync",
+	"state/endpoint":           "net",
+	"state/snapshot":           "net",
+	"state/model":              "net",
 }
 
 func TestLayersImportInOneDirection(t *testing.T) {
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -33,6 +33,15 @@
 	// if the response carries none. An error is typed and doesn't affect the rest of the
 	// response, which remains valid.
 	Load(response Header) (l Load, reported bool, err error)
+	// Limit returns the rate limit that a backend server states in a response, in requests
+	// per second from all hosts together; 0 accepts none. stated is false if the response
+	// states no limit. An error is typed and means that the statement is to be ignored.
+	Limit(response Header) (perSecond float64, stated bool, err error)
+	// Leaving reports whether a backend server states in a response that it is shutting
+	// down. An error is typed and means that the statement is to be ignored.
+	Leaving(response Header) (bool, error)
+	// Signed reports whether a response carries the signature of a backend server.
+	Signed(response Header) bool
 	// Judge derives the request's Verdict from a backend server's response.
 	Judge(status int, response Header) Verdict
 }
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -21,6 +21,7 @@
 	core "github.com/jacinthgate/jacinthgate/coordination/gate"
 	"github.com/jacinthgate/jacinthgate/coordination/pace"
 	"github.com/jacinthgate/jacinthgate/coordination/rollout"
+	"github.com/jacinthgate/jacinthgate/coordination/serverlimit"
 	"github.com/jacinthgate/jacinthgate/protocol/dialect"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/instance"
@@ -105,6 +106,11 @@
 	crashes   *crash.Observer
 	// unreadable counts the backend server's load reports that could not be parsed.
 	unreadable *metrics.Counter
+	// sent counts the requests that were sent to the backend server.
+	sent *metrics.Counter
+	// limit is the rate limit that the backend server states.
+	limit      serverlimit.Tracker
+	statements statementLog
 }
 
 // New returns a gate. It refuses all requests until Update is called.
@@ -125,6 +131,9 @@
 		Now:         cfg.Now,
 	})
 	g.unreadable = cfg.Metrics.GetOrCreateCounter("jacinthgate_inbound_loads_unreadable_total")
+	g.sent = cfg.Metrics.GetOrCreateCounter("jacinthgate_inbound_sent_total")
+	g.statements.unreadable = cfg.Metrics.GetOrCreateCounter("jacinthgate_inbound_statements_unreadable_total")
+	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_stated_limit", g.statedLimit)
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_host_slowdown", g.slowdown)
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots_used", func() float64 { return float64(g.core.Load().Used) })
 	cfg.Metrics.GetOrCreateGauge("jacinthgate_inbound_slots", func() float64 { return float64(g.core.Load().Slots) })
@@ -149,6 +158,7 @@
 	l := core.Limits{Draining: true}
 	now := g.cfg.Now()
 	if i := g.cfg.Instance(); i != nil {
+		g.limit.Begin(i.Key())
 		service := g.cfg.Service(i.Service)
 		l.Slots = i.Slots
 		l.Connections = cmp.Or(service.Connections, i.Slots)
@@ -158,6 +168,7 @@
 	}
 	g.core.Update(l, now)
 	g.core.Tick(now)
+	g.logLimit(now)
 }
 
 // drainGraceOver reports whether the backend server is draining and gets no further
--- a/transport/inbound/repeat_test.go
+++ b/transport/inbound/repeat_test.go
@@ -31,9 +31,14 @@
 	return dialect.Load{}, false, nil
 }
 
+// Limit implements dialect.Dialect: the backend server states no limit.
+func (plainDialect) Limit(dialect.Header) (float64, bool, error) { return 0, false, nil }
+
 func (plainDialect) RequestID(dialect.Header) string           { return "id" }
 func (plainDialect) Mark(dialect.Header, dialect.Marks)        {}
 func (plainDialect) Judge(int, dialect.Header) dialect.Verdict { return dialect.Ran }
+func (plainDialect) Leaving(dialect.Header) (bool, error)      { return false, nil }
+func (plainDialect) Signed(dialect.Header) bool                { return true }
 
 // newGate returns a gate in front of a backend server that runs h.
 func newGate(t *testing.T, runs *attempt.Runs, usage attempt.BudgetUsage, h http.HandlerFunc) (*Gate, *instance.Instance) {
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -42,6 +42,7 @@
 			g.cfg.Runs.End(c.Deadline)
 		}
 	}
+	g.sent.Inc()
 	resp, err := forward.Send(g.cfg.Backend, out, nil)
 	if err != nil {
 		done(0)
@@ -57,6 +58,7 @@
 	switch g.cfg.Dialect.Judge(resp.StatusCode, resp.Header) {
 	case dialect.Ran:
 		h := resp.Header
+		g.observeStatements(c, h, started, true)
 		forward.StripNodeHeaders(h)
 		h[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
 		h[outcome.HeaderReached] = reachedValue
@@ -88,6 +90,7 @@
 		g.cfg.Replaced(c.instance.Key())
 		return g.refuse(req, outcome.ReasonWrongService, true)
 	case dialect.Refused:
+		g.observeStatements(c, resp.Header, started, false)
 		forward.Drain(resp)
 		done(0)
 		g.crashes.Alive(c.run(started))
