--- /dev/null
+++ b/internal/sidecar/statements_test.go
@@ -0,0 +1,181 @@
+package sidecar
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/platform/platformtest"
+)
+
+// headerOrigin names the node where a request of a test begins.
+const headerOrigin = "X-Origin"
+
+// exchange is a request of a test's caller.
+type exchange struct {
+	node, id       string
+	sent, answered time.Time
+	status         int
+	header         http.Header
+}
+
+// statementLoad sends requests at all nodes and records what callers get.
+type statementLoad struct {
+	f       *fleet
+	mu      sync.Mutex
+	all     []exchange
+	callers sync.WaitGroup
+}
+
+// run sends requests at a rate, to each node in turn, for a duration.
+func (l *statementLoad) run(perSecond float64, duration time.Duration) {
+	began := time.Now()
+	for i := range int(perSecond * duration.Seconds()) {
+		time.Sleep(time.Until(began.Add(time.Duration(float64(i) / perSecond * float64(time.Second)))))
+		l.send(l.f.nodes[i%len(l.f.nodes)], i)
+	}
+}
+
+// send sends a request without waiting for its answer.
+func (l *statementLoad) send(m *site, i int) {
+	l.callers.Go(func() {
+		e := exchange{node: string(m.node.set.Node), sent: time.Now()}
+		e.id = fmt.Sprintf("%s-%d-%d", e.node, i, e.sent.UnixNano())
+		method, path := "GET", "/status/x"
+		if i%3 == 0 {
+			method, path = "POST", "/book/x"
+		}
+		resp, err := l.f.try(m, method, path, platformtest.HeaderRequestID, e.id, headerOrigin, e.node)
+		if err == nil {
+			e.status, e.header = resp.StatusCode, resp.Header
+		}
+		e.answered = time.Now()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.all = append(l.all, e)
+	})
+}
+
+// told returns when each node first passed on an answer with a header.
+func (l *statementLoad) told(header string, from *platformtest.Backend) map[string]time.Time {
+	l.callers.Wait()
+	ran := make(map[string]bool)
+	for _, s := range from.Seen() {
+		ran[s.ID] = true
+	}
+	first := make(map[string]time.Time)
+	for _, e := range l.all {
+		if e.header.Get(header) == "" || e.header.Get(platformtest.HeaderID) != from.ID || !ran[e.id] {
+			continue
+		}
+		if at, found := first[e.node]; !found || e.answered.Before(at) {
+			first[e.node] = e.answered
+		}
+	}
+	return first
+}
+
+// limitWindow is the length of the windows in which a stated limit holds.
+const limitWindow = 4 * time.Second
+
+// mostInWindow returns the largest number of requests that a backend server got in any window
+// from nodes that had passed on its limit half a second before or earlier.
+func (l *statementLoad) mostInWindow(b *platformtest.Backend) int {
+	told := l.told(platformtest.HeaderLimit, b)
+	var counted []time.Time
+	for _, s := range b.Seen() {
+		at, found := told[s.Headers.Get(headerOrigin)]
+		if found && s.At.Sub(at) >= 500*time.Millisecond {
+			counted = append(counted, s.At)
+		}
+	}
+	slices.SortFunc(counted, time.Time.Compare)
+	most, from := 0, 0
+	for i, at := range counted {
+		for at.Sub(counted[from]) >= limitWindow {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+// allowed is the largest number of requests in a window that a stated limit allows.
+func allowed(perSecond float64) int { return int(1.5*perSecond*limitWindow.Seconds()) + 5 }
+
+// try sends a request to a node. The response's body has been read.
+func (f *fleet) try(m *site, method, path string, more ...string) (*http.Response, error) {
+	req, err := http.NewRequest(method, "http://"+m.node.set.Listen.Callers+path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	req.Host = host
+	req.Header.Set(platformtest.HeaderWait, "1000")
+	for i := 0; i < len(more); i += 2 {
+		req.Header.Set(more[i], more[i+1])
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	return resp, resp.Body.Close()
+}
+
+// Guards against a stated limit that no node keeps, or that each node keeps for itself.
+func TestStatedLimitHoldsInSumOverAllNodes(t *testing.T) {
+	f := newSilentFleet(t, 6) // two have no backend server, so that several send to the same one
+	for _, m := range f.nodes[:4] {
+		must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
+	}
+	f.waitForServers(4)
+	limits := map[int]string{0: "10.9", 1: "0", 2: "0.2"}
+	for i, perSecond := range limits {
+		f.nodes[i].backend.StateLimit(perSecond)
+	}
+	for _, m := range f.nodes {
+		m.backend.Work = 20 * time.Millisecond
+	}
+	l := &statementLoad{f: f}
+	l.run(160, 7*time.Second)
+	must.LessEq(t, allowed(10.9), l.mostInWindow(f.nodes[0].backend))
+	must.LessEq(t, allowed(0), l.mostInWindow(f.nodes[1].backend))
+	must.LessEq(t, allowed(0.2), l.mostInWindow(f.nodes[2].backend))
+	must.GreaterEq(t, 40, l.mostInWindow(f.nodes[0].backend), must.Sprint("the limit should be used"))
+	must.GreaterEq(t, 2, len(l.told(platformtest.HeaderLimit, f.nodes[0].backend)), must.Sprint("several nodes should send to it"))
+}
+
+// Guards against a backend server that states in its answers alone that it is shutting down,
+// and goes on getting requests while its heartbeats say that it is ready.
+func TestBackendServerThatStatesToBeLeavingIsDrained(t *testing.T) {
+	f := newFleet(t, 3)
+	leaving := f.nodes[0]
+	leaving.backend.StateLeaving(true)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+				_ = leaving.backend.Beat(leaving.node.set.Listen.Backend, leaving.addr, false) // a missed one is sent again
+			}
+		}
+	}()
+	l := &statementLoad{f: f}
+	l.run(100, 3*time.Second)
+	told := l.told(platformtest.HeaderLeaving, leaving.backend)
+	must.Positive(t, len(told))
+	for _, s := range leaving.backend.Seen() {
+		at, found := told[s.Headers.Get(headerOrigin)]
+		must.False(t, found && s.At.Sub(at) > leaving.node.set.drain(), must.Sprintf("%s got %s %v after its node was told", leaving.backend.ID, s.ID, s.At.Sub(at)))
+	}
+	for _, e := range l.all {
+		must.Eq(t, http.StatusOK, e.status, must.Sprint(e.id, ": the others have room"))
+	}
+}
