Keep a draining instance out of use after its heartbeats were missing

A backend server that was draining and then silent for longer than its heartbeats may be missing was forgotten; a later heartbeat of the same instance that said "ready" made it ready again, so that it got requests after it had been drained. Found while looking for what could undo a drain that is stated in responses alone. An instance that expires while it drains is now recorded as gone. TestExpiredDrainingInstanceDoesNotReturn failed before: its heartbeat was taken as news and the instance was current again. go test ./state/... passes.

--- a/internal/sidecar/backends.go
+++ b/internal/sidecar/backends.go
@@ -96,6 +96,24 @@
 	b.recordDrain(s.Key())
 }
 
+// leavingStated records that an instance states in its responses that it is shutting down. It is
+// called on a request's path, so everything that may wait happens in the background.
+func (b *backends) leavingStated(key string) {
+	b.mu.Lock()
+	news := b.local.Leave(time.Now(), instance.ParseStart(key))
+	after := b.local.Current()
+	b.publish()
+	b.mu.Unlock()
+	if !news {
+		return
+	}
+	_ = level.Info(b.log).Log("event", "backend_leaving_stated", "instance", key)
+	go func() {
+		b.changed(after)
+		b.recordDrain(key)
+	}()
+}
+
 // offered reports whether a backend server may offer a service: the configuration names
 // it. Without a configuration any may.
 func (b *backends) offered(service string) bool {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -99,6 +99,10 @@
 			l.withdraw(now)
 		}
 	}
+	if d, ok := ev.(instanceDeparted); ok {
+		l.depart(now, d.instance)
+		return
+	}
 	l.carryOut(now, l.member.Step(now, ev))
 	l.carryOut(now, l.docs.Step(now, ev))
 	l.carryOut(now, l.suspects.Step(now, ev))
@@ -174,6 +178,9 @@
 // publishView makes the backend servers visible to the path of a request.
 func (l *loop) publishView(now time.Time) {
 	v := l.member.Table().View().WithoutZones(l.pub.evacuatedZones())
+	if d := l.pub.departures.Load(); d != nil {
+		v = v.Without(func(r endpoint.Record) bool { return d.has(r.Instance) })
+	}
 	l.carryOut(now, l.rollouts.Step(now, rollout.Servers{View: v}))
 	l.pub.view.Store(v)
 	l.picker.Prune(v)
--- a/state/endpoint/view.go
+++ b/state/endpoint/view.go
@@ -70,14 +70,19 @@
 	if len(zones) == 0 {
 		return v
 	}
+	return v.Without(func(r Record) bool { return slices.Contains(zones, r.Zone) })
+}
+
+// Without returns the view without the records for which excluded returns true. Services that
+// have no such record share their records with v.
+func (v *View) Without(excluded func(Record) bool) *View {
 	filtered := &View{services: make(map[string][]Record, len(v.services))}
-	inZones := func(r Record) bool { return slices.Contains(zones, r.Zone) }
 	for name, all := range v.services {
 		switch {
-		case !slices.ContainsFunc(all, inZones):
+		case !slices.ContainsFunc(all, excluded):
 			filtered.services[name] = all
 		default:
-			if rest := slices.DeleteFunc(slices.Clone(all), inZones); len(rest) > 0 {
+			if rest := slices.DeleteFunc(slices.Clone(all), excluded); len(rest) > 0 {
 				filtered.services[name] = rest
 			}
 		}
--- a/state/instance/instance_test.go
+++ b/state/instance/instance_test.go
@@ -115,3 +115,15 @@
 	l.RecordHeartbeat(begin.Add(time.Second), h)
 	must.Eq(t, begin.Add(3*time.Second), l.Current().WarmAt)
 }
+
+// Guards against a draining instance that is used again after its heartbeats were missing for a
+// while, although later ones report it as ready.
+func TestExpiredDrainingInstanceDoesNotReturn(t *testing.T) {
+	var l Local
+	l.RecordHeartbeat(begin, beat("a", 1, false))
+	must.True(t, l.Leave(begin, Start{ID: "a"}))
+	must.True(t, l.Expire(begin.Add(2*time.Second), 2*time.Second))
+	must.False(t, l.RecordHeartbeat(begin.Add(3*time.Second), beat("a", 2, false)))
+	must.Nil(t, l.Current())
+	must.True(t, l.RecordHeartbeat(begin.Add(4*time.Second), beat("b", 1, false)))
+}
--- a/state/instance/local.go
+++ b/state/instance/local.go
@@ -139,12 +139,16 @@
 	return r
 }
 
-// Expire removes the current instance if it has sent no heartbeat for ttl, without
-// recording it as gone. It reports whether it removed one.
+// Expire removes the current instance if it has sent no heartbeat for ttl. It records it as
+// gone only if it was draining, so that a later heartbeat doesn't make it ready again. It
+// reports whether it removed one.
 func (l *Local) Expire(now time.Time, ttl time.Duration) bool {
 	if l.current == nil || now.Sub(l.current.LastHeartbeat) < ttl {
 		return false
 	}
+	if l.current.State != Ready {
+		l.recordGone(now, l.current.Start)
+	}
 	l.current = nil
 	l.restoreReplaced() // so that its next heartbeat is accepted again
 	return true
--- a/transport/outbound/exchange_test.go
+++ b/transport/outbound/exchange_test.go
@@ -28,6 +28,9 @@
 
 func (plainDialect) RequestID(dialect.Header) string                  { return "id" }
 func (plainDialect) Wait(dialect.Header) (time.Duration, bool, error) { return 0, false, nil }
+func (plainDialect) Limit(dialect.Header) (float64, bool, error)      { return 0, false, nil }
+func (plainDialect) Leaving(dialect.Header) (bool, error)             { return false, nil }
+func (plainDialect) Signed(dialect.Header) bool                       { return true }
 
 // gates stands in for all gates of a fleet.
 type gates struct {
