Drain a backend server that states in its responses that it is shutting down

Callers' requests went on to a backend server that stated in its answers that it was leaving, as long as its heartbeats said "ready": nothing read the statement. The gate now drains the instance as if a heartbeat had said so: its record tells the fleet, the gate refuses after the grace for requests under way, and the row of the drain is written once, by the same code as for heartbeats, so that one drain costs one call of the store whichever way it is learned. Each entry node that passes such an answer on leaves the instance out of its view from then on, whatever the instance's own node tells: that node may be cut off, or have started again without knowing it. Another start of the server has another key and is used.

--- a/internal/sidecar/statements_test.go
+++ b/internal/sidecar/statements_test.go
@@ -155,6 +155,9 @@
 	f := newFleet(t, 3)
 	leaving := f.nodes[0]
 	leaving.backend.StateLeaving(true)
+	for _, m := range f.nodes {
+		m.backend.Work = 20 * time.Millisecond // so that load decides, and each gets requests
+	}
 	stop := make(chan struct{})
 	defer close(stop)
 	go func() {
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -40,6 +40,9 @@
 	// Cold returns the limits of a backend server that is cold until a time and can handle
 	// perSecond requests per second while it is.
 	Cold func(perSecond float64, until time.Time) core.ColdLimits
+	// Leaving is called with the key of the instance when a response states that the backend
+	// server is shutting down.
+	Leaving func(key string)
 	// ColdUnknown reports whether the rate that a cold backend server can handle isn't
 	// known yet.
 	ColdUnknown func() bool
--- a/transport/inbound/statements.go
+++ b/transport/inbound/statements.go
@@ -16,10 +16,12 @@
 // sent at the given time.
 func (g *Gate) observeStatements(c call, h http.Header, sent time.Time, ran bool) {
 	now := g.cfg.Now()
-	if leaving, err := g.cfg.Dialect.Leaving(h); err != nil {
+	leaving, err := g.cfg.Dialect.Leaving(h)
+	switch {
+	case err != nil:
 		g.statementUnreadable(c, err, now)
-	} else if leaving {
-		g.logLeaving(c.instance.Key())
+	case leaving:
+		g.cfg.Leaving(c.instance.Key())
 	}
 	perSecond, stated, err := g.cfg.Dialect.Limit(h)
 	if err != nil {
@@ -52,7 +54,6 @@
 	changes      int
 	limitAt      time.Time
 	unreadableAt time.Time
-	leaving      string // the last instance that was logged as leaving
 }
 
 // logLimit logs a limit that was learned, has changed or has ended, with the one before it.
@@ -77,18 +78,6 @@
 	return now.Sub(l.Since)
 }
 
-// logLeaving logs, once for each instance, that the backend server states to be shutting down.
-func (g *Gate) logLeaving(instance string) {
-	s := &g.statements
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.leaving == instance {
-		return
-	}
-	s.leaving = instance
-	_ = level.Info(g.cfg.Logger).Log("event", "backend_leaving_stated", "instance", instance)
-}
-
 // statementUnreadable counts a statement that can't be parsed and has no effect, and logs it
 // at a bounded rate.
 func (g *Gate) statementUnreadable(c call, err error, now time.Time) {
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -54,6 +54,9 @@
 	// Freshness is the proof that the configuration in force is recent; nil where requests
 	// need no proof.
 	Freshness Freshness
+	// Leaving is called with the instance of a backend server that states in a response that
+	// it is shutting down. The instance must not be a candidate from then on.
+	Leaving func(instance string)
 	// Suspects returns the requests that are suspected of crashing backend servers. It is
 	// one atomic load.
 	Suspects func() *suspect.View
--- a/transport/outbound/take.go
+++ b/transport/outbound/take.go
@@ -23,6 +23,7 @@
 		x.creditCanary(choice)
 	}
 	if outcome.Outcome(h.Get(outcome.HeaderOutcome)) == outcome.Answered {
+		x.observeStatements(choice, h)
 		return x.relay(choice, resp, result)
 	}
 	reason := outcome.Reason(h.Get(outcome.HeaderReason))
