Keep the rate limit that a backend server states, at the gate beside it

Cause: the statement had no reader; what a server gets followed from its slots and its load alone. The gate keeps the limit with the token bucket that it had for cold backend servers, so that it holds in sum over all hosts without a message between them; half a second of burst, empty when a limit begins; one request each two seconds under a limit of 0, since only a response ends one. Entry nodes send the limit that they have passed on with each request, so that a gate that has just started knows it before it sends the first. What can't start in time is refused at once as server-limit: not run, at no cost for the retry budget, sent to another gate; gates report their slots as used while a token is missing, and when they expect one, so that entry nodes place elsewhere, or refuse without sending, with a Retry-After that fits the rate. TestStatedLimitOutlastsTheGate fails if the hint is left out.

--- a/coordination/attempt/comeback.go
+++ b/coordination/attempt/comeback.go
@@ -42,6 +42,9 @@
 	// FreeSlots says that the backend server that refused last has free slots: the request
 	// is not refused because of load.
 	FreeSlots bool
+	// LimitWait is the time until one of the backend servers that refused for the rate limits
+	// that they state expects to accept another request; 0 if none did.
+	LimitWait time.Duration
 	// Load is the number of requests that the service's backend servers run and queue,
 	// averaged over the last seconds, as a fraction of their slots; 0 if it isn't known.
 	Load float64
@@ -53,6 +56,9 @@
 func RetryAfter(r Refused) time.Duration {
 	after := float64(r.Left) * (defaultAfterMin + defaultAfterSpread*r.Jitter)
 	switch {
+	case r.LimitWait > 0:
+		// Callers that all return as soon as a limit allows one more request are refused again.
+		after = float64(r.LimitWait) + float64(r.Left)*defaultAfterSpread*r.Jitter
 	case r.FreeSlots && r.Due > 0:
 		after = float64(r.Due) * (freeSlotsAfterMin + freeSlotsAfterSpread*r.Jitter)
 	case r.Load > sustainedOverload:
--- a/coordination/balance/done.go
+++ b/coordination/balance/done.go
@@ -47,6 +47,9 @@
 	// single request: with many servers, a node sends too few requests to each of them for
 	// an average of its own.
 	MeanServiceTime time.Duration
+	// Hold is the time for which the server certainly accepts no further request; 0 if it may.
+	// It gets none meanwhile.
+	Hold time.Duration
 }
 
 // Done ends the request and updates the statistics of its server and zone. It must be
@@ -61,6 +64,9 @@
 		}
 		updateAverage(&c.group.stats.load, float64(r.Load.Used+r.Load.Queued)/float64(r.Load.Slots), groupGain)
 	}
+	if r.Hold > 0 {
+		c.server.hold.Store(&hold{instance: c.Record.Instance, until: at + int64(r.Hold)})
+	}
 	c.recordReachability(&r, at)
 	switch {
 	case r.Outcome == OK:
--- a/coordination/balance/errors.go
+++ b/coordination/balance/errors.go
@@ -1,6 +1,9 @@
 package balance
 
-import "strconv"
+import (
+	"strconv"
+	"time"
+)
 
 // NoEndpointError reports that no backend server is available for a request. The
 // request was not run.
@@ -11,6 +14,9 @@
 	Candidates int
 	// Tried is the number of servers that the request tried before.
 	Tried int
+	// HeldFor is the time until one of the others may accept a request again, see
+	// Result.Hold; 0 if none of them is held.
+	HeldFor time.Duration
 }
 
 // Error implements error.
--- a/coordination/balance/group.go
+++ b/coordination/balance/group.go
@@ -81,6 +81,21 @@
 	return 0
 }
 
+// heldFor returns the time until the first of the held servers that aren't excluded may accept a
+// request; 0 if none is held.
+func (g *group) heldFor(excluded *Exclusions, at int64) time.Duration {
+	var first time.Duration
+	for t := range g.tiers {
+		for i := range g.tiers[t] {
+			m := &g.tiers[t][i]
+			if d := m.server.heldFor(m.record.Instance, at); d > 0 && !excluded.excludes(m.record) && (first == 0 || d < first) {
+				first = d
+			}
+		}
+	}
+	return first
+}
+
 // slowStart returns the duration of the service's slow start; 0 for none.
 func (g *group) slowStart() time.Duration { return g.service.SlowStart.Std() }
 
--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -86,7 +86,7 @@
 		m = p.lastResort(g, excluded, at)
 	}
 	if m == nil {
-		return Choice{}, &NoEndpointError{Service: s.Name, Candidates: len(candidates), Tried: excluded.Len()}
+		return Choice{}, &NoEndpointError{Service: s.Name, Candidates: len(candidates), Tried: excluded.Len(), HeldFor: g.heldFor(excluded, at)}
 	}
 	m.server.inFlight.Add(1)
 	return Choice{Record: m.record, picker: p, group: g, member: m, server: m.server, trial: trial}, nil
@@ -264,7 +264,7 @@
 // member's trial. The member except is never usable. A trial that usable allows counts as
 // started.
 func (p *Picker) usable(m, except *member, excluded *Exclusions, at int64) (ok, trial bool) {
-	if m == except || excluded.excludes(m.record) {
+	if m == except || excluded.excludes(m.record) || m.held(at) {
 		return false, false
 	}
 	if !m.server.ejected() {
@@ -286,7 +286,7 @@
 		start := p.rand.IntN(len(members))
 		for i := range members {
 			m := &members[(start+i)%len(members)]
-			if !excluded.excludes(m.record) && m.zone.admit(&p.cfg, at) {
+			if !excluded.excludes(m.record) && !m.held(at) && m.zone.admit(&p.cfg, at) {
 				return m
 			}
 		}
--- a/coordination/balance/server.go
+++ b/coordination/balance/server.go
@@ -38,6 +38,8 @@
 	failureRate         atomic.Uint64 // float64: moving average, 1 for a failure and 0 for a success
 	resultCount         atomic.Int32  // number of results, up to MinSamples
 
+	hold atomic.Pointer[hold] // nil before the first
+
 	ejectedUntil atomic.Int64 // 0 when not ejected
 	ejections    atomic.Int32 // number of doublings of the next ejection's duration
 	ejectRetryAt atomic.Int64 // earliest time of the next attempt to eject
@@ -128,6 +130,21 @@
 	s.reportedAt.Store(at)
 }
 
+// hold is a time for which an instance of a backend server accepts no request, see Result.Hold.
+type hold struct {
+	instance string
+	until    int64
+}
+
+// heldFor returns for how long an instance accepts no request; 0 if it may accept one.
+func (s *server) heldFor(instance string, at int64) time.Duration {
+	h := s.hold.Load()
+	if h == nil || h.instance != instance {
+		return 0
+	}
+	return time.Duration(max(0, h.until-at))
+}
+
 func (s *server) ejected() bool { return s.ejectedUntil.Load() != 0 }
 
 // startTrial starts the trial of an ejected server: it reports whether the caller may send
@@ -169,6 +186,9 @@
 	index  int32 // position in the tier
 }
 
+// held reports whether the backend server accepts no request at present.
+func (m *member) held(at int64) bool { return m.server.heldFor(m.record.Instance, at) > 0 }
+
 func floatOf(a *atomic.Uint64) float64 { return math.Float64frombits(a.Load()) }
 
 func storeFloat(a *atomic.Uint64, v float64) { a.Store(math.Float64bits(v)) }
--- a/coordination/gate/cold_test.go
+++ b/coordination/gate/cold_test.go
@@ -80,7 +80,7 @@
 		}()
 		l := &coldLoad{gate: New()}
 		limits := Limits{Slots: slots, Connections: slots, QueueLength: 4 * slots,
-			Cold: ColdLimits{Until: time.Now().Add(cold), PerSecond: 15, Burst: 7.75}}
+			Cold: RateLimit{Until: time.Now().Add(cold), PerSecond: 15, Burst: 7.75}}
 		l.gate.Update(limits, time.Now())
 		go func() {
 			for ctx.Err() == nil {
--- a/coordination/gate/enter.go
+++ b/coordination/gate/enter.go
@@ -45,19 +45,49 @@
 
 // wait waits until the request is settled or ctx ends.
 func (g *Gate) wait(ctx context.Context, w *Waiter, settled <-chan outcome.Reason, clock func() time.Time) outcome.Reason {
-	select {
-	case reason := <-settled:
-		return reason
-	case <-ctx.Done():
+	for waiting := true; waiting; {
+		token, stop := g.tokenTimer(clock())
+		select {
+		case reason := <-settled:
+			stop()
+			return reason
+		case <-token:
+			g.grantByRate(clock())
+		case <-ctx.Done():
+			waiting = false
+		}
+		stop()
 	}
 	if !g.Cancel(w) && <-settled == "" {
 		g.Release(w.Request.Work, 0, clock())
 	}
 	if errors.Is(context.Cause(ctx), errWaitBound) {
-		return outcome.ReasonQueueFull
+		return g.waitReason(clock())
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return outcome.ReasonDeadline
 	}
 	return outcome.ReasonCancelled
 }
+
+// maxTokenWait bounds the time between two looks at the rate limits while a request waits: they
+// may have changed.
+const maxTokenWait = 100 * time.Millisecond
+
+// tokenTimer returns a channel that fires when the rate limits may allow the next request, and
+// what releases its timer. The channel never fires if they don't delay one.
+func (g *Gate) tokenTimer(now time.Time) (fires <-chan time.Time, stop func()) {
+	wait := g.rateWait(1, now)
+	if wait <= 0 {
+		return nil, func() {}
+	}
+	t := time.NewTimer(min(wait+time.Millisecond, maxTokenWait))
+	return t.C, func() { t.Stop() }
+}
+
+// grantByRate grants slots to the queued requests that the rate limits allow by now.
+func (g *Gate) grantByRate(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.grant(now)
+}
--- a/coordination/gate/gate.go
+++ b/coordination/gate/gate.go
@@ -27,8 +27,10 @@
 	Since time.Time
 	// Draining makes the gate refuse all new and queued requests.
 	Draining bool
-	// Cold bounds the requests while the backend server is cold.
-	Cold ColdLimits
+	// Cold limits the rate while the backend server is cold.
+	Cold RateLimit
+	// Stated is the rate limit that the backend server states.
+	Stated RateLimit
 }
 
 // usable returns the number of slots that may be used at now. It is at least
@@ -63,7 +65,8 @@
 	serviceTimes estimates
 
 	slowdown slowdown
-	cold     coldBucket
+	cold     rateBucket
+	stated   rateBucket
 
 	mu     sync.Mutex
 	limits Limits
@@ -108,11 +111,15 @@
 	g.limits = l
 	g.closed.Store(l.Draining)
 	g.cold.set(l.Cold, now)
+	stricter := g.stated.set(l.Stated, now)
 	g.setSlots(now)
 	if l.Draining {
 		g.refuseAll(outcome.ReasonDraining)
 		return
 	}
+	if stricter {
+		g.shedBeyondRate(now)
+	}
 	g.grant(now)
 }
 
@@ -131,7 +138,9 @@
 // setSlots sets the number of slots that may be used at now. g.mu must be held.
 func (g *Gate) setSlots(now time.Time) {
 	full := g.limits.usable(now)
-	g.slots.Store(int64(g.limits.Cold.slots(full, g.serviceTimes.all.average(), now)))
+	serviceTime := g.serviceTimes.all.average()
+	slots := min(g.limits.Cold.slots(full, serviceTime, now), g.limits.Stated.slots(full, serviceTime, now))
+	g.slots.Store(int64(slots))
 }
 
 // Try takes a slot if one is free and the queue is empty. If it returns true,
@@ -166,7 +175,7 @@
 	return g.enqueue(w, now)
 }
 
-// take takes a slot if one is free and the limits of a cold backend server allow the request.
+// take takes a slot if one is free and the rate limits allow the request.
 func (g *Gate) take(now time.Time) bool {
 	for {
 		used := g.used.Load()
@@ -177,7 +186,7 @@
 			break
 		}
 	}
-	if !g.cold.admit(now) {
+	if !g.admitRate(now) {
 		g.used.Add(-1)
 		return false
 	}
@@ -198,7 +207,7 @@
 	if g.queue.size >= g.limits.QueueLength && g.queue.size > 0 {
 		shed := g.queue.evict(w)
 		if shed == nil {
-			return false, outcome.ReasonQueueFull
+			return false, g.waitReason(now)
 		}
 		shed.Settle(outcome.ReasonShed)
 	}
@@ -214,7 +223,7 @@
 	if g.limits.QueueLength == 0 {
 		g.queue.remove(w)
 		g.queued.Store(int64(g.queue.size))
-		return false, outcome.ReasonQueueFull
+		return false, g.waitReason(now)
 	}
 	return false, ""
 }
@@ -259,7 +268,7 @@
 	for g.queue.size > 0 && g.take(now) {
 		w := g.nextInTime(now)
 		if w == nil {
-			g.used.Add(-1)
+			g.unused()
 			break
 		}
 		w.Settle("")
--- a/coordination/gate/order.go
+++ b/coordination/gate/order.go
@@ -42,6 +42,9 @@
 	if w.waitUntil.IsZero() {
 		return ""
 	}
+	if now.Add(g.rateWait(ahead+1, now)).After(w.waitUntil) {
+		return g.waitReason(now)
+	}
 	if now.Add(time.Duration(ahead+1) * g.releaseInterval(now)).After(w.waitUntil) {
 		return outcome.ReasonQueueFull
 	}
@@ -51,11 +54,11 @@
 // releaseInterval returns the mean time between two slots becoming free while all
 // are in use: the mean service time divided by the number of slots. Requests that
 // began before a slowdown end in the usual time, and those that begin during it
-// don't end soon, so half of the slowdown is applied. While the backend server is
-// cold, the interval is at least the spacing of its rate limit.
+// don't end soon, so half of the slowdown is applied. Under a rate limit, the
+// interval is at least the spacing of that limit.
 func (g *Gate) releaseInterval(now time.Time) time.Duration {
 	mean := float64(g.serviceTimes.all.average()) * (1 + g.slowdown.current(now)) / 2
-	return max(time.Duration(mean)/time.Duration(max(1, g.slots.Load())), g.cold.spacing(now))
+	return max(time.Duration(mean)/time.Duration(max(1, g.slots.Load())), g.cold.spacing(now), g.stated.spacing(now))
 }
 
 // targetWaitDivisor bounds the wait of a request of average service time to this
--- a/coordination/gate/queue.go
+++ b/coordination/gate/queue.go
@@ -1,7 +1,9 @@
 package gate
 
 import (
+	"cmp"
 	"container/list"
+	"slices"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
@@ -248,6 +250,20 @@
 	return n
 }
 
+// each calls f for each waiter, in the order in which the workloads are served, with the number
+// of waiters that start before it.
+func (q *queue) each(f func(w *Waiter, ahead int)) {
+	served := slices.Clone(q.subqueues)
+	slices.SortStableFunc(served, func(a, b *subqueue) int { return cmp.Compare(q.sortKey(a.work), q.sortKey(b.work)) })
+	ahead := 0
+	for _, l := range served {
+		for e := l.list.Front(); e != nil; e = e.Next() {
+			f(e.Value.(*Waiter), ahead)
+			ahead++
+		}
+	}
+}
+
 // countAhead returns the number of waiters in the subqueue that start before w.
 func (l *subqueue) countAhead(w *Waiter) int {
 	n := 0
--- a/coordination/serverlimit/tracker.go
+++ b/coordination/serverlimit/tracker.go
@@ -85,7 +85,15 @@
 	mu       sync.Mutex
 	instance string
 	own      statement
-	changes  int
+	// heard is set once a response of the instance has shown what it states. Hints are
+	// ignored from then on.
+	heard bool
+	// hintedAt is when a response confirmed the limit of the latest hint.
+	hintedAt time.Time
+	// ended and endedAt are the last limit that ended and when; zero if none has.
+	ended   Limit
+	endedAt time.Time
+	changes int
 }
 
 // Begin starts to track an instance. A new instance has no limit until it states one;
@@ -99,7 +107,8 @@
 	if t.own.limit.Stated {
 		t.changes++
 	}
-	t.instance, t.own = instance, statement{}
+	t.instance, t.own, t.heard, t.hintedAt = instance, statement{}, false, time.Time{}
+	t.ended, t.endedAt = Limit{}, time.Time{}
 }
 
 // Observe records a response of an instance and reports whether the limit changed. Responses
@@ -110,13 +119,46 @@
 	if instance != t.instance {
 		return false
 	}
+	t.heard = t.heard || r.Stated || r.Conclusive
+	before := t.own.limit
 	changed := t.own.observe(r, now)
 	if changed {
 		t.changes++
 	}
+	if before.Stated && !t.own.limit.Stated {
+		t.ended, t.endedAt = before, now
+	}
 	return changed
 }
 
+// Adopt takes over a limit that an entry node has received from the tracked instance, and
+// reports whether the limit changed. This process must learn it before it sends the first
+// request: a former process of this node may have passed it on. Of several hints, the one that
+// was confirmed last applies, and none once the instance itself has responded.
+func (t *Tracker) Adopt(instance string, h Hint, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := now.Add(-h.Age)
+	if instance != t.instance || t.heard || !at.After(t.hintedAt) {
+		return false
+	}
+	t.hintedAt = at
+	changed := !t.own.limit.Stated || t.own.limit.PerSecond != h.PerSecond
+	t.own.state(h.PerSecond, SourceEntryNode, now)
+	if changed {
+		t.changes++
+	}
+	return changed
+}
+
+// Ended returns the last limit of the tracked instance that has ended, and when; zero values if
+// none has.
+func (t *Tracker) Ended() (Limit, time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ended, t.endedAt
+}
+
 // Current returns the tracked instance, its limit and the number of changes so far.
 func (t *Tracker) Current() (instance string, l Limit, changes int) {
 	t.mu.Lock()
--- a/internal/sidecar/cold.go
+++ b/internal/sidecar/cold.go
@@ -13,11 +13,11 @@
 
 // limits returns the limits of a backend server that is cold until a time and can handle
 // perSecond requests per second; 0 is no limit.
-func (s *ColdSettings) limits(perSecond float64, until time.Time) core.ColdLimits {
+func (s *ColdSettings) limits(perSecond float64, until time.Time) core.RateLimit {
 	if perSecond <= 0 {
-		return core.ColdLimits{}
+		return core.RateLimit{}
 	}
-	return core.ColdLimits{
+	return core.RateLimit{
 		Until: until, PerSecond: perSecond,
 		Burst: coldBurstShare * (max(0, s.Over-1)*perSecond + s.Slack),
 	}
--- a/internal/sidecar/statements_test.go
+++ b/internal/sidecar/statements_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 
+	"github.com/jacinthgate/jacinthgate/internal/signals"
 	"github.com/jacinthgate/jacinthgate/platform/platformtest"
 )
 
@@ -182,3 +185,130 @@
 		must.Eq(t, http.StatusOK, e.status, must.Sprint(e.id, ": the others have room"))
 	}
 }
+
+// restart ends a node without a word and starts it again at its addresses. Its backend server
+// goes on.
+func (f *fleet) restart(i int) {
+	m := f.nodes[i]
+	m.node.close()
+	<-m.ended
+	set := *m.node.set
+	set.FirstStart = false
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(m.logs))
+	node, err := New(&set, "no file", logger, logger, func() uint64 { return 0 })
+	must.NoError(f.t, err)
+	m.node = node
+	go func() { m.ended <- node.Run(new(signals.Signals)) }()
+	f.t.Cleanup(node.close)
+}
+
+// Guards against a gate that starts again beside a limited backend server and sends it requests
+// of other nodes, which know the limit, until the first response shows it.
+func TestStatedLimitOutlastsTheGate(t *testing.T) {
+	f := newSilentFleet(t, 4) // node 2 sends to node 0, in the same zone
+	limited := f.nodes[0]
+	for _, m := range []*site{limited, f.nodes[1]} {
+		must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
+		m.backend.Work = 50 * time.Millisecond
+	}
+	f.waitForServers(2)
+	limited.backend.StateLimit("0")
+	l := &statementLoad{f: &fleet{t: t, nodes: []*site{f.nodes[2], f.nodes[3]}}}
+	l.run(60, time.Second)
+	for range 3 {
+		f.restart(0)
+		must.NoError(t, limited.backend.Beat(limited.node.set.Listen.Backend, limited.addr, false))
+		l.run(60, 1500*time.Millisecond)
+	}
+	must.Positive(t, len(l.told(platformtest.HeaderLimit, limited.backend)))
+	must.LessEq(t, allowed(0), l.mostInWindow(limited.backend))
+	must.StrContains(t, limited.logs.String(), "limited=true per_second=0 was_limited=false was_per_second=0 source=entry-node")
+}
+
+// newBornFleet is newFleet with backend servers that report the time of their start.
+func newBornFleet(t testing.TB, n int) *fleet {
+	f := newSilentFleet(t, n)
+	for _, m := range f.nodes {
+		m.backend.Born = 1_000_000
+	}
+	f.beat()
+	f.knowAll()
+	return f
+}
+
+// Guards against a limit that outlasts the statement or the start of the backend server, and
+// against statements of callers and malformed ones.
+func TestLimitEndsWithTheStatementAndTheInstance(t *testing.T) {
+	f := newBornFleet(t, 1)
+	m := f.nodes[0]
+	serves := func(want int) {
+		t.Helper()
+		served := 0
+		for range 10 {
+			resp, err := f.try(m, "GET", "/status/x", platformtest.HeaderRequestID, fmt.Sprint(time.Now().UnixNano()),
+				platformtest.HeaderLimit, "0", platformtest.HeaderLeaving, "1")
+			must.NoError(t, err)
+			if resp.StatusCode == http.StatusOK {
+				served++
+			}
+		}
+		must.Eq(t, want, served)
+	}
+	serves(10)
+	for _, malformed := range []string{"-1", "NaN", "lots", "", "0x1", "1e1"} {
+		m.backend.StateLimit(malformed)
+		serves(10)
+	}
+	m.backend.StateLimit("0", "0")
+	serves(10)
+	m.backend.StateLimit("0")
+	serves(1) // the answer to the first one states the limit
+	must.StrContains(t, m.logs.String(), "status=503 reason=server-limit")
+	m.backend.StateLimit()
+	f.eventually("a trial shows that the limit has ended", func() bool {
+		resp, err := f.try(m, "GET", "/status/x", platformtest.HeaderRequestID, fmt.Sprint(time.Now().UnixNano()))
+		return err == nil && resp.StatusCode == http.StatusOK
+	})
+	serves(10)
+	m.backend.StateLimit("0")
+	serves(1)
+	m.backend.StateLimit()
+	again := m.backend.Again(1_000_500)
+	must.NoError(t, again.Beat(m.node.set.Listen.Backend, m.addr, false))
+	serves(10)
+}
+
+// Guards against a departed backend server that gets requests again after its node has started
+// anew, and against one whose next start is never used.
+func TestDepartureOutlastsTheNodeAndEndsWithTheInstance(t *testing.T) {
+	f := newBornFleet(t, 3)
+	leaving, other := f.nodes[0], f.nodes[2]
+	leaving.backend.StateLeaving(true)
+	for _, m := range f.nodes {
+		m.backend.Work = 20 * time.Millisecond
+	}
+	f.store.SetDown(true) // the row of the drain is not written
+	l := &statementLoad{f: &fleet{t: t, nodes: []*site{other, leaving}}}
+	l.run(150, 500*time.Millisecond)
+	l.callers.Wait()
+	must.MapContainsKey(t, l.told(platformtest.HeaderLeaving, leaving.backend), string(other.node.set.Node))
+	f.eventually("the node has noted it", func() bool { return strings.Contains(other.logs.String(), "event=instance_departed") })
+	f.restart(0)
+	f.store.SetDown(false)
+	f.eventually("the node is ready again", func() bool { return leaving.node.ready() })
+	before := len(leaving.backend.Seen())
+	must.NoError(t, leaving.backend.Beat(leaving.node.set.Listen.Backend, leaving.addr, false))
+	from := &statementLoad{f: &fleet{t: t, nodes: []*site{other}}}
+	from.run(400, time.Second)
+	from.callers.Wait()
+	must.Eq(t, before, len(leaving.backend.Seen()))
+
+	leaving.backend.StateLeaving(false)
+	next := leaving.backend.Again(1_000_500)
+	must.NoError(t, next.Beat(leaving.node.set.Listen.Backend, leaving.addr, false))
+	f.eventually("its next start is used", func() bool {
+		from.run(400, 200*time.Millisecond) // more than the other one can take
+		from.callers.Wait()
+		return len(leaving.backend.Seen()) > before
+	})
+}
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -70,6 +70,13 @@
 	// backlog of large responses, in milliseconds. It is set if a request is refused
 	// because of that backlog.
 	HeaderLinkBacklog = "Jacinthgate-Link-Backlog"
+	// HeaderStatedLimit carries, on a request, the rate limit that the entry node knows the
+	// backend server to have stated, as "limit/age": requests per second, and the time in
+	// milliseconds since a response confirmed it.
+	HeaderStatedLimit = "Jacinthgate-Stated-Limit"
+	// HeaderLimitWait carries, on a refusal because of that limit, the time in milliseconds
+	// until the gate expects to admit another request.
+	HeaderLimitWait = "Jacinthgate-Limit-Wait"
 	// HeaderFingerprint carries the fingerprint of the request, by which requests that
 	// crash backend servers are recognised.
 	HeaderFingerprint = "Jacinthgate-Fingerprint"
@@ -119,6 +126,7 @@
 	ReasonConcurrency      Reason = "concurrency"       // the contract's concurrency is used up
 	ReasonShed             Reason = "shed"              // load shedding under overload, least important requests first
 	ReasonQueueFull        Reason = "queue-full"        // the gate's queue is full
+	ReasonServerLimit      Reason = "server-limit"      // the rate limit that the backend server states leaves no room
 	ReasonHostSlow         Reason = "host-slow"         // the host is currently slow; others may not be
 	ReasonLinkFull         Reason = "link-full"         // the host's link has a backlog of large responses
 	ReasonDeadline         Reason = "deadline"          // the deadline has passed or can't be met
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -31,6 +31,7 @@
 	outcome.HeaderQuota,
 	outcome.HeaderRepeat,
 	outcome.HeaderBudgetUsage,
+	outcome.HeaderStatedLimit, outcome.HeaderLimitWait,
 }
 
 // StripNodeHeaders removes the headers that only nodes may set from h.
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -44,7 +44,7 @@
 	case now.Before(i.WarmAt) && g.cfg.ColdUnknown():
 		return c, outcome.ReasonNotReady // even one request may exceed the cold limits
 	}
-	if !g.parseHeaders(&c, req, now) {
+	if !g.parseHeaders(&c, req, now) || !g.adoptLimit(&c, req.Header, now) {
 		return c, outcome.ReasonMalformed
 	}
 	if g.crashes.Quarantined(c.fingerprint) {
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -39,7 +39,7 @@
 	Service func(name string) route.Service
 	// Cold returns the limits of a backend server that is cold until a time and can handle
 	// perSecond requests per second while it is.
-	Cold func(perSecond float64, until time.Time) core.ColdLimits
+	Cold func(perSecond float64, until time.Time) core.RateLimit
 	// Leaving is called with the key of the instance when a response states that the backend
 	// server is shutting down.
 	Leaving func(key string)
@@ -158,8 +158,15 @@
 // Update applies the current state of the backend server and the configuration of its
 // service. It must be called after each change and about every 100 ms.
 func (g *Gate) Update() {
-	l := core.Limits{Draining: true}
 	now := g.cfg.Now()
+	g.applyLimits(now)
+	g.core.Tick(now)
+	g.logLimit(now)
+}
+
+// applyLimits sets the limits of the current instance of the backend server.
+func (g *Gate) applyLimits(now time.Time) {
+	l := core.Limits{Draining: true}
 	if i := g.cfg.Instance(); i != nil {
 		g.limit.Begin(i.Key())
 		service := g.cfg.Service(i.Service)
@@ -167,11 +174,10 @@
 		l.Connections = cmp.Or(service.Connections, i.Slots)
 		l.QueueLength = queuePerSlot * i.Slots
 		l.Cold = g.cfg.Cold(service.ColdPerSecond, i.WarmAt)
+		l.Stated = g.statedRate(now)
 		l.Draining = g.drainGraceOver(i, now) || g.cfg.Evacuated()
 	}
 	g.core.Update(l, now)
-	g.core.Tick(now)
-	g.logLimit(now)
 }
 
 // drainGraceOver reports whether the backend server is draining and gets no further
--- a/transport/inbound/repeat_test.go
+++ b/transport/inbound/repeat_test.go
@@ -53,7 +53,7 @@
 	g := New(Config{
 		Instance:       func() *instance.Instance { return i },
 		Service:        func(string) route.Service { return route.Service{} },
-		Cold:           func(float64, time.Time) core.ColdLimits { return core.ColdLimits{} },
+		Cold:           func(float64, time.Time) core.RateLimit { return core.RateLimit{} },
 		ColdUnknown:    func() bool { return false },
 		Evacuated:      func() bool { return false },
 		Dialect:        plainDialect{},
--- a/transport/inbound/statements.go
+++ b/transport/inbound/statements.go
@@ -8,7 +8,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log/level"
 
+	core "github.com/jacinthgate/jacinthgate/coordination/gate"
 	"github.com/jacinthgate/jacinthgate/coordination/serverlimit"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 )
 
 // observeStatements records what the backend server states about itself in a response: its
@@ -29,7 +31,45 @@
 		return
 	}
 	r := serverlimit.Response{Stated: stated, PerSecond: perSecond, Conclusive: ran && g.cfg.Dialect.Signed(h), Sent: sent}
-	g.limit.Observe(c.instance.Key(), r, now)
+	if g.limit.Observe(c.instance.Key(), r, now) {
+		g.applyLimits(now)
+	}
+}
+
+// adoptLimit takes over what the entry node knows of the backend server's limit. It returns
+// false if the hint is malformed.
+func (g *Gate) adoptLimit(c *call, h http.Header, now time.Time) bool {
+	lines := h[outcome.HeaderStatedLimit]
+	if len(lines) == 0 {
+		return true
+	}
+	hint, err := serverlimit.ParseHint(lines[0])
+	if err != nil {
+		return false
+	}
+	if g.limit.Adopt(c.instance.Key(), hint, now) {
+		g.applyLimits(now)
+	}
+	return true
+}
+
+// maxStatedTime is longer than a backend server states a limit: it ends by a response, not by
+// time.
+const maxStatedTime = 365 * 24 * time.Hour
+
+// statedRate returns the rate limit that the backend server states. One that has ended is
+// returned with its end, so that its slots come back gradually.
+func (g *Gate) statedRate(now time.Time) core.RateLimit {
+	_, l, _ := g.limit.Current()
+	until := now.Add(maxStatedTime)
+	if !l.Stated {
+		l, until = g.limit.Ended()
+	}
+	if !l.Stated {
+		return core.RateLimit{}
+	}
+	perSecond, burst := l.Rate()
+	return core.RateLimit{Until: until, PerSecond: perSecond, Burst: burst}
 }
 
 // statedLimit returns the value of the gauge of the stated limit: requests per second, -1 for
--- a/transport/outbound/conclude.go
+++ b/transport/outbound/conclude.go
@@ -67,6 +67,7 @@
 		Left:      x.callerDeadline().Sub(now),
 		Due:       x.due().Sub(now),
 		FreeSlots: x.freeSlots,
+		LimitWait: x.limitWait,
 		Load:      x.p.cfg.Balance.Load(x.service.Name),
 		Jitter:    x.p.rand.Float64(),
 	})
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -62,6 +62,9 @@
 	hasAlternatives bool
 	// freeSlots reports whether the last refusal came from a backend server with free slots.
 	freeSlots bool
+	// limitWait is the shortest time until one of the servers that refused for their rate
+	// limits expects to accept another request; 0 if none did.
+	limitWait time.Duration
 	// failure is an error response of a backend server, kept while another attempt is
 	// made and relayed if that gets no better one.
 	failure *bufferedResponse
@@ -149,7 +152,7 @@
 	now := x.p.cfg.Now()
 	choice, err := x.pick(now)
 	if err != nil {
-		x.noServerLeft()
+		x.noServerLeft(err)
 		return false
 	}
 	x.trail.Sent()
@@ -160,7 +163,7 @@
 		x.sendFailed(choice, err, x.p.cfg.Now().Sub(now))
 		return false
 	}
-	return x.handleResponse(choice, resp, took)
+	return x.handleResponse(choice, resp, now, took)
 }
 
 // confine restricts the request to the regions that its route and its organisation allow.
@@ -172,8 +175,15 @@
 	x.exclusions.Confine(x.route.Regions, own)
 }
 
-// noServerLeft records that there is no further backend server to try.
-func (x *exchange) noServerLeft() {
+// noServerLeft records that there is no further backend server to try, for the reason that err
+// gives.
+func (x *exchange) noServerLeft(err error) {
+	var none *balance.NoEndpointError
+	if errors.As(err, &none) && none.HeldFor > 0 {
+		x.noteLimitWait(none.HeldFor + maxQueueTime)
+		x.trail.Forbid(outcome.ReasonServerLimit)
+		return
+	}
 	if x.exclusions.Confined() && x.trail.Progress.Sends == 0 {
 		x.trail.Forbid(outcome.ReasonNoRegion)
 		return
@@ -243,6 +253,7 @@
 	if x.r.ContentLength != 0 { // without a body the gate computes it from the request's head alone
 		h[outcome.HeaderFingerprint] = v[6:7:7]
 	}
+	x.addLimitHint(to, h, now)
 	x.markRepeat(h)
 	x.replaceKey(h)
 	if x.mayReroute(to, now) {
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
 	"github.com/jacinthgate/jacinthgate/coordination/random"
 	"github.com/jacinthgate/jacinthgate/coordination/rollout"
+	"github.com/jacinthgate/jacinthgate/coordination/serverlimit"
 	"github.com/jacinthgate/jacinthgate/protocol/dialect"
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
@@ -90,6 +91,7 @@
 	refusals      *attempt.RefusalHistory
 	callGroups    *attempt.CallGroups
 	callerRetries *metrics.Counter
+	limits        serverlimit.Known         // rate limits that backend servers have stated
 	bufferedBytes atomic.Int64              // bytes reserved for buffering large responses
 	shutdownEnd   atomic.Pointer[time.Time] // end of the shutdown; nil before BeginShutdown
 }
--- a/transport/outbound/take.go
+++ b/transport/outbound/take.go
@@ -9,9 +9,9 @@
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
-// handleResponse evaluates the gate's response and reports whether a backend server's
-// response in it was relayed to the caller.
-func (x *exchange) handleResponse(choice balance.Choice, resp *http.Response, took time.Duration) bool {
+// handleResponse evaluates the gate's response to an attempt that was sent at the given time, and
+// reports whether a backend server's response in it was relayed to the caller.
+func (x *exchange) handleResponse(choice balance.Choice, resp *http.Response, sent time.Time, took time.Duration) bool {
 	h := resp.Header
 	x.observeBudgetUsage(h)
 	result := balance.Result{Latency: took, Work: x.workload(), MeanServiceTime: reportedServiceTime(h)}
@@ -23,7 +23,7 @@
 		x.creditCanary(choice)
 	}
 	if outcome.Outcome(h.Get(outcome.HeaderOutcome)) == outcome.Answered {
-		x.observeStatements(choice, h)
+		x.observeStatements(choice, h, sent)
 		return x.relay(choice, resp, result)
 	}
 	reason := outcome.Reason(h.Get(outcome.HeaderReason))
@@ -39,6 +39,8 @@
 		x.linkFull(choice, h)
 	case outcome.ReasonHostSlow:
 		x.allowAgain(choice)
+	case outcome.ReasonServerLimit:
+		x.limitReached(h, &result)
 	}
 	forward.Drain(resp)
 	choice.Done(x.p.cfg.Now(), result)
@@ -70,7 +72,7 @@
 func refusalOutcome(reason outcome.Reason) balance.Outcome {
 	switch reason {
 	case outcome.ReasonDeadline, outcome.ReasonCancelled, outcome.ReasonLinkFull, outcome.ReasonHostSlow,
-		outcome.ReasonQueueFull, outcome.ReasonQuarantined, outcome.ReasonWithdrawn, outcome.ReasonEvacuated:
+		outcome.ReasonQueueFull, outcome.ReasonServerLimit, outcome.ReasonQuarantined, outcome.ReasonWithdrawn, outcome.ReasonEvacuated:
 		return balance.Cancelled
 	}
 	return balance.NotRun
