Let the soak's backend servers state limits, and that they leave

No rig named a limit or let a server leave by its answers alone. The plan -statements brings both beside kills, restarts, freezes, cuts, resets and drains: limits of 0 to 25 a second that fall, a limit of 0 while the server's node is killed five times, a limit over a quiet time of all callers, departures that heartbeats contradict.

--- a/coordination/gate/stated_test.go
+++ b/coordination/gate/stated_test.go
@@ -132,7 +132,9 @@
 			l.send(150, 2*time.Second, 1)
 			began := time.Now()
 			l.state(perSecond)
-			l.send(150, 20*time.Second, 1)
+			l.send(150, 10*time.Second, 1)
+			time.Sleep(10 * time.Second) // the bucket fills
+			l.send(150, 10*time.Second, 1)
 			l.running.Wait()
 			must.LessEq(t, allowed(perSecond), l.most(began), must.Sprint(perSecond))
 			must.GreaterEq(t, int(4*perSecond), l.most(began), must.Sprintf("%v: the limit should be used", perSecond))
--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -62,6 +62,7 @@
 	if !pause(r.Context(), b.head) {
 		return
 	}
+	s.WriteStatements(w.Header())
 	platformtest.Stamp(w)
 	body := Answer(s.ID, r.URL.RequestURI())
 	b.framing.set(w.Header(), len(body))
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -188,6 +188,7 @@
 		r.After = time.Duration(after * float64(time.Second))
 	}
 	r.Status, r.Stamped, r.Body = resp.StatusCode, platformtest.Stamped(resp.Header), string(body)
+	r.Limited, r.Leaving = resp.Header[platformtest.HeaderLimit] != nil, resp.Header[platformtest.HeaderLeaving] != nil
 	return !resp.Close
 }
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,6 +47,8 @@
 	requests []Request
 	count    int
 	wait     sync.WaitGroup
+	// quiet is the number of faults that keep callers from sending.
+	quiet atomic.Int32
 }
 
 // start starts the callers beside a node until ctx ends.
@@ -59,6 +62,10 @@
 			}
 			defer from.close()
 			for ctx.Err() == nil {
+				if c.quiet.Load() > 0 {
+					wait(ctx, callerPause)
+					continue
+				}
 				pause := c.next(from, n)
 				if i%impatientEvery == impatientEvery-1 {
 					pause = callerPause
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -52,6 +52,14 @@
 	CheckCold Check = "cold"
 	// CheckEvacuated: the backend servers of an evacuated zone get no requests.
 	CheckEvacuated Check = "evacuated"
+	// CheckLimit: a backend server gets no more than the limit that it states, in sum over the
+	// nodes that have passed the statement on.
+	CheckLimit Check = "stated-limit"
+	// CheckLimitEnds: a limit that is no longer stated is no longer kept.
+	CheckLimitEnds Check = "stated-limit-ends"
+	// CheckLeaving: a backend server that states in its answers that it leaves gets nothing more
+	// from nodes that have passed that on.
+	CheckLeaving Check = "stated-leaving"
 	// CheckRows: what nodes have written of themselves is in the store again after it came
 	// back from an older copy.
 	CheckRows Check = "own-rows"
@@ -120,6 +128,8 @@
 	Stamped bool
 	// Body is the answer's.
 	Body string
+	// Limited says that the answer states a limit, and Leaving that its backend server leaves.
+	Limited, Leaving bool
 }
 
 // Arrival is one request as a backend server saw it.
@@ -182,6 +192,8 @@
 	Evacuations []Evacuation
 	// ColdSpans are the times in which each start of a backend server was cold, by startOf.
 	ColdSpans map[string][]Span
+	// Limits are the limits that each start of a backend server stated, by startOf, in order.
+	Limits map[string][]LimitSpan
 	// Accepted is when each version of the configuration was accepted, from the first.
 	Accepted []time.Time
 }
@@ -214,6 +226,7 @@
 	h.checkQuarantine(&found)
 	h.checkKeys(&found)
 	h.checkColdAndEvacuated(&found)
+	h.checkStatements(runs, &found)
 	return found
 }
 
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -72,6 +72,14 @@
 		s.changes(ctx, step)
 	case FaultBreakOff:
 		countFor(ctx, step, n.host.behaviours.breaking)
+	case FaultLimit:
+		s.stateLimits(ctx, step)
+	case FaultLimitKill:
+		s.limitAndKill(ctx, step)
+	case FaultLimitQuiet:
+		s.limitAndPause(ctx, step)
+	case FaultLeave:
+		s.stateLeaving(ctx, step)
 	case FaultForget:
 		countFor(ctx, step, n.host.behaviours.forgetting)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -67,6 +67,17 @@
 	// FaultForget lets a node's backend servers forget connections that have been idle: what is
 	// sent on one is reset.
 	FaultForget Fault = "forget"
+	// FaultLimit lets a node's backend server state a limit of requests per second, then a
+	// lower one.
+	FaultLimit Fault = "limit"
+	// FaultLimitKill lets a node's backend server state a limit of 0 while the node is killed and
+	// started again, twice.
+	FaultLimitKill Fault = "limit-kill"
+	// FaultLimitQuiet lets a node's backend server state a limit, and all callers be quiet
+	// meanwhile and begin again at one time.
+	FaultLimitQuiet Fault = "limit-quiet"
+	// FaultLeave lets a node's backend server state in its answers alone that it leaves.
+	FaultLeave Fault = "leave"
 )
 
 // planned are the disturbances that belong to daily work.
@@ -78,7 +89,7 @@
 // Planned reports whether the disturbance belongs to daily work, beside which
 // nothing may be cut. So does one of idle connections only.
 func (f Fault) Planned() bool {
-	return f == FaultSignals || f == FaultEvacuate || f == FaultChanges || f == FaultForget || slices.Contains(planned, f)
+	return f == FaultSignals || f == FaultEvacuate || f == FaultChanges || f == FaultForget || f == FaultLimit || f == FaultLimitKill || f == FaultLimitQuiet || f == FaultLeave || slices.Contains(planned, f)
 }
 
 // OfStore reports whether only the store is struck, beside which nothing may be cut either.
@@ -135,6 +146,13 @@
 	habitual = append([]Fault{FaultBreakOff, FaultBreakOff, FaultBreakOff, FaultCrash, FaultCrash, FaultForget, FaultForget, FaultKill}, habitualPlanned...)
 )
 
+// stating are the kinds around backend servers that state limits, and that they leave: nodes that
+// have to learn that anew or in spite of each other.
+var stating = []Fault{
+	FaultLimit, FaultLimit, FaultLimit, FaultLimit, FaultLimit, FaultLimitKill, FaultLimitKill, FaultLimitQuiet, FaultLimitQuiet, FaultLeave, FaultLeave, FaultKill, FaultKill, FaultTerm, FaultFreeze,
+	FaultCutNode, FaultCutStore, FaultReset, FaultDelay, FaultStoreDown, FaultCrash, FaultReturn, FaultDrain, FaultChange,
+}
+
 // Step is one disturbance of a plan.
 type Step struct {
 	// At is when it begins, from the start of the plan.
@@ -232,6 +250,11 @@
 	return p
 }
 
+// NewStatementPlan draws a schedule around backend servers that state limits and that they leave.
+func NewStatementPlan(seed uint64, nodes int, length time.Duration) Plan {
+	return draw(stating, seriesEvery, seed, nodes, length)
+}
+
 // NewAheadPlan draws a schedule around connections that are in use: planned work, with
 // versions in series, and with breaks also answers that break off.
 func NewAheadPlan(seed uint64, nodes int, length time.Duration, breaks bool) Plan {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -46,6 +46,7 @@
 	spans   []Span
 	stops   []Stop
 	drained map[string]time.Time
+	limits  map[string][]LimitSpan // by startOf
 	found   []Violation
 	faults  map[Fault]int // of the store, under way
 	// evacuated are the zones under evacuation, and evacuations those that have ended.
@@ -75,7 +76,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	s := &soak{site: st, callers: &callers{site: st}, drained: make(map[string]time.Time), faults: make(map[Fault]int),
+	s := &soak{site: st, callers: &callers{site: st}, drained: make(map[string]time.Time), limits: make(map[string][]LimitSpan), faults: make(map[Fault]int),
 		evacuated: make(map[model.Zone]bool)}
 	s.versions = &versions{site: st, callers: s.callers}
 	s.callers.versions = s.versions
@@ -191,6 +192,7 @@
 		s.add(CheckRecovery, "%s doesn't serve %v after the last disturbance", n.name, recoverTime)
 	}
 	s.checkRows(ctx, recoverTime)
+	s.checkLimitsEnded(ctx, recoverTime)
 	s.checkLast(ctx, recoverTime)
 }
 
@@ -225,7 +227,7 @@
 // result gathers what callers and backend servers saw, and checks it.
 func (s *soak) result() Result {
 	h := History{Requests: s.callers.taken(), Drained: s.drained, Spans: s.spans, Stops: s.stops, Keyed: s.site.cfg.Plan.Keyed, Accepted: s.versions.accepted}
-	h.Evacuations, h.ColdSpans = s.evacuations, make(map[string][]Span)
+	h.Evacuations, h.ColdSpans, h.Limits = s.evacuations, make(map[string][]Span), s.limits
 	for _, n := range s.site.nodes {
 		for _, b := range n.host.all {
 			h.Arrivals = append(h.Arrivals, arrivals(b, n.set.Zone)...)
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -43,6 +43,8 @@
 	// coldUntil is when the last of coldSpans ends. Both are guarded by the host's mu.
 	coldUntil time.Time
 	coldSpans []Span
+	// states says that it has stated something about itself; guarded by the host's mu.
+	states bool
 
 	connsMu sync.Mutex
 	conns   map[net.Conn]*tracked
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -41,6 +41,7 @@
 		// Seeds 3 and 4 lost answers to callers that take them slowly.
 		"habits planned": NewHabitPlan(3, 4, 6*time.Second, false),
 		"habits":         NewHabitPlan(4, 4, 6*time.Second, true),
+		"statements":     NewStatementPlan(2, 6, 6*time.Second),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- /dev/null
+++ b/internal/soak/statements.go
@@ -0,0 +1,300 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Bounds of the statements of backend servers.
+const (
+	// touchTime is how long after a backend server has first stated its limit the limit holds,
+	// limitWindow the length of the windows in which it does, and toldAfter how long before a
+	// request its node must have passed a statement on.
+	touchTime   = 3 * time.Second
+	limitWindow = 4 * time.Second
+	toldAfter   = 500 * time.Millisecond
+	// In a window a backend server may get limitOver times what its limit allows, and limitSlack
+	// requests more.
+	limitOver  = 1.5
+	limitSlack = 5
+	// statedTime is how long a backend server states a limit, beside the length of the step: the
+	// time until the limit holds, and more than a window.
+	statedTime = touchTime + limitWindow
+	// quietTime is how long callers are quiet: almost a window.
+	quietTime = 3500 * time.Millisecond
+	// tellTime is how long a backend server states a limit that all its load fits in, so that
+	// many nodes have passed a statement on.
+	tellTime = time.Second
+	// looseLimit is that limit, and tightLimit one that its load exceeds, in requests per second.
+	looseLimit, tightLimit = 500, 10.9
+	// limitKills is how often a node is killed while its backend server states a limit: some
+	// times within a window.
+	limitKills     = 5
+	limitKillEvery = time.Second
+)
+
+// statedLimits are the limits that steps draw from, in requests per second.
+var statedLimits = []float64{0, 0.2, 2, 5, 10.9, 25}
+
+// LimitSpan is a time in which a start of a backend server stated a limit.
+type LimitSpan struct {
+	From, To  time.Time
+	PerSecond float64
+}
+
+// stateLimits lets a node's backend server state a limit, then a lower one, and none again.
+func (s *soak) stateLimits(ctx context.Context, step Step) {
+	server := s.site.nodes[step.Node].host.stating()
+	if server == nil {
+		return
+	}
+	i := int(step.For/(100*time.Millisecond)) % len(statedLimits)
+	for _, perSecond := range []float64{statedLimits[i], statedLimits[i/2]} {
+		server.StateLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
+		from := time.Now()
+		wait(ctx, step.For+statedTime/2)
+		s.noteLimit(server, LimitSpan{From: from, To: time.Now(), PerSecond: perSecond})
+	}
+	server.StateLimit()
+}
+
+// limitAndKill lets a node's backend server state a limit of 0, and kills the node meanwhile.
+func (s *soak) limitAndKill(ctx context.Context, step Step) {
+	s.limitWhile(ctx, step, 0, func() {
+		n := s.site.nodes[step.Node]
+		defer s.open(FaultKill, step.Node)()
+		n.busy.Lock()
+		defer n.busy.Unlock()
+		for range limitKills {
+			p, _ := n.running()
+			p.Kill()
+			s.startAgain(n)
+			wait(ctx, limitKillEvery)
+		}
+	})
+}
+
+// limitAndPause lets a node's backend server state a limit, and all callers be quiet meanwhile.
+func (s *soak) limitAndPause(ctx context.Context, step Step) {
+	s.limitWhile(ctx, step, tightLimit, func() {
+		s.callers.quiet.Add(1)
+		wait(ctx, quietTime)
+		s.callers.quiet.Add(-1)
+	})
+}
+
+// limitWhile lets a node's backend server state a limit that many nodes pass on, and then another
+// one, under which something happens.
+func (s *soak) limitWhile(ctx context.Context, step Step, perSecond float64, happens func()) {
+	server := s.site.nodes[step.Node].host.stating()
+	if server == nil {
+		return
+	}
+	server.StateLimit(strconv.Itoa(looseLimit))
+	from := time.Now()
+	wait(ctx, tellTime)
+	s.noteLimit(server, LimitSpan{From: from, To: time.Now(), PerSecond: looseLimit})
+	server.StateLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
+	from = time.Now()
+	wait(ctx, touchTime)
+	happens()
+	wait(ctx, limitWindow)
+	s.noteLimit(server, LimitSpan{From: from, To: time.Now(), PerSecond: perSecond})
+	server.StateLimit()
+}
+
+// stating returns the present backend server if it states nothing yet; nil otherwise.
+func (h *host) stating() *server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.current
+	if s == nil || h.draining || s.states {
+		return nil
+	}
+	s.states = true
+	return s
+}
+
+func (s *soak) noteLimit(server *server, span LimitSpan) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	start := startOf(server.ID, server.Born)
+	s.limits[start] = append(s.limits[start], span)
+}
+
+// stateLeaving lets a node's backend server state in its answers alone that it leaves, and
+// replaces it when its time is over.
+func (s *soak) stateLeaving(ctx context.Context, step Step) {
+	h := s.site.nodes[step.Node].host
+	server := h.stating()
+	if server == nil {
+		return
+	}
+	server.StateLeaving(true)
+	wait(ctx, 2*drainTime+step.For)
+	if !h.is(server) {
+		return // it has crashed meanwhile
+	}
+	if err := h.replace(int(time.Now().UnixMilli() % 1000)); err != nil {
+		s.add(CheckRecovery, "%s: %v", s.site.nodes[step.Node].name, err)
+	}
+	wait(ctx, drainMargin)
+	_ = server.http.Close() // its requests have ended, or break the promise
+}
+
+// told are when nodes passed on answers with a statement, by the start of the backend server and
+// the number of the node, in order.
+type told map[string]map[int][]time.Time
+
+// toldBy returns when nodes passed on answers for which states returns true.
+func (h *History) toldBy(runs map[string][]Arrival, states func(*Request) bool) told {
+	all := make(told)
+	for i := range h.Requests {
+		r := &h.Requests[i]
+		ran := runs[r.ID]
+		if !r.Stamped || len(ran) == 0 || !states(r) {
+			continue
+		}
+		last := ran[len(ran)-1]
+		start := startOf(last.Server, last.Born)
+		if all[start] == nil {
+			all[start] = make(map[int][]time.Time)
+		}
+		all[start][r.Node] = append(all[start][r.Node], r.Done)
+	}
+	for _, nodes := range all {
+		for _, times := range nodes {
+			slices.SortFunc(times, time.Time.Compare)
+		}
+	}
+	return all
+}
+
+// since returns when a node had first been told by a moment, after the last disturbance of the
+// node that excuses it; false if it hasn't.
+func (h *History) since(t told, start string, node int, by time.Time, excuses func(Fault) bool) (time.Time, bool) {
+	var from time.Time
+	for _, p := range h.Spans {
+		if p.Node != node || !excuses(p.Fault) || p.From.After(by) {
+			continue
+		}
+		if p.To.After(from) {
+			from = p.To
+		}
+	}
+	for _, at := range t[start][node] {
+		if at.After(from) {
+			return at, !at.After(by)
+		}
+	}
+	return time.Time{}, false
+}
+
+// restarts reports whether a fault stops a node or holds it up.
+func restarts(f Fault) bool {
+	return slices.Contains([]Fault{FaultTerm, FaultKill, FaultFreeze, FaultSignals}, f)
+}
+
+// cutsOrRestarts reports whether a fault does that, or cuts a node off.
+func cutsOrRestarts(f Fault) bool { return restarts(f) || f == FaultCutNode }
+
+// checkStatements checks that backend servers got no more than they had stated to take, and
+// nothing after they had stated to leave, from nodes that had passed the statement on.
+func (h *History) checkStatements(runs map[string][]Arrival, found *report) {
+	sent := make(map[string]*Request, len(h.Requests))
+	for i := range h.Requests {
+		sent[h.Requests[i].ID] = &h.Requests[i]
+	}
+	limited := h.toldBy(runs, func(r *Request) bool { return r.Limited })
+	leaving := h.toldBy(runs, func(r *Request) bool { return r.Leaving })
+	counted := make(map[string][]time.Time)
+	for _, a := range h.Arrivals {
+		r := sent[a.ID]
+		if r == nil || a.Refused {
+			continue
+		}
+		start := startOf(a.Server, a.Born)
+		if at, was := h.since(leaving, start, r.Node, a.At, restarts); was && r.Sent.Sub(at) > drainTime {
+			found.add(CheckLeaving, "%s got %s, which was sent to node %d %v after that node had passed on that it leaves", a.Server, a.ID, r.Node, r.Sent.Sub(at))
+		}
+		if at, was := h.since(limited, start, r.Node, a.At, cutsOrRestarts); was && a.At.Sub(at) >= toldAfter {
+			counted[start] = append(counted[start], a.At)
+		}
+	}
+	for start, spans := range h.Limits {
+		checkLimit(start, spans, counted[start], found)
+	}
+}
+
+// checkLimit checks the arrivals at one start of a backend server against what it stated.
+func checkLimit(start string, spans []LimitSpan, arrivals []time.Time, found *report) {
+	slices.SortFunc(arrivals, time.Time.Compare)
+	first, last := spans[0].From, spans[len(spans)-1].To
+	for i, from := range arrivals {
+		if from.Before(first.Add(touchTime)) || from.After(last) {
+			continue
+		}
+		to := from.Add(limitWindow)
+		n := 0
+		for _, at := range arrivals[i:] {
+			if at.Before(to) && at.Before(last) {
+				n++
+			}
+		}
+		perSecond := 0.0
+		for _, s := range spans {
+			if s.From.Before(to) && s.To.After(from) {
+				perSecond = max(perSecond, s.PerSecond)
+			}
+		}
+		if allowed := limitOver*perSecond*limitWindow.Seconds() + limitSlack; float64(n) > allowed {
+			found.add(CheckLimit, "%s stated %v a second and got %d requests in %v from nodes that it had told, %.0f are allowed", start, perSecond, n, limitWindow, allowed)
+			return
+		}
+	}
+}
+
+// statedLimitGauge is the metric with the limit that a node keeps; noLimit is its value for none.
+const (
+	statedLimitGauge = "jacinthgate_inbound_stated_limit "
+	noLimit          = "-1"
+)
+
+// checkLimitsEnded checks that nodes keep no limit once no backend server states one, and
+// requests have come.
+func (s *soak) checkLimitsEnded(ctx context.Context, bound time.Duration) {
+	deadline := time.Now().Add(bound)
+	for _, n := range s.site.nodes {
+		for n.keptLimit() != noLimit {
+			if time.Now().After(deadline) || ctx.Err() != nil {
+				s.add(CheckLimitEnds, "%s keeps a limit of %s %v after the last one was stated", n.name, n.keptLimit(), bound)
+				break
+			}
+			for _, from := range s.site.nodes {
+				s.callers.send(from.caller(true), from, "")
+			}
+		}
+	}
+}
+
+// keptLimit returns the limit that a node's gate keeps, as its metric tells it.
+func (n *node) keptLimit() string {
+	resp, err := http.Get(fmt.Sprintf("http://%s/metrics", n.addr(portMetrics)))
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	_, rest, _ := strings.Cut(string(body), statedLimitGauge)
+	value, _, _ := strings.Cut(rest, "\n")
+	return value
+}
