Acknowledge a backend server's word once this node sends by it

A heartbeat or goodbye was acknowledged when it had been handed to the event loop. Until the loop had handled it, the node's own callers were sent to the former start of the backend server, whose gate refused them: 503, wrong-service, where no other server had room. The acknowledgement now waits until the loop has handled the announcement, for 200 ms at most.

--- a/internal/sidecar/backends.go
+++ b/internal/sidecar/backends.go
@@ -25,6 +25,8 @@
 	// changed is told after each change that other nodes need to know. It may
 	// wait for the event loop, so the loop itself never brings it about.
 	changed func(*instance.Instance)
+	// awaitAnnounced waits, for a bounded time, until this node sends by what changed was told.
+	awaitAnnounced func()
 	// restarted is told the key of an instance that has made way for the next one
 	// without a goodbye.
 	restarted func(key string)
@@ -75,6 +77,7 @@
 		b.restarted(before.Key())
 	}
 	b.changed(after)
+	b.awaitAnnounced()
 	wasReady := before == nil || before.Start != after.Start || before.State == instance.Ready
 	if h.Draining && wasReady {
 		b.recordDrain(h.Key())
@@ -93,6 +96,7 @@
 	}
 	_ = b.log.Log("event", "backend_left", "instance", s.Key())
 	b.changed(after)
+	b.awaitAnnounced()
 	b.recordDrain(s.Key())
 }
 
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -81,7 +81,8 @@
 		record:  n.recordDrain,
 		changed: n.announce,
 		// The gate is wired after the control plane, before anything runs.
-		restarted: func(key string) { n.gate.Restarted(key) },
+		restarted:      func(key string) { n.gate.Restarted(key) },
+		awaitAnnounced: n.awaitAnnounced,
 	}
 	l.backends = n.backends
 	l.reader = newReader(platform.NewConfigs(n.store), l, n.log)
@@ -189,6 +190,30 @@
 	n.loop.queue.Post(n.ctx, n.pub.announcement(i, time.Now()))
 }
 
+// announceTimeout bounds how long an acknowledgement waits for the event loop. Backend servers
+// wait for a second.
+const announceTimeout = 200 * time.Millisecond
+
+// handled is an event that is closed by the loop: all events posted before it have been handled
+// by then.
+type handled chan struct{}
+
+// Event implements core.Event.
+func (handled) Event() {}
+
+// awaitAnnounced waits until the event loop has handled what was announced before, so that this
+// node itself sends by it.
+func (n *Node) awaitAnnounced() {
+	ctx, cancel := context.WithTimeout(n.ctx, announceTimeout)
+	defer cancel()
+	done := make(handled)
+	n.loop.queue.Post(ctx, done)
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // announcement returns the announcement of the host's backend server; nil withdraws it.
 func (p *published) announcement(i *instance.Instance, now time.Time) member.Announce {
 	a := member.Announce{Unready: p.withdrawn.Load()}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -99,8 +99,12 @@
 			l.withdraw(now)
 		}
 	}
-	if d, ok := ev.(instanceDeparted); ok {
-		l.depart(now, d.instance)
+	switch ev := ev.(type) {
+	case instanceDeparted:
+		l.depart(now, ev.instance)
+		return
+	case handled:
+		close(ev)
 		return
 	}
 	l.carryOut(now, l.member.Step(now, ev))
