--- a/transport/link/link_test.go
+++ b/transport/link/link_test.go
@@ -171,10 +171,13 @@
 func TestBothDialAtOnce(t *testing.T) {
 	const messages = 40
 	synctest.Test(t, func(t *testing.T) {
-		_, a, b := pair(t)
+		net, a, b := pair(t)
+		net.Cut([]string{"a:1"}, []string{"b:1"}) // neither connection is complete before both are dialled
 		a.Connect("b", "b:1")
 		b.Connect("a", "a:1")
 		synctest.Wait()
+		net.Heal([]string{"a:1"}, []string{"b:1"})
+		synctest.Wait()
 		must.Eq(t, 2, a.connections())
 		for i := range messages {
 			must.NoError(t, a.Send("b", message.Normal, fetch(uint64(i))))
