--- a/coordination/balance/picker.go
+++ b/coordination/balance/picker.go
@@ -59,21 +59,6 @@
 	trial  bool
 }
 
-// PickOptions are the requirements of a request on the server that is picked for it.
-type PickOptions struct {
-	// Work is the request's workload.
-	Work model.Work
-	// MaxNearWait is how long the request may wait for a slot at a near server before a
-	// server in a farther tier is considered. At 0 any wait is too long.
-	MaxNearWait time.Duration
-	// MayProbe allows the request to be sent to a server that has few slots, so that this node
-	// learns whether it still has.
-	MayProbe bool
-	// NearestOnly restricts the choice to the nearest tier that has servers, even if all of
-	// them were tried or are ejected.
-	NearestOnly bool
-}
-
 // Pick picks a server for a request without known requirements: it considers a farther tier
 // as soon as the request would wait for a slot. See PickFor.
 func (p *Picker) Pick(now time.Time, s *model.Service, candidates []endpoint.Record, excluded *Exclusions) (Choice, error) {
--- a/coordination/gate/rate.go
+++ b/coordination/gate/rate.go
@@ -122,22 +122,22 @@
 // wait returns the time until n tokens are available, if none is taken before; 0 if the limit
 // doesn't apply.
 func (b *rateBucket) wait(n int, now time.Time) time.Duration {
-	if !b.active.Load() {
-		return 0
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.limit.active(now) {
-		return 0
-	}
-	b.refill(now)
-	missing := max(0, float64(n)-b.tokens)
-	return time.Duration(missing / b.limit.PerSecond * float64(time.Second))
+	return b.whileActive(now, func() time.Duration {
+		b.refill(now)
+		missing := max(0, float64(n)-b.tokens)
+		return time.Duration(missing / b.limit.PerSecond * float64(time.Second))
+	})
 }
 
 // spacing returns the mean time between two requests at the rate limit; 0 if the limit doesn't
 // apply.
 func (b *rateBucket) spacing(now time.Time) time.Duration {
+	return b.whileActive(now, func() time.Duration { return time.Duration(float64(time.Second) / b.limit.PerSecond) })
+}
+
+// whileActive returns the result of f, which is called with b.mu held; 0 if the limit doesn't
+// apply.
+func (b *rateBucket) whileActive(now time.Time, f func() time.Duration) time.Duration {
 	if !b.active.Load() {
 		return 0
 	}
@@ -146,7 +146,7 @@
 	if !b.limit.active(now) {
 		return 0
 	}
-	return time.Duration(float64(time.Second) / b.limit.PerSecond)
+	return f()
 }
 
 // admitRate takes a token of each limit that applies, and reports whether all had one.
