Probe servers with few slots by any request, sooner by a repeatable one

A limit of 0 that had ended was kept for 15 s on one node of soak (-statements, 6 nodes): only requests that may be repeated probed the server, and callers near it sent none for its service. Any first attempt may probe now, one that may not be repeated after twice the time: what a gate or a server refuses was not run, so nothing is lost by it. The soak's check also asked in vain: with six nodes and three kinds of requests in turn, each node always sent the same kind; it now asks for each service at each node.

--- a/coordination/balance/options.go
+++ b/coordination/balance/options.go
@@ -14,8 +14,9 @@
 	// server in a farther tier is considered. At 0 any wait is too long.
 	MaxNearWait time.Duration
 	// MayProbe allows the request to be sent to a server that has few slots, so that this node
-	// learns whether it still has.
-	MayProbe bool
+	// learns whether it still has. Repeatable prefers the request for that, as it may run more
+	// than once.
+	MayProbe, Repeatable bool
 	// NearestOnly restricts the choice to the nearest tier that has servers, even if all of
 	// them were tried or are ejected.
 	NearestOnly bool
--- a/coordination/balance/probe.go
+++ b/coordination/balance/probe.go
@@ -10,9 +10,13 @@
 func (p *Picker) SetNodes(n int) { p.nodes.Store(int64(n)) }
 
 // probeInterval returns the time between two requests of this node to a server that has few
-// slots.
-func (p *Picker) probeInterval() time.Duration {
-	return p.cfg.ProbeInterval * time.Duration(max(1, p.nodes.Load()/nodesPerProbe))
+// slots. A request that isn't repeatable probes only if no other has for as long again.
+func (p *Picker) probeInterval(repeatable bool) time.Duration {
+	d := p.cfg.ProbeInterval * time.Duration(max(1, p.nodes.Load()/nodesPerProbe))
+	if !repeatable {
+		return 2 * d
+	}
+	return d
 }
 
 // probe returns a server of the nearest tier that had few slots when it last reported and got no
@@ -34,7 +38,7 @@
 			continue
 		}
 		reduced = true
-		if at-m.server.sentAt.Load() < int64(p.probeInterval()) || m.server.ejected() {
+		if at-m.server.sentAt.Load() < int64(p.probeInterval(opts.Repeatable)) || m.server.ejected() {
 			continue
 		}
 		if ok, _ := p.usable(m, nil, excluded, at); ok {
--- a/coordination/balance/probe_test.go
+++ b/coordination/balance/probe_test.go
@@ -19,9 +19,10 @@
 		must.True(t, ok)
 		c.Done(at, Result{Outcome: OK, Load: &Load{Used: 1, Slots: slots}})
 	}
-	probed := func(after time.Duration, mayProbe bool) bool {
+	probed := func(after time.Duration, repeatable bool) bool {
 		at := start.Add(after)
-		m := p.probe(p.group(s, rs, at.UnixNano()), nil, PickOptions{MayProbe: mayProbe}, at.UnixNano())
+		must.Nil(t, p.probe(p.group(s, rs, at.UnixNano()), nil, PickOptions{Repeatable: repeatable}, at.UnixNano()))
+		m := p.probe(p.group(s, rs, at.UnixNano()), nil, PickOptions{MayProbe: true, Repeatable: repeatable}, at.UnixNano())
 		must.True(t, m == nil || m.record.Node == "a")
 		return m != nil
 	}
@@ -30,12 +31,13 @@
 	report(start, 1)
 	must.False(t, probed(1900*time.Millisecond, true))
 	must.True(t, probed(2*time.Second, true))
-	must.False(t, probed(2*time.Second, false), must.Sprint("a request that may not be repeated"))
+	must.False(t, probed(3900*time.Millisecond, false), must.Sprint("a request that may not be repeated"))
+	must.True(t, probed(4*time.Second, false), must.Sprint("no other request has come"))
 	p.SetNodes(40)
 	must.False(t, probed(19*time.Second, true), must.Sprint("the nodes of the fleet share the probes"))
 	must.True(t, probed(20*time.Second, true))
 	p.SetNodes(4)
-	c, err := p.PickFor(start.Add(20*time.Second), s, rs, nil, PickOptions{MayProbe: true})
+	c, err := p.PickFor(start.Add(20*time.Second), s, rs, nil, PickOptions{MayProbe: true, Repeatable: true})
 	must.NoError(t, err)
 	must.Eq(t, model.NodeID("a"), c.Record.Node)
 	must.False(t, probed(21*time.Second, true), must.Sprint("one probe at a time"))
--- a/internal/soak/statements.go
+++ b/internal/soak/statements.go
@@ -260,6 +260,9 @@
 	}
 }
 
+// servicePrefixes begin the paths of a route to each service.
+var servicePrefixes = []string{"/status/", "/layout/"}
+
 // statedLimitGauge is the metric with the limit that a node keeps; noLimit is its value for none.
 const (
 	statedLimitGauge = "jacinthgate_inbound_stated_limit "
@@ -277,7 +280,9 @@
 				break
 			}
 			for _, from := range s.site.nodes {
-				s.callers.send(from.caller(true), from, "")
+				for _, prefix := range servicePrefixes {
+					s.callers.send(from.caller(true), from, prefix)
+				}
 			}
 		}
 	}
--- a/transport/outbound/pick.go
+++ b/transport/outbound/pick.go
@@ -39,7 +39,7 @@
 // pick chooses the backend server for the next attempt.
 func (x *exchange) pick(now time.Time) (balance.Choice, error) {
 	options := balance.PickOptions{Work: x.workload(), MaxNearWait: max(0, x.due().Sub(now)/nearWaitDivisor)}
-	options.MayProbe = x.route.Repeatable() && x.route.Kind != model.KindBulk && x.trail.Progress.Sends == 0
+	options.MayProbe, options.Repeatable = x.trail.Progress.Sends == 0, x.route.Repeatable()
 	routing := x.p.cfg.Routing().Of(x.service.Name)
 	if c, ok := x.pickCanary(now, routing, options); ok {
 		return c, nil
