Don't take an entry node's hint of a limit for granted

In the log the gate that had just started adopted 500 from an entry node, the limit before the last one: that node had passed on no answer since it fell, and its hint was the first to come.

--- a/coordination/serverlimit/hint_test.go
+++ b/coordination/serverlimit/hint_test.go
@@ -81,3 +81,20 @@
 		must.LessEq(t, 1.5*4*perSecond+5, 4*rate+max(1, burst))
 	}
 }
+
+// Guards against a gate that has just started and takes the limit of an entry node for granted,
+// although the backend server has lowered it since.
+func TestHintIsNotTrustedUntilAResponseConfirmsIt(t *testing.T) {
+	var l Tracker
+	l.Begin("a")
+	l.Adopt("a", Hint{PerSecond: 500, Age: 4 * time.Second}, at(0))
+	rate := func() float64 {
+		_, limit, _ := l.Current()
+		perSecond, _ := limit.Rate()
+		return perSecond
+	}
+	must.Eq(t, unconfirmedRate, rate())
+	must.True(t, l.Observe("a", stating(500, 10), at(20)), must.Sprint("its rate has changed"))
+	must.Eq(t, 500, rate())
+	must.False(t, l.Observe("a", stating(500, 30), at(40)))
+}
--- a/coordination/serverlimit/tracker.go
+++ b/coordination/serverlimit/tracker.go
@@ -13,7 +13,7 @@
 	// SourceResponse is a response of the backend server.
 	SourceResponse Source = "response"
 	// SourceEntryNode is an entry node that had received such a response before this
-	// process started.
+	// process started. The limit may have changed since.
 	SourceEntryNode Source = "entry-node"
 )
 
@@ -51,11 +51,11 @@
 	confirmedAt time.Time
 }
 
-// observe applies a response and reports whether the limit changed.
+// observe applies a response and reports whether the limit or its source changed.
 func (s *statement) observe(r Response, now time.Time) bool {
 	switch {
 	case r.Stated && (!s.limit.Stated || r.PerSecond <= s.limit.PerSecond):
-		changed := !s.limit.Stated || r.PerSecond != s.limit.PerSecond
+		changed := !s.limit.Stated || r.PerSecond != s.limit.PerSecond || s.limit.Source != SourceResponse
 		s.state(r.PerSecond, SourceResponse, now)
 		return changed
 	case !s.limit.Stated || !r.Sent.After(s.confirmedAt):
