Serialise how the gate applies the limits of its backend server

Found by reading: responses are handled concurrently, and each that changed the stated limit read the state and set the gate's limits without a lock. Of two such calls the one with the older state could come last, and a limit that had just fallen was kept at its former value until the next tick, up to 100 ms; likewise a call that had read the former instance could make the tracker begin anew. Both steps are one critical section now, off the path of requests whose response changes nothing. transport/inbound and the tests of statements and cold servers in internal/sidecar pass with the race detector; there is no test that brings the interleaving about.

--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -112,6 +112,7 @@
 	sent *metrics.Counter
 	// limit is the rate limit that the backend server states.
 	limit      serverlimit.Tracker
+	applying   sync.Mutex // held while the limits of the backend server are applied
 	statements statementLog
 }
 
--- a/transport/inbound/update.go
+++ b/transport/inbound/update.go
@@ -21,8 +21,11 @@
 	g.logLimit(now)
 }
 
-// applyLimits sets the limits of the current instance of the backend server.
+// applyLimits sets the limits of the current instance of the backend server. Concurrent calls are
+// serialised, so that the last one applies the latest state.
 func (g *Gate) applyLimits(now time.Time) {
+	g.applying.Lock()
+	defer g.applying.Unlock()
 	l := core.Limits{Draining: true}
 	if i := g.cfg.Instance(); i != nil {
 		g.limit.Begin(i.Key())
