Let a full server, not a limited one, decide when callers return

A caller whose request was refused by one server for its rate limit and by another for a full queue was told to come back when the limit allowed a request, up to two seconds later, though the full server has a slot much sooner. The wait for a limit counts only if no server refused for another reason now, and a request that finds the rest held back keeps the reason of its refusals.

--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -62,8 +62,10 @@
 	// freeSlots reports whether the last refusal came from a backend server with free slots.
 	freeSlots bool
 	// limitWait is the shortest time until one of the servers that refused for their rate
-	// limits expects to accept another request; 0 if none did.
-	limitWait time.Duration
+	// limits expects to accept another request; 0 if none did, or if refusedOtherwise is set, as
+	// one has refused for another reason.
+	limitWait        time.Duration
+	refusedOtherwise bool
 	// failure is an error response of a backend server, kept while another attempt is
 	// made and relayed if that gets no better one.
 	failure *bufferedResponse
--- a/transport/outbound/pick.go
+++ b/transport/outbound/pick.go
@@ -24,7 +24,7 @@
 // gives.
 func (x *exchange) noServerLeft(err error) {
 	var none *balance.NoEndpointError
-	if errors.As(err, &none) && none.HeldFor > 0 {
+	if errors.As(err, &none) && none.HeldFor > 0 && !x.refusedOtherwise {
 		x.noteLimitWait(none.HeldFor + maxQueueTime)
 		x.trail.Forbid(outcome.ReasonServerLimit)
 		return
--- a/transport/outbound/statements.go
+++ b/transport/outbound/statements.go
@@ -53,7 +53,11 @@
 
 // noteLimitWait records when a backend server is expected to accept another request.
 func (x *exchange) noteLimitWait(wait time.Duration) {
-	if x.limitWait == 0 || wait < x.limitWait {
+	if !x.refusedOtherwise && (x.limitWait == 0 || wait < x.limitWait) {
 		x.limitWait = wait
 	}
 }
+
+// noteOtherRefusal records a refusal for another reason than a rate limit: that server may accept
+// a request sooner than the limits of the others allow one.
+func (x *exchange) noteOtherRefusal() { x.limitWait, x.refusedOtherwise = 0, true }
--- a/transport/outbound/statements_test.go
+++ b/transport/outbound/statements_test.go
@@ -17,6 +17,7 @@
 type limitedGates struct {
 	waitMillis int
 	sends      int
+	full       int // the number of the send that is refused for a full queue
 	hints      []string
 	answers    bool
 }
@@ -34,6 +35,9 @@
 		h[outcome.HeaderOutcome] = []string{string(outcome.NotRun)}
 		h[outcome.HeaderReason] = []string{string(outcome.ReasonServerLimit)}
 		h[outcome.HeaderLimitWait] = []string{strconv.Itoa(g.waitMillis)}
+		if g.sends == g.full {
+			h[outcome.HeaderReason] = []string{string(outcome.ReasonQueueFull)}
+		}
 	}
 	return &http.Response{StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: h, Body: http.NoBody}, nil
 }
@@ -62,6 +66,19 @@
 	must.Eq(t, http.StatusOK, get(p).Code)
 }
 
+// Guards against callers that are told to wait for a limited backend server although another one
+// was only full.
+func TestFullServerDecidesWhenCallersReturn(t *testing.T) {
+	for full := 1; full <= 3; full++ {
+		p := newProxy(t, model.KindInteractive, 3, &limitedGates{waitMillis: 1800, full: full})
+		w := get(p)
+		must.Eq(t, http.StatusServiceUnavailable, w.Code)
+		after, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+		must.NoError(t, err)
+		must.LessEq(t, 0.3, after)
+	}
+}
+
 // A limit that allows the next request soon keeps none from queueing at the gate.
 func TestServerBelowALimitIsNotHeldBack(t *testing.T) {
 	g := &limitedGates{waitMillis: 200}
--- a/transport/outbound/take.go
+++ b/transport/outbound/take.go
@@ -34,6 +34,9 @@
 		result.Outcome = refusalOutcome(reason)
 	}
 	x.freeSlots = reason == outcome.ReasonBackendRefused && result.Load != nil && result.Load.Used < result.Load.Slots
+	if reason != outcome.ReasonServerLimit {
+		x.noteOtherRefusal()
+	}
 	switch reason {
 	case outcome.ReasonLinkFull:
 		x.linkFull(choice, h)
