Announce a stated shutdown before the response goes on

The announcement of an instance that stated its shutdown was posted by a goroutine of its own. Had the next start registered before that goroutine ran, the fleet would have been told the former instance last, and the new one would have stayed out until its next change. It is posted on the request's path now, like crashes and successes; only the store's call stays in the background. Found by reading; no test brings the interleaving about. Tests of statements in internal/sidecar pass with the race detector.

--- a/internal/sidecar/backends.go
+++ b/internal/sidecar/backends.go
@@ -101,7 +101,7 @@
 }
 
 // leavingStated records that an instance states in its responses that it is shutting down. It is
-// called on a request's path, so everything that may wait happens in the background.
+// called on a request's path, so the store is told in the background.
 func (b *backends) leavingStated(key string) {
 	b.mu.Lock()
 	news := b.local.Leave(time.Now(), instance.ParseStart(key))
@@ -112,10 +112,8 @@
 		return
 	}
 	_ = level.Info(b.log).Log("event", "backend_leaving_stated", "instance", key)
-	go func() {
-		b.changed(after)
-		b.recordDrain(key)
-	}()
+	b.changed(after)
+	go b.recordDrain(key)
 }
 
 // offered reports whether a backend server may offer a service: the configuration names
