Answer requests that have arrived when a server shuts down

Callers saw a connection end without a response to a request that they had written whole, while jacinthgate-node shut down (TestShutdownCutsNothing, once in ten runs beside load: connection-closed). The gates of both programs lost requests of entry nodes alike, which then can't know that these have not run.

Cause: net/http's Shutdown goes by what its goroutines have read. It closes each connection that it holds for idle, whatever lies in the kernel, and conn.serve drops each request whose head it has read once Shutdown was called. The drain before it ends 5 ms after the last connection was accepted, so a goroutine that isn't scheduled for 5 ms is enough.

Evidence: a listener that holds the reads of its connections decides the moment.

Change: transport/keepalive runs all net/http servers of both programs. The goroutine that reads a connection decides whether it is idle, after a look into the kernel and with what net/http has buffered counted, and net/http's Shutdown is called once no connection is left. An idle timeout that passes takes the same way. Gates announce the close in their responses from the withdrawal on. transport/entry's test of truncated responses takes its one-connection listener from transporttest, with the same checks.

--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -103,6 +103,12 @@
 	open *atomic.Int64
 }
 
+// NetConn returns the connection below.
+func (c *cappedConn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite closes the connection for writing.
+func (c *cappedConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
+
 // Close implements net.Conn.
 func (c *cappedConn) Close() error {
 	err := c.Conn.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,7 +110,7 @@
 	n.addServer(&g, func() error { return n.proxy.Serve(n.callerLn) }, n.callerLn.Close)
 	for _, s := range []*server{n.gateSrv, n.localSrv, n.operatorSrv} {
 		if s != nil {
-			n.addServer(&g, s.serve, s.http.Close)
+			n.addServer(&g, s.serve, s.keep.Close)
 		}
 	}
 	n.addSignals(&g, caught)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/pkg/errors"
 	"golang.org/x/net/netutil"
 
+	"github.com/jacinthgate/jacinthgate/transport/keepalive"
 	"github.com/jacinthgate/jacinthgate/transport/listen"
 )
 
@@ -22,9 +24,9 @@
 // server is one HTTP server with its listener.
 type server struct {
 	http *http.Server
-	ln   net.Listener
-	// raw is what ln accepts from.
-	raw *listen.Listener
+	// keep runs http.
+	keep *keepalive.Server
+	ln   *listen.Listener
 }
 
 // serverConfig says how to make a server.
@@ -35,6 +37,7 @@
 	maxHeaderBytes int
 	// maxConns bounds the connections; 0 is no bound.
 	maxConns int
+	logger   log.Logger
 }
 
 // openServer opens the address; the handler is set later.
@@ -43,28 +46,33 @@
 	if err != nil {
 		return nil, &listen.Error{Name: cfg.name, Addr: cfg.addr, Err: err}
 	}
-	s := &server{raw: listen.New(ln)}
-	s.ln = s.raw
-	if cfg.maxConns > 0 {
-		s.ln = netutil.LimitListener(s.ln, cfg.maxConns)
-	}
-	if cfg.tls != nil {
-		s.ln = tls.NewListener(s.ln, cfg.tls)
-	}
+	s := &server{ln: listen.New(ln)}
 	s.http = &http.Server{
 		MaxHeaderBytes:    cfg.maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 	}
+	s.keep = keepalive.New(s.http, keepalive.Config{Name: cfg.name, Wrap: cfg.wrap, Logger: cfg.logger})
 	return s, nil
 }
 
+// wrap bounds the connections of a listener and secures them.
+func (cfg *serverConfig) wrap(ln net.Listener) net.Listener {
+	if cfg.maxConns > 0 {
+		ln = netutil.LimitListener(ln, cfg.maxConns)
+	}
+	if cfg.tls != nil {
+		ln = tls.NewListener(ln, cfg.tls)
+	}
+	return ln
+}
+
 // addr returns the address listened on.
 func (s *server) addr() string { return s.ln.Addr().String() }
 
 // serve serves until the server is shut down or closed.
 func (s *server) serve() error {
-	err := s.http.Serve(s.ln)
+	err := s.keep.Serve(s.ln)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -74,10 +82,10 @@
 // shutdown stops accepting once no connection waits, waits for requests in flight until ctx ends, and
 // closes what is left then.
 func (s *server) shutdown(ctx context.Context) error {
-	_ = s.raw.Drain(ctx) // Shutdown closes what is still open
-	err := s.http.Shutdown(ctx)
+	_ = s.ln.Drain(ctx) // Shutdown closes what is still open
+	err := s.keep.Shutdown(ctx)
 	if err != nil {
-		_ = s.http.Close() // the deadline has passed: nothing more to wait for
+		_ = s.keep.Close() // the deadline has passed: nothing more to wait for
 	}
 	return err
 }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -61,6 +61,7 @@
 	a := n.registry.Current()
 	n.loop.queue.Post(n.ctx, member.Announce{Unready: true, Draining: a.Draining, Service: a.Service})
 	n.proxy.Leave()
+	n.gateSrv.keep.Leave()
 	time.Sleep(n.set.Shutdown.Notice.Std())
 	ctx, cancel := context.WithTimeout(n.ctx, n.set.Shutdown.DrainTimeout.Std())
 	defer cancel()
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -42,11 +42,17 @@
 		addr:           n.set.Listen.Gate,
 		tls:            n.identity.gateServer(),
 		maxHeaderBytes: n.set.Limits.HeaderBytes,
+		logger:         n.log,
 	})
 	if err != nil {
 		return err
 	}
-	n.localSrv, err = openServer(serverConfig{name: "local", addr: n.set.Listen.Local, maxHeaderBytes: n.set.Limits.HeaderBytes})
+	n.localSrv, err = openServer(serverConfig{
+		name:           "local",
+		addr:           n.set.Listen.Local,
+		maxHeaderBytes: n.set.Limits.HeaderBytes,
+		logger:         n.log,
+	})
 	if err != nil {
 		return err
 	}
@@ -57,6 +63,7 @@
 			tls:            n.identity.operatorServer(),
 			maxHeaderBytes: n.set.Limits.HeaderBytes,
 			maxConns:       maxOperatorConns,
+			logger:         n.log,
 		})
 	}
 	return err
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -23,6 +23,7 @@
 	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/callers"
 	"github.com/jacinthgate/jacinthgate/transport/inbound"
+	"github.com/jacinthgate/jacinthgate/transport/keepalive"
 	"github.com/jacinthgate/jacinthgate/transport/link"
 	"github.com/jacinthgate/jacinthgate/transport/listen"
 	"github.com/jacinthgate/jacinthgate/transport/outbound"
@@ -71,6 +72,8 @@
 	callers   *server
 	front     *callers.Server // what serves callers
 	gates     *server
+	// gateServer is what serves the gate.
+	gateServer *keepalive.Server
 
 	// own are the rows that only this node writes.
 	own ownRows
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -14,6 +14,7 @@
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/transport/callers"
 	"github.com/jacinthgate/jacinthgate/transport/headpack"
+	"github.com/jacinthgate/jacinthgate/transport/keepalive"
 	"github.com/jacinthgate/jacinthgate/transport/listen"
 )
 
@@ -37,7 +38,7 @@
 	maxHeaderBytes = 32 << 10
 )
 
-// httpServer is what serves a listener: net/http's server, or that of package
+// httpServer is what serves a listener: a server of package keepalive, or that of package
 // callers.
 type httpServer interface {
 	Serve(net.Listener) error
@@ -50,18 +51,21 @@
 	name string // of the setting of its address
 	http httpServer
 	ln   *listen.Listener
-	// wrap is put around ln; nil is nothing.
-	wrap func(net.Listener) net.Listener
 }
 
 // addPlain adds a server of net/http.
 func (n *Node) addPlain(name string, h http.Handler) *server {
-	return n.add(name, &http.Server{
+	return n.add(name, n.newPlain(h, keepalive.Config{Name: name, Logger: n.log}))
+}
+
+// newPlain returns a server of net/http.
+func (n *Node) newPlain(h http.Handler, cfg keepalive.Config) *keepalive.Server {
+	return keepalive.New(&http.Server{
 		Handler:           h,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       serverIdle,
-	})
+	}, cfg)
 }
 
 // add adds a server on the address that was opened for it.
@@ -116,11 +120,7 @@
 
 // serve serves until the server is shut down or closed.
 func (s *server) serve() error {
-	var ln net.Listener = s.ln
-	if s.wrap != nil {
-		ln = s.wrap(ln)
-	}
-	err := s.http.Serve(ln)
+	err := s.http.Serve(s.ln)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -144,8 +144,12 @@
 		RequestID: platform.Dialect{}.RequestID, Metrics: n.metrics, Logger: n.log,
 	})
 	n.callers = n.add(listenCallers, n.front)
-	n.gates = n.addPlain(listenGate, n.gateHandler())
-	n.gates.wrap = func(ln net.Listener) net.Listener { return headpack.Listener{Listener: ln} }
+	n.gateServer = n.newPlain(n.gateHandler(), keepalive.Config{
+		Name:   listenGate,
+		Wrap:   func(ln net.Listener) net.Listener { return headpack.Listener{Listener: ln} },
+		Logger: n.log,
+	})
+	n.gates = n.add(listenGate, n.gateServer)
 	n.addPlain(listenReady, n.readyHandler())
 	n.addPlain(listenBackend, platform.BackendHandler(n.backends, func(err error) {
 		_ = level.Warn(n.log).Log("event", "heartbeat_unreadable", "err", err)
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -95,6 +95,7 @@
 	time.Sleep(notice - min(withdrawLead, notice))
 	n.pub.withdrawn.Store(true)
 	n.announce(n.pub.instance.Load())
+	n.gateServer.Leave()
 	time.Sleep(min(withdrawLead, notice))
 	end := began.Add(n.set.grace() - n.set.grace()/exitPart)
 	n.proxy.BeginShutdown(end)
--- a/transport/entry/caller_conn.go
+++ b/transport/entry/caller_conn.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 )
 
 // callerConn is a caller's connection. It records the bytes of each request's head
@@ -71,6 +70,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection below.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // connState is the server's ConnState hook. It records each request's head: from the
 // connection's start or idle state until net/http has read the head.
 func connState(conn net.Conn, state http.ConnState) {
@@ -103,37 +105,3 @@
 	}
 	return &callerConn{Conn: c}, nil
 }
-
-// singleConnListener is a listener that returns a single, existing connection; it hands a
-// hijacked connection back to an http.Server. The server may close the listener at any
-// time, so the connection is taken exactly once: by Accept or by Close.
-type singleConnListener struct {
-	conn atomic.Pointer[callerConn]
-}
-
-func newSingleConnListener(c *callerConn) *singleConnListener {
-	l := new(singleConnListener)
-	l.conn.Store(c)
-	return l
-}
-
-// Accept implements net.Listener.
-func (l *singleConnListener) Accept() (net.Conn, error) {
-	c := l.conn.Swap(nil)
-	if c == nil {
-		return nil, net.ErrClosed
-	}
-	return c, nil
-}
-
-// Close implements net.Listener. It closes the connection unless Accept returned it.
-func (l *singleConnListener) Close() error {
-	c := l.conn.Swap(nil)
-	if c == nil {
-		return nil
-	}
-	return c.Close()
-}
-
-// Addr implements net.Listener.
-func (l *singleConnListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/transport/entry/cut_test.go
+++ b/transport/entry/cut_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
+	"github.com/jacinthgate/jacinthgate/transport/transporttest"
 )
 
 // truncateAfter stands in for a gate: it reads that many bytes of the body, then sends
@@ -39,7 +40,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		caller, accepted := net.Pipe()
 		defer caller.Close()
-		_ = newServer(b.proxy).Serve(newSingleConnListener(&callerConn{Conn: accepted}))
+		_ = newServer(b.proxy).Serve(transporttest.SingleListener(&callerConn{Conn: accepted}))
 		ended := false
 		go func() {
 			_, _ = io.Copy(io.Discard, caller)
--- a/transport/entry/older.go
+++ b/transport/entry/older.go
@@ -16,6 +16,7 @@
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
+	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
 // olderServer forwards requests to the older system. It hijacks the caller's
@@ -29,7 +30,7 @@
 	mu      sync.Mutex
 	closing bool
 	idle    map[*callerConn]struct{} // hijacked, waiting for the next request
-	running sync.WaitGroup           // requests in flight on hijacked connections
+	running sync.WaitGroup           // hijacked connections
 }
 
 // olderConn is a connection to the older system.
@@ -139,43 +140,47 @@
 	c.pending = append(bytes.Clone(rest), c.pending...)
 	c.recording, c.prefetched = false, c.prefetched[:0]
 	_ = c.SetDeadline(time.Time{}) // the older system applies its own timeouts
-	reusable := x.run()
-	o.running.Done()
-	if !reusable || !o.waitIdle(c, x) {
+	defer o.running.Done()
+	if !x.run() || !o.waitIdle(c, x) {
 		_ = c.Close()
 		return
 	}
 	c.pending = x.leftover()
-	// Serve closes the connection itself when the server is shutting down.
-	_ = o.p.server.Serve(newSingleConnListener(c))
+	o.p.server.Resume(c, len(c.pending) > 0)
 }
 
-// waitIdle waits for the first byte of the caller's next request. It reports false if
-// the connection must be closed: it ended, stayed idle for IdleTimeout, or the server
-// is shutting down.
+// waitIdle waits for the first byte of the caller's next request. It reports false if the
+// connection must be closed: it ended, or stayed idle for IdleTimeout. During a shutdown it
+// reports true at once, since the server ends idle connections.
 func (o *olderServer) waitIdle(c *callerConn, x *rawExchange) bool {
 	o.mu.Lock()
+	until := time.Now().Add(o.p.cfg.IdleTimeout)
 	if o.closing {
-		o.mu.Unlock()
-		return false
+		until = past
 	}
-	_ = c.SetReadDeadline(time.Now().Add(o.p.cfg.IdleTimeout)) // if it fails, so does the read
+	_ = c.SetReadDeadline(until) // if it fails, so does the read
 	o.idle[c] = struct{}{}
 	o.mu.Unlock()
 	err := <-x.next
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.idle, c)
-	return err == nil && !o.closing && c.SetReadDeadline(time.Time{}) == nil
+	if err != nil && !(x.bodySent && isTimeout(err) && (o.closing || sockopt.HasUnread(c))) {
+		return false
+	}
+	return c.SetReadDeadline(time.Time{}) == nil
 }
 
-// shutdown closes idle connections and waits until the requests in flight have ended,
-// or ctx ends.
+// past is a deadline that ends a blocked read at once.
+var past = time.Unix(1, 0)
+
+// shutdown hands idle connections back to the server, and waits until the requests in flight
+// have ended and their connections were handed back as well, or ctx ends.
 func (o *olderServer) shutdown(ctx context.Context) error {
 	o.mu.Lock()
 	o.closing = true
 	for c := range o.idle {
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // ends the wait
+		_ = c.SetReadDeadline(past) // ends the wait
 	}
 	o.mu.Unlock()
 	done := make(chan struct{})
--- a/transport/entry/older_exchange.go
+++ b/transport/entry/older_exchange.go
@@ -20,6 +20,8 @@
 	// next receives nil when the first byte of the next request has arrived, or the
 	// error that ended the wait for it.
 	next chan error
+	// bodySent is set once the request's body was copied. It may be read after next.
+	bodySent bool
 }
 
 // run copies the request and its response. It reports whether the caller's connection
@@ -56,6 +58,7 @@
 	older := x.caller.older
 	err := x.copyBody(older)
 	if err == nil {
+		x.bodySent = true
 		_, err = x.reader.Peek(1)
 	}
 	if errors.Is(err, io.EOF) {
--- a/transport/entry/proxy.go
+++ b/transport/entry/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
+	"github.com/jacinthgate/jacinthgate/transport/keepalive"
 )
 
 // Proxy is the entry proxy. It is safe for concurrent use.
@@ -17,7 +19,7 @@
 	cfg     Config
 	metrics *requestMetrics
 	older   *olderServer
-	server  *http.Server
+	server  *keepalive.Server
 	leaving atomic.Bool
 }
 
@@ -26,7 +28,11 @@
 	cfg = cfg.withDefaults()
 	p := &Proxy{cfg: cfg, metrics: newRequestMetrics(cfg.Metrics, cfg.MaxMetricOrganisations)}
 	p.older = newOlderServer(p)
-	p.server = newServer(p)
+	p.server = keepalive.New(newServer(p), keepalive.Config{
+		Name:   "caller",
+		Wrap:   func(l net.Listener) net.Listener { return recordingListener{l} },
+		Logger: p.cfg.Logger,
+	})
 	return p
 }
 
--- a/transport/entry/server.go
+++ b/transport/entry/server.go
@@ -22,7 +22,7 @@
 // Serve accepts callers' connections until Shutdown, or until the listener is
 // closed; it then returns nil.
 func (p *Proxy) Serve(l net.Listener) error {
-	err := p.server.Serve(recordingListener{l})
+	err := p.server.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -31,8 +31,11 @@
 
 // Leave makes the proxy close each caller's connection after its next response. It
 // is called some time before Shutdown, which closes idle connections: a request that
-// arrives on such a connection at that moment gets no response, though it was not run.
-func (p *Proxy) Leave() { p.leaving.Store(true) }
+// crosses the close gets no response, though it was not run.
+func (p *Proxy) Leave() {
+	p.leaving.Store(true)
+	p.server.Leave()
+}
 
 // closeIfLeaving sets "Connection: close" on the response once Leave has been called.
 func (p *Proxy) closeIfLeaving(w http.ResponseWriter) {
@@ -41,11 +44,12 @@
 	}
 }
 
-// Shutdown stops accepting connections and waits until the requests in flight
-// have been answered, or until ctx ends.
+// Shutdown stops accepting connections and waits until the requests that have arrived
+// are answered, or until ctx ends. Connections that carry requests to the older system
+// go back to the server first, which ends them like the others.
 func (p *Proxy) Shutdown(ctx context.Context) error {
-	if err := p.server.Shutdown(ctx); err != nil {
+	if err := p.older.shutdown(ctx); err != nil {
 		return err
 	}
-	return p.older.shutdown(ctx)
+	return p.server.Shutdown(ctx)
 }
--- /dev/null
+++ b/transport/keepalive/server_test.go
@@ -0,0 +1,223 @@
+package keepalive
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/transport/headpack"
+	"github.com/jacinthgate/jacinthgate/transport/transporttest"
+)
+
+// start serves a handler that answers with the path, and returns the server.
+func start(t *testing.T, l net.Listener, h *http.Server, cfg Config) *Server {
+	t.Helper()
+	if h.Handler == nil {
+		h.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) })
+	}
+	cfg.Logger = log.NewNopLogger()
+	s := New(h, cfg)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func listenLocal(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	return l
+}
+
+// client is one end of a connection to a server.
+type client struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func dial(t *testing.T, l net.Listener) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return &client{c, bufio.NewReader(c)}
+}
+
+func (c *client) write(t *testing.T, text string) {
+	t.Helper()
+	_, err := io.WriteString(c, text)
+	must.NoError(t, err)
+}
+
+// read reads a response and returns its status and body.
+func (c *client) read(t *testing.T) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(c.br, nil)
+	must.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	return resp, string(body)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+
+// Guards against requests that have arrived and are lost in a shutdown.
+func TestRequestThatHasArrivedIsAnsweredDuringAShutdown(t *testing.T) {
+	transporttest.CheckShutdownAnswers(t, func(t *testing.T, l *transporttest.HeldListener) func() {
+		s := start(t, l, new(http.Server), Config{})
+		return func() { must.NoError(t, s.Shutdown(t.Context())) }
+	})
+}
+
+// Guards against an idle timeout that takes a request that nobody has read yet for silence.
+func TestRequestThatHasArrivedIsAnsweredAfterTheIdleTimeout(t *testing.T) {
+	l := transporttest.NewHeldListener(t, 1)
+	start(t, l, &http.Server{IdleTimeout: time.Millisecond}, Config{})
+	c := dial(t, l)
+	c.write(t, get("/a"))
+	c.read(t)
+	c.write(t, get("/b"))
+	time.Sleep(20 * time.Millisecond)
+	l.Release()
+	_, body := c.read(t)
+	must.Eq(t, "/b", body)
+}
+
+// Guards against connections that stay open past their idle timeout.
+func TestIdleConnectionEndsAtTheIdleTimeout(t *testing.T) {
+	l := listenLocal(t)
+	start(t, l, &http.Server{IdleTimeout: time.Millisecond}, Config{})
+	c := dial(t, l)
+	c.write(t, get("/a"))
+	c.read(t)
+	_, err := c.br.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against a request that is lost because only a part of its head had arrived when the shutdown
+// began: behind the previous request, in the buffer of net/http, or on its own.
+func TestRequestWhoseHeadIsArrivingIsAnsweredDuringAShutdown(t *testing.T) {
+	head := get("/b")
+	for name, first := range map[string]string{"with the previous request": get("/a") + head[:9], "on its own": get("/a")} {
+		t.Run(name, func(t *testing.T) {
+			l := listenLocal(t)
+			s := start(t, l, new(http.Server), Config{})
+			c := dial(t, l)
+			c.write(t, first)
+			c.read(t)
+			rest := head[9:]
+			if first == get("/a") {
+				rest = head[1:]
+				c.write(t, head[:1])
+			}
+			time.Sleep(20 * time.Millisecond) // the server reads it
+			ended := make(chan error, 1)
+			go func() { ended <- s.Shutdown(t.Context()) }()
+			time.Sleep(5 * shutdownPollInterval)
+			c.write(t, rest)
+			_, body := c.read(t)
+			must.Eq(t, "/b", body)
+			must.NoError(t, <-ended)
+		})
+	}
+}
+
+// Guards against a body that can't be read because the shutdown began while its request arrived.
+func TestBodyIsReadDuringAShutdown(t *testing.T) {
+	l := listenLocal(t)
+	reading := make(chan struct{})
+	s := start(t, l, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(reading)
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	})}, Config{})
+	c := dial(t, l)
+	c.write(t, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n")
+	<-reading
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(t.Context()) }()
+	time.Sleep(5 * shutdownPollInterval)
+	c.write(t, "body")
+	_, body := c.read(t)
+	must.Eq(t, "body", body)
+	must.NoError(t, <-ended)
+}
+
+// Guards against a response that leaves its caller in the belief that the connection goes on.
+func TestResponsesCloseTheirConnectionAfterLeave(t *testing.T) {
+	l := listenLocal(t)
+	s := start(t, l, new(http.Server), Config{})
+	c := dial(t, l)
+	c.write(t, get("/a"))
+	resp, _ := c.read(t)
+	must.False(t, resp.Close)
+	s.Leave()
+	c.write(t, get("/b"))
+	resp, _ = c.read(t)
+	must.True(t, resp.Close)
+}
+
+// Guards against a connection that a handler has hijacked and handed back, and that misses the request
+// behind.
+func TestResumedConnectionIsServed(t *testing.T) {
+	for name, begun := range map[string]bool{"idle": false, "with a part of a request": true} {
+		t.Run(name, func(t *testing.T) {
+			l := listenLocal(t)
+			var s *Server
+			var calls atomic.Int32
+			h := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if calls.Add(1) > 1 {
+					_, _ = io.WriteString(w, r.URL.Path)
+					return
+				}
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					s.Resume(c, begun)
+				}
+			})}
+			s = start(t, l, h, Config{})
+			c := dial(t, l)
+			c.write(t, get("/a"))
+			c.read(t)
+			c.write(t, get("/b"))
+			_, body := c.read(t)
+			must.Eq(t, "/b", body)
+			must.NoError(t, s.Shutdown(t.Context()))
+		})
+	}
+}
+
+// Guards against packed connections whose requests are lost in a shutdown, and that are never ended.
+func TestPackedConnectionEndsInAShutdown(t *testing.T) {
+	l := listenLocal(t)
+	s := start(t, l, new(http.Server), Config{Wrap: func(l net.Listener) net.Listener { return headpack.Listener{Listener: l} }})
+	raw := dial(t, l)
+	packed := headpack.Client(raw.Conn)
+	c := &client{packed, bufio.NewReader(packed)}
+	c.write(t, get("/a"))
+	_, body := c.read(t)
+	must.Eq(t, "/a", body)
+	must.NoError(t, s.Shutdown(t.Context()))
+	_, err := c.br.ReadByte()
+	must.ErrorIs(t, err, io.EOF)
+}
+
+// Guards against idle and unused connections that hold up a shutdown.
+func TestShutdownEndsIdleAndNewConnections(t *testing.T) {
+	l := listenLocal(t)
+	s := start(t, l, new(http.Server), Config{})
+	dial(t, l)
+	c := dial(t, l)
+	c.write(t, get("/a"))
+	c.read(t)
+	must.NoError(t, s.Shutdown(t.Context()))
+	must.MapEmpty(t, s.conns)
+}
--- a/transport/sockopt/sockopt.go
+++ b/transport/sockopt/sockopt.go
@@ -82,9 +82,13 @@
 }
 
 // withDescriptor calls f with the file descriptor of a socket and returns f's result; false if there
-// is no descriptor. Unlike reading and accepting, it isn't affected by a deadline that has passed.
+// is no descriptor. A connection that wraps another one has to implement NetConn, like tls.Conn.
+// Unlike reading and accepting, withDescriptor isn't affected by a deadline that has passed.
 func withDescriptor(socket any, f func(fd int) bool) bool {
 	s, ok := socket.(syscall.Conn)
+	if wrapper, wraps := socket.(interface{ NetConn() net.Conn }); !ok && wraps {
+		return withDescriptor(wrapper.NetConn(), f)
+	}
 	if !ok {
 		return false
 	}
