Tell entry nodes that a request which crosses the close of a gate's connection has not run

Callers of requests that may not be repeated got 502, may have run, for a request that no gate had read: it was on its way while the gate closed its idle connection. TCP can't tell the entry node that nobody has read what it sent.

Evidence: transport/keepalive.TestRequestThatCrossesTheCloseIsToldNotRun sends a request on a connection that the server has just closed. Without the goodbye both cases (plain, packed heads) fail: "expected to not be nil; is nil", no response. Found while the loss of requests in a shutdown was traced; how often it came isn't known.

Change: gates send a 503 that says not-run, draining, on an idle connection before they close it, and read nothing from it afterwards, so the word is true of whatever crosses it. The entry node takes it for the response and sends the request elsewhere. Without a request under way the pool finds unrequested bytes and drops the connection, as it did. The bytes come from forward.Refusal, which now also makes the response of jacinthgate-node on connections beyond its bound.

--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
 // Parameters of a connection that is refused.
@@ -75,7 +75,7 @@
 		if _, err := http.ReadRequest(bufio.NewReader(io.LimitReader(c, maxRefusedHead))); err != nil {
 			return
 		}
-		_, _ = io.WriteString(c, tooManyConnections) // the caller may be gone
+		_, _ = c.Write(tooManyConnections) // the caller may be gone
 		if t, ok := c.(*net.TCPConn); ok {
 			_ = t.CloseWrite()            // likewise
 			_, _ = io.Copy(io.Discard, t) // until the caller closes, or the deadline
@@ -86,15 +86,8 @@
 // maxRefusedHead bounds what is read of a refused request's head, in bytes.
 const maxRefusedHead = 64 << 10
 
-// tooManyConnectionsBody says why a connection was refused.
-const tooManyConnectionsBody = `{"outcome":"not-run","reason":"shed","detail":"the node has too many connections"}`
-
-var tooManyConnections = "HTTP/1.1 503 Service Unavailable\r\n" +
-	"Content-Type: application/json\r\n" +
-	"Content-Length: " + strconv.Itoa(len(tooManyConnectionsBody)) + "\r\n" +
-	outcome.HeaderOutcome + ": " + string(outcome.NotRun) + "\r\n" +
-	outcome.HeaderReason + ": " + string(outcome.ReasonShed) + "\r\n" +
-	"Retry-After: 1\r\nConnection: close\r\n\r\n" + tooManyConnectionsBody
+// tooManyConnections is the response on a refused connection.
+var tooManyConnections = forward.NotRun(outcome.ReasonShed, "the node has too many connections").Bytes()
 
 // cappedConn counts itself out once when it is closed.
 type cappedConn struct {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -37,7 +37,9 @@
 	maxHeaderBytes int
 	// maxConns bounds the connections; 0 is no bound.
 	maxConns int
-	logger   log.Logger
+	// goodbye is sent on idle connections before they are closed; nil for clients other than nodes.
+	goodbye []byte
+	logger  log.Logger
 }
 
 // openServer opens the address; the handler is set later.
@@ -52,7 +54,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 	}
-	s.keep = keepalive.New(s.http, keepalive.Config{Name: cfg.name, Wrap: cfg.wrap, Logger: cfg.logger})
+	s.keep = keepalive.New(s.http, keepalive.Config{Name: cfg.name, Wrap: cfg.wrap, Goodbye: cfg.goodbye, Logger: cfg.logger})
 	return s, nil
 }
 
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/transport/callers"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/headpack"
 	"github.com/jacinthgate/jacinthgate/transport/keepalive"
 	"github.com/jacinthgate/jacinthgate/transport/listen"
@@ -145,9 +146,10 @@
 	})
 	n.callers = n.add(listenCallers, n.front)
 	n.gateServer = n.newPlain(n.gateHandler(), keepalive.Config{
-		Name:   listenGate,
-		Wrap:   func(ln net.Listener) net.Listener { return headpack.Listener{Listener: ln} },
-		Logger: n.log,
+		Name:    listenGate,
+		Wrap:    func(ln net.Listener) net.Listener { return headpack.Listener{Listener: ln} },
+		Goodbye: forward.ConnectionClosing(),
+		Logger:  n.log,
 	})
 	n.gates = n.add(listenGate, n.gateServer)
 	n.addPlain(listenReady, n.readyHandler())
--- a/transport/forward/refusal.go
+++ b/transport/forward/refusal.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -39,6 +41,13 @@
 	return &Refusal{Outcome: outcome.Unknown, Reason: reason, Detail: detail}
 }
 
+// ConnectionClosing returns the response that a gate sends on an idle connection before it closes the
+// connection. An entry node whose request crosses the close thus learns that it has not run: nothing
+// is read from the connection any more.
+func ConnectionClosing() []byte {
+	return NotRun(outcome.ReasonDraining, "the gate has closed the connection").Bytes()
+}
+
 // Status returns the HTTP status of a refusal.
 func (r *Refusal) Status() int {
 	switch r.Reason {
@@ -79,11 +88,30 @@
 
 // Write sends the refusal as the response.
 func (r *Refusal) Write(w http.ResponseWriter) {
+	b := r.fill(w.Header())
+	w.WriteHeader(r.Status())
+	_, _ = w.Write(b) // fails if the caller has disconnected, which needs no report
+}
+
+// Bytes returns the refusal as an HTTP/1.1 response after which the connection is closed. It is for
+// connections that no HTTP server serves, or none serves any more.
+func (r *Refusal) Bytes() []byte {
+	resp := &http.Response{StatusCode: r.Status(), ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Close: true}
+	b := r.fill(resp.Header)
+	resp.ContentLength, resp.Body = int64(len(b)), io.NopCloser(bytes.NewReader(b))
+	var out bytes.Buffer
+	if err := resp.Write(&out); err != nil {
+		panic(err) // writing to memory doesn't fail
+	}
+	return out.Bytes()
+}
+
+// fill sets the headers of the response and returns its body.
+func (r *Refusal) fill(h http.Header) []byte {
 	b, err := json.Marshal(refusalBody{Outcome: r.Outcome, Reason: r.Reason, Detail: r.Detail})
 	if err != nil {
 		panic(err) // a struct of strings always encodes
 	}
-	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(b)))
 	h.Set(outcome.HeaderOutcome, string(r.Outcome))
@@ -91,8 +119,7 @@
 	if r.Outcome == outcome.NotRun || r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(retrySeconds(r.RetryAfter)))
 	}
-	w.WriteHeader(r.Status())
-	_, _ = w.Write(b) // fails if the caller has disconnected, which needs no report
+	return b
 }
 
 // retrySeconds returns d in whole seconds, rounded up, plus a jitter of up to
--- a/transport/keepalive/server_test.go
+++ b/transport/keepalive/server_test.go
@@ -12,6 +12,8 @@
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
 
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/headpack"
 	"github.com/jacinthgate/jacinthgate/transport/transporttest"
 )
@@ -221,3 +223,76 @@
 	must.NoError(t, s.Shutdown(t.Context()))
 	must.MapEmpty(t, s.conns)
 }
+
+// crossClose sends a request on an idle connection that the server has just closed, and returns the
+// response; nil if there is none.
+func crossClose(t *testing.T, s *Server, c *client) *http.Response {
+	t.Helper()
+	c.write(t, get("/a"))
+	c.read(t)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Shutdown(t.Context()) }()
+	_, err := c.br.Peek(1) // the server has closed the connection, or has sent its goodbye
+	if err == nil {
+		must.NoError(t, peekEnd(c))
+	}
+	_, _ = io.WriteString(c, get("/b")) // fails where the server's side is gone
+	resp, err := http.ReadResponse(c.br, nil)
+	must.NoError(t, <-ended)
+	if err != nil {
+		return nil
+	}
+	return resp
+}
+
+// peekEnd waits until the server has closed the connection behind what it has sent.
+func peekEnd(c *client) error {
+	for n := 1; ; n++ {
+		switch _, err := c.br.Peek(n); err {
+		case nil:
+		case io.EOF:
+			return nil
+		default:
+			return err
+		}
+	}
+}
+
+// Guards against a request between nodes that crosses the close of an idle connection and counts as one
+// that may have run.
+func TestRequestThatCrossesTheCloseIsToldNotRun(t *testing.T) {
+	packing := func(l net.Listener) net.Listener { return headpack.Listener{Listener: l} }
+	for name, wrap := range map[string]func(net.Listener) net.Listener{"plain": nil, "packed heads": packing} {
+		t.Run(name, func(t *testing.T) {
+			l := listenLocal(t)
+			s := start(t, l, new(http.Server), Config{Wrap: wrap, Goodbye: forward.ConnectionClosing()})
+			c := dial(t, l)
+			if wrap != nil {
+				packed := headpack.Client(c.Conn)
+				c = &client{packed, bufio.NewReader(packed)}
+			}
+			resp := crossClose(t, s, c)
+			must.NotNil(t, resp)
+			must.Eq(t, http.StatusServiceUnavailable, resp.StatusCode)
+			must.Eq(t, string(outcome.NotRun), resp.Header.Get(outcome.HeaderOutcome))
+			must.True(t, resp.Close)
+		})
+	}
+}
+
+// Guards against an entry node that takes a goodbye for the response to a later request.
+func TestConnectionWithAGoodbyeIsNotUsedAgain(t *testing.T) {
+	l := listenLocal(t)
+	s := start(t, l, &http.Server{IdleTimeout: 20 * time.Millisecond}, Config{Goodbye: forward.ConnectionClosing()})
+	c := forward.NewClient(forward.DefaultClientConfig())
+	for range 3 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+l.Addr().String()+"/a", nil)
+		must.NoError(t, err)
+		resp, err := c.RoundTrip(req)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, resp.StatusCode)
+		must.NoError(t, resp.Body.Close())
+		time.Sleep(40 * time.Millisecond) // past the idle timeout
+	}
+	must.NoError(t, s.Shutdown(t.Context()))
+}
