Keep connections of net/http servers until the client has received the response

Callers of jacinthgate-node, and entry nodes at the gates of both programs, got the first part of a response and then a reset: slow readers, and clients that had sent something behind a request whose response closes the connection.

Cause: net/http closes a connection once the response is in the kernel's send queue, behind a last response at once, else at the idle timeout. Unread bytes at the close, or bytes that come after it, make the kernel reset the connection and drop what is queued.

Evidence, transport/keepalive before the change (5 of 5 and 3 of 3 runs): TestLastResponseArrivesWithUnreadBytesBehindItsRequest: read tcp 127.0.0.1:40824->127.0.0.1:40701: read: connection reset by peer TestSlowlyReadResponseOutlivesTheIdleTimeout: read tcp 127.0.0.1:52228->127.0.0.1:35709: read: connection reset by peer

Change: a connection that ends behind a response is closed for writing and read until the client has acknowledged everything; an idle timeout passes over a connection whose client is still receiving. Both follow transport/callers, whose observation of the send queue moves to sockopt.Sends and serves both. A forced close still closes at once. Both tests pass three times with the race detector, transport/callers' tests unchanged.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
 const (
@@ -44,15 +46,14 @@
 	brokenBy *exchange
 	// newestDone is closed when the newest request is answered. Without a request it is closed.
 	newestDone chan struct{}
-	// unacked is the size of the send queue at the last check, in bytes, and unackedSince when that
-	// size was first seen. Only the goroutine that reads uses them.
-	unacked      int
-	unackedSince time.Time
+	// sends observes whether the caller receives responses. Only the goroutine that reads uses it.
+	sends sockopt.Sends
 }
 
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{server: s, raw: raw, slots: make(chan struct{}, max(1, s.cfg.PipelineDepth))}
 	c.head.conn = raw
+	c.sends.Conn = raw
 	c.br = bufio.NewReaderSize(&c.head, connBuffer)
 	c.bw = bufio.NewWriterSize(raw, connBuffer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
--- a/transport/callers/end.go
+++ b/transport/callers/end.go
@@ -61,31 +61,13 @@
 	_ = c.raw.Close() // nothing more is sent
 }
 
-// linger reads and discards until the caller closes the connection, or lingerTime has passed since
-// the caller acknowledged everything, or the caller stops receiving. It returns true if the caller
-// has closed the connection: no further bytes that could cause a reset arrive then.
+// linger keeps the connection until the caller has received the last response. It returns true if the
+// caller has closed the connection.
 func (c *conn) linger() (closed bool) {
-	unread := int64(0)
-	defer func() { c.logUnread(unread) }()
-	for {
-		unacked := c.unacked
-		c.armLinger()
-		n, err := io.Copy(io.Discard, c.raw)
-		unread += n
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return true
-		}
-		if !c.isReceiving() && c.unacked == unacked {
-			return false
-		}
-	}
-}
-
-// armLinger sets the deadline for lingering. From then on armIdle, which runs at the end of each
-// response, no longer changes the deadline.
-func (c *conn) armLinger() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lingering = true
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTime)) // the read returns the error of a closed connection
+	c.lingering = true // armIdle, which runs at the end of each response, no longer changes the deadline
+	c.mu.Unlock()
+	unread, closed := c.sends.Linger(lingerTime)
+	c.logUnread(unread)
+	return closed
 }
--- a/transport/callers/idle.go
+++ b/transport/callers/idle.go
@@ -23,13 +23,8 @@
 	_ = c.raw.SetReadDeadline(past) // the read returns the error of a closed connection
 }
 
-const (
-	// stallTimeout is how long the send queue may stay at one size above 0 before the caller
-	// is considered gone.
-	stallTimeout = 2 * time.Second
-	// unackedCheck is the minimum interval between two checks of the send queue.
-	unackedCheck = 50 * time.Millisecond
-)
+// unackedCheck is the minimum interval between two checks of the send queue.
+const unackedCheck = 50 * time.Millisecond
 
 // awaitRequest waits until the first byte of a request arrives. It returns an error when the
 // connection ends or has been idle for too long.
@@ -41,7 +36,8 @@
 		if err == nil || c.arrived(err) {
 			return nil
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.isReadStopped() || !c.isReceiving() {
+		// A connection whose caller still receives responses isn't idle.
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.isReadStopped() || !c.sends.Receiving() {
 			return err
 		}
 		limits = c.server.cfg.Limits()
@@ -49,17 +45,6 @@
 	}
 }
 
-// isReceiving reports whether the caller is still receiving responses, that is, whether the send
-// queue has changed within stallTimeout and isn't empty. Such a connection isn't idle, and closing
-// it could reset it and lose the rest of the response.
-func (c *conn) isReceiving() bool {
-	unacked, _ := sockopt.SendQueue(c.raw) // 0 if unknown
-	if unacked != c.unacked {
-		c.unacked, c.unackedSince = unacked, time.Now()
-	}
-	return unacked > 0 && time.Since(c.unackedSince) < stallTimeout
-}
-
 // isReadStopped reports whether no further request is to be read.
 func (c *conn) isReadStopped() bool {
 	c.mu.Lock()
--- a/transport/keepalive/conn.go
+++ b/transport/keepalive/conn.go
@@ -18,9 +18,12 @@
 var past = time.Unix(1, 0)
 
 const (
-	// lingerTime is how long a connection that the server has closed is still read: closing a
-	// socket with unread bytes resets the connection, and the client may lose what was sent to it.
+	// lingerTime is how long a connection is still read after the server has closed it and the client
+	// has acknowledged everything: closing a socket with unread bytes resets the connection, and the
+	// client may lose what was sent to it.
 	lingerTime = 200 * time.Millisecond
+	// unackedCheck is the interval between two checks of the send queue.
+	unackedCheck = 50 * time.Millisecond
 	// goodbyeTime bounds the time for sending the goodbye. It is short: the kernel has room for it
 	// unless the client doesn't read.
 	goodbyeTime = 50 * time.Millisecond
@@ -32,6 +35,9 @@
 	net.Conn
 	server *Server
 	outer  net.Conn // what net/http uses in its place
+	// sends observes whether the client receives responses. One goroutine at a time uses it: the one
+	// that reads, and the one that lingers after it.
+	sends sockopt.Sends
 
 	mu    sync.Mutex
 	state http.ConnState
@@ -164,12 +170,13 @@
 
 const (
 	fail      expiry = iota // the read fails
-	readAgain               // bytes have arrived
+	readAgain               // the connection goes on
 	endIdle                 // the connection is idle and ends
 )
 
 // expired decides what follows from a read deadline that has passed.
 func (c *conn) expired() expiry {
+	closing := c.server.isClosing()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state != http.StateNew && c.state != http.StateIdle {
@@ -182,6 +189,10 @@
 	if c.begun {
 		return fail
 	}
+	if !closing && c.sends.Receiving() { // it isn't idle: the client is receiving the last response
+		_ = c.Conn.SetReadDeadline(time.Now().Add(unackedCheck)) // the read returns the error of a closed connection
+		return readAgain
+	}
 	c.ending = true
 	return endIdle
 }
@@ -202,8 +213,8 @@
 	return c.state == http.StateIdle
 }
 
-// linger closes the connection for writing, and reads and discards until the client closes it as
-// well or lingerTime has passed.
+// linger closes the connection for writing, and keeps it until the client has received the last
+// response.
 func (c *conn) linger() {
 	if outer, ok := c.outer.(interface{ CloseWrite() error }); ok && c.outer != net.Conn(c) {
 		_ = outer.CloseWrite() // fails only if the connection is broken
@@ -211,8 +222,7 @@
 	if c.CloseWrite() != nil {
 		return
 	}
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // the read returns the error of a closed connection
-	unread, _ := io.Copy(io.Discard, c.Conn)               // ends with the connection or at the deadline
+	unread, _ := c.sends.Linger(lingerTime)
 	if _, secured := c.outer.(*tls.Conn); unread > 0 && !secured {
 		_ = c.server.cfg.Logger.Log("event", "bytes_unread", "name", c.server.cfg.Name,
 			"remote", c.RemoteAddr(), "bytes", unread)
@@ -231,10 +241,30 @@
 // NetConn returns the connection below.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Behind a response, the client is given the time to receive it.
 func (c *conn) Close() error {
-	c.server.remove(c)
-	return c.Conn.Close()
+	if !c.beginLinger() {
+		c.server.remove(c)
+		return c.Conn.Close()
+	}
+	go func() {
+		c.linger()
+		c.server.remove(c)
+		_ = c.Conn.Close() // nothing more is sent
+	}()
+	return nil
+}
+
+// beginLinger reports whether a connection that is closed is to linger first.
+func (c *conn) beginLinger() bool {
+	aborted := c.server.aborted.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if aborted || c.ending || c.state != http.StateActive {
+		return false
+	}
+	c.ending = true
+	return true
 }
 
 // resume prepares a hijacked connection for net/http. begun tells whether a part of the next request
--- a/transport/keepalive/listener.go
+++ b/transport/keepalive/listener.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync/atomic"
+
+	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
 // listener accepts connections through the wrappers of the configuration and tracks them.
@@ -39,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, server: l.outer.server}
+	c := &conn{Conn: raw, server: l.outer.server, sends: sockopt.Sends{Conn: raw}}
 	l.outer.newest = c
 	return c, nil
 }
--- a/transport/keepalive/server.go
+++ b/transport/keepalive/server.go
@@ -39,7 +39,8 @@
 	http    *http.Server
 	cfg     Config
 	leaving atomic.Bool
-	wrap    sync.Once // of the handler
+	aborted atomic.Bool // Close was called
+	wrap    sync.Once   // of the handler
 
 	mu        sync.Mutex
 	conns     map[net.Conn]*conn // by the connection that net/http uses
@@ -162,6 +163,7 @@
 
 // Close closes the listeners and all connections at once, without waiting for responses.
 func (s *Server) Close() error {
+	s.aborted.Store(true)
 	s.mu.Lock()
 	s.closing = true
 	s.mu.Unlock()
--- a/transport/keepalive/server_test.go
+++ b/transport/keepalive/server_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -296,3 +298,59 @@
 	}
 	must.NoError(t, s.Shutdown(t.Context()))
 }
+
+// slowReader is a client with a small receive buffer.
+func slowReader(t *testing.T, l net.Listener) *client {
+	t.Helper()
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	c, err := d.DialContext(t.Context(), "tcp", l.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return &client{c, bufio.NewReader(c)}
+}
+
+// largeBody is what the kernel's buffers of a slowReader and its server hold together, at least in part.
+var largeBody = make([]byte, 1<<20)
+
+// Guards against a last response that is lost with a reset, since bytes that the server doesn't read have
+// arrived behind its request.
+func TestLastResponseArrivesWithUnreadBytesBehindItsRequest(t *testing.T) {
+	l := listenLocal(t)
+	start(t, l, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = w.Write(largeBody)
+	})}, Config{})
+	c := slowReader(t, l)
+	c.write(t, get("/a"))
+	_, err := c.br.Peek(1)
+	must.NoError(t, err)
+	c.write(t, get("/b"))
+	_, body := c.read(t)
+	must.Eq(t, len(largeBody), len(body))
+}
+
+// Guards against an idle timeout that ends a connection whose client is still receiving the last response: its
+// next request resets the connection.
+func TestSlowlyReadResponseOutlivesTheIdleTimeout(t *testing.T) {
+	l := listenLocal(t)
+	start(t, l, &http.Server{IdleTimeout: time.Millisecond, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(largeBody)))
+		_, _ = w.Write(largeBody)
+	})}, Config{})
+	c := slowReader(t, l)
+	c.write(t, get("/a"))
+	resp, err := http.ReadResponse(c.br, nil)
+	must.NoError(t, err)
+	rest := int64(64 << 10)
+	_, err = io.CopyN(io.Discard, resp.Body, int64(len(largeBody))-rest)
+	must.NoError(t, err)
+	time.Sleep(2 * lingerTime)
+	c.write(t, get("/b"))
+	n, err := io.Copy(io.Discard, resp.Body)
+	must.NoError(t, err)
+	must.Eq(t, rest, n)
+	_, body := c.read(t)
+	must.Eq(t, len(largeBody), len(body))
+}
