Deliver responses that have begun past their deadline

Cause: the gate ended each exchange 30 ms after the deadline, the entry node 60 ms after it, whatever had arrived; jacinthgate-node did so at the deadline.

Change: forward.Progress is the context of an exchange. It ends at the deadline as before, or up to 0.4 s later while the response that has begun is being read. One that nobody takes makes no progress, and a caller that leaves ends it at once. With the graces of gate and entry node the bound stays below the half second past a route's timeout. Weighed: progress without a bound, which lets a trickling backend server hold a connection without end, and the caller's own deadline, beside which an operator's timeout would mean nothing.

Not solved: a large response that the gate reads whole before it sends its head is still 504 at the entry node.

--- a/transport/entry/config.go
+++ b/transport/entry/config.go
@@ -64,6 +64,9 @@
 	// RetryAfter is the default Retry-After delay of a refusal, used where no better
 	// estimate is available.
 	RetryAfter time.Duration
+	// ResponseExtension is how long past its deadline a response that has begun may take while it
+	// makes progress.
+	ResponseExtension time.Duration
 	// HeaderTimeout bounds reading a request's head.
 	HeaderTimeout time.Duration
 	// IdleTimeout is the time after which a caller's idle connection is closed.
@@ -90,6 +93,7 @@
 		MaxHeaderBytes:         32 << 10,
 		MaxReplayBody:          64 << 10,
 		RetryAfter:             time.Second,
+		ResponseExtension:      forward.DefaultResponseExtension,
 		HeaderTimeout:          10 * time.Second,
 		IdleTimeout:            2 * time.Minute,
 		MaxMetricOrganisations: 200,
@@ -105,6 +109,7 @@
 	setIfZero(&c.GateScheme, d.GateScheme)
 	setIfZero(&c.OlderDialTimeout, d.OlderDialTimeout)
 	setIfZero(&c.MaxHops, d.MaxHops)
+	setIfZero(&c.ResponseExtension, d.ResponseExtension)
 	setIfZero(&c.MaxHeaderBytes, d.MaxHeaderBytes)
 	setIfZero(&c.MaxReplayBody, d.MaxReplayBody)
 	setIfZero(&c.RetryAfter, d.RetryAfter)
--- a/transport/entry/cut_test.go
+++ b/transport/entry/cut_test.go
@@ -5,13 +5,16 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
+	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/transporttest"
 )
@@ -75,3 +78,26 @@
 	must.Eq(t, "/first", <-received)
 	must.Eq(t, 0, len(received))
 }
+
+// Guards against a response that the backend server has begun, and that is cut at its deadline.
+func TestBegunResponseIsDeliveredPastItsDeadline(t *testing.T) {
+	const half = 100 << 10
+	for name, length := range map[string]string{"with a length": strconv.Itoa(2 * half), "without a length": ""} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestBed()
+			b.cfg.ResponseExtension = time.Minute
+			b.class.Deadline = model.Duration(200 * time.Millisecond)
+			b.work = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if length != "" {
+					w.Header().Set("Content-Length", length)
+				}
+				_, _ = w.Write(make([]byte, half))
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(400 * time.Millisecond)
+				_, _ = w.Write(make([]byte, half))
+			})
+			b.start(t)
+			must.Eq(t, 2*half, len(read(t, b.do(t, b.request(t, "GET", "/x", "")))))
+		})
+	}
+}
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -26,6 +26,8 @@
 	plan   *plan
 	ctx    context.Context
 	cancel context.CancelFunc
+	// progress is ctx.
+	progress *forward.Progress
 
 	// body is the whole body if buffered is set, otherwise the beginning of stream, if
 	// that was read.
@@ -65,7 +67,8 @@
 		// claimed with an unknown outcome.
 		ctx = context.WithoutCancel(ctx)
 	}
-	x.ctx, x.cancel = context.WithDeadline(ctx, pl.deadline)
+	x.progress = forward.NewProgress(ctx, pl.deadline, p.cfg.ResponseExtension)
+	x.ctx, x.cancel = x.progress, x.progress.End
 	return x
 }
 
--- a/transport/entry/verdict.go
+++ b/transport/entry/verdict.go
@@ -39,6 +39,7 @@
 	}
 	out := outcome.Outcome(resp.Header.Get(outcome.HeaderOutcome))
 	if out == outcome.Answered {
+		resp.Body = x.progress.Body(resp.Body)
 		x.resp = resp
 		return nil
 	}
--- a/transport/gate/forward.go
+++ b/transport/gate/forward.go
@@ -15,7 +15,7 @@
 
 // forward sends the request to the backend server and relays the response. It returns true
 // if the backend server ran the request and its response was relayed whole.
-func (g *Gate) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, c call) bool {
+func (g *Gate) forward(ctx *forward.Progress, w http.ResponseWriter, r *http.Request, c call) bool {
 	remaining := c.deadline.Sub(g.cfg.Now()).Milliseconds()
 	if remaining <= 0 {
 		g.refuse(w, g.notRun(outcome.ReasonDeadline, "the deadline passed before the request was sent"))
@@ -92,10 +92,11 @@
 }
 
 // relay relays the response. It aborts the connection if the response is truncated.
-func (g *Gate) relay(ctx context.Context, w http.ResponseWriter, resp *http.Response, c call, stream *forward.StreamBody) {
+func (g *Gate) relay(ctx *forward.Progress, w http.ResponseWriter, resp *http.Response, c call, stream *forward.StreamBody) {
 	forward.StripNodeHeaders(resp.Header)
 	g.stamp(resp.Header)
 	resp.Header[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
+	resp.Body = ctx.Body(resp.Body)
 	err := forward.Relay(w, resp)
 	if err == nil {
 		g.crashes.Answered(c.run, resp.StatusCode)
--- a/transport/gate/gate.go
+++ b/transport/gate/gate.go
@@ -51,6 +51,9 @@
 	Tick time.Duration
 	// RetryAfter is the Retry-After delay sent with a refusal.
 	RetryAfter time.Duration
+	// ResponseExtension is how long past its deadline a response that has begun may take while it
+	// makes progress.
+	ResponseExtension time.Duration
 	// Metrics is the set that metrics are registered in.
 	Metrics *metrics.Set
 	// Logger gets one line for each event.
@@ -62,12 +65,13 @@
 // DefaultConfig returns the default settings of the fields that don't depend on the node.
 func DefaultConfig() Config {
 	return Config{
-		Backend:    forward.NewClient(forward.DefaultClientConfig()),
-		Tick:       100 * time.Millisecond,
-		RetryAfter: time.Second,
-		Metrics:    metrics.NewSet(),
-		Logger:     log.NewNopLogger(),
-		Now:        time.Now,
+		Backend:           forward.NewClient(forward.DefaultClientConfig()),
+		Tick:              100 * time.Millisecond,
+		RetryAfter:        time.Second,
+		ResponseExtension: forward.DefaultResponseExtension,
+		Metrics:           metrics.NewSet(),
+		Logger:            log.NewNopLogger(),
+		Now:               time.Now,
 	}
 }
 
@@ -93,6 +97,9 @@
 	if cfg.RetryAfter == 0 {
 		cfg.RetryAfter = d.RetryAfter
 	}
+	if cfg.ResponseExtension == 0 {
+		cfg.ResponseExtension = d.ResponseExtension
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = d.Metrics
 	}
@@ -185,8 +192,8 @@
 		g.refuse(w, refusal)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
-	defer cancel()
+	ctx := forward.NewProgress(r.Context(), call.deadline, g.cfg.ResponseExtension)
+	defer ctx.End()
 	if refusal = g.acquire(ctx, call); refusal != nil {
 		g.refuse(w, refusal)
 		return
--- a/transport/inbound/bulk.go
+++ b/transport/inbound/bulk.go
@@ -1,7 +1,6 @@
 package inbound
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -23,9 +22,11 @@
 	// maxConcurrentSends is the number of large responses that are sent at the same time.
 	// It is more than one so that one stalled receiver doesn't block the others.
 	maxConcurrentSends = 2
-	// sendGrace is how long after the request's deadline a large response is still sent.
-	// The entry node reads no more of it after that.
+	// sendGrace is how long after the request's deadline a large response may wait for its turn
+	// to be sent, or for its receiver. The entry node reads no more of it after that.
 	sendGrace = 100 * time.Millisecond
+	// maxWritePause is how long a piece of a response may take to be written after that.
+	maxWritePause = 100 * time.Millisecond
 )
 
 // serveBulk serves another node's request for a large response. It refuses the request
@@ -64,8 +65,8 @@
 
 // relayPaced relays a large response at the shaper's rate. At most maxConcurrentSends are
 // sent at the same time, as each further one would delay all of them. A response of at most
-// forward.PieceBytes is sent at once. Sending ends at sendBy, so that a caller that reads
-// nothing can't block others any longer.
+// forward.PieceBytes is sent at once. Sending ends at sendBy unless it makes progress, so that a
+// caller that reads nothing can't block others any longer.
 func (g *Gate) relayPaced(w http.ResponseWriter, req *http.Request, resp *http.Response, t *pace.Reservation, sendBy time.Time) error {
 	size := resp.ContentLength
 	if size >= 0 && size <= forward.PieceBytes {
@@ -75,8 +76,8 @@
 	if size > 0 {
 		t.SetSize(float64(size))
 	}
-	ctx, cancel := context.WithDeadline(req.Context(), sendBy)
-	defer cancel()
+	ctx := forward.NewProgress(req.Context(), sendBy, g.cfg.ResponseExtension)
+	defer ctx.End()
 	select {
 	case g.sending <- struct{}{}:
 		defer func() { <-g.sending }()
@@ -86,6 +87,11 @@
 	}
 	rc := http.NewResponseController(w)
 	_ = rc.SetWriteDeadline(sendBy) // a writer without support for deadlines has no connection
+	ctx.OnRead(func(now time.Time) {
+		if next := now.Add(maxWritePause); next.After(sendBy) {
+			_ = rc.SetWriteDeadline(next) // likewise
+		}
+	})
 	if err := relay(w, req.WithContext(ctx), resp, t); err != nil {
 		return err
 	}
--- a/transport/inbound/cut.go
+++ b/transport/inbound/cut.go
@@ -26,7 +26,8 @@
 func (e *CutError) Unwrap() error { return e.Err }
 
 // relay relays a response to the entry node. pacer limits the rate; nil sends without a
-// limit. The error is a *CutError.
+// limit. If the request's context is a *forward.Progress, the response is its own. The error is a
+// *CutError.
 func relay(w http.ResponseWriter, req *http.Request, resp *http.Response, pacer forward.Pacer) error {
 	length := resp.ContentLength
 	counted := &forward.CountedBody{ReadCloser: resp.Body}
@@ -34,6 +35,9 @@
 	if pacer != nil {
 		resp.Body = forward.Paced(req.Context(), counted, pacer)
 	}
+	if p, ok := req.Context().(*forward.Progress); ok {
+		resp.Body = p.Body(resp.Body)
+	}
 	err := forward.Relay(w, resp)
 	if err == nil {
 		return nil
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -64,6 +64,8 @@
 	// AnswerGrace is how long after its deadline a request is left to the backend server,
 	// which sends a response to a late request by itself.
 	AnswerGrace time.Duration
+	// ResponseExtension is how much longer a response that has begun may take while it makes progress.
+	ResponseExtension time.Duration
 	// Runs registers the runs of retries.
 	Runs *attempt.Runs
 	// BudgetUsage returns the usage of the retry budget by the nested calls of those runs.
--- a/transport/inbound/send.go
+++ b/transport/inbound/send.go
@@ -1,7 +1,6 @@
 package inbound
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -16,7 +15,7 @@
 // the response ends.
 func (g *Gate) send(req *http.Request, c call) *http.Response {
 	started := g.cfg.Now()
-	ctx, cancel := context.WithDeadline(req.Context(), c.Deadline.Add(g.cfg.AnswerGrace))
+	ctx := forward.NewProgress(req.Context(), c.Deadline.Add(g.cfg.AnswerGrace), g.cfg.ResponseExtension)
 	out := req.WithContext(ctx)
 	url := *req.URL
 	url.Scheme, url.Host = "http", c.instance.Addr
@@ -36,7 +35,7 @@
 	})
 	slowdown := g.slowdown()
 	done := func(serviceTime time.Duration) {
-		cancel()
+		ctx.End()
 		g.core.ReleaseSlowed(c.Work, serviceTime, slowdown, g.cfg.Now())
 		if repeat {
 			g.cfg.Runs.End(c.Deadline)
@@ -54,7 +53,7 @@
 
 // judge classifies the backend server's response and returns the one for the entry node.
 // For a response to a request that ran, the slot is held until the body or ctx ends.
-func (g *Gate) judge(ctx context.Context, req *http.Request, c call, resp *http.Response, started time.Time, done func(time.Duration)) *http.Response {
+func (g *Gate) judge(ctx *forward.Progress, req *http.Request, c call, resp *http.Response, started time.Time, done func(time.Duration)) *http.Response {
 	switch g.cfg.Dialect.Judge(resp.StatusCode, resp.Header) {
 	case dialect.Ran:
 		h := resp.Header
@@ -63,7 +62,7 @@
 		h[outcome.HeaderOutcome] = []string{string(outcome.Answered)}
 		h[outcome.HeaderReached] = reachedValue
 		noBody := resp.Body == http.NoBody
-		body := &slotBody{ReadCloser: resp.Body, ctx: ctx, remaining: resp.ContentLength, serviceTime: g.cfg.Now().Sub(started), now: g.cfg.Now}
+		body := &slotBody{ReadCloser: ctx.Body(resp.Body), ctx: ctx, remaining: resp.ContentLength, serviceTime: g.cfg.Now().Sub(started), now: g.cfg.Now}
 		body.done = func(serviceTime time.Duration, how bodyEnd) {
 			done(serviceTime)
 			g.recordBodyEnd(req, c, started, serviceTime, resp.StatusCode, how)
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -38,7 +38,8 @@
 	deadline   time.Time
 	ctx        context.Context
 	cancel     context.CancelFunc
-	callerWait time.Duration // for how long the caller waits; the route's timeout if not given
+	progress   *forward.Progress // ctx, once run has begun
+	callerWait time.Duration     // for how long the caller waits; the route's timeout if not given
 
 	body requestBody
 	// fingerprint identifies the content of the request: callers retry the same content
@@ -104,7 +105,8 @@
 	if refused := x.refuseAtShutdown(); refused != nil {
 		return refused
 	}
-	x.ctx, x.cancel = context.WithDeadline(x.r.Context(), x.deadline.Add(callerGrace))
+	x.progress = forward.NewProgress(x.r.Context(), x.deadline.Add(callerGrace), x.p.cfg.ResponseExtension)
+	x.ctx, x.cancel = x.progress, x.progress.End
 	if x.body, err = readBody(x.w, x.r, x.p.cfg.MaxBodyBuffer); err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: outcome.ReasonCancelled}
 	}
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -70,6 +70,9 @@
 	// that they can be sent again, response bodies so that a truncated response can be
 	// replaced by that of another attempt.
 	MaxBodyBuffer int64
+	// ResponseExtension is how long past its deadline a response that has begun may take while it
+	// makes progress.
+	ResponseExtension time.Duration
 	// Seed seeds the random number generator.
 	Seed uint64
 	// Metrics is the set that metrics are registered in.
--- a/transport/outbound/relay.go
+++ b/transport/outbound/relay.go
@@ -15,6 +15,7 @@
 // another attempt may still be made.
 func (x *exchange) relay(choice balance.Choice, resp *http.Response, result balance.Result) bool {
 	forward.StripNodeHeaders(resp.Header)
+	resp.Body = x.progress.Body(resp.Body)
 	reserved := x.reserveBuffer(resp)
 	defer x.p.bufferedBytes.Add(-reserved)
 	body, whole, err := x.readWhole(resp, max(x.p.cfg.MaxBodyBuffer, reserved))
