Don't begin a large response whose turn comes after its deadline

A caller lost a response and those behind it on its connection: a large response of the own host's backend server waited for its turn, the gate ended the unread body 30 ms after the deadline, the turn came within 60 ms of it, and the head was sent before the body failed.

Evidence: transport/outbound.TestLargeResponseIsNotBegunAfterItsDeadline lets the turn come in between. Before: only "/slow" of three arrives, expected "/slow", an own response in place of the large one, "/behind".

Change: the wait for the turn ends at the deadline. A response that hasn't begun by then is replaced, and its connection goes on.

--- a/transport/outbound/passed_turn_test.go
+++ b/transport/outbound/passed_turn_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -40,3 +41,26 @@
 		})
 	}
 }
+
+// Guards against a large response that is begun although its body has ended unread at its deadline: the
+// gate beside the backend server ends it before this node does.
+func TestLargeResponseIsNotBegunAfterItsDeadline(t *testing.T) {
+	const bodyEnd = time.Second + callerGrace/2 // behind the route's timeout
+	late := make(chan struct{})
+	large := strings.Repeat("x", 1<<20)
+	p := proxyWithGate(t, func(r *http.Request) (*http.Response, error) {
+		switch r.URL.Path {
+		case "/slow":
+			<-late
+		case "/large":
+			ctx, end := context.WithCancel(r.Context())
+			time.AfterFunc(bodyEnd, func() {
+				end()
+				close(late)
+			})
+			return relayedResponse(int64(len(large)), contextReader{ctx, strings.NewReader(large)}), nil
+		}
+		return relayedResponse(int64(len(r.URL.Path)), strings.NewReader(r.URL.Path)), nil
+	})
+	must.Eq(t, []string{"/slow", "", "/behind"}, pipeline(t, p, "/slow", "/large", "/behind"))
+}
--- a/transport/outbound/relay.go
+++ b/transport/outbound/relay.go
@@ -1,6 +1,7 @@
 package outbound
 
 import (
+	"context"
 	"errors"
 	"net/http"
 
@@ -75,13 +76,20 @@
 	}
 }
 
+// turnEnd returns a channel that is closed at the deadline.
+func (x *exchange) turnEnd() <-chan struct{} {
+	ctx, cancel := context.WithDeadline(x.ctx, x.deadline)
+	context.AfterFunc(x.ctx, cancel) // the context of the request always ends
+	return ctx.Done()
+}
+
 // streamResponse copies a response to the caller as it arrives. Where it is truncated after
 // its first byte was sent, the caller's response is aborted as well.
 func (x *exchange) streamResponse(choice balance.Choice, resp *http.Response, result balance.Result) {
 	body := &forward.CountedBody{ReadCloser: resp.Body}
 	resp.Body = body
 	if w, ok := x.w.(interface{ WaitUntil(done <-chan struct{}) }); ok {
-		w.WaitUntil(x.ctx.Done()) // once the context has ended, the response can't be read any further
+		w.WaitUntil(x.turnEnd()) // an unread response can't be read any further past its deadline
 	}
 	err := forward.Relay(x.w, resp)
 	var cut *forward.TruncatedError
