Read the rest of a forwarded body before its handler returns

Callers of jacinthgate-node, and entry nodes at the gates of both programs, lost the request behind a response that had come before its own request's body was sent whole: the connection ended, "invalid concurrent Body.Read call".

Cause: net/http in full-duplex mode stops its background read when the handler has returned and reads the rest of the body afterwards. The end of the body starts the background read again, and the goroutine that serves the connection reads at the same time, which panics. It happens whenever the rest of a body of up to 256 KB comes, whatever the timing.

Change: StreamBody.Finish sends the response and reads what is left while the handler still runs. Gates call it once the slot is free, the entry proxy behind responses and refusals, and so do requests that are rebuilt for the older system.

--- a/transport/entry/older.go
+++ b/transport/entry/older.go
@@ -221,4 +221,5 @@
 		stream.Detach(w)
 		panic(http.ErrAbortHandler)
 	}
+	stream.Finish()
 }
--- a/transport/entry/proxy.go
+++ b/transport/entry/proxy.go
@@ -47,36 +47,39 @@
 		p.older.serve(w, r)
 		return
 	}
+	var stream *forward.StreamBody
 	if refusal == nil {
-		refusal = p.admit(w, r, &pl, start)
+		refusal, stream = p.admit(w, r, &pl, start)
 	}
 	if refusal != nil {
 		p.metrics.record(&pl.match, refusal.Outcome, refusal.Reason, p.cfg.Now().Sub(start))
 		p.closeIfLeaving(w)
 		refusal.Write(w)
 	}
+	stream.Finish()
 }
 
 // admit admits the request under the organisation's limits and serves it. It returns
-// a refusal that the caller of admit must write, or nil when the response was relayed.
-func (p *Proxy) admit(w http.ResponseWriter, r *http.Request, pl *plan, start time.Time) *forward.Refusal {
+// a refusal that the caller of admit must write, or nil when the response was relayed,
+// and the request's body if it is streamed.
+func (p *Proxy) admit(w http.ResponseWriter, r *http.Request, pl *plan, start time.Time) (*forward.Refusal, *forward.StreamBody) {
 	permit, refused := p.cfg.Admit.Admit(start, pl.match)
 	if refused != nil {
 		refusal := forward.NotRun(refused.Reason, "the contract's limits don't allow the request now")
 		refusal.RetryAfter = refused.RetryAfter
-		return refusal
+		return refusal, nil
 	}
 	defer func() { permit.Release(p.cfg.Now()) }()
 	x := newExchange(p, w, r, pl)
 	defer x.cancel()
 	if refusal := x.run(); refusal != nil {
-		return refusal
+		return refusal, x.stream
 	}
 	p.closeIfLeaving(w)
 	err := x.relay()
 	p.metrics.record(&pl.match, outcome.Answered, "", p.cfg.Now().Sub(start))
 	x.abortIfIncomplete(err)
-	return nil
+	return nil, x.stream
 }
 
 // abortIfIncomplete aborts the caller's connection when err, from relay, shows that
--- a/transport/forward/stream.go
+++ b/transport/forward/stream.go
@@ -15,6 +15,8 @@
 	body  io.Reader
 	w     http.ResponseWriter
 	state atomic.Int32
+	// duplex is set once the response may begin before the body has been read.
+	duplex atomic.Bool
 	// reading is held while the body is read.
 	reading sync.Mutex
 	onRead  func(bytes int, ended bool) // may be nil
@@ -49,6 +51,7 @@
 // rest of the body first. The handler's goroutine calls it right before the body is sent and in no
 // other case: net/http must consume a body that nobody reads before it sends the response.
 func (s *StreamBody) open() {
+	s.duplex.Store(true)
 	_ = http.NewResponseController(s.w).EnableFullDuplex() // a writer without support has no connection that could break
 }
 
@@ -78,11 +81,31 @@
 		return
 	}
 	s.state.Store(streamReclaimed)
+	s.duplex.Store(false)                                   // nothing more is to be read
 	_ = http.NewResponseController(w).SetReadDeadline(past) // a writer without support has no connection
 	s.reading.Lock()
 	defer s.reading.Unlock()
 }
 
+// maxFinish bounds how much of a body Finish reads, in bytes. If more is left, net/http closes the
+// connection after the response.
+const maxFinish = 256 << 10
+
+// Finish sends what was written of the response and reads the rest of the body. A handler must call
+// it when it returns normally: if the end of a body is reached after the handler, net/http reads the
+// connection twice at the same time, panics, and the next request on the connection is lost. On a nil
+// StreamBody it does nothing.
+func (s *StreamBody) Finish() {
+	if s == nil || !s.duplex.Load() {
+		return
+	}
+	s.state.Store(streamReclaimed)
+	_ = http.NewResponseController(s.w).Flush() // the client may wait for the response before it sends the rest
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	_, _ = io.CopyN(io.Discard, s.body, maxFinish) // an error ends the connection anyway
+}
+
 // Reclaim returns the body for another attempt, or nil if reading has begun. Reads
 // of s fail from then on, because the goroutine that uploads it may outlive its
 // attempt.
@@ -90,5 +113,7 @@
 	if !s.state.CompareAndSwap(streamUntouched, streamReclaimed) {
 		return nil
 	}
-	return &StreamBody{body: s.body, w: s.w}
+	reclaimed := &StreamBody{body: s.body, w: s.w}
+	reclaimed.duplex.Store(s.duplex.Load())
+	return reclaimed
 }
--- a/transport/gate/forward.go
+++ b/transport/gate/forward.go
@@ -13,18 +13,14 @@
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
-// forward sends the request to the backend server and relays the response. It returns true
+// forward sends the request, whose body is stream, to the backend server and relays the response. It returns true
 // if the backend server ran the request and its response was relayed whole.
-func (g *Gate) forward(ctx *forward.Progress, w http.ResponseWriter, r *http.Request, c call) bool {
+func (g *Gate) forward(ctx *forward.Progress, w http.ResponseWriter, r *http.Request, stream *forward.StreamBody, c call) bool {
 	remaining := c.deadline.Sub(g.cfg.Now()).Milliseconds()
 	if remaining <= 0 {
 		g.refuse(w, g.notRun(outcome.ReasonDeadline, "the deadline passed before the request was sent"))
 		return false
 	}
-	var stream *forward.StreamBody
-	if r.ContentLength != 0 {
-		stream = forward.NewStreamBody(w, r)
-	}
 	resp, err := forward.Send(g.cfg.Backend, backendRequest(ctx, r, stream, c.run.Addr, remaining), w)
 	if err != nil {
 		g.refuse(w, g.failed(ctx, r, c, err))
--- a/transport/gate/gate.go
+++ b/transport/gate/gate.go
@@ -203,6 +203,11 @@
 		g.refuse(w, refusal)
 		return
 	}
+	var stream *forward.StreamBody
+	if r.ContentLength != 0 {
+		stream = forward.NewStreamBody(w, r)
+	}
+	defer stream.Finish() // after the slot is free
 	started := g.cfg.Now()
 	call.run.Sent = started
 	ran := false
@@ -214,7 +219,7 @@
 		}
 		g.core.Release(model.WorkOf(call.kind), serviceTime, end)
 	}()
-	ran = g.forward(ctx, w, r, call)
+	ran = g.forward(ctx, w, r, stream, call)
 }
 
 // acquire waits for a slot until the request's deadline. It returns a refusal if the
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -194,6 +194,7 @@
 		stream.Detach(w)
 		panic(http.ErrAbortHandler)
 	}
+	stream.Finish()
 }
 
 // body returns the request body to send on: buffered if it is small, else as a stream. If a
