Write the log of jacinthgate-node through a bounded queue

Callers and operators of a node whose log nobody takes waited without end for each request that is logged, and the process didn't end after SIGTERM.

Change: logging.Async, as in the other program; dropped lines are counted in jacinthgate_log_lines_dropped.

--- a/cmd/jacinthgate-node/main.go
+++ b/cmd/jacinthgate-node/main.go
@@ -61,9 +61,11 @@
 	if err != nil {
 		return cli.Fail("jacinthgate-node", err)
 	}
-	logger := logging.New(os.Stderr, set.LogLevel)
+	out := logging.NewAsync(os.Stderr)
+	defer out.Close()
+	logger := logging.New(out, set.LogLevel)
 	logging.CatchLibraries(logger)
-	n, err := node.New(set, logger)
+	n, err := node.New(set, logger, out.Dropped)
 	if err != nil {
 		return cli.Fail("jacinthgate-node", err)
 	}
--- a/cmd/jacinthgate-sidecar/main_test.go
+++ b/cmd/jacinthgate-sidecar/main_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -15,6 +14,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/jacinthgate/jacinthgate/internal/logging/loggingtest"
 	"github.com/jacinthgate/jacinthgate/internal/sidecar"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
@@ -119,7 +119,7 @@
 func TestFullLogDoesNotHoldUpTheEndOfTheProcess(t *testing.T) {
 	p := start(t, build(t))
 	p.await(t, "sidecar_started")
-	full(t, p.cmd.Process.Pid)
+	loggingtest.FillPipe(t, p.cmd.Process.Pid, 1)
 	p.signal(t, syscall.SIGTERM)
 	ended := make(chan error, 1)
 	go func() { // Wait would take what is in the pipe
@@ -135,21 +135,6 @@
 	}
 }
 
-// full fills the pipe that a process writes its log to.
-func full(t *testing.T, pid int) {
-	t.Helper()
-	pipe, err := os.OpenFile(fmt.Sprintf("/proc/%d/fd/1", pid), os.O_WRONLY|syscall.O_NONBLOCK, 0)
-	must.NoError(t, err)
-	defer func() { must.NoError(t, pipe.Close()) }()
-	raw, err := pipe.SyscallConn()
-	must.NoError(t, err)
-	must.NoError(t, raw.Control(func(fd uintptr) {
-		for n := 1; n > 0; {
-			n, _ = syscall.Write(int(fd), make([]byte, 4096))
-		}
-	}))
-}
-
 func TestLogThatNobodyReadsDoesNotEndTheProcess(t *testing.T) {
 	p := start(t, build(t))
 	p.await(t, "sidecar_started")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,9 +65,10 @@
 }
 
 // New opens the node's addresses and wires its parts. Nothing runs before Run.
-// The errors are *listen.Error and those of the certificates.
-func New(set *settings.Node, logger log.Logger) (*Node, error) {
+// dropped counts the log lines that were not written. The errors are *listen.Error and those of the certificates.
+func New(set *settings.Node, logger log.Logger, dropped func() uint64) (*Node, error) {
 	n := &Node{set: set, log: logger, metrics: metrics.NewSet(), pub: new(published)}
+	n.metrics.GetOrCreateGauge("jacinthgate_log_lines_dropped", func() float64 { return float64(dropped()) })
 	n.gauges = newGauges(n.metrics, n.pub)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	steps := []func() error{n.openIdentity, n.openListeners, n.wireControl, n.wireRequests, n.wireOperator}
