Close idle connections to a gate whose node has started anew

Cause of the resets: a host that loses power ends no connection. Connections to its gate look open to entry nodes, and the new process resets what is sent on them.

Change: a record with a new incarnation closes the idle connections to the node's gate. A request then opens one to the process that is there, or can't be sent, which is certain to be not run.

The timeouts stay: a host without power can't say what it has read. Requests sent before the start is known stay as well.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -53,6 +53,7 @@
 	reader    *reader
 	backends  *backends
 	picker    *balance.Picker
+	restarts  restarts
 	gate      *inbound.Gate
 	budget    *attempt.Budget
 	quotas    *quotas // nil keeps none
@@ -190,11 +191,13 @@
 	l.picker.Prune(v)
 	live := 0
 	l.member.Table().Each(func(r *endpoint.Record, _ model.NodeKey) bool {
+		l.restarts.observe(r)
 		if r.Live() {
 			live++
 		}
 		return true
 	})
+	l.restarts.forget(l.member.Table())
 	l.budget.SetNodes(live)
 	l.picker.SetNodes(live)
 	l.updateQuotas(now)
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -64,6 +64,10 @@
 	seed := rand.Uint64()
 	n.loop.picker = balance.New(balance.DefaultConfig(), n.set.Zone, n.set.Region, seed)
 	near, far := n.gateClients()
+	n.loop.restarts.closeIdle = func(addr string) {
+		near.CloseIdle(addr)
+		far.CloseIdle(addr)
+	}
 	n.wireQuotas(near, far, seed)
 	n.proxy = n.newProxy(runs, near, far, seed)
 	n.showRequests()
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -107,6 +107,13 @@
 // CloseIdleConnections closes all connections that are not in use.
 func (c *Client) CloseIdleConnections() { c.pool.closeAll() }
 
+// CloseIdle closes the connections to an address that are not in use.
+func (c *Client) CloseIdle(addr string) {
+	for _, scheme := range []string{"http", "https"} {
+		c.pool.closeIdle(connKey{scheme: scheme, addr: addr})
+	}
+}
+
 // send sends req once and returns the response's head and the time spent on
 // getting a connection. w receives 1xx responses, unless nil.
 func (c *Client) send(req *http.Request, w http.ResponseWriter) (*http.Response, time.Duration, error) {
