--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -37,9 +37,9 @@
 	maxHeaderBytes int
 	// maxConns bounds the connections; 0 is no bound.
 	maxConns int
-	// goodbye is sent on idle connections before they are closed; nil for clients other than nodes.
-	goodbye []byte
-	logger  log.Logger
+	// closeNotice is sent on idle connections before they are closed; nil for clients other than nodes.
+	closeNotice []byte
+	logger      log.Logger
 }
 
 // openServer opens the address; the handler is set later.
@@ -54,7 +54,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 	}
-	s.keep = keepalive.New(s.http, keepalive.Config{Name: cfg.name, Wrap: cfg.wrap, Goodbye: cfg.goodbye, Logger: cfg.logger})
+	s.keep = keepalive.New(s.http, keepalive.Config{Name: cfg.name, Wrap: cfg.wrap, CloseNotice: cfg.closeNotice, Logger: cfg.logger})
 	return s, nil
 }
 
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -40,7 +40,7 @@
 	n.gateSrv, err = openServer(serverConfig{
 		name:           "gate",
 		addr:           n.set.Listen.Gate,
-		goodbye:        forward.ConnectionClosing(),
+		closeNotice:    forward.ConnectionClosing(),
 		tls:            n.identity.gateServer(),
 		maxHeaderBytes: n.set.Limits.HeaderBytes,
 		logger:         n.log,
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -146,10 +146,10 @@
 	})
 	n.callers = n.add(listenCallers, n.front)
 	n.gateServer = n.newPlain(n.gateHandler(), keepalive.Config{
-		Name:    listenGate,
-		Wrap:    func(ln net.Listener) net.Listener { return headpack.Listener{Listener: ln} },
-		Goodbye: forward.ConnectionClosing(),
-		Logger:  n.log,
+		Name:        listenGate,
+		Wrap:        func(ln net.Listener) net.Listener { return headpack.Listener{Listener: ln} },
+		CloseNotice: forward.ConnectionClosing(),
+		Logger:      n.log,
 	})
 	n.gates = n.add(listenGate, n.gateServer)
 	n.addPlain(listenReady, n.readyHandler())
--- a/transport/keepalive/conn.go
+++ b/transport/keepalive/conn.go
@@ -24,9 +24,9 @@
 	lingerTime = 200 * time.Millisecond
 	// unackedCheck is the interval between two checks of the send queue.
 	unackedCheck = 50 * time.Millisecond
-	// goodbyeTime bounds the time for sending the goodbye. It is short: the kernel has room for it
+	// closeNoticeTime bounds the time for sending the close notice. It is short: the kernel has room for it
 	// unless the client doesn't read.
-	goodbyeTime = 50 * time.Millisecond
+	closeNoticeTime = 50 * time.Millisecond
 )
 
 // conn is an accepted connection, below TLS and the other wrappers. net/http reads a connection
@@ -200,9 +200,9 @@
 // endIdle closes an idle connection. It returns the error of the read that waits for a request.
 func (c *conn) endIdle() error {
 	receiving := c.sends.Receiving()
-	if _, secured := c.outer.(*tls.Conn); c.server.cfg.Goodbye != nil && (!secured || c.isIdle()) {
-		_ = c.SetWriteDeadline(time.Now().Add(goodbyeTime)) // the write returns the error of a closed connection
-		_, _ = c.outer.Write(c.server.cfg.Goodbye)          // the client may have closed the connection as well
+	if _, secured := c.outer.(*tls.Conn); c.server.cfg.CloseNotice != nil && (!secured || c.isIdle()) {
+		_ = c.SetWriteDeadline(time.Now().Add(closeNoticeTime)) // the write returns the error of a closed connection
+		_, _ = c.outer.Write(c.server.cfg.CloseNotice)          // the client may have closed the connection as well
 	}
 	c.linger(receiving)
 	return io.EOF
--- a/transport/keepalive/server.go
+++ b/transport/keepalive/server.go
@@ -26,10 +26,10 @@
 	Name string
 	// Wrap is put around the listener, for example for TLS. Nil wraps nothing.
 	Wrap func(net.Listener) net.Listener
-	// Goodbye is a response that is sent on an idle connection before it is closed. A client whose
+	// CloseNotice is a response that is sent on an idle connection before it is closed. A client whose
 	// request crosses the close gets it as the response, so it must say that the request was not
 	// run. Only clients that discard unrequested responses may get it; nil sends nothing.
-	Goodbye []byte
+	CloseNotice []byte
 	// Logger logs what arrives on connections that the server has closed.
 	Logger log.Logger
 }
--- a/transport/keepalive/server_test.go
+++ b/transport/keepalive/server_test.go
@@ -239,7 +239,7 @@
 	c.read(t)
 	ended := make(chan error, 1)
 	go func() { ended <- s.Shutdown(t.Context()) }()
-	_, err := c.br.Peek(1) // the server has closed the connection, or has sent its goodbye
+	_, err := c.br.Peek(1) // the server has closed the connection, or has sent its close notice
 	if err == nil {
 		must.NoError(t, peekEnd(c))
 	}
@@ -272,7 +272,7 @@
 	for name, wrap := range map[string]func(net.Listener) net.Listener{"plain": nil, "packed heads": packing} {
 		t.Run(name, func(t *testing.T) {
 			l := listenLocal(t)
-			s := start(t, l, new(http.Server), Config{Wrap: wrap, Goodbye: forward.ConnectionClosing()})
+			s := start(t, l, new(http.Server), Config{Wrap: wrap, CloseNotice: forward.ConnectionClosing()})
 			c := dial(t, l)
 			if wrap != nil {
 				packed := headpack.Client(c.Conn)
@@ -287,10 +287,10 @@
 	}
 }
 
-// Guards against an entry node that takes a goodbye for the response to a later request.
-func TestConnectionWithAGoodbyeIsNotUsedAgain(t *testing.T) {
+// Guards against an entry node that takes a close notice for the response to a later request.
+func TestConnectionWithACloseNoticeIsNotUsedAgain(t *testing.T) {
 	l := listenLocal(t)
-	s := start(t, l, &http.Server{IdleTimeout: 20 * time.Millisecond}, Config{Goodbye: forward.ConnectionClosing()})
+	s := start(t, l, &http.Server{IdleTimeout: 20 * time.Millisecond}, Config{CloseNotice: forward.ConnectionClosing()})
 	c := forward.NewClient(forward.DefaultClientConfig())
 	for range 3 {
 		req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+l.Addr().String()+"/a", nil)
@@ -364,7 +364,7 @@
 // clients only hold in a pool.
 func TestCloseIdleEndsIdleConnectionsAndServesOthers(t *testing.T) {
 	l := listenLocal(t)
-	s := start(t, l, new(http.Server), Config{Goodbye: forward.ConnectionClosing()})
+	s := start(t, l, new(http.Server), Config{CloseNotice: forward.ConnectionClosing()})
 	idle := dial(t, l)
 	idle.write(t, get("/a"))
 	idle.read(t)
