Tell callers of jacinthgate-node that a request which crosses the close has not run

Cause and evidence: the node's log has bytes_unread name=caller bytes=146 at 22:56:11.785, 2.03 s after its shutdown_started and 0.03 s after the notice. The connection had been idle throughout the notice, so nothing had told its caller to close it; the node looked, found nothing, and closed; the request came afterwards. It is the crossing that gates' connections had, for callers. transport/entry.TestRequestThatCrossesTheEndOfTheProxyIsToldNotRun, before: unexpected EOF.

Change: callers' idle connections get the close notice as well, and its status is 408, which HTTP has for the end of an idle connection. A request that crosses it is told not-run, which is true. Connections that carried requests to the older system get none, as TestShutdownWaitsForOlderRequests demands, nor do callers of jacinthgate-sidecar.

--- a/transport/entry/proxy.go
+++ b/transport/entry/proxy.go
@@ -29,9 +29,10 @@
 	p := &Proxy{cfg: cfg, metrics: newRequestMetrics(cfg.Metrics, cfg.MaxMetricOrganisations)}
 	p.older = newOlderServer(p)
 	p.server = keepalive.New(newServer(p), keepalive.Config{
-		Name:   "caller",
-		Wrap:   func(l net.Listener) net.Listener { return recordingListener{l} },
-		Logger: p.cfg.Logger,
+		Name:        "caller",
+		Wrap:        func(l net.Listener) net.Listener { return recordingListener{l} },
+		CloseNotice: forward.ConnectionClosing(),
+		Logger:      p.cfg.Logger,
 	})
 	return p
 }
--- a/transport/forward/refusal.go
+++ b/transport/forward/refusal.go
@@ -41,11 +41,11 @@
 	return &Refusal{Outcome: outcome.Unknown, Reason: reason, Detail: detail}
 }
 
-// ConnectionClosing returns the response that a gate sends on an idle connection before it closes the
-// connection. An entry node whose request crosses the close thus learns that it has not run: nothing
-// is read from the connection any more.
+// ConnectionClosing returns the response that a server sends on an idle connection before it closes the
+// connection. A client whose request crosses the close thus learns that it has not run: nothing is read
+// from the connection any more. HTTP has the status 408 (Request Timeout) for it.
 func ConnectionClosing() []byte {
-	return NotRun(outcome.ReasonDraining, "the gate has closed the connection").Bytes()
+	return NotRun(outcome.ReasonDraining, "the connection was idle and has been closed").bytes(http.StatusRequestTimeout)
 }
 
 // Status returns the HTTP status of a refusal.
@@ -95,8 +95,10 @@
 
 // Bytes returns the refusal as an HTTP/1.1 response after which the connection is closed. It is for
 // connections that no HTTP server serves, or none serves any more.
-func (r *Refusal) Bytes() []byte {
-	resp := &http.Response{StatusCode: r.Status(), ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Close: true}
+func (r *Refusal) Bytes() []byte { return r.bytes(r.Status()) }
+
+func (r *Refusal) bytes(status int) []byte {
+	resp := &http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: make(http.Header), Close: true}
 	b := r.fill(resp.Header)
 	resp.ContentLength, resp.Body = int64(len(b)), io.NopCloser(bytes.NewReader(b))
 	var out bytes.Buffer
--- a/transport/keepalive/conn.go
+++ b/transport/keepalive/conn.go
@@ -50,6 +50,9 @@
 	// peeked is set once net/http has set a read deadline in StateIdle. It sets the second one when
 	// bytes of the next request are in its buffer.
 	peeked bool
+	// resumed is set while no request was served since a handler had the connection: what is on it is the
+	// handler's, and no close notice may follow.
+	resumed bool
 	// ending is set once the connection is closed for writing or all.
 	ending bool
 }
@@ -67,6 +70,7 @@
 	prefetched := c.state == http.StateActive && c.begun
 	c.begun = state == http.StateIdle && prefetched || state == http.StateNew && c.begun
 	c.state, c.peeked = state, false
+	c.resumed = c.resumed && state == http.StateNew
 	if c.woken {
 		c.woken = false
 		_ = c.Conn.SetReadDeadline(c.deadline) // the read returns the error of a closed connection
@@ -200,7 +204,7 @@
 // endIdle closes an idle connection. It returns the error of the read that waits for a request.
 func (c *conn) endIdle() error {
 	receiving := c.sends.Receiving()
-	if _, secured := c.outer.(*tls.Conn); c.server.cfg.CloseNotice != nil && (!secured || c.isIdle()) {
+	if c.server.cfg.CloseNotice != nil && c.mayNotify() {
 		_ = c.SetWriteDeadline(time.Now().Add(closeNoticeTime)) // the write returns the error of a closed connection
 		_, _ = c.outer.Write(c.server.cfg.CloseNotice)          // the client may have closed the connection as well
 	}
@@ -208,10 +212,15 @@
 	return io.EOF
 }
 
-func (c *conn) isIdle() bool {
+// mayNotify reports whether a close notice may be sent.
+func (c *conn) mayNotify() bool {
+	_, secured := c.outer.(*tls.Conn)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state == http.StateIdle
+	if secured && c.state != http.StateIdle {
+		return false // the handshake may not be complete
+	}
+	return !c.resumed
 }
 
 // linger closes the connection for writing, and keeps it until the client has received the last
@@ -278,5 +287,5 @@
 func (c *conn) resume(begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.begun = http.StateNew, begun
+	c.state, c.begun, c.resumed = http.StateNew, begun, true
 }
