--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -16,6 +16,7 @@
 	"forgotten-drain":   forgottenDrain,
 	"foreign-heartbeat": foreignHeartbeat,
 	"revived-key":       revivedKey,
+	"moved-key":         movedKey,
 	"crowded-machine":   crowdedMachine,
 }
 
--- a/review/standin/server_test.go
+++ b/review/standin/server_test.go
@@ -51,6 +51,7 @@
 	work                             time.Duration
 	seq                              atomic.Uint64
 	running                          atomic.Int64
+	loseAfter                        atomic.Int64 // nanoseconds after which answers are lost; 0 loses none
 	http                             *http.Server
 	stop                             context.CancelFunc
 	ctx                              context.Context
@@ -100,6 +101,10 @@
 	s.rec.note(s.id, "runs %s, X-Caller-Service %s", id, one.caller)
 	n := s.running.Add(1)
 	defer s.running.Add(-1)
+	if lost := time.Duration(s.loseAfter.Load()); lost > 0 {
+		time.Sleep(lost)
+		panic(http.ErrAbortHandler) // its connection breaks off
+	}
 	time.Sleep(s.work)
 	w.Header().Set("X-Response-Stamp", "stamp-"+s.id)
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,%d", n, slots))
--- a/review/standin/site_test.go
+++ b/review/standin/site_test.go
@@ -125,6 +125,7 @@
 			Columns: []string{"name", "hostname", "prefix", "service", "routeType", "timeoutMs", "targetLatencyMs", "attempts", "priority"},
 			Rows: [][]any{
 				{"room-status", "rooms.example", "/status/", "foglalas", "idempotent", 2000, 600, 2, 2},
+				{"plan-read", "rooms.example", "/plan/", "foglalas", "idempotent", 4000, 600, 2, 2},
 				{"booking-write", "rooms.example", "/booking/", "foglalas", "non_idempotent", 2500, 800, 2, 1},
 				{"firmware-pull", "layouts.example", "/firmware/", "kiosztas", "idempotent", 2000, 600, 2, 2},
 			},
