--- a/review/standin/foreign_test.go
+++ b/review/standin/foreign_test.go
@@ -47,6 +47,9 @@
 	time.Sleep(10 * time.Second)
 	stop()
 	time.Sleep(time.Second)
+	for _, one := range s.servers[:2] {
+		s.rec.say("%s, whose heartbeats went on, has run %d requests", one.id, s.runs.of(one.id))
+	}
 	return s.wrongCallers(), nil
 }
 
--- a/review/standin/server_test.go
+++ b/review/standin/server_test.go
@@ -43,6 +43,17 @@
 	return append([]run(nil), r.all...)
 }
 
+// of returns the number of executions of a server.
+func (r *runs) of(instance string) int {
+	n := 0
+	for _, one := range r.taken() {
+		if one.instance == instance {
+			n++
+		}
+	}
+	return n
+}
+
 // server is a stand-in of an application server: one incarnation.
 type server struct {
 	id, service, zone, addr, control string
