Tell a host that got a version late from one that lost a route or refused it

Callers saw 404s as an older version gives them. A host that was late, one that held the version without the route and one that had refused the version left the same trace, and config_applied was dropped with other lines in an overload.

Gauges tell the version in force, the newest one known and the routes. No decision changes.

--- a/cmd/jacinthgate-sidecar/main.go
+++ b/cmd/jacinthgate-sidecar/main.go
@@ -78,8 +78,12 @@
 	logger := logging.New(out, set.LogLevel)
 	logging.CatchLibraries(logger)
 	_ = logger.Log("event", "sidecar_starting", "node", set.Node, "version", version.String())
-	details := logging.New(out.Details(), set.LogLevel)
-	n, err := sidecar.New(set, c.settings, logger, details, out.Dropped)
+	n, err := sidecar.New(set, c.settings, sidecar.Logs{
+		Lines:   logger,
+		Details: logging.New(out.Details(), set.LogLevel),
+		State:   logging.New(out.State(), set.LogLevel),
+		Dropped: out.Dropped,
+	})
 	if err != nil {
 		return cli.Fail(program, err)
 	}
--- a/coordination/docsync/config.go
+++ b/coordination/docsync/config.go
@@ -59,6 +59,8 @@
 	// applied a newer document before, so a node applies a peer's document
 	// without waiting for the store.
 	FirstStart bool
+	// LateAfter is how long a newer version may be known before it is reported as late.
+	LateAfter time.Duration
 	// RetryMin and RetryMax bound the delay after a failed read, which doubles
 	// with each failure.
 	RetryMin time.Duration
@@ -77,6 +79,7 @@
 		FetchTimeout:        400 * time.Millisecond,
 		CrossZoneFetchDelay: 300 * time.Millisecond,
 		StartWait:           time.Second,
+		LateAfter:           time.Second,
 		RetryMin:            300 * time.Millisecond,
 		RetryMax:            1500 * time.Millisecond,
 	}
--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -37,6 +37,12 @@
 	// epoch is the store's epoch in the last successful read.
 	epoch uint64
 
+	// newest is the newest version known, behindSince when the first one newer than held was learned
+	// of, and reportedLate the last version in a Late.
+	newest       uint64
+	behindSince  time.Time
+	reportedLate uint64
+
 	peers map[model.NodeID]*peerState
 	fetch fetch
 
@@ -88,6 +94,9 @@
 // Held returns the version of the last Apply; 0 before the first.
 func (c *Core) Held() uint64 { return c.held }
 
+// Newest returns the newest version that this node knows of, held or not.
+func (c *Core) Newest() uint64 { return c.newest }
+
 // Reading reports whether this node reads the store.
 func (c *Core) Reading() bool { return c.reading }
 
@@ -161,6 +170,26 @@
 	}
 	c.fetchNewer()
 	c.sendBeacon()
+	c.reportLate()
+}
+
+// learn notes that a version exists.
+func (c *Core) learn(version uint64) {
+	if version > max(c.newest, c.rejected) {
+		if c.newest <= c.held {
+			c.behindSince = c.now
+		}
+		c.newest = version
+	}
+}
+
+// reportLate emits Late for the newest version if it has not been applied for LateAfter.
+func (c *Core) reportLate() {
+	if c.newest <= max(c.held, c.reportedLate, c.rejected) || c.now.Sub(c.behindSince) < c.cfg.LateAfter {
+		return
+	}
+	c.reportedLate = c.newest
+	c.emit(Late{Version: c.newest, Held: c.held, Source: c.fetch.source})
 }
 
 // handleAdvert records the version that a peer holds and fetches it if it is newer.
@@ -170,6 +199,7 @@
 		return
 	}
 	p.version = version
+	c.learn(version)
 	c.fetchNewer()
 }
 
@@ -269,8 +299,10 @@
 	if version <= c.held {
 		return
 	}
+	c.learn(version)
+	behind := c.now.Sub(c.behindSince)
 	c.held, c.body = version, body
-	c.emit(Apply{Version: version, Body: body, From: from})
+	c.emit(Apply{Version: version, Body: body, From: from, BehindFor: behind})
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
 		c.peers[id].newerSince = time.Time{} // CrossZoneFetchDelay starts anew: this zone still gets documents
 		if c.peers[id].version < version {
--- a/coordination/docsync/core_test.go
+++ b/coordination/docsync/core_test.go
@@ -618,3 +618,23 @@
 	must.True(t, h.core.Reading())
 	must.Eq(t, []uint64{3}, applied(h.step(StoreRead{Version: 3, Body: []byte("3")})))
 }
+
+func TestVersionThatIsKnownAndNotHeldIsReportedOnce(t *testing.T) {
+	h := newHarness(t)
+	h.connect("near", "z1")
+	h.step(StoreRead{Version: 3, Body: []byte("3")})
+	late := func(actions []core.Action) (all []Late) {
+		for _, a := range actions {
+			if l, ok := a.(Late); ok {
+				all = append(all, l)
+			}
+		}
+		return all
+	}
+	h.receive("near", &message.DocumentAdvert{Version: 5})
+	must.Eq(t, nil, late(h.advance(900*time.Millisecond)))
+	must.Eq(t, []Late{{Version: 5, Held: 3, Source: "near"}}, late(h.advance(3*time.Second)))
+	actions := h.receive("near", &message.Document{Version: 5, Body: []byte("5")})
+	must.Eq(t, Apply{Version: 5, Body: []byte("5"), From: "near", BehindFor: 3900 * time.Millisecond}, actions[0].(Apply))
+	must.Eq(t, nil, late(h.advance(3*time.Second)))
+}
--- a/coordination/docsync/event.go
+++ b/coordination/docsync/event.go
@@ -1,6 +1,10 @@
 package docsync
 
-import "github.com/jacinthgate/jacinthgate/state/model"
+import (
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
 
 // Members reports the live members of the node's availability zone.
 type Members struct {
@@ -61,6 +65,17 @@
 	Body []byte
 	// From is the peer that sent the document; empty for the store.
 	From model.NodeID
+	// BehindFor is how long the node had known of a newer version than the one it held.
+	BehindFor time.Duration
+}
+
+// Late reports, once for each version, that the node has held an older one for LateAfter although
+// it knew of a newer one.
+type Late struct {
+	// Version is the newest version known, and Held the one last applied.
+	Version, Held uint64
+	// Source is the peer from which a document was requested last; empty for none.
+	Source model.NodeID
 }
 
 // Action implements core.Action.
@@ -68,3 +83,6 @@
 
 // Action implements core.Action.
 func (Apply) Action() {}
+
+// Action implements core.Action.
+func (Late) Action() {}
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -19,6 +19,10 @@
 	// detailReserve is the number of burst tokens reserved for lines other than details:
 	// a request may log several details, but only one line with its outcome.
 	detailReserve = asyncBurst / 2
+	// stateQueue, statePerSecond and stateBurst are what State has besides.
+	stateQueue     = 128
+	statePerSecond = 20
+	stateBurst     = 100
 	// flushTime limits how long Close waits for an output that blocks.
 	flushTime = 200 * time.Millisecond
 )
@@ -27,20 +31,23 @@
 // that exceed the rate limit, or arrive while the queue is full, are dropped and
 // counted.
 type Async struct {
-	lines   chan []byte
-	limit   *rate.Limiter
-	dropped atomic.Uint64
-	done    chan struct{}
-	stopped chan struct{}
+	lines chan []byte
+	limit *rate.Limiter
+	// stateLimit limits the lines of State.
+	stateLimit *rate.Limiter
+	dropped    atomic.Uint64
+	done       chan struct{}
+	stopped    chan struct{}
 }
 
 // NewAsync returns a writer to w and starts its goroutine, which Close stops.
 func NewAsync(w io.Writer) *Async {
 	a := &Async{
-		lines:   make(chan []byte, asyncQueue),
-		limit:   rate.NewLimiter(asyncPerSecond, asyncBurst),
-		done:    make(chan struct{}),
-		stopped: make(chan struct{}),
+		lines:      make(chan []byte, asyncQueue+stateQueue),
+		limit:      rate.NewLimiter(asyncPerSecond, asyncBurst),
+		stateLimit: rate.NewLimiter(statePerSecond, stateBurst),
+		done:       make(chan struct{}),
+		stopped:    make(chan struct{}),
 	}
 	go a.run(w)
 	return a
@@ -48,15 +55,37 @@
 
 // Write implements io.Writer. It enqueues a copy of the line.
 func (a *Async) Write(line []byte) (int, error) {
-	if !a.limit.AllowN(time.Now(), 1) {
+	if !a.limit.AllowN(time.Now(), 1) || len(a.lines) >= asyncQueue {
 		a.dropped.Add(1)
 		return len(line), nil
 	}
+	a.enqueue(line)
+	return len(line), nil
+}
+
+// enqueue adds a copy of a line to the queue, or drops it if the queue is full.
+func (a *Async) enqueue(line []byte) {
 	select {
 	case a.lines <- bytes.Clone(line):
 	default:
 		a.dropped.Add(1)
 	}
+}
+
+// State returns a writer to the same output for lines about the state of the process, such as
+// the version of its configuration. They have a rate limit and a part of the queue of their own,
+// so that lines about requests don't crowd them out in an overload.
+func (a *Async) State() io.Writer { return stateWriter{a} }
+
+type stateWriter struct{ to *Async }
+
+// Write implements io.Writer.
+func (s stateWriter) Write(line []byte) (int, error) {
+	if s.to.stateLimit.Allow() {
+		s.to.enqueue(line)
+	} else {
+		s.to.dropped.Add(1)
+	}
 	return len(line), nil
 }
 
--- a/internal/logging/async_test.go
+++ b/internal/logging/async_test.go
@@ -74,6 +74,24 @@
 	})
 }
 
+func TestLinesAboutRequestsDoNotCrowdOutThoseAboutState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blockedWriter{release: make(chan struct{})}
+		a := NewAsync(out)
+		const seconds, refusals = 5, 1000 // per second
+		for i := range seconds {
+			for range refusals {
+				_, _ = a.Write([]byte("refusal\n"))
+				time.Sleep(time.Second / refusals)
+			}
+			_, _ = a.State().Write([]byte("state " + strconv.Itoa(i) + "\n"))
+		}
+		close(out.release)
+		a.Close()
+		must.Eq(t, seconds, bytes.Count(out.got.Bytes(), []byte("state")))
+	})
+}
+
 func TestCloseDoesNotWaitForBlockedOutput(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		out := &blockedWriter{release: make(chan struct{})}
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -50,6 +50,7 @@
 	l := &loop{
 		self:      self,
 		log:       n.log,
+		stateLog:  n.stateLog,
 		metrics:   n.metrics,
 		pub:       n.pub,
 		queue:     eventqueue.New(maxEvents),
@@ -85,7 +86,7 @@
 		awaitAnnounced: n.awaitAnnounced,
 	}
 	l.backends = n.backends
-	l.reader = newReader(platform.NewConfigs(n.store), l, n.log)
+	l.reader = newReader(platform.NewConfigs(n.store), l, n.stateLog)
 	l.links = n.newLinks()
 	n.links = l.links
 	return nil
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -195,7 +195,7 @@
 	}
 	must.NoError(f.t, set.check())
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(m.logs))
-	node, err := New(set, "no file", logger, logger, func() uint64 { return 0 })
+	node, err := New(set, "no file", logsTo(logger))
 	must.NoError(f.t, err)
 	m.node = node
 	go func() { m.ended <- node.Run(new(signals.Signals)) }()
@@ -205,6 +205,11 @@
 	return m
 }
 
+// logsTo returns logs that all go to one logger.
+func logsTo(l log.Logger) Logs {
+	return Logs{Lines: l, Details: l, State: l, Dropped: func() uint64 { return 0 }}
+}
+
 // beat lets every backend server say that it is there.
 func (f *fleet) beat() {
 	for _, m := range f.nodes {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -37,6 +37,7 @@
 type loop struct {
 	self      endpoint.Record
 	log       log.Logger
+	stateLog  log.Logger // see Logs.State
 	metrics   *metrics.Set
 	pub       *published
 	queue     *eventqueue.Queue
@@ -110,6 +111,7 @@
 	}
 	l.carryOut(now, l.member.Step(now, ev))
 	l.carryOut(now, l.docs.Step(now, ev))
+	l.pub.newest.Store(l.docs.Newest())
 	l.carryOut(now, l.suspects.Step(now, ev))
 	l.carryOut(now, l.rollouts.Step(now, ev))
 	l.carryOut(now, l.evacuated.Step(now, ev))
@@ -155,10 +157,12 @@
 	case member.Refused:
 		_ = level.Warn(l.log).Log("event", "record_refused", "from", a.From, "err", a.Err)
 	case docsync.SetReading:
-		_ = level.Info(l.log).Log("event", "store_reading", "on", a.On, "once", a.Once)
+		_ = level.Info(l.stateLog).Log("event", "store_reading", "on", a.On, "once", a.Once)
 		l.reader.setMode(readMode{on: a.On, once: a.Once})
 	case docsync.Apply:
 		l.apply(now, a)
+	case docsync.Late:
+		l.configLate(a)
 	case quarantine.Changed:
 		l.pub.suspects.Store(l.suspects.View())
 	case quarantine.Quarantined:
@@ -208,15 +212,25 @@
 func (l *loop) apply(now time.Time, a docsync.Apply) {
 	table, err := decode(a.Body)
 	if err != nil {
-		_ = level.Error(l.log).Log("event", "config_refused", "version", a.Version, "from", a.From, "err", err)
+		l.metrics.GetOrCreateCounter("jacinthgate_configs_refused_total").Inc()
+		_ = level.Error(l.stateLog).Log("event", "config_refused", "version", a.Version, "from", a.From, "err", err)
 		l.carryOut(now, l.docs.Step(now, docsync.Rejected{Version: a.Version}))
 		return
 	}
 	l.pub.table.Store(table)
+	l.metrics.GetOrCreateGauge("jacinthgate_config_version", nil).Set(float64(table.Version()))
+	l.metrics.GetOrCreateGauge("jacinthgate_config_routes", nil).Set(float64(table.Routes()))
 	l.reportFaults(table)
 	l.prove(freshness.InForce{Version: a.Version})
 	l.applyQuotas()
-	_ = level.Info(l.log).Log("event", "config_applied", "version", a.Version, "from", a.From, "bytes", len(a.Body))
+	_ = level.Info(l.stateLog).Log("event", "config_applied", "version", a.Version, "from", a.From, "bytes", len(a.Body),
+		"routes", table.Routes(), "behind_ms", a.BehindFor.Milliseconds())
+}
+
+// configLate tells that a version is known and not in force.
+func (l *loop) configLate(a docsync.Late) {
+	l.metrics.GetOrCreateCounter("jacinthgate_configs_late_total").Inc()
+	_ = level.Warn(l.stateLog).Log("event", "config_late", "version", a.Version, "held", a.Held, "source", a.Source)
 }
 
 // decode reads the operators' configuration.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -33,7 +33,9 @@
 // published is what the control plane hands to the path of a request. One
 // goroutine stores, everybody loads.
 type published struct {
-	table    atomic.Pointer[route.Table]
+	table atomic.Pointer[route.Table]
+	// newest is the newest version of the configuration known, in force or not.
+	newest   atomic.Uint64
 	view     atomic.Pointer[endpoint.View]
 	instance atomic.Pointer[instance.Instance]
 	suspects atomic.Pointer[suspect.View]
@@ -54,8 +56,10 @@
 	path    string // of the settings file
 	log     log.Logger
 	details log.Logger // of lines that give way to those of log
-	metrics *metrics.Set
-	pub     *published
+	// stateLog is for lines that lines about requests may not crowd out.
+	stateLog log.Logger
+	metrics  *metrics.Set
+	pub      *published
 
 	store    *platform.Store
 	peers    *tcp.Transport
@@ -84,13 +88,27 @@
 	cancel context.CancelFunc
 }
 
+// Logs are where a node writes its log lines.
+type Logs struct {
+	// Lines gets all lines but those of the others.
+	Lines log.Logger
+	// Details gets the lines on attempts that are part of a request.
+	Details log.Logger
+	// State gets the lines on the node's configuration and its reads of the store.
+	State log.Logger
+	// Dropped counts the lines that were not written.
+	Dropped func() uint64
+}
+
 // New opens the node's addresses and wires its parts. Nothing runs before Run.
-// path is the settings file, read again when it changes. details gets the lines on attempts that
-// are part of a request. dropped counts the log lines that were not written. The error is a
-// *listen.Error.
-func New(set *Settings, path string, logger, details log.Logger, dropped func() uint64) (*Node, error) {
-	n := &Node{set: set, path: path, log: logger, details: details, metrics: metrics.NewSet(), pub: new(published)}
-	n.metrics.GetOrCreateGauge("jacinthgate_log_lines_dropped", func() float64 { return float64(dropped()) })
+// path is the settings file, read again when it changes. The error is a *listen.Error.
+func New(set *Settings, path string, logs Logs) (*Node, error) {
+	n := &Node{
+		set: set, path: path, log: logs.Lines, details: logs.Details, stateLog: logs.State,
+		metrics: metrics.NewSet(), pub: new(published),
+	}
+	n.metrics.GetOrCreateGauge("jacinthgate_log_lines_dropped", func() float64 { return float64(logs.Dropped()) })
+	n.metrics.GetOrCreateGauge("jacinthgate_config_newest_version", func() float64 { return float64(n.pub.newest.Load()) })
 	n.startDelay = registry.DefaultConfig().StartDelay(set.FirstStart, rand.Float64())
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	store := platform.DefaultStoreConfig("http://" + set.Store)
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -134,12 +134,13 @@
 
 // read makes one read of the store.
 func (r *reader) read(ctx context.Context, wait time.Duration) reading {
-	began := r.loop.proving.began()
+	began, sent := r.loop.proving.began(), time.Now()
 	c, err := r.configs.Next(ctx, wait)
 	if err != nil {
 		r.configs.Restart()
 		r.told = 0
-		_ = level.Warn(r.log).Log("event", "store_unread", "err", err)
+		unanswered := ctx.Err() == context.DeadlineExceeded
+		_ = level.Warn(r.log).Log("event", "store_unread", "unanswered", unanswered, "after_ms", time.Since(sent).Milliseconds(), "err", err)
 		return reading{StoreRead: docsync.StoreRead{Err: err}}
 	}
 	if c.Unreadable != nil {
--- a/internal/sidecar/statements_test.go
+++ b/internal/sidecar/statements_test.go
@@ -195,7 +195,7 @@
 	set := *m.node.set
 	set.FirstStart = false
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(m.logs))
-	node, err := New(&set, "no file", logger, logger, func() uint64 { return 0 })
+	node, err := New(&set, "no file", logsTo(logger))
 	must.NoError(f.t, err)
 	m.node = node
 	go func() { m.ended <- node.Run(new(signals.Signals)) }()
--- a/state/route/table.go
+++ b/state/route/table.go
@@ -133,6 +133,7 @@
 	hosts    map[string]map[string]*Route
 	services map[string]*service
 	faults   []error
+	usable   int // number of usable routes
 	// keyRequired means that callers must send keys. keys indexes the organisations by key,
 	// organisations by name.
 	keyRequired   bool
@@ -174,13 +175,12 @@
 			Name: s.Name, MaxEjected: p.MaxEjected, SlowStart: model.Duration(p.SlowStart),
 		}}
 	}
-	usable := 0
 	for i := range c.Routes {
 		if t.addRoute(&c.Routes[i]) {
-			usable++
+			t.usable++
 		}
 	}
-	if usable == 0 && len(c.Routes) > 0 {
+	if t.usable == 0 && len(c.Routes) > 0 {
 		return nil, t.faults[len(c.Faults)]
 	}
 	return t, nil
@@ -246,6 +246,9 @@
 // Version returns the table's version.
 func (t *Table) Version() Version { return t.version }
 
+// Routes returns the number of usable routes.
+func (t *Table) Routes() int { return t.usable }
+
 // Limits returns the limits on callers' requests and connections.
 func (t *Table) Limits() CallerLimits { return t.limits }
 
