Spread the reads of a site's readers, and repeat an unanswered one at once

Callers got 404 as an older version gives it, later than 2 s after the next one's acknowledgement, at all hosts at once.

Cause: a belief outlived its evidence. Readers took the store to be answering until the read under way had to end, up to 3.3 s after a connection had fallen silent, and sent beacons meanwhile, so that nobody else read. A change ends all reads in the same moment, so all readers of the site were in step and none noticed sooner; the next read followed after a further backoff.

The reads' ends are now spread over the interval by the store's clock, a slot for each reader of the site: one of six ends each 0.42 s, and a site whose connections have all fallen silent notices within about a second, at the same number of reads. An unanswered read is repeated at once, on a new connection; only its failure starts the backoff. The margin for an answer is 0.5 s in place of 0.8, as a false alarm costs one read.

Proofs of the configuration follow the same schedule in place of a random part.

--- a/coordination/docsync/config.go
+++ b/coordination/docsync/config.go
@@ -21,6 +21,10 @@
 	// protects the zone against a store that silently fails to serve some hosts:
 	// with a single reader among these hosts the zone would miss new versions.
 	Leaders int
+	// Zones is the number of availability zones of the site, and ZoneIndex the position of the
+	// node's own zone among them; every node of the site uses the same order. They determine the
+	// reader's slot in a ReadSchedule.
+	Zones, ZoneIndex int
 	// BeaconInterval is the time between two beacons of a reader.
 	BeaconInterval time.Duration
 	// BeaconTimeout is the time without any beacon after which the first member
@@ -71,6 +75,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Leaders:             1,
+		Zones:               1,
 		BeaconInterval:      500 * time.Millisecond,
 		BeaconTimeout:       1100 * time.Millisecond,
 		RankDelay:           150 * time.Millisecond,
--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -279,6 +279,11 @@
 	if ev.Err != nil {
 		c.failures++
 		c.retryAt = c.now.Add(c.backoff())
+		if ev.Unanswered && c.failures == 1 {
+			// Perhaps only the connection has failed. A new one is tried at once.
+			c.retryAt = time.Time{}
+			c.reading = false
+		}
 		return
 	}
 	c.hasRead, c.epoch = true, ev.Epoch
--- a/coordination/docsync/event.go
+++ b/coordination/docsync/event.go
@@ -23,6 +23,8 @@
 	Epoch uint64
 	// Err is the cause of a failed read.
 	Err error
+	// Unanswered is set if the read failed because the store did not answer in time.
+	Unanswered bool
 }
 
 // FirstInZone reports that no node of this node's zone is registered. With no peer in the zone to get
--- a/coordination/docsync/reading.go
+++ b/coordination/docsync/reading.go
@@ -33,6 +33,13 @@
 	c.emit(SetReading{On: on, Once: once})
 }
 
+// Schedule returns the schedule of this node's reads, with the given interval. The first leaders of
+// all zones come before the second ones.
+func (c *Core) Schedule(interval time.Duration) ReadSchedule {
+	leaders := max(1, c.cfg.Leaders)
+	return ReadSchedule{Interval: interval, Slot: c.rank%leaders*c.cfg.Zones + c.cfg.ZoneIndex, Slots: leaders * c.cfg.Zones}
+}
+
 // shouldRead reports whether this node reads the store now, for its zone or only for its own start,
 // and updates leading.
 func (c *Core) shouldRead() bool {
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/budget"
@@ -87,6 +89,7 @@
 	}
 	l.backends = n.backends
 	l.reader = newReader(platform.NewConfigs(n.store), l, n.stateLog)
+	l.reader.setSchedule(l.docs.Schedule(feedWait))
 	l.links = n.newLinks()
 	n.links = l.links
 	return nil
@@ -114,6 +117,8 @@
 func (n *Node) docsConfig() docsync.Config {
 	cfg := docsync.DefaultConfig()
 	zones := max(1, len(n.set.Zones))
+	cfg.Zones = zones
+	cfg.ZoneIndex = max(0, slices.Index(slices.Sorted(maps.Keys(n.set.Zones)), n.set.Zone))
 	cfg.Leaders = min(max((siteReaders+zones-1)/zones, minReaders), maxReaders)
 	cfg.FirstStart = n.set.FirstStart
 	cfg.ReadDelay = joinTime
--- a/internal/sidecar/freshness.go
+++ b/internal/sidecar/freshness.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -38,18 +37,13 @@
 	return p.proof
 }
 
-// readWaitSpread is the part of a read's wait that differs from one to the next: readers
-// that a change has brought into step would else all read at the same moments, and the
-// youngest proof of the fleet be as old as that of one reader.
-const readWaitSpread = 0.25
-
-// readWait returns how long the next read of the store may wait for a change.
+// readWait returns how long a read of the store may wait for a change. Where reads prove that the
+// configuration is current, it is bounded by how old a proof may get.
 func (p *proving) readWait() time.Duration {
 	if p == nil {
 		return feedWait
 	}
-	wait := min(p.proof.ReadWait(), feedWait)
-	return wait - time.Duration(rand.Float64()*readWaitSpread*float64(wait))
+	return min(p.proof.ReadWait(), feedWait)
 }
 
 // began returns the moment at which a read begins.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -150,6 +150,7 @@
 	case member.MembersChanged:
 		_ = level.Info(l.log).Log("event", "members_changed", "live", len(a.Live))
 		l.carryOut(now, l.docs.Step(now, docsync.Members{Live: a.Live}))
+		l.reader.setSchedule(l.docs.Schedule(feedWait))
 		l.lives.Step(now, restore.RankChanged{Rank: max(0, slices.Index(a.Live, l.self.Node)), Live: len(a.Live)})
 	case member.IdentityConflict:
 		_ = level.Warn(l.log).Log("event", "identity_conflict", "incarnation", a.Incarnation)
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -16,12 +17,14 @@
 )
 
 const (
-	// feedWait is how long a read of the store waits for a change at the most. A
-	// reader that the store no longer answers is found out after this time and
-	// feedMargin. It is shorter where reads have to prove something.
+	// feedWait is how long a read of the store waits for a change at the most; see
+	// docsync.ReadSchedule. It is shorter where reads have to prove something.
 	feedWait = 2500 * time.Millisecond
-	// feedMargin is how much later than feedWait an answer may come.
-	feedMargin = 800 * time.Millisecond
+	// feedMargin is how much later than its wait the answer to a read may come. A
+	// read that exceeds it is repeated at once, so it may be short.
+	feedMargin = 500 * time.Millisecond
+	// wholeTimeout bounds a read of everything, which doesn't wait.
+	wholeTimeout = 2 * time.Second
 	// mergeWait is the pause after a change before the next read: changes in
 	// quick succession are read together. It adds to the time until a change
 	// is in force, for which there are two seconds.
@@ -40,10 +43,27 @@
 	// told is the newest version that the store has told since the last whole
 	// read; 0 for none.
 	told uint64
+	// schedule spreads the reads of the site's readers.
+	schedule atomic.Pointer[docsync.ReadSchedule]
 }
 
 func newReader(c *platform.Configs, l *loop, logger log.Logger) *reader {
-	return &reader{configs: c, loop: l, log: logger, turn: make(chan readMode, 1)}
+	r := &reader{configs: c, loop: l, log: logger, turn: make(chan readMode, 1)}
+	r.setSchedule(docsync.ReadSchedule{Slots: 1})
+	return r
+}
+
+// setSchedule sets the slot of this node's reads; the interval is the reader's own.
+func (r *reader) setSchedule(s docsync.ReadSchedule) { r.schedule.Store(&s) }
+
+// wait returns how long the next read may wait for a change; 0 for one that doesn't wait.
+func (r *reader) wait() time.Duration {
+	if !r.configs.Waits() {
+		return 0
+	}
+	s := *r.schedule.Load()
+	s.Interval = r.loop.proving.readWait()
+	return s.Wait(r.configs.Clock())
 }
 
 // readMode says whether to read the store, and whether only once.
@@ -83,8 +103,12 @@
 // readWhileOn makes one read, which ends early when reading is turned off. It
 // reports whether reading is still on.
 func (r *reader) readWhileOn(ctx context.Context) bool {
-	wait := r.loop.proving.readWait()
-	readCtx, cancel := context.WithTimeout(ctx, wait+feedMargin)
+	wait := r.wait()
+	limit := wait + feedMargin
+	if wait == 0 {
+		limit = wholeTimeout
+	}
+	readCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	done := make(chan reading, 1)
 	go func() { done <- r.read(readCtx, wait) }()
@@ -141,7 +165,7 @@
 		r.told = 0
 		unanswered := ctx.Err() == context.DeadlineExceeded
 		_ = level.Warn(r.log).Log("event", "store_unread", "unanswered", unanswered, "after_ms", time.Since(sent).Milliseconds(), "err", err)
-		return reading{StoreRead: docsync.StoreRead{Err: err}}
+		return reading{StoreRead: docsync.StoreRead{Err: err, Unanswered: unanswered}}
 	}
 	if c.Unreadable != nil {
 		_ = level.Warn(r.log).Log("event", "rollout_unreadable", "err", c.Unreadable)
