Ask every peer that holds a newer configuration before asking one again

Callers got 404 as an older version gives it from single hosts, or from one zone, up to 2.5 s after the next version's acknowledgement, while other hosts held it.

Cause: the next source of a document was chosen by the order of names and left out the last failed one only. Two peers that had fallen silent after advertising a version were asked in turn, and a silent one of the own zone again and again where the others sort before it, until its link was given up. The end of a link did not end the request either.

Each peer remembers when a request to it went unanswered: one that has not failed comes first, then the own zone, then the one that failed earliest. A request whose source disconnects goes to the next one at once.

--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -65,6 +65,7 @@
 	sameZone   bool      // the peer is in this node's availability zone
 	version    uint64    // newest version that the peer is known to hold
 	newerSince time.Time // when the peer was first seen with a newer document; zero if it has none
+	failedAt   time.Time // when a request to the peer last went unanswered; zero once it is heard
 }
 
 // fetch is the outstanding request for a document.
@@ -119,7 +120,7 @@
 	case core.PeerUp:
 		c.peerUp(ev.Record)
 	case core.PeerDown:
-		delete(c.peers, ev.Node)
+		c.peerDown(ev.Node)
 	case core.Received:
 		c.received(ev.From, ev.Message)
 	case Members:
@@ -164,6 +165,15 @@
 	c.send(r.Node, &message.DocumentAdvert{Version: c.held})
 }
 
+// peerDown forgets a peer. A document that was requested from it is requested from another one.
+func (c *Core) peerDown(id model.NodeID) {
+	delete(c.peers, id)
+	if c.fetch.source == id {
+		c.fetch = fetch{}
+		c.fetchNewer()
+	}
+}
+
 func (c *Core) tick() {
 	if c.pending != nil && c.now.Sub(c.started) >= c.cfg.StartWait {
 		c.apply(c.pending.Version, c.pending.Body, c.pendingFrom)
@@ -198,7 +208,7 @@
 	if p == nil {
 		return
 	}
-	p.version = version
+	p.version, p.failedAt = version, time.Time{}
 	c.learn(version)
 	c.fetchNewer()
 }
@@ -208,9 +218,11 @@
 	if c.fetch.source != "" && c.now.Before(c.fetch.deadline) {
 		return
 	}
-	failed := c.fetch.source
+	if p := c.peers[c.fetch.source]; p != nil {
+		p.failedAt = c.now
+	}
 	c.fetch = fetch{}
-	best := c.bestSource(failed)
+	best := c.bestSource()
 	if best == "" {
 		return
 	}
@@ -228,10 +240,9 @@
 	return v
 }
 
-// bestSource returns the peer to fetch a newer document from; empty for none. It prefers peers of
-// the same zone, uses a peer of another zone only after CrossZoneFetchDelay, and avoids the peer whose
-// request has just failed.
-func (c *Core) bestSource(failed model.NodeID) model.NodeID {
+// bestSource returns the peer to fetch a newer document from; empty for none. It uses a peer of
+// another zone only after CrossZoneFetchDelay.
+func (c *Core) bestSource() model.NodeID {
 	known := c.newestKnown()
 	var best model.NodeID
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
@@ -246,13 +257,27 @@
 		if !p.sameZone && c.now.Sub(p.newerSince) < c.cfg.CrossZoneFetchDelay {
 			continue
 		}
-		if best == "" || best == failed || p.sameZone && !c.peers[best].sameZone {
+		if best == "" || p.betterSource(c.peers[best]) {
 			best = id
 		}
 	}
 	return best
 }
 
+// betterSource reports whether p is a better source than other: a peer that has not failed to answer
+// before one that has, then one of the own zone, then the one that failed earlier. Each peer is so
+// asked once before any is asked again.
+func (p *peerState) betterSource(other *peerState) bool {
+	switch {
+	case p.failedAt.IsZero() != other.failedAt.IsZero():
+		return p.failedAt.IsZero()
+	case p.failedAt.IsZero():
+		return p.sameZone && !other.sameZone
+	default:
+		return p.failedAt.Before(other.failedAt)
+	}
+}
+
 // handleDocument handles a peer's document. A recently started node keeps it pending until a read
 // of the store has succeeded at this node or at a reader of the zone, or StartWait is over: the peer
 // may be cut off from newer documents.
@@ -261,7 +286,7 @@
 		c.fetch = fetch{}
 	}
 	if p := c.peers[from]; p != nil {
-		p.version = max(p.version, d.Version)
+		p.version, p.failedAt = max(p.version, d.Version), time.Time{}
 	}
 	if d.Version <= c.newestKnown() {
 		return
--- a/coordination/docsync/core_test.go
+++ b/coordination/docsync/core_test.go
@@ -170,6 +170,33 @@
 	must.Eq(t, []string{"near2"}, fetches(h.advance(DefaultConfig().FetchTimeout)))
 }
 
+// Guards against requests that go to the same silent peers in turn while another peer has the document.
+func TestFetchAsksEveryPeerBeforeItAsksOneAgain(t *testing.T) {
+	h := newHarness(t)
+	for _, id := range []string{"a", "b", "c"} {
+		h.connect(id, "z1")
+	}
+	h.connect("A-far", "z2") // sorts before the others
+	var asked []string
+	for _, id := range []string{"a", "b", "c", "A-far"} {
+		asked = append(asked, fetches(h.receive(id, &message.DocumentAdvert{Version: 3}))...)
+	}
+	for range 4 {
+		asked = append(asked, fetches(h.advance(DefaultConfig().FetchTimeout))...)
+	}
+	must.Eq(t, []string{"a", "b", "c", "A-far", "a"}, asked)
+}
+
+// Guards against waiting for FetchTimeout when the connection to the source has ended.
+func TestFetchIsSentToAnotherPeerWhenItsSourceDisconnects(t *testing.T) {
+	h := newHarness(t)
+	h.connect("near1", "z1")
+	h.connect("near2", "z1")
+	h.receive("near1", &message.DocumentAdvert{Version: 3})
+	h.receive("near2", &message.DocumentAdvert{Version: 3})
+	must.Eq(t, []string{"near2"}, fetches(h.step(core.PeerDown{Node: "near1"})))
+}
+
 func TestReaderThatFailsIsReplaced(t *testing.T) {
 	z := newZone(t, "a", "b", "c")
 	z.advance(3 * time.Second)
--- a/coordination/docsync/in_force_test.go
+++ b/coordination/docsync/in_force_test.go
@@ -86,6 +86,24 @@
 				h.storeCutUntil = s.unstable
 			}
 		}},
+		{"readers of a zone are cut off as a version is advertised", func(s *simSite) {
+			readers := s.readersOf(s.rng.IntN(3))
+			s.publish()
+			s.after(s.between(5*time.Millisecond, 40*time.Millisecond), func() {
+				for _, h := range readers {
+					h.darken(5 * time.Second)
+				}
+			})
+		}},
+		{"hosts are cut off as a version is advertised", func(s *simSite) {
+			gone := s.some(4)
+			s.publish()
+			s.after(s.between(5*time.Millisecond, 40*time.Millisecond), func() {
+				for _, h := range gone {
+					h.darken(5 * time.Second)
+				}
+			})
+		}},
 		{"hosts are cut off", func(s *simSite) {
 			for _, h := range s.some(4) {
 				h.darken(5 * time.Second)
