Repeat the advert of a configuration until the peer is heard to hold it

Callers would get 404 as an older version gives it from one host, until the version after the next one: a host whose only advert of a version was lost knew of nothing to ask for.

Cause: each peer was told of a version once. An advert is dropped where its link is being replaced or its queue is full, and only a new link brings another one.

A peer that has not been heard to hold the version is told again each 0.7 s, and one that advertises the held version is answered once, so that adverts end when both know (TestAdvertsOfOneVersionEnd). A steady site sends none.

That a link of the real transport loses an advert without ending is not shown by a run.

--- a/coordination/docsync/config.go
+++ b/coordination/docsync/config.go
@@ -49,6 +49,10 @@
 	// FetchTimeout is how long a peer may take to send a document before
 	// another peer is tried.
 	FetchTimeout time.Duration
+	// AdvertRepeat is the time after which the held version is advertised again to a peer that has
+	// not been heard to hold it: an advert may be lost, and nobody asks for a version that they
+	// don't know of.
+	AdvertRepeat time.Duration
 	// CrossZoneFetchDelay is how long a node waits before it fetches a newer document
 	// that only peers in other availability zones hold: traffic between zones
 	// is expensive, and the zone's own reader usually gets the document as soon.
@@ -82,6 +86,7 @@
 		QuickRanks:          4,
 		SlowRankDelay:       300 * time.Millisecond,
 		FetchTimeout:        400 * time.Millisecond,
+		AdvertRepeat:        700 * time.Millisecond,
 		CrossZoneFetchDelay: 300 * time.Millisecond,
 		StartWait:           time.Second,
 		LateAfter:           time.Second,
--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -62,10 +62,12 @@
 
 // peerState is the state of a connected peer.
 type peerState struct {
-	sameZone   bool      // the peer is in this node's availability zone
-	version    uint64    // newest version that the peer is known to hold
-	newerSince time.Time // when the peer was first seen with a newer document; zero if it has none
-	failedAt   time.Time // when a request to the peer last went unanswered; zero once it is heard
+	sameZone     bool      // the peer is in this node's availability zone
+	version      uint64    // newest version that the peer is known to hold
+	newerSince   time.Time // when the peer was first seen with a newer document; zero if it has none
+	advertised   uint64    // version last advertised to the peer, at advertisedAt
+	advertisedAt time.Time
+	failedAt     time.Time // when a request to the peer last went unanswered; zero once it is heard
 }
 
 // fetch is the outstanding request for a document.
@@ -162,7 +164,22 @@
 			}
 		}
 	}
-	c.send(r.Node, &message.DocumentAdvert{Version: c.held})
+	c.advertise(r.Node, p)
+}
+
+// advertise tells a peer the held version.
+func (c *Core) advertise(id model.NodeID, p *peerState) {
+	p.advertised, p.advertisedAt = c.held, c.now
+	c.send(id, &message.DocumentAdvert{Version: c.held})
+}
+
+// repeatAdverts advertises the held version again to peers that have not been heard to hold it.
+func (c *Core) repeatAdverts() {
+	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
+		if p := c.peers[id]; p.version < c.held && c.now.Sub(p.advertisedAt) >= c.cfg.AdvertRepeat {
+			c.advertise(id, p)
+		}
+	}
 }
 
 // peerDown forgets a peer. A document that was requested from it is requested from another one.
@@ -179,6 +196,7 @@
 		c.apply(c.pending.Version, c.pending.Body, c.pendingFrom)
 	}
 	c.fetchNewer()
+	c.repeatAdverts()
 	c.sendBeacon()
 	c.reportLate()
 }
@@ -202,7 +220,8 @@
 	c.emit(Late{Version: c.newest, Held: c.held, Source: c.fetch.source})
 }
 
-// handleAdvert records the version that a peer holds and fetches it if it is newer.
+// handleAdvert records the version that a peer holds and fetches it if it is newer. A peer that
+// advertises the held version may not know that this node holds it, and is told.
 func (c *Core) handleAdvert(from model.NodeID, version uint64) {
 	p := c.peers[from]
 	if p == nil {
@@ -210,6 +229,9 @@
 	}
 	p.version, p.failedAt = version, time.Time{}
 	c.learn(version)
+	if version == c.held && p.advertised < c.held {
+		c.advertise(from, p)
+	}
 	c.fetchNewer()
 }
 
@@ -334,9 +356,10 @@
 	c.held, c.body = version, body
 	c.emit(Apply{Version: version, Body: body, From: from, BehindFor: behind})
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
-		c.peers[id].newerSince = time.Time{} // CrossZoneFetchDelay starts anew: this zone still gets documents
-		if c.peers[id].version < version {
-			c.send(id, &message.DocumentAdvert{Version: version})
+		p := c.peers[id]
+		p.newerSince = time.Time{} // CrossZoneFetchDelay starts anew: this zone still gets documents
+		if p.version < version {
+			c.advertise(id, p)
 		}
 	}
 }
--- a/coordination/docsync/core_test.go
+++ b/coordination/docsync/core_test.go
@@ -197,6 +197,36 @@
 	must.Eq(t, []string{"near2"}, fetches(h.step(core.PeerDown{Node: "near1"})))
 }
 
+// Guards against a node that never learns of a version because the only advert of it was lost.
+func TestLostAdvertIsRepeatedUntilThePeerHoldsTheVersion(t *testing.T) {
+	h := newHarness(t)
+	h.connect("near", "z1")
+	adverts := func(actions []core.Action) (versions []uint64) {
+		for _, a := range actions {
+			if s, ok := a.(core.Send); ok {
+				if m, ok := s.Message.(*message.DocumentAdvert); ok {
+					versions = append(versions, m.Version)
+				}
+			}
+		}
+		return versions
+	}
+	must.Eq(t, []uint64{3}, adverts(h.step(StoreRead{Version: 3, Body: []byte("3")})))
+	must.Eq(t, []uint64{3, 3}, adverts(h.advance(2*DefaultConfig().AdvertRepeat)))
+	must.Eq(t, nil, adverts(h.receive("near", &message.DocumentAdvert{Version: 3})))
+	must.Eq(t, nil, adverts(h.advance(3*time.Second)), must.Sprint("the peer holds it"))
+}
+
+// Two nodes that got a version from a third one learn of each other that they hold it, and then stop
+// advertising it.
+func TestAdvertsOfOneVersionEnd(t *testing.T) {
+	z := newZone(t, "a", "b", "c", "d")
+	z.advance(5 * time.Second)
+	z.adverts = 0
+	z.advance(10 * time.Second)
+	must.Eq(t, 0, z.adverts)
+}
+
 func TestReaderThatFailsIsReplaced(t *testing.T) {
 	z := newZone(t, "a", "b", "c")
 	z.advance(3 * time.Second)
@@ -323,6 +353,7 @@
 	reads   int                   // number of reads of the store
 	empty   bool                  // the store holds no configuration
 	starts  int                   // number of times that nodes turned reading on
+	adverts int                   // number of adverts sent
 }
 
 func newZone(t *testing.T, names ...string) *zone {
@@ -401,6 +432,9 @@
 				}
 				z.reading[at] = a.On
 			case core.Send:
+				if _, advert := a.Message.(*message.DocumentAdvert); advert {
+					z.adverts++
+				}
 				queue = append(queue, delivery{a.To, core.Received{From: at, Message: a.Message}})
 			}
 		}
--- a/coordination/docsync/in_force_test.go
+++ b/coordination/docsync/in_force_test.go
@@ -135,6 +135,7 @@
 				}
 			})
 		}},
+		{"a third of the adverts are lost", func(s *simSite) { s.dropAdverts = 1. / 3 }},
 		{"a zone is started while its store is cut off", func(s *simSite) {
 			for _, h := range s.zones[s.rng.IntN(3)] {
 				h.restart(time.Second)
