Let the writer block before the test of replaced beacons sends them

The test took the writer to be blocked when it sent the first beacon, which nothing ensured; a beacon that the writer has taken is on its way and can't be replaced, which is right.

--- a/transport/link/link_test.go
+++ b/transport/link/link_test.go
@@ -316,6 +316,7 @@
 		for i := range messages {
 			must.NoError(t, a.Send("b", message.Normal, fetch(uint64(i))))
 		}
+		synctest.Wait() // the writer is blocked: the first beacon is still queued when the second replaces it
 		must.NoError(t, a.Send("b", message.Urgent, &message.Beacon{Zone: "z", Sequence: 1}))
 		must.NoError(t, a.Send("b", message.Urgent, &message.Beacon{Zone: "z", Sequence: 2}))
 		synctest.Wait()
