Outlast a lack of file descriptors, and keep some for other nodes and the store

Cause: the TCP transport of links turned every error of an open listener into peer.ErrClosed, which ended the links, and so the run group and the process. Servers of net/http end likewise on errors that Go doesn't call temporary, such as ENOBUFS.

Accept of peer.Transport returns an *AcceptError while it still listens; links log and count it and go on after 50 ms. listen.Listener marks its errors as temporary. Callers' connections are bounded to three quarters of the descriptors (maxFiles, less 200): at the bound those that have been idle longest are closed, and new ones wait in the backlog if none is. A failure to accept is logged once a second at most, not 200 times.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -142,7 +142,7 @@
 func (n *Node) wireServers() error {
 	n.front = callers.New(callers.Config{
 		Handler: n.proxy, Limits: n.callerLimits, PipelineDepth: requestsAhead,
-		RequestID: platform.Dialect{}.RequestID, Metrics: n.metrics, Logger: n.log,
+		MaxConnections: n.set.maxCallers(), RequestID: platform.Dialect{}.RequestID, Metrics: n.metrics, Logger: n.log,
 	})
 	n.callers = n.add(listenCallers, n.front)
 	n.gateServer = n.newPlain(n.gateHandler(), keepalive.Config{
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -44,6 +44,8 @@
 	HeartbeatMillis int `json:"heartbeatMillis"`
 	// MemoryMB is the memory above which the process is killed, in megabytes.
 	MemoryMB int `json:"memoryMB"`
+	// MaxFiles is the number of file descriptors that the process may have open; 0 is no bound.
+	MaxFiles int `json:"maxFiles"`
 	// LinkMbps is the rate of the host's link, in megabits per second.
 	LinkMbps float64 `json:"linkMbps"`
 	// DrainMillis is how long after its goodbye a backend server still gets
@@ -73,6 +75,18 @@
 	lot float64
 }
 
+// reservedFiles is the number of descriptors that are not for connections.
+const reservedFiles = 200
+
+// maxCallers returns the number of callers' connections that may be open; 0 is no bound. A quarter
+// of the descriptors remains for the store and for connections with other nodes and backend servers.
+func (s *Settings) maxCallers() int {
+	if s.MaxFiles == 0 {
+		return 0
+	}
+	return max(1, (s.MaxFiles-reservedFiles)*3/4)
+}
+
 // Listen are a node's addresses.
 type Listen struct {
 	// Callers takes requests of the callers on this host.
--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -36,6 +36,7 @@
 
 	mu          sync.Mutex
 	pending     []*exchange // requests that were read and are not answered, in order
+	usedAt      time.Time   // when the connection was opened or its last request was answered
 	reading     bool        // a request has begun to arrive and isn't in pending yet
 	readStopped bool        // no further request is to be read
 	finalBegun  bool        // the final response, after which the connection is closed, has begun
@@ -52,6 +53,7 @@
 
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{server: s, raw: raw, slots: make(chan struct{}, max(1, s.cfg.PipelineDepth))}
+	c.usedAt = time.Now()
 	c.head.conn = raw
 	c.sends.Conn = raw
 	c.br = bufio.NewReaderSize(&c.head, connBuffer)
@@ -244,6 +246,7 @@
 	c.reportCut(x)
 	c.mu.Lock()
 	c.pending = slices.DeleteFunc(c.pending, func(o *exchange) bool { return o == x })
+	c.usedAt = time.Now()
 	if x.final.Load() && !c.finalSent {
 		c.finalSent, c.readStopped = true, true
 		c.cancel() // requests behind the final response are not answered
--- a/transport/callers/idle.go
+++ b/transport/callers/idle.go
@@ -23,6 +23,13 @@
 	_ = c.raw.SetReadDeadline(past) // the read returns the error of a closed connection
 }
 
+// idleSince returns since when the connection has had no request; false if it has one or is ending.
+func (c *conn) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.usedAt, !c.readStopped && !c.reading && len(c.pending) == 0
+}
+
 // unackedCheck is the minimum interval between two checks of the send queue.
 const unackedCheck = 50 * time.Millisecond
 
--- a/transport/callers/server.go
+++ b/transport/callers/server.go
@@ -48,6 +48,10 @@
 	// PipelineDepth is the number of pipelined requests of one connection that are
 	// handled concurrently.
 	PipelineDepth int
+	// MaxConnections bounds the open connections, so that callers leave file descriptors for the
+	// process's other connections; 0 is no bound. At the bound idle connections are closed, the
+	// longest idle first, and new ones wait in the listener's backlog until there is room.
+	MaxConnections int
 	// RequestID returns the identifier that the caller assigned to its request.
 	RequestID func(headers map[string][]string) string
 	// Metrics is the set in which the server registers its metrics.
@@ -66,15 +70,32 @@
 	listener net.Listener
 	conns    map[*conn]struct{}
 	closed   bool
+
+	// failureLoggedAt is when a failure to accept was last logged. Only Serve uses it.
+	failureLoggedAt time.Time
 }
 
 // New returns a server.
-func New(cfg Config) *Server { return &Server{cfg: cfg, conns: make(map[*conn]struct{})} }
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg, conns: make(map[*conn]struct{})}
+	cfg.Metrics.GetOrCreateGauge("jacinthgate_caller_connections", func() float64 { return float64(s.connections()) })
+	return s
+}
+
+// connections returns the number of open connections.
+func (s *Server) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
 
 // acceptRetryDelay is the delay before accepting again after a listener error,
 // such as a lack of file descriptors.
 const acceptRetryDelay = 5 * time.Millisecond
 
+// failureLogInterval is the minimum interval between two log lines on failures to accept.
+const failureLogInterval = time.Second
+
 // Serve accepts connections until Shutdown or Close is called, then returns
 // http.ErrServerClosed.
 func (s *Server) Serve(l net.Listener) error {
@@ -86,6 +107,7 @@
 		return http.ErrServerClosed
 	}
 	for {
+		s.awaitRoom()
 		raw, err := l.Accept()
 		if err == nil {
 			s.open(raw)
@@ -94,7 +116,11 @@
 		if s.isClosed() || errors.Is(err, net.ErrClosed) {
 			return http.ErrServerClosed
 		}
-		_ = s.cfg.Logger.Log("event", "accept_failed", "err", err)
+		s.cfg.Metrics.GetOrCreateCounter("jacinthgate_callers_accept_failures_total").Inc()
+		if now := time.Now(); now.Sub(s.failureLoggedAt) >= failureLogInterval {
+			s.failureLoggedAt = now
+			_ = s.cfg.Logger.Log("event", "accept_failed", "err", err)
+		}
 		time.Sleep(acceptRetryDelay)
 	}
 }
--- a/transport/callers/server_test.go
+++ b/transport/callers/server_test.go
@@ -22,10 +22,17 @@
 
 // startServer serves a handler on loopback and returns the server and its address.
 func startServer(t *testing.T, h http.HandlerFunc) (*Server, string) {
+	t.Helper()
+	return startBoundedServer(t, 0, h)
+}
+
+// startBoundedServer is startServer with a bound on the open connections.
+func startBoundedServer(t *testing.T, maxConnections int, h http.HandlerFunc) (*Server, string) {
 	t.Helper()
 	s := New(Config{
-		Handler:       h,
-		PipelineDepth: 4,
+		MaxConnections: maxConnections,
+		Handler:        h,
+		PipelineDepth:  4,
 		Limits: func() Limits {
 			return Limits{HeaderBytes: 1 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 		},
--- a/transport/link/manager.go
+++ b/transport/link/manager.go
@@ -62,8 +62,9 @@
 func (m *Manager) Events() <-chan core.Event { return m.events }
 
 // Run accepts connections and sends messages until ctx ends. It then closes
-// all connections and waits for its goroutines. It returns ctx's error, or the
-// transport's if the transport fails.
+// all connections and waits for its goroutines. It returns ctx's error, or
+// peer.ErrClosed if the transport is closed. A connection that can't be accepted
+// doesn't end it.
 func (m *Manager) Run(ctx context.Context) error {
 	unhook := context.AfterFunc(ctx, m.stop)
 	defer unhook()
@@ -177,6 +178,11 @@
 			return m.ctx.Err()
 		}
 		c, err := m.cfg.Transport.Accept(m.ctx)
+		if is[*peer.AcceptError](err) {
+			<-slots
+			m.acceptFailed(err)
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -184,6 +190,21 @@
 	}
 }
 
+// acceptRetryDelay is the delay before connections are accepted again after a failure. Failures
+// last for as long as the process has no file descriptor left.
+const acceptRetryDelay = 50 * time.Millisecond
+
+// acceptFailed logs and counts a connection that could not be accepted, and waits before the next
+// attempt.
+func (m *Manager) acceptFailed(err error) {
+	m.meter.acceptFailed()
+	m.cfg.Logger.Log("event", "peer_accept_failed", "err", err)
+	select {
+	case <-time.After(acceptRetryDelay):
+	case <-m.ctx.Done():
+	}
+}
+
 // dial opens a connection and serves it until it ends. It emits DialFailed if
 // the connection can't be opened.
 func (m *Manager) dial(node model.NodeID, addr string) {
--- a/transport/link/metrics.go
+++ b/transport/link/metrics.go
@@ -55,6 +55,11 @@
 	mt.set.GetOrCreateCounter(fmt.Sprintf("jacinthgate_link_dropped_total{reason=%q}", reason)).Add(n)
 }
 
+// acceptFailed counts a connection that could not be accepted.
+func (mt meter) acceptFailed() {
+	mt.set.GetOrCreateCounter("jacinthgate_link_accept_failures_total").Inc()
+}
+
 // refused counts a refused peer.
 func (mt meter) refused(reason string) {
 	mt.set.GetOrCreateCounter(fmt.Sprintf("jacinthgate_link_refused_total{reason=%q}", reason)).Inc()
--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -57,7 +57,27 @@
 // deadliner is a listener that supports a deadline for Accept.
 type deadliner interface{ SetDeadline(time.Time) error }
 
-// Accept implements net.Listener. While the listener is drained, it returns connections
+// AcceptError reports a connection that could not be accepted, such as for want of file descriptors
+// or buffers. The listener is still open. It implements net.Error, so that servers of net/http accept
+// again after a pause.
+type AcceptError struct {
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *AcceptError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *AcceptError) Unwrap() error { return e.Err }
+
+// Timeout implements net.Error.
+func (e *AcceptError) Timeout() bool { return false }
+
+// Temporary implements net.Error.
+func (e *AcceptError) Temporary() bool { return true }
+
+// Accept implements net.Listener. The error is an *AcceptError or wraps net.ErrClosed. While the listener is drained, it returns connections
 // until the backlog is empty, then closes the listener and returns net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -70,7 +90,7 @@
 			l.close(time.Time{})
 			return nil, err
 		case !l.draining.Load() || !errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, err
+			return nil, &AcceptError{Err: err}
 		case (l.expired.Load() || !l.accepted.Swap(false)) && !sockopt.HasBacklog(l.Listener):
 			// The deadline alone doesn't prove that no connection has arrived: this process may
 			// not have been scheduled. Connections that arrive between the check and the close
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -16,7 +16,7 @@
 	// *DialError.
 	Dial(ctx context.Context, addr string) (Conn, error)
 	// Accept waits for the next connection from a peer. It returns ErrClosed
-	// once the transport is closed.
+	// once the transport is closed. After an *AcceptError it may be called again.
 	Accept(ctx context.Context) (Conn, error)
 	// Addr returns the local address as IP:port.
 	Addr() string
@@ -50,6 +50,19 @@
 // ErrClosed is returned by calls on a closed transport or connection.
 var ErrClosed error = &ClosedError{}
 
+// AcceptError reports a connection that could not be accepted, such as for want of
+// file descriptors. The transport goes on listening.
+type AcceptError struct {
+	// Err is the cause.
+	Err error
+}
+
+// Error implements error.
+func (e *AcceptError) Error() string { return "accept: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *AcceptError) Unwrap() error { return e.Err }
+
 // DialError reports a connection that could not be opened.
 type DialError struct {
 	// Addr is the address dialled.
--- a/transport/peer/tcp/tcp.go
+++ b/transport/peer/tcp/tcp.go
@@ -96,13 +96,15 @@
 	stop := context.AfterFunc(ctx, func() { _ = t.listener.Close() }) // listener.Accept then returns an error
 	defer stop()
 	raw, err := t.listener.Accept()
-	if err != nil {
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
-		}
+	switch {
+	case err == nil:
+		return t.add(raw)
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	case errors.Is(err, net.ErrClosed):
 		return nil, peer.ErrClosed
 	}
-	return t.add(raw)
+	return nil, &peer.AcceptError{Err: err}
 }
 
 // add wraps a connection and tracks it until it is closed.
