Keep a goodbye that was acknowledged while the store was away

Cause: two places that should each have kept the promise did not. The goodbye was written to the store once, within 0.3 s, and acknowledged whatever came of it. The node's peers knew it, but only the side that dials is told so, in the Welcome, and a node that starts without the store knows nobody to dial.

The node now writes the last goodbye until the store has taken it. The Hello carries it as well, with the incarnation in which it was said, so that a node which is called while it drains takes it for nothing new.

TestCallOfAPeerDoesNotEndADrain guards the other way.

--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -50,8 +50,8 @@
 	// has recorded no version: it came in a Welcome, or in a Hello addressed to this
 	// node by name.
 	LastHeldValid bool
-	// Welcomed is set on the side that dialled. Only then are Incarnation, Drained
-	// and DrainedInstance set, from the peer's Welcome.
+	// Welcomed is set on the side that dialled. Only then is Incarnation set, from the
+	// peer's Welcome.
 	Welcomed bool
 	// Incarnation is the newest incarnation of this node that the peer has recorded.
 	Incarnation uint64
@@ -60,6 +60,9 @@
 	Drained bool
 	// DrainedInstance is the instance of that backend server, if it has one.
 	DrainedInstance string
+	// DrainedIncarnation is the incarnation of this node in which it was; 0 for one before
+	// the present incarnation.
+	DrainedIncarnation uint64
 }
 
 // PeerDown reports that the last connection to a peer has closed.
--- /dev/null
+++ b/internal/sidecar/goodbye_test.go
@@ -0,0 +1,62 @@
+package sidecar
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a goodbye that the store never notes because it was away at the moment.
+func TestGoodbyeIsRecordedOnceTheStoreIsBack(t *testing.T) {
+	f := newFleet(t, 2)
+	f.store.SetDown(true)
+	must.NoError(t, f.nodes[0].backend.Leave(f.nodes[0].node.set.Listen.Backend))
+	must.Nil(t, f.store.Row("nodes", "drain/node-0"))
+	f.store.SetDown(false)
+	f.eventually("the goodbye is recorded", func() bool {
+		return string(f.store.Row("nodes", "drain/node-0")) == "i-0"
+	})
+}
+
+// Guards against a node that starts again without the store, is called by its peers and takes a late
+// heartbeat for that of a live backend server.
+func TestGoodbyeOutlastsANodeThatKnowsNobodyAfterItsStart(t *testing.T) {
+	f := newFleet(t, 2) // in two zones: the node with the lower key calls the other one
+	called, calling := 0, 1
+	if f.nodes[0].node.set.Node.Key() < f.nodes[1].node.set.Node.Key() {
+		called, calling = 1, 0
+	}
+	leaving := f.nodes[called]
+	f.store.SetDown(true)
+	must.NoError(t, leaving.backend.Leave(leaving.node.set.Listen.Backend))
+	f.eventually("the other one knows", func() bool {
+		return len(f.nodes[calling].node.pub.view.Load().Service("booking")) == 1
+	})
+	f.restart(called)
+	f.eventually("the node learns of the goodbye", func() bool {
+		return strings.Contains(leaving.logs.String(), "event=backend_drained_before")
+	})
+	must.NoError(t, leaving.backend.Beat(leaving.node.set.Listen.Backend, leaving.addr, false))
+	must.Nil(t, leaving.node.pub.instance.Load(), must.Sprint("the late heartbeat doesn't bring it back"))
+}
+
+// A node that calls another one must not end a drain that is under way there.
+func TestCallOfAPeerDoesNotEndADrain(t *testing.T) {
+	f := newFleet(t, 2)
+	draining := f.nodes[0]
+	must.NoError(t, draining.backend.Beat(draining.node.set.Listen.Backend, draining.addr, true))
+	f.eventually("the other one knows", func() bool {
+		return len(f.nodes[1].node.pub.view.Load().Service("booking")) == 1
+	})
+	h := f.nodes[1].node.loop.hello(t.Context(), draining.node.set.Node)
+	must.True(t, h.Drained)
+	must.Eq(t, draining.node.loop.self.Incarnation, h.DrainedIncarnation)
+	f.nodes[1].node.links.Disconnect(draining.node.set.Node)
+	f.eventually("they are linked again", func() bool {
+		var linked bool
+		f.nodes[1].node.loop.queue.Ask(t.Context(), func() { linked = len(f.nodes[1].node.loop.member.Neighbours()) == 1 })
+		return linked
+	})
+	must.NotNil(t, draining.node.pub.instance.Load())
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -96,7 +96,7 @@
 // step gives one event to every core and carries out what follows.
 func (l *loop) step(ev core.Event) {
 	now := time.Now()
-	if up, ok := ev.(core.PeerUp); ok && up.Drained {
+	if up, ok := ev.(core.PeerUp); ok && up.Drained && up.DrainedIncarnation < l.self.Incarnation {
 		if l.backends.drained(up.DrainedInstance) {
 			l.withdraw(now)
 		}
@@ -247,12 +247,16 @@
 	return route.NewTable(c, servicePolicy())
 }
 
-// hello returns the first message to a peer.
+// hello returns the first message to a peer, with what this node knows of it: a peer that has
+// started anew may know nobody whom it could ask.
 func (l *loop) hello(ctx context.Context, to model.NodeID) message.Hello {
 	h := message.Hello{Protocol: message.ProtocolVersion, Record: l.self, To: to}
 	l.queue.Ask(ctx, func() {
 		h.Record = l.member.Self()
 		h.Digest = l.member.Digest()
+		if before, held := l.member.Table().Get(to); held && before.Draining {
+			h.Drained, h.DrainedInstance, h.DrainedIncarnation = true, before.Instance, before.Incarnation
+		}
 	})
 	return h
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -81,6 +81,8 @@
 
 	// own are the rows that only this node writes.
 	own ownRows
+	// undrained is signalled when the store has not taken a drain.
+	undrained chan struct{}
 	// startDelay is when the node first looks for others after its start.
 	startDelay time.Duration
 
@@ -105,7 +107,7 @@
 func New(set *Settings, path string, logs Logs) (*Node, error) {
 	n := &Node{
 		set: set, path: path, log: logs.Lines, details: logs.Details, stateLog: logs.State,
-		metrics: metrics.NewSet(), pub: new(published),
+		metrics: metrics.NewSet(), pub: new(published), undrained: make(chan struct{}, 1),
 	}
 	n.metrics.GetOrCreateGauge("jacinthgate_log_lines_dropped", func() float64 { return float64(logs.Dropped()) })
 	n.metrics.GetOrCreateGauge("jacinthgate_config_newest_version", func() float64 { return float64(n.pub.newest.Load()) })
@@ -156,6 +158,7 @@
 	n.addActor(&g, n.recordQuarantines)
 	n.addActor(&g, n.recordRollouts)
 	n.addActor(&g, n.recordOwn)
+	n.addActor(&g, n.recordDrains)
 	for _, s := range n.servers {
 		n.addServer(&g, s)
 	}
--- a/internal/sidecar/restored.go
+++ b/internal/sidecar/restored.go
@@ -111,8 +111,48 @@
 	return n.store.RecordOwn(ctx, own)
 }
 
-// recordDrain writes which instance beside the node is leaving.
+// recordDrain writes which instance beside the node is leaving. If the store doesn't take it,
+// recordDrains goes on trying.
 func (n *Node) recordDrain(ctx context.Context, node, instance string) error {
 	n.own.leaving(instance)
-	return n.store.RecordDrain(ctx, node, instance)
+	err := n.store.RecordDrain(ctx, node, instance)
+	if err != nil {
+		select {
+		case n.undrained <- struct{}{}:
+		default: // recordDrains is about to write the newest one
+		}
+	}
+	return err
+}
+
+// recordDrains writes the last drain that the store has not taken, until ctx ends.
+func (n *Node) recordDrains(ctx context.Context) error {
+	return each(ctx, n.undrained, func(struct{}) { n.recordLastDrain(ctx) })
+}
+
+// recordLastDrain writes the last drain, again and again while the store doesn't take it.
+func (n *Node) recordLastDrain(ctx context.Context) {
+	for failures := 0; ctx.Err() == nil; failures++ {
+		n.own.mu.Lock()
+		instance := n.own.drained
+		n.own.mu.Unlock()
+		if n.putDrain(ctx, instance) == nil {
+			_ = level.Info(n.log).Log("event", "drain_recorded_late", "instance", instance, "failures", failures)
+			return
+		}
+		select {
+		case <-time.After(backoff.Doubled(drainRetry, aloneRetryMax, failures)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// drainRetry is the delay before the second attempt to write a drain. The node may end soon after
+// the goodbye, and its peers with it.
+const drainRetry = 250 * time.Millisecond
+
+func (n *Node) putDrain(ctx context.Context, instance string) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return n.store.RecordDrain(ctx, string(n.set.Node), instance)
 }
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -66,6 +66,11 @@
 	// To is the node that the sender intends to reach; empty for a seed whose
 	// name is not known to it. LastHeld applies to that node only.
 	To model.NodeID `cbor:"7,keyasint,omitempty"`
+	// Drained is true if, by the sender's record of To, its backend server was draining in
+	// incarnation DrainedIncarnation. DrainedInstance is the instance of that backend server.
+	Drained            bool   `cbor:"8,keyasint,omitempty"`
+	DrainedInstance    string `cbor:"9,keyasint,omitempty"`
+	DrainedIncarnation uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Welcome is the response to a Hello.
--- a/transport/link/handshake.go
+++ b/transport/link/handshake.go
@@ -77,6 +77,9 @@
 		Record: h.Record, Held: h.Held, Ready: h.Ready, Digest: h.Digest,
 		LastHeld: h.LastHeld, LastHeldValid: h.To == m.cfg.Node,
 	}
+	if h.To == m.cfg.Node {
+		up.Drained, up.DrainedInstance, up.DrainedIncarnation = h.Drained, h.DrainedInstance, h.DrainedIncarnation
+	}
 	return &link{conn: c, up: up}, nil
 }
 
