Let the settings decide which service a host's backend server offers

Cause: the service of a heartbeat was looked at only while a configuration was held, only for an identifier that was not the current one, and only for whether the configuration names it. What was taken before the first configuration was never checked again, and the requests of the host's callers went out under the service that the heartbeat told.

The settings name the host's service: heartbeats of any other name no backend server to use, and callers' requests carry the service of the settings. A changed settings file changes it.

Evidence: TestHeartbeatOfAnotherServiceNamesNoBackendServer failed before, by its time limit: the host's own server was never used again.

--- a/internal/sidecar/backends.go
+++ b/internal/sidecar/backends.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -31,6 +32,9 @@
 	// without a goodbye.
 	restarted func(key string)
 
+	// service is the host's service by its settings; nil or empty allows any.
+	service atomic.Pointer[string]
+
 	mu    sync.Mutex
 	local instance.Local
 	// down is set while connections to the backend server are refused.
@@ -51,13 +55,28 @@
 	recordTimeout = 300 * time.Millisecond
 )
 
+// setService sets the host's service.
+func (b *backends) setService(s string) { b.service.Store(&s) }
+
+// hostService returns the host's service by its settings; empty if they don't tell it.
+func (b *backends) hostService() string {
+	if s := b.service.Load(); s != nil {
+		return *s
+	}
+	return ""
+}
+
 // Hear implements platform.Backends.
 func (b *backends) Hear(h instance.Heartbeat) {
+	if own := b.hostService(); own != "" && h.Service != own {
+		_ = b.log.Log("event", "backend_not_offered", "instance", h.Key(), "service", h.Service, "reason", "other-service")
+		return
+	}
 	b.mu.Lock()
 	before := b.local.Current()
 	if (before == nil || before.ID != h.ID) && !b.offered(h.Service) {
 		b.mu.Unlock()
-		_ = b.log.Log("event", "backend_not_offered", "instance", h.Key(), "service", h.Service)
+		_ = b.log.Log("event", "backend_not_offered", "instance", h.Key(), "service", h.Service, "reason", "not-configured")
 		return
 	}
 	news := b.local.RecordHeartbeat(time.Now(), h)
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -87,6 +87,7 @@
 		restarted:      func(key string) { n.gate.Restarted(key) },
 		awaitAnnounced: n.awaitAnnounced,
 	}
+	n.backends.setService(n.set.Service)
 	l.backends = n.backends
 	l.reader = newReader(platform.NewConfigs(n.store), l, n.stateLog)
 	l.reader.setSchedule(l.docs.Schedule(feedWait))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -210,12 +210,15 @@
 	return 1
 }
 
-// callerService returns the service of the host's backend server.
+// callerService returns the service of the host, for which its callers' requests are sent.
 func (n *Node) callerService() string {
+	if s := n.backends.hostService(); s != "" {
+		return s
+	}
 	if i := n.pub.instance.Load(); i != nil {
 		return i.Service
 	}
-	return n.set.Service
+	return ""
 }
 
 // ready reports whether the node takes callers.
--- a/internal/sidecar/returned_test.go
+++ b/internal/sidecar/returned_test.go
@@ -86,3 +86,26 @@
 		})
 	}
 }
+
+// Guards against a heartbeat of another service that displaces the host's backend server, and under whose
+// service the requests of the host's callers are then sent.
+func TestHeartbeatOfAnotherServiceNamesNoBackendServer(t *testing.T) {
+	f := newEmptyFleet(t, 1)
+	f.store.Remove("op", "config") // any service could be offered before the first configuration
+	f.startAll(1)
+	m := f.nodes[0]
+	foreign := &platformtest.Backend{ID: "i-foreign", Service: "old-desk", Slots: 4}
+	for range 2 {
+		must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
+		must.NoError(t, foreign.Beat(m.node.set.Listen.Backend, m.addr, false))
+	}
+	f.store.Put("op", "config", routes("r1"))
+	f.eventually("the host's backend server serves", func() bool {
+		resp, _ := f.do(m, "GET", "/status/x", "")
+		return resp.StatusCode == http.StatusOK
+	})
+	must.Eq(t, "i-0", m.node.pub.instance.Load().ID)
+	for _, s := range m.backend.Seen() {
+		must.Eq(t, "booking", s.Caller)
+	}
+}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -27,8 +27,9 @@
 	Region model.Region `json:"region"`
 	// Zones are all availability zones of the site, with their regions.
 	Zones map[model.Zone]model.Region `json:"zones"`
-	// Service is the service of the host's backend server, until that says
-	// itself what it offers.
+	// Service is the service of the host's backend server. Heartbeats of another service are not
+	// that server's and name none to use. Without it, any service that the configuration names may
+	// be offered.
 	Service string `json:"service"`
 	// Listen are the addresses to listen on, each IP:port.
 	Listen Listen `json:"listen"`
--- a/internal/sidecar/signals.go
+++ b/internal/sidecar/signals.go
@@ -79,6 +79,7 @@
 		return
 	}
 	n.budget.SetConfig(set.budget())
+	n.backends.setService(set.Service)
 	n.set.content = content
 	_ = n.log.Log("event", "settings_read", "cause", cause, "addresses_changed", set.Listen != n.set.Listen)
 }
