Send a repeat under the organisation that holds the key now

Cause: before each send a request was checked only for whether its key belongs to some organisation; the name, regions and quota were those of its arrival. It now goes on under the present holder, with a token of that one's quota, or is refused if there is none.

Evidence: TestRepeatGoesOutUnderTheOrganisationThatHoldsTheKeyNow failed before: both runs were under the former organisation.

--- a/internal/sidecar/organisation_test.go
+++ b/internal/sidecar/organisation_test.go
@@ -1,7 +1,10 @@
 package sidecar
 
 import (
+	"net/http"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -120,3 +123,30 @@
 	must.Eq(t, 2, f.nodes[0].node.pub.table.Load().Version())
 	must.False(t, strings.Contains(f.nodes[0].logs.String(), clinicKey))
 }
+
+// Guards against a repeat that goes out under the organisation that held the key when the request came.
+func TestRepeatGoesOutUnderTheOrganisationThatHoldsTheKeyNow(t *testing.T) {
+	f := keyedFleet(t, 2)
+	moved := platformtest.KeyedConfig("r3", []string{"booking"},
+		[]platformtest.Organisation{{Name: "clinic", Keys: []string{"an0th3r"}}, {Name: "hotel", Keys: []string{hotelKey, clinicKey}}},
+		platformtest.Route{Host: host, Prefix: "/status/", Kind: platformtest.Idempotent, Service: "booking", Attempts: 2},
+	)
+	var runs atomic.Int32
+	for _, m := range f.nodes {
+		m.backend.Answer = func(w http.ResponseWriter, _ *http.Request) {
+			if runs.Add(1) == 1 {
+				f.configure(moved, 3)
+				panic(http.ErrAbortHandler)
+			}
+			platformtest.Stamp(w)
+		}
+	}
+	resp, _ := f.do(f.nodes[0], "GET", "/status/x", "", "Authorization", "Bearer "+clinicKey)
+	must.Eq(t, 200, resp.StatusCode)
+	var under []string
+	for _, seen := range f.seen() {
+		under = append(under, seen.Headers.Get(platformtest.HeaderOrganisation))
+	}
+	slices.Sort(under)
+	must.Eq(t, []string{"clinic", "hotel"}, under)
+}
--- a/transport/outbound/authorise.go
+++ b/transport/outbound/authorise.go
@@ -66,17 +66,31 @@
 	}
 }
 
-// stillAuthorised reports whether the request may be sent now. Since it was authorised, its
-// key may have been revoked, or the proof of the configuration may have expired.
-func (x *exchange) stillAuthorised() bool {
+// authoriseAgain checks whether the request may be sent now, and returns the reason if not. Since
+// it was authorised, its key may have been revoked or given to another organisation, under which
+// it is sent then, or the proof of the configuration may have expired.
+func (x *exchange) authoriseAgain() outcome.Reason {
 	t := x.p.cfg.Table()
 	if x.route.Anonymous || !t.RequiresKey() {
-		return true
+		return ""
 	}
 	if x.p.cfg.Freshness != nil && x.p.cfg.Freshness.Left() <= 0 {
-		return false
+		return outcome.ReasonUnproved
+	}
+	o := t.Organisation(x.p.cfg.Dialect.Key(x.r.Header))
+	switch {
+	case o == nil:
+		return outcome.ReasonUnproved
+	case x.organisation == nil || o.Name == x.organisation.Name:
+		return ""
+	}
+	x.organisation = o
+	if x.limited() {
+		if _, ok := x.charge(); !ok {
+			return outcome.ReasonRateLimited
+		}
 	}
-	return t.Organisation(x.p.cfg.Dialect.Key(x.r.Header)) != nil
+	return ""
 }
 
 // takeToken takes a token from the organisation's quota. It returns a refusal where the
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -148,9 +148,11 @@
 		x.trail.Forbid(outcome.ReasonQuarantined)
 		return false
 	}
-	if x.keyed && !x.stillAuthorised() {
-		x.trail.Forbid(outcome.ReasonUnproved)
-		return false
+	if x.keyed {
+		if reason := x.authoriseAgain(); reason != "" {
+			x.trail.Forbid(reason)
+			return false
+		}
 	}
 	now := x.p.cfg.Now()
 	choice, err := x.pick(now)
