--- a/internal/fleet/relay/tcp.go
+++ b/internal/fleet/relay/tcp.go
@@ -23,6 +23,24 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// silent are the connections that carry nothing more.
+	silent map[net.Conn]bool
+}
+
+// Silence lets all connections carry nothing more, for good and without a reset. New ones are
+// relayed as before.
+func (t *TCP) Silence() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		t.silent[c] = true
+	}
+}
+
+func (t *TCP) isSilent(c net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.silent[c]
 }
 
 // SetDelay adds a delay to each piece that is passed on, either way.
@@ -48,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &TCP{cuts: cuts, target: target, side: side, sideOf: sideOf, ln: ln, conns: make(map[net.Conn]bool)}
+	t := &TCP{cuts: cuts, target: target, side: side, sideOf: sideOf, ln: ln, conns: make(map[net.Conn]bool), silent: make(map[net.Conn]bool)}
 	go t.accept()
 	return t, nil
 }
@@ -94,6 +112,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.conns, c)
+	delete(t.silent, c)
 	_ = c.Close() // it may be closed already
 }
 
@@ -117,7 +136,7 @@
 }
 
 // copy passes bytes on, and holds them back across a cut. A stream's end is
-// passed on; a failure ends both directions.
+// passed on; a failure ends both directions. On a silent connection neither is.
 func (t *TCP) copy(dst, src net.Conn, from Side) {
 	buf := make([]byte, maxDatagram)
 	for {
@@ -125,6 +144,9 @@
 		if n > 0 && !t.pass(dst, src, buf[:n], from) {
 			break
 		}
+		if err != nil && t.isSilent(src) {
+			return // the other side ends the connection itself
+		}
 		if err == io.EOF {
 			closeWrite(dst)
 			return
@@ -143,6 +165,9 @@
 	if !t.await(src, from) {
 		return false
 	}
+	if t.isSilent(src) {
+		return true // lost
+	}
 	_, err := dst.Write(b)
 	return err == nil
 }
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/jacinthgate/jacinthgate/platform/platformtest"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
@@ -44,6 +45,10 @@
 		for _, r := range n.relays {
 			r.Reset()
 		}
+	case FaultSilence:
+		s.site.silence()
+	case FaultForeign:
+		s.beatForeign(ctx, n, step)
 	case FaultDelay:
 		s.delay(n, linkDelay)
 		wait(ctx, step.For)
@@ -85,6 +90,19 @@
 	}
 }
 
+// foreignService is a service that no configuration names.
+const foreignService = "foreign"
+
+// beatForeign sends a node heartbeats of a backend server of another service while the step lasts.
+func (s *soak) beatForeign(ctx context.Context, n *node, step Step) {
+	foreign := &platformtest.Backend{ID: "i-foreign", Service: foreignService, Slots: serverSlots, Born: time.Now().UnixMilli()}
+	until := time.Now().Add(step.For)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		_ = foreign.Beat(n.addr(portBackend), n.addr(portBackend), false) // the node may be away
+		wait(ctx, heartbeatEvery)
+	}
+}
+
 // countFor counts a step among the faults of its kind while it lasts.
 func countFor(ctx context.Context, step Step, underWay *atomic.Int32) {
 	underWay.Add(1)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -67,6 +67,11 @@
 	// FaultLimitQuiet lets a node's backend server state a limit, and all callers be quiet
 	// meanwhile and begin again at one time.
 	FaultLimitQuiet Fault = "limit-quiet"
+	// FaultSilence lets all open connections between nodes, and between nodes and the store, carry
+	// nothing more, without a reset. New ones work.
+	FaultSilence Fault = "silence"
+	// FaultForeign sends a node heartbeats of a backend server of another service.
+	FaultForeign Fault = "foreign"
 	// FaultLeave lets a node's backend server state in its answers alone that it leaves.
 	FaultLeave Fault = "leave"
 )
@@ -137,6 +142,16 @@
 	habitual = append([]Fault{FaultBreakOff, FaultBreakOff, FaultBreakOff, FaultCrash, FaultCrash, FaultForget, FaultForget, FaultKill}, habitualPlanned...)
 )
 
+// silencing are the kinds around connections that fall silent beside versions.
+var silencing = []Fault{FaultSilence, FaultChange, FaultChange}
+
+// leaving are the kinds around backend servers that say goodbye while the store is away, nodes that
+// are killed, and heartbeats of other writers.
+var leaving = []Fault{
+	FaultStoreDown, FaultStoreDown, FaultStoreLost, FaultDrain, FaultDrain, FaultDrain, FaultKill, FaultKill, FaultTerm,
+	FaultForeign, FaultForeign, FaultForeign, FaultChange,
+}
+
 // stating are the kinds around backend servers that state limits, and that they leave: nodes that
 // have to learn that anew or in spite of each other.
 var stating = []Fault{
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -112,6 +112,17 @@
 	return draw(stating, seriesEvery, seed, nodes, length)
 }
 
+// NewSilencePlan draws a schedule of versions while connections fall silent. There are few, since
+// what must be in force can be told only some time after a silence.
+func NewSilencePlan(seed uint64, nodes int, length time.Duration) Plan {
+	return draw(silencing, 2*stepEvery, seed, nodes, length)
+}
+
+// NewLeavingPlan draws a schedule around goodbyes while the store is away and nodes are killed.
+func NewLeavingPlan(seed uint64, nodes int, length time.Duration) Plan {
+	return draw(leaving, seriesEvery, seed, nodes, length)
+}
+
 // NewAheadPlan draws a schedule around connections that are in use: planned work, with
 // versions in series, and with breaks also answers that break off.
 func NewAheadPlan(seed uint64, nodes int, length time.Duration, breaks bool) Plan {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -90,6 +90,7 @@
 	store   *platformtest.Store
 	empty   *platformtest.Copy // of the store before the first node started
 	cuts    *relay.Cuts
+	relays  []*relay.TCP // all, those of the nodes and of the store
 	nodes   []*node
 	close   []func()
 }
@@ -147,6 +148,7 @@
 		return nil, err
 	}
 	s.close = append(s.close, func() { _ = r.Close() })
+	s.relays = append(s.relays, r)
 	return r, nil
 }
 
@@ -236,6 +238,13 @@
 	}
 }
 
+// silence lets all open connections that are relayed carry nothing more.
+func (s *site) silence() {
+	for _, r := range s.relays {
+		r.Silence()
+	}
+}
+
 func (s *site) cut(a, b relay.Side, cut bool) {
 	if cut {
 		s.cuts.Cut(a, b)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -42,6 +42,8 @@
 		"habits planned": NewHabitPlan(3, 4, 6*time.Second, false),
 		"habits":         NewHabitPlan(4, 4, 6*time.Second, true),
 		"statements":     NewStatementPlan(2, 6, 6*time.Second),
+		"silences":       NewSilencePlan(1, 6, 10*time.Second),
+		"leaving":        NewLeavingPlan(3, 6, 8*time.Second),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -128,7 +130,7 @@
 	v.accepted[0] = accepted
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	v.watch(ctx, n, func(time.Time) bool { return true })
+	v.watch(ctx, n, func(_, _ time.Time) bool { return true })
 	return v.found
 }
 
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -100,8 +100,9 @@
 }
 
 // watch looks until ctx ends which version a node has. late reports whether a
-// request that was sent at the given time had to find the newest version.
-func (v *versions) watch(ctx context.Context, n *node, late func(accepted time.Time) bool) {
+// request that was sent at the given time had to find a version that was accepted
+// more than inForce before.
+func (v *versions) watch(ctx context.Context, n *node, late func(accepted, sent time.Time) bool) {
 	from := n.caller(false)
 	defer from.close()
 	shown, shownAt, shownLife := 0, time.Time{}, 0
@@ -121,7 +122,7 @@
 		case r.Status == http.StatusServiceUnavailable:
 		case shown >= version && shownLife == after && r.Sent.Sub(shownAt) > backAfter:
 			v.add("node %d showed version %d and then answered %s with 404", n.number, shown, r.ID)
-		case r.Sent.Sub(accepted) > inForce && late(accepted):
+		case r.Sent.Sub(accepted) > inForce && late(accepted, r.Sent):
 			v.add("node %d answered %s with 404, %v after version %d", n.number, r.ID, r.Sent.Sub(accepted), version)
 		}
 	}
