--- a/internal/sidecar/reader_test.go
+++ b/internal/sidecar/reader_test.go
@@ -1,8 +1,11 @@
 package sidecar
 
 import (
+	"context"
+	"net"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/shoenig/test/must"
@@ -50,3 +53,34 @@
 		must.Eq(t, version, (<-r.loop.queue.Events).(docsync.StoreRead).Version)
 	}
 }
+
+// Guards against a store that no longer answers and passes for one that refuses: only the former is read
+// again at once.
+func TestReadWithoutAnAnswerIsReportedAsSuch(t *testing.T) {
+	silent, err := net.Listen("tcp", anyAddr) // nobody accepts
+	must.NoError(t, err)
+	defer silent.Close()
+	store := platform.NewStore(platform.DefaultStoreConfig("http://" + silent.Addr().String()))
+	defer store.Close()
+	r := newReader(platform.NewConfigs(store), &loop{queue: eventqueue.New(maxEvents)}, log.NewNopLogger())
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	result := r.read(ctx, 0)
+	must.Error(t, result.Err)
+	must.True(t, result.Unanswered)
+
+	refusing, stand := newTestReader(t)
+	stand.SetDown(true)
+	result = refusing.read(t.Context(), 0)
+	must.Error(t, result.Err)
+	must.False(t, result.Unanswered)
+}
+
+// Guards against a whole read, which waits for nothing, that is given as long as a read that waits.
+func TestOnlyReadsAfterTheFirstWaitForAChange(t *testing.T) {
+	r, stand := newTestReader(t)
+	stand.Put("op", "config", routes("r1"))
+	must.Eq(t, 0, r.wait())
+	must.NoError(t, r.read(t.Context(), 0).Err)
+	must.Between(t, time.Millisecond, r.wait(), feedWait+feedMargin)
+}
