Schedule reads without the store's clock too, and evict callers in steps

Found by rereading the diff. A store that doesn't tell its clock would have given each reader the same short wait again and again, and so several times the calls; the time since the start stands in for it. A schedule without an interval divided by zero. At the bound of callers' connections a further batch was closed each 5 ms although those of the batch before were still closing; it is now one each 50 ms.

--- a/coordination/docsync/schedule.go
+++ b/coordination/docsync/schedule.go
@@ -19,8 +19,12 @@
 
 // Wait returns how long a read that begins at now may wait for a change: until the next end of the
 // reader's slot, at most Interval and scheduleSlack. now is a reading of a clock that all readers
-// share; with clocks that differ the reads are spread by chance.
+// share; with clocks that differ the reads are spread by chance. Without an interval a read doesn't
+// wait.
 func (s ReadSchedule) Wait(now time.Duration) time.Duration {
+	if s.Interval <= 0 {
+		return 0
+	}
 	offset := s.Interval * time.Duration(s.Slot) / time.Duration(max(1, s.Slots))
 	left := s.Interval - (now-offset)%s.Interval
 	if left > s.Interval { // now is before the first slot
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -45,10 +45,11 @@
 	told uint64
 	// schedule spreads the reads of the site's readers.
 	schedule atomic.Pointer[docsync.ReadSchedule]
+	created  time.Time
 }
 
 func newReader(c *platform.Configs, l *loop, logger log.Logger) *reader {
-	r := &reader{configs: c, loop: l, log: logger, turn: make(chan readMode, 1)}
+	r := &reader{configs: c, loop: l, log: logger, turn: make(chan readMode, 1), created: time.Now()}
 	r.setSchedule(docsync.ReadSchedule{Slots: 1})
 	return r
 }
@@ -63,7 +64,16 @@
 	}
 	s := *r.schedule.Load()
 	s.Interval = r.loop.proving.readWait()
-	return s.Wait(r.configs.Clock())
+	return s.Wait(r.clock())
+}
+
+// clock returns the store's clock, which is the same for all readers, or the time since the reader
+// was created if the store doesn't tell it.
+func (r *reader) clock() time.Duration {
+	if c := r.configs.Clock(); c > 0 {
+		return c
+	}
+	return time.Since(r.created)
 }
 
 // readMode says whether to read the store, and whether only once.
--- a/internal/sidecar/reader_test.go
+++ b/internal/sidecar/reader_test.go
@@ -84,3 +84,12 @@
 	must.NoError(t, r.read(t.Context(), 0).Err)
 	must.Between(t, time.Millisecond, r.wait(), feedWait+feedMargin)
 }
+
+// Guards against reads that all wait for the same short time where the store doesn't tell its clock.
+func TestReadsAreScheduledWithoutTheStoresClock(t *testing.T) {
+	r, _ := newTestReader(t)
+	must.Eq(t, 0, r.configs.Clock())
+	before := r.clock()
+	time.Sleep(time.Millisecond)
+	must.Greater(t, before, r.clock())
+}
--- a/transport/callers/room.go
+++ b/transport/callers/room.go
@@ -9,6 +9,9 @@
 	// evictedPart is the part of the connections that are closed at once when there are too many, so
 	// that not every new connection has to look for an idle one.
 	evictedPart = 32
+	// evictionInterval is the minimum interval between two evictions: the connections of the one
+	// before may not be closed yet.
+	evictionInterval = 50 * time.Millisecond
 	// evictedIdle is how long a connection must have been idle to be closed for another one.
 	evictedIdle = 200 * time.Millisecond
 )
@@ -16,8 +19,12 @@
 // awaitRoom waits until a connection may be accepted. It does not wait once the server shuts down:
 // what is in the listener's backlog must be accepted then.
 func (s *Server) awaitRoom() {
+	var evictedAt time.Time
 	for s.cfg.MaxConnections > 0 && s.connections() >= s.cfg.MaxConnections && !s.keepAliveOff.Load() && !s.isClosed() {
-		s.evictIdle()
+		if now := time.Now(); now.Sub(evictedAt) >= evictionInterval {
+			evictedAt = now
+			s.evictIdle()
+		}
 		time.Sleep(acceptRetryDelay)
 	}
 }
