--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -127,3 +127,25 @@
 		}
 	}
 }
+
+// inTouch is how long after its connections have fallen silent a node must hold the versions that are
+// due, with a second for the machine's own delays.
+const inTouch = 4 * time.Second
+
+// mustBeInForce reports whether a request that was sent at the given time had to find a version that
+// was accepted more than inForce before. It had not if anything but planned work and silences has
+// been under way since shortly before the acceptance, or a silence until shortly before the request.
+func (s *soak) mustBeInForce(accepted, sent time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.spans {
+		since := accepted.Add(-calm)
+		if p.Fault == FaultSilence {
+			since = sent.Add(-inTouch)
+		}
+		if !p.Fault.Planned() && p.To.After(since) {
+			return false
+		}
+	}
+	return true
+}
