--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -19,7 +19,8 @@
 	// detailReserve is the number of burst tokens reserved for lines other than details:
 	// a request may log several details, but only one line with its outcome.
 	detailReserve = asyncBurst / 2
-	// stateQueue, statePerSecond and stateBurst are what State has besides.
+	// stateQueue, statePerSecond and stateBurst are the additional queue capacity and the rate
+	// limit of the lines of State.
 	stateQueue     = 128
 	statePerSecond = 20
 	stateBurst     = 100
--- a/transport/callers/room.go
+++ b/transport/callers/room.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// evictedPart is the part of the connections that are closed at once when there are too many, so
-	// that not every new connection has to look for an idle one.
+	// evictedPart is the part of MaxConnections, as a divisor, that one eviction closes, so that the
+	// next connections are accepted without a search.
 	evictedPart = 32
 	// evictionInterval is the minimum interval between two evictions: the connections of the one
 	// before may not be closed yet.
--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -77,8 +77,9 @@
 // Temporary implements net.Error.
 func (e *AcceptError) Temporary() bool { return true }
 
-// Accept implements net.Listener. The error is an *AcceptError or wraps net.ErrClosed. While the listener is drained, it returns connections
-// until the backlog is empty, then closes the listener and returns net.ErrClosed.
+// Accept implements net.Listener. The error is an *AcceptError or wraps net.ErrClosed. While the
+// listener is drained, it returns connections until the backlog is empty, then closes the listener
+// and returns net.ErrClosed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
