Let reads wait for 3 s: the schedule's shorter read after a change is paid for

With the reads spread, what notices a silence is the slot, not the interval, so the interval may be longer: 3 s, a read's end each 0.5 s on a site of six readers.

--- a/coordination/docsync/site_test.go
+++ b/coordination/docsync/site_test.go
@@ -25,7 +25,7 @@
 
 // Timing of the simulated hosts, as in internal/sidecar.
 const (
-	simReadInterval = 2500 * time.Millisecond
+	simReadInterval = 3 * time.Second
 	simReadMargin   = 500 * time.Millisecond
 	simWholeTimeout = 2 * time.Second
 	simMergeWait    = 400 * time.Millisecond
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -19,7 +19,7 @@
 const (
 	// feedWait is how long a read of the store waits for a change at the most; see
 	// docsync.ReadSchedule. It is shorter where reads have to prove something.
-	feedWait = 2500 * time.Millisecond
+	feedWait = 3 * time.Second
 	// feedMargin is how much later than its wait the answer to a read may come. A
 	// read that exceeds it is repeated at once, so it may be short.
 	feedMargin = 500 * time.Millisecond
