Remember departed instances for the fleet, and tell each node that starts

Cause: the goodbye was known to the peers only as a flag of the node's record, and told by two kinds of call only. Peers that hold a node for failed call its address, so their Hello names nobody and carried no drain; the node's new record then replaced the one with the flag, and nobody knew any more, while a late heartbeat made the backend server ready. Second cause, found with it: a node that starts offered its backend server before it could have been told, such as when the store came back before the first peer called.

coordination/departure now remembers departed instances by themselves: from records, whoever sends them, and from peers. They are told to their node when it connects, whichever side has dialled and by whatever name; they are flooded when a new incarnation of the node shows in a record, and left out of the views whatever the node says. On a usual path no message is added but one for each neighbour of the host as its backend server leaves.

--- /dev/null
+++ b/coordination/departure/core.go
@@ -0,0 +1,208 @@
+package departure
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/coordination/peerset"
+	"github.com/jacinthgate/jacinthgate/protocol/message"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// Core is the state machine of one node. It takes core.Tick, core.PeerUp, core.PeerDown,
+// core.Received, Leaving, Stated and ListRead. It is not safe for concurrent use.
+type Core struct {
+	cfg   Config
+	self  model.NodeID
+	rng   *rand.Rand
+	now   time.Time
+	out   []core.Action
+	peers *peerset.Set
+	table table
+	// own holds the instances beside this node that have departed in this start of the node, or
+	// that it has been told of. The value is set once a peer is known to remember it.
+	own   map[string]bool
+	start start
+}
+
+// New returns the core of a node that starts. The seed is that of the delays.
+func New(cfg Config, self model.NodeID, seed uint64) *Core {
+	return &Core{
+		cfg: cfg, self: self, rng: rand.New(rand.NewPCG(seed, uint64(self.Key()))),
+		peers: peerset.New(seed), table: newTable(), own: make(map[string]bool),
+	}
+}
+
+// Has reports whether an instance has departed.
+func (c *Core) Has(instance string) bool { return c.table.byInstance[instance] != nil }
+
+// AnyOffered reports whether the node of a departed instance may still offer it.
+func (c *Core) AnyOffered() bool { return c.table.offered > 0 }
+
+// Settled reports whether Settled has been emitted.
+func (c *Core) Settled() bool { return c.start.settled }
+
+// Newest returns the last departure beside a node, and whether one is remembered.
+func (c *Core) Newest(node model.NodeID) (message.Departure, bool) {
+	all := c.table.byNode[node]
+	if len(all) == 0 {
+		return message.Departure{}, false
+	}
+	return all[len(all)-1].departure(), true
+}
+
+// Step takes one event and returns the actions it leads to.
+func (c *Core) Step(now time.Time, ev core.Event) []core.Action {
+	c.out, c.now = nil, now
+	switch ev := ev.(type) {
+	case core.Tick:
+		c.table.expire(now.Add(-c.cfg.Retention))
+		c.tellDue()
+	case core.PeerUp:
+		c.peerUp(ev)
+	case core.PeerDown:
+		c.peers.Down(ev.Node)
+	case core.Received:
+		if m, ok := ev.Message.(*message.Records); ok {
+			c.received(ev.From, m)
+		}
+	case Leaving:
+		c.leaving(ev.Instance)
+	case Stated:
+		c.add(entry{node: ev.Node, instance: ev.Instance, incarnation: ev.Incarnation, offered: true})
+	case ListRead:
+		c.listRead(ev)
+	}
+	c.settle()
+	return c.out
+}
+
+// peerUp tells a peer what has departed beside it, and what has departed beside this node if
+// nobody is known to remember that yet.
+func (c *Core) peerUp(ev core.PeerUp) {
+	to := ev.Record.Node
+	c.peers.Up(to)
+	if c.start.linkedAt.IsZero() {
+		c.start.linkedAt = c.now
+	}
+	if ev.Drained {
+		c.ownDeparted(ev.DrainedInstance)
+	}
+	c.observe(&ev.Record)
+	known := c.table.byNode[to]
+	for _, e := range known {
+		e.told = max(e.told, ev.Record.Incarnation)
+	}
+	c.send(to, known[max(0, len(known)-c.cfg.MaxPerNode):])
+	for _, e := range c.table.byNode[c.self] {
+		if kept, leaving := c.own[e.instance]; leaving && !kept {
+			c.send(to, []*entry{e})
+		}
+	}
+}
+
+// received learns from the records and departures that a peer sends.
+func (c *Core) received(from model.NodeID, m *message.Records) {
+	for i := range m.Records {
+		c.observe(&m.Records[i])
+	}
+	for _, d := range m.Departures {
+		c.receivedDeparture(from, d)
+	}
+}
+
+func (c *Core) receivedDeparture(from model.NodeID, d message.Departure) {
+	if !d.Valid() {
+		return
+	}
+	switch {
+	case d.Node == c.self && d.Kept:
+		c.kept(d.Instance)
+	case d.Node == c.self:
+		c.ownDeparted(d.Instance)
+	case d.Kept:
+	default:
+		isNew := c.add(entry{node: d.Node, instance: d.Instance, incarnation: d.Incarnation, offered: true})
+		e := c.table.byInstance[d.Instance]
+		if from == d.Node {
+			d.Kept = true
+			c.sendTo(from, []message.Departure{d})
+		} else if isNew && e != nil {
+			c.flood(e, from) // the node has started again, and not all nodes on the way to it know
+		}
+	}
+}
+
+// observe learns from the record of a node, whoever has sent it.
+func (c *Core) observe(r *endpoint.Record) {
+	departs := r.Draining && r.Instance != ""
+	if !departs && len(c.table.byNode[r.Node]) == 0 || endpoint.Validate(r) != nil {
+		return
+	}
+	if r.Node == c.self {
+		if departs {
+			c.ownDeparted(r.Instance)
+		}
+		return
+	}
+	if departs {
+		c.add(entry{node: r.Node, instance: r.Instance, incarnation: r.Incarnation})
+	}
+	c.scheduleTell(r)
+}
+
+// leaving records the departure of the own backend server and tells all peers.
+func (c *Core) leaving(instance string) {
+	kept := c.own[instance]
+	c.own[instance] = kept
+	if kept {
+		c.out = append(c.out, Kept{Instance: instance})
+	}
+	c.add(entry{node: c.self, instance: instance, incarnation: c.table.incarnations[c.self]})
+	if e := c.table.byInstance[instance]; e != nil {
+		c.flood(e, "")
+	}
+}
+
+// ownDeparted records a departure beside this node that it didn't know of.
+func (c *Core) ownDeparted(instance string) {
+	if _, known := c.own[instance]; known || instance == "" {
+		return
+	}
+	c.own[instance] = true
+	c.add(entry{node: c.self, instance: instance})
+	c.out = append(c.out, OwnDeparted{Instance: instance})
+}
+
+// kept records that a peer remembers a departure beside this node.
+func (c *Core) kept(instance string) {
+	if kept, leaving := c.own[instance]; leaving && !kept {
+		c.own[instance] = true
+		c.out = append(c.out, Kept{Instance: instance})
+	}
+}
+
+// add records a departure and reports whether it wasn't known.
+func (c *Core) add(e entry) bool {
+	e.at = c.now
+	isNew := c.table.add(e, c.cfg.MaxInstances)
+	switch {
+	case isNew:
+		c.out = append(c.out, Departed{Node: e.node, Instance: e.instance, Offered: e.offered})
+	case e.offered:
+		c.offered(c.table.byInstance[e.instance])
+	}
+	return isNew
+}
+
+// offered notes that the node of a departed instance may offer it.
+func (c *Core) offered(e *entry) {
+	if e == nil || e.offered {
+		return
+	}
+	e.offered = true
+	c.table.offered++
+	c.out = append(c.out, Departed{Node: e.node, Instance: e.instance, Offered: true})
+}
--- /dev/null
+++ b/coordination/departure/orders_test.go
@@ -0,0 +1,143 @@
+package departure
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/state/instance"
+)
+
+// siteSeeds is the number of seeds of each order that are played.
+var siteSeeds = flag.Int("departure.seeds", 40, "seeds of each order of events")
+
+// order is an order of events around a departure.
+type order struct {
+	// storeAway is how long before the goodbye the store goes down; negative for not at all.
+	// storeBack is how long after the node's next start it comes back.
+	storeAway, storeBack time.Duration
+	// killedAfter is how long after the acknowledgement the node is killed, and away for how long.
+	killedAfter, away time.Duration
+	// lateAfter is how long after the node's next start the late heartbeat arrives.
+	lateAfter time.Duration
+	// neighboursKilled kills all other nodes of the zone 1 s after the node.
+	neighboursKilled bool
+	// cutOff lets only one other node reach the node for 2 s after its start.
+	cutOff bool
+}
+
+var orders = map[string]order{
+	"the store serves":                           {storeAway: -1, killedAfter: 200 * time.Millisecond, away: 500 * time.Millisecond, lateAfter: 2 * time.Second},
+	"the store serves, away for long":            {storeAway: -1, killedAfter: 200 * time.Millisecond, away: 12 * time.Second, lateAfter: 2 * time.Second},
+	"killed as it is acknowledged":               {storeAway: time.Second, storeBack: 2 * time.Second, away: 500 * time.Millisecond, lateAfter: 2 * time.Second},
+	"away for 0.5 s":                             {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 200 * time.Millisecond, away: 500 * time.Millisecond, lateAfter: 2200 * time.Millisecond},
+	"away for 1.5 s":                             {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 200 * time.Millisecond, away: 1500 * time.Millisecond, lateAfter: 2200 * time.Millisecond},
+	"away for 3 s":                               {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 200 * time.Millisecond, away: 3 * time.Second, lateAfter: 2200 * time.Millisecond},
+	"away for 12 s":                              {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 200 * time.Millisecond, away: 12 * time.Second, lateAfter: 2200 * time.Millisecond},
+	"away for 30 s":                              {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 200 * time.Millisecond, away: 30 * time.Second, lateAfter: 2200 * time.Millisecond},
+	"the heartbeat comes at once":                {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 200 * time.Millisecond, away: 5 * time.Second},
+	"the heartbeat comes before the store":       {storeAway: time.Second, storeBack: 6 * time.Second, killedAfter: 200 * time.Millisecond, away: 5 * time.Second, lateAfter: 4 * time.Second},
+	"the heartbeat comes with the store":         {storeAway: time.Second, storeBack: 6 * time.Second, killedAfter: 200 * time.Millisecond, away: 5 * time.Second, lateAfter: 6010 * time.Millisecond},
+	"the store comes back before any peer":       {storeAway: time.Second, storeBack: 3200 * time.Millisecond, killedAfter: 200 * time.Millisecond, away: 5 * time.Second, lateAfter: 3300 * time.Millisecond},
+	"the record has expired":                     {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 8 * time.Second, away: 3 * time.Second, lateAfter: 2 * time.Second},
+	"the store stays away":                       {storeAway: time.Second, storeBack: time.Hour, killedAfter: 200 * time.Millisecond, away: 3 * time.Second, lateAfter: 4 * time.Second},
+	"its neighbours are killed too":              {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 200 * time.Millisecond, away: 3 * time.Second, lateAfter: 4 * time.Second, neighboursKilled: true},
+	"its neighbours are killed, the store stays": {storeAway: time.Second, storeBack: time.Hour, killedAfter: 200 * time.Millisecond, away: 3 * time.Second, lateAfter: 6 * time.Second, neighboursKilled: true},
+	"one node reaches it first":                  {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 200 * time.Millisecond, away: 3 * time.Second, lateAfter: time.Second, cutOff: true},
+	"one node reaches it first, before the store": {storeAway: time.Second, storeBack: 6 * time.Second, killedAfter: 200 * time.Millisecond, away: 5 * time.Second, lateAfter: 4 * time.Second, cutOff: true,
+		neighboursKilled: true},
+}
+
+// Guards against a departure that is acknowledged and forgotten when the node starts again.
+func TestAcknowledgedDepartureOutlastsTheNode(t *testing.T) {
+	for name, o := range orders {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(*siteSeeds) {
+				s := playOrder(t, seed, o)
+				if s.forgotten {
+					t.Errorf("seed %d: neither the store nor a running node remembers the departure", seed)
+				}
+				if len(s.violations) > 0 {
+					t.Errorf("seed %d: %d times, first: %s", seed, len(s.violations), s.violations[0])
+				}
+			}
+		})
+	}
+}
+
+// playOrder plays one order. Times vary with the seed, and so do the ways in which the backend
+// server departs and the nodes find each other.
+func playOrder(t *testing.T, seed uint64, o order) *simSite {
+	s := newSimSite(seed, 3+4*int(seed%2), 2+int(seed%3), 2)
+	s.runFor(5 * time.Second)
+	for _, n := range s.nodes {
+		must.Positive(t, len(n.linked()), must.Sprint(n.id))
+		must.True(t, n.sendsTo(s.nodes[0].start.Key()), must.Sprint(fmt.Sprintf("%s knows the backend server, seed %d", n.id, seed)))
+	}
+	leaver := s.nodes[s.rng.IntN(len(s.nodes))]
+	if o.storeAway >= 0 {
+		s.setStoreDown(true)
+		s.runFor(o.storeAway + s.upTo(200*time.Millisecond))
+	}
+	late := leaver.beat(false)
+	s.sayGoodbye(leaver, s.rng.IntN(2) == 0)
+	for s.ackedAt.IsZero() {
+		s.runFor(time.Millisecond)
+	}
+	s.runFor(o.killedAfter)
+	leaver.crash()
+	if o.neighboursKilled {
+		s.after(time.Second, func() { s.killNeighbours(leaver) })
+	}
+	s.runFor(o.away + s.upTo(300*time.Millisecond))
+	if o.cutOff {
+		s.onlyOneReaches(leaver, 2*time.Second)
+	}
+	leaver.run(false)
+	if o.storeAway >= 0 {
+		s.after(o.storeBack, func() { s.setStoreDown(false) })
+	}
+	s.after(o.lateAfter, func() { leaver.hear(late) })
+	s.runFor(20 * time.Second)
+	s.ended = true
+	s.nextStartIsUsed(t, leaver, o)
+	return s
+}
+
+// killNeighbours kills the other nodes of a node's zone, which start again half a second later.
+func (s *simSite) killNeighbours(of *simNode) {
+	for _, n := range s.nodes {
+		if n != of && n.zone == of.zone {
+			n.crash()
+			s.after(500*time.Millisecond, func() { n.run(false) })
+		}
+	}
+}
+
+// onlyOneReaches lets only one other node reach a node for a time.
+func (s *simSite) onlyOneReaches(n *simNode, d time.Duration) {
+	one := n
+	for one == n {
+		one = s.nodes[s.rng.IntN(len(s.nodes))]
+	}
+	until := s.now.Add(d)
+	s.cut = func(a, b *simNode) bool {
+		return s.now.Before(until) && (a == n && b != one || b == n && a != one)
+	}
+}
+
+// nextStartIsUsed checks that the backend server's next start is used.
+func (s *simSite) nextStartIsUsed(t *testing.T, n *simNode, o order) {
+	n.start = instance.Start{ID: n.start.ID, Born: s.now.UnixMilli()}
+	n.beats, n.silent = 0, false
+	s.runFor(10 * time.Second)
+	for _, other := range s.nodes {
+		if other.configured {
+			must.True(t, other.sendsTo(n.start.Key()), must.Sprintf("%s sends to the next start", other.id))
+		}
+	}
+}
--- a/internal/sidecar/backends.go
+++ b/internal/sidecar/backends.go
@@ -35,10 +35,16 @@
 	// service is the host's service by its settings; nil or empty allows any.
 	service atomic.Pointer[string]
 
+	// leaving tells the peers that an instance beside the node has departed.
+	leaving func(key string)
+
 	mu    sync.Mutex
 	local instance.Local
 	// down is set while connections to the backend server are refused.
 	down bool
+	// unsettled is set until the node has learned which instances had departed before its start.
+	// Nothing is offered until then.
+	unsettled bool
 }
 
 var _ platform.Backends = (*backends)(nil)
@@ -85,6 +91,7 @@
 	present := after != nil && after.ID == h.ID && (h.Born == 0 || h.Born == after.Born)
 	revived := b.down && present && !news
 	b.down = b.down && !present
+	withheld := b.unsettled && after != nil && after.State == instance.Ready
 	b.publish()
 	b.mu.Unlock()
 	if !news && !revived {
@@ -95,38 +102,47 @@
 	if before != nil && before.State == instance.Ready && after.Key() != before.Key() {
 		b.restarted(before.Key())
 	}
+	if withheld {
+		return
+	}
 	b.changed(after)
 	b.awaitAnnounced()
 	wasReady := before == nil || before.Start != after.Start || before.State == instance.Ready
 	if h.Draining && wasReady {
-		b.recordDrain(h.Key())
+		b.recordDrain(after.Key())
 	}
 }
 
 // Leave implements platform.Backends.
 func (b *backends) Leave(s instance.Start) {
-	b.mu.Lock()
-	news := b.local.Leave(time.Now(), s)
-	after := b.local.Current()
-	b.publish()
-	b.mu.Unlock()
+	news, after, key := b.leave(s)
 	if !news {
 		return
 	}
-	_ = b.log.Log("event", "backend_left", "instance", s.Key())
+	_ = b.log.Log("event", "backend_left", "instance", key)
 	b.changed(after)
 	b.awaitAnnounced()
-	b.recordDrain(s.Key())
+	b.recordDrain(key)
 }
 
-// leavingStated records that an instance states in its responses that it is shutting down. It is
-// called on a request's path, so the store is told in the background.
-func (b *backends) leavingStated(key string) {
+// leave records that an instance is leaving. It reports whether that is news, the current instance
+// after it, and the key of the one that leaves.
+func (b *backends) leave(s instance.Start) (news bool, after *instance.Instance, key string) {
 	b.mu.Lock()
-	news := b.local.Leave(time.Now(), instance.ParseStart(key))
-	after := b.local.Current()
+	defer b.mu.Unlock()
+	news = b.local.Leave(time.Now(), s)
+	after = b.local.Current()
 	b.publish()
-	b.mu.Unlock()
+	if after != nil && after.ID == s.ID && s.Born == 0 {
+		return news, after, after.Key()
+	}
+	return news, after, s.Key()
+}
+
+// leavingStated records that an instance states in its responses that it is shutting down. It is
+// called on a request's path, so the store is told in the background.
+func (b *backends) leavingStated(stated string) {
+	news, after, key := b.leave(instance.ParseStart(stated))
 	if !news {
 		return
 	}
@@ -142,9 +158,10 @@
 	return t == nil || t.Service(service) != nil
 }
 
-// recordDrain writes to the store that an instance is leaving, so that a node
+// recordDrain tells the peers and the store that an instance is leaving, so that a node
 // that is restarted doesn't send to it again.
 func (b *backends) recordDrain(key string) {
+	b.leaving(key)
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
 	if err := b.record(ctx, b.node, key); err != nil {
@@ -156,10 +173,11 @@
 // reports whether that is the present one, which is then withdrawn by the
 // caller.
 func (b *backends) drained(key string) bool {
-	if key == "" {
-		return false
-	}
 	b.mu.Lock()
+	if c := b.local.Current(); c != nil && c.Key() == key && c.State != instance.Ready {
+		b.mu.Unlock()
+		return false // it is leaving in this start of the node too
+	}
 	was := b.local.Forget(time.Now(), instance.ParseStart(key))
 	if was && b.local.Current() != nil {
 		b.down = true // the one that is back is announced with its next heartbeat
@@ -203,11 +221,22 @@
 	b.changed(nil)
 }
 
-// reachable returns the current backend server; nil if there is none or it refuses connections.
+// settle offers what has been heard since the node's start, and returns it; nil for none. The
+// caller announces it.
+func (b *backends) settle() *instance.Instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unsettled = false
+	b.publish()
+	return b.local.Current()
+}
+
+// reachable returns the current backend server; nil if there is none, it isn't offered yet or it
+// refuses connections.
 func (b *backends) reachable() *instance.Instance {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.down {
+	if b.down || b.unsettled {
 		return nil
 	}
 	return b.local.Current()
@@ -234,5 +263,12 @@
 	return was
 }
 
-// publish hands the present instance to the path of a request. b.mu is held.
-func (b *backends) publish() { b.pub.instance.Store(b.local.Current()) }
+// publish hands the present instance to the path of a request, but for a ready one that isn't
+// offered yet. b.mu is held.
+func (b *backends) publish() {
+	c := b.local.Current()
+	if b.unsettled && c != nil && c.State == instance.Ready {
+		c = nil
+	}
+	b.pub.instance.Store(c)
+}
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/budget"
+	"github.com/jacinthgate/jacinthgate/coordination/departure"
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
 	"github.com/jacinthgate/jacinthgate/coordination/evacuation"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
@@ -61,6 +62,7 @@
 		suspects:  quarantine.New(seed),
 		rollouts:  rollout.New(n.set.rollouts(), self.Node, self.Incarnation, seed),
 		evacuated: evacuation.New(seed),
+		departed:  departure.New(n.departureConfig(), self.Node, seed),
 		meter:     new(rollout.Meter),
 		proving:   newProving(n.set, seed),
 		lives:     restore.New(restore.DefaultConfig(), seed),
@@ -86,6 +88,8 @@
 		// The gate is wired after the control plane, before anything runs.
 		restarted:      func(key string) { n.gate.Restarted(key) },
 		awaitAnnounced: n.awaitAnnounced,
+		leaving:        func(key string) { n.loop.queue.Post(n.ctx, departure.Leaving{Instance: key}) },
+		unsettled:      true,
 	}
 	n.backends.setService(n.set.Service)
 	l.backends = n.backends
@@ -129,6 +133,13 @@
 	return cfg
 }
 
+// departureConfig returns the parameters of how departures are remembered.
+func (n *Node) departureConfig() departure.Config {
+	cfg := departure.DefaultConfig()
+	cfg.FirstStart = n.set.FirstStart
+	return cfg
+}
+
 // memberConfig returns the parameters of membership.
 func memberConfig() member.Config {
 	cfg := member.DefaultConfig()
--- a/internal/sidecar/departures.go
+++ b/internal/sidecar/departures.go
@@ -7,15 +7,17 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/coordination/departure"
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // maxDepartures bounds the remembered instances. A fleet of the design size replaces a few
 // hundred backend servers a day.
 const maxDepartures = 1024
 
-// departures are instances of backend servers that have stated in responses which this node has
-// passed on that they are shutting down. The node sends nothing more to them, whatever other
-// nodes say: their own node may be cut off, or have started again without knowing it.
+// departures are the instances of backend servers that have departed while their nodes may still
+// offer them, for the path of a request.
 type departures struct {
 	order []string // oldest first
 	set   map[string]bool
@@ -27,6 +29,9 @@
 // with returns the departures with one more instance, in place of the oldest if there are
 // maxDepartures.
 func (d *departures) with(instance string) *departures {
+	if d.has(instance) {
+		return d
+	}
 	next := &departures{set: make(map[string]bool)}
 	if d != nil {
 		next.order = slices.Clone(d.order[max(0, len(d.order)-maxDepartures+1):])
@@ -38,31 +43,49 @@
 	return next
 }
 
-// instanceDeparted is the event of a departure that this node has learned of.
-type instanceDeparted struct {
-	instance string
+// stated notes that a backend server has stated in a response that it is shutting down.
+func (n *Node) stated(instance string) {
+	if instance == "" || n.pub.departures.Load().has(instance) {
+		return
+	}
+	n.loop.queue.Post(n.ctx, departure.Stated{Instance: instance})
 }
 
-// Event implements core.Event.
-func (instanceDeparted) Event() {}
-
-var _ core.Event = instanceDeparted{}
+// located adds the node beside which the instance runs.
+func (l *loop) located(s departure.Stated) departure.Stated {
+	l.member.Table().Each(func(r *endpoint.Record, _ model.NodeKey) bool {
+		if r.Instance == s.Instance {
+			s.Node, s.Incarnation = r.Node, r.Incarnation
+		}
+		return s.Node == ""
+	})
+	return s
+}
 
-// departed removes an instance from the backend servers that this node sends to.
-func (n *Node) departed(instance string) {
-	if instance == "" || n.pub.departures.Load().has(instance) {
-		return
+// departureChanged carries out an action on departures.
+func (l *loop) departureChanged(now time.Time, a core.Action) {
+	switch a := a.(type) {
+	case departure.Departed:
+		if a.Offered {
+			l.pub.departures.Store(l.pub.departures.Load().with(a.Instance))
+			_ = level.Info(l.log).Log("event", "instance_departed", "instance", a.Instance, "node", a.Node)
+			l.publishView(now)
+		}
+	case departure.OwnDeparted:
+		if l.backends.drained(a.Instance) {
+			l.withdraw(now)
+		}
+	case departure.Settled:
+		l.settled(now)
 	}
-	n.loop.queue.Post(n.ctx, instanceDeparted{instance})
 }
 
-// depart carries out the event.
-func (l *loop) depart(now time.Time, instance string) {
-	before := l.pub.departures.Load()
-	if before.has(instance) {
-		return
+// settled offers the backend server that has been heard since the node's start.
+func (l *loop) settled(now time.Time) {
+	i := l.backends.settle()
+	_ = level.Info(l.log).Log("event", "departures_learned", "offered", i != nil)
+	if i != nil {
+		l.carryOut(now, l.member.Step(now, l.pub.announcement(i, now)))
+		l.gate.Update()
 	}
-	l.pub.departures.Store(before.with(instance))
-	_ = level.Info(l.log).Log("event", "instance_departed", "instance", instance)
-	l.publishView(now)
 }
--- a/internal/sidecar/discover.go
+++ b/internal/sidecar/discover.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/coordination/backoff"
+	"github.com/jacinthgate/jacinthgate/coordination/departure"
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
 	"github.com/jacinthgate/jacinthgate/coordination/registry"
@@ -104,12 +105,11 @@
 	if err != nil {
 		d.failures++
 		_ = level.Warn(n.log).Log("event", "nodes_unread", "err", err)
+		n.loop.queue.Post(n.ctx, departure.ListRead{Failed: true})
 		return
 	}
 	d.known, d.failures, d.readAt = true, 0, time.Now()
-	if n.backends.drained(nodes.Drained[string(n.set.Node)]) {
-		n.announce(nil)
-	}
+	n.loop.queue.Post(ctx, departure.ListRead{OwnDeparted: nodes.Drained[string(n.set.Node)]})
 	n.learnQuarantines(ctx, nodes)
 	n.learnRollouts(ctx, nodes)
 	var near, far []string
--- a/internal/sidecar/goodbye_test.go
+++ b/internal/sidecar/goodbye_test.go
@@ -3,8 +3,11 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
 )
 
 // Guards against a goodbye that the store never notes because it was away at the moment.
@@ -60,3 +63,50 @@
 	})
 	must.NotNil(t, draining.node.pub.instance.Load())
 }
+
+// Guards against a node that was away for so long that its peers call it by its address alone, and
+// that is not told of the goodbye before it.
+func TestGoodbyeOutlastsANodeThatItsPeersHoldForFailed(t *testing.T) {
+	f := newFleet(t, 4)
+	leaving, neighbour := f.nodes[0], f.nodes[2]
+	f.store.SetDown(true)
+	must.NoError(t, leaving.backend.Leave(leaving.node.set.Listen.Backend))
+	leaving.node.close()
+	f.eventually("the neighbour holds it for failed", func() bool {
+		status := endpoint.StatusAlive
+		neighbour.node.loop.queue.Ask(t.Context(), func() {
+			r, _ := neighbour.node.loop.member.Table().Get(leaving.node.set.Node)
+			status = r.Status
+		})
+		return status == endpoint.StatusFailed
+	})
+	f.restart(0)
+	f.eventually("the node has the configuration", leaving.node.ready)
+	must.NoError(t, leaving.backend.Beat(leaving.node.set.Listen.Backend, leaving.addr, false))
+	f.store.SetDown(false)
+	f.eventually("the node has read the store's list", func() bool {
+		_, since, _ := strings.Cut(leaving.logs.String(), "event=backend_left")
+		return strings.Contains(since, "event=nodes_read")
+	})
+	time.Sleep(time.Second) // it offers what it has heard
+	must.Nil(t, leaving.node.pub.instance.Load(), must.Sprint("the late heartbeat doesn't bring it back"))
+	before := len(leaving.backend.Seen())
+	for range 20 {
+		resp, _ := f.do(leaving, "GET", "/status/x", "")
+		must.Eq(t, 200, resp.StatusCode)
+	}
+	must.Eq(t, before, len(leaving.backend.Seen()))
+}
+
+// Guards against a backend server that is offered before its node could be told that it had left.
+func TestBackendServerIsNotOfferedBeforeAnybodyCouldBeAsked(t *testing.T) {
+	f := newFleet(t, 1)
+	m := f.nodes[0]
+	f.store.SetDown(true)
+	f.restart(0)
+	must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
+	must.Nil(t, m.node.pub.instance.Load())
+	f.store.SetDown(false)
+	f.eventually("it is offered once the store has been read", func() bool { return m.node.pub.instance.Load() != nil })
+	must.StrContains(t, m.logs.String(), "event=nodes_read")
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -12,6 +12,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/attempt"
 	"github.com/jacinthgate/jacinthgate/coordination/balance"
 	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/coordination/departure"
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
 	"github.com/jacinthgate/jacinthgate/coordination/evacuation"
 	"github.com/jacinthgate/jacinthgate/coordination/freshness"
@@ -46,6 +47,7 @@
 	suspects  *quarantine.Core
 	rollouts  *rollout.Core
 	evacuated *evacuation.Core
+	departed  *departure.Core
 	lives     *restore.Core
 	meter     *rollout.Meter
 	proving   *proving // nil where requests need no proof
@@ -96,19 +98,15 @@
 // step gives one event to every core and carries out what follows.
 func (l *loop) step(ev core.Event) {
 	now := time.Now()
-	if up, ok := ev.(core.PeerUp); ok && up.Drained && up.DrainedIncarnation < l.self.Incarnation {
-		if l.backends.drained(up.DrainedInstance) {
-			l.withdraw(now)
-		}
-	}
-	switch ev := ev.(type) {
-	case instanceDeparted:
-		l.depart(now, ev.instance)
-		return
+	switch e := ev.(type) {
+	case departure.Stated:
+		ev = l.located(e)
 	case handled:
-		close(ev)
+		close(e)
 		return
 	}
+	// First, so that nothing that follows offers a backend server that has departed.
+	l.carryOut(now, l.departed.Step(now, ev))
 	l.carryOut(now, l.member.Step(now, ev))
 	l.carryOut(now, l.docs.Step(now, ev))
 	l.pub.newest.Store(l.docs.Newest())
@@ -164,6 +162,8 @@
 		l.apply(now, a)
 	case docsync.Late:
 		l.configLate(a)
+	case departure.Departed, departure.OwnDeparted, departure.Kept, departure.Settled:
+		l.departureChanged(now, a)
 	case quarantine.Changed:
 		l.pub.suspects.Store(l.suspects.View())
 	case quarantine.Quarantined:
@@ -188,8 +188,8 @@
 // publishView makes the backend servers visible to the path of a request.
 func (l *loop) publishView(now time.Time) {
 	v := l.member.Table().View().WithoutZones(l.pub.evacuatedZones())
-	if d := l.pub.departures.Load(); d != nil {
-		v = v.Without(func(r endpoint.Record) bool { return d.has(r.Instance) })
+	if l.departed.AnyOffered() {
+		v = v.Without(func(r endpoint.Record) bool { return l.departed.Has(r.Instance) })
 	}
 	l.carryOut(now, l.rollouts.Step(now, rollout.Servers{View: v}))
 	l.pub.view.Store(v)
@@ -254,8 +254,8 @@
 	l.queue.Ask(ctx, func() {
 		h.Record = l.member.Self()
 		h.Digest = l.member.Digest()
-		if before, held := l.member.Table().Get(to); held && before.Draining {
-			h.Drained, h.DrainedInstance, h.DrainedIncarnation = true, before.Instance, before.Incarnation
+		if d, known := l.departed.Newest(to); known {
+			h.Drained, h.DrainedInstance, h.DrainedIncarnation = true, d.Instance, d.Incarnation
 		}
 	})
 	return h
@@ -269,9 +269,8 @@
 		w.Record = l.member.Self()
 		w.Digest = l.member.Digest()
 		w.Incarnation = l.member.IncarnationOf(h.Record.Node)
-		before, held := l.member.Table().Get(h.Record.Node)
-		if held && before.Draining && before.Incarnation < h.Record.Incarnation {
-			w.Drained, w.DrainedInstance = true, before.Instance
+		if d, known := l.departed.Newest(h.Record.Node); known && d.Incarnation < h.Record.Incarnation {
+			w.Drained, w.DrainedInstance = true, d.Instance
 		}
 	})
 	if !known {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -42,8 +42,8 @@
 	routing  atomic.Pointer[rollout.RoutingTable]
 	// evacuations are the evacuated zones; nil before the first evacuation.
 	evacuations atomic.Pointer[evacuations]
-	// departures are the instances that other nodes' backend servers, or the own one, have
-	// stated to be shutting down; nil before the first.
+	// departures are the instances that have departed while their nodes may still offer them; nil
+	// before the first.
 	departures atomic.Pointer[departures]
 	// leaving is set when the node takes no more callers, withdrawn when it also
 	// offers the backend server no more.
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -162,7 +162,7 @@
 		Freshness:         n.loop.proving.currency(),
 		Quotas:            n.quotas.limits(),
 		Runs:              runs,
-		Leaving:           n.departed,
+		Leaving:           n.stated,
 		Suspects:          n.pub.suspects.Load,
 		Dialect:           platform.Dialect{},
 		Local:             n.gate,
--- /dev/null
+++ b/protocol/message/departure.go
@@ -0,0 +1,24 @@
+package message
+
+import (
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/model"
+)
+
+// Departure says that an instance of a backend server is shutting down or gone.
+type Departure struct {
+	// Node is the node on its host; empty if the sender doesn't know it.
+	Node model.NodeID `cbor:"1,keyasint"`
+	// Instance is the instance.
+	Instance string `cbor:"2,keyasint"`
+	// Incarnation is the node's incarnation in which it departed; 0 if the sender doesn't know it.
+	Incarnation uint64 `cbor:"3,keyasint,omitempty"`
+	// Kept is set in the reply to the node on the host: the sender remembers the departure.
+	Kept bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Valid reports whether the names of a received departure have a valid length.
+func (d *Departure) Valid() bool {
+	return len(d.Node) <= model.MaxNameLength && d.Instance != "" && len(d.Instance) <= endpoint.MaxInstance &&
+		d.Incarnation <= endpoint.MaxCounter
+}
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -208,6 +208,8 @@
 // Records carries endpoint records: the sender's own or relayed ones.
 type Records struct {
 	Records []endpoint.Record `cbor:"1,keyasint"`
+	// Departures are instances of backend servers that are shutting down or gone.
+	Departures []Departure `cbor:"2,keyasint,omitempty"`
 }
 
 // ZoneDigest is the hash of all records of one zone in an endpoint table.
--- a/state/endpoint/validate.go
+++ b/state/endpoint/validate.go
@@ -51,9 +51,9 @@
 	return nil
 }
 
-// maxInstance is the maximum length of Record.Instance in bytes; an instance is an
+// MaxInstance is the maximum length of Record.Instance in bytes; an instance is an
 // identifier and the time of a start.
-const maxInstance = model.MaxNameLength + 16
+const MaxInstance = model.MaxNameLength + 16
 
 // invalidName returns the first text field that is missing or too long, or "".
 func invalidName(r *Record) string {
@@ -68,7 +68,7 @@
 		return "service"
 	case len(r.Version) > model.MaxNameLength:
 		return "version"
-	case len(r.Instance) > maxInstance:
+	case len(r.Instance) > MaxInstance:
 		return "instance"
 	}
 	return ""
