Acknowledge a goodbye only once the store or a peer remembers it

A node acknowledged a goodbye 0.3 s after it at the latest, whether anybody else knew of it or not: the record was queued for the peers, and the write to the store had failed. If the process was killed then, the next start took a late heartbeat for that of a live backend server, and requests reached it although its goodbye had been acknowledged.

The acknowledgement now waits until both the store and a peer have said that they remember the departure, for 0.3 s; after that one of them is enough, and after 0.7 s without either the goodbye is refused with 503. The backend server says it again, and its node sends nothing to it meanwhile. A peer confirms by returning the departure with Kept.

--- a/internal/sidecar/backends.go
+++ b/internal/sidecar/backends.go
@@ -35,7 +35,8 @@
 	// service is the host's service by its settings; nil or empty allows any.
 	service atomic.Pointer[string]
 
-	// leaving tells the peers that an instance beside the node has departed.
+	// leaving tells the peers that an instance beside the node has departed. keptByPeer is called
+	// once one of them remembers it.
 	leaving func(key string)
 
 	mu    sync.Mutex
@@ -45,6 +46,8 @@
 	// unsettled is set until the node has learned which instances had departed before its start.
 	// Nothing is offered until then.
 	unsettled bool
+	// unkept are the departures that nobody else is known to remember.
+	unkept map[string]*unkept
 }
 
 var _ platform.Backends = (*backends)(nil)
@@ -55,10 +58,6 @@
 	missedHeartbeats = 3
 	// heartbeatLag is how late a heartbeat may arrive.
 	heartbeatLag = 2 * time.Second
-	// recordTimeout bounds how long an acknowledgement waits until the store
-	// holds that the backend server leaves. Acknowledgements are due within a
-	// second; without the store, the peers remember it.
-	recordTimeout = 300 * time.Millisecond
 )
 
 // setService sets the host's service.
@@ -73,17 +72,17 @@
 }
 
 // Hear implements platform.Backends.
-func (b *backends) Hear(h instance.Heartbeat) {
+func (b *backends) Hear(h instance.Heartbeat) error {
 	if own := b.hostService(); own != "" && h.Service != own {
 		_ = b.log.Log("event", "backend_not_offered", "instance", h.Key(), "service", h.Service, "reason", "other-service")
-		return
+		return nil
 	}
 	b.mu.Lock()
 	before := b.local.Current()
 	if (before == nil || before.ID != h.ID) && !b.offered(h.Service) {
 		b.mu.Unlock()
 		_ = b.log.Log("event", "backend_not_offered", "instance", h.Key(), "service", h.Service, "reason", "not-configured")
-		return
+		return nil
 	}
 	news := b.local.RecordHeartbeat(time.Now(), h)
 	after := b.local.Current()
@@ -94,8 +93,11 @@
 	withheld := b.unsettled && after != nil && after.State == instance.Ready
 	b.publish()
 	b.mu.Unlock()
+	if h.Draining && present && b.isUnkept(after.Key()) {
+		return b.keep(after.Key())
+	}
 	if !news && !revived {
-		return
+		return nil
 	}
 	_ = b.log.Log("event", "backend_heard", "instance", h.Key(), "service", h.Service, "version", h.Version, "slots", h.Slots,
 		"draining", h.Draining, "sequence", h.Sequence, "cold", h.Cold)
@@ -103,26 +105,30 @@
 		b.restarted(before.Key())
 	}
 	if withheld {
-		return
+		return nil
 	}
 	b.changed(after)
 	b.awaitAnnounced()
 	wasReady := before == nil || before.Start != after.Start || before.State == instance.Ready
 	if h.Draining && wasReady {
-		b.recordDrain(after.Key())
+		return b.keep(after.Key())
 	}
+	return nil
 }
 
 // Leave implements platform.Backends.
-func (b *backends) Leave(s instance.Start) {
+func (b *backends) Leave(s instance.Start) error {
 	news, after, key := b.leave(s)
+	if b.isUnkept(key) {
+		return b.keep(key)
+	}
 	if !news {
-		return
+		return nil
 	}
 	_ = b.log.Log("event", "backend_left", "instance", key)
 	b.changed(after)
 	b.awaitAnnounced()
-	b.recordDrain(key)
+	return b.keep(key)
 }
 
 // leave records that an instance is leaving. It reports whether that is news, the current instance
@@ -148,7 +154,7 @@
 	}
 	_ = level.Info(b.log).Log("event", "backend_leaving_stated", "instance", key)
 	b.changed(after)
-	go b.recordDrain(key)
+	go func() { _ = b.keep(key) }() // nobody waits for an acknowledgement; a failure is logged
 }
 
 // offered reports whether a backend server may offer a service: the configuration names
@@ -158,17 +164,6 @@
 	return t == nil || t.Service(service) != nil
 }
 
-// recordDrain tells the peers and the store that an instance is leaving, so that a node
-// that is restarted doesn't send to it again.
-func (b *backends) recordDrain(key string) {
-	b.leaving(key)
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
-	if err := b.record(ctx, b.node, key); err != nil {
-		_ = level.Warn(b.log).Log("event", "drain_not_recorded", "instance", key, "err", err)
-	}
-}
-
 // drained notes that an instance was leaving before this node started. It
 // reports whether that is the present one, which is then withdrawn by the
 // caller.
--- a/internal/sidecar/departures.go
+++ b/internal/sidecar/departures.go
@@ -75,6 +75,8 @@
 		if l.backends.drained(a.Instance) {
 			l.withdraw(now)
 		}
+	case departure.Kept:
+		l.backends.keptByPeer(a.Instance)
 	case departure.Settled:
 		l.settled(now)
 	}
--- a/internal/sidecar/goodbye_test.go
+++ b/internal/sidecar/goodbye_test.go
@@ -110,3 +110,41 @@
 	f.eventually("it is offered once the store has been read", func() bool { return m.node.pub.instance.Load() != nil })
 	must.StrContains(t, m.logs.String(), "event=nodes_read")
 }
+
+// Guards against a goodbye that is acknowledged though nobody but its node knows of it.
+func TestGoodbyeThatNobodyElseRemembersIsNotAcknowledged(t *testing.T) {
+	f := newFleet(t, 1)
+	m := f.nodes[0]
+	f.store.SetDown(true)
+	must.Error(t, m.backend.Leave(m.node.set.Listen.Backend))
+	must.StrContains(t, m.logs.String(), "event=drain_not_kept")
+	must.Error(t, m.backend.Leave(m.node.set.Listen.Backend), must.Sprint("nor when it is said again"))
+	f.store.SetDown(false)
+	f.eventually("it is acknowledged once the store has it", func() bool {
+		return m.backend.Leave(m.node.set.Listen.Backend) == nil
+	})
+	must.Eq(t, "i-0", string(f.store.Row("nodes", "drain/node-0")))
+}
+
+// The same for a heartbeat that says so.
+func TestDrainThatNobodyElseRemembersIsNotAcknowledged(t *testing.T) {
+	f := newFleet(t, 1)
+	m := f.nodes[0]
+	f.store.SetDown(true)
+	must.Error(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, true))
+	must.Error(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, true))
+	f.store.SetDown(false)
+	f.eventually("it is acknowledged once the store has it", func() bool {
+		return m.backend.Beat(m.node.set.Listen.Backend, m.addr, true) == nil
+	})
+}
+
+// Guards against an acknowledgement that needs the store where a peer remembers the goodbye.
+func TestGoodbyeIsAcknowledgedWithoutTheStoreOnceAPeerRemembersIt(t *testing.T) {
+	f := newFleet(t, 2)
+	f.store.SetDown(true)
+	must.NoError(t, f.nodes[0].backend.Leave(f.nodes[0].node.set.Listen.Backend))
+	known := false
+	f.nodes[1].node.loop.queue.Ask(t.Context(), func() { known = f.nodes[1].node.loop.departed.Has("i-0") })
+	must.True(t, known)
+}
--- a/internal/sidecar/restored.go
+++ b/internal/sidecar/restored.go
@@ -137,6 +137,7 @@
 		instance := n.own.drained
 		n.own.mu.Unlock()
 		if n.putDrain(ctx, instance) == nil {
+			n.backends.keptInStore(instance)
 			_ = level.Info(n.log).Log("event", "drain_recorded_late", "instance", instance, "failures", failures)
 			return
 		}
