Write a departure to the store that only the peers remember

A goodbye that was acknowledged while the store was away, because a peer remembers it, was never written if the node was killed before the store came back: its next start learned of it from the peers and kept it to itself. If all processes were killed later, with the store serving, nobody remembered it, and a late heartbeat brought the backend server back.

The node now writes what a peer tells it, in the background and as often as it takes, unless an instance beside it has left since. What must last lies in the store again as soon as it serves.

--- a/coordination/departure/core.go
+++ b/coordination/departure/core.go
@@ -88,7 +88,7 @@
 		c.start.linkedAt = c.now
 	}
 	if ev.Drained {
-		c.ownDeparted(ev.DrainedInstance)
+		c.ownDeparted(OwnDeparted{Instance: ev.DrainedInstance})
 	}
 	c.observe(&ev.Record)
 	known := c.table.byNode[to]
@@ -121,7 +121,7 @@
 	case d.Node == c.self && d.Kept:
 		c.kept(d.Instance)
 	case d.Node == c.self:
-		c.ownDeparted(d.Instance)
+		c.ownDeparted(OwnDeparted{Instance: d.Instance})
 	case d.Kept:
 	default:
 		isNew := c.add(entry{node: d.Node, instance: d.Instance, incarnation: d.Incarnation, offered: true})
@@ -143,7 +143,7 @@
 	}
 	if r.Node == c.self {
 		if departs {
-			c.ownDeparted(r.Instance)
+			c.ownDeparted(OwnDeparted{Instance: r.Instance})
 		}
 		return
 	}
@@ -166,14 +166,14 @@
 	}
 }
 
-// ownDeparted records a departure beside this node that it didn't know of.
-func (c *Core) ownDeparted(instance string) {
-	if _, known := c.own[instance]; known || instance == "" {
+// ownDeparted records a departure beside this node, and reports it if the node didn't know of it.
+func (c *Core) ownDeparted(a OwnDeparted) {
+	if _, known := c.own[a.Instance]; known || a.Instance == "" {
 		return
 	}
-	c.own[instance] = true
-	c.add(entry{node: c.self, instance: instance})
-	c.out = append(c.out, OwnDeparted{Instance: instance})
+	c.own[a.Instance] = true
+	c.add(entry{node: c.self, instance: a.Instance})
+	c.out = append(c.out, a)
 }
 
 // kept records that a peer remembers a departure beside this node.
--- a/coordination/departure/departure.go
+++ b/coordination/departure/departure.go
@@ -96,6 +96,8 @@
 type OwnDeparted struct {
 	// Instance is the instance.
 	Instance string
+	// Stored is set if the store holds the departure.
+	Stored bool
 }
 
 // Kept reports that a peer remembers a departure that this node has reported as Leaving.
--- a/coordination/departure/orders_test.go
+++ b/coordination/departure/orders_test.go
@@ -25,6 +25,9 @@
 	lateAfter time.Duration
 	// neighboursKilled kills all other nodes of the zone 1 s after the node.
 	neighboursKilled bool
+	// powerOff is how long after the node's next start all nodes lose power for a second; 0 for
+	// never.
+	powerOff time.Duration
 	// cutOff lets only one other node reach the node for 2 s after its start.
 	cutOff bool
 }
@@ -46,6 +49,7 @@
 	"the store stays away":                       {storeAway: time.Second, storeBack: time.Hour, killedAfter: 200 * time.Millisecond, away: 3 * time.Second, lateAfter: 4 * time.Second},
 	"its neighbours are killed too":              {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 200 * time.Millisecond, away: 3 * time.Second, lateAfter: 4 * time.Second, neighboursKilled: true},
 	"its neighbours are killed, the store stays": {storeAway: time.Second, storeBack: time.Hour, killedAfter: 200 * time.Millisecond, away: 3 * time.Second, lateAfter: 6 * time.Second, neighboursKilled: true},
+	"all are killed once it has been told":       {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 10 * time.Millisecond, away: 3 * time.Second, lateAfter: 12 * time.Second, powerOff: 8 * time.Second},
 	"one node reaches it first":                  {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 200 * time.Millisecond, away: 3 * time.Second, lateAfter: time.Second, cutOff: true},
 	"one node reaches it first, before the store": {storeAway: time.Second, storeBack: 6 * time.Second, killedAfter: 200 * time.Millisecond, away: 5 * time.Second, lateAfter: 4 * time.Second, cutOff: true,
 		neighboursKilled: true},
@@ -102,6 +106,9 @@
 		s.after(o.storeBack, func() { s.setStoreDown(false) })
 	}
 	s.after(o.lateAfter, func() { leaver.hear(late) })
+	if o.powerOff > 0 {
+		s.after(o.powerOff, s.powerOffAll)
+	}
 	s.runFor(20 * time.Second)
 	s.ended = true
 	s.nextStartIsUsed(t, leaver, o)
@@ -118,6 +125,16 @@
 	}
 }
 
+// powerOffAll lets all nodes lose power for a second.
+func (s *simSite) powerOffAll() {
+	for _, n := range s.nodes {
+		n.crash()
+	}
+	for _, n := range s.nodes {
+		s.after(time.Second+s.upTo(200*time.Millisecond), func() { n.run(false) })
+	}
+}
+
 // onlyOneReaches lets only one other node reach a node for a time.
 func (s *simSite) onlyOneReaches(n *simNode, d time.Duration) {
 	one := n
--- a/coordination/departure/site_test.go
+++ b/coordination/departure/site_test.go
@@ -326,6 +326,9 @@
 			if n.local.Forget(n.s.now, instance.ParseStart(a.Instance)) {
 				n.announce()
 			}
+			if !a.Stored {
+				n.writeDrain()
+			}
 		case Kept:
 			n.s.acknowledged(n, a.Instance)
 		case Settled:
--- a/coordination/departure/start.go
+++ b/coordination/departure/start.go
@@ -20,7 +20,7 @@
 	if c.start.readAt.IsZero() {
 		c.start.readAt = c.now
 	}
-	c.ownDeparted(ev.OwnDeparted)
+	c.ownDeparted(OwnDeparted{Instance: ev.OwnDeparted, Stored: true})
 }
 
 // settle emits Settled once the store's list has been read, or can't be, and the peers have had the
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -72,7 +72,9 @@
 		unrecorded: make(chan suspect.Entry, maxUnrecorded),
 		records:    make(chan rollout.Record, maxRecords),
 		life:       n.store.Life,
-		rewrites:   make(chan rewrite, 1),
+
+		storeDeparture: n.storeDeparture,
+		rewrites:       make(chan rewrite, 1),
 	}
 	n.loop = l
 	if l.proving != nil {
--- a/internal/sidecar/departures.go
+++ b/internal/sidecar/departures.go
@@ -75,6 +75,9 @@
 		if l.backends.drained(a.Instance) {
 			l.withdraw(now)
 		}
+		if !a.Stored {
+			l.storeDeparture(a.Instance)
+		}
 	case departure.Kept:
 		l.backends.keptByPeer(a.Instance)
 	case departure.Settled:
--- a/internal/sidecar/goodbye_test.go
+++ b/internal/sidecar/goodbye_test.go
@@ -96,6 +96,9 @@
 		must.Eq(t, 200, resp.StatusCode)
 	}
 	must.Eq(t, before, len(leaving.backend.Seen()))
+	f.eventually("the store has it, should the peers end", func() bool {
+		return string(f.store.Row("nodes", "drain/node-0")) == "i-0"
+	})
 }
 
 // Guards against a backend server that is offered before its node could be told that it had left.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -65,6 +65,9 @@
 	unrecorded chan suspect.Entry
 	// records are what the store is to be told of roll-outs.
 	records chan rollout.Record
+	// storeDeparture writes to the store, in the background, that an instance beside this node had
+	// departed before its start.
+	storeDeparture func(instance string)
 	// life returns the store's newest life known to its client, and rewrites asks for the own
 	// rows to be written again.
 	life     func() uint64
--- a/internal/sidecar/restored.go
+++ b/internal/sidecar/restored.go
@@ -29,6 +29,17 @@
 	o.seed = &s
 }
 
+// left notes which instance beside the node had left before its start, and reports whether none that
+// has left later is known.
+func (o *ownRows) left(key string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.drained == "" {
+		o.drained = key
+	}
+	return o.drained == key
+}
+
 // leaving notes which instance beside the node is leaving.
 func (o *ownRows) leaving(key string) {
 	o.mu.Lock()
@@ -117,14 +128,27 @@
 	n.own.leaving(instance)
 	err := n.store.RecordDrain(ctx, node, instance)
 	if err != nil {
-		select {
-		case n.undrained <- struct{}{}:
-		default: // recordDrains is about to write the newest one
-		}
+		n.recordDrainLater()
 	}
 	return err
 }
 
+// storeDeparture writes that an instance had left before this node's start, of which a peer has told
+// it: the peers forget it when they end.
+func (n *Node) storeDeparture(instance string) {
+	if n.own.left(instance) {
+		n.recordDrainLater()
+	}
+}
+
+// recordDrainLater lets recordDrains write the last drain.
+func (n *Node) recordDrainLater() {
+	select {
+	case n.undrained <- struct{}{}:
+	default: // recordDrains is about to write the newest one
+	}
+}
+
 // recordDrains writes the last drain that the store has not taken, until ctx ends.
 func (n *Node) recordDrains(ctx context.Context) error {
 	return each(ctx, n.undrained, func(struct{}) { n.recordLastDrain(ctx) })
