Tell a node that has just started all departures

A departure that only the peers remember, as the store is away, was lost if each of them started again before the node beside the backend server did, although never all were down at once: a node that starts learns records of live nodes, and nothing of one that is away.

A peer that knows of no availability zone but its own has just started, and is told all departures when it connects. It passes them on only to the nodes that they concern.

--- a/coordination/departure/core.go
+++ b/coordination/departure/core.go
@@ -80,7 +80,8 @@
 }
 
 // peerUp tells a peer what has departed beside it, and what has departed beside this node if
-// nobody is known to remember that yet.
+// nobody is known to remember that yet. A peer that knows of no zone but its own has just started:
+// it is told all, so that departures outlast restarts of all others in turn.
 func (c *Core) peerUp(ev core.PeerUp) {
 	to := ev.Record.Node
 	c.peers.Up(to)
@@ -95,7 +96,11 @@
 	for _, e := range known {
 		e.told = max(e.told, ev.Record.Incarnation)
 	}
-	c.send(to, known[max(0, len(known)-c.cfg.MaxPerNode):])
+	if len(ev.Digest) <= 1 {
+		c.sendAll(to)
+	} else {
+		c.send(to, known[max(0, len(known)-c.cfg.MaxPerNode):])
+	}
 	for _, e := range c.table.byNode[c.self] {
 		if kept, leaving := c.own[e.instance]; leaving && !kept {
 			c.send(to, []*entry{e})
@@ -124,17 +129,28 @@
 		c.ownDeparted(OwnDeparted{Instance: d.Instance})
 	case d.Kept:
 	default:
-		isNew := c.add(entry{node: d.Node, instance: d.Instance, incarnation: d.Incarnation, offered: true})
-		e := c.table.byInstance[d.Instance]
+		isNew := c.add(entry{node: d.Node, instance: d.Instance, incarnation: d.Incarnation, offered: d.Offered})
 		if from == d.Node {
 			d.Kept = true
 			c.sendTo(from, []message.Departure{d})
-		} else if isNew && e != nil {
-			c.flood(e, from) // the node has started again, and not all nodes on the way to it know
+		} else if isNew {
+			c.forward(c.table.byInstance[d.Instance], from)
 		}
 	}
 }
 
+// forward passes on a departure that a peer has told: its node may have started again, and not all
+// nodes on the way to it know. What this node is told as it starts concerns nobody else.
+func (c *Core) forward(e *entry, from model.NodeID) {
+	switch {
+	case e == nil:
+	case c.start.settled:
+		c.flood(e, from)
+	default:
+		c.send(e.node, []*entry{e})
+	}
+}
+
 // observe learns from the record of a node, whoever has sent it.
 func (c *Core) observe(r *endpoint.Record) {
 	departs := r.Draining && r.Instance != ""
--- a/coordination/departure/departure_test.go
+++ b/coordination/departure/departure_test.go
@@ -34,7 +34,10 @@
 	return r
 }
 
-func up(r endpoint.Record) core.PeerUp { return core.PeerUp{Record: r} }
+// up is the connection of a node that knows two availability zones.
+func up(r endpoint.Record) core.PeerUp {
+	return core.PeerUp{Record: r, Digest: []message.ZoneDigest{{Zone: "z"}, {Zone: "z2"}}}
+}
 
 func received(from model.NodeID, records ...endpoint.Record) core.Received {
 	return core.Received{From: from, Message: &message.Records{Records: records}}
@@ -61,6 +64,9 @@
 	c.Step(begin, received("b", draining("x", 1, "i-1")))
 	must.Eq(t, []message.Departure{{Node: "x", Instance: "i-1", Incarnation: 1}}, told(c.Step(begin, up(record("x", 2))), "x"))
 	must.Len(t, 0, told(c.Step(begin, up(record("b", 1))), "b"), must.Sprint("others need not know"))
+	started := up(record("c", 1))
+	started.Digest = started.Digest[:1]
+	must.Len(t, 1, told(c.Step(begin, started), "c"), must.Sprint("but one that has just started"))
 }
 
 // Guards against a departure that is forgotten when the next start of the node replaces its record.
@@ -99,7 +105,7 @@
 	for _, id := range []model.NodeID{"b", "x"} {
 		c.Step(begin, up(record(id, 1)))
 	}
-	d := message.Departure{Node: "y", Instance: "i-2", Incarnation: 1}
+	d := message.Departure{Node: "y", Instance: "i-2", Incarnation: 1, Offered: true}
 	actions := c.Step(begin, departures("b", d))
 	must.Len(t, 1, told(actions, "x"))
 	must.Len(t, 0, told(actions, "b"))
--- a/coordination/departure/orders_test.go
+++ b/coordination/departure/orders_test.go
@@ -25,6 +25,8 @@
 	lateAfter time.Duration
 	// neighboursKilled kills all other nodes of the zone 1 s after the node.
 	neighboursKilled bool
+	// restarted lets all other nodes start again in turn while the node is away.
+	restarted bool
 	// powerOff is how long after the node's next start all nodes lose power for a second; 0 for
 	// never.
 	powerOff time.Duration
@@ -50,6 +52,7 @@
 	"its neighbours are killed too":              {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 200 * time.Millisecond, away: 3 * time.Second, lateAfter: 4 * time.Second, neighboursKilled: true},
 	"its neighbours are killed, the store stays": {storeAway: time.Second, storeBack: time.Hour, killedAfter: 200 * time.Millisecond, away: 3 * time.Second, lateAfter: 6 * time.Second, neighboursKilled: true},
 	"all are killed once it has been told":       {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 10 * time.Millisecond, away: 3 * time.Second, lateAfter: 12 * time.Second, powerOff: 8 * time.Second},
+	"all others start again in turn":             {storeAway: time.Second, storeBack: 6 * time.Second, killedAfter: 200 * time.Millisecond, away: 30 * time.Second, lateAfter: 4 * time.Second, restarted: true},
 	"one node reaches it first":                  {storeAway: time.Second, storeBack: 2 * time.Second, killedAfter: 200 * time.Millisecond, away: 3 * time.Second, lateAfter: time.Second, cutOff: true},
 	"one node reaches it first, before the store": {storeAway: time.Second, storeBack: 6 * time.Second, killedAfter: 200 * time.Millisecond, away: 5 * time.Second, lateAfter: 4 * time.Second, cutOff: true,
 		neighboursKilled: true},
@@ -97,6 +100,9 @@
 	if o.neighboursKilled {
 		s.after(time.Second, func() { s.killNeighbours(leaver) })
 	}
+	if o.restarted {
+		s.restartInTurn(leaver, o.away)
+	}
 	s.runFor(o.away + s.upTo(300*time.Millisecond))
 	if o.cutOff {
 		s.onlyOneReaches(leaver, 2*time.Second)
@@ -125,6 +131,18 @@
 	}
 }
 
+// restartInTurn kills all nodes but one in turn, over a time. Each starts again after a second.
+func (s *simSite) restartInTurn(but *simNode, during time.Duration) {
+	for i, n := range s.nodes {
+		if n != but {
+			s.after(time.Second+time.Duration(i)*during/time.Duration(len(s.nodes)), func() {
+				n.crash()
+				s.after(time.Second, func() { n.run(false) })
+			})
+		}
+	}
+}
+
 // powerOffAll lets all nodes lose power for a second.
 func (s *simSite) powerOffAll() {
 	for _, n := range s.nodes {
--- a/coordination/departure/table.go
+++ b/coordination/departure/table.go
@@ -25,7 +25,7 @@
 
 // departure returns the entry as it is sent.
 func (e *entry) departure() message.Departure {
-	return message.Departure{Node: e.node, Instance: e.instance, Incarnation: e.incarnation}
+	return message.Departure{Node: e.node, Instance: e.instance, Incarnation: e.incarnation, Offered: e.offered}
 }
 
 // table holds departures in the order in which they were learned.
--- a/coordination/departure/tell.go
+++ b/coordination/departure/tell.go
@@ -1,6 +1,7 @@
 package departure
 
 import (
+	"slices"
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/core"
@@ -63,6 +64,16 @@
 	}
 }
 
+// maxPerMessage bounds the departures of one message.
+const maxPerMessage = 256
+
+// sendAll sends all departures to a peer.
+func (c *Core) sendAll(to model.NodeID) {
+	for part := range slices.Chunk(c.table.order, maxPerMessage) {
+		c.send(to, part)
+	}
+}
+
 func (c *Core) send(to model.NodeID, entries []*entry) {
 	departures := make([]message.Departure, 0, len(entries))
 	for _, e := range entries {
--- a/protocol/message/departure.go
+++ b/protocol/message/departure.go
@@ -15,6 +15,8 @@
 	Incarnation uint64 `cbor:"3,keyasint,omitempty"`
 	// Kept is set in the reply to the node on the host: the sender remembers the departure.
 	Kept bool `cbor:"4,keyasint,omitempty"`
+	// Offered is set if the node may still offer the instance.
+	Offered bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Valid reports whether the names of a received departure have a valid length.
