Soak: goodbyes while the store is away, nodes away for long, late heartbeats

The plan -leaving had goodbyes, outages and kills, but none of them together at one node, no node away for longer than its peers take to hold it for failed, and no late heartbeat. The new fault "forgotten" brings them together, one node at a time: the store goes away, a backend server says goodbye, its node is killed as it acknowledges that and is away for 0.6 to 8 s, and a heartbeat from before the goodbye arrives within 4 s of its next start. The backend server serves on.

--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -49,6 +49,8 @@
 		s.site.silence()
 	case FaultForeign:
 		s.beatForeign(ctx, n, step)
+	case FaultForgotten:
+		s.sayGoodbyeAndKill(ctx, n, step)
 	case FaultDelay:
 		s.delay(n, linkDelay)
 		wait(ctx, step.For)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -72,6 +72,9 @@
 	FaultSilence Fault = "silence"
 	// FaultForeign sends a node heartbeats of a backend server of another service.
 	FaultForeign Fault = "foreign"
+	// FaultForgotten lets a node's backend server say goodbye while the store is away. The node is
+	// killed as it has acknowledged that, and a late heartbeat arrives after its next start.
+	FaultForgotten Fault = "forgotten"
 	// FaultLeave lets a node's backend server state in its answers alone that it leaves.
 	FaultLeave Fault = "leave"
 )
@@ -149,7 +152,7 @@
 // are killed, and heartbeats of other writers.
 var leaving = []Fault{
 	FaultStoreDown, FaultStoreDown, FaultStoreLost, FaultDrain, FaultDrain, FaultDrain, FaultKill, FaultKill, FaultTerm,
-	FaultForeign, FaultForeign, FaultForeign, FaultChange,
+	FaultForeign, FaultForeign, FaultForeign, FaultChange, FaultForgotten, FaultForgotten,
 }
 
 // stating are the kinds around backend servers that state limits, and that they leave: nodes that
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -54,6 +54,8 @@
 	evacuations []Evacuation
 	lost        []string // rows of nodes that a restore of the store may have taken
 	throttled   throttled
+	// forgotten is held while a node is away after a goodbye.
+	forgotten sync.Mutex
 }
 
 // NotServingError reports a site that didn't begin to serve.
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -267,6 +267,19 @@
 	return h.current, acked
 }
 
+// depart returns the present backend server, which sends no more heartbeats and serves on; nil
+// without one or during a drain.
+func (h *host) depart() *server {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := h.current
+	if h.draining {
+		return nil
+	}
+	h.current = nil
+	return s
+}
+
 // is reports whether s is the present backend server.
 func (h *host) is(s *server) bool {
 	h.mu.Lock()
