Tell peers in which incarnation of its node an instance departs

By reading: the departure that a node sends to its peers named no incarnation, so that a peer that received it before the draining record took the node's earlier record for an offer of the departed instance, and told the node of it again. And a backend server that refuses connections was announced as the node settled. Neither was seen; both are decided by the same code now as in the other cases. TestDepartureIsKeptOnceAPeerSaysSo holds the incarnation.

--- a/coordination/departure/core.go
+++ b/coordination/departure/core.go
@@ -69,7 +69,7 @@
 			c.received(ev.From, m)
 		}
 	case Leaving:
-		c.leaving(ev.Instance)
+		c.leaving(ev)
 	case Stated:
 		c.add(entry{node: ev.Node, instance: ev.Instance, incarnation: ev.Incarnation, offered: true})
 	case ListRead:
@@ -170,14 +170,14 @@
 }
 
 // leaving records the departure of the own backend server and tells all peers.
-func (c *Core) leaving(instance string) {
-	kept := c.own[instance]
-	c.own[instance] = kept
+func (c *Core) leaving(ev Leaving) {
+	kept := c.own[ev.Instance]
+	c.own[ev.Instance] = kept
 	if kept {
-		c.out = append(c.out, Kept{Instance: instance})
+		c.out = append(c.out, Kept{Instance: ev.Instance})
 	}
-	c.add(entry{node: c.self, instance: instance, incarnation: c.table.incarnations[c.self]})
-	if e := c.table.byInstance[instance]; e != nil {
+	c.add(entry{node: c.self, instance: ev.Instance, incarnation: ev.Incarnation})
+	if e := c.table.byInstance[ev.Instance]; e != nil {
 		c.flood(e, "")
 	}
 }
--- a/coordination/departure/departure.go
+++ b/coordination/departure/departure.go
@@ -58,6 +58,8 @@
 type Leaving struct {
 	// Instance is its instance.
 	Instance string
+	// Incarnation is this node's incarnation.
+	Incarnation uint64
 }
 
 // Stated reports that a backend server beside any node has stated in a response that it is
--- a/coordination/departure/departure_test.go
+++ b/coordination/departure/departure_test.go
@@ -120,9 +120,9 @@
 // Guards against a departure that is taken to be remembered before a peer has said so.
 func TestDepartureIsKeptOnceAPeerSaysSo(t *testing.T) {
 	c := newCore("x")
-	c.Step(begin, Leaving{Instance: "i-1"})
+	c.Step(begin, Leaving{Instance: "i-1", Incarnation: 3})
 	sent := told(c.Step(begin, up(record("a", 1))), "a")
-	must.Len(t, 1, sent, must.Sprint("the first peer is told when it connects"))
+	must.Eq(t, []message.Departure{{Node: "x", Instance: "i-1", Incarnation: 3}}, sent, must.Sprint("the first peer is told when it connects"))
 	must.Len(t, 0, c.Step(begin, departures("a", message.Departure{Node: "x", Instance: "i-0", Kept: true})))
 	sent[0].Kept = true
 	must.Eq(t, []core.Action{Kept{Instance: "i-1"}}, c.Step(begin, departures("a", sent...)))
--- a/coordination/departure/site_test.go
+++ b/coordination/departure/site_test.go
@@ -406,7 +406,7 @@
 	} else if n.local.Leave(s.now, s.leaving) {
 		n.announce()
 	}
-	n.step(Leaving{Instance: s.leaving.Key()})
+	n.step(Leaving{Instance: s.leaving.Key(), Incarnation: n.record.Incarnation})
 	n.inThisRun(simStoreTime, func() { n.writeDrain() })
 }
 
--- a/internal/sidecar/backends.go
+++ b/internal/sidecar/backends.go
@@ -216,14 +216,14 @@
 	b.changed(nil)
 }
 
-// settle offers what has been heard since the node's start, and returns it; nil for none. The
+// settle offers what has been heard since the node's start, and returns it as reachable does. The
 // caller announces it.
 func (b *backends) settle() *instance.Instance {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.unsettled = false
 	b.publish()
-	return b.local.Current()
+	b.mu.Unlock()
+	return b.reachable()
 }
 
 // reachable returns the current backend server; nil if there is none, it isn't offered yet or it
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -90,8 +90,10 @@
 		// The gate is wired after the control plane, before anything runs.
 		restarted:      func(key string) { n.gate.Restarted(key) },
 		awaitAnnounced: n.awaitAnnounced,
-		leaving:        func(key string) { n.loop.queue.Post(n.ctx, departure.Leaving{Instance: key}) },
-		unsettled:      true,
+		leaving: func(key string) {
+			n.loop.queue.Post(n.ctx, departure.Leaving{Instance: key, Incarnation: self.Incarnation})
+		},
+		unsettled: true,
 	}
 	n.backends.setService(n.set.Service)
 	l.backends = n.backends
