Deliver a large response that was read whole after its deadline

Callers lost a large response of known length whose last part came just after its deadline: the gate reads it whole before it sends it on, began a new forward.Progress for its delivery, and the timer of that one ended it at once, as its deadline had passed, unless the relay was quicker. What the entry node got was the end of the connection behind no or some of the bytes.

A Progress for a response that is there already starts begun, and ends only if nobody reads the response for 0.1 s. Its timer is created before it is started: expire reads it, and may run at once. TestBegunResponseHasTimeToBeDeliveredAfterItsDeadline decides the moment in virtual time, and fails without the change.

--- a/transport/forward/progress.go
+++ b/transport/forward/progress.go
@@ -45,10 +45,26 @@
 // End must be called.
 func NewProgress(ctx context.Context, deadline time.Time, extension time.Duration) *Progress {
 	p := &Progress{limit: deadline.Add(extension)}
+	p.run(ctx, deadline)
+	return p
+}
+
+// NewBegunProgress is NewProgress for a response that has begun, such as one that was read whole by the
+// deadline or just after it.
+func NewBegunProgress(ctx context.Context, deadline time.Time, extension time.Duration) *Progress {
+	p := &Progress{limit: deadline.Add(extension)}
+	p.lastRead.Store(time.Now().UnixNano())
+	p.begun.Store(true)
+	p.run(ctx, deadline)
+	return p
+}
+
+// run starts the context.
+func (p *Progress) run(ctx context.Context, deadline time.Time) {
 	p.outer, _ = ctx.Value(progressKey{}).(*Progress)
 	p.Context, p.cancel = context.WithCancelCause(ctx)
-	p.timer = time.AfterFunc(time.Until(deadline), p.expire)
-	return p
+	p.timer = time.AfterFunc(time.Hour, p.expire)
+	p.timer.Reset(time.Until(deadline)) // expire reads timer, and may run at once
 }
 
 // Value implements context.Context.
--- a/transport/forward/progress_test.go
+++ b/transport/forward/progress_test.go
@@ -99,3 +99,16 @@
 		must.ErrorIs(t, outer.Err(), context.Canceled)
 	})
 }
+
+// Guards against a response that is lost because it was read whole only after its deadline.
+func TestBegunResponseHasTimeToBeDeliveredAfterItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewBegunProgress(t.Context(), time.Now().Add(-time.Second), time.Minute)
+		defer p.End()
+		synctest.Wait()
+		must.NoError(t, p.Err())
+		time.Sleep(maxReadPause + progressInterval)
+		synctest.Wait()
+		must.ErrorIs(t, p.Err(), context.DeadlineExceeded, must.Sprint("nobody delivers it"))
+	})
+}
--- a/transport/inbound/bulk.go
+++ b/transport/inbound/bulk.go
@@ -76,7 +76,7 @@
 	if size > 0 {
 		t.SetSize(float64(size))
 	}
-	ctx := forward.NewProgress(req.Context(), sendBy, g.cfg.ResponseExtension)
+	ctx := forward.NewBegunProgress(req.Context(), sendBy, g.cfg.ResponseExtension)
 	defer ctx.End()
 	select {
 	case g.sending <- struct{}{}:
