--- a/internal/sidecar/silence_test.go
+++ b/internal/sidecar/silence_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"io"
 	"net"
 	"strings"
 	"sync"
@@ -63,7 +62,7 @@
 		if silent.Load() {
 			continue
 		}
-		if _, err := io.WriteString(to, string(buffer[:n])); err != nil {
+		if _, err := to.Write(buffer[:n]); err != nil {
 			_ = from.Close()
 			return
 		}
