Count who remembers a departure in plain steps

Read as a newcomer would: the wait for the store and a peer was one condition on nil channels, and a parameter of a test was unused. It now counts the two and compares with how many are needed. No behaviour changes; the tests of goodbyes passed before and after.

--- a/coordination/departure/orders_test.go
+++ b/coordination/departure/orders_test.go
@@ -117,7 +117,7 @@
 	}
 	s.runFor(20 * time.Second)
 	s.ended = true
-	s.nextStartIsUsed(t, leaver, o)
+	s.nextStartIsUsed(t, leaver)
 	return s
 }
 
@@ -166,7 +166,7 @@
 }
 
 // nextStartIsUsed checks that the backend server's next start is used.
-func (s *simSite) nextStartIsUsed(t *testing.T, n *simNode, o order) {
+func (s *simSite) nextStartIsUsed(t *testing.T, n *simNode) {
 	n.start = instance.Start{ID: n.start.ID, Born: s.now.UnixMilli()}
 	n.beats, n.silent = 0, false
 	s.runFor(10 * time.Second)
--- a/internal/sidecar/keeping.go
+++ b/internal/sidecar/keeping.go
@@ -53,14 +53,21 @@
 func (b *backends) keep(key string) error {
 	u := b.awaitKept(key)
 	b.leaving(key)
-	failed := make(chan error, 1)
-	go func() { failed <- b.recordDrain(key) }()
+	recorded := make(chan error, 1)
+	go func() { recorded <- b.recordDrain(key) }()
 	var storeErr error
-	byPeer, inStore := u.byPeer, u.inStore
-	both, deadline := time.After(recordTimeout), time.After(keepTimeout)
-	oneIsEnough := false
+	byPeer, inStore := u.byPeer, u.inStore // nil once it was closed
+	bothDue, deadline := time.After(recordTimeout), time.After(keepTimeout)
+	needed := 2 // of the two that have to remember it
 	for {
-		if byPeer == nil && inStore == nil || oneIsEnough && (byPeer == nil || inStore == nil) {
+		remembered := 0
+		if byPeer == nil {
+			remembered++
+		}
+		if inStore == nil {
+			remembered++
+		}
+		if remembered >= needed {
 			b.forgetKept(key)
 			return nil
 		}
@@ -69,11 +76,12 @@
 			byPeer = nil
 		case <-inStore:
 			inStore = nil
-		case storeErr = <-failed:
-			failed = nil
-			oneIsEnough = oneIsEnough || storeErr != nil
-		case <-both:
-			oneIsEnough = true
+		case storeErr = <-recorded:
+			if storeErr != nil {
+				needed = 1
+			}
+		case <-bothDue:
+			needed = 1
 		case <-deadline:
 			_ = level.Warn(b.log).Log("event", "drain_not_kept", "instance", key, "err", storeErr)
 			return &NotKeptError{Instance: key, Err: storeErr}
