Remove a field of PeerUp that nothing reads any more

core.PeerUp.DrainedIncarnation told a node in which incarnation a drain was, so that a drain under way wasn't ended. coordination/departure knows by itself which departures belong to this start, and nothing has read the field since. The Hello's field stays on the wire for receivers of earlier versions, and the test that checks it is unchanged. No behaviour changes.

Checks: make check; the packages departure, link, message and rules whole, and the tests of goodbyes and departures of internal/sidecar: passed.

--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -60,9 +60,6 @@
 	Drained bool
 	// DrainedInstance is the instance of that backend server, if it has one.
 	DrainedInstance string
-	// DrainedIncarnation is the incarnation of this node in which it was; 0 for one before
-	// the present incarnation.
-	DrainedIncarnation uint64
 }
 
 // PeerDown reports that the last connection to a peer has closed.
--- a/coordination/departure/site_test.go
+++ b/coordination/departure/site_test.go
@@ -361,7 +361,7 @@
 		}
 		hello := core.PeerUp{Record: n.member.Self(), Digest: n.member.Digest()}
 		if d, known := n.departed.Newest(to.id); known && named != "" {
-			hello.Drained, hello.DrainedInstance, hello.DrainedIncarnation = true, d.Instance, d.Incarnation
+			hello.Drained, hello.DrainedInstance = true, d.Instance
 		}
 		welcome := core.PeerUp{
 			Record: to.member.Self(), Digest: to.member.Digest(), Welcomed: true, Incarnation: to.member.IncarnationOf(n.id),
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -68,6 +68,7 @@
 	To model.NodeID `cbor:"7,keyasint,omitempty"`
 	// Drained is true if, by the sender's record of To, its backend server was draining in
 	// incarnation DrainedIncarnation. DrainedInstance is the instance of that backend server.
+	// Only receivers of earlier versions read DrainedIncarnation.
 	Drained            bool   `cbor:"8,keyasint,omitempty"`
 	DrainedInstance    string `cbor:"9,keyasint,omitempty"`
 	DrainedIncarnation uint64 `cbor:"10,keyasint,omitempty"`
--- a/transport/link/handshake.go
+++ b/transport/link/handshake.go
@@ -78,7 +78,7 @@
 		LastHeld: h.LastHeld, LastHeldValid: h.To == m.cfg.Node,
 	}
 	if h.To == m.cfg.Node {
-		up.Drained, up.DrainedInstance, up.DrainedIncarnation = h.Drained, h.DrainedInstance, h.DrainedIncarnation
+		up.Drained, up.DrainedInstance = h.Drained, h.DrainedInstance
 	}
 	return &link{conn: c, up: up}, nil
 }
