--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds what the scripts of the second review start beside the sidecar of the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/rig-2"
+mkdir -p ../../target
+go build -o ../../target/review-rig-2 .
