--- a/review/rig-2/restarted.go
+++ b/review/rig-2/restarted.go
@@ -15,8 +15,8 @@
 	fleet          = 20
 	crashing       = 3 // 0.15 of the fleet
 	downTime       = 3 * time.Second
-	workTime       = 300 * time.Millisecond
-	clientsPerNode = 8
+	workTime       = 600 * time.Millisecond
+	clientsPerNode = 5
 	pauseTime      = 150 * time.Millisecond
 	otherPart      = 7 // each seventh request asks for a page of its own
 	pageDeadline   = 2 * time.Second
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -163,7 +163,7 @@
 func configuration(version int, routes [][]any, services ...string) []byte {
 	var rows, offered [][]any
 	for _, r := range routes {
-		rows = append(rows, []any{r[0], "a.example", r[1], r[2], r[3], 600, 1, r[4], r[5]})
+		rows = append(rows, []any{r[0], "a.example", r[1], r[2], r[3], 1000, 1, r[4], r[5]})
 	}
 	for _, name := range services {
 		offered = append(offered, []any{name, "/health", 110})
