Review: a goodbye that was acknowledged while the store was down is forgotten when all processes are killed

Cause: while the store is away, one peer that remembers a goodbye is enough for its acknowledgement, and the row is written later by the same process. If all processes are killed in the outage, a late heartbeat makes the server ready again.

--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -21,9 +21,9 @@
 )
 
 func main() {
-	cases := map[string]func(*rig) int{"restarted": restarted, "behind": behind, "upload": upload}
+	cases := map[string]func(*rig) int{"restarted": restarted, "behind": behind, "upload": upload, "forgotten": forgotten}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig2 restarted|behind|upload RECORD")
+		fmt.Fprintln(os.Stderr, "usage: rig2 restarted|behind|upload|forgotten RECORD")
 		os.Exit(couldNot)
 	}
 	g, err := newRig(os.Args[2])
--- a/review/rig-2/restarted.go
+++ b/review/rig-2/restarted.go
@@ -9,14 +9,14 @@
 	"time"
 )
 
-// The case "restarted": three of twenty servers crash at the same moment while all machines ask
+// The case "restarted": four of twenty-seven servers crash at the same moment while all machines ask
 // for one popular page. Later all sidecars are killed and start again (a day's final fault).
 const (
-	fleet          = 20
-	crashing       = 3 // 0.15 of the fleet
+	fleet          = 27
+	crashing       = 4 // 0.148 of the fleet
 	downTime       = 3 * time.Second
-	workTime       = 600 * time.Millisecond
-	clientsPerNode = 5
+	workTime       = 900 * time.Millisecond
+	clientsPerNode = 4
 	pauseTime      = 150 * time.Millisecond
 	otherPart      = 7 // each seventh request asks for a page of its own
 	pageDeadline   = 2 * time.Second
@@ -124,7 +124,7 @@
 	return held
 }
 
-// wide starts twenty machines, each with a server of one service.
+// wide starts the machines, each with a server of one service.
 func (g *rig) wide() error {
 	zones := []string{"zone-a", "zone-b", "zone-c"}
 	for i := range fleet {
--- a/review/rig-2/server.go
+++ b/review/rig-2/server.go
@@ -32,6 +32,8 @@
 	l    net.Listener
 	born int64
 	stop chan struct{}
+	// quiet is closed once the server sends no heartbeats any more.
+	quiet chan struct{}
 
 	mu    sync.Mutex
 	seq   int
@@ -46,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{id: id, n: n, rec: rec, work: work, l: l, born: time.Now().UnixMilli(), stop: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	s := &server{id: id, n: n, rec: rec, work: work, l: l, born: time.Now().UnixMilli(), stop: make(chan struct{}), quiet: make(chan struct{}), conns: make(map[net.Conn]bool)}
 	go s.accept()
 	go s.beat()
 	return s, nil
@@ -119,33 +121,49 @@
 	return err == nil
 }
 
-// beat sends heartbeats to the sidecar until the server ends.
+// beat sends heartbeats to the sidecar until the server ends or says goodbye.
 func (s *server) beat() {
 	t := time.NewTicker(heartbeat * time.Millisecond)
 	defer t.Stop()
 	for {
-		s.sendHeartbeat()
+		_, _ = s.post("heartbeat", s.heartbeatNow()) // the next one follows in any case
 		select {
 		case <-t.C:
+		case <-s.quiet:
+			return
 		case <-s.stop:
 			return
 		}
 	}
 }
 
-func (s *server) sendHeartbeat() {
+// silence ends the heartbeats.
+func (s *server) silence() { close(s.quiet) }
+
+// heartbeatNow returns the next heartbeat.
+func (s *server) heartbeatNow() []byte {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.seq++
-	beat := map[string]any{
+	text, _ := json.Marshal(map[string]any{
 		"address": s.l.Addr().String(), "born": s.born,
 		"info":   map[string]any{"service": s.n.service, "version": "v1", "zone": s.n.zone, "slots": slots},
 		"status": map[string]any{"state": "ready", "seq": s.seq, "coldRemainingMs": 0},
-	}
-	s.mu.Unlock()
-	text, _ := json.Marshal(beat)
+	})
+	return text
+}
+
+// post calls the sidecar beside the server.
+func (s *server) post(call string, body []byte) (status int, err error) {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Post("http://"+s.n.control+"/api/instances/"+s.id+"/heartbeat", "application/json", bytes.NewReader(text))
-	if err == nil {
-		_ = resp.Body.Close() // the next heartbeat follows in any case
+	resp, err := client.Post("http://"+s.n.control+"/api/instances/"+s.id+"/"+call, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
 	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
+// goodbye says that the server leaves.
+func (s *server) goodbye() (status int, err error) {
+	return s.post("deregister", fmt.Appendf(nil, `{"born":%d}`, s.born))
 }
--- a/review/rig-2/store.go
+++ b/review/rig-2/store.go
@@ -20,6 +20,7 @@
 	changed chan struct{}
 	start   time.Time
 	addr    string
+	down    bool // calls are answered 503
 }
 
 // row is one row, as in the store's answers and in transactions.
@@ -55,6 +56,14 @@
 	s.wake()
 }
 
+// setDown makes the store answer all calls with 503, or serve again.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
 // set stores a row with the newest version.
 func (s *store) set(r row) {
 	v := s.ver
@@ -81,6 +90,10 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch r.URL.Path {
 	case "/api/rows-get":
 		var out []row
