--- a/review/rig-2/restarted_test.go
+++ b/review/rig-2/restarted_test.go
@@ -9,11 +9,11 @@
 	"time"
 )
 
-// The case "restarted": four of twenty-seven servers crash at the same moment while all machines ask
+// The case "restarted": four of twenty-nine servers crash at the same moment while all machines ask
 // for one popular page. Later all sidecars are killed and start again (a day's final fault).
 const (
-	fleet          = 27
-	crashing       = 4 // 0.148 of the fleet
+	fleet          = 29
+	crashing       = 4 // 0.138 of the fleet
 	downTime       = 3 * time.Second
 	workTime       = 900 * time.Millisecond
 	clientsPerNode = 4
