Confirm backend servers where nobody may remember a departure

The store was away, all nodes were killed and started again, and one late heartbeat arrived.

Cause: in an outage an acknowledgement rests on the memories of processes. A node that started took the silence of its peers for the word that nothing had departed, though all of them had just started as well. To wait for the store can't do: the backend server waits for a second.

Fix: nodes tell each other how far back their memory of departures reaches. Peers of other zones don't count, as the zone may have been cut off from them, and a node that has lost all peers remembers from then on only.

--- a/coordination/core/core.go
+++ b/coordination/core/core.go
@@ -9,6 +9,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/jacinthgate/jacinthgate/protocol/message"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 	"github.com/jacinthgate/jacinthgate/state/model"
@@ -60,6 +62,8 @@
 	Drained bool
 	// DrainedInstance is the instance of that backend server, if it has one.
 	DrainedInstance string
+	// Remembers is how far back the peer's memory of departures reaches; 0 if it doesn't report it.
+	Remembers time.Duration
 }
 
 // PeerDown reports that the last connection to a peer has closed.
--- a/coordination/departure/core.go
+++ b/coordination/departure/core.go
@@ -23,8 +23,9 @@
 	table table
 	// own holds the instances beside this node that have departed in this start of the node, or
 	// that it has been told of. The value is set once a peer is known to remember it.
-	own   map[string]bool
-	start start
+	own    map[string]bool
+	start  start
+	memory memory
 }
 
 // New returns the core of a node that starts. The seed is that of the delays.
@@ -44,6 +45,10 @@
 // Settled reports whether Settled has been emitted.
 func (c *Core) Settled() bool { return c.start.settled }
 
+// Remembers returns how far back this node's memory of the departures in its availability zone reaches,
+// Config.Retention at most.
+func (c *Core) Remembers(now time.Time) time.Duration { return c.memory.reach(now, c.cfg.Retention) }
+
 // Newest returns the last departure beside a node, and whether one is remembered.
 func (c *Core) Newest(node model.NodeID) (message.Departure, bool) {
 	all := c.table.byNode[node]
@@ -56,6 +61,7 @@
 // Step takes one event and returns the actions it leads to.
 func (c *Core) Step(now time.Time, ev core.Event) []core.Action {
 	c.out, c.now = nil, now
+	c.memory.begin(now, c.cfg)
 	switch ev := ev.(type) {
 	case core.Tick:
 		c.table.expire(now.Add(-c.cfg.Retention))
@@ -64,6 +70,9 @@
 		c.peerUp(ev)
 	case core.PeerDown:
 		c.peers.Down(ev.Node)
+		if len(c.peers.All()) == 0 {
+			c.memory.isolated = true
+		}
 	case core.Received:
 		if m, ok := ev.Message.(*message.Records); ok {
 			c.received(ev.From, m)
@@ -85,9 +94,8 @@
 func (c *Core) peerUp(ev core.PeerUp) {
 	to := ev.Record.Node
 	c.peers.Up(to)
-	if c.start.linkedAt.IsZero() {
-		c.start.linkedAt = c.now
-	}
+	c.memory.linked(c.now)
+	c.linked(ev.Record.Zone, ev.Remembers)
 	if ev.Drained {
 		c.ownDeparted(OwnDeparted{Instance: ev.DrainedInstance})
 	}
@@ -98,6 +106,7 @@
 	}
 	if len(ev.Digest) <= 1 {
 		c.sendAll(to)
+		c.sendReach(to, ev.Record.Zone, ev.Remembers)
 	} else {
 		c.send(to, known[max(0, len(known)-c.cfg.MaxPerNode):])
 	}
@@ -116,6 +125,9 @@
 	for _, d := range m.Departures {
 		c.receivedDeparture(from, d)
 	}
+	if m.RemembersMillis > 0 {
+		c.memory.extend(c.now, fromMillis(m.RemembersMillis, c.cfg.Retention))
+	}
 }
 
 func (c *Core) receivedDeparture(from model.NodeID, d message.Departure) {
--- a/coordination/departure/departure.go
+++ b/coordination/departure/departure.go
@@ -7,6 +7,11 @@
 // node when they connect, whichever side has dialled, and floods it when the node's new incarnation
 // shows in a record. A node that starts offers its own backend server only once it has been told.
 //
+// If all processes of an availability zone that is cut off end, or all of a site while the store is
+// away, nobody remembers. Nodes therefore tell each other how far back their memory reaches. A node
+// is in doubt if no peer of its zone remembers long enough: it offers its backend server only once a
+// Confirmation shows that it is still in service.
+//
 // The core is a pure state machine in the sense of coordination/core.
 package departure
 
@@ -18,6 +23,8 @@
 
 // Config holds the parameters of a Core.
 type Config struct {
+	// Zone is the node's availability zone.
+	Zone model.Zone
 	// Retention is how long a departure is remembered. It exceeds the time for which a backend
 	// server runs on after its goodbye, and for which one of its heartbeats may be delayed.
 	Retention time.Duration
@@ -108,9 +115,15 @@
 	Instance string
 }
 
-// Settled reports once that this node has been told what the fleet remembers of departures beside
-// it, as far as anybody could be asked. Until then its backend server isn't offered.
-type Settled struct{}
+// Settled reports that this node has been told what the fleet remembers of departures beside it, as
+// far as anybody could be asked. Until then its backend server isn't offered. It is emitted a second
+// time, without InDoubt, once nothing is in doubt any more.
+type Settled struct {
+	// InDoubt is set if a departure may have been forgotten: the memory of no peer in this zone
+	// reaches back far enough, or the store hasn't answered. The backend server then has to be
+	// confirmed, see Confirmation.
+	InDoubt bool
+}
 
 // Event implements core.Event.
 func (Leaving) Event() {}
--- a/coordination/departure/departure_test.go
+++ b/coordination/departure/departure_test.go
@@ -199,3 +199,86 @@
 	}
 	return false
 }
+
+// remembering returns the connection of a peer in a zone whose memory reaches back for a time.
+func remembering(node model.NodeID, zone model.Zone, reach time.Duration) core.PeerUp {
+	r := record(node, 1)
+	r.Zone = zone
+	return core.PeerUp{Record: r, Remembers: reach}
+}
+
+// Guards against a node that trusts peers which can't have learned of a departure beside it.
+func TestNodeIsInDoubtUnlessItsZoneRemembers(t *testing.T) {
+	all := DefaultConfig().Retention
+	for name, c := range map[string]struct {
+		events  []core.Event
+		inDoubt bool
+	}{
+		"a peer that remembers":              {[]core.Event{remembering("a", "z", all), ListRead{}}, false},
+		"a peer that has just started":       {[]core.Event{remembering("a", "z", time.Second), ListRead{}}, true},
+		"a peer of an earlier version":       {[]core.Event{remembering("a", "z", 0), ListRead{}}, true},
+		"a peer of another zone":             {[]core.Event{remembering("a", "z2", all), ListRead{}}, true},
+		"one of two remembers":               {[]core.Event{remembering("a", "z", 0), remembering("b", "z", all), ListRead{}}, false},
+		"alone":                              {[]core.Event{ListRead{}}, true},
+		"the store alone may have been told": {[]core.Event{remembering("a", "z", all), ListRead{Failed: true}}, true},
+		"a peer has passed on what it was told": {[]core.Event{remembering("a", "z", time.Second), ListRead{},
+			core.Received{From: "a", Message: &message.Records{RemembersMillis: uint64(all.Milliseconds())}}}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := DefaultConfig()
+			cfg.Zone = "z"
+			x := New(cfg, "x", 7)
+			for _, ev := range c.events {
+				must.False(t, settles(x.Step(begin, ev)))
+			}
+			must.SliceContains(t, x.Step(begin.Add(cfg.AloneAfter), core.Tick{}), core.Action(Settled{InDoubt: c.inDoubt}))
+			certain := x.Step(begin.Add(cfg.Retention), core.Tick{})
+			must.Eq(t, c.inDoubt, settles(certain), must.Sprint("nothing is in doubt once the node has run for long"))
+		})
+	}
+}
+
+// Guards against a doubt that stays though a peer that remembers has connected.
+func TestDoubtEndsWithAPeerThatRemembers(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Zone = "z"
+	x := New(cfg, "x", 7)
+	x.Step(begin, ListRead{})
+	must.SliceContains(t, x.Step(begin.Add(cfg.AloneAfter), core.Tick{}), core.Action(Settled{InDoubt: true}))
+	at := begin.Add(2 * time.Second)
+	must.False(t, settles(x.Step(at, remembering("a", "z", cfg.Retention))))
+	must.SliceContains(t, x.Step(at.Add(cfg.Settle), core.Tick{}), core.Action(Settled{}))
+}
+
+// Guards against a node that vouches for departures of which it can't have learned.
+func TestMemoryReachesBackAsFarAsTheNodeWasTold(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.Zone = "z"
+	c := New(cfg, "c", 7)
+	c.Step(begin, core.Tick{})
+	must.Eq(t, time.Second, c.Remembers(begin.Add(time.Second)))
+	c.Step(begin.Add(time.Second), remembering("a", "z", cfg.Retention))
+	must.Eq(t, time.Second, c.Remembers(begin.Add(time.Second)), must.Sprint("a connection alone tells nothing"))
+	c.Step(begin.Add(time.Second), core.Received{From: "a", Message: &message.Records{RemembersMillis: 1 << 60}})
+	must.Eq(t, cfg.Retention, c.Remembers(begin.Add(time.Second)))
+	started := remembering("b", "z", 10*time.Millisecond)
+	must.True(t, tellsReach(c.Step(begin.Add(time.Second), started), "b"))
+	must.False(t, tellsReach(c.Step(begin.Add(time.Second), remembering("d", "z2", 0)), "d"), must.Sprint("its zone may have been cut off"))
+	must.False(t, tellsReach(c.Step(begin.Add(time.Second), remembering("e", "z", cfg.Retention)), "e"))
+	for _, id := range []model.NodeID{"a", "b", "d", "e"} {
+		c.Step(begin.Add(2*time.Second), core.PeerDown{Node: id})
+	}
+	must.Zero(t, c.Remembers(begin.Add(3*time.Second)), must.Sprint("without a peer it learns of none"))
+	c.Step(begin.Add(4*time.Second), remembering("a", "z", 0))
+	must.Eq(t, time.Second, c.Remembers(begin.Add(5*time.Second)))
+}
+
+// tellsReach reports whether a peer is told how far back the departures reach.
+func tellsReach(actions []core.Action, to model.NodeID) bool {
+	for _, a := range actions {
+		if s, ok := a.(core.Send); ok && s.To == to && s.Message.(*message.Records).RemembersMillis > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/coordination/departure/site_test.go
+++ b/coordination/departure/site_test.go
@@ -34,6 +34,7 @@
 	simStoreTime   = 5 * time.Millisecond
 	simRetry       = time.Second
 	simInstanceTTL = 6500 * time.Millisecond
+	simHeartbeat   = 1500 * time.Millisecond
 	simListed      = 2 // nodes of each zone that stand in the store's list
 )
 
@@ -57,6 +58,10 @@
 	storeDown    bool
 	storeSince   time.Time // when the store last went down or came back
 	storeDrained map[model.NodeID]string
+	// storeCut reports whether a node can't reach the store, though it serves others.
+	storeCut func(n *simNode) bool
+	// checked is what health checks of backend servers in service find.
+	checked Check
 	// cut reports whether two nodes can't reach each other.
 	cut func(a, b *simNode) bool
 
@@ -85,18 +90,20 @@
 	// configured is set once the node has the configuration, and sends requests by it.
 	configured bool
 
-	member   *member.Core
-	departed *Core
-	local    *instance.Local
-	settled  bool
-	links    map[model.NodeID]bool
-	record   endpoint.Record
+	member       *member.Core
+	departed     *Core
+	local        *instance.Local
+	confirmation *Confirmation
+	settled      bool
+	inDoubt      bool
+	links        map[model.NodeID]bool
+	record       endpoint.Record
 }
 
 func newSimSite(seed uint64, zoneSizes ...int) *simSite {
 	s := &simSite{
 		rng: rand.New(rand.NewPCG(seed, 41)), now: time.Unix(1_800_000_000, 0), storeDrained: make(map[model.NodeID]string),
-		cut: func(_, _ *simNode) bool { return false },
+		cut: func(_, _ *simNode) bool { return false }, storeCut: func(*simNode) bool { return false }, checked: InService,
 	}
 	s.storeSince = s.now.Add(-time.Hour)
 	for z, size := range zoneSizes {
@@ -109,7 +116,7 @@
 	}
 	for _, n := range s.nodes {
 		s.after(s.upTo(200*time.Millisecond), func() { n.run(true) })
-		s.after(s.upTo(1500*time.Millisecond), n.heartbeats)
+		s.after(s.upTo(simHeartbeat), n.heartbeats)
 	}
 	s.after(0, s.check)
 	return s
@@ -157,14 +164,15 @@
 func (n *simNode) run(first bool) {
 	s := n.s
 	n.starts++
-	n.up, n.startAt, n.configured, n.settled = true, s.now, false, false
+	n.up, n.startAt, n.configured, n.settled, n.inDoubt = true, s.now, false, false, false
+	n.confirmation = NewConfirmation(simHeartbeat)
 	n.record = endpoint.Record{
 		Node: n.id, Zone: n.zone, Region: "r", PeerAddr: n.addr, GateAddr: n.addr, Incarnation: uint64(s.now.UnixMilli()),
 	}
 	n.local, n.links = new(instance.Local), make(map[model.NodeID]bool)
 	n.member = member.New(simMemberConfig(), n.record, nil, s.rng.Uint64())
 	cfg := DefaultConfig()
-	cfg.FirstStart = first
+	cfg.FirstStart, cfg.Zone = first, n.zone
 	n.departed = New(cfg, n.id, s.rng.Uint64())
 	n.whileRunning(0, simTick, func() {
 		if n.local.Expire(s.now, simInstanceTTL) {
@@ -235,8 +243,11 @@
 	for id := range n.links {
 		fromPeer = fromPeer || n.s.node(string(id)).configured
 	}
-	if !n.s.storeDown || fromPeer {
-		n.inThisRun(simStoreTime, func() { n.configured = true })
+	if !n.storeAway() || fromPeer {
+		n.inThisRun(simStoreTime, func() {
+			n.configured = true
+			n.checkInDoubt()
+		})
 		return
 	}
 	n.inThisRun(simTick, n.readConfig)
@@ -245,7 +256,7 @@
 // readList reads the list of nodes.
 func (n *simNode) readList() {
 	n.inThisRun(simStoreTime, func() {
-		if n.s.storeDown {
+		if n.storeAway() {
 			n.step(ListRead{Failed: true})
 			n.inThisRun(simRetry/2+n.s.upTo(simRetry), n.readList)
 			return
@@ -270,7 +281,7 @@
 	if !n.silent {
 		n.hear(n.beat(false))
 	}
-	n.s.after(1500*time.Millisecond, n.heartbeats)
+	n.s.after(simHeartbeat, n.heartbeats)
 }
 
 // beat returns the backend server's next heartbeat.
@@ -281,14 +292,48 @@
 
 // hear takes a heartbeat, as internal/sidecar does.
 func (n *simNode) hear(h instance.Heartbeat) {
-	if n.up && n.local.RecordHeartbeat(n.s.now, h) {
-		n.announce()
+	if !n.up {
+		return
+	}
+	n.local.RecordHeartbeat(n.s.now, h)
+	if i := n.local.Current(); i != nil && i.Start == h.Start {
+		n.confirmation.Heard(n.s.now, i)
+	}
+	n.checkInDoubt()
+	n.announce()
+}
+
+// withheld reports whether the current instance is ready and not offered yet.
+func (n *simNode) withheld() bool {
+	i := n.local.Current()
+	if i == nil || i.State != instance.Ready {
+		return false
 	}
+	return !n.settled || n.inDoubt && !n.confirmation.Confirmed(i.Key())
 }
 
+// checkInDoubt checks the health of a backend server that is withheld.
+func (n *simNode) checkInDoubt() {
+	if !n.settled || !n.configured || !n.withheld() || !n.confirmation.CheckDue() {
+		return
+	}
+	key := n.local.Current().Key()
+	n.inThisRun(time.Millisecond+n.s.upTo(20*time.Millisecond), func() {
+		result := n.s.checked
+		if result == InService && (n.silent || key != n.start.Key()) {
+			result = Unanswered
+		}
+		n.confirmation.Checked(key, result)
+		n.announce()
+	})
+}
+
+// storeAway reports whether the node can't reach the store.
+func (n *simNode) storeAway() bool { return n.s.storeDown || n.s.storeCut(n) }
+
 // offers returns the instance that the node's gate takes requests for; nil for none.
 func (n *simNode) offers() *instance.Instance {
-	if !n.up || !n.settled {
+	if !n.up || !n.settled || n.withheld() {
 		return nil
 	}
 	return n.local.Current()
@@ -296,7 +341,7 @@
 
 func (n *simNode) announce() {
 	a := member.Announce{}
-	if i := n.local.Current(); i != nil && (n.settled || i.State != instance.Ready) {
+	if i := n.local.Current(); i != nil && !n.withheld() {
 		a = member.Announce{Service: i.Service, Slots: i.Slots, Connections: i.Slots, Instance: i.Key(), Draining: i.State != instance.Ready}
 	}
 	n.step(a)
@@ -332,7 +377,8 @@
 		case Kept:
 			n.s.acknowledged(n, a.Instance)
 		case Settled:
-			n.settled = true
+			n.settled, n.inDoubt = true, a.InDoubt
+			n.checkInDoubt()
 			n.announce()
 		}
 	}
@@ -359,12 +405,13 @@
 			n.step(core.DialFailed{Node: named, Addr: to.addr})
 			return
 		}
-		hello := core.PeerUp{Record: n.member.Self(), Digest: n.member.Digest()}
+		hello := core.PeerUp{Record: n.member.Self(), Digest: n.member.Digest(), Remembers: n.departed.Remembers(n.s.now)}
 		if d, known := n.departed.Newest(to.id); known && named != "" {
 			hello.Drained, hello.DrainedInstance = true, d.Instance
 		}
 		welcome := core.PeerUp{
 			Record: to.member.Self(), Digest: to.member.Digest(), Welcomed: true, Incarnation: to.member.IncarnationOf(n.id),
+			Remembers: to.departed.Remembers(n.s.now),
 		}
 		if d, known := to.departed.Newest(n.id); known && d.Incarnation < hello.Record.Incarnation {
 			welcome.Drained, welcome.DrainedInstance = true, d.Instance
@@ -412,7 +459,7 @@
 
 // writeDrain writes the departure to the store, until it has taken it.
 func (n *simNode) writeDrain() {
-	if n.s.storeDown {
+	if n.storeAway() {
 		n.inThisRun(250*time.Millisecond+n.s.upTo(simRetry), n.writeDrain)
 		return
 	}
--- a/coordination/departure/tell.go
+++ b/coordination/departure/tell.go
@@ -74,6 +74,14 @@
 	}
 }
 
+// sendReach tells a peer of this zone that has been sent all departures how far back they reach, if
+// its own memory reaches back less far.
+func (c *Core) sendReach(to model.NodeID, zone model.Zone, remembers time.Duration) {
+	if own := c.Remembers(c.now); zone == c.cfg.Zone && own > remembers {
+		c.sendRecords(to, &message.Records{RemembersMillis: uint64(own / time.Millisecond)})
+	}
+}
+
 func (c *Core) send(to model.NodeID, entries []*entry) {
 	departures := make([]message.Departure, 0, len(entries))
 	for _, e := range entries {
@@ -83,7 +91,13 @@
 }
 
 func (c *Core) sendTo(to model.NodeID, departures []message.Departure) {
-	if len(departures) > 0 && c.peers.Has(to) {
-		c.out = append(c.out, core.Send{To: to, Priority: message.Urgent, Message: &message.Records{Departures: departures}})
+	if len(departures) > 0 {
+		c.sendRecords(to, &message.Records{Departures: departures})
+	}
+}
+
+func (c *Core) sendRecords(to model.NodeID, m *message.Records) {
+	if c.peers.Has(to) {
+		c.out = append(c.out, core.Send{To: to, Priority: message.Urgent, Message: m})
 	}
 }
--- a/internal/sidecar/backends.go
+++ b/internal/sidecar/backends.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/jacinthgate/jacinthgate/coordination/departure"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/state/instance"
 )
@@ -46,6 +47,15 @@
 	// unsettled is set until the node has learned which instances had departed before its start.
 	// Nothing is offered until then.
 	unsettled bool
+	// inDoubt is set while a departure may have been forgotten: what is offered has to be confirmed.
+	inDoubt      bool
+	confirmation *departure.Confirmation
+	// checkHealth checks the health of a backend server; the path of a service's health checks is
+	// empty if it isn't known.
+	checkHealth func(addr, path string) (id string, err error)
+	healthPath  func(service string) string
+	// confirmed announces the current instance, which was withheld.
+	confirmed func()
 	// unkept are the departures that nobody else is known to remember.
 	unkept map[string]*unkept
 }
@@ -90,12 +100,22 @@
 	present := after != nil && after.ID == h.ID && (h.Born == 0 || h.Born == after.Born)
 	revived := b.down && present && !news
 	b.down = b.down && !present
-	withheld := b.unsettled && after != nil && after.State == instance.Ready
+	unconfirmed := b.withheld()
+	if present {
+		b.confirmation.Heard(time.Now(), after)
+	}
+	withheld := b.withheld()
 	b.publish()
 	b.mu.Unlock()
+	if unconfirmed && !withheld {
+		b.confirm(after.Key(), "heartbeats")
+	}
 	if h.Draining && present && b.isUnkept(after.Key()) {
 		return b.keep(after.Key())
 	}
+	if withheld {
+		b.checkInDoubt()
+	}
 	if !news && !revived {
 		return nil
 	}
@@ -216,13 +236,14 @@
 	b.changed(nil)
 }
 
-// settle offers what has been heard since the node's start, and returns it as reachable does. The
-// caller announces it.
-func (b *backends) settle() *instance.Instance {
+// settle offers what has been heard since the node's start, and returns it as reachable does. What
+// is in doubt has to be confirmed first. The caller announces it.
+func (b *backends) settle(inDoubt bool) *instance.Instance {
 	b.mu.Lock()
-	b.unsettled = false
+	b.unsettled, b.inDoubt = false, inDoubt
 	b.publish()
 	b.mu.Unlock()
+	b.checkInDoubt()
 	return b.reachable()
 }
 
@@ -231,7 +252,7 @@
 func (b *backends) reachable() *instance.Instance {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.down || b.unsettled {
+	if b.down || b.withheld() {
 		return nil
 	}
 	return b.local.Current()
@@ -261,9 +282,9 @@
 // publish hands the present instance to the path of a request, but for a ready one that isn't
 // offered yet. b.mu is held.
 func (b *backends) publish() {
-	c := b.local.Current()
-	if b.unsettled && c != nil && c.State == instance.Ready {
-		c = nil
+	if b.withheld() {
+		b.pub.instance.Store(nil)
+		return
 	}
-	b.pub.instance.Store(c)
+	b.pub.instance.Store(b.local.Current())
 }
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -93,7 +93,11 @@
 		leaving: func(key string) {
 			n.loop.queue.Post(n.ctx, departure.Leaving{Instance: key, Incarnation: self.Incarnation})
 		},
-		unsettled: true,
+		unsettled:    true,
+		confirmation: departure.NewConfirmation(n.set.heartbeat()),
+		checkHealth:  n.healthCheck(),
+		healthPath:   func(service string) string { return n.pub.serviceConfig(service).HealthPath },
+		confirmed:    func() { n.loop.queue.Post(n.ctx, backendConfirmed{}) },
 	}
 	n.backends.setService(n.set.Service)
 	l.backends = n.backends
@@ -141,6 +145,7 @@
 func (n *Node) departureConfig() departure.Config {
 	cfg := departure.DefaultConfig()
 	cfg.FirstStart = n.set.FirstStart
+	cfg.Zone = n.set.Zone
 	return cfg
 }
 
--- a/internal/sidecar/departures.go
+++ b/internal/sidecar/departures.go
@@ -9,6 +9,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/core"
 	"github.com/jacinthgate/jacinthgate/coordination/departure"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
+	"github.com/jacinthgate/jacinthgate/state/instance"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
@@ -81,14 +82,14 @@
 	case departure.Kept:
 		l.backends.keptByPeer(a.Instance)
 	case departure.Settled:
-		l.settled(now)
+		i := l.backends.settle(a.InDoubt)
+		_ = level.Info(l.log).Log("event", "departures_learned", "offered", i != nil, "in_doubt", a.InDoubt)
+		l.offer(now, i)
 	}
 }
 
-// settled offers the backend server that has been heard since the node's start.
-func (l *loop) settled(now time.Time) {
-	i := l.backends.settle()
-	_ = level.Info(l.log).Log("event", "departures_learned", "offered", i != nil)
+// offer announces a backend server that was withheld; nil announces nothing.
+func (l *loop) offer(now time.Time, i *instance.Instance) {
 	if i != nil {
 		l.carryOut(now, l.member.Step(now, l.pub.announcement(i, now)))
 		l.gate.Update()
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -107,6 +107,9 @@
 	case handled:
 		close(e)
 		return
+	case backendConfirmed:
+		l.offer(now, l.backends.reachable())
+		return
 	}
 	// First, so that nothing that follows offers a backend server that has departed.
 	l.carryOut(now, l.departed.Step(now, ev))
@@ -227,6 +230,7 @@
 	l.reportFaults(table)
 	l.prove(freshness.InForce{Version: a.Version})
 	l.applyQuotas()
+	l.backends.checkInDoubt() // the path of health checks is part of the configuration
 	_ = level.Info(l.stateLog).Log("event", "config_applied", "version", a.Version, "from", a.From, "bytes", len(a.Body),
 		"routes", table.Routes(), "behind_ms", a.BehindFor.Milliseconds())
 }
@@ -257,6 +261,7 @@
 	l.queue.Ask(ctx, func() {
 		h.Record = l.member.Self()
 		h.Digest = l.member.Digest()
+		h.RemembersMillis = uint64(l.departed.Remembers(time.Now()).Milliseconds())
 		if d, known := l.departed.Newest(to); known {
 			h.Drained, h.DrainedInstance, h.DrainedIncarnation = true, d.Instance, d.Incarnation
 		}
@@ -272,6 +277,7 @@
 		w.Record = l.member.Self()
 		w.Digest = l.member.Digest()
 		w.Incarnation = l.member.IncarnationOf(h.Record.Node)
+		w.RemembersMillis = uint64(l.departed.Remembers(time.Now()).Milliseconds())
 		if d, known := l.departed.Newest(h.Record.Node); known && d.Incarnation < h.Record.Incarnation {
 			w.Drained, w.DrainedInstance = true, d.Instance
 		}
--- a/protocol/message/message.go
+++ b/protocol/message/message.go
@@ -72,6 +72,9 @@
 	Drained            bool   `cbor:"8,keyasint,omitempty"`
 	DrainedInstance    string `cbor:"9,keyasint,omitempty"`
 	DrainedIncarnation uint64 `cbor:"10,keyasint,omitempty"`
+	// RemembersMillis is how far back the sender's memory of departures reaches, in milliseconds;
+	// 0 from senders that don't report it.
+	RemembersMillis uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // Welcome is the response to a Hello.
@@ -93,6 +96,8 @@
 	// DrainedInstance is the instance of that backend server; empty if it has
 	// none.
 	DrainedInstance string `cbor:"9,keyasint,omitempty"`
+	// RemembersMillis is as in Hello.
+	RemembersMillis uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Beacon is flooded by each zone's reader. It determines each node's upstream
@@ -211,6 +216,9 @@
 	Records []endpoint.Record `cbor:"1,keyasint"`
 	// Departures are instances of backend servers that are shutting down or gone.
 	Departures []Departure `cbor:"2,keyasint,omitempty"`
+	// RemembersMillis is set once all departures that the sender remembers have been sent: how far
+	// back they reach, in milliseconds.
+	RemembersMillis uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // ZoneDigest is the hash of all records of one zone in an endpoint table.
--- a/state/route/table.go
+++ b/state/route/table.go
@@ -94,6 +94,8 @@
 	// Connections is the number of connections that a backend server accepts;
 	// 0 if unknown.
 	Connections int
+	// HealthPath is the path of a backend server's health checks; empty if unknown.
+	HealthPath string
 	// ColdPerSecond is the number of requests per second that a backend server can handle
 	// while it is cold after a start; 0 means no limit.
 	ColdPerSecond float64
--- a/transport/link/handshake.go
+++ b/transport/link/handshake.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"time"
 
 	"github.com/jacinthgate/jacinthgate/coordination/core"
 	"github.com/jacinthgate/jacinthgate/protocol/message"
@@ -44,7 +46,7 @@
 	up := core.PeerUp{
 		Record: w.Record, Held: w.Held, Ready: w.Ready, Digest: w.Digest,
 		Welcomed: true, LastHeldValid: true, LastHeld: w.LastHeld, Incarnation: w.Incarnation, Drained: w.Drained,
-		DrainedInstance: w.DrainedInstance,
+		DrainedInstance: w.DrainedInstance, Remembers: remembers(w.RemembersMillis),
 	}
 	return &link{conn: c, dialled: true, up: up}, nil
 }
@@ -75,7 +77,7 @@
 	}
 	up := core.PeerUp{
 		Record: h.Record, Held: h.Held, Ready: h.Ready, Digest: h.Digest,
-		LastHeld: h.LastHeld, LastHeldValid: h.To == m.cfg.Node,
+		LastHeld: h.LastHeld, LastHeldValid: h.To == m.cfg.Node, Remembers: remembers(h.RemembersMillis),
 	}
 	if h.To == m.cfg.Node {
 		up.Drained, up.DrainedInstance = h.Drained, h.DrainedInstance
@@ -83,6 +85,14 @@
 	return &link{conn: c, up: up}, nil
 }
 
+// maxRemembersMillis is the longest memory of departures that a time.Duration holds.
+const maxRemembersMillis = math.MaxInt64 / uint64(time.Millisecond)
+
+// remembers returns how far back a peer's memory of departures reaches.
+func remembers(millis uint64) time.Duration {
+	return time.Duration(min(millis, maxRemembersMillis)) * time.Millisecond
+}
+
 // checkPeer returns an error for a peer that uses another protocol version, whose
 // identity does not match, or that is this node itself.
 func (m *Manager) checkPeer(c peer.Conn, dialled model.NodeID, protocol uint16, r endpoint.Record) error {
