Bound what a response without end costs

What callers saw: a backend server that answers with bytes without end held requests until their deadline, though others were free.

Causes, in transport/forward: the body of a response to another request was read without a bound; so was a response of unknown length; a head might take 1 MB and any time; the body of a refusal was read for as long as it came, before the refusal was passed on; what came on an idle connection stayed there until its idle timeout.

Idle connections to the backend server are checked each 0.5 s, those to gates each 5 s.

--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -38,6 +38,13 @@
 	// may stay unacknowledged: twice the kernel's least time before it sends
 	// once more, so that one lost packet ends no connection.
 	unackedTimeout = 400 * time.Millisecond
+	// backendIdleCheck and gateIdleCheck are the intervals at which idle connections to the
+	// backend server and to gates are checked.
+	backendIdleCheck = 500 * time.Millisecond
+	gateIdleCheck    = 5 * time.Second
+	// maxUnframedBody bounds a response whose length isn't known, in bytes: the size up to which
+	// operators let callers send bodies.
+	maxUnframedBody = 64 << 20
 	// idlePerHost is the number of idle connections kept to one address: more
 	// than the slots of a backend server are not used.
 	idlePerHost = 32
@@ -81,6 +88,8 @@
 	speech := platform.Dialect{}
 	toBackend := forward.DefaultClientConfig()
 	toBackend.IdleTimeout = backendIdle
+	toBackend.IdleCheck = backendIdleCheck
+	toBackend.MaxUnframedBody = maxUnframedBody
 	toBackend.IdlePerHost = idlePerHost
 	toBackend.LocalIP = n.localIP()
 	toBackend.UnackedTimeout = unackedTimeout
@@ -127,6 +136,8 @@
 func (n *Node) gateClients() (near, far *forward.Client) {
 	toGates := forward.DefaultClientConfig()
 	toGates.IdleTimeout = gateIdle
+	toGates.IdleCheck = gateIdleCheck
+	toGates.MaxUnframedBody = maxUnframedBody
 	toGates.DialTimeout = gateDialTimeout
 	toGates.IdlePerHost = idlePerHost
 	toGates.LocalIP = n.localIP()
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -28,6 +28,13 @@
 	// LocalIP is the source address of connections, by which receivers
 	// identify this host. Nil leaves the choice to the kernel.
 	LocalIP net.IP
+	// IdleCheck is the interval at which idle connections are checked: one that the server has closed,
+	// or on which it sends what belongs to no response, is closed. 0 leaves it to the next request
+	// and the idle timeout.
+	IdleCheck time.Duration
+	// MaxUnframedBody is the maximum size of a response's body whose length isn't known, unless it is an
+	// event stream, in bytes; 0 sets no limit.
+	MaxUnframedBody int64
 	// ContinueTimeout is how long to wait for "100 Continue" before the body
 	// is sent without it.
 	ContinueTimeout time.Duration
@@ -81,6 +88,7 @@
 	}
 	c.pool.perHost = cfg.IdlePerHost
 	c.pool.timeout = cfg.IdleTimeout
+	c.pool.check = cfg.IdleCheck
 	return c
 }
 
--- a/transport/forward/client_conn.go
+++ b/transport/forward/client_conn.go
@@ -18,7 +18,7 @@
 	connBuffer = 4 << 10
 	// maxResponseHead is the maximum size of a response's head, in bytes,
 	// including the interim responses before it.
-	maxResponseHead = 1 << 20
+	maxResponseHead = 64 << 10
 )
 
 // connKey identifies connections that are interchangeable.
--- a/transport/forward/errors.go
+++ b/transport/forward/errors.go
@@ -49,3 +49,31 @@
 
 // Error implements error.
 func (*sealedError) Error() string { return "connection sealed after a failed request" }
+
+// HeadSizeError reports a response whose head is too large.
+type HeadSizeError struct {
+	// Limit is the maximum size, in bytes.
+	Limit int64
+}
+
+// Error implements error.
+func (e *HeadSizeError) Error() string { return "response head too large" }
+
+// BodySizeError reports a response body of unknown length that is too large.
+type BodySizeError struct {
+	// Limit is the maximum size, in bytes.
+	Limit int64
+}
+
+// Error implements error.
+func (e *BodySizeError) Error() string { return "response body too large" }
+
+// ProtocolError reports a request or response that violates HTTP/1.1 or uses a part
+// of it that is not supported.
+type ProtocolError struct {
+	// What names the violation, or the part of the request that is invalid.
+	What string
+}
+
+// Error implements error.
+func (e *ProtocolError) Error() string { return "protocol: " + e.What }
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -74,10 +74,19 @@
 // connection reusable, in bytes.
 const maxDrain = 4 << 10
 
+// maxDrainTime bounds the time for which Drain reads.
+const maxDrainTime = 20 * time.Millisecond
+
 // Drain closes the body of resp. It first reads a short body to its end, so that
 // the connection can be reused.
 func Drain(resp *http.Response) {
-	_, _ = io.CopyN(io.Discard, resp.Body, maxDrain) // an error only makes the connection unusable
+	if resp.Body == http.NoBody || resp.ContentLength > maxDrain {
+		_ = resp.Body.Close()
+		return
+	}
+	timer := time.AfterFunc(maxDrainTime, func() { _ = resp.Body.Close() }) // the read then fails
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDrain+1) // an error only makes the connection unusable
 	_ = resp.Body.Close()
 }
 
--- a/transport/forward/pool.go
+++ b/transport/forward/pool.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -9,6 +10,7 @@
 type pool struct {
 	perHost int           // maximum number of idle connections per address
 	timeout time.Duration // how long a connection may be idle
+	check   time.Duration // interval of checks of idle connections; 0 for none
 	byKey   sync.Map      // connKey -> *idleConns
 }
 
@@ -85,13 +87,21 @@
 	h.conns = append(h.conns, c)
 	if !h.sweepScheduled {
 		h.sweepScheduled = true
-		time.AfterFunc(p.timeout, func() { p.sweep(c.key, h) })
+		time.AfterFunc(p.sweepIn(p.timeout), func() { p.sweep(c.key, h) })
 	}
 	return true
 }
 
-// sweep closes the connections that have reached the idle timeout and schedules
-// the next sweep. It removes an address without idle connections from the pool.
+// sweepIn returns the time until the next sweep if the next idle timeout is in d.
+func (p *pool) sweepIn(d time.Duration) time.Duration {
+	if p.check > 0 {
+		return min(d, p.check)
+	}
+	return d
+}
+
+// sweep closes the connections that have reached the idle timeout or are no longer usable,
+// and schedules the next sweep. It removes an address without idle connections from the pool.
 func (p *pool) sweep(key connKey, h *idleConns) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -101,13 +111,22 @@
 		expired++
 	}
 	h.conns = append(h.conns[:0], h.conns[expired:]...)
+	if p.check > 0 {
+		h.conns = slices.DeleteFunc(h.conns, func(c *clientConn) bool {
+			usable := c.usable()
+			if !usable {
+				c.close()
+			}
+			return !usable
+		})
+	}
 	if len(h.conns) == 0 {
 		h.removed = true
 		p.byKey.Delete(key)
 		return
 	}
 	next := p.timeout - time.Since(h.conns[0].idleSince)
-	time.AfterFunc(next, func() { p.sweep(key, h) })
+	time.AfterFunc(p.sweepIn(next), func() { p.sweep(key, h) })
 }
 
 // closeAll closes all idle connections.
--- a/transport/forward/trip.go
+++ b/transport/forward/trip.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 )
 
@@ -57,60 +56,10 @@
 		return resp, nil
 	}
 	x.body = resp.Body
-	resp.Body = &responseBody{trip: x, reuse: !resp.Close}
+	resp.Body = newResponseBody(x, resp)
 	return resp, nil
 }
 
-// maxHeads is the maximum number of response heads that are read for one request,
-// including those of interim and foreign responses.
-const maxHeads = 16
-
-// read reads the response's head. It passes on interim responses and skips foreign ones.
-func (x *roundTrip) read() (*http.Response, error) {
-	x.conn.headLeft = maxResponseHead + 1
-	for range maxHeads {
-		resp, err := http.ReadResponse(x.conn.br, x.req)
-		if err != nil {
-			return nil, err
-		}
-		switch {
-		case resp.StatusCode == http.StatusSwitchingProtocols:
-			return nil, &ProtocolError{What: "unrequested protocol upgrade"}
-		case resp.StatusCode >= http.StatusOK && x.foreign(resp):
-			if err := x.skip(resp); err != nil {
-				return nil, err
-			}
-		case resp.StatusCode >= http.StatusOK:
-			x.conn.headLeft = 0
-			return resp, nil
-		case resp.StatusCode == http.StatusContinue:
-			x.proceed()
-		case x.w != nil:
-			passInterim(x.w, resp)
-		}
-	}
-	return nil, &ProtocolError{What: "too many interim responses"}
-}
-
-// foreign reports whether resp belongs to another request.
-func (x *roundTrip) foreign(resp *http.Response) bool {
-	return x.client.cfg.Foreign != nil && x.client.cfg.Foreign(x.req, resp)
-}
-
-// skip reads and discards a response that belongs to another request. The
-// connection is not reused after it, since the server may send more of them.
-func (x *roundTrip) skip(resp *http.Response) error {
-	x.noReuse = true
-	x.conn.headLeft = 0
-	_, err := io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close() // already read to its end
-	x.conn.headLeft = maxResponseHead + 1
-	if err == nil && resp.Close {
-		err = &ProtocolError{What: "connection closed after the response to another request"}
-	}
-	return err
-}
-
 // proceed starts the upload of the body after "100 Continue".
 func (x *roundTrip) proceed() {
 	if x.upload != nil {
@@ -142,58 +91,3 @@
 	}
 	x.conn.close()
 }
-
-// responseBody is a response's body. Its end releases the connection.
-type responseBody struct {
-	trip  *roundTrip
-	reuse bool
-	ended atomic.Bool
-}
-
-// Read implements io.Reader.
-func (b *responseBody) Read(p []byte) (int, error) {
-	if b.ended.Load() {
-		return 0, b.after()
-	}
-	n, err := b.trip.body.Read(p)
-	if err != nil && b.ended.CompareAndSwap(false, true) {
-		b.trip.err = err
-		b.trip.end(b.reuse && err == io.EOF)
-	}
-	return n, err
-}
-
-// after returns the error of a read after the end.
-func (b *responseBody) after() error {
-	if b.trip.err != nil {
-		return b.trip.err
-	}
-	return http.ErrBodyReadAfterClose
-}
-
-// Close implements io.Closer. If the body has not ended, it closes the connection.
-func (b *responseBody) Close() error {
-	if b.ended.CompareAndSwap(false, true) {
-		b.trip.end(false)
-	}
-	return nil
-}
-
-// HeadSizeError reports a response whose head is too large.
-type HeadSizeError struct {
-	// Limit is the maximum size, in bytes.
-	Limit int64
-}
-
-// Error implements error.
-func (e *HeadSizeError) Error() string { return "response head too large" }
-
-// ProtocolError reports a request or response that violates HTTP/1.1 or uses a part
-// of it that is not supported.
-type ProtocolError struct {
-	// What names the violation, or the part of the request that is invalid.
-	What string
-}
-
-// Error implements error.
-func (e *ProtocolError) Error() string { return "protocol: " + e.What }
--- a/transport/headpack/conn.go
+++ b/transport/headpack/conn.go
@@ -121,6 +121,9 @@
 	if err != nil {
 		return err
 	}
+	if length == 0 {
+		return &FrameError{What: "empty frame"}
+	}
 	switch kind {
 	case frameRaw:
 		c.discard(start)
