Bound callers' bodies of unknown length, and the time of slow ones

What callers saw: nothing; what a node paid. A caller that sends a chunked body without end had it passed on until the request's deadline, past the operators' limit of bodies, which only a Content-Length was compared with. One that sends a short body slowly kept its connection for as long as it liked: a body that is read whole before anything is sent had no time limit.

Fix: a body of unknown length is counted, and ends with 413 beyond the limit. Reading a body that is read whole ends with the request's time, with 408: nothing of it was sent.

--- a/transport/outbound/body.go
+++ b/transport/outbound/body.go
@@ -1,8 +1,10 @@
 package outbound
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
@@ -17,6 +19,25 @@
 	prefix []byte
 }
 
+// readBodyInTime reads the request's body as readBody does. Reading fails when the request's time is
+// over, however slowly the caller sends the body.
+func (x *exchange) readBodyInTime() (requestBody, error) {
+	if x.r.Body == nil || x.r.Body == http.NoBody {
+		return requestBody{}, nil
+	}
+	stop := context.AfterFunc(x.ctx, func() {
+		_ = http.NewResponseController(x.w).SetReadDeadline(past) // a writer without support has no connection
+	})
+	b, err := readBody(x.w, x.r, x.p.cfg.MaxBodyBuffer)
+	if !stop() && err == nil {
+		err = x.ctx.Err() // the connection can't be read any more
+	}
+	return b, err
+}
+
+// past is a deadline that makes all pending reads fail.
+var past = time.Unix(1, 0)
+
 // readBody buffers a body of up to maxBytes bytes before anything is sent to a gate, and
 // prepares a larger one for streaming. It returns an error where reading fails because the
 // caller disconnected.
--- a/transport/outbound/conclude.go
+++ b/transport/outbound/conclude.go
@@ -44,6 +44,8 @@
 	}
 	worst, reason := x.trail.Worst()
 	switch {
+	case x.tooLarge():
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: outcome.ReasonTooLarge}
 	case worst == outcome.NotRun:
 		x.p.refusals.Record(uint64(x.fingerprint), x.firstArrival, x.callerDeadline())
 		return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: x.retryAfter()}
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -42,6 +42,8 @@
 	callerWait time.Duration     // for how long the caller waits; the route's timeout if not given
 
 	body requestBody
+	// bounded is the body of r if its length isn't known and the configuration limits it, else nil.
+	bounded *boundedBody
 	// fingerprint identifies the content of the request: callers retry the same content
 	// under a new request ID.
 	fingerprint suspect.Fingerprint
@@ -79,7 +81,8 @@
 }
 
 func newExchange(p *Proxy, w http.ResponseWriter, r *http.Request, t *route.Table, found *route.Route, arrived time.Time) *exchange {
-	x := &exchange{p: p, w: w, r: r, route: found, arrived: arrived, firstArrival: arrived}
+	x := &exchange{p: p, w: w, route: found, arrived: arrived, firstArrival: arrived}
+	x.r, x.bounded = boundBody(r, t.Limits().BodyBytes)
 	x.keyed = t.RequiresKey()
 	x.service = t.Service(found.Pick(p.rand.Float64()))
 	x.deadline = arrived.Add(found.Timeout)
@@ -107,8 +110,8 @@
 	}
 	x.progress = forward.NewProgress(x.r.Context(), x.deadline.Add(callerGrace), x.p.cfg.ResponseExtension)
 	x.ctx, x.cancel = x.progress, x.progress.End
-	if x.body, err = readBody(x.w, x.r, x.p.cfg.MaxBodyBuffer); err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: outcome.ReasonCancelled}
+	if x.body, err = x.readBodyInTime(); err != nil {
+		return x.bodyRefusal()
 	}
 	x.fingerprint = forward.Fingerprint(x.r, x.body.readSoFar())
 	if first, found := x.p.refusals.FirstAttempt(uint64(x.fingerprint), x.callerDeadline()); found {
@@ -233,6 +236,8 @@
 	}
 	reason := outcome.ReasonBackendFailed
 	switch {
+	case x.tooLarge():
+		reason, verdict = outcome.ReasonTooLarge, balance.Cancelled
 	case x.r.Context().Err() != nil:
 		reason, verdict = outcome.ReasonCancelled, balance.Cancelled
 	case x.ctx.Err() != nil:
