Bound the time in which bodies arrive at a node's other addresses

A sender of a body that comes slowly and doesn't end kept its connection, and a goroutine, for as long as it liked: at the addresses for heartbeats, readiness and metrics, and at the gate, where net/http reads up to 256 KB of a body that its handler doesn't need. Requests for the former have 4 s now; the body of another node's request has the request's own time and a second.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/jacinthgate/jacinthgate/platform"
+	"github.com/jacinthgate/jacinthgate/protocol/outcome"
 	"github.com/jacinthgate/jacinthgate/transport/callers"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/headpack"
@@ -24,6 +25,9 @@
 	// headerTimeout bounds the time in which a request's head arrives. The
 	// users' operators allow 3 s.
 	headerTimeout = 4 * time.Second
+	// bodyGrace is how long past its deadline the body of another node's request may arrive. It exceeds
+	// the time for which a response that has begun is still sent.
+	bodyGrace = time.Second
 	// callerIdle is how long a caller's connection may stay idle before a
 	// configuration says so.
 	callerIdle = time.Minute
@@ -54,21 +58,38 @@
 	ln   *listen.Listener
 }
 
-// addPlain adds a server of net/http.
+// addPlain adds a server of net/http for short requests.
 func (n *Node) addPlain(name string, h http.Handler) *server {
-	return n.add(name, n.newPlain(h, keepalive.Config{Name: name, Logger: n.log}))
+	return n.add(name, n.newPlain(h, headerTimeout, keepalive.Config{Name: name, Logger: n.log}))
 }
 
-// newPlain returns a server of net/http.
-func (n *Node) newPlain(h http.Handler, cfg keepalive.Config) *keepalive.Server {
+// newPlain returns a server of net/http. readTimeout bounds the time in which a request arrives with
+// its body; 0 sets no limit.
+func (n *Node) newPlain(h http.Handler, readTimeout time.Duration, cfg keepalive.Config) *keepalive.Server {
 	return keepalive.New(&http.Server{
 		Handler:           h,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       serverIdle,
 	}, cfg)
 }
 
+// boundBodies bounds the time in which the body of another node's request arrives: that of the request
+// itself and bodyGrace, or headerTimeout if it states none.
+func boundBodies(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			d := headerTimeout
+			if left, given, err := forward.HeaderInt(r.Header, outcome.HeaderDeadline); given && err == nil {
+				d = time.Duration(left)*time.Millisecond + bodyGrace
+			}
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(d)) // fails on a closed connection
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // add adds a server on the address that was opened for it.
 func (n *Node) add(name string, h httpServer) *server {
 	s := &server{name: name, ln: n.listeners[name], http: h}
@@ -145,7 +166,7 @@
 		MaxConnections: n.set.maxCallers(), RequestID: platform.Dialect{}.RequestID, Metrics: n.metrics, Logger: n.log,
 	})
 	n.callers = n.add(listenCallers, n.front)
-	n.gateServer = n.newPlain(n.gateHandler(), keepalive.Config{
+	n.gateServer = n.newPlain(boundBodies(n.gateHandler()), 0, keepalive.Config{
 		Name:        listenGate,
 		Wrap:        func(ln net.Listener) net.Listener { return headpack.Listener{Listener: ln} },
 		CloseNotice: forward.ConnectionClosing(),
