Drop idle connections to a gate once one has fallen silent

What callers saw: requests that waited until their deadline one after the other, on connections to a gate that had all fallen silent. Each request took the next idle connection; those are kept for 20 s.

Fix: once a request on a reused connection has got no byte by its deadline, the idle connections to that gate are closed.

--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -138,6 +138,7 @@
 	toGates.IdleTimeout = gateIdle
 	toGates.IdleCheck = gateIdleCheck
 	toGates.MaxUnframedBody = maxUnframedBody
+	toGates.DropSilent = true
 	toGates.DialTimeout = gateDialTimeout
 	toGates.IdlePerHost = idlePerHost
 	toGates.LocalIP = n.localIP()
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -32,6 +32,10 @@
 	// or on which it sends what belongs to no response, is closed. 0 leaves it to the next request
 	// and the idle timeout.
 	IdleCheck time.Duration
+	// DropSilent closes the idle connections to an address once a request on a reused connection has
+	// got no byte by its deadline: they may have fallen silent with it, and the next request would wait
+	// on one of them.
+	DropSilent bool
 	// MaxUnframedBody is the maximum size of a response's body whose length isn't known, unless it is an
 	// event stream, in bytes; 0 sets no limit.
 	MaxUnframedBody int64
@@ -141,7 +145,7 @@
 		// send anything after the count was taken.
 		sent := conn.raw.seal() > x.start
 		x.end(false)
-		if errors.Is(err, syscall.ETIMEDOUT) {
+		if errors.Is(err, syscall.ETIMEDOUT) || c.cfg.DropSilent && x.isSilent() {
 			c.pool.closeIdle(conn.key) // they use the same network path
 		}
 		return nil, connectTime, &SendError{Sent: sent, Err: causeOf(req.Context(), err)}
--- a/transport/forward/client_conn.go
+++ b/transport/forward/client_conn.go
@@ -36,6 +36,8 @@
 	// headLeft is one more than the number of bytes that may still be read of a
 	// head; 0 means no limit.
 	headLeft int64
+	// received is the number of bytes received.
+	received int64
 	// idleSince is when the connection became idle. The pool's lock guards it.
 	idleSince time.Time
 	// idleLimit is how long the server keeps the connection open while it is
@@ -124,8 +126,9 @@
 type headReader struct{ c *clientConn }
 
 // Read implements io.Reader.
-func (r headReader) Read(p []byte) (int, error) {
+func (r headReader) Read(p []byte) (n int, err error) {
 	c := r.c
+	defer func() { c.received += int64(n) }()
 	if c.headLeft == 0 {
 		return c.conn.Read(p)
 	}
@@ -135,7 +138,7 @@
 	if int64(len(p)) > c.headLeft-1 {
 		p = p[:c.headLeft-1]
 	}
-	n, err := c.conn.Read(p)
+	n, err = c.conn.Read(p)
 	c.headLeft -= int64(n)
 	return n, err
 }
--- a/transport/forward/trip.go
+++ b/transport/forward/trip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -15,7 +16,11 @@
 	req    *http.Request
 	w      http.ResponseWriter // receives 1xx responses; may be nil
 	start  int64               // bytes written on the connection before the request
-	stop   func() bool         // stops watching the context
+	// received is the number of bytes received on the connection before the request, and reused is set
+	// if it carried another one before.
+	received int64
+	reused   bool
+	stop     func() bool // stops watching the context
 
 	// upload is set if another goroutine sends the request's body.
 	upload *upload
@@ -30,7 +35,9 @@
 
 // newRoundTrip returns a round trip that is aborted when the request's context ends.
 func newRoundTrip(c *Client, conn *clientConn, req *http.Request, w http.ResponseWriter) *roundTrip {
-	x := &roundTrip{client: c, conn: conn, req: req, w: w, start: conn.raw.count()}
+	x := &roundTrip{
+		client: c, conn: conn, req: req, w: w, start: conn.raw.count(), received: conn.received, reused: !conn.idleSince.IsZero(),
+	}
 	x.stop = context.AfterFunc(req.Context(), x.abort)
 	return x
 }
@@ -38,6 +45,11 @@
 // abort makes all reads and writes of the connection fail.
 func (x *roundTrip) abort() { _ = x.conn.conn.SetDeadline(past) } // fails only on a closed connection
 
+// isSilent reports whether the request's deadline has passed without a byte on a reused connection.
+func (x *roundTrip) isSilent() bool {
+	return x.reused && x.conn.received == x.received && errors.Is(x.req.Context().Err(), context.DeadlineExceeded)
+}
+
 // run writes the request and reads the response's head.
 func (x *roundTrip) run() (*http.Response, error) {
 	if err := x.write(); err != nil {
