Soak: goodbyes after which all nodes are killed

The plan -forgotten kills all nodes as a goodbye is acknowledged while the store is away, starts them again and sends two late heartbeats.

--- a/cmd/jacinthgate-soak/main.go
+++ b/cmd/jacinthgate-soak/main.go
@@ -58,7 +58,7 @@
 	statements bool
 	// silences plays versions in series while connections fall silent, leaving goodbyes while the
 	// store is away and nodes are killed.
-	silences, leaving bool
+	silences, leaving, forgotten bool
 }
 
 func (c *planFlags) set(f *flag.FlagSet) {
@@ -73,6 +73,7 @@
 	f.BoolVar(&c.habits, "habits", false, "callers that use their connections in different ways, planned work in series, and faults of backend servers (not with -planned)")
 	f.BoolVar(&c.statements, "statements", false, "backend servers that state limits, and that they leave, in their answers")
 	f.BoolVar(&c.silences, "silences", false, "versions in series while all open connections fall silent")
+	f.BoolVar(&c.forgotten, "forgotten", false, "goodbyes after which all nodes are killed while the store is away")
 	f.BoolVar(&c.leaving, "leaving", false, "goodbyes while the store is away, nodes that are killed, and heartbeats of other writers")
 	f.BoolVar(&c.crashes, "crashes", false, "backend servers that crash and return, and requests that end them")
 	f.BoolVar(&c.restores, "restores", false, "a store that comes back from older copies")
@@ -83,6 +84,8 @@
 	switch {
 	case c.silences:
 		return soak.NewSilencePlan(seed, c.nodes, c.length)
+	case c.forgotten:
+		return soak.NewForgottenPlan(seed, c.nodes, c.length)
 	case c.leaving:
 		return soak.NewLeavingPlan(seed, c.nodes, c.length)
 	case c.statements:
@@ -121,7 +124,7 @@
 func (*planCmd) Name() string     { return "plan" }
 func (*planCmd) Synopsis() string { return "print the disturbances of a seed" }
 func (*planCmd) Usage() string {
-	return "plan -seed N [-nodes N] [-length D] [-planned | -ahead | -habits | -series | -crashes | -restores | -keys | -places | -statements | -silences | -leaving]\n"
+	return "plan -seed N [-nodes N] [-length D] [-planned | -ahead | -habits | -series | -crashes | -restores | -keys | -places | -statements | -silences | -leaving | -forgotten]\n"
 }
 func (c *planCmd) SetFlags(f *flag.FlagSet) { c.set(f) }
 
@@ -144,7 +147,7 @@
 func (*runCmd) Name() string     { return "run" }
 func (*runCmd) Synopsis() string { return "play seeds and check the promises" }
 func (*runCmd) Usage() string {
-	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -ahead | -habits | -series | -crashes | -restores | -keys | -places | -statements | -silences | -leaving] [-bin DIR] [-dir DIR]
+	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -ahead | -habits | -series | -crashes | -restores | -keys | -places | -statements | -silences | -leaving | -forgotten] [-bin DIR] [-dir DIR]
 Plays one seed after the other. A seed that breaks a promise is printed with what
 was seen, and its logs stay in DIR/SEED. Exit code 1 if any did.
 `
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -50,7 +50,9 @@
 	case FaultForeign:
 		s.beatForeign(ctx, n, step)
 	case FaultForgotten:
-		s.sayGoodbyeAndKill(ctx, n, step)
+		s.sayGoodbyeAndKill(ctx, n, []*node{n}, step)
+	case FaultForgottenByAll:
+		s.sayGoodbyeAndKill(ctx, n, s.site.nodes, step)
 	case FaultDelay:
 		s.delay(n, linkDelay)
 		wait(ctx, step.For)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -75,6 +75,8 @@
 	// FaultForgotten lets a node's backend server say goodbye while the store is away. The node is
 	// killed as it has acknowledged that, and a late heartbeat arrives after its next start.
 	FaultForgotten Fault = "forgotten"
+	// FaultForgottenByAll is FaultForgotten with all nodes killed at the same moment.
+	FaultForgottenByAll Fault = "forgotten-by-all"
 	// FaultLeave lets a node's backend server state in its answers alone that it leaves.
 	FaultLeave Fault = "leave"
 )
@@ -155,6 +157,11 @@
 	FaultForeign, FaultForeign, FaultForeign, FaultChange, FaultForgotten, FaultForgotten,
 }
 
+// forgetting are the kinds around goodbyes that nobody remembers, since all nodes are killed.
+var forgetting = []Fault{
+	FaultForgottenByAll, FaultForgottenByAll, FaultForeign, FaultDrain, FaultDrain, FaultStoreLost, FaultKill, FaultTerm, FaultChange,
+}
+
 // stating are the kinds around backend servers that state limits, and that they leave: nodes that
 // have to learn that anew or in spite of each other.
 var stating = []Fault{
--- a/internal/soak/forgotten.go
+++ b/internal/soak/forgotten.go
@@ -19,17 +19,22 @@
 	return time.Duration(from.Int64N(int64(d)))
 }
 
-// sayGoodbyeAndKill lets a node's backend server say goodbye while the store is away, and kills the
-// node as it acknowledges that. A heartbeat that was sent before the goodbye arrives after the next
+// lateBeats is the number of late heartbeats.
+const lateBeats = 2
+
+// sayGoodbyeAndKill lets a node's backend server say goodbye while the store is away, and kills nodes,
+// n among them, as it is acknowledged. Heartbeats that were sent before the goodbye arrive after the next
 // start, and the store comes back. The backend server serves on until the end.
-func (s *soak) sayGoodbyeAndKill(ctx context.Context, n *node, step Step) {
-	// One at a time: nobody remembers a goodbye if all nodes end while the store is away.
+func (s *soak) sayGoodbyeAndKill(ctx context.Context, n *node, victims []*node, step Step) {
+	// One at a time, as the store comes back at the end of each.
 	if !s.forgotten.TryLock() {
 		return
 	}
 	defer s.forgotten.Unlock()
-	n.busy.Lock()
-	defer n.busy.Unlock()
+	for _, v := range victims {
+		v.busy.Lock()
+		defer v.busy.Unlock()
+	}
 	old := n.host.depart()
 	if old == nil {
 		return
@@ -39,17 +44,27 @@
 	if old.Leave(n.addr(portBackend)) == nil {
 		s.noteDrain(startOf(old.ID, old.Born), time.Now().Add(drainTime))
 	}
-	killed := s.open(FaultKill, step.Node)
-	p, _ := n.running()
-	p.Kill()
+	var over []func()
+	for _, v := range victims {
+		over = append(over, s.open(FaultKill, v.number))
+		p, _ := v.running()
+		p.Kill()
+	}
 	wait(ctx, awayFactor*step.For)
-	s.startAgain(n)
+	for _, v := range victims {
+		s.startAgain(v)
+	}
 	drawn := rand.New(rand.NewPCG(uint64(step.At), uint64(step.Node)))
 	storeBack := time.AfterFunc(upTo(drawn, latestBeat), func() { s.setStore(FaultStoreDown, -1) })
 	wait(ctx, upTo(drawn, latestBeat))
-	_ = old.Beat(n.addr(portBackend), old.addr, false) // a node that is away misses it
+	for range lateBeats {
+		_ = old.Beat(n.addr(portBackend), old.addr, false) // a node that is away misses it
+		wait(ctx, heartbeatEvery)
+	}
 	wait(ctx, settled)
-	killed()
+	for _, end := range over {
+		end()
+	}
 	wait(ctx, drainTime+drainMargin)
 	if storeBack.Stop() {
 		s.setStore(FaultStoreDown, -1)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -123,6 +123,12 @@
 	return draw(leaving, seriesEvery, seed, nodes, length)
 }
 
+// NewForgottenPlan draws a schedule around goodbyes after which all nodes are killed while the store is
+// away.
+func NewForgottenPlan(seed uint64, nodes int, length time.Duration) Plan {
+	return draw(forgetting, stepEvery, seed, nodes, length)
+}
+
 // NewAheadPlan draws a schedule around connections that are in use: planned work, with
 // versions in series, and with breaks also answers that break off.
 func NewAheadPlan(seed uint64, nodes int, length time.Duration, breaks bool) Plan {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -44,6 +44,7 @@
 		"statements":     NewStatementPlan(2, 6, 6*time.Second),
 		"silences":       NewSilencePlan(1, 6, 10*time.Second),
 		"leaving":        NewLeavingPlan(3, 6, 8*time.Second),
+		"forgotten":      NewForgottenPlan(3, 6, 8*time.Second),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
