Bound what is read of a sender after its last response

A connection is read on for up to 0.5 s after its last response, so that a reset doesn't cost the client the response. A sender without end had 0.2 to 1.2 GB read so. Now 8 MB are read at most, which is what the connection's buffers hold.

Its stand-in keeps no bodies any more, as those counted as the node's memory and made the test fail beside the rest of its package. Senders at a node's other addresses are held to the same bound.

--- a/internal/sidecar/endless_caller_test.go
+++ b/internal/sidecar/endless_caller_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -21,6 +20,9 @@
 	// endlessCallerMemory bounds what is allocated for such a sender, in bytes: thirty at once fit
 	// into the memory of a small host.
 	endlessCallerMemory = 4 << 20
+	// endlessCallerBytes bounds what it can send, in bytes: the limit of bodies, and the buffers of the
+	// kernel on both sides.
+	endlessCallerBytes = 1<<20 + 31<<20
 )
 
 // sendWithoutEnd sends begin and then piece again and again, until the receiver closes the connection.
@@ -47,7 +49,7 @@
 func TestEndlessRequestEndsItsConnection(t *testing.T) {
 	f := newFleet(t, 1)
 	m := f.nodes[0]
-	m.backend.Answer = func(w http.ResponseWriter, _ *http.Request) { platformtest.Stamp(w) }
+	m.backend.DiscardBodies = true
 	line := "Host: " + host + "\r\n" + platformtest.HeaderRequestID + ": x\r\n" + platformtest.HeaderWait + ": 1000\r\n"
 	get, post := "GET /status/x HTTP/1.1\r\n"+line, "POST /book/x HTTP/1.1\r\n"+line
 	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
@@ -78,9 +80,10 @@
 		t.Run(name, func(t *testing.T) {
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			sendWithoutEnd(t, m.node.set.Listen.Callers, c.begin, c.piece, c.pause)
+			sent := sendWithoutEnd(t, m.node.set.Listen.Callers, c.begin, c.piece, c.pause)
 			runtime.ReadMemStats(&after)
 			must.LessEq(t, endlessCallerMemory, int(after.TotalAlloc-before.TotalAlloc), must.Sprint("bytes allocated"))
+			must.LessEq(t, endlessCallerBytes, sent)
 		})
 	}
 }
--- a/internal/sidecar/endless_peer_test.go
+++ b/internal/sidecar/endless_peer_test.go
@@ -42,7 +42,7 @@
 		for to, addr := range addrs {
 			t.Run(name+" to "+to, func(t *testing.T) {
 				t.Parallel()
-				sendWithoutEnd(t, addr, c.begin, c.piece, c.pause)
+				must.LessEq(t, endlessCallerBytes, sendWithoutEnd(t, addr, c.begin, c.piece, c.pause))
 			})
 		}
 	}
--- a/internal/sidecar/statements_test.go
+++ b/internal/sidecar/statements_test.go
@@ -225,6 +225,31 @@
 	must.StrContains(t, limited.logs.String(), "limited=true per_second=0 was_limited=false was_per_second=0 source=entry-node")
 }
 
+// Guards against a limit that is exceeded because all nodes that know it were killed.
+func TestStatedLimitHoldsAfterAllNodesAreKilled(t *testing.T) {
+	f := newSilentFleet(t, 4)
+	limited, other := f.nodes[0], f.nodes[1]
+	for _, m := range []*site{limited, other} {
+		must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
+		m.backend.Work = 50 * time.Millisecond
+	}
+	f.waitForServers(2)
+	limited.backend.StateLimit("0")
+	l := &statementLoad{f: &fleet{t: t, nodes: []*site{f.nodes[2], f.nodes[3]}}}
+	l.run(60, time.Second)
+	for _, m := range f.nodes {
+		m.node.close()
+	}
+	for i := range f.nodes {
+		f.restart(i)
+	}
+	for _, m := range []*site{limited, other} {
+		must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
+	}
+	l.run(60, 3*time.Second)
+	must.LessEq(t, allowed(0), l.mostInWindow(limited.backend))
+}
+
 // newBornFleet is newFleet with backend servers that report the time of their start.
 func newBornFleet(t testing.TB, n int) *fleet {
 	f := newSilentFleet(t, n)
--- a/transport/sockopt/sends.go
+++ b/transport/sockopt/sends.go
@@ -12,6 +12,10 @@
 // considered gone.
 const StallTimeout = 2 * time.Second
 
+// maxDiscarded bounds what is read and discarded of a peer that doesn't stop sending, in bytes: what a
+// connection's buffers hold, which it may have sent before it could receive the last response.
+const maxDiscarded = 8 << 20
+
 // Sends observes whether a connection's peer receives what was sent to it. It is not safe for concurrent
 // use.
 type Sends struct {
@@ -31,32 +35,32 @@
 	return unacked > 0 && time.Since(s.since) < StallTimeout
 }
 
-// Discard reads and discards for a time, or until the peer closes the connection. It returns the number of
-// bytes that it has read.
+// Discard reads and discards for a time, until the peer closes the connection or has sent maxDiscarded
+// bytes. It returns the number of bytes that it has read.
 func (s *Sends) Discard(d time.Duration) int64 {
-	n, _ := s.discard(d)
+	n, _ := s.discard(d, maxDiscarded)
 	return n
 }
 
-// discard reports whether the connection has ended within d.
-func (s *Sends) discard(d time.Duration) (n int64, ended bool) {
+// discard reads up to limit bytes, and reports whether the connection has ended within d.
+func (s *Sends) discard(d time.Duration, limit int64) (n int64, ended bool) {
 	_ = s.Conn.SetReadDeadline(time.Now().Add(d)) // the read returns the error of a closed connection
-	n, err := io.Copy(io.Discard, s.Conn)
-	return n, !errors.Is(err, os.ErrDeadlineExceeded)
+	n, err := io.CopyN(io.Discard, s.Conn, limit)
+	return n, err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // Linger reads and discards until the peer closes the connection, or quiet has passed since the peer
-// acknowledged everything, or the peer stops receiving. It is to be called once the connection is closed
+// acknowledged everything, or the peer stops receiving or has sent maxDiscarded bytes. It is to be called once the connection is closed
 // for writing: closing a socket with unread bytes resets the connection, and the peer might lose what was
 // sent last. It returns the number of bytes that it has read, and whether the peer has closed the
 // connection: no further bytes that could cause a reset arrive then.
 func (s *Sends) Linger(quiet time.Duration) (unread int64, closed bool) {
 	for {
 		unacked := s.unacked
-		n, ended := s.discard(quiet)
+		n, ended := s.discard(quiet, maxDiscarded-unread)
 		unread += n
-		if ended {
-			return unread, true
+		if ended || unread >= maxDiscarded {
+			return unread, ended
 		}
 		if !s.Receiving() && s.unacked == unacked {
 			return unread, false
