--- a/coordination/departure/confirm.go
+++ b/coordination/departure/confirm.go
@@ -6,9 +6,13 @@
 	"github.com/jacinthgate/jacinthgate/state/instance"
 )
 
-// confirmingHeartbeats is the number of heartbeats in a row that confirm a backend server. A few may
-// all be late.
-const confirmingHeartbeats = 4
+const (
+	// confirmingHeartbeats is the number of heartbeats in a row that confirm a backend server. A few
+	// may all be late.
+	confirmingHeartbeats = 4
+	// maxHeartbeatGap is the longest time between two of them, in intervals: two in a row may be lost.
+	maxHeartbeatGap = 3
+)
 
 // Check is the result of a health check of a backend server.
 type Check uint8
@@ -56,17 +60,23 @@
 	}
 	c.sequence, c.mayCheck = i.Sequence, true
 	switch gap := now.Sub(c.lastAt); {
-	case c.count == 0 || gap > 3*c.interval:
+	case c.count == 0 || gap > maxHeartbeatGap*c.interval:
 		c.count, c.firstAt, c.lastAt = 1, now, now
 	case gap >= c.interval/2:
 		c.count++
 		c.lastAt = now
 	}
-	if c.count >= confirmingHeartbeats && c.lastAt.Sub(c.firstAt) >= (confirmingHeartbeats-1)*c.interval*3/4 {
+	if c.count >= confirmingHeartbeats && c.lastAt.Sub(c.firstAt) >= c.confirmingTime() {
 		c.confirmed = true
 	}
 }
 
+// confirmingTime returns the time that the heartbeats have to span: somewhat less than they do as they
+// are sent, since intervals vary.
+func (c *Confirmation) confirmingTime() time.Duration {
+	return (confirmingHeartbeats - 1) * c.interval * 3 / 4
+}
+
 // CheckDue reports whether to check the health of the instance now. Each heartbeat allows one check;
 // the caller makes it and reports Checked.
 func (c *Confirmation) CheckDue() bool {
--- a/coordination/departure/orders_test.go
+++ b/coordination/departure/orders_test.go
@@ -100,14 +100,21 @@
 
 // Guards against a departure that is acknowledged and forgotten when the node starts again.
 func TestAcknowledgedDepartureOutlastsTheNode(t *testing.T) {
-	for name, o := range orders {
+	playOrders(t, orders, func(t *testing.T, seed uint64, s *simSite) {
+		if s.forgotten {
+			t.Errorf("seed %d: neither the store nor a running node remembers the departure", seed)
+		}
+	})
+}
+
+// playOrders plays each order with siteSeeds seeds, and checks the rule and what else check does.
+func playOrders(t *testing.T, all map[string]order, check func(t *testing.T, seed uint64, s *simSite)) {
+	for name, o := range all {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(*siteSeeds) {
 				s := playOrder(t, seed, o)
-				if s.forgotten {
-					t.Errorf("seed %d: neither the store nor a running node remembers the departure", seed)
-				}
+				check(t, seed, s)
 				if len(s.violations) > 0 {
 					t.Errorf("seed %d: %d times, first: %s", seed, len(s.violations), s.violations[0])
 				}
@@ -119,17 +126,7 @@
 // Guards against a backend server that is used after its acknowledged goodbye because all processes
 // that remembered it were killed before the store did.
 func TestGoodbyeIsKeptThoughAllProcessesAreKilled(t *testing.T) {
-	for name, o := range ordersOfAll {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			for seed := range uint64(*siteSeeds) {
-				s := playOrder(t, seed, o)
-				if len(s.violations) > 0 {
-					t.Errorf("seed %d: %d times, first: %s", seed, len(s.violations), s.violations[0])
-				}
-			}
-		})
-	}
+	playOrders(t, ordersOfAll, func(*testing.T, uint64, *simSite) {})
 }
 
 // Guards against backend servers in service that are not used soon after all processes were killed.
--- a/internal/sidecar/statements_test.go
+++ b/internal/sidecar/statements_test.go
@@ -202,19 +202,26 @@
 	f.t.Cleanup(node.close)
 }
 
-// Guards against a gate that starts again beside a limited backend server and sends it requests
-// of other nodes, which know the limit, until the first response shows it.
-func TestStatedLimitOutlastsTheGate(t *testing.T) {
-	f := newSilentFleet(t, 4) // node 2 sends to node 0, in the same zone
-	limited := f.nodes[0]
-	for _, m := range []*site{limited, f.nodes[1]} {
+// newLimitedFleet starts nodes of which the first two have a backend server, and the first one's states a
+// limit of 0. The load comes from the others: node 2 sends to node 0, in the same zone.
+func newLimitedFleet(t *testing.T) (*fleet, *statementLoad) {
+	f := newSilentFleet(t, 4)
+	for _, m := range f.nodes[:2] {
 		must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
 		m.backend.Work = 50 * time.Millisecond
 	}
 	f.waitForServers(2)
-	limited.backend.StateLimit("0")
-	l := &statementLoad{f: &fleet{t: t, nodes: []*site{f.nodes[2], f.nodes[3]}}}
+	f.nodes[0].backend.StateLimit("0")
+	l := &statementLoad{f: &fleet{t: t, nodes: f.nodes[2:]}}
 	l.run(60, time.Second)
+	return f, l
+}
+
+// Guards against a gate that starts again beside a limited backend server and sends it requests
+// of other nodes, which know the limit, until the first response shows it.
+func TestStatedLimitOutlastsTheGate(t *testing.T) {
+	f, l := newLimitedFleet(t)
+	limited := f.nodes[0]
 	for range 3 {
 		f.restart(0)
 		must.NoError(t, limited.backend.Beat(limited.node.set.Listen.Backend, limited.addr, false))
@@ -227,16 +234,8 @@
 
 // Guards against a limit that is exceeded because all nodes that know it were killed.
 func TestStatedLimitHoldsAfterAllNodesAreKilled(t *testing.T) {
-	f := newSilentFleet(t, 4)
+	f, l := newLimitedFleet(t)
 	limited, other := f.nodes[0], f.nodes[1]
-	for _, m := range []*site{limited, other} {
-		must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
-		m.backend.Work = 50 * time.Millisecond
-	}
-	f.waitForServers(2)
-	limited.backend.StateLimit("0")
-	l := &statementLoad{f: &fleet{t: t, nodes: []*site{f.nodes[2], f.nodes[3]}}}
-	l.run(60, time.Second)
 	for _, m := range f.nodes {
 		m.node.close()
 	}
