Test: read the gate's admissions under their lock

The test's own fault: it compares two lengths without waiting for the requests in between, and must not wait, as those requests hold slots.

The length is read under the lock that guards the list. The check and its bound stay.

--- a/coordination/gate/stated_test.go
+++ b/coordination/gate/stated_test.go
@@ -70,6 +70,13 @@
 	l.slowest = max(l.slowest, time.Since(began))
 }
 
+// admissions returns the number of requests admitted so far.
+func (l *statedLoad) admissions() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.admitted)
+}
+
 // send sends requests of ranks in turn at a rate for a duration.
 func (l *statedLoad) send(perSecond float64, duration time.Duration, ranks ...int) {
 	rnd := rand.New(rand.NewPCG(5, 9))
@@ -189,9 +196,9 @@
 		must.Less(t, 8, l.gate.Load().Slots)
 		time.Sleep(1200 * time.Millisecond)
 		must.Eq(t, 8, l.gate.Load().Slots)
-		before := len(l.admitted)
+		before := l.admissions()
 		l.send(100, 2*time.Second, 1)
-		must.GreaterEq(t, 180, len(l.admitted)-before)
+		must.GreaterEq(t, 180, l.admissions()-before)
 	})
 }
 
