Name the field and the text for which a message between nodes is refused

The users' record says that a message of kind 11 can't be decoded, not which of its texts isn't UTF-8, so that it can't tell a goodbye with an odd identifier from a row of the store or a text that was cut on its way. The error now names the field and the text, and two counters tell unreadable messages by kind and how often connections to peers end. No decision changes.

--- a/protocol/message/codec.go
+++ b/protocol/message/codec.go
@@ -40,7 +40,8 @@
 type DecodeError struct {
 	// Kind is the message's kind.
 	Kind Kind
-	// Err is the codec's error.
+	// Err is a *ValueError if the message holds a text that is not UTF-8, and otherwise the codec's
+	// error.
 	Err error
 }
 
@@ -49,12 +50,14 @@
 	return fmt.Sprintf("message kind %d can't be decoded: %v", e.Kind, e.Err)
 }
 
-// Unwrap returns the codec's error.
+// Unwrap returns Err.
 func (e *DecodeError) Unwrap() error { return e.Err }
 
 var (
 	encMode = codec.NewShortEncoder()
 	decMode = codec.NewDecoder(limits)
+	// tolerantMode decodes a refused message, to find the text that is not UTF-8.
+	tolerantMode = codec.NewTextTolerantDecoder(limits)
 )
 
 // Encode returns m's kind in one byte, followed by its CBOR body. It returns a
@@ -83,7 +86,20 @@
 		return nil, &KindError{Kind: Kind(b[0])}
 	}
 	if err := decMode.Unmarshal(b[1:], m); err != nil {
-		return nil, &DecodeError{Kind: Kind(b[0]), Err: err}
+		return nil, &DecodeError{Kind: Kind(b[0]), Err: explain(b, err)}
 	}
 	return m, nil
 }
+
+// explain returns the *ValueError for a refused message that holds a text that is not UTF-8, and err
+// for any other.
+func explain(b []byte, err error) error {
+	m := newOf(Kind(b[0]))
+	if tolerantMode.Unmarshal(b[1:], m) != nil {
+		return err
+	}
+	if found := checkValues(m); found != nil {
+		return found
+	}
+	return err
+}
--- a/protocol/message/fuzz_test.go
+++ b/protocol/message/fuzz_test.go
@@ -66,3 +66,11 @@
 		})
 	}
 }
+
+// Guards against a refusal that doesn't name the field and the text.
+func TestRefusalNamesTheTextThatIsNotUTF8(t *testing.T) {
+	body, err := encMode.Marshal(&Records{Departures: []Departure{{Node: "csepel-1", Instance: "i-1"}, {Node: "csepel-1", Instance: "i-\xff\xfe"}}})
+	must.NoError(t, err)
+	_, err = Decode(append([]byte{byte(KindRecords)}, body...))
+	must.EqError(t, err, `message kind 11 can't be decoded: Departures[1].Instance: not UTF-8: "i-\xff\xfe"`)
+}
--- a/state/codec/codec.go
+++ b/state/codec/codec.go
@@ -43,13 +43,20 @@
 
 // NewDecoder returns a decoding mode with the given limits, which must be
 // constants of the program.
-func NewDecoder(l Limits) cbor.DecMode {
+func NewDecoder(l Limits) cbor.DecMode { return newDecoder(l, cbor.UTF8RejectInvalid) }
+
+// NewTextTolerantDecoder returns a decoding mode that differs from NewDecoder in one respect: it
+// accepts texts that are not UTF-8.
+func NewTextTolerantDecoder(l Limits) cbor.DecMode { return newDecoder(l, cbor.UTF8DecodeInvalid) }
+
+func newDecoder(l Limits, texts cbor.UTF8Mode) cbor.DecMode {
 	values, err := cbor.NewSimpleValueRegistryFromDefaults(cbor.WithRejectedSimpleValue(null))
 	if err != nil {
 		panic(err) // the value is a constant
 	}
 	m, err := cbor.DecOptions{
 		SimpleValues:     values,
+		UTF8:             texts,
 		NaN:              cbor.NaNDecodeForbidden,
 		Inf:              cbor.InfDecodeForbidden,
 		MaxArrayElements: l.Elements,
--- a/transport/link/handshake.go
+++ b/transport/link/handshake.go
@@ -143,5 +143,9 @@
 		return nil, err
 	}
 	m.meter.bytes("in", payload)
-	return message.Decode(payload)
+	msg, err := message.Decode(payload)
+	if isUnreadable(err) {
+		m.meter.unreadable(message.Kind(payload[0]))
+	}
+	return msg, err
 }
--- a/transport/link/metrics.go
+++ b/transport/link/metrics.go
@@ -60,6 +60,16 @@
 	mt.set.GetOrCreateCounter("jacinthgate_link_accept_failures_total").Inc()
 }
 
+// unreadable counts a message that could not be decoded.
+func (mt meter) unreadable(kind message.Kind) {
+	mt.set.GetOrCreateCounter(fmt.Sprintf("jacinthgate_link_unreadable_total{kind=%q}", kindName(kind))).Inc()
+}
+
+// ended counts a connection that has ended after its handshake.
+func (mt meter) ended() {
+	mt.set.GetOrCreateCounter("jacinthgate_link_ended_total").Inc()
+}
+
 // refused counts a refused peer.
 func (mt meter) refused(reason string) {
 	mt.set.GetOrCreateCounter(fmt.Sprintf("jacinthgate_link_refused_total{reason=%q}", reason)).Inc()
--- a/transport/link/remote.go
+++ b/transport/link/remote.go
@@ -204,6 +204,7 @@
 func (m *Manager) serve(l *link) {
 	err := m.readAll(l)
 	l.conn.Close()
+	m.meter.ended()
 	m.recordRefusal(l.remote.node, l.conn.RemoteAddr(), err)
 	m.removeLink(l)
 }
