Refuse identifiers that peers or headers can't hold before they are acknowledged

What callers saw: a route that had been added was refused, and another one run by a former service, more than two seconds after the version was acknowledged, at one node whose links all its peers closed again and again.

Cause: the identifier of a goodbye or heartbeat is a part of the path, percent- encoded, and only its length was checked. One that isn't UTF-8 was acknowledged, since the store takes any bytes, and told to all peers, whose decoder refuses it and closes the link. As a peer that refuses the departure never confirms it, it was sent again on each new link.

Texts from outside are now checked where they come in, by the rule of those who read them later: UTF-8 within the length that peers accept, without control characters, which headers can't hold. Records, departures, evacuations, reports and entries of peers are checked alike.

--- /dev/null
+++ b/internal/sidecar/odd_identifier_test.go
@@ -0,0 +1,56 @@
+package sidecar
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// tell posts to a node's address for its backend server, as another writer does, and returns the
+// status.
+func (f *fleet) tell(m *site, path, body string) int {
+	f.t.Helper()
+	resp, err := http.Post("http://"+m.node.set.Listen.Backend+path, "application/json", strings.NewReader(body))
+	must.NoError(f.t, err)
+	must.NoError(f.t, resp.Body.Close())
+	return resp.StatusCode
+}
+
+// Guards against a goodbye or heartbeat that is acknowledged although peers can't read its
+// identifier: they closed the node's links over it again and again, and it got versions late.
+func TestIdentifierThatIsNotUTF8EndsNoLinks(t *testing.T) {
+	const heartbeat = `{"address":"127.0.0.1:9","info":{"service":"booking","version":"v1","slots":4},` +
+		`"status":{"state":"%s","seq":9,"coldRemainingMs":0}}`
+	for name, call := range map[string]struct{ verb, body string }{
+		"goodbye":            {"deregister", ""},
+		"heartbeat":          {"heartbeat", fmt.Sprintf(heartbeat, "ready")},
+		"draining heartbeat": {"heartbeat", fmt.Sprintf(heartbeat, "draining")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 5)
+			for _, id := range []string{"%ff%fe", "%ED%A0%80", "i-%F0%9F%98", "a%00b", "a%0d%0aX:%20y"} {
+				must.Eq(t, http.StatusBadRequest, f.tell(f.nodes[4], "/api/instances/"+id+"/"+call.verb, call.body), must.Sprint(id))
+			}
+			f.store.Put("op", "config", routes("r2"))
+			acknowledged := time.Now()
+			f.eventually("the version is in force", func() bool {
+				for _, m := range f.nodes {
+					if m.node.pub.table.Load().Version() < 2 {
+						return false
+					}
+				}
+				return true
+			})
+			must.Less(t, 2*time.Second, time.Since(acknowledged))
+			f.waitForServers(5)
+			for _, m := range f.nodes {
+				must.StrNotContains(t, m.logs.String(), "event=peer_refused")
+				must.StrNotContains(t, m.logs.String(), "event=message_unreadable")
+			}
+		})
+	}
+}
--- a/protocol/message/departure.go
+++ b/protocol/message/departure.go
@@ -19,8 +19,9 @@
 	Offered bool `cbor:"5,keyasint,omitempty"`
 }
 
-// Valid reports whether the names of a received departure have a valid length.
+// Valid reports whether the names of a departure can be sent on.
 func (d *Departure) Valid() bool {
-	return len(d.Node) <= model.MaxNameLength && d.Instance != "" && len(d.Instance) <= endpoint.MaxInstance &&
+	return model.ReadableText(string(d.Node), model.MaxNameLength) &&
+		d.Instance != "" && model.ReadableText(d.Instance, endpoint.MaxInstance) &&
 		d.Incarnation <= endpoint.MaxCounter
 }
--- a/state/endpoint/validate.go
+++ b/state/endpoint/validate.go
@@ -40,7 +40,7 @@
 // *InvalidRecordError for the first invalid field.
 func Validate(r *Record) error {
 	if field := invalidName(r); field != "" {
-		return &InvalidRecordError{Node: r.Node, Field: field, Reason: "empty or too long"}
+		return &InvalidRecordError{Node: r.Node, Field: field, Reason: "empty, too long or not UTF-8"}
 	}
 	if field := invalidAddr(r); field != "" {
 		return &InvalidRecordError{Node: r.Node, Field: field, Reason: "want IP:port"}
@@ -55,20 +55,20 @@
 // identifier and the time of a start.
 const MaxInstance = model.MaxNameLength + 16
 
-// invalidName returns the first text field that is missing or too long, or "".
+// invalidName returns the first text field that is missing, too long or not UTF-8, or "".
 func invalidName(r *Record) string {
 	switch {
-	case r.Node == "" || len(r.Node) > model.MaxNameLength:
+	case r.Node == "" || !model.ReadableText(string(r.Node), model.MaxNameLength):
 		return "node"
-	case r.Zone == "" || len(r.Zone) > model.MaxNameLength:
+	case r.Zone == "" || !model.ReadableText(string(r.Zone), model.MaxNameLength):
 		return "zone"
-	case len(r.Region) > model.MaxNameLength:
+	case !model.ReadableText(string(r.Region), model.MaxNameLength):
 		return "region"
-	case len(r.Service) > model.MaxNameLength:
+	case !model.ReadableText(r.Service, model.MaxNameLength):
 		return "service"
-	case len(r.Version) > model.MaxNameLength:
+	case !model.ReadableText(r.Version, model.MaxNameLength):
 		return "version"
-	case len(r.Instance) > MaxInstance:
+	case !model.ReadableText(r.Instance, MaxInstance):
 		return "instance"
 	}
 	return ""
--- a/state/evacuation/evacuation.go
+++ b/state/evacuation/evacuation.go
@@ -26,7 +26,7 @@
 
 // Valid reports whether an order is well-formed.
 func (o *Order) Valid() bool {
-	return o.Zone != "" && len(o.Zone) <= model.MaxNameLength && o.Revision > 0
+	return o.Zone != "" && model.ReadableText(string(o.Zone), model.MaxNameLength) && o.Revision > 0
 }
 
 // Table holds the newest order of each zone. It is not safe for concurrent use.
--- a/state/rollout/report.go
+++ b/state/rollout/report.go
@@ -57,7 +57,7 @@
 
 // Valid reports whether a report is well-formed, since a peer may send any content.
 func (r *Report) Valid() bool {
-	if r.Service == "" || r.Reporter == "" || r.Version == "" || len(r.Tallies) > maxTallies {
+	if !validName(r.Service) || !validName(string(r.Reporter)) || !validName(r.Version) || len(r.Tallies) > maxTallies {
 		return false
 	}
 	for i := range r.Tallies {
--- a/state/rollout/rollout.go
+++ b/state/rollout/rollout.go
@@ -87,6 +87,9 @@
 	StoredEpoch uint64 `cbor:"6,keyasint,omitempty"`
 }
 
+// maxReason limits the length of Entry.Reason in bytes.
+const maxReason = 512
+
 // maxRejected limits the number of rejected versions of an entry. A few suffice: their
 // backend servers leave within seconds of the verdict.
 const maxRejected = 8
@@ -161,7 +164,7 @@
 // Merge adds an entry of another node or the store and reports whether the table changed,
 // apart from ages.
 func (t *Table) Merge(now time.Time, e Entry) bool {
-	if !valid(&e) {
+	if !e.Valid() {
 		return false
 	}
 	h := t.entries[e.Order.Service]
@@ -190,7 +193,7 @@
 // by then never will, so it is rejected.
 func (t *Table) Replaced(e Entry) bool {
 	h := t.entries[e.Order.Service]
-	if h == nil || e.Order.RewriteOf(&h.Order) || !h.Order.After(&e.Order) {
+	if h == nil || !e.Valid() || e.Order.RewriteOf(&h.Order) || !h.Order.After(&e.Order) {
 		return false
 	}
 	changed := h.reject(e.Rejected...)
@@ -250,14 +253,17 @@
 	return len(h.Rejected) > before
 }
 
-// valid reports whether an entry is well-formed, since a peer may send any content.
-func valid(e *Entry) bool {
+// Valid reports whether an entry is well-formed, since a peer or the store may hold any content.
+func (e *Entry) Valid() bool {
 	o := &e.Order
-	return o.Service != "" && len(o.Service) <= model.MaxNameLength &&
-		o.Target != "" && len(o.Target) <= model.MaxNameLength &&
-		o.Revision > 0 && o.Duration > 0 && e.Phase <= Succeeded && e.Age >= 0 && len(e.Rejected) <= maxRejected
+	return validName(o.Service) && validName(o.Target) && model.ReadableText(e.Reason, maxReason) &&
+		o.Revision > 0 && o.Duration > 0 && e.Phase <= Succeeded && e.Age >= 0 &&
+		len(e.Rejected) <= maxRejected && !slices.ContainsFunc(e.Rejected, func(v string) bool { return !validName(v) })
 }
 
+// validName reports whether the name of a service or version is well-formed.
+func validName(name string) bool { return name != "" && model.ReadableText(name, model.MaxNameLength) }
+
 // Digest returns a hash of the table's entries without their ages; 0 for an empty table.
 func (t *Table) Digest() uint64 {
 	var sum uint64
--- a/transport/link/errors.go
+++ b/transport/link/errors.go
@@ -119,7 +119,9 @@
 }
 
 // isUnreadable reports whether err is for a message whose kind or body can't be decoded.
-func isUnreadable(err error) bool { return is[*message.KindError](err) || is[*message.DecodeError](err) }
+func isUnreadable(err error) bool {
+	return is[*message.KindError](err) || is[*message.DecodeError](err)
+}
 
 // sizeRefusal is implemented by the error that a transport returns for a message
 // of invalid size.
--- a/transport/quota/message.go
+++ b/transport/quota/message.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/state/codec"
+	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // Kind is the type of a Message.
@@ -113,7 +114,7 @@
 			return &MessageError{Reason: "number out of range"}
 		}
 	}
-	if m.Kind < KindAcquire || m.Kind > KindDeposit || m.Organisation == "" || len(m.Organisation) > maxNameBytes {
+	if m.Kind < KindAcquire || m.Kind > KindDeposit || m.Organisation == "" || !model.ReadableText(m.Organisation, maxNameBytes) {
 		return &MessageError{Reason: "invalid kind or organisation name"}
 	}
 	return nil
--- a/transport/quota/wire.go
+++ b/transport/quota/wire.go
@@ -45,6 +45,9 @@
 
 // Call implements Caller. The error is a *forward.SendError, *StatusError or *MessageError.
 func (w *HTTPCaller) Call(ctx context.Context, to quota.Member, m *Message) (*Response, error) {
+	if err := m.check(); err != nil {
+		return nil, err
+	}
 	body, err := encMode.Marshal(m)
 	if err != nil {
 		return nil, &MessageError{Reason: "body could not be encoded", Err: err}
