Encode only what peers decode, and cut reasons at a character

Encode took texts that aren't UTF-8, NaN and infinity, and lists of more than 16,384 elements, each of which Decode refuses: the sender sent them again and again, and each peer closed the link.

Encode now refuses such a value and names its field, so that it costs the sender one message and a line in its log, not each peer a link. A rejection's reason that was cut at 200 bytes within a character was one way to such a text; it is cut at a character. Settings with a node, zone, region or service that peers would refuse are refused at the start.

TestDecodeRefusesHostileBodies made its bodies with Encode, which now refuses them; they are encoded without its check, and Decode's checks stay.

--- a/coordination/distribute/accept.go
+++ b/coordination/distribute/accept.go
@@ -1,6 +1,7 @@
 package distribute
 
 import (
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -80,9 +81,8 @@
 func (c *Core) reject(now time.Time, source model.NodeID, version uint64, err error) {
 	c.refusedUntil[sourceVersion{source: source, version: version}] = now.Add(c.cfg.RefuseFor)
 	reason := err.Error()
-	if len(reason) > maxReasonBytes {
-		reason = reason[:maxReasonBytes]
-	}
+	// The cut may be within a character.
+	reason = strings.ToValidUTF8(reason[:min(len(reason), maxReasonBytes)], "")
 	r := message.Rejection{Node: c.self.Node, Version: version, Reason: reason}
 	c.lastRejection = &r
 	c.queueRejection(now, r)
--- a/internal/sidecar/odd_identifier_test.go
+++ b/internal/sidecar/odd_identifier_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
 // tell posts to a node's address for its backend server, as another writer does, and returns the
@@ -54,3 +56,18 @@
 		})
 	}
 }
+
+// Guards against a node that starts under a name that no peer accepts.
+func TestNamesThatPeersRefuseAreRefusedInSettings(t *testing.T) {
+	for _, change := range []func(*Settings){
+		func(s *Settings) { s.Node = model.NodeID(strings.Repeat("n", 64)) },
+		func(s *Settings) { s.Zone = "z\xff" },
+		func(s *Settings) { s.Service = "a\r\nb" },
+	} {
+		set := &Settings{Node: "node-1", Zone: "z"}
+		change(set)
+		err := set.check()
+		must.Error(t, err)
+		must.StrContains(t, err.Error(), "want UTF-8")
+	}
+}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"os"
@@ -204,6 +205,13 @@
 	if s.Node == "" || s.Zone == "" {
 		return &SettingsError{Field: "node, zone", Reason: "must be given"}
 	}
+	for _, name := range []struct{ field, value string }{
+		{"node", string(s.Node)}, {"zone", string(s.Zone)}, {"region", string(s.Region)}, {"service", s.Service},
+	} {
+		if !model.ValidText(name.value, model.MaxNameLength) {
+			return &SettingsError{Field: name.field, Reason: fmt.Sprintf("want UTF-8 without control characters, %d bytes at most", model.MaxNameLength)}
+		}
+	}
 	addrs := []struct{ field, value string }{
 		{"listen.callers", s.Listen.Callers}, {"listen.gate", s.Listen.Gate}, {"listen.ready", s.Listen.Ready},
 		{"listen.backend", s.Listen.Backend}, {"listen.peers", s.Listen.Peers}, {"listen.metrics", s.Listen.Metrics},
--- a/protocol/message/codec.go
+++ b/protocol/message/codec.go
@@ -60,9 +60,13 @@
 	tolerantMode = codec.NewTextTolerantDecoder(limits)
 )
 
-// Encode returns m's kind in one byte, followed by its CBOR body. It returns a
-// *SizeError when the result is larger than MaxSize.
+// Encode returns m's kind in one byte, followed by its CBOR body. Decode accepts
+// every result: Encode returns a *SizeError when it is larger than MaxSize, and a
+// *ValueError when m holds a value that Decode refuses.
 func Encode(m Message) ([]byte, error) {
+	if err := checkValues(m); err != nil {
+		return nil, errors.Wrapf(err, "encode message kind %d", m.Kind())
+	}
 	body, err := encMode.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrapf(err, "encode message kind %d", m.Kind())
--- a/protocol/message/fuzz_test.go
+++ b/protocol/message/fuzz_test.go
@@ -40,11 +40,16 @@
 	})
 }
 
-func TestDecodeRefusesHostileBodies(t *testing.T) {
-	nan, err := Encode(&Demand{Items: []DemandItem{{PerSecond: math.NaN()}}})
-	must.NoError(t, err)
-	infinite, err := Encode(&Shares{Items: []ShareItem{{Concurrency: math.Inf(1)}}})
+// encodeUnchecked encodes a message as a sender that doesn't check its values.
+func encodeUnchecked(t testing.TB, m Message) []byte {
+	body, err := encMode.Marshal(m)
 	must.NoError(t, err)
+	return append([]byte{byte(m.Kind())}, body...)
+}
+
+func TestDecodeRefusesHostileBodies(t *testing.T) {
+	nan := encodeUnchecked(t, &Demand{Items: []DemandItem{{PerSecond: math.NaN()}}})
+	infinite := encodeUnchecked(t, &Shares{Items: []ShareItem{{Concurrency: math.Inf(1)}}})
 	cases := map[string][]byte{
 		"not a number": nan,
 		"infinite":     infinite,
@@ -69,8 +74,6 @@
 
 // Guards against a refusal that doesn't name the field and the text.
 func TestRefusalNamesTheTextThatIsNotUTF8(t *testing.T) {
-	body, err := encMode.Marshal(&Records{Departures: []Departure{{Node: "csepel-1", Instance: "i-1"}, {Node: "csepel-1", Instance: "i-\xff\xfe"}}})
-	must.NoError(t, err)
-	_, err = Decode(append([]byte{byte(KindRecords)}, body...))
+	_, err := Decode(encodeUnchecked(t, &Records{Departures: []Departure{{Node: "csepel-1", Instance: "i-1"}, {Node: "csepel-1", Instance: "i-\xff\xfe"}}}))
 	must.EqError(t, err, `message kind 11 can't be decoded: Departures[1].Instance: not UTF-8: "i-\xff\xfe"`)
 }
