Let an unreadable message between nodes cost itself, not the link

Each peer closed the whole link over one message that it couldn't decode, so that the adverts, documents and beacons on it ended, too, and the sender connected and sent the same again.

The link now goes on. The message is counted by its kind and logged with peer, address and field, ten lines at once and one a second at most. That holds for kinds which a later version adds as well. Of a Records the elements that can be read are used, and a Hello or Welcome whose backend server has an unreadable identifier connects the node without that server, so that it holds beside nodes of earlier versions, which still send such texts. A first message that can't be read otherwise, a frame that is too large and a second Hello end the connection as before.

TestBadMessagesCloseTheConnection asked that an unknown kind and an undecodable body end the connection. That was the fault: these two cases move to TestUnreadableMessageCostsItselfOnly, which asks that the message behind arrives, that nothing of the bad one does, and that it is counted and logged. It, TestReadableElementsOfAMessageAreUsed, TestPeerWithAnUnreadableServerIsConnected and TestLinesOnUnreadableMessagesAreLimited have no counterpart that passes before: the connection ended.

--- /dev/null
+++ b/protocol/message/salvage.go
@@ -0,0 +1,58 @@
+package message
+
+import (
+	"reflect"
+	"slices"
+
+	"github.com/jacinthgate/jacinthgate/state/endpoint"
+)
+
+// Salvage decodes what is usable of a message that Decode refuses because of texts that are not
+// UTF-8, as senders of earlier versions may send them: a Records without the elements that hold such
+// a text, and a Hello or Welcome without the backend server that is named by one. It returns nil for
+// any other message.
+func Salvage(b []byte) Message {
+	if len(b) == 0 || len(b) > MaxSize {
+		return nil
+	}
+	m := newOf(Kind(b[0]))
+	if m == nil || tolerantMode.Unmarshal(b[1:], m) != nil {
+		return nil
+	}
+	switch m := m.(type) {
+	case *Records:
+		m.Records = slices.DeleteFunc(m.Records, isUnreadable[endpoint.Record])
+		m.Departures = slices.DeleteFunc(m.Departures, isUnreadable[Departure])
+	case *Hello:
+		m.Record = withoutUnreadableServer(m.Record)
+		if isUnreadable(m.DrainedInstance) {
+			m.Drained, m.DrainedInstance = false, ""
+		}
+	case *Welcome:
+		m.Record = withoutUnreadableServer(m.Record)
+		if isUnreadable(m.DrainedInstance) {
+			m.Drained, m.DrainedInstance = false, ""
+		}
+	default:
+		return nil
+	}
+	if checkValues(m) != nil {
+		return nil
+	}
+	return m
+}
+
+func isUnreadable[T any](v T) bool {
+	_, reason := unreadable(reflect.ValueOf(v))
+	return reason != ""
+}
+
+// withoutUnreadableServer returns the record without its backend server if the name of the instance
+// can't be read.
+func withoutUnreadableServer(r endpoint.Record) endpoint.Record {
+	if isUnreadable(r.Instance) {
+		r.Service, r.Instance, r.Version, r.Slots, r.Connections = "", "", "", 0, 0
+		r.Draining, r.Cold = false, false
+	}
+	return r
+}
--- a/transport/link/handshake.go
+++ b/transport/link/handshake.go
@@ -32,7 +32,7 @@
 	if err := m.sendUnqueued(ctx, c, &hello); err != nil {
 		return nil, err
 	}
-	msg, err := m.receive(ctx, c)
+	msg, err := m.receive(ctx, c, node)
 	if err != nil {
 		return nil, err
 	}
@@ -54,7 +54,7 @@
 // handshakeAccepted reads the Hello on an accepted connection and sends the
 // Welcome.
 func (m *Manager) handshakeAccepted(ctx context.Context, c peer.Conn) (*link, error) {
-	msg, err := m.receive(ctx, c)
+	msg, err := m.receive(ctx, c, "")
 	if err != nil {
 		return nil, err
 	}
@@ -136,16 +136,12 @@
 	return c.Send(ctx, payload)
 }
 
-// receive reads and decodes one message.
-func (m *Manager) receive(ctx context.Context, c peer.Conn) (message.Message, error) {
+// receive reads and decodes one message of a peer, which is empty if it isn't known yet.
+func (m *Manager) receive(ctx context.Context, c peer.Conn, from model.NodeID) (message.Message, error) {
 	payload, err := c.Receive(ctx)
 	if err != nil {
 		return nil, err
 	}
 	m.meter.bytes("in", payload)
-	msg, err := message.Decode(payload)
-	if isUnreadable(err) {
-		m.meter.unreadable(message.Kind(payload[0]))
-	}
-	return msg, err
+	return m.decode(payload, c, from)
 }
--- a/transport/link/manager.go
+++ b/transport/link/manager.go
@@ -19,9 +19,10 @@
 // Manager manages the connections of one node. Its methods are safe for
 // concurrent use. Except for Run and Flush they do not block on peers.
 type Manager struct {
-	cfg    Config
-	meter  meter
-	events chan core.Event
+	cfg        Config
+	meter      meter
+	unreadable *unreadableLog
+	events     chan core.Event
 	// wake signals the sender that the queue or a peer has changed.
 	wake chan struct{}
 	ctx  context.Context
@@ -44,14 +45,15 @@
 func New(cfg Config) *Manager {
 	ctx, stop := context.WithCancel(context.Background())
 	m := &Manager{
-		cfg:     cfg,
-		events:  make(chan core.Event, cfg.EventQueue),
-		wake:    make(chan struct{}, 1),
-		ctx:     ctx,
-		stop:    stop,
-		peers:   make(map[model.NodeID]*remote),
-		dialing: make(map[string]bool),
-		queue:   budget.New(cfg.Budget, time.Now()),
+		cfg:        cfg,
+		unreadable: newUnreadableLog(cfg.Logger),
+		events:     make(chan core.Event, cfg.EventQueue),
+		wake:       make(chan struct{}, 1),
+		ctx:        ctx,
+		stop:       stop,
+		peers:      make(map[model.NodeID]*remote),
+		dialing:    make(map[string]bool),
+		queue:      budget.New(cfg.Budget, time.Now()),
 	}
 	m.meter = newMeter(m)
 	return m
--- a/transport/link/remote.go
+++ b/transport/link/remote.go
@@ -209,11 +209,15 @@
 	m.removeLink(l)
 }
 
-// readAll emits a Received event for each message. It returns the error that
-// ends the connection.
+// readAll emits a Received event for each message. It leaves out those that can't be decoded, such as
+// messages of a kind that a later version has added: the connection carries others. It returns the
+// error that ends the connection.
 func (m *Manager) readAll(l *link) error {
 	for {
-		msg, err := m.receive(m.ctx, l.conn)
+		msg, err := m.receive(m.ctx, l.conn, l.remote.node)
+		if isUnreadable(err) {
+			continue
+		}
 		if err != nil {
 			return err
 		}
