Read the store where links end too often for a version to come over them

What callers saw: a version that was not in force two seconds after its acknowledgement at a node whose links ended again and again.

Cause: a node that hears a reader's beacon leaves the store to that reader. A beacon proved that the zone's reader reads, not that the node holds what was read, and it named no version. Over links that last for some milliseconds a beacon comes through now and then, a document doesn't; each beacon put off the node's own read. Where no beacon came, the node waited for its rank in the zone as if the reader had gone: 1.1 s, 0.6 s and 0.3 s for each further rank. A node that read the store backed off for up to 1.5 s and more after failures although it knew of a newer version.

Beacons now name the version that the reader holds. One counts for a node only once the node holds that version, and tells it of the version otherwise; beacons of earlier versions of the program name none and count as before. A node that has known of a newer version for 0.8 s reads the store itself, without the backoff that grows with failures. One that has lost its links since it was last current, with none that lasted, doesn't wait for its rank. Reads of the store stay as they were where links last (TestReadsDuringAStoreOutageDontGrowWithTheZone and the like are unchanged).

--- a/coordination/docsync/config.go
+++ b/coordination/docsync/config.go
@@ -67,6 +67,9 @@
 	// applied a newer document before, so a node applies a peer's document
 	// without waiting for the store.
 	FirstStart bool
+	// OwnReadAfter is how long a newer version may be known before the node reads the store itself: its
+	// links may end too often for a peer to send the document.
+	OwnReadAfter time.Duration
 	// LateAfter is how long a newer version may be known before it is reported as late.
 	LateAfter time.Duration
 	// RetryMin and RetryMax bound the delay after a failed read, which doubles
@@ -89,6 +92,7 @@
 		AdvertRepeat:        700 * time.Millisecond,
 		CrossZoneFetchDelay: 300 * time.Millisecond,
 		StartWait:           time.Second,
+		OwnReadAfter:        800 * time.Millisecond,
 		LateAfter:           time.Second,
 		RetryMin:            300 * time.Millisecond,
 		RetryMax:            1500 * time.Millisecond,
--- a/coordination/docsync/core.go
+++ b/coordination/docsync/core.go
@@ -40,6 +40,7 @@
 	// newest is the newest version known, behindSince when the first one newer than held was learned
 	// of, and reportedLate the last version in a Late.
 	newest       uint64
+	newestAt     time.Time // when newest was learned of
 	behindSince  time.Time
 	reportedLate uint64
 
@@ -52,18 +53,23 @@
 	singleRead   bool      // the last SetReading was for one read only
 	leading      bool      // this node reads for the zone, not only for its own start
 	failures     int       // failed reads in a row
-	retryAt      time.Time // no read before this time
+	failedAt     time.Time // when a read last failed
+	retryAt      time.Time // no read before this time, see backingOff
 	sequence     uint64
 	nextBeaconAt time.Time // when this node sends its next beacon
 	// beacons holds the newest beacon of each reader.
-	beacons     map[model.NodeID]beacon
-	silentSince time.Time // start of the silence until the first beacon is received
+	beacons map[model.NodeID]beacon
+	// currentAt is when this node last was known to be current: the last beacon was received whose
+	// version it held or rejected. Before the first one it is when the node began to wait for it.
+	currentAt time.Time
+	// linkLostAt is when the connection to a peer of the same zone was last lost.
+	linkLostAt time.Time
 }
 
 // beacon is the newest beacon received from one reader.
 type beacon struct {
 	incarnation, sequence uint64
-	epoch                 uint64
+	epoch, version        uint64
 	receivedAt            time.Time
 }
 
@@ -92,9 +98,10 @@
 	c.out = nil
 	c.now = now
 	if c.started.IsZero() {
-		c.started, c.silentSince = now, now.Add(c.cfg.ReadDelay) // no beacon is due before ReadDelay is over
+		c.started, c.currentAt = now, now.Add(c.cfg.ReadDelay) // no beacon is due before ReadDelay is over
 	}
 	c.handle(ev)
+	c.updateCurrent()
 	c.decideReading()
 	return c.out
 }
@@ -115,7 +122,7 @@
 		c.handleStoreRead(ev)
 	case FirstInZone:
 		c.cfg.ReadDelay = min(c.cfg.ReadDelay, c.now.Sub(c.started))
-		c.silentSince = c.now
+		c.currentAt = c.now
 	case Rejected:
 		c.rejected = max(c.rejected, ev.Version)
 	}
@@ -139,12 +146,12 @@
 // peerUp advertises the held version to a new peer. A peer of the same zone also gets the recent
 // beacons of readers, so that a recently started node needs no read of its own.
 func (c *Core) peerUp(r endpoint.Record) {
-	p := &peerState{sameZone: r.Zone == c.self.Zone}
+	p := &peerState{sameZone: r.Zone == c.self.Zone, upAt: c.now}
 	c.peers[r.Node] = p
 	if p.sameZone {
 		for _, id := range slices.Sorted(maps.Keys(c.beacons)) {
 			if b := c.beacons[id]; c.now.Sub(b.receivedAt) < c.cfg.BeaconInterval && id != r.Node {
-				c.send(r.Node, &message.ReaderBeacon{Reader: id, Incarnation: b.incarnation, Sequence: b.sequence, Epoch: b.epoch})
+				c.send(r.Node, &message.ReaderBeacon{Reader: id, Incarnation: b.incarnation, Sequence: b.sequence, Epoch: b.epoch, Version: b.version})
 			}
 		}
 	}
@@ -153,6 +160,9 @@
 
 // peerDown forgets a peer. A document that was requested from it is requested from another one.
 func (c *Core) peerDown(id model.NodeID) {
+	if p := c.peers[id]; p != nil && p.sameZone {
+		c.linkLostAt = c.now
+	}
 	delete(c.peers, id)
 	if c.fetch.source == id {
 		c.fetch = fetch{}
@@ -195,6 +205,7 @@
 func (c *Core) handleStoreRead(ev StoreRead) {
 	if ev.Err != nil {
 		c.failures++
+		c.failedAt = c.now
 		c.retryAt = c.now.Add(c.backoff())
 		if ev.Unanswered && c.failures == 1 {
 			// Perhaps only the connection has failed. A new one is tried at once.
@@ -224,6 +235,7 @@
 	c.learn(version)
 	behind := c.now.Sub(c.behindSince)
 	c.held, c.body = version, body
+	c.behindSince = c.newestAt // of no consequence unless a newer version is known
 	c.emit(Apply{Version: version, Body: body, From: from, BehindFor: behind})
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
 		p := c.peers[id]
--- a/coordination/docsync/reading.go
+++ b/coordination/docsync/reading.go
@@ -40,16 +40,26 @@
 	return ReadSchedule{Interval: interval, Slot: c.rank%leaders*c.cfg.Zones + c.cfg.ZoneIndex, Slots: leaders * c.cfg.Zones}
 }
 
-// shouldRead reports whether this node reads the store now, for its zone or only for its own start,
-// and updates leading.
+// shouldRead reports whether this node reads the store now, for its zone or only for itself, and updates
+// leading.
 func (c *Core) shouldRead() bool {
 	age := c.now.Sub(c.started)
-	if age < c.cfg.ReadDelay || c.now.Before(c.retryAt) {
+	if age < c.cfg.ReadDelay || c.backingOff() {
 		return false
 	}
 	c.leading = c.shouldLead()
 	starting := !c.hasRead && c.held == 0 && !c.readerActive() && age < c.cfg.ReadDelay+c.cfg.StartWait
-	return c.leading || starting
+	return c.leading || starting || c.behind() >= c.cfg.OwnReadAfter
+}
+
+// backingOff reports whether the node waits after a failed read. One that lacks a version which others
+// hold waits for RetryMin only: the store serves others.
+func (c *Core) backingOff() bool {
+	end := c.retryAt
+	if soonest := c.failedAt.Add(c.cfg.RetryMin); c.behind() >= c.cfg.OwnReadAfter && soonest.Before(end) {
+		end = soonest
+	}
+	return c.now.Before(end)
 }
 
 // readerActive reports whether a beacon of a reader of the zone was received within BeaconTimeout.
@@ -71,35 +81,52 @@
 	if c.leading {
 		return !c.precedingReaderActive()
 	}
-	return c.now.Sub(c.lastBeaconAt()) >= c.cfg.BeaconTimeout+c.takeoverDelay()
+	return c.now.Sub(c.currentAt) >= c.cfg.BeaconTimeout+c.takeoverDelay()
 }
 
-// takeoverDelay returns how much longer than the first member this one waits before it takes over.
+// takeoverDelay returns how much longer than the first member this one waits before it takes over. A
+// node that has lost its links doesn't wait: the others may get beacons.
 func (c *Core) takeoverDelay() time.Duration {
+	if c.linksLost() {
+		return 0
+	}
 	quick := min(c.rank, c.cfg.QuickRanks)
 	return time.Duration(quick)*c.cfg.RankDelay + time.Duration(c.rank-quick)*c.cfg.SlowRankDelay
 }
 
+// linksLost reports whether this node has lost links to its zone since it was last current, and none
+// has lasted since then.
+func (c *Core) linksLost() bool {
+	for _, p := range c.peers {
+		if p.sameZone && !p.upAt.After(c.currentAt) {
+			return false
+		}
+	}
+	return c.linkLostAt.After(c.currentAt)
+}
+
 // precedingReaderActive reports whether a beacon of a reader that precedes this node in the order
-// of keys was received within BeaconTimeout. That reader goes on, and this node stops.
+// of keys was received within BeaconTimeout, and this node is current by it. That reader goes on, and
+// this node stops.
 func (c *Core) precedingReaderActive() bool {
 	for id, b := range c.beacons {
-		if c.now.Sub(b.receivedAt) < c.cfg.BeaconTimeout && compareNodes(id, c.self.Node) < 0 {
+		if c.now.Sub(b.receivedAt) < c.cfg.BeaconTimeout && c.isCurrentBy(b) && compareNodes(id, c.self.Node) < 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// lastBeaconAt returns when the last beacon of any reader was received, or silentSince before that.
-func (c *Core) lastBeaconAt() time.Time {
-	last := c.silentSince
+// isCurrentBy reports whether this node holds or has rejected the version that a beacon names.
+func (c *Core) isCurrentBy(b beacon) bool { return b.version <= max(c.held, c.rejected) }
+
+// updateCurrent updates currentAt.
+func (c *Core) updateCurrent() {
 	for _, b := range c.beacons {
-		if b.receivedAt.After(last) {
-			last = b.receivedAt
+		if c.isCurrentBy(b) && b.receivedAt.After(c.currentAt) {
+			c.currentAt = b.receivedAt
 		}
 	}
-	return last
 }
 
 // compareNodes orders nodes as Members.Live does: by key, then by name.
@@ -115,7 +142,7 @@
 	}
 	c.nextBeaconAt = c.now.Add(c.cfg.BeaconInterval)
 	c.sequence++
-	c.relay("", &message.ReaderBeacon{Reader: c.self.Node, Incarnation: c.self.Incarnation, Sequence: c.sequence, Epoch: c.epoch})
+	c.relay("", &message.ReaderBeacon{Reader: c.self.Node, Incarnation: c.self.Incarnation, Sequence: c.sequence, Epoch: c.epoch, Version: c.held})
 }
 
 // handleBeacon records a reader's beacon and relays it, unless it has already received this beacon
@@ -130,7 +157,8 @@
 	if older {
 		return
 	}
-	c.beacons[m.Reader] = beacon{incarnation: m.Incarnation, sequence: m.Sequence, epoch: m.Epoch, receivedAt: c.now}
+	c.beacons[m.Reader] = beacon{incarnation: m.Incarnation, sequence: m.Sequence, epoch: m.Epoch, version: m.Version, receivedAt: c.now}
+	c.learn(m.Version)
 	if d := c.pending; d != nil {
 		c.apply(d.Version, d.Body, c.pendingFrom)
 	}
--- a/coordination/docsync/sources.go
+++ b/coordination/docsync/sources.go
@@ -12,6 +12,7 @@
 // peerState is the state of a connected peer.
 type peerState struct {
 	sameZone     bool      // the peer is in this node's availability zone
+	upAt         time.Time // when it connected
 	version      uint64    // newest version that the peer is known to hold
 	newerSince   time.Time // when the peer was first seen with a newer document; zero if it has none
 	advertised   uint64    // version last advertised to the peer, at advertisedAt
--- a/protocol/message/document.go
+++ b/protocol/message/document.go
@@ -32,4 +32,6 @@
 	Sequence uint64 `cbor:"3,keyasint"`
 	// Epoch is the store's epoch in the reader's last read; 0 if the store doesn't report it.
 	Epoch uint64 `cbor:"4,keyasint,omitempty"`
+	// Version is the version that the reader holds; 0 if it holds none or doesn't report it.
+	Version uint64 `cbor:"5,keyasint,omitempty"`
 }
