--- a/internal/sidecar/odd_identifier_test.go
+++ b/internal/sidecar/odd_identifier_test.go
@@ -1,40 +1,28 @@
 package sidecar
 
 import (
-	"fmt"
-	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/jacinthgate/jacinthgate/platform/platformtest"
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
-// tell posts to a node's address for its backend server, as another writer does, and returns the
-// status.
-func (f *fleet) tell(m *site, path, body string) int {
-	f.t.Helper()
-	resp, err := http.Post("http://"+m.node.set.Listen.Backend+path, "application/json", strings.NewReader(body))
-	must.NoError(f.t, err)
-	must.NoError(f.t, resp.Body.Close())
-	return resp.StatusCode
-}
-
 // Guards against a goodbye or heartbeat that is acknowledged although peers can't read its
 // identifier: they closed the node's links over it again and again, and it got versions late.
 func TestIdentifierThatIsNotUTF8EndsNoLinks(t *testing.T) {
-	const heartbeat = `{"address":"127.0.0.1:9","info":{"service":"booking","version":"v1","slots":4},` +
-		`"status":{"state":"%s","seq":9,"coldRemainingMs":0}}`
-	for name, call := range map[string]struct{ verb, body string }{
-		"goodbye":            {"deregister", ""},
-		"heartbeat":          {"heartbeat", fmt.Sprintf(heartbeat, "ready")},
-		"draining heartbeat": {"heartbeat", fmt.Sprintf(heartbeat, "draining")},
+	for name, send := range map[string]func(b *platformtest.Backend, m *site) error{
+		"goodbye":            func(b *platformtest.Backend, m *site) error { return b.Leave(m.node.set.Listen.Backend) },
+		"heartbeat":          func(b *platformtest.Backend, m *site) error { return b.Beat(m.node.set.Listen.Backend, m.addr, false) },
+		"draining heartbeat": func(b *platformtest.Backend, m *site) error { return b.Beat(m.node.set.Listen.Backend, m.addr, true) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 5)
 			for _, id := range []string{"%ff%fe", "%ED%A0%80", "i-%F0%9F%98", "a%00b", "a%0d%0aX:%20y"} {
-				must.Eq(t, http.StatusBadRequest, f.tell(f.nodes[4], "/api/instances/"+id+"/"+call.verb, call.body), must.Sprint(id))
+				odd := &platformtest.Backend{ID: id, Service: "booking", Slots: 4}
+				must.ErrorContains(t, send(odd, f.nodes[4]), "400", must.Sprint(id))
 			}
 			f.store.Put("op", "config", routes("r2"))
 			f.eventually("the version is in force", func() bool {
