--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -97,12 +97,20 @@
 // foreignService is a service that no configuration names.
 const foreignService = "foreign"
 
-// beatForeign sends a node heartbeats of a backend server of another service while the step lasts.
+// oddID is a path segment for an identifier that is not UTF-8.
+const oddID = "%ff%fe"
+
+// beatForeign sends a node heartbeats of a backend server of another service while the step lasts, and
+// goodbyes and heartbeats with an odd identifier.
 func (s *soak) beatForeign(ctx context.Context, n *node, step Step) {
 	foreign := &platformtest.Backend{ID: "i-foreign", Service: foreignService, Slots: serverSlots, Born: time.Now().UnixMilli()}
+	odd := &platformtest.Backend{ID: oddID, Service: n.set.Service, Slots: serverSlots}
 	until := time.Now().Add(step.For)
 	for time.Now().Before(until) && ctx.Err() == nil {
-		_ = foreign.Beat(n.addr(portBackend), n.addr(portBackend), false) // the node may be away
+		// The node may be away, and refuses what is odd.
+		_ = foreign.Beat(n.addr(portBackend), n.addr(portBackend), false)
+		_ = odd.Leave(n.addr(portBackend))
+		_ = odd.Beat(n.addr(portBackend), n.addr(portBackend), false)
 		wait(ctx, heartbeatEvery)
 	}
 }
--- a/protocol/message/codec.go
+++ b/protocol/message/codec.go
@@ -56,7 +56,7 @@
 var (
 	encMode = codec.NewShortEncoder()
 	decMode = codec.NewDecoder(limits)
-	// tolerantMode decodes a refused message, to find the text that is not UTF-8.
+	// tolerantMode decodes a refused message, to find the texts that are not UTF-8.
 	tolerantMode = codec.NewTextTolerantDecoder(limits)
 )
 
--- a/protocol/message/salvage.go
+++ b/protocol/message/salvage.go
@@ -42,6 +42,7 @@
 	return m
 }
 
+// isUnreadable reports whether Decode refuses a value.
 func isUnreadable[T any](v T) bool {
 	_, reason := unreadable(reflect.ValueOf(v))
 	return reason != ""
