Keep a quarantine's refutation wherever its evidence is kept

Cause: the store held the verdict alone, the time of the last crash. A success refuted the evidence in memory and among peers; nobody withdrew the row, and nodes that start read it as three crashes of its own.

Now the store holds the evidence, each crash refuted or not, in one row a writer; who has written a quarantine writes again when the verdict changes, and so does the node that saw the success. Rows are merged before they count. Refutations are retained as long as the quarantine they end, and stand in the digest near the threshold, so that a lost message is repaired.

Log texts: own_rows_written_again counts all requests with evidence of this node.

--- a/coordination/quarantine/core.go
+++ b/coordination/quarantine/core.go
@@ -40,7 +40,10 @@
 	// urgent says that a pending request is quarantined or one crash away from it, or
 	// was cleared in that state. Until all nodes have received a quarantine, each
 	// may send the request to one more backend server.
-	urgent   bool
+	urgent bool
+	// recorded holds the requests for which the store has evidence written by this node;
+	// true if that evidence quarantines the request.
+	recorded map[suspect.Fingerprint]bool
 	expireAt time.Time // time of the next removal of expired entries
 	changed  bool      // the view has changed in the current step
 }
@@ -53,16 +56,22 @@
 		peers:      peerset.New(seed),
 		ownCrashes: make(map[uint64]bool),
 		pending:    make(map[suspect.Fingerprint]model.NodeID),
+		recorded:   make(map[suspect.Fingerprint]bool),
 	}
 }
 
 // View returns the suspected and quarantined requests, for use on the request path.
 func (c *Core) View() *suspect.View { return c.table.View() }
 
-// Witnessed returns the quarantined requests whose evidence includes a crash on this
-// node's host.
-func (c *Core) Witnessed() []suspect.Entry {
-	return slices.DeleteFunc(c.table.All(), func(e suspect.Entry) bool { return !e.Quarantined() || !c.witness(e) })
+// Entry returns the evidence against a request.
+func (c *Core) Entry(f suspect.Fingerprint) (suspect.Entry, bool) { return c.table.Get(f) }
+
+// Recorded returns the evidence that this node has had written to the store.
+func (c *Core) Recorded() []suspect.Entry {
+	return slices.DeleteFunc(c.table.All(), func(e suspect.Entry) bool {
+		_, is := c.recorded[e.Fingerprint]
+		return !is
+	})
 }
 
 // Step takes one event and returns the actions it leads to.
@@ -94,7 +103,7 @@
 	case Succeeded:
 		c.succeeded(ev.Fingerprint)
 	case Loaded:
-		c.merge("", ev.Entries)
+		c.loaded(ev)
 	}
 }
 
@@ -122,6 +131,41 @@
 	c.merge("", entries)
 }
 
+// loaded merges the evidence in the store. Evidence and refutations of one request may
+// stand in entries of different writers, so they are merged before they count.
+func (c *Core) loaded(ev Loaded) {
+	merged := make(map[suspect.Fingerprint]*suspect.Entry, len(ev.Entries))
+	for _, e := range ev.Entries {
+		if merged[e.Fingerprint] == nil {
+			merged[e.Fingerprint] = &suspect.Entry{Fingerprint: e.Fingerprint}
+		}
+		merged[e.Fingerprint].Absorb(e)
+	}
+	entries := make([]suspect.Entry, 0, len(merged))
+	for _, f := range slices.Sorted(maps.Keys(merged)) {
+		entries = append(entries, *merged[f])
+	}
+	c.merge("", entries)
+	for _, e := range ev.Own {
+		if _, known := c.recorded[e.Fingerprint]; !known {
+			c.recorded[e.Fingerprint] = e.Quarantined()
+			c.record(e.Fingerprint)
+		}
+	}
+}
+
+// record has the evidence against a request written to the store if this node is to
+// write it and the store has another verdict from this node.
+func (c *Core) record(f suspect.Fingerprint) {
+	e, held := c.table.Get(f)
+	quarantined, written := c.recorded[f]
+	if !held || quarantined == e.Quarantined() || !written && !c.witness(e) {
+		return
+	}
+	c.recorded[f] = e.Quarantined()
+	c.act(Record{Fingerprint: f})
+}
+
 // merge merges entries of a peer, or of this node if from is empty, into the table and
 // queues those that add evidence for the other peers.
 func (c *Core) merge(from model.NodeID, entries []suspect.Entry) {
@@ -137,6 +181,7 @@
 		if after.Quarantined() && !before.Quarantined() {
 			c.act(Quarantined{Entry: after, Witness: c.witness(after)})
 		}
+		c.record(e.Fingerprint)
 	}
 }
 
@@ -168,12 +213,21 @@
 		c.pending[f] = ""
 		c.urgent = true
 	}
+	if before.Quarantined() {
+		// The writers of the quarantine may have ended.
+		c.recorded[f] = true
+	}
+	c.record(f)
 }
 
 func (c *Core) tick() {
 	if !c.now.Before(c.expireAt) {
 		c.expireAt = c.now.Add(expireInterval)
 		c.changed = c.table.Expire(c.now)
+		maps.DeleteFunc(c.recorded, func(f suspect.Fingerprint, _ bool) bool {
+			_, held := c.table.Get(f)
+			return !held
+		})
 	}
 	c.sendDigest()
 }
--- a/coordination/quarantine/core_test.go
+++ b/coordination/quarantine/core_test.go
@@ -29,6 +29,8 @@
 	messages, entries int
 	// reported holds the quarantines that each node has reported.
 	reported map[model.NodeID][]Quarantined
+	// record handles the action Record; nil ignores it.
+	record func(model.NodeID, Record)
 }
 
 type envelope struct {
@@ -97,6 +99,10 @@
 			changed = true
 		case Quarantined:
 			w.reported[at] = append(w.reported[at], a)
+		case Record:
+			if w.record != nil {
+				w.record(at, a)
+			}
 		}
 	}
 	if !changed {
--- a/coordination/quarantine/event.go
+++ b/coordination/quarantine/event.go
@@ -14,10 +14,12 @@
 	Fingerprint suspect.Fingerprint
 }
 
-// Loaded is the event that the quarantines recorded in the platform's store
-// have been read.
+// Loaded is the event that the evidence in the platform's store has been read.
 type Loaded struct {
+	// Entries may hold several entries of one request, in any order.
 	Entries []suspect.Entry
+	// Own are the entries that this node has written, before its start too.
+	Own []suspect.Entry
 }
 
 // Event implements core.Event.
@@ -35,13 +37,21 @@
 // Quarantined is the action to report that a request is no longer sent.
 type Quarantined struct {
 	Entry suspect.Entry
-	// Witness says that a crash on this node's host is part of the evidence. Such
-	// nodes write the quarantine to the store, where it survives a restart of all nodes.
+	// Witness says that a crash on this node's host is part of the evidence.
 	Witness bool
 }
 
+// Record is the action to write the evidence against a request to the store, where it
+// survives a restart of all nodes. Core.Entry returns what is to be written.
+type Record struct {
+	Fingerprint suspect.Fingerprint
+}
+
 // Action implements core.Action.
 func (Changed) Action() {}
 
 // Action implements core.Action.
 func (Quarantined) Action() {}
+
+// Action implements core.Action.
+func (Record) Action() {}
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -69,12 +69,12 @@
 		linksDone: make(chan struct{}),
 		flush:     time.NewTimer(time.Hour),
 
-		unrecorded: make(chan suspect.Entry, maxUnrecorded),
+		unrecorded: make(chan suspect.Fingerprint, maxUnrecorded),
 		records:    make(chan rollout.Record, maxRecords),
 		life:       n.store.Life,
 
 		storeDeparture: n.storeDeparture,
-		rewrites:       make(chan rewrite, 1),
+		rewrites:       make(chan uint64, 1),
 	}
 	n.loop = l
 	if l.proving != nil {
--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -206,6 +207,42 @@
 	_ = resp.Body.Close() // an answer that is cut short is one of the things that happen
 }
 
+// stored returns the evidence against a request that the store holds, of all writers.
+func (f *fleet) stored(asked suspect.Fingerprint) suspect.Entry {
+	nodes, err := f.nodes[0].node.store.Registered(f.t.Context())
+	must.NoError(f.t, err)
+	e := suspect.Entry{Fingerprint: asked}
+	for _, entries := range nodes.Suspects {
+		for _, written := range entries {
+			if written.Fingerprint == asked {
+				e.Absorb(written)
+			}
+		}
+	}
+	return e
+}
+
+// Guards against a popular request that nodes refuse for a day once all have started again:
+// the store kept its quarantine after a success had ended it.
+func TestRefutedQuarantineIsNotReadByNodesThatStart(t *testing.T) {
+	f := newFleet(t, 4)
+	const popular = suspect.Fingerprint(7)
+	legacy := suspect.Fingerprint(8)
+	f.store.Put("nodes", "quarantine/"+legacy.String(), []byte(strconv.FormatInt(time.Now().Unix(), 10)))
+	for i := range suspect.Threshold {
+		f.nodes[i].node.crashed(suspect.Crash{ID: uint64(i) + 1, At: time.Now().Unix()}, []suspect.Fingerprint{popular})
+	}
+	f.eventually("the store holds the quarantine", func() bool { e := f.stored(popular); return e.Quarantined() })
+	f.nodes[3].node.succeeded(popular)
+	f.eventually("the store holds the refutation", func() bool { e := f.stored(popular); return !e.Quarantined() })
+	for _, m := range f.nodes {
+		m.node.close()
+	}
+	m := f.start(9, f.nodes[0].node.set.Store)
+	f.eventually("a node that starts knows the row of an earlier version", func() bool { return m.node.pub.suspects.Load().Quarantined(legacy) })
+	must.False(t, m.node.pub.suspects.Load().Suspected(popular))
+}
+
 // Where all nodes end at once, those that start again know from the store what is
 // quarantined: each time that it is found out anew costs three backend servers.
 func TestQuarantineOutlastsAllNodes(t *testing.T) {
@@ -220,10 +257,11 @@
 	f.eventually("the store holds the quarantine", func() bool {
 		nodes, err := f.nodes[0].node.store.Registered(t.Context())
 		must.NoError(t, err)
-		for text := range nodes.Quarantined {
-			fingerprint, err := suspect.ParseFingerprint(text)
-			must.NoError(t, err)
-			known = fingerprint
+		for _, entries := range nodes.Suspects {
+			for _, e := range entries {
+				must.True(t, e.Quarantined())
+				known = e.Fingerprint
+			}
 		}
 		return known != 0
 	})
--- a/internal/sidecar/discover.go
+++ b/internal/sidecar/discover.go
@@ -110,7 +110,7 @@
 	}
 	d.known, d.failures, d.readAt = true, 0, time.Now()
 	n.loop.queue.Post(ctx, departure.ListRead{OwnDeparted: nodes.Drained[string(n.set.Node)]})
-	n.learnQuarantines(ctx, nodes)
+	n.learnSuspects(ctx, nodes)
 	n.learnRollouts(ctx, nodes)
 	var near, far []string
 	for id, s := range nodes.Seeds {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -61,17 +61,17 @@
 	budget    *attempt.Budget
 	quotas    *quotas // nil keeps none
 	flush     *time.Timer
-	// unrecorded are quarantines that the store has to keep.
-	unrecorded chan suspect.Entry
+	// unrecorded are requests whose evidence the store has to keep.
+	unrecorded chan suspect.Fingerprint
 	// records are what the store is to be told of roll-outs.
 	records chan rollout.Record
 	// storeDeparture writes to the store, in the background, that an instance beside this node had
 	// departed before its start.
 	storeDeparture func(instance string)
 	// life returns the store's newest life known to its client, and rewrites asks for the own
-	// rows to be written again.
+	// rows to be written again in a life.
 	life     func() uint64
-	rewrites chan rewrite
+	rewrites chan uint64
 }
 
 // run handles events until ctx ends.
@@ -174,6 +174,8 @@
 		l.pub.suspects.Store(l.suspects.View())
 	case quarantine.Quarantined:
 		l.quarantined(a)
+	case quarantine.Record:
+		l.recordSuspect(a)
 	case evacuation.Changed:
 		l.evacuationChanged(now, a)
 	case rollout.RoutingChanged:
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -155,7 +155,7 @@
 	n.addActor(&g, n.runLinks)
 	n.addActor(&g, n.loop.reader.run)
 	n.addActor(&g, n.discover)
-	n.addActor(&g, n.recordQuarantines)
+	n.addActor(&g, n.recordSuspects)
 	n.addActor(&g, n.recordRollouts)
 	n.addActor(&g, n.recordOwn)
 	n.addActor(&g, n.recordDrains)
--- a/internal/sidecar/quarantine.go
+++ b/internal/sidecar/quarantine.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -12,8 +14,8 @@
 	"github.com/jacinthgate/jacinthgate/state/suspect"
 )
 
-// maxUnrecorded bounds the quarantines that wait for the store. Each has cost three
-// backend servers, so that more than a few are rare.
+// maxUnrecorded bounds the requests whose evidence waits for the store. Each quarantine has
+// cost three backend servers, so that more than a few are rare.
 const maxUnrecorded = 64
 
 // crashed passes on that the host's backend server has ended.
@@ -26,34 +28,36 @@
 	n.loop.queue.Post(n.ctx, quarantine.Succeeded{Fingerprint: f})
 }
 
-// quarantined tells that a request is no longer sent, and has it written to the store
-// by those who saw a crash: should all nodes end at once, none would know it.
+// quarantined tells that a request is no longer sent.
 func (l *loop) quarantined(a quarantine.Quarantined) {
 	_ = level.Warn(l.log).Log("event", "request_quarantined", "fingerprint", a.Entry.Fingerprint,
 		"crashes", len(a.Entry.Evidence), "last_crash", a.Entry.LastCrash().UTC(), "witness", a.Witness)
-	if !a.Witness {
-		return
-	}
+}
+
+// recordSuspect has the evidence against a request written to the store: should all nodes
+// end at once, none would know it.
+func (l *loop) recordSuspect(a quarantine.Record) {
 	select {
-	case l.unrecorded <- a.Entry:
+	case l.unrecorded <- a.Fingerprint:
 	default:
-		_ = level.Warn(l.log).Log("event", "quarantine_not_recorded", "fingerprint", a.Entry.Fingerprint, "err", "too many wait")
+		_ = level.Warn(l.log).Log("event", "quarantine_not_recorded", "fingerprint", a.Fingerprint, "err", "too many wait")
 	}
 }
 
-// recordQuarantines writes quarantines to the store until ctx ends.
-func (n *Node) recordQuarantines(ctx context.Context) error {
-	return each(ctx, n.loop.unrecorded, func(e suspect.Entry) { n.recordQuarantine(ctx, e) })
+// recordSuspects writes evidence to the store until ctx ends.
+func (n *Node) recordSuspects(ctx context.Context) error {
+	return each(ctx, n.loop.unrecorded, func(f suspect.Fingerprint) { n.recordSuspect(ctx, f) })
 }
 
-// recordQuarantine writes one, again and again while the store doesn't take it.
-func (n *Node) recordQuarantine(ctx context.Context, e suspect.Entry) {
+// recordSuspect writes the evidence against one request, again and again while the store
+// doesn't take it.
+func (n *Node) recordSuspect(ctx context.Context, f suspect.Fingerprint) {
 	for failures := 0; ; failures++ {
-		err := n.putQuarantine(ctx, e)
+		err := n.putSuspect(ctx, f)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
-		_ = level.Warn(n.log).Log("event", "quarantine_not_recorded", "fingerprint", e.Fingerprint, "err", err)
+		_ = level.Warn(n.log).Log("event", "quarantine_not_recorded", "fingerprint", f, "err", err)
 		select {
 		case <-time.After(backoff.Doubled(aloneRetry, aloneRetryMax, failures)):
 		case <-ctx.Done():
@@ -62,22 +66,28 @@
 	}
 }
 
-func (n *Node) putQuarantine(ctx context.Context, e suspect.Entry) error {
+// putSuspect writes the evidence as it is now.
+func (n *Node) putSuspect(ctx context.Context, f suspect.Fingerprint) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return n.store.RecordQuarantine(ctx, e.Fingerprint.String(), e.LastCrash())
+	n.own.suspects.Lock()
+	defer n.own.suspects.Unlock()
+	var e suspect.Entry
+	var held bool
+	if !n.loop.queue.Ask(ctx, func() { e, held = n.loop.suspects.Entry(f) }) || !held {
+		return ctx.Err()
+	}
+	return n.store.RecordSuspect(ctx, string(n.set.Node), e)
 }
 
-// learnQuarantines takes what the store knows.
-func (n *Node) learnQuarantines(ctx context.Context, nodes platform.Nodes) {
-	var known quarantine.Loaded
-	for text, at := range nodes.Quarantined {
-		f, err := suspect.ParseFingerprint(text)
-		if err != nil {
-			_ = level.Warn(n.log).Log("event", "quarantine_unreadable", "err", err)
-			continue
-		}
-		known.Entries = append(known.Entries, suspect.Stored(f, at))
+// learnSuspects takes the evidence that the store holds.
+func (n *Node) learnSuspects(ctx context.Context, nodes platform.Nodes) {
+	if nodes.UnreadableSuspects != nil {
+		_ = level.Warn(n.log).Log("event", "quarantine_unreadable", "err", nodes.UnreadableSuspects)
+	}
+	known := quarantine.Loaded{Own: nodes.Suspects[string(n.set.Node)]}
+	for _, node := range slices.Sorted(maps.Keys(nodes.Suspects)) {
+		known.Entries = append(known.Entries, nodes.Suspects[node]...)
 	}
 	if len(known.Entries) > 0 {
 		n.loop.queue.Post(ctx, known)
--- a/internal/sidecar/restored.go
+++ b/internal/sidecar/restored.go
@@ -11,7 +11,6 @@
 	"github.com/jacinthgate/jacinthgate/coordination/freshness"
 	"github.com/jacinthgate/jacinthgate/coordination/restore"
 	"github.com/jacinthgate/jacinthgate/platform"
-	"github.com/jacinthgate/jacinthgate/state/suspect"
 )
 
 // ownRows is what the node has written of its own into the store, or tried to. It is safe
@@ -20,6 +19,8 @@
 	mu      sync.Mutex
 	seed    *platform.Seed
 	drained string
+	// suspects serialises the writes of evidence, so that none replaces a newer one.
+	suspects sync.Mutex
 }
 
 // registered notes that the node's address stands in the store.
@@ -47,12 +48,6 @@
 	o.drained = key
 }
 
-// rewrite asks for the own rows to be written again in a life of the store.
-type rewrite struct {
-	life        uint64
-	quarantined []suspect.Entry
-}
-
 // restored tells the other cores that the store has come back from an older copy.
 func (l *loop) restored(now time.Time, a restore.Restored) {
 	_ = level.Warn(l.log).Log("event", "store_restored", "life", a.Epoch)
@@ -72,30 +67,29 @@
 	case <-l.rewrites:
 	default:
 	}
-	l.rewrites <- rewrite{life: a.Epoch, quarantined: l.suspects.Witnessed()}
+	l.rewrites <- a.Epoch
 }
 
 // recordOwn writes the own rows again whenever the store has come back, until ctx ends.
 func (n *Node) recordOwn(ctx context.Context) error {
-	return each(ctx, n.loop.rewrites, func(w rewrite) { n.recordOwnIn(ctx, w) })
+	return each(ctx, n.loop.rewrites, func(life uint64) { n.recordOwnIn(ctx, life) })
 }
 
 // recordOwnIn writes them, again and again while the store doesn't take them. It ends early
 // where the store has come back once more.
-func (n *Node) recordOwnIn(ctx context.Context, w rewrite) {
+func (n *Node) recordOwnIn(ctx context.Context, life uint64) {
 	for failures := 0; len(n.loop.rewrites) == 0; failures++ {
-		own := n.ownRowsNow(w)
-		if own.Rows() == 0 {
+		own, err := n.putOwn(ctx)
+		if err == nil && own.Rows() == 0 {
 			return
 		}
-		err := n.putOwn(ctx, own)
 		if err == nil {
 			n.metrics.GetOrCreateCounter("jacinthgate_store_rows_written_again_total").Add(own.Rows())
-			_ = level.Info(n.log).Log("event", "own_rows_written_again", "life", w.life, "registered", own.Seed != nil,
-				"drained", own.Drained, "quarantined", len(own.Quarantined))
+			_ = level.Info(n.log).Log("event", "own_rows_written_again", "life", life, "registered", own.Seed != nil,
+				"drained", own.Drained, "quarantined", len(own.Suspects))
 			return
 		}
-		_ = level.Warn(n.log).Log("event", "own_rows_not_written", "life", w.life, "err", err)
+		_ = level.Warn(n.log).Log("event", "own_rows_not_written", "life", life, "err", err)
 		select {
 		case <-time.After(backoff.Doubled(aloneRetry, aloneRetryMax, failures)):
 		case <-ctx.Done():
@@ -104,22 +98,20 @@
 	}
 }
 
-// ownRowsNow returns the own rows as they are to be.
-func (n *Node) ownRowsNow(w rewrite) platform.Own {
-	own := platform.Own{Node: string(n.set.Node), Quarantined: make(map[string]time.Time, len(w.quarantined))}
-	for _, e := range w.quarantined {
-		own.Quarantined[e.Fingerprint.String()] = e.LastCrash()
+// putOwn writes the own rows as they are now and returns them.
+func (n *Node) putOwn(ctx context.Context) (platform.Own, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	n.own.suspects.Lock()
+	defer n.own.suspects.Unlock()
+	own := platform.Own{Node: string(n.set.Node)}
+	if !n.loop.queue.Ask(ctx, func() { own.Suspects = n.loop.suspects.Recorded() }) {
+		return own, ctx.Err()
 	}
 	n.own.mu.Lock()
-	defer n.own.mu.Unlock()
 	own.Seed, own.Drained = n.own.seed, n.own.drained
-	return own
-}
-
-func (n *Node) putOwn(ctx context.Context, own platform.Own) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	return n.store.RecordOwn(ctx, own)
+	n.own.mu.Unlock()
+	return own, n.store.RecordOwn(ctx, own)
 }
 
 // recordDrain writes which instance beside the node is leaving. If the store doesn't take it,
--- a/state/suspect/table.go
+++ b/state/suspect/table.go
@@ -13,12 +13,13 @@
 const Threshold = 3
 
 const (
-	// Memory is the retention time of a suspect after its last crash, unless it is
-	// quarantined.
+	// Memory is the retention time of a suspect after its last crash, unless it is or
+	// was quarantined.
 	Memory = 10 * time.Minute
 	// Quarantine is the time from its last crash for which a quarantined request isn't
 	// sent: a day, so that the fault can be fixed. The request may crash backend servers
-	// again each time that a quarantine ends.
+	// again each time that a quarantine ends. A refutation is retained as long as the
+	// quarantine that it ends, of which a copy may return.
 	Quarantine = 24 * time.Hour
 	// MaxEntries limits the number of requests in a table, to some 50 KB. A crash makes
 	// each request in flight a suspect, so simultaneous crashes of 70 backend servers
@@ -79,15 +80,22 @@
 // outdated reports whether the retention time of the entry is over.
 func (e *Entry) outdated(now time.Time) bool {
 	retention := Memory
-	if e.Quarantined() {
+	if len(e.Evidence) >= Threshold {
 		retention = Quarantine
 	}
 	return now.Sub(time.Unix(e.last(), 0)) > retention
 }
 
-// add merges one piece of evidence and reports whether the entry changed. It keeps the
+// Absorb merges the evidence of another entry for the same request.
+func (e *Entry) Absorb(other Entry) {
+	for _, v := range other.Evidence {
+		e.Add(v)
+	}
+}
+
+// Add merges one piece of evidence and reports whether the entry changed. It keeps the
 // newest maxCrashes in order, so that tables that have merged the same evidence are equal.
-func (e *Entry) add(v Evidence) bool {
+func (e *Entry) Add(v Evidence) bool {
 	i := slices.IndexFunc(e.Evidence, func(o Evidence) bool { return o.Crash.ID == v.Crash.ID })
 	if i >= 0 {
 		changed := v.Refuted && !e.Evidence[i].Refuted
@@ -164,7 +172,7 @@
 		if held == nil {
 			held = t.insert(e.Fingerprint)
 		}
-		changed = held.add(v) || changed
+		changed = held.Add(v) || changed
 	}
 	if held := t.entries[e.Fingerprint]; held != nil && held.outdated(now) {
 		delete(t.entries, e.Fingerprint)
@@ -225,14 +233,17 @@
 	return len(t.entries) < before
 }
 
-// Digest returns a hash of the crashes in the table; 0 for an empty one. It excludes
-// whether they are refuted: that matters only near the threshold, and then it is sent to
-// the other nodes immediately.
+// Digest returns a hash of the evidence in the table; 0 for an empty one. It excludes
+// refutations far from the threshold, which each node finds by itself.
 func (t *Table) Digest() uint64 {
 	var sum uint64
 	for f, e := range t.entries {
 		for i := range e.Evidence {
-			sum ^= mix(uint64(f) ^ mix(e.Evidence[i].Crash.ID))
+			v := &e.Evidence[i]
+			sum ^= mix(uint64(f) ^ mix(v.Crash.ID))
+			if v.Refuted && len(e.Evidence) >= Threshold-1 {
+				sum ^= mix(^uint64(f) ^ mix(v.Crash.ID))
+			}
 		}
 	}
 	return sum
--- a/state/suspect/view.go
+++ b/state/suspect/view.go
@@ -56,8 +56,8 @@
 	return n
 }
 
-// Stored returns the entry of a quarantine read from the store, which holds only the time
-// of the last crash: the entry gets Threshold crashes at that time.
+// Stored returns the entry of a quarantine of which only the time of the last crash is
+// known: the entry gets Threshold crashes at that time.
 func Stored(f Fingerprint, at time.Time) Entry {
 	e := Entry{Fingerprint: f}
 	for i := range Threshold {
