Don't count a crash against a request that the instance has just run

What callers saw: a page that everybody asks for was refused (503, come back in a minute) from the moment at which three backend servers crashed together until its next success arrived, though it had caused none of the crashes.

Cause: in flight at a crash was evidence by itself. A popular request is in flight at every server, so it is evidence of nothing there.

A request that never succeeds is stopped after as many crashes as before (TestRequestThatEndsBackendServersIsNotSentOn holds).

TestRequestThatTheInstanceJustRanIsNoEvidence failed before.

--- a/coordination/quarantine/watch.go
+++ b/coordination/quarantine/watch.go
@@ -55,6 +55,9 @@
 	// instance is the backend server's instance that the runs in unanswered belong to.
 	instance   string
 	unanswered []unansweredRun
+	// proven are the requests that the instance has lately run with success: they are in
+	// flight at its crash by chance.
+	proven proven
 	// crash is the last crash found, crashed the instance that it ended, and crashedAt the
 	// time at which the crash was found.
 	crash     suspect.Crash
@@ -72,7 +75,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if reason == ConnectionLost && instance == w.crashed && now.Sub(w.crashedAt) < stragglerWindow {
-		return w.crash, true
+		return w.crash, w.instance != instance || !w.proven.within(now, f)
 	}
 	w.switchTo(instance)
 	if len(w.unanswered) < maxUnanswered {
@@ -84,7 +87,20 @@
 // switchTo switches to an instance and discards the runs of earlier ones.
 func (w *Watch) switchTo(instance string) {
 	if w.instance != instance {
-		w.instance, w.unanswered = instance, nil
+		w.instance, w.unanswered, w.proven = instance, nil, proven{}
+	}
+}
+
+// Succeeded records that an instance has run a request with success.
+func (w *Watch) Succeeded(now time.Time, instance string, f suspect.Fingerprint) {
+	if f == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.instance == instance || len(w.unanswered) == 0 {
+		w.switchTo(instance)
+		w.proven.add(now, f)
 	}
 }
 
@@ -112,8 +128,9 @@
 }
 
 // Ended records that an instance of the backend server has ended without a goodbye. It
-// returns the crash and the requests that were in flight. The list is empty if no run of
-// the instance is left to attribute, as after an earlier call for the same crash.
+// returns the crash and the requests that were in flight, without those that the instance
+// ran with success shortly before. The crash is zero if no run of the instance is left to
+// attribute, as after an earlier call for the same crash.
 func (w *Watch) Ended(now time.Time, instance string) (suspect.Crash, []suspect.Fingerprint) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -122,7 +139,9 @@
 	}
 	fingerprints := make([]suspect.Fingerprint, 0, len(w.unanswered))
 	for _, o := range w.unanswered {
-		fingerprints = append(fingerprints, o.fingerprint)
+		if !w.proven.within(o.at, o.fingerprint) {
+			fingerprints = append(fingerprints, o.fingerprint)
+		}
 	}
 	w.unanswered = nil
 	if instance != w.crashed || now.Sub(w.crashedAt) >= stragglerWindow {
--- a/coordination/quarantine/watch_test.go
+++ b/coordination/quarantine/watch_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -47,6 +48,43 @@
 	must.Len(t, 0, fingerprints)
 }
 
+// A success counts for the instance that had it, and for a short time.
+func TestSuccessOnTheInstanceShowsThatACrashHasAnotherCause(t *testing.T) {
+	for name, c := range map[string]struct {
+		instance string
+		ago      time.Duration
+		counts   bool
+	}{
+		"just before":                {"a", provenWindow, false},
+		"long before":                {"a", provenWindow + time.Millisecond, true},
+		"on a former instance":       {"b", time.Millisecond, true},
+		"among many others, shortly": {"a", time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var w Watch
+			w.Succeeded(after(-c.ago), c.instance, 1)
+			for f := range suspect.Fingerprint(maxProven) {
+				w.Succeeded(after(-c.ago), c.instance, 100+f)
+			}
+			w.RecordUnanswered(after(0), "a", 1, ConnectionLost)
+			w.RecordUnanswered(after(0), "a", 2, ConnectionLost)
+			crash, fingerprints := w.Ended(after(time.Second), "a")
+			must.NotEq(t, 0, crash.ID)
+			must.Eq(t, c.counts, slices.Contains(fingerprints, 1))
+			must.True(t, slices.Contains(fingerprints, 2))
+		})
+	}
+}
+
+// The requests kept as successful are bounded, whatever callers ask for.
+func TestSuccessesAreKeptInBoundedMemory(t *testing.T) {
+	var w Watch
+	for f := range suspect.Fingerprint(100_000) {
+		w.Succeeded(after(0), "a", f+1)
+	}
+	must.Between(t, maxProven, len(w.proven.current)+len(w.proven.former), 2*maxProven)
+}
+
 // A request that its caller has abandoned may continue to run for a limited time and
 // crash the backend server.
 func TestAbandonedRunIsEvidenceForALimitedTime(t *testing.T) {
--- a/transport/crash/crash.go
+++ b/transport/crash/crash.go
@@ -41,7 +41,7 @@
 	// there are none. It is one atomic load. A nil function suspects none.
 	Suspects func() *suspect.View
 	// Crashed is called with the requests that were in flight when the backend server ended
-	// without a goodbye. Succeeded is called when a suspected request has succeeded. Either
+	// without a goodbye, and that it hadn't run with success just before. Succeeded is called when a suspected request has succeeded. Either
 	// may be nil.
 	Crashed   func(suspect.Crash, []suspect.Fingerprint)
 	Succeeded func(suspect.Fingerprint)
@@ -121,7 +121,11 @@
 // Answered records a complete response with its status.
 func (o *Observer) Answered(r Run, status int) {
 	o.Alive(r)
-	if isSuccess(status) && o.cfg.Suspects().Suspected(r.Fingerprint) {
+	if !isSuccess(status) {
+		return
+	}
+	o.watch.Succeeded(o.cfg.Now(), r.Instance, r.Fingerprint)
+	if o.cfg.Suspects().Suspected(r.Fingerprint) {
 		o.cfg.Succeeded(r.Fingerprint)
 	}
 }
@@ -187,7 +191,7 @@
 // before. The instance no longer runs.
 func (o *Observer) ended(instance string) {
 	crash, fingerprints := o.watch.Ended(o.cfg.Now(), instance)
-	if len(fingerprints) > 0 {
+	if crash.ID != 0 {
 		o.report(instance, crash, fingerprints)
 	}
 }
@@ -200,5 +204,7 @@
 	}
 	o.cfg.Crashes.Inc()
 	_ = o.cfg.Logger.Log("event", "backend_crashed", "instance", instance, "crash", crash.ID, "fingerprints", suspect.Join(fingerprints))
-	o.cfg.Crashed(crash, fingerprints)
+	if len(fingerprints) > 0 {
+		o.cfg.Crashed(crash, fingerprints)
+	}
 }
--- a/transport/crash/crash_test.go
+++ b/transport/crash/crash_test.go
@@ -165,6 +165,22 @@
 	})
 }
 
+// Guards against a popular request that is refused because backend servers, at each of
+// which it is in flight, crash together.
+func TestRequestThatTheInstanceJustRanIsNoEvidence(t *testing.T) {
+	s := newFixture()
+	s.Answered(run(1), http.StatusOK)
+	s.Answered(run(2), http.StatusServiceUnavailable)
+	for f := range suspect.Fingerprint(3) {
+		s.ConnectionLost(run(f + 1))
+	}
+	s.Unsent(run(4), errRefused)
+	must.Eq(t, []suspect.Fingerprint{2, 3}, s.evidence)
+	s.ConnectionLost(run(1))
+	must.Eq(t, []suspect.Fingerprint{2, 3}, s.evidence, must.Sprint("noticed late"))
+	must.Len(t, 1, s.crashes)
+}
+
 // Only a success shows that the request can be run: any other status may be sent before the
 // run.
 func TestSuccessOfASuspectIsReported(t *testing.T) {
