Keep long responses without a length whole where requests stand behind them

Cause: such a response was streamed after 48 KB whatever stood behind it; a truncated one ends the connection. One with a length was kept whole up to 512 KB. Besides, whether requests stand behind was asked before the response was marked as streamed, so that one read in between was sent on.

--- a/transport/callers/turn.go
+++ b/transport/callers/turn.go
@@ -25,12 +25,17 @@
 	w.expired = done
 }
 
-// Followed reports whether further requests of the connection were read after this one.
-func (w *response) Followed() bool {
+// StreamUnlessFollowed marks the response as streamed, as WaitUntil does, unless further requests
+// of the connection were read after this one. It reports whether the response is marked.
+func (w *response) StreamUnlessFollowed() bool {
 	c := w.x.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.newestDone != w.x.done
+	if c.newestDone != w.x.done {
+		return false
+	}
+	w.x.streaming.Store(true)
+	return true
 }
 
 // isNext reports whether the responses before this one are complete.
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -69,6 +69,8 @@
 	// one has refused for another reason.
 	limitWait        time.Duration
 	refusedOtherwise bool
+	// reserved is the memory reserved to buffer a large response, in bytes.
+	reserved int64
 	// failure is an error response of a backend server, kept while another attempt is
 	// made and relayed if that gets no better one.
 	failure *bufferedResponse
--- a/transport/outbound/keep.go
+++ b/transport/outbound/keep.go
@@ -17,42 +17,58 @@
 	maxBufferedTotal = 4 << 20
 )
 
-// reserveBuffer reserves memory to buffer a large response where further requests are
+// followed reports whether further requests are pipelined behind this one and may have been sent. If
+// not, later ones wait until the response ends.
+func (x *exchange) followed() bool {
+	w, ok := x.w.(interface{ StreamUnlessFollowed() bool })
+	return ok && !w.StreamUnlessFollowed()
+}
+
+// reserveBuffer reserves size bytes to buffer a large response where further requests are
 // pipelined behind it: a response truncated after its first byte was sent ends the
-// connection, and their responses would be lost with it. It returns the number of bytes
-// reserved; 0 where none are needed or the limits are reached.
-func (x *exchange) reserveBuffer(resp *http.Response) int64 {
-	size := resp.ContentLength
-	w, ok := x.w.(interface{ Followed() bool })
-	if !ok || size <= x.p.cfg.MaxBodyBuffer || size > maxBufferedResponse || !w.Followed() {
-		return 0
+// connection, and their responses would be lost with it. It returns false where no buffer is
+// needed or the limits are reached.
+func (x *exchange) reserveBuffer(size int64) bool {
+	if x.reserved+size > maxBufferedResponse || !x.followed() {
+		return false
 	}
 	if x.p.bufferedBytes.Add(size) > maxBufferedTotal {
 		x.p.bufferedBytes.Add(-size)
-		return 0
+		return false
 	}
-	return size
+	x.reserved += size
+	return true
 }
 
-// readWhole buffers a response body of up to maxBytes bytes that is no event stream: it is then
-// complete before its turn among the caller's pipelined requests and can be replaced if it is
-// truncated. Otherwise whole is false, and resp.Body is still to be streamed to the caller.
-func (x *exchange) readWhole(resp *http.Response, maxBytes int64) (body []byte, whole bool, err error) {
+// releaseBuffer releases the memory reserved for a response.
+func (x *exchange) releaseBuffer() {
+	x.p.bufferedBytes.Add(-x.reserved)
+	x.reserved = 0
+}
+
+// readWhole buffers a response body that is no event stream, up to the size that is buffered always,
+// or a larger one if memory for it can be reserved: it is then complete before its turn among the
+// caller's pipelined requests and can be replaced if it is truncated. Otherwise whole is false, and
+// resp.Body is still to be streamed to the caller.
+func (x *exchange) readWhole(resp *http.Response) (body []byte, whole bool, err error) {
+	size := resp.ContentLength
 	switch {
-	case forward.IsEventStream(resp), resp.ContentLength > maxBytes:
+	case forward.IsEventStream(resp):
+		return nil, false, nil
+	case size > x.p.cfg.MaxBodyBuffer && !x.reserveBuffer(size):
 		return nil, false, nil
 	case x.r.Method == http.MethodHead:
 		return nil, true, forward.ReadExactly(resp.Body, nil)
-	case resp.ContentLength >= 0:
-		body = make([]byte, resp.ContentLength)
+	case size >= 0:
+		body = make([]byte, size)
 		return body, true, forward.ReadExactly(resp.Body, body)
 	}
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBytes+1))
+	body, whole, err = x.readUnframed(resp.Body)
 	if err != nil {
 		_ = resp.Body.Close() // reading it has failed
 		return nil, true, err
 	}
-	if int64(len(body)) > maxBytes || len(resp.Trailer) > 0 {
+	if !whole || len(resp.Trailer) > 0 {
 		resp.Body = rejoinedBody{io.MultiReader(bytes.NewReader(body), resp.Body), resp.Body}
 		return nil, false, nil
 	}
@@ -61,6 +77,31 @@
 	return body, true, nil
 }
 
+// readUnframed reads a body of unknown length to its end or to the limit of what is buffered.
+func (x *exchange) readUnframed(from io.Reader) (body []byte, whole bool, err error) {
+	limit := x.p.cfg.MaxBodyBuffer
+	var read bytes.Buffer
+	for {
+		_, err = io.CopyN(&read, from, limit+1-int64(read.Len()))
+		if err != nil {
+			return read.Bytes(), true, ignoreEOF(err)
+		}
+		more := min(limit, maxBufferedResponse-limit)
+		if more <= 0 || !x.reserveBuffer(more) {
+			return read.Bytes(), false, nil
+		}
+		limit += more
+	}
+}
+
+// ignoreEOF returns nil for the regular end of a body.
+func ignoreEOF(err error) error {
+	if err == io.EOF {
+		return nil
+	}
+	return err
+}
+
 // rejoinedBody reads the buffered prefix of a body and then its remainder.
 type rejoinedBody struct {
 	io.Reader
--- a/transport/outbound/relay.go
+++ b/transport/outbound/relay.go
@@ -17,9 +17,8 @@
 func (x *exchange) relay(choice balance.Choice, resp *http.Response, result balance.Result) bool {
 	forward.StripNodeHeaders(resp.Header)
 	resp.Body = x.progress.Body(resp.Body)
-	reserved := x.reserveBuffer(resp)
-	defer x.p.bufferedBytes.Add(-reserved)
-	body, whole, err := x.readWhole(resp, max(x.p.cfg.MaxBodyBuffer, reserved))
+	defer x.releaseBuffer()
+	body, whole, err := x.readWhole(resp)
 	if err != nil {
 		result.Outcome = x.truncationOutcome()
 		choice.Done(x.p.cfg.Now(), result)
--- a/transport/outbound/turn_test.go
+++ b/transport/outbound/turn_test.go
@@ -136,6 +136,40 @@
 	must.Eq(t, []string{"", "/behind"}, pipeline(t, p, "/large", "/behind"))
 }
 
+// Guards against responses that are lost behind a long one without a length that is truncated.
+func TestTruncatedLargeResponseWithoutLengthDoesNotCutPipelinedOnes(t *testing.T) {
+	for _, size := range []int{maxKept / 2, maxKept + 1, 3 * maxKept, maxBufferedResponse - 1} {
+		behind := make(chan struct{})
+		p := proxyWithGate(t, func(r *http.Request) (*http.Response, error) {
+			if r.URL.Path != "/large" {
+				close(behind)
+				return relayedResponse(int64(len(r.URL.Path)), strings.NewReader(r.URL.Path)), nil
+			}
+			<-behind
+			return relayedResponse(-1, truncatedBody{strings.NewReader(strings.Repeat("x", size))}), nil
+		})
+		p.cfg.Policy.MaxSends = 1
+		must.Eq(t, []string{"", "/behind"}, pipeline(t, p, "/large", "/behind"), must.Sprint(size))
+		must.Zero(t, p.bufferedBytes.Load())
+	}
+}
+
+// A response without a length reaches its caller whole, buffered or not.
+func TestResponseWithoutLengthIsWholeBehindAndBeforeOthers(t *testing.T) {
+	for _, size := range []int{0, 1, maxKept - 1, maxKept, maxKept + 1, 2*maxKept + 1, maxBufferedResponse, 2 * maxBufferedResponse} {
+		long := strings.Repeat("x", size)
+		p := proxyWithGate(t, func(r *http.Request) (*http.Response, error) {
+			if strings.HasPrefix(r.URL.Path, "/large") {
+				return relayedResponse(-1, strings.NewReader(long)), nil
+			}
+			return relayedResponse(int64(len(r.URL.Path)), strings.NewReader(r.URL.Path)), nil
+		})
+		want := []string{"/a", long, "/b", long}
+		must.Eq(t, want, pipeline(t, p, "/a", "/large", "/b", "/large2"), must.Sprint(size))
+		must.Zero(t, p.bufferedBytes.Load())
+	}
+}
+
 func TestNoRequestIsSentBehindAStreamedResponse(t *testing.T) {
 	sent, reachedGate := make(chan struct{}), make(chan struct{})
 	p := proxyWithGate(t, func(r *http.Request) (*http.Response, error) {
