--- a/coordination/docsync/in_force_test.go
+++ b/coordination/docsync/in_force_test.go
@@ -195,6 +195,7 @@
 func TestVersionsAreInForceInTimeUnderDisturbances(t *testing.T) {
 	for _, d := range disturbances() {
 		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
 			broken, worst := 0, time.Duration(0)
 			var first []string
 			for seed := range *siteSeeds {
