Tests of the transports: one server of raw answers, one small receive buffer

Two stand-ins that write a text after a request, three settings of a receive buffer and two readings of the kernel's timeout said the same. They are now transporttest.ServeRaw, transporttest.ReceiveBuffer and one function in sockopt's tests. Assertions, sizes and times are as they were.

--- a/transport/forward/cut_head_test.go
+++ b/transport/forward/cut_head_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jacinthgate/jacinthgate/transport/headpack"
+	"github.com/jacinthgate/jacinthgate/transport/transporttest"
 )
 
 // cutServer answers each request with a text and closes the connection.
@@ -23,18 +23,7 @@
 	if packed {
 		ln = headpack.Listener{Listener: ln}
 	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, answer())
-			}
-			_ = c.Close()
-		}
-	}()
+	go transporttest.ServeRaw(ln, answer)
 	return ln.Addr().String()
 }
 
--- a/transport/forward/window_test.go
+++ b/transport/forward/window_test.go
@@ -12,20 +12,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-)
 
-// listenWithBuffer listens with a receive buffer that is small before connections are made, so that
-// their windows don't shrink.
-func listenWithBuffer(t *testing.T, size int) net.Listener {
-	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size) // the default will do
-		})
-	}}
-	ln, err := cfg.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	return ln
-}
+	"github.com/jacinthgate/jacinthgate/transport/transporttest"
+)
 
 // lateReader returns the address of a server with small buffers that reads bodies after a delay.
 func lateReader(t *testing.T, delay time.Duration) string {
@@ -41,7 +30,10 @@
 		}
 	}))
 	_ = s.Listener.Close() // replaced before anything uses it
-	s.Listener = listenWithBuffer(t, 16<<10)
+	cfg := net.ListenConfig{Control: transporttest.ReceiveBuffer(16 << 10)}
+	var err error
+	s.Listener, err = cfg.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
 	s.Start()
 	t.Cleanup(s.Close)
 	t.Cleanup(s.CloseClientConnections)
--- a/transport/keepalive/server_test.go
+++ b/transport/keepalive/server_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -307,9 +306,7 @@
 // slowReader is a client with a small receive buffer.
 func slowReader(t *testing.T, l net.Listener) *client {
 	t.Helper()
-	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
-	}}
+	d := net.Dialer{Control: transporttest.ReceiveBuffer(4 << 10)}
 	c, err := d.DialContext(t.Context(), "tcp", l.Addr().String())
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
--- a/transport/outbound/length_test.go
+++ b/transport/outbound/length_test.go
@@ -18,6 +18,7 @@
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/transport/callers"
 	"github.com/jacinthgate/jacinthgate/transport/forward"
+	"github.com/jacinthgate/jacinthgate/transport/transporttest"
 )
 
 // serveRaw starts a server that writes text to each connection after a request and then closes
@@ -26,20 +27,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, text)
-				}
-			}()
-		}
-	}()
+	go transporttest.ServeRaw(l, func() string { return text })
 	return l.Addr().String()
 }
 
--- a/transport/sockopt/sockopt_test.go
+++ b/transport/sockopt/sockopt_test.go
@@ -9,6 +9,17 @@
 	"github.com/shoenig/test/must"
 )
 
+// unackedMillis returns the timeout for unacknowledged bytes of a connection, as the kernel tells it.
+func unackedMillis(t *testing.T, c net.Conn) (ms int) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	must.NoError(t, err)
+	must.NoError(t, raw.Control(func(fd uintptr) {
+		ms, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
+	}))
+	must.NoError(t, err)
+	return ms
+}
+
 func TestUnackedTimeoutIsSet(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -17,13 +28,7 @@
 		c, err := net.Dial("tcp", ln.Addr().String())
 		must.NoError(t, err)
 		SetUnackedTimeout(c, d)
-		raw, err := c.(*net.TCPConn).SyscallConn()
-		must.NoError(t, err)
-		must.NoError(t, raw.Control(func(fd uintptr) {
-			got, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
-			must.NoError(t, err)
-			must.Eq(t, want, got)
-		}))
+		must.Eq(t, want, unackedMillis(t, c))
 		must.NoError(t, c.Close())
 	}
 }
--- a/transport/sockopt/window_test.go
+++ b/transport/sockopt/window_test.go
@@ -3,11 +3,12 @@
 import (
 	"io"
 	"net"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/transport/transporttest"
 )
 
 const testTimeout = 200 * time.Millisecond
@@ -15,11 +16,7 @@
 // fullWindow returns a connection whose peer, listener's side, reads nothing so far: its receive
 // window is full and bytes wait.
 func fullWindow(t *testing.T) (sender *net.TCPConn, peer net.Conn, written int64) {
-	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10) // the default will do
-		})
-	}}
+	cfg := net.ListenConfig{Control: transporttest.ReceiveBuffer(16 << 10)}
 	ln, err := cfg.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
@@ -38,17 +35,6 @@
 	return sender, peer, int64(n)
 }
 
-func unackedTimeout(t *testing.T, c *net.TCPConn) time.Duration {
-	raw, err := c.SyscallConn()
-	must.NoError(t, err)
-	var ms int
-	must.NoError(t, raw.Control(func(fd uintptr) {
-		ms, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
-	}))
-	must.NoError(t, err)
-	return time.Duration(ms) * time.Millisecond
-}
-
 // Guards against taking a living peer that reads late for a lost one. Unless the timeout is
 // suspended, the kernel ends the connection.
 func TestPeerThatReadsLateIsNotLost(t *testing.T) {
@@ -62,7 +48,7 @@
 			}
 		}
 		if checked {
-			must.Eq(t, 0, unackedTimeout(t, sender))
+			must.Eq(t, 0, unackedMillis(t, sender))
 		}
 		_ = sender.CloseWrite() // fails on a connection that has ended
 		n, err := io.Copy(io.Discard, peer)
@@ -75,13 +61,13 @@
 	sender, peer, _ := fullWindow(t)
 	w := ClosedWindow{Conn: sender, Timeout: testTimeout}
 	must.False(t, w.Check(time.Now()))
-	must.Eq(t, 0, unackedTimeout(t, sender))
+	must.Eq(t, 0, unackedMillis(t, sender))
 	go func() { _, _ = io.Copy(io.Discard, peer) }()
 	for w.suspended {
 		must.False(t, w.Check(time.Now()))
 		time.Sleep(time.Millisecond)
 	}
-	must.Eq(t, testTimeout, unackedTimeout(t, sender))
+	must.Eq(t, int(testTimeout.Milliseconds()), unackedMillis(t, sender))
 }
 
 // A path that falls silent while the window is closed is found by unanswered probes, more than one
