Say once what a handshake loses, and apart what a late run is no evidence of

Salvage treated the fields of Hello and Welcome by two copies of the same lines. RecordUnanswered told a run that is in flight by chance in the result of the other case; it returns early now. SetUnackedTimeout takes 0 as the kernel's own limit, so its caller needs no condition. No behaviour changes: the tests of these packages pass with the race detector as they are.

--- a/coordination/quarantine/watch.go
+++ b/coordination/quarantine/watch.go
@@ -67,7 +67,8 @@
 
 // RecordUnanswered records a run that ended without a response at now. If the run is
 // attributed to a crash that was already found, it returns that crash, and known is
-// true. It ignores a run with fingerprint 0.
+// true. It ignores a run with fingerprint 0, and one that is in flight at that crash by
+// chance.
 func (w *Watch) RecordUnanswered(now time.Time, instance string, f suspect.Fingerprint, reason EndReason) (crash suspect.Crash, known bool) {
 	if f == 0 {
 		return suspect.Crash{}, false
@@ -75,7 +76,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if reason == ConnectionLost && instance == w.crashed && now.Sub(w.crashedAt) < stragglerWindow {
-		return w.crash, w.instance != instance || !w.proven.within(now, f)
+		if w.instance == instance && w.proven.within(now, f) {
+			return suspect.Crash{}, false
+		}
+		return w.crash, true
 	}
 	w.switchTo(instance)
 	if len(w.unanswered) < maxUnanswered {
--- a/protocol/message/salvage.go
+++ b/protocol/message/salvage.go
@@ -24,15 +24,9 @@
 		m.Records = slices.DeleteFunc(m.Records, isUnreadable[endpoint.Record])
 		m.Departures = slices.DeleteFunc(m.Departures, isUnreadable[Departure])
 	case *Hello:
-		m.Record = withoutUnreadableServer(m.Record)
-		if isUnreadable(m.DrainedInstance) {
-			m.Drained, m.DrainedInstance = false, ""
-		}
+		dropUnreadableServers(&m.Record, &m.Drained, &m.DrainedInstance)
 	case *Welcome:
-		m.Record = withoutUnreadableServer(m.Record)
-		if isUnreadable(m.DrainedInstance) {
-			m.Drained, m.DrainedInstance = false, ""
-		}
+		dropUnreadableServers(&m.Record, &m.Drained, &m.DrainedInstance)
 	default:
 		return nil
 	}
@@ -48,12 +42,14 @@
 	return reason != ""
 }
 
-// withoutUnreadableServer returns the record without its backend server if the name of the instance
-// can't be read.
-func withoutUnreadableServer(r endpoint.Record) endpoint.Record {
+// dropUnreadableServers removes the backend servers from a handshake's fields whose instance can't be
+// read: that of the sender's record, and the one that the receiver had last drained.
+func dropUnreadableServers(r *endpoint.Record, drained *bool, drainedInstance *string) {
 	if isUnreadable(r.Instance) {
 		r.Service, r.Instance, r.Version, r.Slots, r.Connections = "", "", "", 0, 0
 		r.Draining, r.Cold = false, false
 	}
-	return r
+	if isUnreadable(*drainedInstance) {
+		*drained, *drainedInstance = false, ""
+	}
 }
--- a/transport/crash/crash.go
+++ b/transport/crash/crash.go
@@ -41,8 +41,8 @@
 	// there are none. It is one atomic load. A nil function suspects none.
 	Suspects func() *suspect.View
 	// Crashed is called with the requests that were in flight when the backend server ended
-	// without a goodbye, and that it hadn't run with success just before. Succeeded is called when a suspected request has succeeded. Either
-	// may be nil.
+	// without a goodbye, and that it hadn't run with success just before. Succeeded is called
+	// when a suspected request has succeeded. Either may be nil.
 	Crashed   func(suspect.Crash, []suspect.Fingerprint)
 	Succeeded func(suspect.Fingerprint)
 	// Reach opens a connection to the backend server and closes it again.
--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -179,9 +179,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.cfg.UnackedTimeout > 0 {
-		sockopt.SetUnackedTimeout(raw, c.cfg.UnackedTimeout)
-	}
+	sockopt.SetUnackedTimeout(raw, c.cfg.UnackedTimeout)
 	tracked := &trackedConn{Conn: raw, sent: c.cfg.Sent, received: c.cfg.Received}
 	switch {
 	case key.scheme == "https":
