Test: that a stated limit is used needs virtual time, or a processor

`TestStatedLimitHoldsInSumOverAllNodes` failed beside load: "the limit should be used", 34 requests in a window in place of 40.

Cause: its lower bounds compare what six nodes sent in real time with what the limit allows; a process without a processor sends less.

Its upper bounds hold always, as before.

--- a/internal/sidecar/statements_test.go
+++ b/internal/sidecar/statements_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -108,6 +109,35 @@
 	return most
 }
 
+// pauses measures for how long the process got no processor, by timers that run late.
+type pauses struct{ sum atomic.Int64 }
+
+const (
+	pauseTick = 5 * time.Millisecond
+	// latePause is the least lateness of a timer that counts.
+	latePause = 10 * time.Millisecond
+	// maxPauses is the sum of the pauses up to which lower bounds in real time are checked.
+	maxPauses = time.Second
+)
+
+// measure measures until stop is closed.
+func (p *pauses) measure(stop <-chan struct{}) {
+	for {
+		due := time.Now().Add(pauseTick)
+		select {
+		case <-stop:
+			return
+		case <-time.After(pauseTick):
+		}
+		if late := time.Since(due); late >= latePause {
+			p.sum.Add(int64(late))
+		}
+	}
+}
+
+// few reports whether the process had a processor nearly all the time.
+func (p *pauses) few() bool { return time.Duration(p.sum.Load()) <= maxPauses }
+
 // allowed is the largest number of requests in a window that a stated limit allows.
 func allowed(perSecond float64) int { return int(1.5*perSecond*limitWindow.Seconds()) + 5 }
 
@@ -143,13 +173,19 @@
 	for _, m := range f.nodes {
 		m.backend.Work = 20 * time.Millisecond
 	}
+	var p pauses
+	stop := make(chan struct{})
+	go p.measure(stop)
 	l := &statementLoad{f: f}
 	l.run(160, 7*time.Second)
+	close(stop)
 	must.LessEq(t, allowed(10.9), l.mostInWindow(f.nodes[0].backend))
 	must.LessEq(t, allowed(0), l.mostInWindow(f.nodes[1].backend))
 	must.LessEq(t, allowed(0.2), l.mostInWindow(f.nodes[2].backend))
-	must.GreaterEq(t, 40, l.mostInWindow(f.nodes[0].backend), must.Sprint("the limit should be used"))
-	must.GreaterEq(t, 2, len(l.told(platformtest.HeaderLimit, f.nodes[0].backend)), must.Sprint("several nodes should send to it"))
+	if p.few() { // else balance.TestStatedLimitIsUsedInSumOverAllNodes alone shows what follows
+		must.GreaterEq(t, 40, l.mostInWindow(f.nodes[0].backend), must.Sprint("the limit should be used"))
+		must.GreaterEq(t, 2, len(l.told(platformtest.HeaderLimit, f.nodes[0].backend)), must.Sprint("several nodes should send to it"))
+	}
 }
 
 // Guards against a backend server that states in its answers alone that it is shutting down,
