Hand over the result of a call to the event loop, share no variables

Two of sixty starved runs of `TestStatedLimitHoldsInSumOverAllNodes` ended in a data race: `discovery.place` and the event loop wrote `rank` and `alone`.

Cause: `Queue.Ask` ran a function that wrote to variables of its caller, and returned without waiting once the caller's context ended. The function may still run then. Three callers used the variables nevertheless: `place`, both programs' `hello`, and `putOwn` in what it returns. All but `hello` give up at the end of the node or of a call to the store only; a `hello` that was given up could have carried half of what the node knows of a peer. No run showed that.

`eventqueue.Ask` now returns what the function returns, by a channel of its own, so that a late one has nowhere to write to.

--- a/internal/eventqueue/loop_test.go
+++ b/internal/eventqueue/loop_test.go
@@ -37,8 +37,8 @@
 		}()
 		cancel()
 		synctest.Wait()
-		answered := false
-		must.True(t, q.Ask(t.Context(), func() { answered = true }))
+		answered, ran := Ask(t.Context(), q, func() bool { return true })
+		must.True(t, ran)
 		must.True(t, answered)
 		for range 3 { // more than the queue's capacity
 			q.Post(t.Context(), core.Tick{})
--- a/internal/eventqueue/queue.go
+++ b/internal/eventqueue/queue.go
@@ -31,23 +31,20 @@
 	}
 }
 
-// Ask runs f on the owner's goroutine and waits until it returns. If ctx ends first,
-// Ask returns false without waiting for f, which may still run or never run.
-func (q *Queue) Ask(ctx context.Context, f func()) bool {
-	done := make(chan struct{})
-	call := func() {
-		f()
-		close(done)
-	}
+// Ask runs f on the owner's goroutine and returns its result. If ctx ends first, Ask
+// returns false without waiting for f, which may still run or never run: f must not write
+// to variables of its caller.
+func Ask[T any](ctx context.Context, q *Queue, f func() T) (result T, ran bool) {
+	results := make(chan T, 1)
 	select {
-	case q.Calls <- call:
+	case q.Calls <- func() { results <- f() }:
 	case <-ctx.Done():
-		return false
+		return result, false
 	}
 	select {
-	case <-done:
-		return true
+	case result = <-results:
+		return result, true
 	case <-ctx.Done():
-		return false
+		return result, false
 	}
 }
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/protocol/operator"
 )
 
@@ -42,8 +43,8 @@
 func (g *gauges) refresh(ctx context.Context, l *loop) {
 	ctx, cancel := context.WithTimeout(ctx, gaugeTimeout)
 	defer cancel()
-	var s *operator.Status
-	if !l.queue.Ask(ctx, func() { s = l.summary(time.Now()) }) {
+	s, ran := eventqueue.Ask(ctx, l.queue, func() *operator.Status { return l.summary(time.Now()) })
+	if !ran {
 		return
 	}
 	g.set(s)
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -9,6 +9,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/accept"
 	"github.com/jacinthgate/jacinthgate/coordination/distribute"
 	"github.com/jacinthgate/jacinthgate/internal/control"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/protocol/operator"
 	"github.com/jacinthgate/jacinthgate/state/model"
 	"github.com/jacinthgate/jacinthgate/state/snapshot"
@@ -177,8 +178,8 @@
 
 // Status implements operatorapi.Delegate.
 func (o *operatorDelegate) Status(ctx context.Context) (*operator.Status, error) {
-	var s *operator.Status
-	if !o.loop.queue.Ask(ctx, func() { s = o.loop.status(time.Now()) }) {
+	s, ran := eventqueue.Ask(ctx, o.loop.queue, func() *operator.Status { return o.loop.status(time.Now()) })
+	if !ran {
 		return nil, &operator.Problem{Code: operator.CodeNotReady, Message: "the node is busy", Node: o.self}
 	}
 	return s, nil
@@ -186,8 +187,8 @@
 
 // Progress implements operatorapi.Delegate.
 func (o *operatorDelegate) Progress(ctx context.Context, version uint64) (*operator.Progress, error) {
-	var p *operator.Progress
-	if !o.loop.queue.Ask(ctx, func() { p = o.loop.progress(time.Now(), version) }) {
+	p, ran := eventqueue.Ask(ctx, o.loop.queue, func() *operator.Progress { return o.loop.progress(time.Now(), version) })
+	if !ran {
 		return nil, &operator.Problem{Code: operator.CodeNotReady, Message: "the node is busy", Node: o.self}
 	}
 	return p, nil
@@ -204,13 +205,11 @@
 	if req.Node == o.self {
 		return o.drainer.local(req.Drain)
 	}
-	var addr string
-	found := o.loop.queue.Ask(ctx, func() {
-		if r, ok := o.loop.member.Table().Get(req.Node); ok {
-			addr = r.GateAddr
-		}
+	addr, ran := eventqueue.Ask(ctx, o.loop.queue, func() string {
+		r, _ := o.loop.member.Table().Get(req.Node)
+		return r.GateAddr
 	})
-	if !found {
+	if !ran {
 		return &operator.Problem{Code: operator.CodeNotReady, Message: "the node is busy", Node: o.self}
 	}
 	if addr == "" {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/transport/listen"
 
 	"github.com/jacinthgate/jacinthgate/protocol/message"
@@ -73,7 +74,9 @@
 func (n *Node) hello(to model.NodeID) message.Hello {
 	h := n.pub.selfState.Load().hello()
 	h.To = to
-	n.loop.queue.Ask(n.ctx, func() { h.LastHeld = n.loop.dist.LastHeldOf(to) })
+	if held, ran := eventqueue.Ask(n.ctx, n.loop.queue, func() uint64 { return n.loop.dist.LastHeldOf(to) }); ran {
+		h.LastHeld = held
+	}
 	return h
 }
 
@@ -82,14 +85,17 @@
 func (n *Node) welcome(h *message.Hello) *message.Welcome {
 	w := n.pub.selfState.Load().welcome()
 	id := h.Record.Node
-	known := n.loop.queue.Ask(n.ctx, func() {
-		w.LastHeld = n.loop.dist.LastHeldOf(id)
-		w.Incarnation = n.loop.member.IncarnationOf(id)
-		w.Drained = n.loop.drainedBefore(h.Record)
+	known, ran := eventqueue.Ask(n.ctx, n.loop.queue, func() message.Welcome {
+		return message.Welcome{
+			LastHeld:    n.loop.dist.LastHeldOf(id),
+			Incarnation: n.loop.member.IncarnationOf(id),
+			Drained:     n.loop.drainedBefore(h.Record),
+		}
 	})
-	if !known {
+	if !ran {
 		return nil
 	}
+	w.LastHeld, w.Incarnation, w.Drained = known.LastHeld, known.Incarnation, known.Drained
 	return w
 }
 
--- a/internal/sidecar/confirming_test.go
+++ b/internal/sidecar/confirming_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 )
 
 // shortHeartbeat is the interval of heartbeats in the tests below.
@@ -63,8 +65,8 @@
 }
 
 // settled reports whether the node has asked the store and its peers for departures.
-func (n *Node) settled() (settled bool) {
-	n.loop.queue.Ask(n.ctx, func() { settled = n.loop.departed.Settled() })
+func (n *Node) settled() bool {
+	settled, _ := eventqueue.Ask(n.ctx, n.loop.queue, func() bool { return n.loop.departed.Settled() })
 	return settled
 }
 
--- a/internal/sidecar/discover.go
+++ b/internal/sidecar/discover.go
@@ -13,6 +13,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/docsync"
 	"github.com/jacinthgate/jacinthgate/coordination/member"
 	"github.com/jacinthgate/jacinthgate/coordination/registry"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/platform"
 )
 
@@ -88,12 +89,15 @@
 
 // place returns the node's rank in its zone, and whether it has no peer.
 func (d *discovery) place(ctx context.Context) (rank int, alone bool) {
-	d.n.loop.queue.Ask(ctx, func() {
+	type place struct {
+		rank  int
+		alone bool
+	}
+	p, _ := eventqueue.Ask(ctx, d.n.loop.queue, func() place {
 		m := d.n.loop.member
-		rank = slices.Index(m.Live(), d.n.set.Node)
-		alone = len(m.Neighbours()) == 0
+		return place{rank: slices.Index(m.Live(), d.n.set.Node), alone: len(m.Neighbours()) == 0}
 	})
-	return max(0, rank), alone
+	return max(0, p.rank), p.alone
 }
 
 // read reads the list and hands its addresses to membership.
--- a/internal/sidecar/fleet_test.go
+++ b/internal/sidecar/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/shoenig/test/wait"
 
 	"github.com/jacinthgate/jacinthgate/coordination/core"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/internal/signals"
 	"github.com/jacinthgate/jacinthgate/platform/platformtest"
 	"github.com/jacinthgate/jacinthgate/state/model"
@@ -534,13 +535,14 @@
 	m := f.nodes[0]
 	l := m.node.loop
 	stop := make(chan struct{})
-	l.queue.Ask(m.node.ctx, func() {
+	eventqueue.Ask(m.node.ctx, l.queue, func() bool {
 		for len(l.queue.Events) < cap(l.queue.Events) {
 			l.queue.Events <- core.Tick{}
 		}
 		// With its queue full, the loop learns that the backend server is gone.
 		l.step(core.PeerUp{Record: l.self, Drained: true, DrainedInstance: m.backend.ID})
 		close(stop)
+		return true
 	})
 	<-stop
 	f.eventually("the backend server is withdrawn", func() bool {
@@ -556,8 +558,8 @@
 	go m.node.shutdown(syscall.SIGTERM)
 	f.eventually("it takes no more callers", func() bool { return !m.node.ready() })
 	unready := func() bool {
-		var is bool
-		must.True(t, m.node.loop.queue.Ask(t.Context(), func() { is = m.node.loop.member.Self().Unready }))
+		is, ran := eventqueue.Ask(t.Context(), m.node.loop.queue, func() bool { return m.node.loop.member.Self().Unready })
+		must.True(t, ran)
 		return is
 	}
 	must.NoError(t, m.backend.Beat(m.node.set.Listen.Backend, m.addr, false))
--- a/internal/sidecar/goodbye_test.go
+++ b/internal/sidecar/goodbye_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/state/endpoint"
 )
 
@@ -57,8 +58,8 @@
 	must.Eq(t, draining.node.loop.self.Incarnation, h.DrainedIncarnation)
 	f.nodes[1].node.links.Disconnect(draining.node.set.Node)
 	f.eventually("they are linked again", func() bool {
-		var linked bool
-		f.nodes[1].node.loop.queue.Ask(t.Context(), func() { linked = len(f.nodes[1].node.loop.member.Neighbours()) == 1 })
+		l := f.nodes[1].node.loop
+		linked, _ := eventqueue.Ask(t.Context(), l.queue, func() bool { return len(l.member.Neighbours()) == 1 })
 		return linked
 	})
 	must.NotNil(t, draining.node.pub.instance.Load())
@@ -73,12 +74,11 @@
 	must.NoError(t, leaving.backend.Leave(leaving.node.set.Listen.Backend))
 	leaving.node.close()
 	f.eventually("the neighbour holds it for failed", func() bool {
-		status := endpoint.StatusAlive
-		neighbour.node.loop.queue.Ask(t.Context(), func() {
+		failed, _ := eventqueue.Ask(t.Context(), neighbour.node.loop.queue, func() bool {
 			r, _ := neighbour.node.loop.member.Table().Get(leaving.node.set.Node)
-			status = r.Status
+			return r.Status == endpoint.StatusFailed
 		})
-		return status == endpoint.StatusFailed
+		return failed
 	})
 	f.restart(0)
 	f.eventually("the node has the configuration", leaving.node.ready)
@@ -147,7 +147,7 @@
 	f := newFleet(t, 2)
 	f.store.SetDown(true)
 	must.NoError(t, f.nodes[0].backend.Leave(f.nodes[0].node.set.Listen.Backend))
-	known := false
-	f.nodes[1].node.loop.queue.Ask(t.Context(), func() { known = f.nodes[1].node.loop.departed.Has("i-0") })
+	l := f.nodes[1].node.loop
+	known, _ := eventqueue.Ask(t.Context(), l.queue, func() bool { return l.departed.Has("i-0") })
 	must.True(t, known)
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -259,33 +259,33 @@
 // hello returns the first message to a peer, with what this node knows of it: a peer that has
 // started anew may know nobody whom it could ask.
 func (l *loop) hello(ctx context.Context, to model.NodeID) message.Hello {
-	h := message.Hello{Protocol: message.ProtocolVersion, Record: l.self, To: to}
-	l.queue.Ask(ctx, func() {
-		h.Record = l.member.Self()
+	h, ran := eventqueue.Ask(ctx, l.queue, func() message.Hello {
+		h := message.Hello{Protocol: message.ProtocolVersion, Record: l.member.Self(), To: to}
 		h.Digest = l.member.Digest()
 		h.RemembersMillis = uint64(l.departed.Remembers(time.Now()).Milliseconds())
 		if d, known := l.departed.Newest(to); known {
 			h.Drained, h.DrainedInstance, h.DrainedIncarnation = true, d.Instance, d.Incarnation
 		}
+		return h
 	})
+	if !ran {
+		return message.Hello{Protocol: message.ProtocolVersion, Record: l.self, To: to}
+	}
 	return h
 }
 
 // welcome answers a Hello with what this node knows of its sender; nil refuses
 // the peer while the node stops.
 func (l *loop) welcome(ctx context.Context, h *message.Hello) *message.Welcome {
-	w := &message.Welcome{Protocol: message.ProtocolVersion}
-	known := l.queue.Ask(ctx, func() {
-		w.Record = l.member.Self()
+	w, _ := eventqueue.Ask(ctx, l.queue, func() *message.Welcome {
+		w := &message.Welcome{Protocol: message.ProtocolVersion, Record: l.member.Self()}
 		w.Digest = l.member.Digest()
 		w.Incarnation = l.member.IncarnationOf(h.Record.Node)
 		w.RemembersMillis = uint64(l.departed.Remembers(time.Now()).Milliseconds())
 		if d, known := l.departed.Newest(h.Record.Node); known && d.Incarnation < h.Record.Incarnation {
 			w.Drained, w.DrainedInstance = true, d.Instance
 		}
+		return w
 	})
-	if !known {
-		return nil
-	}
 	return w
 }
--- a/internal/sidecar/quarantine.go
+++ b/internal/sidecar/quarantine.go
@@ -10,6 +10,7 @@
 
 	"github.com/jacinthgate/jacinthgate/coordination/backoff"
 	"github.com/jacinthgate/jacinthgate/coordination/quarantine"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/state/suspect"
 )
@@ -72,12 +73,16 @@
 	defer cancel()
 	n.own.suspects.Lock()
 	defer n.own.suspects.Unlock()
-	var e suspect.Entry
-	var held bool
-	if !n.loop.queue.Ask(ctx, func() { e, held = n.loop.suspects.Entry(f) }) || !held {
+	e, _ := eventqueue.Ask(ctx, n.loop.queue, func() *suspect.Entry {
+		if e, held := n.loop.suspects.Entry(f); held {
+			return &e
+		}
+		return nil
+	})
+	if e == nil {
 		return ctx.Err()
 	}
-	return n.store.RecordSuspect(ctx, string(n.set.Node), e)
+	return n.store.RecordSuspect(ctx, string(n.set.Node), *e)
 }
 
 // learnSuspects takes the evidence that the store holds.
--- a/internal/sidecar/restored.go
+++ b/internal/sidecar/restored.go
@@ -10,6 +10,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/backoff"
 	"github.com/jacinthgate/jacinthgate/coordination/freshness"
 	"github.com/jacinthgate/jacinthgate/coordination/restore"
+	"github.com/jacinthgate/jacinthgate/internal/eventqueue"
 	"github.com/jacinthgate/jacinthgate/platform"
 )
 
@@ -105,9 +106,11 @@
 	n.own.suspects.Lock()
 	defer n.own.suspects.Unlock()
 	own := platform.Own{Node: string(n.set.Node)}
-	if !n.loop.queue.Ask(ctx, func() { own.Suspects = n.loop.suspects.Recorded() }) {
+	recorded, ran := eventqueue.Ask(ctx, n.loop.queue, n.loop.suspects.Recorded)
+	if !ran {
 		return own, ctx.Err()
 	}
+	own.Suspects = recorded
 	n.own.mu.Lock()
 	own.Seed, own.Drained = n.own.seed, n.own.drained
 	n.own.mu.Unlock()
