Try a quarantined request on one backend server after a pause

While it is refused nothing is sent, so no success can refute the evidence; where the processes have started again, no run that is still in flight can either.

It isn't repeated once it may have run; one that reached no backend server leaves the trial to the next. The gate lets it pass by a header that callers can't set. Success refutes the evidence everywhere, as any other; a crash is new evidence. Without the store there is no trial, as nodes that can't reach each other would each make one.

--- a/coordination/quarantine/doc.go
+++ b/coordination/quarantine/doc.go
@@ -13,12 +13,13 @@
 //   - A suspect.View gives the request path the requests that must not be sent.
 //
 // A request that was in flight at a crash by coincidence is cleared by its next
-// success on any node.
+// success on any node. Once quarantined it is sent in trials only, one at a time among
+// all nodes (NextTrial, Trials).
 package quarantine
 
 import "time"
 
 // RetryAfter is the Retry-After delay of a quarantined request. The request isn't
 // served before the fault in the backend servers is fixed, which takes people
-// minutes at least. Callers that won't wait this long fail with the refusal.
+// minutes at least, or a trial shows that there is none. Callers that won't wait this long fail with the refusal.
 const RetryAfter = time.Minute
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -80,7 +80,8 @@
 	gateServer *keepalive.Server
 
 	// own are the rows that only this node writes.
-	own ownRows
+	own    ownRows
+	trials *trials
 	// undrained is signalled when the store has not taken a drain.
 	undrained chan struct{}
 	// startDelay is when the node first looks for others after its start.
@@ -108,6 +109,7 @@
 	n := &Node{
 		set: set, path: path, log: logs.Lines, details: logs.Details, stateLog: logs.State,
 		metrics: metrics.NewSet(), pub: new(published), undrained: make(chan struct{}, 1),
+		trials: newTrials(),
 	}
 	n.metrics.GetOrCreateGauge("jacinthgate_log_lines_dropped", func() float64 { return float64(logs.Dropped()) })
 	n.metrics.GetOrCreateGauge("jacinthgate_config_newest_version", func() float64 { return float64(n.pub.newest.Load()) })
@@ -156,6 +158,7 @@
 	n.addActor(&g, n.loop.reader.run)
 	n.addActor(&g, n.discover)
 	n.addActor(&g, n.recordSuspects)
+	n.addActor(&g, n.claimTrials)
 	n.addActor(&g, n.recordRollouts)
 	n.addActor(&g, n.recordOwn)
 	n.addActor(&g, n.recordDrains)
--- a/internal/sidecar/requests.go
+++ b/internal/sidecar/requests.go
@@ -176,6 +176,7 @@
 		Runs:              runs,
 		Leaving:           n.stated,
 		Suspects:          n.pub.suspects.Load,
+		Trials:            n.trials,
 		Dialect:           platform.Dialect{},
 		Local:             n.gate,
 		Near:              near,
--- a/protocol/outcome/outcome.go
+++ b/protocol/outcome/outcome.go
@@ -80,6 +80,9 @@
 	// HeaderFingerprint carries the fingerprint of the request, by which requests that
 	// crash backend servers are recognised.
 	HeaderFingerprint = "Jacinthgate-Fingerprint"
+	// HeaderTrial is "1" on a quarantined request that is sent as the trial of its
+	// quarantine: the gate lets it pass.
+	HeaderTrial = "Jacinthgate-Trial"
 	// HeaderStartWithin carries the time, in milliseconds, within which the request must
 	// be sent to the backend server. After it, the proof that the caller's key is valid
 	// has expired.
--- a/state/suspect/table.go
+++ b/state/suspect/table.go
@@ -16,10 +16,10 @@
 	// Memory is the retention time of a suspect after its last crash, unless it is or
 	// was quarantined.
 	Memory = 10 * time.Minute
-	// Quarantine is the time from its last crash for which a quarantined request isn't
-	// sent: a day, so that the fault can be fixed. The request may crash backend servers
-	// again each time that a quarantine ends. A refutation is retained as long as the
-	// quarantine that it ends, of which a copy may return.
+	// Quarantine is the time from its last crash for which a quarantined request is sent
+	// in trials only: a day, so that the fault can be fixed. The request may crash backend
+	// servers again each time that a quarantine ends. A refutation is retained as long as
+	// the quarantine that it ends, of which a copy may return.
 	Quarantine = 24 * time.Hour
 	// MaxEntries limits the number of requests in a table, to some 50 KB. A crash makes
 	// each request in flight a suspect, so simultaneous crashes of 70 backend servers
--- a/transport/forward/node_header.go
+++ b/transport/forward/node_header.go
@@ -27,6 +27,7 @@
 	outcome.HeaderReached,
 	outcome.HeaderReroutable,
 	outcome.HeaderFingerprint,
+	outcome.HeaderTrial,
 	outcome.HeaderStartWithin,
 	outcome.HeaderQuota,
 	outcome.HeaderRepeat,
--- a/transport/inbound/check.go
+++ b/transport/inbound/check.go
@@ -20,6 +20,8 @@
 	// fingerprint identifies what the request asks for; 0 if the entry node sent no
 	// fingerprint.
 	fingerprint suspect.Fingerprint
+	// trial reports whether the request is the trial of its quarantine.
+	trial bool
 	// startBy is the time after which the request must not be sent to the backend server;
 	// zero is no bound.
 	startBy time.Time
@@ -47,12 +49,16 @@
 	if !g.parseHeaders(&c, req, now) || !g.adoptLimit(&c, req.Header, now) {
 		return c, outcome.ReasonMalformed
 	}
-	if g.crashes.Quarantined(c.fingerprint) {
+	if g.quarantined(&c) {
 		return c, outcome.ReasonQuarantined
 	}
 	return c, ""
 }
 
+// quarantined reports whether the request must not be sent because backend servers have crashed
+// under such requests.
+func (g *Gate) quarantined(c *call) bool { return g.crashes.Quarantined(c.fingerprint) && !c.trial }
+
 // parseHeaders fills c from the node headers of a request. It returns false if one of them
 // is invalid.
 func (g *Gate) parseHeaders(c *call, req *http.Request, now time.Time) bool {
@@ -79,6 +85,7 @@
 		c.Weight = g.cfg.Weight(c.Organisation)
 	}
 	c.Reroutable = h[outcome.HeaderReroutable] != nil
+	c.trial = h[outcome.HeaderTrial] != nil
 	c.fingerprint, err = crash.Fingerprint(req)
 	return err == nil
 }
--- a/transport/inbound/gate.go
+++ b/transport/inbound/gate.go
@@ -259,7 +259,7 @@
 		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonUnproved, false), nil
 	}
-	if g.crashes.Quarantined(c.fingerprint) { // a crash elsewhere may have caused a quarantine meanwhile
+	if g.quarantined(&c) { // a crash elsewhere may have caused a quarantine meanwhile
 		g.core.Release(c.Work, 0, g.cfg.Now())
 		return g.refuse(req, outcome.ReasonQuarantined, false), nil
 	}
--- a/transport/outbound/body.go
+++ b/transport/outbound/body.go
@@ -105,10 +105,7 @@
 	return nil, r.ContentLength
 }
 
-var (
-	expectValue     = []string{"100-continue"}
-	gateExpectValue = []string{"1"}
-)
+var expectValue = []string{"100-continue"}
 
 // needsContinue reports whether the body is sent only after the gate's "100 Continue":
 // otherwise a body that the gate refuses would have used the link of its host for nothing.
@@ -122,7 +119,7 @@
 		return // set by the caller itself
 	}
 	h["Expect"] = expectValue
-	h[outcome.HeaderExpectAdded] = gateExpectValue
+	h[outcome.HeaderExpectAdded] = flagValue
 }
 
 // reclaim makes the body ready to be sent again. It reports false where part of a stream
--- a/transport/outbound/exchange.go
+++ b/transport/outbound/exchange.go
@@ -47,9 +47,11 @@
 	// fingerprint identifies the content of the request: callers retry the same content
 	// under a new request ID.
 	fingerprint suspect.Fingerprint
-	trail       attempt.Trail
-	exclusions  balance.Exclusions
-	linkSearch  pace.Search
+	// trial reports whether the request is the trial of its quarantine.
+	trial      bool
+	trail      attempt.Trail
+	exclusions balance.Exclusions
+	linkSearch pace.Search
 	// nestedCall reports whether the request is presumably a nested call of a retry: it then
 	// counts as a repeat itself.
 	nestedCall bool
@@ -135,6 +137,7 @@
 			return nil
 		}
 		if !x.prepareRetry() {
+			x.returnTrial()
 			x.returnToken()
 			return x.conclude()
 		}
@@ -149,7 +152,7 @@
 func (x *exchange) attempt() bool {
 	// Callers retry at any node under a new request ID: only the fingerprint of the
 	// content links the request to earlier crashes of backend servers.
-	if x.p.cfg.Suspects().Quarantined(x.fingerprint) {
+	if x.p.cfg.Suspects().Quarantined(x.fingerprint) && !x.mayTry() {
 		x.trail.Forbid(outcome.ReasonQuarantined)
 		return false
 	}
@@ -176,6 +179,9 @@
 	return x.handleResponse(choice, resp, now, took)
 }
 
+// flagValue is the value of headers that are only present or absent.
+var flagValue = []string{"1"}
+
 // request builds the request to the gate of the chosen backend server.
 func (x *exchange) request(to *endpoint.Record, now time.Time) *http.Request {
 	body, length := x.body.source(x.r)
@@ -209,8 +215,11 @@
 	x.addLimitHint(to, h, now)
 	x.markRepeat(h)
 	x.replaceKey(h)
+	if x.trial {
+		h[outcome.HeaderTrial] = flagValue
+	}
 	if x.mayReroute(to, now) {
-		h[outcome.HeaderReroutable] = rerouteValue
+		h[outcome.HeaderReroutable] = flagValue
 	}
 	if x.route.Kind == model.KindUpload && x.body.needsContinue() && to.Node != x.p.cfg.Self {
 		x.expectContinue(h)
--- a/transport/outbound/proxy.go
+++ b/transport/outbound/proxy.go
@@ -61,6 +61,8 @@
 	// Suspects returns the requests that are suspected of crashing backend servers. It is
 	// one atomic load.
 	Suspects func() *suspect.View
+	// Trials allows trials of quarantined requests; nil allows none.
+	Trials Trials
 	// Dialect reads and writes the callers' headers.
 	Dialect dialect.Dialect
 	// Local sends to the gate of this host, Near to gates of other nodes in the zone,
@@ -104,6 +106,9 @@
 	if cfg.Details == nil {
 		cfg.Details = cfg.Logger
 	}
+	if cfg.Trials == nil {
+		cfg.Trials = noTrials{}
+	}
 	return &Proxy{
 		cfg: cfg, rand: random.New(cfg.Seed), started: cfg.Now(), refusals: attempt.NewRefusalHistory(), callGroups: attempt.NewCallGroups(),
 		callerRetries: cfg.Metrics.GetOrCreateCounter("jacinthgate_outbound_returned_total"),
--- a/transport/outbound/repeat.go
+++ b/transport/outbound/repeat.go
@@ -24,13 +24,11 @@
 	return func() { x.groupMember.Leave(x.answered) }
 }
 
-var repeatValue = []string{"1"}
-
 // markRepeat sets the header that marks the request as a repeat for the gate: where an
 // earlier attempt has reached a backend server, or where it is a nested call of a retry.
 func (x *exchange) markRepeat(h http.Header) {
 	if x.nestedCall || x.trail.Progress.Reached > 0 {
-		h[outcome.HeaderRepeat] = repeatValue
+		h[outcome.HeaderRepeat] = flagValue
 	}
 }
 
--- a/transport/outbound/slow.go
+++ b/transport/outbound/slow.go
@@ -8,8 +8,6 @@
 	"github.com/jacinthgate/jacinthgate/state/model"
 )
 
-var rerouteValue = []string{"1"}
-
 // mayReroute reports whether the gate may refuse the request because its host is
 // temporarily slow. Only the first gate tried may, where there is another server to try, and
 // only in this node's zone, as crossing into another zone has a cost of its own. It returns
