Soak: crashes beside a popular request, long answers that break off, bodies read late

- `-together`: all backend servers of a service end at the same moment while many callers ask for one path, and all nodes are killed a second later.
Every node must serve that path again.
New check `late-bodies-arrive`.

--- a/cmd/jacinthgate-soak/main.go
+++ b/cmd/jacinthgate-soak/main.go
@@ -42,6 +42,8 @@
 	// servers that crash, restores all but what is around a store that comes back from
 	// older copies.
 	planned, crashes, restores bool
+	// together plays backend servers that crash at the same moment beside one popular request.
+	together bool
 	// keys lets callers show keys, which come and go, and an organisation flood.
 	keys bool
 	// places plays evacuations of zones, and backend servers that are cold after a start.
@@ -76,6 +78,7 @@
 	f.BoolVar(&c.forgotten, "forgotten", false, "goodbyes after which all nodes are killed while the store is away")
 	f.BoolVar(&c.leaving, "leaving", false, "goodbyes while the store is away, nodes that are killed, and heartbeats of other writers")
 	f.BoolVar(&c.crashes, "crashes", false, "backend servers that crash and return, and requests that end them")
+	f.BoolVar(&c.together, "together", false, "backend servers that crash at the same moment beside one popular request, after which all nodes are killed")
 	f.BoolVar(&c.restores, "restores", false, "a store that comes back from older copies")
 }
 
@@ -102,6 +105,8 @@
 		return soak.NewKeyPlan(seed, c.nodes, c.length)
 	case c.places:
 		return soak.NewEvacuationPlan(seed, c.nodes, c.length)
+	case c.together:
+		return soak.NewTogetherPlan(seed, c.nodes, c.length)
 	case c.crashes:
 		return soak.NewCrashPlan(seed, c.nodes, c.length)
 	case c.restores:
@@ -124,7 +129,7 @@
 func (*planCmd) Name() string     { return "plan" }
 func (*planCmd) Synopsis() string { return "print the disturbances of a seed" }
 func (*planCmd) Usage() string {
-	return "plan -seed N [-nodes N] [-length D] [-planned | -ahead | -habits | -series | -crashes | -restores | -keys | -places | -statements | -silences | -leaving | -forgotten]\n"
+	return "plan -seed N [-nodes N] [-length D] [-planned | -ahead | -habits | -series | -crashes | -together | -restores | -keys | -places | -statements | -silences | -leaving | -forgotten]\n"
 }
 func (c *planCmd) SetFlags(f *flag.FlagSet) { c.set(f) }
 
@@ -147,7 +152,7 @@
 func (*runCmd) Name() string     { return "run" }
 func (*runCmd) Synopsis() string { return "play seeds and check the promises" }
 func (*runCmd) Usage() string {
-	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -ahead | -habits | -series | -crashes | -restores | -keys | -places | -statements | -silences | -leaving | -forgotten] [-bin DIR] [-dir DIR]
+	return `run [-seed N] [-seeds N] [-nodes N] [-length D] [-planned | -ahead | -habits | -series | -crashes | -together | -restores | -keys | -places | -statements | -silences | -leaving | -forgotten] [-bin DIR] [-dir DIR]
 Plays one seed after the other. A seed that breaks a promise is printed with what
 was seen, and its logs stay in DIR/SEED. Exit code 1 if any did.
 `
--- a/internal/soak/ahead.go
+++ b/internal/soak/ahead.go
@@ -24,8 +24,9 @@
 	// timeouts end a connection.
 	idleShare = 0.1
 	idlePause = 500 * time.Millisecond
-	// largeShare is the share of requests for an answer that is too large to be kept.
+	// largeShare and hugeShare are the shares of requests for large and huge answers.
 	largeShare = 0.02
+	hugeShare  = 0.06
 )
 
 // changesEvery is the time between two versions of a series.
@@ -124,10 +125,18 @@
 		method, prefix = http.MethodPost, "/book/"
 	}
 	path := prefix + requestID(number)
-	if rng.Float64() < largeShare {
+	switch share := rng.Float64(); {
+	case method == http.MethodPost && share < lateShare:
+		path += lateSuffix
+	case share < largeShare:
 		path += largeSuffix
+	case share < largeShare+hugeShare:
+		path += hugeSuffix
 	}
 	r := c.dueRequest(n, number, method, path)
+	if isLate(path) {
+		r.BodyBytes = largeBody
+	}
 	if prefix == slowPrefix {
 		r.Wait = slowWait
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -141,10 +141,13 @@
 	calm = 5 * time.Second
 )
 
-// largeSuffix ends the paths of requests for an answer of about largeAnswer bytes.
+// largeSuffix and hugeSuffix end the paths of requests for an answer of about largeAnswer and
+// hugeAnswer bytes. Half of a huge one is more than a node keeps where nothing stands behind it.
 const (
 	largeSuffix = "-large"
 	largeAnswer = 60_000
+	hugeSuffix  = "-huge"
+	hugeAnswer  = 200_000
 )
 
 // notRun are the statuses that promise that the request was not run.
@@ -207,6 +210,7 @@
 	if r.Status == http.StatusOK && !h.own(r, ran) {
 		found.add(CheckWhole, "%s got %q, signed %v", r.ID, r.Body, r.Stamped)
 	}
+	h.checkLate(r, found)
 	switch {
 	case r.Left:
 	case !h.disturbedAt(r):
@@ -229,8 +233,14 @@
 // Answer is the body with which a backend server answers.
 func Answer(server, path string) string {
 	said := server + " ran " + path
-	if !strings.HasSuffix(path, largeSuffix) {
+	bytes := 0
+	switch {
+	case strings.HasSuffix(path, largeSuffix):
+		bytes = largeAnswer
+	case strings.HasSuffix(path, hugeSuffix):
+		bytes = hugeAnswer
+	default:
 		return said
 	}
-	return strings.Repeat(said+"\n", largeAnswer/len(said))
+	return strings.Repeat(said+"\n", bytes/len(said))
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -44,6 +44,10 @@
 			h.Arrivals = nil
 			h.Requests[0].Status, h.Requests[0].Done = 0, at(300)
 		},
+		CheckLate: func(h *History) {
+			h.Arrivals = nil
+			h.Requests[0].Path, h.Requests[0].Status, h.Requests[0].Stamped = "/book/a"+lateSuffix, http.StatusBadGateway, false
+		},
 		CheckQuarantine: func(h *History) { h.askDeadly(0, 100, 200, 3300, 3400, 3500, 3600) },
 	} {
 		t.Run(string(want), func(t *testing.T) {
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -61,6 +61,8 @@
 	// CheckKept: a node that isn't killed itself ends no connection on which a request was passed
 	// on, but with its answer, whatever else goes on.
 	CheckKept Check = "passed-on-gets-an-answer"
+	// CheckLate: a backend server that reads a body late isn't taken for lost.
+	CheckLate Check = "late-bodies-arrive"
 	// CheckExplained: the logs tell of each refused or failed request by its id.
 	CheckExplained Check = "explained"
 )
--- a/internal/soak/disturb.go
+++ b/internal/soak/disturb.go
@@ -75,6 +75,8 @@
 		s.restore(ctx, step)
 	case FaultDeadly:
 		s.askDeadly(ctx, step)
+	case FaultTogether:
+		s.crashTogether(ctx, step)
 	case FaultEvacuate:
 		s.evacuate(ctx, step)
 	case FaultChanges:
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -43,6 +43,9 @@
 	// FaultDeadly lets callers ask at all nodes in turn for what ends each backend server
 	// that runs it.
 	FaultDeadly Fault = "deadly"
+	// FaultTogether lets all backend servers of a service crash at the same moment beside one
+	// popular request, and kills all nodes then. All return.
+	FaultTogether Fault = "together"
 	// FaultRestore lets the store go back to the copy that was taken when it began.
 	FaultRestore Fault = "restore"
 	// FaultSignals sends a node signals in series: SIGHUPs, SIGTERMs among further signals
@@ -109,6 +112,9 @@
 	FaultTerm, FaultKill, FaultFreeze, FaultStoreDown,
 }
 
+// together are the kinds around backend servers that crash at the same moment.
+var together = []Fault{FaultTogether, FaultTogether, FaultReturn, FaultCrash, FaultDrain, FaultChange, FaultTerm}
+
 // keyed are the kinds of a plan with keys: versions follow each other quickly.
 var keyed = append([]Fault{FaultChange, FaultChange, FaultChange, FaultChange}, all...)
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -82,6 +82,12 @@
 	return draw(crashing, stepEvery, seed, nodes, length)
 }
 
+// NewTogetherPlan draws a schedule around backend servers that crash at the same moment beside one
+// popular request.
+func NewTogetherPlan(seed uint64, nodes int, length time.Duration) Plan {
+	return draw(together, 2*stepEvery, seed, nodes, length)
+}
+
 // NewKeyPlan draws a schedule of all kinds in which keys come and go.
 func NewKeyPlan(seed uint64, nodes int, length time.Duration) Plan {
 	p := draw(keyed, stepEvery, seed, nodes, length)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -181,6 +181,7 @@
 	if n := s.awaitServing(ctx, recoverTime); n != nil && ctx.Err() == nil {
 		s.add(CheckRecovery, "%s doesn't serve %v after the last disturbance", n.name, recoverTime)
 	}
+	s.checkPopular(ctx, recoverTime)
 	s.checkRows(ctx, recoverTime)
 	s.checkLimitsEnded(ctx, recoverTime)
 	s.checkLast(ctx, recoverTime)
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -56,7 +56,11 @@
 // startServer starts a backend server on an address that the kernel completes. ended is
 // told when a request has ended it.
 func startServer(ip, id, service string, behaviours behaviours, ended func(*server)) (*server, error) {
-	ln, err := net.Listen("tcp", ip+":0")
+	listen := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	if behaviours.varied {
+		listen = listenSmall
+	}
+	ln, err := listen(ip + ":0")
 	if err != nil {
 		return nil, err
 	}
@@ -125,6 +129,9 @@
 	if forgotten {
 		panic(http.ErrAbortHandler)
 	}
+	if isLate(r.URL.Path) && !pause(r.Context(), lateTime) {
+		panic(http.ErrAbortHandler)
+	}
 	s.ServeHTTP(w, r)
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,6 +32,7 @@
 		"all faults":    NewPlan(3, 4, 6*time.Second),
 		"planned work":  NewPlannedPlan(1, 4, 6*time.Second),
 		"crashes":       NewCrashPlan(2, 4, 6*time.Second),
+		"together":      NewTogetherPlan(1, 6, 6*time.Second),
 		"keys":          NewKeyPlan(72, 4, 6*time.Second),
 		"restores":      NewRestorePlan(1, 4, 6*time.Second),
 		"series":        NewSeriesPlan(5, 4, 6*time.Second),
@@ -174,6 +175,20 @@
 	must.Eq(t, CheckVersion, s.found[0].Check)
 }
 
+func TestNodeThatRefusesWhatIsPopularIsFound(t *testing.T) {
+	n := nodeThatAnswers(t, func(path string) int {
+		if path == popularPath {
+			return http.StatusServiceUnavailable
+		}
+		return http.StatusOK
+	})
+	s := &soak{site: &site{nodes: []*node{n}}}
+	s.callers = &callers{site: s.site}
+	s.checkPopular(t.Context(), 200*time.Millisecond)
+	must.Len(t, 1, s.found)
+	must.Eq(t, CheckRecovery, s.found[0].Check)
+}
+
 func TestNodeThatDoesNotServeAgainIsFound(t *testing.T) {
 	n := nodeThatAnswers(t, func(string) int { return http.StatusServiceUnavailable })
 	s := &soak{site: &site{nodes: []*node{n}}}
