Time trials of quarantined requests by the store's clock alone

The first node that refuses a quarantined request now writes a row, from which the first pause counts; the row names a crash that counts against the request, by which a later quarantine is told apart. A row of the future, as after a restore, has the wait begin anew. The stand-in's clock has an origin of its own: with it `TestTrialLiftsAQuarantineThatNothingElseCan` fails before this change.

--- a/coordination/quarantine/trials.go
+++ b/coordination/quarantine/trials.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// trialPause is the time from the last crash under a quarantined request to its first
+	// trialPause is the time from the first refusal of a quarantined request to its first
 	// trial. It doubles with each trial, up to maxTrialPause.
 	trialPause    = 30 * time.Minute
 	maxTrialPause = 12 * time.Hour
@@ -22,17 +22,16 @@
 	maxClaimInterval = time.Hour
 )
 
-// NextTrial returns the trial that follows the last one that the store holds, and the time from
-// which it may begin. ok is false if the request isn't quarantined.
-func NextTrial(now time.Time, e suspect.Entry, last suspect.Trial) (next suspect.Trial, due time.Time, ok bool) {
-	if !e.Quarantined() {
-		return suspect.Trial{}, time.Time{}, false
+// NextTrial returns what follows the last trial of a quarantined request that the store holds, and
+// when it may be written. Both times are by the store's clock: those of nodes differ, and the first
+// row only has the wait begin.
+func NextTrial(now time.Duration, e suspect.Entry, last suspect.Trial) (next suspect.Trial, due time.Duration) {
+	next = suspect.Trial{At: now, Crash: e.LastCounted()}
+	if !last.Of(&e) || last.At > now { // of another quarantine, or of another life of the store
+		return next, now
 	}
-	if !last.Of(&e) || last.At > now.Add(trialWindow).Unix() { // of another quarantine, or of a wrong clock
-		last = suspect.Trial{}
-	}
-	due = last.After(e.LastCrash()).Add(backoff.Doubled(trialPause, maxTrialPause, last.Count))
-	return suspect.Trial{Count: last.Count + 1, At: now.Unix()}, due, true
+	next.Count = last.Count + 1
+	return next, last.At + backoff.Doubled(trialPause, maxTrialPause, last.Count)
 }
 
 // Trials holds the trials that a node has claimed for the requests of its callers. It is safe
--- a/coordination/quarantine/trials_test.go
+++ b/coordination/quarantine/trials_test.go
@@ -16,6 +16,7 @@
 // store's row of its trials.
 type trialFleet struct {
 	now      time.Time
+	clock    time.Duration // the store's, which has an origin of its own
 	entry    suspect.Entry
 	row      suspect.Trial
 	revision int
@@ -46,6 +47,7 @@
 // the row before any of them writes.
 func (f *trialFleet) step(run func()) {
 	f.now = f.now.Add(10 * time.Second)
+	f.clock += 10 * time.Second
 	var claims []*Trials
 	for _, n := range f.nodes {
 		taken, claim := n.Take(f.now, tried)
@@ -59,12 +61,14 @@
 	}
 	row, revision := f.row, f.revision
 	for _, n := range claims {
-		next, due, quarantined := NextTrial(f.now, f.entry, row)
+		if !f.entry.Quarantined() {
+			continue
+		}
+		next, due := NextTrial(f.clock, f.entry, row)
 		switch {
-		case !quarantined:
-		case f.now.Before(due):
-			n.Denied(f.now, tried, due.Sub(f.now))
-		case f.claim(next, revision):
+		case f.clock < due:
+			n.Denied(f.now, tried, due-f.clock)
+		case f.claim(next, revision) && next.Count > 0:
 			n.Claimed(f.now, tried)
 		}
 	}
@@ -120,29 +124,28 @@
 // The trials of a quarantine that a success has ended don't delay those of the next one.
 func TestPauseBeginsAnewWithTheNextQuarantine(t *testing.T) {
 	f := newTrialFleet(1)
-	f.row = suspect.Trial{Count: 9, At: f.now.Unix() + 10}
-	_, due, _ := NextTrial(f.now, f.entry, f.row)
-	must.Eq(t, f.now.Add(10*time.Second+maxTrialPause), due)
+	last := suspect.Trial{Count: 9, At: time.Hour, Crash: f.entry.LastCounted()}
+	next, due := NextTrial(2*time.Hour, f.entry, last)
+	must.Eq(t, 10, next.Count)
+	must.Eq(t, time.Hour+maxTrialPause, due)
 	f.refute()
-	f.now = f.now.Add(time.Hour)
 	for range suspect.Threshold {
 		f.crash()
 	}
-	next, due, ok := NextTrial(f.now, f.entry, f.row)
-	must.True(t, ok)
+	next, due = NextTrial(2*time.Hour, f.entry, last)
+	must.Eq(t, suspect.Trial{At: 2 * time.Hour, Crash: f.entry.LastCounted()}, next)
+	must.Eq(t, 2*time.Hour, due)
+	next, due = NextTrial(2*time.Hour, f.entry, next)
 	must.Eq(t, 1, next.Count)
-	must.Eq(t, f.now.Add(trialPause), due)
+	must.Eq(t, 2*time.Hour+trialPause, due)
 }
 
-// Guards against a row of another writer, or of a clock that was ahead, that ends all trials.
-func TestTrialInTheFutureDelaysNone(t *testing.T) {
+// Guards against a trial that is made early, or never, where the store's clock begins anew.
+func TestTrialOfAnotherLifeOfTheStoreHasTheWaitBeginAnew(t *testing.T) {
 	f := newTrialFleet(1)
-	for _, at := range []int64{1 << 62, f.now.Add(time.Hour).Unix()} {
-		next, due, ok := NextTrial(f.now, f.entry, suspect.Trial{Count: 3, At: at})
-		must.True(t, ok)
-		must.Eq(t, 1, next.Count)
-		must.Eq(t, f.now.Add(trialPause), due)
-	}
+	next, due := NextTrial(time.Minute, f.entry, suspect.Trial{Count: 3, At: time.Hour, Crash: f.entry.LastCounted()})
+	must.Zero(t, next.Count)
+	must.Eq(t, time.Minute, due)
 }
 
 // Guards against a trial that is lost because the request reached no backend server, and one
--- a/internal/sidecar/trials.go
+++ b/internal/sidecar/trials.go
@@ -60,24 +60,24 @@
 		e, _ := n.loop.suspects.Entry(f)
 		return e
 	})
-	if !ran {
+	if !ran || !e.Quarantined() {
 		return ctx.Err()
 	}
 	var row platform.TrialRow
 	for n.store.Clock() > 0 {
-		now := time.Unix(0, int64(n.store.Clock()))
-		next, due, quarantined := quarantine.NextTrial(now, e, row.Trial)
-		if !quarantined {
-			return nil
-		}
-		if now.Before(due) {
-			n.trials.held.Denied(time.Now(), f, due.Sub(now))
+		now := n.store.Clock()
+		next, due := quarantine.NextTrial(now, e, row.Trial)
+		if now < due {
+			n.trials.held.Denied(time.Now(), f, due-now)
 			return nil
 		}
 		stored, claimed, err := n.store.ClaimTrial(ctx, f, next, row.Revision)
 		if err != nil {
 			return err
 		}
+		if claimed && next.Count == 0 {
+			return nil
+		}
 		if claimed {
 			n.trials.held.Claimed(time.Now(), f)
 			_ = level.Warn(n.log).Log("event", "quarantine_trial_claimed", "fingerprint", f, "trial", next.Count)
--- a/internal/sidecar/trials_test.go
+++ b/internal/sidecar/trials_test.go
@@ -14,12 +14,18 @@
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
-// quarantineSince has all nodes know a quarantine of GET path whose crashes were some time ago.
+// quarantineSince has all nodes know a quarantine of GET path, and the store that it was first refused
+// some time ago.
 func (f *fleet) quarantineSince(ago time.Duration, path string) suspect.Fingerprint {
 	f.t.Helper()
 	asked := forward.Fingerprint(httptest.NewRequest(http.MethodGet, "http://"+host+path, nil), nil)
 	first := f.nodes[0].node
-	first.loop.queue.Post(f.t.Context(), quarantine.Loaded{Entries: []suspect.Entry{suspect.Stored(asked, time.Now().Add(-ago))}})
+	e := suspect.Stored(asked, time.Now())
+	refused := suspect.Trial{At: first.store.Clock() - ago, Crash: e.LastCounted()}
+	_, written, err := first.store.ClaimTrial(f.t.Context(), asked, refused, 0)
+	must.NoError(f.t, err)
+	must.True(f.t, written)
+	first.loop.queue.Post(f.t.Context(), quarantine.Loaded{Entries: []suspect.Entry{e}})
 	f.eventually("all nodes know the quarantine", func() bool {
 		for _, m := range f.nodes {
 			if !m.node.pub.suspects.Load().Quarantined(asked) {
