--- a/coordination/quarantine/trials.go
+++ b/coordination/quarantine/trials.go
@@ -22,9 +22,9 @@
 	maxClaimInterval = time.Hour
 )
 
-// NextTrial returns what follows the last trial of a quarantined request that the store holds, and
-// when it may be written. Both times are by the store's clock: those of nodes differ, and the first
-// row only has the wait begin.
+// NextTrial returns the row that follows the last one of a quarantined request, and when it may be
+// written. The first row, whose count is 0, begins the wait for the first trial. All times are by the
+// store's clock, since those of nodes differ.
 func NextTrial(now time.Duration, e suspect.Entry, last suspect.Trial) (next suspect.Trial, due time.Duration) {
 	next = suspect.Trial{At: now, Crash: e.LastCounted()}
 	if !last.Of(&e) || last.At > now { // of another quarantine, or of another life of the store
@@ -50,7 +50,7 @@
 	taken bool
 }
 
-// NewTrials returns a node without trials.
+// NewTrials returns the trials of a node that has claimed none.
 func NewTrials() *Trials {
 	return &Trials{
 		claimed: make(map[suspect.Fingerprint]*claimedTrial),
--- a/internal/sidecar/trials.go
+++ b/internal/sidecar/trials.go
@@ -51,8 +51,8 @@
 	})
 }
 
-// claimTrial claims the next trial of a request if it is due. The first write finds the row
-// that the store may hold.
+// claimTrial claims the next trial of a request if it is due. The first write, which assumes that
+// there is no row, is told the one that the store holds.
 func (n *Node) claimTrial(ctx context.Context, f suspect.Fingerprint) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -76,7 +76,7 @@
 			return err
 		}
 		if claimed && next.Count == 0 {
-			return nil
+			return nil // the wait for the first trial has begun
 		}
 		if claimed {
 			n.trials.held.Claimed(time.Now(), f)
