Soak and simulations: one wait, one receive buffer, one reported load

On reading the change again, three pieces that the project already had: `checkPopular` waited as `awaitServing` does (now `awaitAnswers` for both); `listenSmall` was `transporttest.ReceiveBuffer`; the simulation of stated limits built a load as that of uneven hosts does (now `reportedLoad`). The lock that two faults of the soak share is named for what it does. Checks, bounds and draws are as they were.

--- a/coordination/balance/limited_test.go
+++ b/coordination/balance/limited_test.go
@@ -85,7 +85,7 @@
 	work := model.Work{Kind: model.KindInteractive, Rank: 1, Target: limitedTarget}
 	r := gate.Request{Work: work, Due: began.Add(work.Target), Deadline: began.Add(time.Second)}
 	if reason := g.Enter(context.Background(), r, time.Now); reason != "" {
-		refused := Result{Outcome: Cancelled, Load: l.load(g)}
+		refused := Result{Outcome: Cancelled, Load: reportedLoad(g)}
 		if reason == outcome.ReasonServerLimit {
 			refused.Hold = max(0, g.StatedWait(time.Now())-limitedQueueTime)
 		}
@@ -97,13 +97,7 @@
 	took := 20 * time.Millisecond
 	time.Sleep(took)
 	g.Release(work, took, time.Now())
-	return Result{Outcome: OK, Latency: took, Load: l.load(g), Work: work, MeanServiceTime: took}, true
-}
-
-// load returns a gate's load as an entry node sees it.
-func (l *limited) load(g *gate.Gate) *Load {
-	have := g.Load()
-	return &Load{Used: have.Used, Slots: have.Slots, Queued: have.Queued, MeanServiceTime: g.MeanServiceTime()}
+	return Result{Outcome: OK, Latency: took, Load: reportedLoad(g), Work: work, MeanServiceTime: took}, true
 }
 
 // windows returns the smallest and the largest number of requests that a server was sent in any
--- a/coordination/balance/uneven_test.go
+++ b/coordination/balance/uneven_test.go
@@ -132,7 +132,7 @@
 	defer cancel()
 	reason := g.Enter(ctx, gate.Request{Work: unevenWork, Deadline: deadline, Due: began.Add(unevenTarget), Reroutable: reroutable}, time.Now)
 	if reason != "" {
-		return Result{Outcome: Cancelled, Load: u.report(g)}, reason
+		return Result{Outcome: Cancelled, Load: reportedLoad(g)}, reason
 	}
 	speed, slow, known := u.speeds[server%len(u.speeds)], u.slowness(server), g.Slowdown(time.Now())
 	took := time.Duration(size * slow / speed * float64(unevenMean))
@@ -141,7 +141,7 @@
 		g.ReportSlowness(u.slowness(server)/speed, time.Now())
 	}
 	g.ReleaseSlowed(unevenWork, took, known, time.Now())
-	return Result{Outcome: OK, Load: u.report(g), Work: unevenWork, MeanServiceTime: g.Typical(unevenWork)}, ""
+	return Result{Outcome: OK, Load: reportedLoad(g), Work: unevenWork, MeanServiceTime: g.Typical(unevenWork)}, ""
 }
 
 // slowness returns the current slowdown of a server's host.
@@ -152,8 +152,8 @@
 	return 1
 }
 
-// report returns a gate's load as an entry node parses it from the header.
-func (u *uneven) report(g *gate.Gate) *Load {
+// reportedLoad returns a gate's load as an entry node parses it from the header.
+func reportedLoad(g *gate.Gate) *Load {
 	l := g.Load()
 	load := Load{Used: l.Used, Slots: l.Slots, Queued: l.Queued, MeanServiceTime: g.MeanServiceTime(), Slowdown: g.Slowdown(time.Now())}
 	parsed, err := ParseLoad(load.String())
--- a/internal/soak/forgotten.go
+++ b/internal/soak/forgotten.go
@@ -27,10 +27,10 @@
 // start, and the store comes back. The backend server serves on until the end.
 func (s *soak) sayGoodbyeAndKill(ctx context.Context, n *node, victims []*node, step Step) {
 	// One at a time, as the store comes back at the end of each.
-	if !s.forgotten.TryLock() {
+	if !s.alone.TryLock() {
 		return
 	}
-	defer s.forgotten.Unlock()
+	defer s.alone.Unlock()
 	for _, v := range victims {
 		v.busy.Lock()
 		defer v.busy.Unlock()
--- a/internal/soak/late.go
+++ b/internal/soak/late.go
@@ -1,11 +1,8 @@
 package soak
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"time"
 )
 
@@ -23,21 +20,6 @@
 
 func isLate(path string) bool { return strings.HasSuffix(path, lateSuffix) }
 
-// listenSmall opens an address whose connections have small receive buffers.
-func listenSmall(addr string) (net.Listener, error) {
-	cfg := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		err := c.Control(func(fd uintptr) {
-			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer)
-		})
-		if err != nil {
-			return err
-		}
-		return failed
-	}}
-	return cfg.Listen(context.Background(), "tcp", addr)
-}
-
 // checkLate checks that a body that is read late arrives: the node mustn't take its backend server
 // for lost.
 func (h *History) checkLate(r *Request, found *report) {
--- a/internal/soak/popular.go
+++ b/internal/soak/popular.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -20,10 +19,10 @@
 // crashTogether ends all backend servers of the service of popularPath while many callers ask
 // for it, and then all nodes. Both return.
 func (s *soak) crashTogether(ctx context.Context, step Step) {
-	if !s.forgotten.TryLock() {
+	if !s.alone.TryLock() {
 		return
 	}
-	defer s.forgotten.Unlock()
+	defer s.alone.Unlock()
 	asking, stop := context.WithCancel(ctx)
 	defer stop()
 	s.askForPopular(asking)
@@ -74,17 +73,8 @@
 
 // checkPopular checks that every node serves popularPath within a time.
 func (s *soak) checkPopular(ctx context.Context, bound time.Duration) {
-	deadline := time.Now().Add(bound)
-	for _, n := range s.site.nodes {
-		for s.callers.ask(n.caller(true), n, popularPath).Status != http.StatusOK {
-			if ctx.Err() != nil {
-				return
-			}
-			if time.Now().After(deadline) {
-				s.add(CheckRecovery, "%s doesn't serve %s %v after the last disturbance", n.name, popularPath, bound)
-				return
-			}
-			time.Sleep(askEvery)
-		}
+	ask := func(n *node) Request { return s.callers.ask(n.caller(true), n, popularPath) }
+	if n := awaitAnswers(ctx, s.site.nodes, bound, ask); n != nil && ctx.Err() == nil {
+		s.add(CheckRecovery, "%s doesn't serve %s %v after the last disturbance", n.name, popularPath, bound)
 	}
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -54,8 +54,8 @@
 	evacuations []Evacuation
 	lost        []string // rows of nodes that a restore of the store may have taken
 	throttled   throttled
-	// forgotten is held while a node is away after a goodbye.
-	forgotten sync.Mutex
+	// alone is held by faults of which one is played at a time.
+	alone sync.Mutex
 }
 
 // NotServingError reports a site that didn't begin to serve.
@@ -165,9 +165,14 @@
 
 // awaitServing waits until every node serves, and returns one that doesn't.
 func (s *soak) awaitServing(ctx context.Context, bound time.Duration) *node {
+	return awaitAnswers(ctx, s.site.nodes, bound, func(n *node) Request { return s.callers.send(n.caller(true), n, "/status/") })
+}
+
+// awaitAnswers asks each node until it has answered with success, and returns one that doesn't.
+func awaitAnswers(ctx context.Context, nodes []*node, bound time.Duration, ask func(*node) Request) *node {
 	deadline := time.Now().Add(bound)
-	for _, n := range s.site.nodes {
-		for s.callers.send(n.caller(true), n, "/status/").Status != http.StatusOK {
+	for _, n := range nodes {
+		for ask(n).Status != http.StatusOK {
 			if time.Now().After(deadline) || ctx.Err() != nil {
 				return n
 			}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jacinthgate/jacinthgate/platform/platformtest"
+	"github.com/jacinthgate/jacinthgate/transport/transporttest"
 )
 
 // Parameters of the stand-ins of backend servers.
@@ -56,11 +57,11 @@
 // startServer starts a backend server on an address that the kernel completes. ended is
 // told when a request has ended it.
 func startServer(ip, id, service string, behaviours behaviours, ended func(*server)) (*server, error) {
-	listen := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+	var listen net.ListenConfig
 	if behaviours.varied {
-		listen = listenSmall
+		listen.Control = transporttest.ReceiveBuffer(smallBuffer)
 	}
-	ln, err := listen(ip + ":0")
+	ln, err := listen.Listen(context.Background(), "tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
