Take the end of a connection for a response's end only if the server closed it

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a whole response.

Cause: a body without a length ends with its connection, and `forward.Client` took each io.EOF for that end. The kernel reports the failure of a socket once, to the call that meets it first. Where the goroutine that writes the request's body gets the reset, the read after it returns io.EOF as at a regular end. The same holds for a path whose time is up (TCP_USER_TIMEOUT).

Fix: at io.EOF the client asks the kernel whether the server has closed its sending direction. TCP_INFO counts a FIN as one more received byte, and still tells after the error was handed out and the state is "closed". This needs neither the writer's error nor an order between the two goroutines. What other connections return (not TCP, or a kernel that doesn't tell) stays as it was.

Ruled out: the state alone ("closed" in both cases); the writer's first error, which would have to be waited for, and which is ETIMEDOUT too where the path was lost behind a whole response.

--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"io"
 	"net"
 	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
 // trackedConn is a connection that counts the bytes written, so that a request
@@ -12,6 +15,7 @@
 type trackedConn struct {
 	net.Conn
 	sent, received *metrics.Counter // may be nil
+	read           int64            // number of bytes read; only the goroutine that reads uses it
 
 	mu      sync.Mutex
 	written int64
@@ -56,9 +60,13 @@
 	return n, c.cause(err)
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns io.EOF only if the peer has closed its sending direction.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.read += int64(n)
+	if err == io.EOF {
+		err = sockopt.CheckEnd(c.Conn, c.read)
+	}
 	if c.received != nil {
 		c.received.Add(n)
 	}
--- /dev/null
+++ b/transport/sockopt/end.go
@@ -0,0 +1,35 @@
+package sockopt
+
+import (
+	"io"
+	"net"
+
+	"golang.org/x/sys/unix"
+)
+
+// tcpClosed is TCP_CLOSE, the state of a connection that has ended in both directions.
+const tcpClosed = 7
+
+// LostError reports a connection that has failed before its peer closed it.
+type LostError struct{}
+
+// Error implements error.
+func (*LostError) Error() string { return "connection lost before its peer closed it" }
+
+// CheckEnd returns the error for a read that has returned io.EOF: io.EOF if the peer has closed its
+// sending direction, else a *LostError. received is the number of bytes that were read from the connection
+// since it was opened. It returns io.EOF for a connection other than TCP.
+//
+// The kernel reports the failure of a connection once, to the call that meets it first. If that is a write,
+// the read after it returns io.EOF as at a regular end.
+func CheckEnd(conn net.Conn, received int64) error {
+	lost := withDescriptor(conn, func(fd int) bool {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		// A FIN that has arrived counts as one more byte.
+		return err == nil && info.State == tcpClosed && info.Bytes_received == uint64(received)
+	})
+	if lost {
+		return &LostError{}
+	}
+	return io.EOF
+}
