Reset the connection of an HTTP/1.0 caller whose response is truncated

What callers saw: callers of HTTP/1.0 took a response that broke off after its first bytes had been passed on for a whole one, with or without an upload.

Cause: a response of unknown length to an HTTP/1.0 request is delimited by the end of the connection. `transport/callers` ended it by a close in both cases, so that the part and the whole looked alike. So did the end of the process and the end of a shutdown's grace time.

Fix: while such a response is incomplete, the socket is set to be reset by a close (SO_LINGER 0), which holds for the end of the process too; once the response is complete, the option is taken back and the connection ends as before.

Whole responses end with a close as before (TestWholeResponseOfHTTP10EndsWithAClose).

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -257,17 +257,31 @@
 	c.armIdle(c.server.cfg.Limits())
 }
 
-// abort closes the connection without completing a request's response.
+// abort closes the connection without completing a request's response: the caller must not take a
+// truncated response for a complete one.
 func (c *conn) abort(x *exchange) {
+	if !c.breakOff(x) {
+		return
+	}
+	if x.w.endsWithConnection.Load() {
+		c.reportCut(x) // before the end of the connection is taken for the caller's
+		c.lingerBeforeReset()
+	}
+	_ = c.raw.Close() // nothing more is sent
+}
+
+// breakOff records that a request's response is truncated, so that nothing is sent after it. It returns
+// false if the final response was sent: closing the connection could keep that from arriving.
+func (c *conn) breakOff(x *exchange) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.finalSent {
-		return // closing could keep the final response from arriving
+		return false
 	}
 	if c.brokenBy == nil {
 		c.brokenBy = x
 	}
 	c.readStopped = true
 	c.cancel()
-	_ = c.raw.Close() // the caller must not take a truncated response for a complete one
+	return true
 }
--- a/transport/callers/response.go
+++ b/transport/callers/response.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
 // maxBuffered bounds how much of a response is buffered before its turn, in bytes.
@@ -29,6 +31,9 @@
 	written  int64
 	begun    atomic.Bool // the head was written
 	chunks   io.WriteCloser
+	// endsWithConnection is set for a body that the end of the connection delimits. Until it is complete,
+	// a close resets the connection, so that the caller doesn't take a part of it for the whole.
+	endsWithConnection atomic.Bool
 	// flushPending is set if the response is to be flushed when its turn comes, finished if the
 	// handler has returned.
 	flushPending, finished bool
@@ -168,7 +173,9 @@
 		h["Transfer-Encoding"] = []string{"chunked"}
 		w.chunks = httputil.NewChunkedWriter(w.x.conn.bw)
 	default:
-		c.closeAfter(w.x) // HTTP/1.0: closing the connection ends the body
+		c.closeAfter(w.x) // HTTP/1.0
+		w.endsWithConnection.Store(true)
+		sockopt.SetResetOnClose(c.raw, true)
 	}
 }
 
@@ -219,7 +226,13 @@
 			return err
 		}
 	}
-	return w.x.conn.bw.Flush()
+	if err := w.x.conn.bw.Flush(); err != nil {
+		return err
+	}
+	if w.endsWithConnection.Load() {
+		sockopt.SetResetOnClose(w.x.conn.raw, false)
+	}
+	return nil
 }
 
 // callerClosed reports whether writing the response has failed because the caller had closed the
--- a/transport/sockopt/sockopt.go
+++ b/transport/sockopt/sockopt.go
@@ -32,6 +32,19 @@
 	})
 }
 
+// SetResetOnClose makes a close reset a TCP connection, or end it as usual. What is unsent or
+// unacknowledged at a reset is lost. The end of the process closes the connection too. It does nothing on
+// connections other than TCP.
+func SetResetOnClose(conn net.Conn, reset bool) {
+	var linger unix.Linger
+	if reset {
+		linger.Onoff = 1
+	}
+	withDescriptor(conn, func(fd int) bool {
+		return unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &linger) == nil // fails only on a closed connection
+	})
+}
+
 // HasUnread reports whether a connection has received bytes that were not read yet. It doesn't
 // block and doesn't consume them. It returns false for a connection without a socket.
 func HasUnread(conn net.Conn) bool {
