Test: don't start a stand-in again after its test has ended

Cause: a backend server of `crash_test.go` that has crashed starts again after 100 ms by a timer. Where the test ends sooner, the start runs beside the stopping nodes, its heartbeat fails, and the failure panics after the test: the whole package ends ("Fail in goroutine after TestTrialOfADeadlyRequestEndsOneBackendServer has completed"). On this machine the fifty requests behind the crash take less than 100 ms, so that it happened in 3 of 3 runs of the package, one of them on untouched code.

Change: the cleanup of the stand-in stops it for good, and waits for a start that has begun. No check or bound changes. Three runs of these tests: green; the same command on untouched code: panic.

--- a/internal/sidecar/crash_test.go
+++ b/internal/sidecar/crash_test.go
@@ -29,6 +29,7 @@
 	server *http.Server
 	starts []*platformtest.Backend
 	ended  int
+	over   bool // it doesn't start again
 }
 
 // restartTime is how long a backend server is away after it has ended.
@@ -40,7 +41,7 @@
 	for _, m := range f.nodes {
 		c := &crashing{f: f, m: m, addr: anyAddr}
 		c.start()
-		f.t.Cleanup(func() { c.stop() })
+		f.t.Cleanup(c.stopForGood)
 		all = append(all, c)
 	}
 	return all
@@ -50,6 +51,9 @@
 func (c *crashing) start() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.over {
+		return
+	}
 	ln, err := net.Listen("tcp", c.addr)
 	must.NoError(c.f.t, err)
 	c.addr = ln.Addr().String()
@@ -74,6 +78,14 @@
 	return true
 }
 
+// stopForGood ends the backend server, which may be about to start again.
+func (c *crashing) stopForGood() {
+	c.mu.Lock()
+	c.over = true
+	c.mu.Unlock()
+	c.stop()
+}
+
 // answer runs a request.
 func (c *crashing) answer(w http.ResponseWriter, r *http.Request) {
 	platformtest.Stamp(w)
