Reset truncated responses to HTTP/1.0 callers of jacinthgate-node too

What callers saw, and the cause: as in `transport/callers`. net/http's server closes a connection whose handler has aborted, `transport/keepalive` ends it behind the last bytes in the regular way, and an HTTP/1.0 caller takes a truncated response of unknown length for a whole one.

Fix: `keepalive` knows from its handler that the response to an HTTP/1.0 request is incomplete, and has a close reset the connection until the response was sent: until the connection is idle again, or is closed after the handler has returned. A hijacked connection is the handler's.

--- a/transport/callers/conn.go
+++ b/transport/callers/conn.go
@@ -265,7 +265,7 @@
 	}
 	if x.w.endsWithConnection.Load() {
 		c.reportCut(x) // before the end of the connection is taken for the caller's
-		c.lingerBeforeReset()
+		c.logUnread((&sockopt.Sends{Conn: c.raw}).LingerBeforeReset())
 	}
 	_ = c.raw.Close() // nothing more is sent
 }
--- a/transport/callers/end.go
+++ b/transport/callers/end.go
@@ -5,8 +5,6 @@
 	"io"
 	"os"
 	"time"
-
-	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
 // lingerTime is how long the server keeps reading a connection after it has closed
@@ -73,15 +71,3 @@
 	c.logUnread(unread)
 	return closed
 }
-
-// resetLingerTime is how long the server reads a connection that it is going to reset.
-const resetLingerTime = 50 * time.Millisecond
-
-// lingerBeforeReset waits until the caller has received the responses before the truncated one, which a
-// reset would discard. It reads what the caller still sends: the kernel reports a reset once, and a caller
-// that meets it as it writes may read the regular end of a connection after it.
-func (c *conn) lingerBeforeReset() {
-	sends := sockopt.Sends{Conn: c.raw}
-	unread, _ := sends.Linger(resetLingerTime)
-	c.logUnread(unread)
-}
--- a/transport/keepalive/conn.go
+++ b/transport/keepalive/conn.go
@@ -55,6 +55,7 @@
 	resumed bool
 	// ending is set once the connection is closed for writing or all.
 	ending bool
+	http10 http10Response
 }
 
 // waits reports whether the connection waits for a request and no part of one has arrived. The
@@ -71,6 +72,9 @@
 	c.begun = state == http.StateIdle && prefetched || state == http.StateNew && c.begun
 	c.state, c.peeked = state, false
 	c.resumed = c.resumed && state == http.StateNew
+	if state == http.StateIdle || state == http.StateHijacked {
+		c.setHTTP10(nil) // sent, or the handler's own
+	}
 	if c.woken {
 		c.woken = false
 		_ = c.Conn.SetReadDeadline(c.deadline) // the read returns the error of a closed connection
@@ -258,12 +262,17 @@
 
 // Close implements net.Conn. Behind a response, the client is given the time to receive it.
 func (c *conn) Close() error {
+	truncated := c.endHTTP10()
 	if !c.beginLinger() {
 		c.server.remove(c)
 		return c.Conn.Close()
 	}
 	go func() {
-		c.linger(true)
+		if truncated {
+			c.sends.LingerBeforeReset()
+		} else {
+			c.linger(true)
+		}
 		c.server.remove(c)
 		_ = c.Conn.Close() // nothing more is sent
 	}()
--- a/transport/keepalive/server.go
+++ b/transport/keepalive/server.go
@@ -59,13 +59,14 @@
 			next(c, state)
 		}
 	}
+	s.passConns()
 	return s
 }
 
 // Serve accepts connections until the listener is closed. Like http.Server.Serve, it always returns
 // an error.
 func (s *Server) Serve(l net.Listener) error {
-	s.wrap.Do(func() { s.http.Handler = s.announceClose(s.http.Handler) })
+	s.wrap.Do(func() { s.http.Handler = s.announceClose(resetTruncated(s.http.Handler)) })
 	accepting := &listener{Listener: l, server: s}
 	accepting.wrapped = accepting.inner()
 	if s.cfg.Wrap != nil {
--- a/transport/sockopt/sends.go
+++ b/transport/sockopt/sends.go
@@ -12,6 +12,9 @@
 // considered gone.
 const StallTimeout = 2 * time.Second
 
+// resetLinger is how long a connection is still read before it is reset.
+const resetLinger = 50 * time.Millisecond
+
 // maxDiscarded bounds what is read and discarded of a peer that doesn't stop sending, in bytes: what a
 // connection's buffers hold, which it may have sent before it could receive the last response.
 const maxDiscarded = 8 << 20
@@ -67,3 +70,11 @@
 		}
 	}
 }
+
+// LingerBeforeReset waits until the peer has received what was sent, which a reset would discard, or stops
+// receiving. Meanwhile it reads and discards: the kernel reports a reset once, and a peer that meets it in a
+// write may read the regular end of a connection after it. It returns the number of bytes that it has read.
+func (s *Sends) LingerBeforeReset() (unread int64) {
+	unread, _ = s.Linger(resetLinger)
+	return unread
+}
