Tell the end of the older system's connection from its failure

What callers of jacinthgate-node would see: the same as from backend servers. A response of the older system without a length ends with its connection; a reset that is met by the goroutine that copies the request's body leaves the regular end of the stream to the one that copies the response.

Fix: the connection to the older system is read through `sockopt.CheckedConn`, which checks each io.EOF as `forward.Client` does.

--- a/transport/entry/older.go
+++ b/transport/entry/older.go
@@ -92,7 +92,7 @@
 		c.older = nil
 		return err
 	}
-	c.older = &olderConn{Conn: conn, reader: bufio.NewReader(conn)}
+	c.older = &olderConn{Conn: conn, reader: bufio.NewReader(&sockopt.CheckedConn{Conn: conn})}
 	return nil
 }
 
--- a/transport/sockopt/end.go
+++ b/transport/sockopt/end.go
@@ -33,3 +33,22 @@
 	}
 	return io.EOF
 }
+
+// CheckedConn is a connection whose reads return io.EOF only if the peer has closed its sending direction.
+type CheckedConn struct {
+	net.Conn
+	received int64 // in bytes
+}
+
+// Read implements net.Conn. Besides the errors of the connection it returns a *LostError.
+func (c *CheckedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received += int64(n)
+	if err == io.EOF {
+		err = CheckEnd(c.Conn, c.received)
+	}
+	return n, err
+}
+
+// NetConn returns the connection below.
+func (c *CheckedConn) NetConn() net.Conn { return c.Conn }
