Reset the caller's connection where the older system's response is truncated

What callers of jacinthgate-node saw: a response of the older system that had no length and was reset in its middle looked whole, to callers of HTTP/1.1 and 1.0, with or without a request body.

Cause: such a response is copied byte for byte, so that the end of the caller's connection delimits it too; that connection was closed in the regular way whatever had ended the copy.

Fix: until such a copy is complete, a close resets the caller's connection, as in `transport/callers`. Responses of a stated length and chunked ones show their truncation themselves.

--- a/transport/entry/older_broken_test.go
+++ b/transport/entry/older_broken_test.go
@@ -1,18 +1,77 @@
 package entry
 
 import (
+	"bufio"
+	"context"
 	"io"
 	"net"
+	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/shoenig/test/must"
 )
 
+// startRawOlder starts a test bed whose older system reads the head of a request, writes an answer and ends
+// the connection by end. It returns the address for callers.
+func startRawOlder(t *testing.T, answer string, end func(c *net.TCPConn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, answer)
+			}
+			end(c.(*net.TCPConn))
+		}
+	}()
+	b := newTestBed()
+	b.cfg.OlderAddr = l.Addr().String()
+	b.start(t)
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = b.proxy.Serve(front) }()
+	t.Cleanup(func() { must.NoError(t, b.proxy.Shutdown(context.Background())) })
+	return front.Addr().String()
+}
+
 func resetConn(c *net.TCPConn) {
 	_ = c.SetLinger(0) // fails only on a closed connection
 	_ = c.Close()
 }
 
+// Guards against a response without a length of the older system that is truncated and passes for whole.
+func TestOlderTruncatedResponseWithoutLengthEndsWithAReset(t *testing.T) {
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		for how, end := range map[string]func(c *net.TCPConn){"reset": resetConn, "closed": func(c *net.TCPConn) { _ = c.Close() }} {
+			t.Run(proto+", "+how, func(t *testing.T) {
+				addr := startRawOlder(t, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 1000), end)
+				c, err := net.Dial("tcp", addr)
+				must.NoError(t, err)
+				defer c.Close()
+				_, err = io.WriteString(c, "GET /older/a "+proto+"\r\nHost: screens.example\r\n\r\n")
+				must.NoError(t, err)
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				must.NoError(t, err)
+				body, err := io.ReadAll(resp.Body)
+				must.Eq(t, 1000, len(body))
+				if how == "reset" {
+					must.ErrorIs(t, err, syscall.ECONNRESET)
+				} else {
+					must.NoError(t, err)
+				}
+			})
+		}
+	}
+}
+
 // Guards against a reset that the write of a request's body meets, so that the read after it returns the end
 // of the stream.
 func TestOlderConnectionEndsOnlyIfTheOlderSystemClosesIt(t *testing.T) {
--- a/transport/entry/older_exchange.go
+++ b/transport/entry/older_exchange.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"slices"
+
+	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
 // rawExchange copies one request to the older system, and its response back, byte for
@@ -117,10 +119,21 @@
 		_, err := io.CopyN(x.caller, from, resp.ContentLength)
 		return err
 	default:
-		_, err := io.Copy(x.caller, from)
 		resp.Close = true
+		return x.copyToEnd(from)
+	}
+}
+
+// copyToEnd copies a body that the end of the connection delimits. Until it is complete, a close resets the
+// caller's connection, so that the caller doesn't take a part of it for the whole.
+func (x *rawExchange) copyToEnd(from io.Reader) error {
+	sockopt.SetResetOnClose(x.caller, true)
+	if _, err := io.Copy(x.caller, from); err != nil {
+		(&sockopt.Sends{Conn: x.caller.Conn}).LingerBeforeReset()
 		return err
 	}
+	sockopt.SetResetOnClose(x.caller, false)
+	return nil
 }
 
 // splice copies bytes both ways after a protocol switch, until both directions are
