Reject responses whose status is below 100

What callers saw: a server in trouble answered with the status 000, and the caller got an answer. Over two nodes it was a 200 with a body that stood behind or inside of the broken response; in `jacinthgate-node` the handler panicked ("invalid WriteHeader code 0"), or the caller of the older system got the 000 and what followed it.

Cause: `http.ReadResponse` takes any three characters that strconv.Atoi reads, so 000, 099 and +20 too. `forward.Client` took a status below 200 for an interim response, passed it on and read the next head from what followed: the body of the broken response, or another response behind it.

`entry.TestOlderStatusBelow100IsNoResponse` fails before.

Fix: each head that is read is checked by `forward.CheckHead`; one that fails is an error like any other unreadable response. The request may have run, so that it is 502 or tried elsewhere if it may run again; the connection isn't used again, and the failure counts against the server.

--- a/transport/entry/older_broken_test.go
+++ b/transport/entry/older_broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -105,3 +107,29 @@
 		})
 	}
 }
+
+// checkOlderIsNoResponse checks that callers get no whole response for what the older system sends.
+func checkOlderIsNoResponse(t *testing.T, answer string) {
+	t.Helper()
+	addr := startRawOlder(t, answer, func(c *net.TCPConn) { _ = c.Close() })
+	c, err := net.Dial("tcp", addr)
+	must.NoError(t, err)
+	defer c.Close()
+	must.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(c, "GET /older/a HTTP/1.1\r\nHost: screens.example\r\n\r\n")
+	must.NoError(t, err)
+	got, _ := io.ReadAll(c) // the end may be a reset
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(got)), nil)
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+	}
+	must.Error(t, err, must.Sprintf("%q", got))
+}
+
+// Guards against a status that isn't one.
+func TestOlderStatusBelow100IsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20"} {
+		checkOlderIsNoResponse(t, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 4\r\n\r\nbody")
+		checkOlderIsNoResponse(t, "HTTP/1.1 "+status+" Trouble\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+	}
+}
--- a/transport/entry/older_exchange.go
+++ b/transport/entry/older_exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
@@ -92,6 +93,9 @@
 			return nil, err
 		}
 		resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), x.request)
+		if err == nil {
+			err = forward.CheckHead(resp)
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/transport/forward/receive.go
+++ b/transport/forward/receive.go
@@ -49,9 +49,18 @@
 	return nil, &ProtocolError{What: "too many interim responses"}
 }
 
-// readHead reads one head. A head that has begun must end soon: the time in which a server may answer
-// isn't spent on one that doesn't end.
+// readHead reads and checks one head.
 func (x *roundTrip) readHead() (*http.Response, error) {
+	resp, err := x.parseHead()
+	if err == nil {
+		err = CheckHead(resp)
+	}
+	return resp, err
+}
+
+// parseHead reads one head. A head that has begun must end soon: the time in which a server may answer
+// isn't spent on one that doesn't end.
+func (x *roundTrip) parseHead() (*http.Response, error) {
 	br := x.conn.br
 	if _, err := br.Peek(1); err != nil {
 		if err == io.EOF {
