Reject responses with a field name that is no token

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer, with the line dropped, or, for "Content-Length : 4" and "Transfer-Encoding : chunked", with a body that wasn't the server's: the framing itself, or whatever came until the connection ended.

Cause: net/textproto reads a name with blanks and leaves it as it stands, so that `http.ReadResponse` doesn't see a framing field in it. Nothing behind it looked at the names. The same holds for the heads of interim responses and for trailers.

Evidence: `forward.TestFieldNameThatIsNoneIsNoResponse`: the five cases with a blank and an announced trailer with one fail before ("status 200, map[X A:[b]]"). Tabs, NUL, BEL, DEL, no name, no colon and control bytes in values were errors already, in heads and in trailers, and stay so; the cases are kept. `entry.TestOlderFieldNameThatIsNoneIsNoResponse` fails before.

The older system's trailers are checked before they are copied. Requests' trailers go to it untouched, as before. Names of unusual tokens pass (TestUnusualFieldNamesArePassedOn).

--- a/transport/entry/older_broken_test.go
+++ b/transport/entry/older_broken_test.go
@@ -133,3 +133,14 @@
 		checkOlderIsNoResponse(t, "HTTP/1.1 "+status+" Trouble\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
 	}
 }
+
+// Guards against a field whose name isn't one, in the head or the trailers.
+func TestOlderFieldNameThatIsNoneIsNoResponse(t *testing.T) {
+	const head, chunk = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n", "\r\n4\r\nwell\r\n0\r\n"
+	for _, field := range []string{"X A: b", "X-A : b", "Content-Length : 4", "X\x07A: b", "no colon"} {
+		checkOlderIsNoResponse(t, head+field+"\r\n"+chunk+"\r\n")
+		checkOlderIsNoResponse(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\nwell")
+		checkOlderIsNoResponse(t, "HTTP/1.1 103 Early Hints\r\n"+field+"\r\n\r\n"+head+chunk+"\r\n")
+		checkOlderIsNoResponse(t, head+chunk+field+"\r\n\r\n")
+	}
+}
--- a/transport/entry/older_exchange.go
+++ b/transport/entry/older_exchange.go
@@ -78,7 +78,7 @@
 		return err
 	}
 	if slices.Contains(x.request.TransferEncoding, "chunked") {
-		return copyChunked(w, x.reader)
+		return copyChunked(w, x.reader, anyTrailers)
 	}
 	return nil
 }
@@ -118,7 +118,7 @@
 	case bodyless:
 		return nil
 	case slices.Contains(resp.TransferEncoding, "chunked"):
-		return copyChunked(x.caller, from)
+		return copyChunked(x.caller, from, checkTrailers)
 	case resp.ContentLength >= 0:
 		_, err := io.CopyN(x.caller, from, resp.ContentLength)
 		return err
--- a/transport/entry/raw_copy.go
+++ b/transport/entry/raw_copy.go
@@ -4,7 +4,11 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net/http"
+	"net/textproto"
 	"strconv"
+
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
 // Bounds on raw messages.
@@ -58,8 +62,9 @@
 	}
 }
 
-// copyChunked copies a chunked body and its trailers byte for byte.
-func copyChunked(w io.Writer, r *bufio.Reader) error {
+// copyChunked copies a chunked body and its trailers byte for byte. check may reject the trailer section
+// before it is copied.
+func copyChunked(w io.Writer, r *bufio.Reader, check func(trailers []byte) error) error {
 	for {
 		line, err := readLine(r, maxChunkLine)
 		if err != nil {
@@ -73,7 +78,7 @@
 			return err
 		}
 		if size == 0 {
-			return copyTrailers(w, r)
+			return copyTrailers(w, r, check)
 		}
 		// A line ending follows the chunk's data.
 		if _, err := io.CopyN(w, r, size); err != nil {
@@ -98,11 +103,26 @@
 	return int64(size), nil
 }
 
-func copyTrailers(w io.Writer, r *bufio.Reader) error {
+func copyTrailers(w io.Writer, r *bufio.Reader, check func(trailers []byte) error) error {
 	trailers, err := readHead(r)
+	if err == nil {
+		err = check(trailers)
+	}
 	if err != nil {
 		return err
 	}
 	_, err = w.Write(trailers)
 	return err
 }
+
+// anyTrailers leaves the check of a request's trailers to the older system.
+func anyTrailers([]byte) error { return nil }
+
+// checkTrailers returns an error for a trailer section that violates HTTP/1.1.
+func checkTrailers(section []byte) error {
+	fields, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(section))).ReadMIMEHeader()
+	if err != nil {
+		return err
+	}
+	return forward.CheckNames(http.Header(fields))
+}
--- a/transport/forward/broken_head_test.go
+++ b/transport/forward/broken_head_test.go
@@ -80,3 +80,48 @@
 		c.CloseIdleConnections()
 	}
 }
+
+// Guards against a field whose name isn't one: a framing field would be overlooked, and the framing would
+// pass for the body.
+func TestFieldNameThatIsNoneIsNoResponse(t *testing.T) {
+	for name, field := range map[string]string{
+		"blank inside":        "X A: b",
+		"blank behind":        "X-A : b",
+		"blank, length":       "Content-Length : 4",
+		"blank, chunked":      "Transfer-Encoding : chunked",
+		"blank, content type": "Content-Type : text/event-stream",
+		"tab":                 "X\tA: b",
+		"NUL":                 "X\x00A: b",
+		"BEL":                 "X\x07A: b",
+		"DEL":                 "X\x7fA: b",
+		"no ASCII":            "X\xe4A: b",
+		"delimiter":           "X(A): b",
+		"no name":             ": b",
+		"no colon":            "XA",
+		"NUL in the value":    "X-A: b\x00",
+		"CR in the value":     "X-A: b\rc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, status := range []string{"200 OK", "204 No Content", "500 Internal Server Error", "503 Service Unavailable"} {
+				checkNoResponse(t, "HTTP/1.1 "+status+"\r\n"+field+"\r\nContent-Length: 0\r\n\r\n")
+			}
+			checkNoResponse(t, "HTTP/1.1 200 OK\r\n"+field+"\r\nConnection: close\r\n\r\n4\r\nwell\r\n0\r\n\r\n")
+			checkNoResponse(t, "HTTP/1.1 103 Early Hints\r\n"+field+"\r\n\r\n"+completeResponse)
+			const chunk = "\r\n4\r\nwell\r\n0\r\n"
+			checkNoResponse(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"+chunk+field+"\r\n\r\n")
+		})
+	}
+	checkNoResponse(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X A\r\n\r\n4\r\nwell\r\n0\r\n\r\n")
+}
+
+// Every name that is a token is passed on.
+func TestUnusualFieldNamesArePassedOn(t *testing.T) {
+	const name = "X!#$%&'*+.^_`|~9"
+	addr, _ := scriptedServer(t, "HTTP/1.1 200 OK\r\n"+name+": b\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwell\r\n0\r\n"+name+"t: c\r\n\r\n", false)
+	resp, err := post(t.Context(), NewClient(DefaultClientConfig()), addr, nil, 0)
+	must.NoError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	must.Eq(t, "b", resp.Header.Get(name))
+	must.Eq(t, "c", resp.Trailer.Get(name+"t"))
+}
--- a/transport/forward/response_body.go
+++ b/transport/forward/response_body.go
@@ -9,6 +9,7 @@
 // responseBody is a response's body. Its end releases the connection.
 type responseBody struct {
 	trip  *roundTrip
+	resp  *http.Response
 	reuse bool
 	ended atomic.Bool
 	// unframed is set for a body whose length isn't known. received is the number of its bytes so
@@ -19,7 +20,7 @@
 
 // newResponseBody returns the body of resp, whose end releases the connection.
 func newResponseBody(x *roundTrip, resp *http.Response) *responseBody {
-	return &responseBody{trip: x, reuse: !resp.Close, unframed: resp.ContentLength < 0 && !IsEventStream(resp)}
+	return &responseBody{trip: x, resp: resp, reuse: !resp.Close, unframed: resp.ContentLength < 0 && !IsEventStream(resp)}
 }
 
 // Read implements io.Reader.
@@ -33,6 +34,9 @@
 			err = &BodySizeError{Limit: limit}
 		}
 	}
+	if err == io.EOF {
+		err = b.checkTrailers()
+	}
 	if err != nil && b.ended.CompareAndSwap(false, true) {
 		b.trip.err = err
 		b.trip.end(b.reuse && err == io.EOF)
@@ -40,6 +44,14 @@
 	return n, err
 }
 
+// checkTrailers returns the error of a body that has been read to its end: io.EOF if its trailers are valid.
+func (b *responseBody) checkTrailers() error {
+	if err := CheckNames(b.resp.Trailer); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // after returns the error of a read after the end.
 func (b *responseBody) after() error {
 	if b.trip.err != nil {
