Reject responses of another major version of HTTP

What callers would see: bytes that begin with HTTP/0.9, HTTP/2.0 or HTTP/3.7 passed for a response of HTTP/1 and reached the caller as a 200. Not reported; found while looking for what else http.ReadResponse reads.

Evidence: `forward.TestOtherVersionIsNoResponse` fails for all three before ("status 200, map[Content-Length:[4]] with "well"").

Fix: `forward.CheckHead` demands the major version 1.

--- a/transport/forward/broken_head_test.go
+++ b/transport/forward/broken_head_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -8,6 +9,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -28,14 +30,17 @@
 	addr, conns := scriptedServer(t, answer, false)
 	c := NewClient(DefaultClientConfig())
 	defer c.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
 	for range 2 {
 		w := &interimRecorder{ResponseWriter: httptest.NewRecorder()}
-		resp, err := Send(c, NewRequest(t.Context(), httptest.NewRequest("GET", "/", nil), "http", addr, nil, 0), w)
+		resp, err := Send(c, NewRequest(ctx, httptest.NewRequest("GET", "/", nil), "http", addr, nil, 0), w)
 		if err == nil {
 			var body []byte
 			body, err = io.ReadAll(io.LimitReader(resp.Body, int64(len(answer))))
 			must.Error(t, err, must.Sprintf("status %d, %v with %q", resp.StatusCode, resp.Header, body))
 		}
+		must.NoError(t, ctx.Err())
 		var failed *SendError
 		must.True(t, !errors.As(err, &failed) || failed.Sent)
 		for _, status := range w.statuses {
@@ -125,3 +130,10 @@
 	must.Eq(t, "b", resp.Header.Get(name))
 	must.Eq(t, "c", resp.Trailer.Get(name+"t"))
 }
+
+// Guards against a response of another protocol, whose framing isn't that of HTTP/1.
+func TestOtherVersionIsNoResponse(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.7"} {
+		t.Run(version, func(t *testing.T) { checkNoResponse(t, strings.Replace(completeResponse, "HTTP/1.1", version, 1)) })
+	}
+}
--- a/transport/forward/response_head.go
+++ b/transport/forward/response_head.go
@@ -12,7 +12,10 @@
 // CheckHead returns an error for a response's head that net/http reads although it violates HTTP/1.1. The
 // error is a *ProtocolError.
 func CheckHead(resp *http.Response) error {
-	if resp.StatusCode < minStatus {
+	switch {
+	case resp.ProtoMajor != 1:
+		return &ProtocolError{What: "version"}
+	case resp.StatusCode < minStatus:
 		return &ProtocolError{What: "status code"}
 	}
 	if err := CheckNames(resp.Header); err != nil {
