Reject HTTP/1.0 responses with a transfer encoding

What callers would see: the framing of the chunks as the body, or with a Content-Length beside them as much of it as that says ("4\r\nw" for "well"). Not reported; found with the names that hide a framing field.

Cause: HTTP/1.0 has no transfer encodings. RFC 9112 (6.1) has a recipient treat such a message as one with faulty framing; net/http drops the field and goes by the length or the end of the connection.

Evidence: `forward.TestChunkedResponseOfHTTP10IsNoResponse` (four of four) and `entry.TestOlderChunkedResponseOfHTTP10IsNoResponse` fail before.

Fix: as net/http leaves no trace of the field, a head of HTTP/1.0 is read line by line first and checked. Heads of HTTP/1.1 are read as before. `forward.ReadHead` and `ReadLine` are `entry`'s, moved. A connection isn't used again after a response of HTTP/1.0, which it was if the server kept it open: bytes behind the response could be in either of two readers. Other responses of HTTP/1.0 are passed on (TestResponseOfHTTP10IsPassedOn).

--- a/transport/entry/older_broken_test.go
+++ b/transport/entry/older_broken_test.go
@@ -144,3 +144,8 @@
 		checkOlderIsNoResponse(t, head+chunk+field+"\r\n\r\n")
 	}
 }
+
+// Guards against chunks that pass for the body, as HTTP/1.0 has none.
+func TestOlderChunkedResponseOfHTTP10IsNoResponse(t *testing.T) {
+	checkOlderIsNoResponse(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwell\r\n0\r\n\r\n")
+}
--- a/transport/entry/older_exchange.go
+++ b/transport/entry/older_exchange.go
@@ -88,14 +88,11 @@
 func (x *rawExchange) copyResponse() (*http.Response, error) {
 	from := x.caller.older.reader
 	for {
-		head, err := readHead(from)
+		head, err := forward.ReadHead(from)
 		if err != nil {
 			return nil, err
 		}
-		resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), x.request)
-		if err == nil {
-			err = forward.CheckHead(resp)
-		}
+		resp, err := x.parse(head)
 		if err != nil {
 			return nil, err
 		}
@@ -111,6 +108,18 @@
 	}
 }
 
+// parse returns the response that begins with a head.
+func (x *rawExchange) parse(head []byte) (*http.Response, error) {
+	if err := forward.CheckRawHead(head); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), x.request)
+	if err != nil {
+		return nil, err
+	}
+	return resp, forward.CheckHead(resp)
+}
+
 func (x *rawExchange) copyResponseBody(resp *http.Response, from *bufio.Reader) error {
 	bodyless := x.request.Method == http.MethodHead ||
 		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
--- a/transport/entry/older_test.go
+++ b/transport/entry/older_test.go
@@ -17,6 +17,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jacinthgate/jacinthgate/internal/standin/older"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
 // startOlder starts the older system and a test bed, and returns the address of a
@@ -75,7 +76,7 @@
 // bytes and that its response arrived unchanged.
 func checkOlder(t *testing.T, reader *bufio.Reader, raw string, count int64) string {
 	t.Helper()
-	head, err := readHead(reader)
+	head, err := forward.ReadHead(reader)
 	must.NoError(t, err)
 	must.StrHasPrefix(t, "HTTP/1.1 200 Fine\r\nx-older-system: Yes\r\nContent-type: application/json\r\nA-first: 1\r\n", string(head))
 	must.StrNotContains(t, string(head), "Jacinthgate")
@@ -118,7 +119,7 @@
 			return
 		}
 		defer c.Close()
-		_, _ = readHead(bufio.NewReader(c))
+		_, _ = forward.ReadHead(bufio.NewReader(c))
 		// The server sends first, then echoes.
 		_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\nhello")
 		_, _ = io.Copy(c, c)
@@ -132,7 +133,7 @@
 	_, err = io.WriteString(conn, "GET /older/u HTTP/1.1\r\nHost: screens.example\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n")
 	must.NoError(t, err)
 	reader := bufio.NewReader(conn)
-	_, err = readHead(reader)
+	_, err = forward.ReadHead(reader)
 	must.NoError(t, err)
 	got := make([]byte, 5)
 	_, err = io.ReadFull(reader, got)
--- a/transport/entry/raw_copy.go
+++ b/transport/entry/raw_copy.go
@@ -11,13 +11,8 @@
 	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
-// Bounds on raw messages.
-const (
-	// maxRawHead is the largest head, in bytes.
-	maxRawHead = 1 << 20
-	// maxChunkLine is the longest chunk-size line, extensions included, in bytes.
-	maxChunkLine = 4 << 10
-)
+// maxChunkLine is the longest chunk-size line, extensions included, in bytes.
+const maxChunkLine = 4 << 10
 
 // FramingError reports bytes that violate the framing of HTTP/1.1.
 type FramingError struct {
@@ -28,45 +23,11 @@
 // Error implements error.
 func (e *FramingError) Error() string { return "framing: " + e.What }
 
-// readHead returns a message's head, or a trailer section, byte for byte, the empty
-// line at its end included.
-func readHead(r *bufio.Reader) ([]byte, error) {
-	var head []byte
-	for {
-		line, err := readLine(r, maxRawHead-len(head))
-		if err != nil {
-			return nil, err
-		}
-		head = append(head, line...)
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return head, nil
-		}
-	}
-}
-
-// readLine returns a line of at most limit bytes, its line ending included.
-func readLine(r *bufio.Reader, limit int) ([]byte, error) {
-	var line []byte
-	for {
-		part, err := r.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > limit {
-			return nil, &FramingError{What: "line too long"}
-		}
-		if err == nil {
-			return line, nil
-		}
-		if err != bufio.ErrBufferFull {
-			return nil, err
-		}
-	}
-}
-
 // copyChunked copies a chunked body and its trailers byte for byte. check may reject the trailer section
 // before it is copied.
 func copyChunked(w io.Writer, r *bufio.Reader, check func(trailers []byte) error) error {
 	for {
-		line, err := readLine(r, maxChunkLine)
+		line, err := forward.ReadLine(r, maxChunkLine)
 		if err != nil {
 			return err
 		}
@@ -84,7 +45,7 @@
 		if _, err := io.CopyN(w, r, size); err != nil {
 			return err
 		}
-		end, err := readLine(r, len("\r\n"))
+		end, err := forward.ReadLine(r, len("\r\n"))
 		if err != nil {
 			return err
 		}
@@ -104,7 +65,7 @@
 }
 
 func copyTrailers(w io.Writer, r *bufio.Reader, check func(trailers []byte) error) error {
-	trailers, err := readHead(r)
+	trailers, err := forward.ReadHead(r)
 	if err == nil {
 		err = check(trailers)
 	}
--- a/transport/forward/broken_head_test.go
+++ b/transport/forward/broken_head_test.go
@@ -137,3 +137,36 @@
 		t.Run(version, func(t *testing.T) { checkNoResponse(t, strings.Replace(completeResponse, "HTTP/1.1", version, 1)) })
 	}
 }
+
+// Guards against chunks that pass for the body: HTTP/1.0 has none, and net/http ignores the field.
+func TestChunkedResponseOfHTTP10IsNoResponse(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n4\r\nwell\r\n0\r\n\r\n"
+	for name, fields := range map[string]string{
+		"alone":            "",
+		"with a length":    "Content-Length: 4\r\n",
+		"kept open":        "Connection: keep-alive\r\n",
+		"behind much else": strings.Repeat("X-A: "+strings.Repeat("x", 1000)+"\r\n", 10),
+	} {
+		t.Run(name, func(t *testing.T) { checkNoResponse(t, "HTTP/1.0 200 OK\r\n"+fields+chunked) })
+	}
+}
+
+// Responses of HTTP/1.0 in its own framing are passed on, interim ones before them too.
+func TestResponseOfHTTP10IsPassedOn(t *testing.T) {
+	for name, response := range map[string]string{
+		"length":    "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nwell",
+		"to an end": "HTTP/1.0 200 OK\r\n\r\nwell",
+		"interim":   "HTTP/1.0 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nwell",
+		"mixed":     "HTTP/1.0 103 Early Hints\r\n\r\n" + completeResponse,
+		"long head": "HTTP/1.0 200 OK\r\n" + strings.Repeat("X-A: "+strings.Repeat("x", 1000)+"\r\n", 10) + "\r\nwell",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, _ := scriptedServer(t, response, true)
+			resp, err := post(t.Context(), NewClient(DefaultClientConfig()), addr, nil, 0)
+			must.NoError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			must.NoError(t, err)
+			must.Eq(t, "well", string(body))
+		})
+	}
+}
--- a/transport/forward/receive.go
+++ b/transport/forward/receive.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net/http"
@@ -70,16 +71,37 @@
 	}
 	begin, _ := br.Peek(br.Buffered()) // can't fail
 	if bytes.Contains(begin, headEnd) {
-		return http.ReadResponse(br, x.req)
+		return x.parseResponse()
 	}
 	var resp *http.Response
 	err := x.within(maxHeadTime, "response head doesn't end", func() (err error) {
-		resp, err = http.ReadResponse(br, x.req)
+		resp, err = x.parseResponse()
 		return err
 	})
 	return resp, err
 }
 
+// parseResponse reads one head, of either version of HTTP/1.
+func (x *roundTrip) parseResponse() (*http.Response, error) {
+	br := x.conn.br
+	if version, _ := br.Peek(len(http10)); string(version) != http10 { // reading returns the error
+		return http.ReadResponse(br, x.req)
+	}
+	head, err := ReadHead(br)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF // as of http.ReadResponse
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckRawHead(head); err != nil {
+		return nil, err
+	}
+	x.noReuse = true // bytes behind the response may be in either reader
+	x.conn.br = bufio.NewReader(io.MultiReader(bytes.NewReader(head), br))
+	return http.ReadResponse(x.conn.br, x.req)
+}
+
 // within reads from the connection by f, which fails with a *ProtocolError once the time is over.
 func (x *roundTrip) within(d time.Duration, what string, f func() error) error {
 	timer := time.AfterFunc(d, x.abort)
