Check the answers of the store, of health checks and of nodes to operators

Cause: these go through net/http's client, which has the same parser, and reads and writes a connection on two goroutines too.

Fix: `forward.CheckedTransport` wraps net/http's transport: connections whose end is checked, and `CheckHead`. The platform's clients take it as a function, since they import no transport. Chunked responses of HTTP/1.0 aren't found there, as net/http leaves no trace of them; as JSON they fail.

--- a/cmd/jacinthgatectl/connect.go
+++ b/cmd/jacinthgatectl/connect.go
@@ -8,6 +8,7 @@
 
 	"github.com/jacinthgate/jacinthgate/internal/operatorclient"
 	"github.com/jacinthgate/jacinthgate/internal/settings"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/security"
 )
 
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	hc := &http.Client{Timeout: set.Timeout.Std(), Transport: &http.Transport{TLSClientConfig: tc}}
+	hc := &http.Client{Timeout: set.Timeout.Std(), Transport: forward.CheckedTransport(&http.Transport{TLSClientConfig: tc})}
 	return operatorclient.New(strings.TrimSuffix(set.Node, "/"), hc), nil
 }
 
--- a/internal/node/wire.go
+++ b/internal/node/wire.go
@@ -179,6 +179,7 @@
 	client := func(url string) *platform.Store {
 		cfg := platform.DefaultStoreConfig(url)
 		cfg.MaxConns = platformConns
+		cfg.Wrap = forward.CheckedTransport
 		return platform.NewStore(cfg)
 	}
 	tables := platform.NewTables(client(set.Table), set.Prefix, set.Timeout.Std())
--- a/internal/sidecar/confirming.go
+++ b/internal/sidecar/confirming.go
@@ -9,6 +9,7 @@
 	"github.com/jacinthgate/jacinthgate/coordination/departure"
 	"github.com/jacinthgate/jacinthgate/platform"
 	"github.com/jacinthgate/jacinthgate/state/instance"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 )
 
 // backendConfirmed reports that the current backend server, which was withheld, is in service.
@@ -76,7 +77,7 @@
 
 // healthCheck returns a function that checks the health of a backend server and counts the results.
 func (n *Node) healthCheck() func(addr, path string) (string, error) {
-	checks := platform.NewHealthChecks(n.localIP())
+	checks := platform.NewHealthChecks(n.localIP(), forward.CheckedTransport)
 	return func(addr, path string) (string, error) {
 		began := time.Now()
 		id, err := checks.Check(n.ctx, addr, path)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -22,6 +22,7 @@
 	"github.com/jacinthgate/jacinthgate/state/route"
 	"github.com/jacinthgate/jacinthgate/state/suspect"
 	"github.com/jacinthgate/jacinthgate/transport/callers"
+	"github.com/jacinthgate/jacinthgate/transport/forward"
 	"github.com/jacinthgate/jacinthgate/transport/inbound"
 	"github.com/jacinthgate/jacinthgate/transport/keepalive"
 	"github.com/jacinthgate/jacinthgate/transport/link"
@@ -118,6 +119,7 @@
 	store := platform.DefaultStoreConfig("http://" + set.Store)
 	store.LocalIP = n.localIP()
 	store.OnCall = n.countStoreCall
+	store.Wrap = forward.CheckedTransport
 	n.store = platform.NewStore(store)
 	steps := []func() error{n.openListeners, n.openPeers, n.wireControl, n.wireRequests, n.wireServers}
 	for _, step := range steps {
--- a/transport/forward/unframed_test.go
+++ b/transport/forward/unframed_test.go
@@ -128,3 +128,34 @@
 		}
 	}
 }
+
+// Guards against the same at net/http's client.
+func TestCheckedTransportReadsNoEndThatTheServerDidNotSend(t *testing.T) {
+	for how, whole := range map[string]bool{"reset": false, "closed for writing, reset": true} {
+		t.Run(how, func(t *testing.T) {
+			s := newUnframedServer(t, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 1000))
+			var own net.Conn
+			client := CheckedTransport(&http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+				var err error
+				own, err = new(net.Dialer).DialContext(ctx, network, addr)
+				return own, err
+			}})
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.addr+"/", nil)
+			must.NoError(t, err)
+			resp, err := client.RoundTrip(req)
+			must.NoError(t, err)
+			defer resp.Body.Close()
+			conn := <-s.answered
+			if whole {
+				must.NoError(t, conn.CloseWrite())
+			}
+			reset(t, conn)
+			for err == nil {
+				_, err = io.WriteString(own, "x") // meets the reset
+			}
+			body, err := io.ReadAll(resp.Body)
+			must.Eq(t, 1000, len(body))
+			must.Eq(t, whole, err == nil, must.Sprint(err))
+		})
+	}
+}
