Tell a frame of packed heads that breaks off from the end of a connection

What would be seen: on connections between nodes whose heads are packed, the end of the connection within a frame was a regular end to the reader. A response without a length that broke off there would pass for whole. Nodes frame their responses to each other, so no caller can have seen it.

Fix: io.EOF becomes io.ErrUnexpectedEOF while a part of a frame is unread.

--- a/transport/headpack/conn.go
+++ b/transport/headpack/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/binary"
+	"io"
 	"net"
 	"sync"
 )
@@ -64,12 +65,20 @@
 func (c *Conn) HasUnread() bool { return len(c.head) > 0 || c.rawRemaining > 0 || c.r.Buffered() > 0 }
 
 // Read implements net.Conn. Besides the errors of the underlying connection it
-// returns a *FrameError for an invalid frame. Reading can go on after a deadline
-// has expired.
+// returns a *FrameError for an invalid frame, and io.ErrUnexpectedEOF if the
+// connection ends within a frame. Reading can go on after a deadline has expired.
 func (c *Conn) Read(p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
 	}
+	n, err := c.read(p)
+	if err == io.EOF && c.HasUnread() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func (c *Conn) read(p []byte) (int, error) {
 	if !c.peerDetected {
 		if err := c.detectPeer(); err != nil {
 			return 0, err
