Pass no interim response to callers of HTTP/1.0

What callers would see: HTTP/1.0 has no interim responses, so that a caller of it takes one for the response: a 103 with the real response as its body (from `jacinthgate-node`), or a 100 (from `jacinthgate-sidecar`, if it had sent an Expect). Not reported; found beside the truncated responses to HTTP/1.0.

Fix: interim responses are dropped where the caller speaks HTTP/1.0, and its Expect is ignored (RFC 9110, 10.1.1 and 15.2), as net/http's server does.

--- a/transport/callers/exchange.go
+++ b/transport/callers/exchange.go
@@ -52,7 +52,7 @@
 	x.w = &response{x: x, header: make(http.Header)}
 	if x.hasBody() {
 		x.bodyEnd = make(chan struct{})
-		expected := req.Header.Get("Expect") == "100-continue"
+		expected := req.ProtoAtLeast(1, 1) && req.Header.Get("Expect") == "100-continue"
 		x.req.Body = &requestBody{ReadCloser: req.Body, x: x, expectsContinue: expected}
 	}
 	return x
--- a/transport/callers/http10_test.go
+++ b/transport/callers/http10_test.go
@@ -1,9 +1,12 @@
 package callers
 
 import (
+	"io"
 	"net/http"
 	"testing"
 
+	"github.com/shoenig/test/must"
+
 	"github.com/jacinthgate/jacinthgate/transport/transporttest"
 )
 
@@ -15,3 +18,13 @@
 		return addr, func() { _ = s.Close() }
 	})
 }
+
+// Guards against an interim response that an HTTP/1.0 caller takes for the response: HTTP/1.0 has none.
+func TestCallerOfHTTP10GetsNo100Continue(t *testing.T) {
+	_, addr := startServer(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	c, br := dial(t, addr)
+	send(t, c, "POST / HTTP/1.0\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nbody")
+	resp, body := readResponse(t, br)
+	must.Eq(t, http.StatusOK, resp.StatusCode)
+	must.Eq(t, "body", body)
+}
--- a/transport/entry/exchange.go
+++ b/transport/entry/exchange.go
@@ -133,7 +133,7 @@
 		x.reportAttempt(balance.Cancelled)
 		return x.p.notRun(outcome.ReasonDeadline, "the claim on the key is over")
 	}
-	resp, opening, err := forward.SendTimed(x.p.cfg.Gate, x.request(remaining), x.w)
+	resp, opening, err := forward.SendTimed(x.p.cfg.Gate, x.request(remaining), forward.InterimWriter(x.w, x.r))
 	x.last.latency = max(0, x.p.cfg.Now().Sub(now)-opening)
 	if err != nil {
 		return x.failed(err)
--- a/transport/entry/older.go
+++ b/transport/entry/older.go
@@ -207,7 +207,7 @@
 		body = stream
 	}
 	out := forward.NewRequest(r.Context(), r, "http", o.p.cfg.OlderAddr, body, r.ContentLength)
-	resp, err := forward.Send(o.transport, out, w)
+	resp, err := forward.Send(o.transport, out, forward.InterimWriter(w, r))
 	var failed *forward.SendError
 	if errors.As(err, &failed) && failed.Sent {
 		forward.Unknown(outcome.ReasonBackendFailed, "the older system broke the connection").Write(w)
--- a/transport/forward/trip.go
+++ b/transport/forward/trip.go
@@ -83,6 +83,15 @@
 	}
 }
 
+// InterimWriter returns the receiver of the 1xx responses to r, whose response goes to w: nil for an
+// HTTP/1.0 caller, which would take one for the response.
+func InterimWriter(w http.ResponseWriter, r *http.Request) http.ResponseWriter {
+	if !r.ProtoAtLeast(1, 1) {
+		return nil
+	}
+	return w
+}
+
 // passInterim passes on a 1xx response. The caller must not pass "100 Continue":
 // the HTTP server sends its own when the body is read.
 func passInterim(w http.ResponseWriter, resp *http.Response) {
