Count and check what is read of a connection in one place

On reading the change again: `forward`'s own connection repeated what `sockopt.CheckedConn` does; it embeds one now. No behaviour changes.

Race tests of transport/forward, entry, sockopt, inbound, gate: green.

--- a/transport/forward/client.go
+++ b/transport/forward/client.go
@@ -180,7 +180,7 @@
 		return nil, err
 	}
 	sockopt.SetUnackedTimeout(raw, c.cfg.UnackedTimeout)
-	tracked := &trackedConn{Conn: raw, sent: c.cfg.Sent, received: c.cfg.Received}
+	tracked := newTrackedConn(raw, c.cfg.Sent, c.cfg.Received)
 	switch {
 	case key.scheme == "https":
 	case c.cfg.PackHeads:
--- a/transport/forward/client_test.go
+++ b/transport/forward/client_test.go
@@ -179,7 +179,7 @@
 		key := connKey{"http", "127.0.0.1:1"}
 		put := func() net.Conn {
 			client, server := net.Pipe()
-			raw := &trackedConn{Conn: client}
+			raw := newTrackedConn(client, nil, nil)
 			p.put(newClientConn(key, raw, raw))
 			return server
 		}
--- a/transport/forward/conn.go
+++ b/transport/forward/conn.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"io"
 	"net"
 	"sync"
 
@@ -13,9 +12,8 @@
 // trackedConn is a connection that counts the bytes written, so that a request
 // that failed after sending can be distinguished from one that was never sent.
 type trackedConn struct {
-	net.Conn
+	sockopt.CheckedConn
 	sent, received *metrics.Counter // may be nil
-	read           int64            // number of bytes read; only the goroutine that reads uses it
 
 	mu      sync.Mutex
 	written int64
@@ -23,6 +21,11 @@
 	lost    error // why all reads and writes fail; nil while they don't
 }
 
+// newTrackedConn returns a connection over raw, with counters that may be nil.
+func newTrackedConn(raw net.Conn, sent, received *metrics.Counter) *trackedConn {
+	return &trackedConn{CheckedConn: sockopt.CheckedConn{Conn: raw}, sent: sent, received: received}
+}
+
 // lose makes all reads and writes of the connection fail with err.
 func (c *trackedConn) lose(err error) {
 	c.mu.Lock()
@@ -60,13 +63,9 @@
 	return n, c.cause(err)
 }
 
-// Read implements net.Conn. It returns io.EOF only if the peer has closed its sending direction.
+// Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.read += int64(n)
-	if err == io.EOF {
-		err = sockopt.CheckEnd(c.Conn, c.read)
-	}
+	n, err := c.CheckedConn.Read(p)
 	if c.received != nil {
 		c.received.Add(n)
 	}
--- a/transport/forward/send_test.go
+++ b/transport/forward/send_test.go
@@ -111,7 +111,7 @@
 func TestSealedConnectionSendsNothing(t *testing.T) {
 	client, server := net.Pipe()
 	defer server.Close()
-	c := &trackedConn{Conn: client}
+	c := newTrackedConn(client, nil, nil)
 	must.Eq(t, 0, c.seal())
 	_, err := c.Write([]byte("late"))
 	var sealed *sealedError
--- a/transport/forward/window_test.go
+++ b/transport/forward/window_test.go
@@ -77,7 +77,7 @@
 func TestLostConnectionFailsWithATimeout(t *testing.T) {
 	own, peer := net.Pipe()
 	defer func() { _ = peer.Close() }()
-	c := &trackedConn{Conn: own}
+	c := newTrackedConn(own, nil, nil)
 	c.lose(syscall.ETIMEDOUT)
 	_, err := c.Read(make([]byte, 1))
 	must.ErrorIs(t, err, syscall.ETIMEDOUT)
--- a/transport/sockopt/end.go
+++ b/transport/sockopt/end.go
@@ -16,26 +16,12 @@
 // Error implements error.
 func (*LostError) Error() string { return "connection lost before its peer closed it" }
 
-// CheckEnd returns the error for a read that has returned io.EOF: io.EOF if the peer has closed its
-// sending direction, else a *LostError. received is the number of bytes that were read from the connection
-// since it was opened. It returns io.EOF for a connection other than TCP.
+// CheckedConn is a connection whose reads return io.EOF only if the peer has closed its sending direction.
 //
 // The kernel reports the failure of a connection once, to the call that meets it first. If that is a write,
 // the read after it returns io.EOF as at a regular end.
-func CheckEnd(conn net.Conn, received int64) error {
-	lost := withDescriptor(conn, func(fd int) bool {
-		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		// A FIN that has arrived counts as one more byte.
-		return err == nil && info.State == tcpClosed && info.Bytes_received == uint64(received)
-	})
-	if lost {
-		return &LostError{}
-	}
-	return io.EOF
-}
-
-// CheckedConn is a connection whose reads return io.EOF only if the peer has closed its sending direction.
 type CheckedConn struct {
+	// Conn is the connection, from which nothing was read yet. Ends of others than TCP aren't checked.
 	net.Conn
 	received int64 // in bytes
 }
@@ -44,11 +30,20 @@
 func (c *CheckedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received += int64(n)
-	if err == io.EOF {
-		err = CheckEnd(c.Conn, c.received)
+	if err == io.EOF && c.isLost() {
+		err = &LostError{}
 	}
 	return n, err
 }
 
+// isLost reports whether the connection has ended and the peer hasn't closed its sending direction.
+func (c *CheckedConn) isLost() bool {
+	return withDescriptor(c.Conn, func(fd int) bool {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		// A FIN that has arrived counts as one more byte.
+		return err == nil && info.State == tcpClosed && info.Bytes_received == uint64(c.received)
+	})
+}
+
 // NetConn returns the connection below.
 func (c *CheckedConn) NetConn() net.Conn { return c.Conn }
