Soak: break off answers without a length, by a reset

Cause: answers that break off were drawn only among those with a length or chunks, as the stand-in ended all of them by a close, after which a body without a length looks whole. So the soak couldn't see what the users saw.

Change: a backend server resets the connection of such an answer. The test of the behaviours demanded that they be left out; it now demands that a part of the broken answers be such, and that the reader of each form sees the break.

(Uploads aren't drawn; `internal/sidecar` plays those.)

--- a/internal/soak/answers.go
+++ b/internal/soak/answers.go
@@ -67,7 +67,7 @@
 	body := Answer(s.ID, r.URL.RequestURI())
 	b.framing.set(w.Header(), len(body))
 	if err := b.write(w, r, body); err != nil {
-		panic(http.ErrAbortHandler) // the caller must not take a part for the whole
+		b.framing.breakOff(w)
 	}
 	whole()
 }
--- a/internal/soak/behaviour.go
+++ b/internal/soak/behaviour.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -33,6 +34,18 @@
 	}
 }
 
+// breakOff ends an answer before it is whole, visibly: where the end of the connection is the body's, by a
+// reset. It doesn't return.
+func (f framing) breakOff(w http.ResponseWriter) {
+	if f == framedByClose {
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = c.(*net.TCPConn).SetLinger(0) // fails only on a closed connection
+			_ = c.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // behaviour is how a backend server answers one request.
 type behaviour struct {
 	framing framing
@@ -98,7 +111,6 @@
 	a.rest = time.Duration(rng.Float64() * float64(most))
 	breaks := rng.Float64() < breakShare
 	a.stalls = rng.IntN(2) == 0
-	// The end of a body that ends with its connection can't be told from a part.
-	a.breaks = breaks && a.framing != framedByClose && b.breaking.Load() > 0
+	a.breaks = breaks && b.breaking.Load() > 0
 	return a
 }
--- a/internal/soak/behaviour_test.go
+++ b/internal/soak/behaviour_test.go
@@ -21,7 +21,7 @@
 	must.Eq(t, behaviour{head: slowWork}, plain.of("/status/soak-1"+slowSuffix, time.Second))
 	m := newBehaviours(Plan{Seed: 7, Ahead: true})
 	framings := make(map[framing]int)
-	slow, broken, stalled := 0, 0, 0
+	slow, broken, stalled, reset := 0, 0, 0, 0
 	const count = 1000
 	for i := range count {
 		path := slowPrefix + requestID(i)
@@ -38,10 +38,12 @@
 		m.breaking.Add(-1)
 		if struck.breaks {
 			broken++
-			must.NotEq(t, framedByClose, struck.framing)
 			if struck.stalls {
 				stalled++
 			}
+			if struck.framing == framedByClose {
+				reset++
+			}
 		}
 		struck.breaks = false
 		must.Eq(t, whole, struck)
@@ -51,6 +53,7 @@
 	must.Between(t, count/2, slow, 2*count/3)
 	must.Between(t, count/5, broken, count/2)
 	must.Between(t, broken/3, stalled, 2*broken/3)
+	must.Between(t, broken/20, reset, broken/5)
 }
 
 // pathWith returns a path of the slow route that a backend server answers in a behaviour.
@@ -97,12 +100,14 @@
 		must.Eq(t, framed == framedByClose, resp.Close)
 	}
 	m.breaking.Add(1)
-	for _, stalls := range []bool{true, false} {
-		path := pathWith(t, m, func(a behaviour) bool { return a.breaks && a.stalls == stalls })
-		resp, body, err := ask(t, s, path)
-		must.Error(t, err)
-		must.Eq(t, http.StatusOK, resp.StatusCode)
-		must.StrHasPrefix(t, body, Answer("i-1", path))
+	for _, framed := range []framing{framedByLength, framedByChunks, framedByClose} {
+		for _, stalls := range []bool{true, false} {
+			path := pathWith(t, m, func(a behaviour) bool { return a.breaks && a.framing == framed && a.stalls == stalls })
+			resp, body, err := ask(t, s, path)
+			must.Error(t, err, must.Sprint("a part that the caller can't tell from the whole"))
+			must.Eq(t, http.StatusOK, resp.StatusCode)
+			must.StrHasPrefix(t, body, Answer("i-1", path))
+		}
 	}
 	must.NoError(t, s.http.Shutdown(t.Context())) // what is noted at the end of a run has been
 	whole := 0
@@ -114,5 +119,5 @@
 		must.NotEq(t, a.Breaks, !a.Whole.IsZero())
 	}
 	must.Eq(t, 3, whole)
-	must.Len(t, 5, s.Seen())
+	must.Len(t, 9, s.Seen())
 }
