Test: a caller is told of a reset by its read or by its write

Not seen to fail. Where a caller counts as told, the write's ECONNRESET counts too now, as it does for a real caller.

--- a/internal/sidecar/broken_answers_test.go
+++ b/internal/sidecar/broken_answers_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/jacinthgate/jacinthgate/platform/platformtest"
+	"github.com/jacinthgate/jacinthgate/transport/transporttest"
 )
 
 // ownFields are the fields of a backend server's response to a request.
@@ -100,12 +101,15 @@
 	const size = 900 << 10
 	head := fmt.Sprintf("POST /upload/x %s\r\nHost: %s\r\n%s: u-%d\r\n%s: 4000\r\nContent-Length: %d\r\n\r\n",
 		proto, host, platformtest.HeaderRequestID, time.Now().UnixNano(), platformtest.HeaderWait, size)
-	go func() { _, _ = io.WriteString(c, head+strings.Repeat("x", size)) }() // the response may come first
+	sent := transporttest.Send(c, head+strings.Repeat("x", size))
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		return 0, 0, err
 	}
 	body, err := io.ReadAll(resp.Body)
+	if proto == "HTTP/1.0" {
+		err = sent.Reset(err)
+	}
 	return resp.StatusCode, len(body), err
 }
 
--- a/transport/forward/unframed_test.go
+++ b/transport/forward/unframed_test.go
@@ -13,6 +13,8 @@
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
 	"golang.org/x/sys/unix"
+
+	"github.com/jacinthgate/jacinthgate/transport/sockopt"
 )
 
 // unframedServer answers a request whose body is still being sent, and waits for a signal to end the
@@ -109,7 +111,7 @@
 				defer conn.Close()
 				if how == "closed with unread bytes" {
 					requestBody.gate <- struct{}{}
-					time.Sleep(20 * time.Millisecond)
+					must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return sockopt.HasUnread(conn) }), wait.Timeout(5*time.Second)))
 				}
 				end.end(t, conn)
 				upload := resp.Body.(*responseBody).trip.upload
--- a/transport/transporttest/http10.go
+++ b/transport/transporttest/http10.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -59,7 +60,7 @@
 		t.Run(name, func(t *testing.T) {
 			addr, _ := start(t, answerHTTP10)
 			caller, br := dialHTTP10(t, addr)
-			go func() { _, _ = io.WriteString(caller, c.requests) }() // the server may not read all of it
+			sent := Send(caller, c.requests)
 			for range c.whole {
 				got, err := receiveBody(t, br)
 				must.NoError(t, err)
@@ -67,7 +68,7 @@
 			}
 			if c.broken {
 				got, err := receiveBody(t, br)
-				must.ErrorIs(t, err, syscall.ECONNRESET, must.Sprintf("%d bytes", got))
+				must.ErrorIs(t, sent.Reset(err), syscall.ECONNRESET, must.Sprintf("%d bytes", got))
 			}
 		})
 	}
@@ -89,6 +90,29 @@
 	})
 }
 
+// Sending is a text that is being sent while a response may already come.
+type Sending struct{ ended chan error }
+
+// Send starts to send a text.
+func Send(conn net.Conn, text string) *Sending {
+	s := &Sending{make(chan error, 1)}
+	go func() {
+		_, err := io.WriteString(conn, text)
+		s.ended <- err
+	}()
+	return s
+}
+
+// Reset returns the error that tells a caller of a reset, given what its last read returned: that of the
+// read, or that of the write that has met the reset before it. It must be called once the connection has
+// ended.
+func (s *Sending) Reset(readErr error) error {
+	if writeErr := <-s.ended; readErr == nil && errors.Is(writeErr, syscall.ECONNRESET) {
+		return writeErr
+	}
+	return readErr
+}
+
 func dialHTTP10(t *testing.T, addr string) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
