--- a/transport/forward/unframed_test.go
+++ b/transport/forward/unframed_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
-	"golang.org/x/sys/unix"
 
 	"github.com/jacinthgate/jacinthgate/transport/sockopt"
+	"github.com/jacinthgate/jacinthgate/transport/transporttest"
 )
 
 // unframedServer answers a request whose body is still being sent, and waits for a signal to end the
@@ -62,17 +62,6 @@
 	must.NoError(t, c.Close())
 }
 
-// lose makes the host drop whatever arrives on a connection, as if its path was lost.
-func lose(t *testing.T, c *net.TCPConn) {
-	raw, err := c.SyscallConn()
-	must.NoError(t, err)
-	drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
-	must.NoError(t, raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop})
-	}))
-	must.NoError(t, err)
-}
-
 // Guards against a response without a length that passes for whole although its connection has failed:
 // the write of the request's body got the error, and the read after it the end of the stream.
 func TestResponseWithoutLengthIsWholeOnlyIfTheServerEndsIt(t *testing.T) {
@@ -90,10 +79,11 @@
 	}{
 		"reset":                      {reset, false, true},
 		"closed with unread bytes":   {func(t *testing.T, c *net.TCPConn) { must.NoError(t, c.Close()) }, false, true},
-		"path lost":                  {lose, false, true},
+		"path lost":                  {transporttest.DropReceived, false, true},
 		"closed for writing":         {func(t *testing.T, c *net.TCPConn) { must.NoError(t, c.CloseWrite()) }, true, false},
+		"closed, upload goes on":     {func(t *testing.T, c *net.TCPConn) { must.NoError(t, c.Close()) }, true, true},
 		"closed for writing, reset":  {func(t *testing.T, c *net.TCPConn) { must.NoError(t, c.CloseWrite()); reset(t, c) }, true, true},
-		"closed for writing, silent": {func(t *testing.T, c *net.TCPConn) { must.NoError(t, c.CloseWrite()); lose(t, c) }, true, true},
+		"closed for writing, silent": {func(t *testing.T, c *net.TCPConn) { must.NoError(t, c.CloseWrite()); transporttest.DropReceived(t, c) }, true, true},
 	}
 	for form, head := range heads {
 		for how, end := range ends {
--- a/transport/transporttest/raw.go
+++ b/transport/transporttest/raw.go
@@ -6,6 +6,10 @@
 	"net"
 	"net/http"
 	"syscall"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
 )
 
 // ServeRaw accepts connections until l is closed. It writes the text that answer returns to each
@@ -34,3 +38,30 @@
 		})
 	}
 }
+
+// ConnPair returns both ends of a TCP connection on loopback.
+func ConnPair(t *testing.T) (one, other *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	accepted, err := l.Accept()
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = accepted.Close() })
+	return c.(*net.TCPConn), accepted.(*net.TCPConn)
+}
+
+// DropReceived makes the kernel drop whatever arrives on a connection, as if its path was lost.
+func DropReceived(t *testing.T, c *net.TCPConn) {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	must.NoError(t, err)
+	drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+	must.NoError(t, raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop})
+	}))
+	must.NoError(t, err)
+}
